Set up the workspace, its checks and the contracts between libraries

Cause: an empty repository. Change: npm workspace of small libraries, Airbnb lint and format, the README's test command, clocks, random numbers and assertions in core, and the types by which the libraries meet.

--- /dev/null
+++ b/benchmarks/src/getBenchmark.ts
@@ -0,0 +1,22 @@
+import type { BenchmarkArguments } from './types';
+
+type Benchmark = (options: BenchmarkArguments) => Promise<unknown>;
+
+const BENCHMARKS: Readonly<Record<string, () => Promise<{ readonly default: Benchmark }>>> = {
+  overhead: () => import('./overhead'),
+  goodput: () => import('./goodput'),
+  decisions: () => import('./decisions'),
+  moves: () => import('./moves'),
+  orders: () => import('./orders'),
+  configuration: () => import('./configuration'),
+  soak: () => import('./soak'),
+};
+
+/** Finds a benchmark by name; throws with the names known when there is none. */
+export default async function getBenchmark(name: string): Promise<Benchmark> {
+  const load = BENCHMARKS[name];
+  if (load === undefined) {
+    throw new RangeError(`unknown benchmark ${name}; known: ${Object.keys(BENCHMARKS).join(', ')}`);
+  }
+  return (await load()).default;
+}
--- /dev/null
+++ b/benchmarks/src/types.ts
@@ -0,0 +1,10 @@
+/** Arguments that every benchmark takes. */
+export interface BenchmarkArguments {
+  readonly seed: number;
+  /** Print one JSON document and nothing else. */
+  readonly json: boolean;
+  /** Upper bound of the run where the benchmark has one. */
+  readonly minutes: number;
+  /** Run a reduced fixed set, as CI does. */
+  readonly quick: boolean;
+}
--- /dev/null
+++ b/eslint.config.mjs
@@ -0,0 +1,82 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import tseslint from 'typescript-eslint';
+
+/** Airbnb's rules for TypeScript; each departure states its reason. */
+export default tseslint.config(
+  { ignores: ['**/node_modules/**', '**/dist/**', 'reports/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  plugins.node,
+  plugins.typescriptEslint,
+  ...configs.base.recommended,
+  ...configs.base.typescript,
+  {
+    files: ['**/*.ts'],
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      // Airbnb bans for...of for the sake of old browsers; this program runs on Node.js only.
+      'no-restricted-syntax': [
+        'error',
+        'ForInStatement',
+        'LabeledStatement',
+        'WithStatement',
+        {
+          selector: 'ExportNamedDeclaration',
+          message: 'One export a file, as its default; shared types live in types.ts.',
+        },
+      ],
+      'no-continue': 'off',
+      // Tasks await one message after the other on purpose.
+      'no-await-in-loop': 'off',
+      // State closed over by a factory is updated in place.
+      'no-param-reassign': ['error', { props: false }],
+      'no-plusplus': ['error', { allowForLoopAfterthoughts: true }],
+      // Function declarations are hoisted, so a file may start with its export.
+      '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
+      curly: ['error', 'all'],
+      'import-x/no-extraneous-dependencies': 'off',
+      'import-x/extensions': 'off',
+      'import-x/order': 'off',
+      'import-x/no-cycle': 'off',
+      'import-x/no-rename-default': 'off',
+      'import-x/no-unresolved': 'off',
+      '@typescript-eslint/switch-exhaustiveness-check': 'error',
+      '@typescript-eslint/no-floating-promises': 'error',
+      'n/no-process-exit': 'off',
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+      'max-lines-per-function': ['error', { max: 120, skipBlankLines: true, skipComments: true }],
+    },
+  },
+  {
+    // Formatting belongs to prettier.
+    rules: Object.fromEntries(
+      Object.keys(plugins.stylistic.plugins['@stylistic'].rules).map((name) => [
+        `@stylistic/${name}`,
+        'off',
+      ]),
+    ),
+  },
+  {
+    files: ['**/types.ts', '**/index.ts'],
+    rules: { 'import-x/prefer-default-export': 'off', 'no-restricted-syntax': 'off' },
+  },
+  {
+    // Tests: tables and suites are long by nature.
+    files: ['**/*.test.ts'],
+    rules: {
+      'max-lines-per-function': 'off',
+      'max-lines': 'off',
+      '@typescript-eslint/no-floating-promises': 'off',
+    },
+  },
+  {
+    files: ['**/*.mjs'],
+    rules: {
+      'import-x/no-extraneous-dependencies': 'off',
+      'import-x/extensions': 'off',
+      'import-x/no-unresolved': 'off',
+    },
+  },
+);
--- /dev/null
+++ b/packages/core/src/createVirtualClock.test.ts
@@ -0,0 +1,26 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import createVirtualClock from './createVirtualClock';
+
+describe(createVirtualClock.name, () => {
+  const cases = [
+    { name: 'runs timers in order of time', delays: [30, 10, 20], advance: 25, ran: [10, 20] },
+    {
+      name: 'runs timers of one instant in order of setting',
+      delays: [5, 5],
+      advance: 5,
+      ran: [5, 5],
+    },
+    { name: 'leaves later timers alone', delays: [50], advance: 49, ran: [] },
+  ];
+  for (const { name, delays, advance, ran } of cases) {
+    it(name, () => {
+      const clock = createVirtualClock();
+      const seen: number[] = [];
+      delays.forEach((delay) => clock.after(delay, () => seen.push(clock.now())));
+      clock.advance(advance);
+      expect(seen).toEqual(ran);
+      expect(clock.now()).toEqual(advance);
+    });
+  }
+});
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,10 @@
+/** Types, time, randomness and assertions that every library of the workspace shares. */
+export type * from './types';
+export { default as createPriorityQueue } from './createPriorityQueue';
+export { default as createRandom } from './createRandom';
+export { default as createSystemClock } from './createSystemClock';
+export { default as createSystemRandom } from './createSystemRandom';
+export { default as createVirtualClock } from './createVirtualClock';
+export { default as Debug } from './Debug';
+export { default as fail } from './fail';
+export { default as ok } from './ok';
--- /dev/null
+++ b/packages/orders/src/index.ts
@@ -0,0 +1,1 @@
+export type * from './types';
--- /dev/null
+++ b/specification/src/main.ts
@@ -0,0 +1,1 @@
+process.stdout.write('not built yet\n');
