Plan version moves and judge versions by tests valid at any time

Moves need a plan that meets the deadline with margin and a judgement that may be read after every request.

--- /dev/null
+++ b/packages/moves/src/createReferenceTimes.ts
@@ -0,0 +1,36 @@
+import type { Milliseconds } from '@rattanreel/core';
+
+const CAPACITY = 128;
+const LEAST_REFERENCE = 24;
+const QUANTILE = 0.9;
+
+/** The old version's last times for one range of lengths. */
+interface ReferenceTimes {
+  add(value: Milliseconds): void;
+  /** The 90th percentile, once there is enough to tell. */
+  tryGetUpperQuantile(): Milliseconds | undefined;
+}
+
+/** Keeps a ring of times, for comparison after the old version's traffic has ended. */
+export default function createReferenceTimes(): ReferenceTimes {
+  const ring: number[] = [];
+  let next = 0;
+  let quantile: number | undefined;
+
+  return {
+    add(value) {
+      ring[next] = value;
+      next = (next + 1) % CAPACITY;
+      quantile = undefined;
+    },
+    tryGetUpperQuantile() {
+      if (ring.length < LEAST_REFERENCE) {
+        return undefined;
+      }
+      quantile ??= [...ring].sort((left, right) => left - right)[
+        Math.floor(ring.length * QUANTILE)
+      ];
+      return quantile;
+    },
+  };
+}
--- /dev/null
+++ b/packages/moves/src/createSequentialTest.ts
@@ -0,0 +1,44 @@
+import type { SequentialTest } from './types';
+
+/** Part of the wealth that bets on a change present from the first observation. */
+const INITIAL_WEALTH = 0.5;
+/** Offset of the series that shares the rest out to later starts. */
+const RESTART_OFFSET = 8;
+/** Evidence far beyond any threshold, kept finite. */
+const EVIDENCE_CEILING = 1e100;
+
+/** Wealth staked on a change at observation `count`; the sum over all counts is at most 1 - INITIAL_WEALTH. */
+function getRestartWealth(count: number): number {
+  const position = count + RESTART_OFFSET;
+  const logarithm = Math.log(position);
+  return ((1 - INITIAL_WEALTH) * Math.log(RESTART_OFFSET)) / (position * logarithm * logarithm);
+}
+
+/**
+ * A mixture test martingale over alternatives and over unknown times of change: a betting process as in
+ * Shin, Ramdas and Rinaldo, "E-detectors: a nonparametric framework for sequential change detection" (2023),
+ * with its stakes summing to one, so that Ville's inequality bounds the false alarm at any stopping time.
+ * Each factor given to `update` must have a conditional mean of at most 1 under the hypothesis.
+ */
+export default function createSequentialTest(alternatives: number): SequentialTest {
+  const wealth = new Float64Array(alternatives).fill(INITIAL_WEALTH / alternatives);
+  let evidence = INITIAL_WEALTH;
+  let count = 0;
+
+  return {
+    get evidence() {
+      return evidence;
+    },
+    update(factors) {
+      count += 1;
+      const stake = getRestartWealth(count) / alternatives;
+      let sum = 0;
+      for (let index = 0; index < alternatives; index += 1) {
+        const grown = (wealth[index]! + stake) * factors[index]!;
+        wealth[index] = Math.min(EVIDENCE_CEILING, grown);
+        sum += wealth[index]!;
+      }
+      evidence = sum;
+    },
+  };
+}
--- /dev/null
+++ b/packages/moves/src/planMove.ts
@@ -0,0 +1,62 @@
+import { fail, ok } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
+import type { MovePlanError, MovePlanOptions, MoveStep } from './types';
+
+const DEFAULT_FIRST_SHARE = 0.01;
+const DEFAULT_GROWTH = 2;
+const DEFAULT_MINIMUM_STEP_TIME_MILLISECONDS = 20_000;
+const DEFAULT_MARGIN = 0.25;
+const MAXIMUM_FIRST_SHARE = 0.1;
+/** Steps in which a share of one tenth grows to all when the time is shortest. */
+const FEWEST_STEPS = 4;
+/** Requests of the new version that the first step should see. */
+const FIRST_STEP_REQUESTS = 30;
+
+/** Steps whose shares grow by an equal factor from `firstShare` to 1. */
+function growShares(firstShare: number, count: number): readonly number[] {
+  const factor = (1 / firstShare) ** (1 / (count - 1));
+  return Array.from({ length: count }, (_, index) =>
+    index === count - 1 ? 1 : firstShare * factor ** index,
+  );
+}
+
+function chooseFirstShare(options: MovePlanOptions, stepTime: number): number {
+  const wanted = options.firstShare ?? DEFAULT_FIRST_SHARE;
+  if (options.requestsPerSecond === undefined || options.requestsPerSecond <= 0) {
+    return wanted;
+  }
+  const requestsInStep = (options.requestsPerSecond * stepTime) / 1000;
+  return Math.max(wanted, Math.min(MAXIMUM_FIRST_SHARE, FIRST_STEP_REQUESTS / requestsInStep));
+}
+
+/**
+ * Plans the steps of a move: a small share first, then equal factors at equal distances of time, so that
+ * full share is due a margin before the deadline. Fails when the time is too short for the fewest steps.
+ */
+export default function planMove(
+  options: MovePlanOptions,
+): Outcome<readonly MoveStep[], MovePlanError> {
+  if (options.from === options.to) {
+    return fail({ kind: 'sameVersion', version: options.to });
+  }
+  const stepTime = options.minimumStepTime ?? DEFAULT_MINIMUM_STEP_TIME_MILLISECONDS;
+  const margin = options.margin ?? DEFAULT_MARGIN;
+  const available = (options.deadline - options.startedAt) * (1 - margin);
+  const fitting = Math.floor(available / stepTime) + 1;
+  if (fitting < FEWEST_STEPS) {
+    const leastMilliseconds = Math.ceil(((FEWEST_STEPS - 1) * stepTime) / (1 - margin));
+    return fail({ kind: 'deadlineTooNear', leastMilliseconds });
+  }
+  const growth = options.growth ?? DEFAULT_GROWTH;
+  const smallest = options.firstShare ?? DEFAULT_FIRST_SHARE;
+  const wanted = Math.ceil(Math.log(1 / smallest) / Math.log(growth)) + 1;
+  const count = Math.min(fitting, Math.max(FEWEST_STEPS, wanted));
+  const distance = available / (count - 1);
+  const shares = growShares(chooseFirstShare(options, distance), count);
+  return ok(
+    shares.map((share, index) => ({
+      share,
+      notBefore: Math.round(options.startedAt + index * distance),
+    })),
+  );
+}
