Add the object API client and a stand-in for the platform

Cause: nothing could reach the platform's object API, and no test could make it fail. Change: a client with bounded waits, a call budget, jittered repetitions and watches that are re-listed; a store model with versions, conditions, rates and faults, used directly in virtual time or behind a loopback port.

--- /dev/null
+++ b/packages/platform/src/createHttpTransport.ts
@@ -0,0 +1,128 @@
+import { Pool } from 'undici';
+import type { Clock, Milliseconds } from '@rattanreel/core';
+import openHttpWatch from './openHttpWatch';
+import parseReply from './parseReply';
+import type { StoreCall, StoreReply, StoreTransport, Watch } from './types';
+
+/** Failures of the connection attempt, before any byte of a request was written. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+const CONNECTIONS = 16;
+const CONNECT_TIMEOUT: Milliseconds = 800;
+const IDLE_TIMEOUT: Milliseconds = 20_000;
+const RETRY_AFTER: Milliseconds = 200;
+
+interface HttpTransportOptions {
+  readonly url: string;
+  readonly clock: Clock;
+}
+
+interface HttpCall {
+  readonly method: 'GET' | 'PUT' | 'DELETE';
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string | undefined;
+}
+
+function getObjectPath(call: { readonly objectKind: string; readonly name: string }): string {
+  return `/objects/${encodeURIComponent(call.objectKind)}/${encodeURIComponent(call.name)}`;
+}
+
+function toHttpCall(call: StoreCall): HttpCall {
+  const json = { 'content-type': 'application/json' };
+  switch (call.kind) {
+    case 'get':
+      return { method: 'GET', path: getObjectPath(call), headers: {}, body: undefined };
+    case 'list': {
+      const kind = encodeURIComponent(call.objectKind);
+      const prefix = encodeURIComponent(call.prefix);
+      const path = `/objects/${kind}?prefix=${prefix}`;
+      return { method: 'GET', path, headers: {}, body: undefined };
+    }
+    case 'create': {
+      const headers = { ...json, 'if-none-match': '*' };
+      return {
+        method: 'PUT',
+        path: getObjectPath(call),
+        headers,
+        body: JSON.stringify(call.value),
+      };
+    }
+    case 'update': {
+      const headers = { ...json, 'if-match': `"${call.version}"` };
+      return {
+        method: 'PUT',
+        path: getObjectPath(call),
+        headers,
+        body: JSON.stringify(call.value),
+      };
+    }
+    case 'remove': {
+      const headers = { 'if-match': `"${call.version}"` };
+      return { method: 'DELETE', path: getObjectPath(call), headers, body: undefined };
+    }
+    case 'listHosts':
+      return { method: 'GET', path: '/hosts', headers: {}, body: undefined };
+    default:
+      return call satisfies never;
+  }
+}
+
+function getErrorCode(error: unknown): string {
+  return error instanceof Error && 'code' in error ? String(error.code) : '';
+}
+
+/** Carries calls over HTTP/1.1 connections, one call at a time on each, none ever sent twice. */
+export default function createHttpTransport(options: HttpTransportOptions): StoreTransport {
+  const { url, clock } = options;
+  const pool = new Pool(url, {
+    connections: CONNECTIONS,
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT },
+    keepAliveTimeout: IDLE_TIMEOUT,
+  });
+  const watches = new Set<Watch>();
+
+  async function send(call: StoreCall, signal: AbortSignal): Promise<StoreReply> {
+    const request = toHttpCall(call);
+    try {
+      const response = await pool.request({ ...request, signal });
+      const text = await response.body.text();
+      return parseReply({ call, status: response.statusCode, headers: response.headers, text });
+    } catch (error) {
+      return NOT_SENT_CODES.has(getErrorCode(error))
+        ? { kind: 'refused', reason: 'notSent', retryAfter: RETRY_AFTER }
+        : { kind: 'lost' };
+    }
+  }
+
+  return {
+    async call(call, timeout) {
+      const abort = new AbortController();
+      const timer = clock.after(timeout, () => abort.abort());
+      const reply = await send(call, abort.signal);
+      timer.cancel();
+      return reply;
+    },
+    openWatch(request, listener) {
+      const watch = openHttpWatch({ url, request, listener });
+      watches.add(watch);
+      return {
+        close() {
+          watches.delete(watch);
+          watch.close();
+        },
+      };
+    },
+    async close() {
+      watches.forEach((watch) => watch.close());
+      watches.clear();
+      await pool.destroy();
+    },
+  };
+}
--- /dev/null
+++ b/packages/platform/src/createObjectStore.ts
@@ -0,0 +1,143 @@
+import { Debug, fail, ok } from '@rattanreel/core';
+import type { Milliseconds, Outcome } from '@rattanreel/core';
+import createCaller from './createCaller';
+import createWatch from './createWatch';
+import type {
+  ListedObjects,
+  ObjectStoreOptions,
+  PlatformClient,
+  StoreCall,
+  StoredObject,
+  StoreError,
+  StoreReply,
+  StoreTransport,
+  Watch,
+} from './types';
+
+const DEFAULT_WATCH_SILENCE: Milliseconds = 15_000;
+const DEFAULT_RELIST_INTERVAL: Milliseconds = 60_000;
+const DEFAULT_RETRY_AFTER: Milliseconds = 1_000;
+
+interface StoreOverTransportOptions extends ObjectStoreOptions {
+  readonly transport: StoreTransport;
+}
+
+/** Explains a reply that is no success for the call made. */
+function toStoreError(call: StoreCall, reply: StoreReply): StoreError {
+  switch (reply.kind) {
+    case 'notFound':
+      return { kind: 'notFound' };
+    case 'conflict':
+      return { kind: 'conflict', current: reply.current };
+    case 'refused':
+      return { kind: 'unavailable', retryAfterMilliseconds: reply.retryAfter };
+    case 'lost':
+      return isWrite(call)
+        ? { kind: 'outcomeUnknown' }
+        : { kind: 'unavailable', retryAfterMilliseconds: DEFAULT_RETRY_AFTER };
+    case 'invalid':
+      return { kind: 'invalidAnswer', detail: reply.detail };
+    case 'object':
+    case 'list':
+    case 'removed':
+    case 'hosts':
+      return { kind: 'invalidAnswer', detail: `${reply.kind} answers ${call.kind}` };
+    default:
+      return Debug.assertNever(reply);
+  }
+}
+
+function isWrite(call: StoreCall): boolean {
+  return call.kind === 'create' || call.kind === 'update' || call.kind === 'remove';
+}
+
+/** The object API over any transport: budgets, repetitions, typed errors and watches. */
+export default function createObjectStore(options: StoreOverTransportOptions): PlatformClient {
+  const { transport, clock, random } = options;
+  const caller = createCaller(options);
+  const watches = new Set<Watch>();
+
+  async function callForObject<Value>(
+    call: StoreCall,
+  ): Promise<Outcome<StoredObject<Value>, StoreError>> {
+    const made = await caller.call(call);
+    if (made.kind === 'error') {
+      return made;
+    }
+    const reply = made.value;
+    return reply.kind === 'object'
+      ? ok(reply.object as StoredObject<Value>)
+      : fail(toStoreError(call, reply));
+  }
+
+  async function list<Value>(
+    objectKind: string,
+    prefix = '',
+  ): Promise<Outcome<ListedObjects<Value>, StoreError>> {
+    const call: StoreCall = { kind: 'list', objectKind, prefix };
+    const made = await caller.call(call);
+    if (made.kind === 'error') {
+      return made;
+    }
+    const reply = made.value;
+    return reply.kind === 'list'
+      ? ok(reply.list as ListedObjects<Value>)
+      : fail(toStoreError(call, reply));
+  }
+
+  return {
+    get: (objectKind, name) => callForObject({ kind: 'get', objectKind, name }),
+    list,
+    create: (objectKind, name, value) => callForObject({ kind: 'create', objectKind, name, value }),
+    update: (objectKind, name, value, version) =>
+      callForObject({ kind: 'update', objectKind, name, value, version }),
+    async remove(objectKind, name, version) {
+      const call: StoreCall = { kind: 'remove', objectKind, name, version };
+      const made = await caller.call(call);
+      if (made.kind === 'error') {
+        return made;
+      }
+      const reply = made.value;
+      return reply.kind === 'removed' ? ok(undefined) : fail(toStoreError(call, reply));
+    },
+    async listHosts() {
+      const call: StoreCall = { kind: 'listHosts' };
+      const made = await caller.call(call);
+      if (made.kind === 'error') {
+        return made;
+      }
+      const reply = made.value;
+      return reply.kind === 'hosts' ? ok(reply.hosts) : fail(toStoreError(call, reply));
+    },
+    watch<Value>(
+      objectKind: string,
+      listener: Parameters<typeof createWatch<Value>>[0]['listener'],
+      prefix = '',
+    ) {
+      const watch = createWatch<Value>({
+        transport,
+        clock,
+        random,
+        objectKind,
+        prefix,
+        listener,
+        list: () => list<Value>(objectKind, prefix),
+        takeCall: caller.takeCall,
+        silence: options.watchSilence ?? DEFAULT_WATCH_SILENCE,
+        relistInterval: options.relistInterval ?? DEFAULT_RELIST_INTERVAL,
+      });
+      watches.add(watch);
+      return {
+        close() {
+          watches.delete(watch);
+          watch.close();
+        },
+      };
+    },
+    async close() {
+      watches.forEach((watch) => watch.close());
+      watches.clear();
+      await transport.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/platform/src/createWatch.ts
@@ -0,0 +1,155 @@
+import type { Clock, Milliseconds, Outcome, Random, Timer } from '@rattanreel/core';
+import type {
+  ListedObjects,
+  StoredObject,
+  StoreError,
+  StoreTransport,
+  Watch,
+  WatchEvent,
+  WatchLine,
+} from './types';
+
+const FIRST_PAUSE: Milliseconds = 100;
+const LONGEST_PAUSE: Milliseconds = 5_000;
+const PAUSE_FACTOR = 2;
+
+interface WatchOptions<Value> {
+  readonly transport: StoreTransport;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly objectKind: string;
+  readonly prefix: string;
+  readonly listener: (event: WatchEvent<Value>) => void;
+  readonly list: () => Promise<Outcome<ListedObjects<Value>, StoreError>>;
+  readonly takeCall: () => boolean;
+  readonly silence: Milliseconds;
+  readonly relistInterval: Milliseconds;
+}
+
+/**
+ * Lists the objects, then follows their changes. A connection that ends is opened anew; one that goes
+ * silent, and every one now and then, is replaced after a new list.
+ */
+export default function createWatch<Value>(options: WatchOptions<Value>): Watch {
+  const { transport, clock, random, objectKind, prefix, listener } = options;
+  let connection: Watch | undefined;
+  let silenceTimer: Timer | undefined;
+  let relistTimer: Timer | undefined;
+  let pauseTimer: Timer | undefined;
+  let lastVersion = -1;
+  let failures = 0;
+  let isClosed = false;
+
+  function disconnect(): void {
+    silenceTimer?.cancel();
+    relistTimer?.cancel();
+    pauseTimer?.cancel();
+    connection?.close();
+    connection = undefined;
+  }
+
+  function jitter(span: Milliseconds): Milliseconds {
+    return span * (0.5 + random.next() / 2);
+  }
+
+  function pauseThen(action: () => void): void {
+    disconnect();
+    failures += 1;
+    const ceiling = Math.min(LONGEST_PAUSE, FIRST_PAUSE * PAUSE_FACTOR ** failures);
+    pauseTimer = clock.after(jitter(ceiling), action);
+  }
+
+  function noteSignOfLife(): void {
+    silenceTimer?.cancel();
+    silenceTimer = clock.after(options.silence, relist);
+  }
+
+  function deliverChange(version: number, event: WatchEvent<Value>): void {
+    if (version > lastVersion) {
+      lastVersion = version;
+      listener(event);
+    }
+  }
+
+  function handleLine(line: WatchLine): void {
+    failures = line.kind === 'ended' ? failures : 0;
+    noteSignOfLife();
+    switch (line.kind) {
+      case 'changed':
+        deliverChange(line.object.version, {
+          kind: 'changed',
+          object: line.object as StoredObject<Value>,
+        });
+        return;
+      case 'removed':
+        deliverChange(line.version, line);
+        return;
+      case 'bookmark':
+        lastVersion = Math.max(lastVersion, line.version);
+        return;
+      case 'ended':
+        pauseThen(line.reason === 'tooOld' ? relist : connect);
+        return;
+      default:
+        line satisfies never;
+    }
+  }
+
+  function connect(): void {
+    disconnect();
+    if (isClosed) {
+      return;
+    }
+    if (!options.takeCall()) {
+      pauseThen(connect);
+      return;
+    }
+    noteSignOfLife();
+    relistTimer = clock.after(jitter(options.relistInterval), relist);
+    let isCurrent = true;
+    const opened = transport.openWatch({ objectKind, prefix, after: lastVersion }, (line) => {
+      if (isCurrent && !isClosed) {
+        handleLine(line);
+      }
+    });
+    connection = {
+      close() {
+        isCurrent = false;
+        opened.close();
+      },
+    };
+  }
+
+  async function listAndConnect(): Promise<void> {
+    disconnect();
+    const listed = await options.list();
+    if (isClosed) {
+      return;
+    }
+    if (listed.kind === 'error') {
+      listener({ kind: 'lost', error: listed.error });
+      pauseThen(relist);
+      return;
+    }
+    if (listed.value.version < lastVersion) {
+      pauseThen(relist);
+      return;
+    }
+    lastVersion = listed.value.version;
+    listener({ kind: 'listed', list: listed.value });
+    connect();
+  }
+
+  /** A listener that throws must not end the watch. */
+  function relist(): void {
+    listAndConnect().catch(() => pauseThen(relist));
+  }
+
+  relist();
+  return {
+    close() {
+      isClosed = true;
+      disconnect();
+    },
+  };
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,1 +1,5 @@
+/** Client of the platform's object API: calls, watches and leases. */
 export type * from './types';
+export { default as createObjectStore } from './createObjectStore';
+export { default as createObjectStoreClient } from './createObjectStoreClient';
+export { default as createTokenBucket } from './createTokenBucket';
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -1,5 +1,5 @@
 /** The platform's object API as the rest of the system sees it. */
-import type { Generation, Milliseconds, Outcome } from '@rattanreel/core';
+import type { Clock, Generation, Milliseconds, Outcome, Random } from '@rattanreel/core';
 
 /** An object with the version that the store gave it at its last change. */
 export interface StoredObject<Value = unknown> {
@@ -82,3 +82,101 @@
   /** Gives the lease up and stops asking for it. */
   stop(): Promise<void>;
 }
+
+/** The object API with the platform's list of hosts beside it. */
+export interface PlatformClient extends ObjectStore {
+  /** The platform's list of hosts; it lags behind what is true. */
+  listHosts(): Promise<Outcome<readonly ListedHost[], StoreError>>;
+}
+
+/** One call to the object API, as a transport carries it. */
+export type StoreCall =
+  | { readonly kind: 'get'; readonly objectKind: string; readonly name: string }
+  | { readonly kind: 'list'; readonly objectKind: string; readonly prefix: string }
+  | {
+      readonly kind: 'create';
+      readonly objectKind: string;
+      readonly name: string;
+      readonly value: unknown;
+    }
+  | {
+      readonly kind: 'update';
+      readonly objectKind: string;
+      readonly name: string;
+      readonly value: unknown;
+      readonly version: number;
+    }
+  | {
+      readonly kind: 'remove';
+      readonly objectKind: string;
+      readonly name: string;
+      readonly version: number;
+    }
+  | { readonly kind: 'listHosts' };
+
+/** What became of one call. */
+export type StoreReply =
+  | { readonly kind: 'object'; readonly object: StoredObject }
+  | { readonly kind: 'list'; readonly list: ListedObjects }
+  | { readonly kind: 'removed' }
+  | { readonly kind: 'hosts'; readonly hosts: readonly ListedHost[] }
+  | { readonly kind: 'notFound' }
+  | { readonly kind: 'conflict'; readonly current: StoredObject | undefined }
+  /** The store answered that it did not take the call, or no byte of the call was sent. */
+  | {
+      readonly kind: 'refused';
+      readonly reason: 'rateLimited' | 'outage' | 'notSent';
+      readonly retryAfter: Milliseconds;
+    }
+  /** No answer came; the call may have taken effect, or may still do so. */
+  | { readonly kind: 'lost' }
+  | { readonly kind: 'invalid'; readonly detail: string };
+
+/** What a watch connection delivers. */
+export type WatchLine =
+  | { readonly kind: 'changed'; readonly object: StoredObject }
+  | { readonly kind: 'removed'; readonly name: string; readonly version: number }
+  /** Everything up to `version` has been delivered. */
+  | { readonly kind: 'bookmark'; readonly version: number }
+  /** The connection is over; `tooOld` asks for a new list. */
+  | { readonly kind: 'ended'; readonly reason: 'tooOld' | 'refused' | 'broken' };
+
+export interface WatchRequest {
+  readonly objectKind: string;
+  readonly prefix: string;
+  /** Changes after this version are delivered. */
+  readonly after: number;
+}
+
+/** Carries single calls to the object API. It never repeats a call by itself. */
+export interface StoreTransport {
+  /** Resolves within `timeout`, by the transport's clock. */
+  call(call: StoreCall, timeout: Milliseconds): Promise<StoreReply>;
+  /** Delivers lines until closed or ended. */
+  openWatch(request: WatchRequest, listener: (line: WatchLine) => void): Watch;
+  close(): Promise<void>;
+}
+
+/** How much of the object API one process may use. */
+export interface CallBudget {
+  /** Calls a second, watches counted when they are opened. */
+  readonly callsPerSecond: number;
+  /** Calls that may be made at once after a quiet time. */
+  readonly burst: number;
+}
+
+export interface ObjectStoreOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly callBudget?: Partial<CallBudget>;
+  /** Longest wait for the answer to one call. */
+  readonly callTimeout?: Milliseconds;
+  /** Longest time that a call and its repetitions take together. */
+  readonly deadline?: Milliseconds;
+  /** First pause before a repetition; doubled each time and jittered. */
+  readonly backoff?: Milliseconds;
+  /** A watch without a line for this long is taken as dead. */
+  readonly watchSilence?: Milliseconds;
+  /** A watch is opened anew with a new list about this often. */
+  readonly relistInterval?: Milliseconds;
+}
--- /dev/null
+++ b/stand-ins/platform/src/createModelObjectStore.ts
@@ -0,0 +1,14 @@
+import { createObjectStore } from '@rattanreel/platform';
+import type { ObjectStoreOptions, PlatformClient } from '@rattanreel/platform';
+import createModelTransport from './createModelTransport';
+import type { ObjectStoreModel } from './types';
+
+interface ModelObjectStoreOptions extends ObjectStoreOptions {
+  readonly model: ObjectStoreModel;
+}
+
+/** The real client over a store in memory, for tests and benchmarks in virtual time. */
+export default function createModelObjectStore(options: ModelObjectStoreOptions): PlatformClient {
+  const { model, clock } = options;
+  return createObjectStore({ ...options, transport: createModelTransport({ model, clock }) });
+}
