--- /dev/null
+++ b/packages/configuration/src/isBaseUrl.ts
@@ -0,0 +1,12 @@
+import { isIP } from 'node:net';
+
+/** Whether a text is an http or https URL of an IP number, without path, query or credentials. */
+export default function isBaseUrl(text: string): boolean {
+  if (!URL.canParse(text)) {
+    return false;
+  }
+  const url = new URL(text);
+  const host = url.hostname.replace(/^\[|\]$/g, '');
+  const bare = url.pathname === '/' && url.search === '' && url.hash === '' && url.username === '';
+  return bare && /^https?:$/.test(url.protocol) && isIP(host) !== 0;
+}
--- a/packages/configuration/src/types.ts
+++ b/packages/configuration/src/types.ts
@@ -164,3 +164,71 @@
   readonly peerSecurity: TlsFileSettings | PlainLoopbackSettings;
   readonly logLevel: 'debug' | 'info' | 'warn' | 'error' | 'silent';
 }
+
+/** Whether a diagnostic keeps the answers from being used. */
+export type DiagnosticCategory = 'error' | 'warning';
+
+/** One kind of mistake: `{name}` in the templates stands for an argument. */
+export interface DiagnosticMessage {
+  readonly code: number;
+  readonly category: DiagnosticCategory;
+  /** What was wrong. */
+  readonly template: string;
+  /** What is allowed instead. */
+  readonly allowed: string;
+}
+
+/** A mistake in the answers to the questionnaire, with its place in the file. */
+export interface Diagnostic {
+  readonly kind: 'diagnostic';
+  readonly code: number;
+  readonly category: DiagnosticCategory;
+  readonly fileName: string;
+  /** Counted from 1. */
+  readonly line: number;
+  /** Counted from 1. */
+  readonly column: number;
+  /** Path of the field, such as `places[0].entryHosts[1].callers`; empty for the whole file. */
+  readonly field: string;
+  readonly message: string;
+  readonly allowed: string;
+}
+
+/** A file of answers to the questionnaire. */
+export interface QuestionnaireSource {
+  /** Name of the file, for diagnostics only. */
+  readonly fileName: string;
+  /** YAML. */
+  readonly text: string;
+}
+
+/** The outcome of a check: settings, or every mistake found. */
+export type CheckedQuestionnaire =
+  | {
+      readonly kind: 'valid';
+      readonly settings: DeploymentSettings;
+      /** One for each entry host, in the order of the answers. */
+      readonly entryHosts: readonly EntryHostSettings[];
+    }
+  | { readonly kind: 'invalid'; readonly diagnostics: readonly Diagnostic[] };
+
+/** One field of stored settings that does not have the form expected. */
+export interface SettingsProblem {
+  readonly field: string;
+  readonly detail: string;
+}
+
+/** Why settings read back from the store, from a peer or from a file are not usable. */
+export type SettingsError =
+  | {
+      readonly kind: 'unknownFormatVersion';
+      readonly formatVersion: unknown;
+      readonly supported: readonly number[];
+    }
+  | { readonly kind: 'invalidSettings'; readonly problems: readonly SettingsProblem[] };
+
+/** The parts of a `host:port`. */
+export type ParsedAddress =
+  | { readonly kind: 'address'; readonly host: string; readonly port: number }
+  | { readonly kind: 'invalidAddress' }
+  | { readonly kind: 'invalidPort' };
