Follow moves in each failure domain and drive them under the moves lease

A domain that sees badness sets its own share to nothing before it tells anyone; the verdict is a conditional update that any domain may write. The controller decides steps, late and done from fresh reports of every reachable domain, each as a conditional update under its lease generation.

--- /dev/null
+++ b/packages/moves/src/canStepLocally.ts
@@ -0,0 +1,40 @@
+import hasEnoughEvidence from './hasEnoughEvidence';
+import type { DomainReport, MovePolicy, MoveRecord } from './types';
+
+interface LocalStepOptions {
+  readonly record: MoveRecord;
+  /** This failure domain's own report. */
+  readonly own: DomainReport;
+  /** Fresh reports of every other failure domain. */
+  readonly heard: readonly DomainReport[];
+  readonly now: number;
+  readonly policy: MovePolicy;
+}
+
+/**
+ * Whether a failure domain may take its next step without the controller: the step is pre-authorised and overdue,
+ * every other failure domain is heard at this step or beyond, none leans against the version, and there is enough
+ * evidence.
+ */
+export default function canStepLocally(options: LocalStepOptions): boolean {
+  const { record, own, heard, now, policy } = options;
+  const { step } = own;
+  const next = record.steps[step + 1];
+  const isDue =
+    next !== undefined &&
+    step + 1 <= record.preAuthorisedThrough &&
+    now >= next.notBefore + policy.localStepGrace &&
+    now >= own.stepSince + policy.minimumStepTime;
+  if (!isDue || record.verdict !== 'underWay') {
+    return false;
+  }
+  const all = [...heard, own];
+  if (all.some((report) => report.step < step || report.suspicious || report.vetoed)) {
+    return false;
+  }
+  if (step < 0 || heard.some((report) => report.step > step)) {
+    return true;
+  }
+  const share = record.steps[step]?.share ?? 0;
+  return hasEnoughEvidence({ reports: all, share, policy: policy.evidence });
+}
--- /dev/null
+++ b/packages/moves/src/cannotMeetDeadline.ts
@@ -0,0 +1,24 @@
+import type { DomainReport, MoveSituation } from './types';
+
+function getReachedStep(step: number, heard: readonly DomainReport[]): number {
+  return Math.max(step, Math.min(...heard.map((report) => report.step)));
+}
+
+/** Whether full share by the deadline is out of reach even if every step is taken as early as allowed. */
+export default function cannotMeetDeadline(situation: MoveSituation): boolean {
+  const { record, heard, now, policy } = situation;
+  if (record.fullShareAt !== undefined) {
+    return record.fullShareAt > record.deadline;
+  }
+  if (heard === undefined) {
+    return now > record.deadline + policy.reportLifetime;
+  }
+  const last = record.steps.length - 1;
+  const remaining = last - getReachedStep(record.step, heard);
+  if (remaining > 0) {
+    return now + (remaining - 1) * policy.minimumStepTime > record.deadline;
+  }
+  const isInForce = heard.every(({ step }) => step === last);
+  const reachedAt = isInForce ? Math.max(...heard.map(({ stepSince }) => stepSince)) : now;
+  return reachedAt > record.deadline;
+}
--- /dev/null
+++ b/packages/moves/src/createMoveController.ts
@@ -0,0 +1,151 @@
+import type { FailureDomainId } from '@rattanreel/core';
+import type { LeaseState } from '@rattanreel/platform';
+import { match } from 'ts-pattern';
+import createRecordWriter from './createRecordWriter';
+import createReportBook from './createReportBook';
+import decideRestriction from './decideRestriction';
+import decideProgress from './decideProgress';
+import getMovePolicy from './getMovePolicy';
+import identifyMove from './identifyMove';
+import isSameMove from './isSameMove';
+import logRecordChange from './logRecordChange';
+import type {
+  HoldReason,
+  MoveChange,
+  MoveController,
+  MoveControllerEffect,
+  MoveControllerMessage,
+  MoveControllerOptions,
+  MoveIdentity,
+  MoveRecord,
+  MoveVeto,
+  RecordAnswer,
+  StoredMove,
+} from './types';
+
+/**
+ * Drives one pool's moves while the moves lease is held. It decides nothing on its own: each step and verdict is
+ * a conditional update of the record under the lease's generation, so that two controllers cannot contradict
+ * one another.
+ */
+export default function createMoveController(options: MoveControllerOptions): MoveController {
+  const policy = getMovePolicy(options.policy);
+  const writer = createRecordWriter();
+  const reports = createReportBook(policy.reportLifetime);
+  let reachable: readonly FailureDomainId[] = options.failureDomains;
+  let lease: LeaseState = { kind: 'notHeld' };
+  let veto: MoveVeto | undefined;
+  let cancelled: MoveIdentity | undefined;
+  let stepSince = Number.NEGATIVE_INFINITY;
+  let holdReason: HoldReason | undefined;
+  let loggedHoldReason: HoldReason | undefined;
+
+  function decideAt(now: number): (record: MoveRecord) => MoveChange | undefined {
+    return (record) => {
+      holdReason = undefined;
+      if (lease.kind !== 'held' || record.verdict !== 'underWay') {
+        return undefined;
+      }
+      const restriction = decideRestriction({ record, veto, cancelled });
+      if (restriction !== undefined) {
+        return restriction;
+      }
+      const heard =
+        reachable.length === 0
+          ? undefined
+          : reports.tryGetAll(identifyMove(record), reachable, now);
+      const situation = { record, heard, stepSince, now, policy };
+      const progress = decideProgress(situation, lease.generation);
+      if (progress.kind === 'held') {
+        holdReason = progress.reason;
+        return undefined;
+      }
+      return progress.change;
+    };
+  }
+
+  function logHold(): readonly MoveControllerEffect[] {
+    const stored = writer.stored();
+    if (holdReason === loggedHoldReason || stored === undefined) {
+      return [];
+    }
+    loggedHoldReason = holdReason;
+    if (holdReason === undefined) {
+      return [];
+    }
+    const { record } = stored;
+    const share = record.steps[record.step]?.share ?? 0;
+    const move = identifyMove(record);
+    return [{ kind: 'logMoveDecision', decision: 'stepHeld', move, reason: holdReason, share }];
+  }
+
+  function advance(now: number): readonly MoveControllerEffect[] {
+    const effects = writer.advance(decideAt(now), now);
+    return [...effects, ...logHold()];
+  }
+
+  function takeRecord(
+    before: StoredMove | undefined,
+    { record }: StoredMove,
+    now: number,
+  ): readonly MoveControllerEffect[] {
+    if (before === undefined || !isSameMove(before.record, record)) {
+      stepSince = now;
+      reports.clear();
+      return [];
+    }
+    if (before.record.step !== record.step) {
+      stepSince = now;
+    }
+    return logRecordChange(before.record, record);
+  }
+
+  function takeSeen(stored: StoredMove, now: number): readonly MoveControllerEffect[] {
+    const before = writer.stored();
+    return writer.see(stored) ? takeRecord(before, stored, now) : [];
+  }
+
+  function takeAnswer(answer: RecordAnswer, now: number): readonly MoveControllerEffect[] {
+    const before = writer.stored();
+    const isNewer = writer.answer(answer, now);
+    const stored = writer.stored();
+    if (!isNewer || stored === undefined) {
+      return advance(now);
+    }
+    return [
+      ...takeRecord(before, stored, now),
+      { kind: 'announceRecord', stored },
+      ...advance(now),
+    ];
+  }
+
+  function handle(message: MoveControllerMessage, now: number): readonly MoveControllerEffect[] {
+    return match(message)
+      .with({ kind: 'leaseChanged' }, (changed) => {
+        lease = changed.lease;
+        return [];
+      })
+      .with({ kind: 'recordSeen' }, ({ stored }) => takeSeen(stored, now))
+      .with({ kind: 'recordAnswered' }, ({ answer }) => takeAnswer(answer, now))
+      .with({ kind: 'vetoHeard' }, (heard) => {
+        veto = heard.veto;
+        return advance(now);
+      })
+      .with({ kind: 'reportHeard' }, ({ report }) => {
+        reports.add(report, now);
+        return [];
+      })
+      .with({ kind: 'cancelRequested' }, ({ move }) => {
+        cancelled = move;
+        return advance(now);
+      })
+      .with({ kind: 'reachableChanged' }, ({ failureDomains }) => {
+        reachable = failureDomains;
+        return [];
+      })
+      .with({ kind: 'timePassed' }, () => advance(now))
+      .exhaustive();
+  }
+
+  return { handle };
+}
--- /dev/null
+++ b/packages/moves/src/createReportBook.ts
@@ -0,0 +1,45 @@
+import type { FailureDomainId, Milliseconds } from '@rattanreel/core';
+import isSameMove from './isSameMove';
+import type { DomainReport, MoveIdentity } from './types';
+
+interface TimedReport {
+  readonly report: DomainReport;
+  readonly heardAt: number;
+}
+
+/** The last report of each failure domain. */
+interface ReportBook {
+  add(report: DomainReport, now: number): void;
+  clear(): void;
+  /** The fresh reports about the move, when each of the failure domains has one. */
+  tryGetAll(
+    move: MoveIdentity,
+    failureDomains: readonly FailureDomainId[],
+    now: number,
+  ): readonly DomainReport[] | undefined;
+}
+
+/** Keeps reports for `lifetime` after they were heard. */
+export default function createReportBook(lifetime: Milliseconds): ReportBook {
+  const reports = new Map<FailureDomainId, TimedReport>();
+
+  return {
+    add(report, now) {
+      reports.set(report.failureDomain, { report, heardAt: now });
+    },
+    clear() {
+      reports.clear();
+    },
+    tryGetAll(move, failureDomains, now) {
+      const found = failureDomains.flatMap((failureDomain) => {
+        const timed = reports.get(failureDomain);
+        const fresh =
+          timed !== undefined &&
+          now - timed.heardAt <= lifetime &&
+          isSameMove(timed.report.move, move);
+        return fresh ? [timed.report] : [];
+      });
+      return found.length === failureDomains.length ? found : undefined;
+    },
+  };
+}
--- /dev/null
+++ b/packages/moves/src/decideRestriction.ts
@@ -0,0 +1,21 @@
+import isSameMove from './isSameMove';
+import type { MoveChange, MoveIdentity, MoveRecord, MoveVeto } from './types';
+
+interface RestrictionOptions {
+  readonly record: MoveRecord;
+  readonly veto: MoveVeto | undefined;
+  /** Move that an operator has cancelled. */
+  readonly cancelled: MoveIdentity | undefined;
+}
+
+/** The change that takes a move's share away, if a veto or an operator asks for one. */
+export default function decideRestriction(options: RestrictionOptions): MoveChange | undefined {
+  const { record, cancelled } = options;
+  const veto =
+    options.veto !== undefined && isSameMove(options.veto.move, record) ? options.veto : undefined;
+  if (veto !== undefined && veto.reason.ground !== 'operator') {
+    return { kind: 'takeBack', reason: veto.reason };
+  }
+  const isCancelled = cancelled !== undefined && isSameMove(cancelled, record);
+  return veto !== undefined || isCancelled ? { kind: 'cancel' } : undefined;
+}
--- a/packages/moves/src/index.ts
+++ b/packages/moves/src/index.ts
@@ -7,3 +7,5 @@
 export { default as isSameMove } from './isSameMove';
 export { default as planMove } from './planMove';
 export { default as sharesInForce } from './sharesInForce';
+export { default as createMoveController } from './createMoveController';
+export { default as createMoveGuard } from './createMoveGuard';
--- a/packages/moves/src/types.ts
+++ b/packages/moves/src/types.ts
@@ -144,6 +144,8 @@
   readonly generation: Generation;
   /** Index of the step in force there. */
   readonly step: number;
+  /** Wall time there since which the step has been in force. */
+  readonly stepSince: number;
   readonly share: number;
   /** Requests of the old version still running there. */
   readonly oldInFlight: number;
@@ -214,6 +216,65 @@
   readonly minimumCellRequests: number;
 }
 
+/** What the controller knows of a move when it looks for the next change. */
+export interface MoveSituation {
+  readonly record: MoveRecord;
+  /** Fresh reports of every reachable failure domain; undefined when one is missing. */
+  readonly heard: readonly DomainReport[] | undefined;
+  /** Wall time at which the controller saw the record's step for the first time. */
+  readonly stepSince: number;
+  /** Wall time. */
+  readonly now: number;
+  readonly policy: MovePolicy;
+}
+
+/** The next change of a move, or why there is none. */
+export type MoveProgress =
+  | { readonly kind: 'change'; readonly change: MoveChange }
+  | { readonly kind: 'held'; readonly reason: HoldReason };
+
+export type HoldReason =
+  | 'notDue'
+  | 'reportMissing'
+  | 'suspicion'
+  | 'stepTooYoung'
+  | 'stepNotInForce'
+  | 'tooLittleEvidence'
+  | 'oldTraffic'
+  | 'baking';
+
+/** One move as one failure domain follows it. */
+export interface FollowedMove {
+  readonly record: () => MoveRecord;
+  /** The change of the record that the failure domain asks for. */
+  decide(record: MoveRecord): MoveChange | undefined;
+  updateRecord(record: MoveRecord, now: number): readonly MoveGuardEffect[];
+  observe(evidence: VersionEvidence, now: number): readonly MoveGuardEffect[];
+  applyVeto(veto: MoveVeto, now: number): readonly MoveGuardEffect[];
+  cancel(request: CancelRequested, now: number): readonly MoveGuardEffect[];
+  /** Takes a pre-authorised step when the other failure domains' reports allow it. */
+  stepLocally(heard: readonly DomainReport[], now: number): readonly MoveGuardEffect[];
+  /** Gives the scheduler the shares when they differ from the last. */
+  refreshShares(now: number): readonly MoveGuardEffect[];
+  shares(): readonly VersionShare[];
+  makeReport(): DomainReport;
+  veto(): MoveVeto | undefined;
+}
+
+/** Keeps what is known of the record and writes changes to it, one call at a time. */
+export interface RecordWriter {
+  stored(): StoredMove | undefined;
+  /** Takes a record that was seen; false when a newer one is known. */
+  see(stored: StoredMove): boolean;
+  /** Takes the answer to the last call; true when it brought a newer record. */
+  answer(answer: RecordAnswer, now: number): boolean;
+  /** The next call towards the change that `decide` wants, if one may be made now. */
+  advance(
+    decide: (record: MoveRecord) => MoveChange | undefined,
+    now: number,
+  ): readonly RecordEffect[];
+}
+
 /** A record as the store holds it. */
 export interface StoredMove {
   readonly record: MoveRecord;
@@ -256,7 +317,6 @@
     | 'fullShare'
     | 'done'
     | 'cancelRefused'
-    | 'superseded'
     | 'badnessAfterDone';
   readonly move: MoveIdentity;
   readonly reason: string;
@@ -321,7 +381,6 @@
   | ReportHeard
   | CancelRequested
   | OldTrafficCounted
-  | ReachableChanged
   | MoveTimePassed;
 
 /** Sets the version's share to nothing at the domain's schedulers at once. */
@@ -338,7 +397,7 @@
   readonly shares: readonly VersionShare[];
 }
 
-/** To every other failure domain and the controller. */
+/** To every entry host of this and of every other failure domain, which keep it for a new guard. */
 export interface AnnounceVeto {
   readonly kind: 'announceVeto';
   readonly veto: MoveVeto;
@@ -353,7 +412,8 @@
 export type MoveGuardEffect =
   VetoVersion | SharesChanged | AnnounceVeto | AnnounceReport | RecordEffect | MoveDecisionLogged;
 
-export interface MoveGuardPolicy {
+/** Pacing of the steps, shared by the controller and the failure domains. */
+export interface MovePolicy {
   /** Least time between two steps. */
   readonly minimumStepTime: Milliseconds;
   /** How long after a step's time a failure domain waits for the controller before it takes a pre-authorised one. */
@@ -361,6 +421,8 @@
   /** Age beyond which another failure domain's report no longer counts. */
   readonly reportLifetime: Milliseconds;
   readonly reportInterval: Milliseconds;
+  /** After a start, how long a failure domain gives the new version nothing, to hear of earlier vetoes. */
+  readonly settleTime: Milliseconds;
   readonly evidence: EvidencePolicy;
   readonly judge: Partial<JudgePolicy>;
 }
@@ -370,7 +432,7 @@
   readonly failureDomain: FailureDomainId;
   /** Every failure domain of the deployment that serves the pool, this one included. */
   readonly failureDomains: readonly FailureDomainId[];
-  readonly policy?: Partial<MoveGuardPolicy>;
+  readonly policy?: Partial<MovePolicy>;
 }
 
 /** Follows one pool's moves in one failure domain: judges, vetoes and says which shares are in force. */
@@ -401,7 +463,7 @@
 export interface MoveControllerOptions {
   readonly pool: PoolId;
   readonly failureDomains: readonly FailureDomainId[];
-  readonly policy?: Partial<MoveGuardPolicy>;
+  readonly policy?: Partial<MovePolicy>;
 }
 
 /** Drives one pool's moves while the moves lease is held. */
