Measure version moves in virtual time under both outage policies

Runs the real guards and controllers over small fakes of the traffic, the network, the lease and the record store with outages, lost answers, late writes, controller deaths and pauses, guard restarts and cut-off failure domains.

--- /dev/null
+++ b/benchmarks/src/moves/createDomainCell.ts
@@ -0,0 +1,121 @@
+import type { Milliseconds, VirtualClock } from '@rattanreel/core';
+import { createMoveGuard } from '@rattanreel/moves';
+import type {
+  MoveGuard,
+  MoveGuardEffect,
+  MoveGuardMessage,
+  MoveVeto,
+  StoredMove,
+} from '@rattanreel/moves';
+import type createTrafficModel from './createTrafficModel';
+import type createRunObserver from './createRunObserver';
+
+const TICK_MILLISECONDS: Milliseconds = 50;
+/** Time until a guard that takes over hears from the hosts of its failure domain. */
+const RESTART_MILLISECONDS: Milliseconds = 1_000;
+
+interface DomainCellOptions {
+  readonly index: number;
+  readonly pool: string;
+  readonly failureDomains: readonly string[];
+  readonly requestsPerSecond: number;
+  readonly clock: VirtualClock;
+  readonly traffic: ReturnType<typeof createTrafficModel>;
+  readonly observer: ReturnType<typeof createRunObserver>;
+  readonly apply: (effect: MoveGuardEffect, domain: number) => void;
+}
+
+/** One failure domain: its traffic, its guard and what its hosts remember. */
+interface DomainCell {
+  share(): number;
+  handle(message: MoveGuardMessage): void;
+  /** The scheduler's host dies; another host of the failure domain starts a guard. */
+  restartGuard(): void;
+  /** Lets requests arrive for one tick. */
+  tick(): void;
+  countOldTraffic(): void;
+}
+
+/** Runs one failure domain of the benchmark. */
+export default function createDomainCell(options: DomainCellOptions): DomainCell {
+  const { index, pool, failureDomains, clock, traffic, observer } = options;
+  const meanPerTick = (options.requestsPerSecond * TICK_MILLISECONDS) / 1000;
+  let guard = startGuard();
+  let share = 0;
+  let newRequests = 0;
+  let oldInFlight = 0;
+  let rememberedVeto: MoveVeto | undefined;
+  let rememberedRecord: StoredMove | undefined;
+
+  function startGuard(): MoveGuard {
+    return createMoveGuard({ pool, failureDomain: failureDomains[index]!, failureDomains });
+  }
+
+  function remember(message: MoveGuardMessage): void {
+    if (message.kind === 'vetoHeard') {
+      rememberedVeto = message.veto;
+    } else if (message.kind === 'recordSeen') {
+      if (message.stored.version > (rememberedRecord?.version ?? 0)) {
+        rememberedRecord = message.stored;
+      }
+    }
+  }
+
+  function applyEffect(effect: MoveGuardEffect): void {
+    if (effect.kind === 'vetoVersion') {
+      share = 0;
+    } else if (effect.kind === 'sharesChanged') {
+      share = effect.shares.find(({ version }) => version === 'new')?.share ?? 0;
+    } else if (effect.kind === 'announceVeto') {
+      rememberedVeto = effect.veto;
+    }
+    options.apply(effect, index);
+  }
+
+  function handle(message: MoveGuardMessage): void {
+    remember(message);
+    guard.handle(message, clock.now()).forEach(applyEffect);
+  }
+
+  function dispatch(): void {
+    const isNew = share > 0 && traffic.drawUnit() < share;
+    const now = clock.now();
+    const drawn = traffic.draw({ isNew, share, newRequestsBefore: newRequests, now });
+    newRequests += isNew ? 1 : 0;
+    oldInFlight += isNew ? 0 : 1;
+    observer.dispatched(isNew, drawn.isFaulty);
+    clock.after(drawn.duration, () => {
+      oldInFlight -= isNew ? 0 : 1;
+      if (drawn.isFaulty) {
+        observer.finishedFaulty(clock.now());
+      }
+      handle(drawn.evidence);
+    });
+  }
+
+  return {
+    share: () => share,
+    handle,
+    restartGuard() {
+      share = 0;
+      guard = startGuard();
+      clock.after(RESTART_MILLISECONDS, () => {
+        if (rememberedVeto !== undefined) {
+          handle({ kind: 'vetoHeard', veto: rememberedVeto });
+        }
+        if (rememberedRecord !== undefined) {
+          handle({ kind: 'recordSeen', stored: rememberedRecord });
+        }
+      });
+    },
+    tick() {
+      const count = traffic.drawCount(meanPerTick);
+      for (let arrived = 0; arrived < count; arrived += 1) {
+        dispatch();
+      }
+    },
+    countOldTraffic() {
+      handle({ kind: 'oldTrafficCounted', inFlight: oldInFlight });
+    },
+  };
+}
--- /dev/null
+++ b/benchmarks/src/moves/drawScenario.ts
@@ -0,0 +1,69 @@
+import type { Milliseconds, Random } from '@rattanreel/core';
+import type { OutagePolicy } from '@rattanreel/moves';
+import type { DomainInterval, Interval, MoveScenario, VersionFault } from './types';
+
+const SPANS_MILLISECONDS: readonly Milliseconds[] = [900_000, 1_200_000, 1_800_000];
+const REQUESTS_PER_SECOND: readonly number[] = [10, 20, 30];
+const OUTAGES_MILLISECONDS: readonly Milliseconds[] = [0, 30_000, 300_000];
+const CONTROLLER_DEATHS: readonly number[] = [0, 1, 3];
+const BAKE_TIME_MILLISECONDS: Milliseconds = 120_000;
+const PAUSE_MILLISECONDS: Milliseconds = 40_000;
+const PARTITION_MILLISECONDS: Milliseconds = 30_000;
+const FEWEST_DOMAINS = 3;
+const MOST_DOMAINS = 4;
+const STORE_FAULTS = { lostAnswerShare: 0.05, lateWriteShare: 0.05 };
+
+interface ScenarioOptions {
+  readonly seed: number;
+  /** Position in the set; outages and deaths go round by it. */
+  readonly index: number;
+  readonly random: Random;
+  readonly fault: VersionFault;
+  readonly outagePolicy: OutagePolicy;
+}
+
+function drawInstant(random: Random, span: Milliseconds): Milliseconds {
+  return Math.floor(random.next() * span);
+}
+
+function cycle<Element>(elements: readonly Element[], position: number): Element {
+  return elements[position % elements.length]!;
+}
+
+/** Draws one scenario; the same seed and index give the same one under both policies. */
+export default function drawScenario(options: ScenarioOptions): MoveScenario {
+  const { seed, index, random, fault, outagePolicy } = options;
+  const span = SPANS_MILLISECONDS[random.integer(0, SPANS_MILLISECONDS.length - 1)]!;
+  const failureDomains = random.integer(FEWEST_DOMAINS, MOST_DOMAINS);
+  const outage = cycle(OUTAGES_MILLISECONDS, index);
+  const deaths = cycle(CONTROLLER_DEATHS, Math.floor(index / OUTAGES_MILLISECONDS.length));
+  const outages: Interval[] =
+    outage === 0 ? [] : [{ at: drawInstant(random, span), duration: outage }];
+  const controllerDeaths = Array.from({ length: deaths }, () => drawInstant(random, span));
+  const pause = { at: drawInstant(random, span), duration: PAUSE_MILLISECONDS };
+  const partition: DomainInterval = {
+    at: drawInstant(random, span),
+    duration: PARTITION_MILLISECONDS,
+    domain: random.integer(0, failureDomains - 1),
+  };
+  const restart = {
+    at: drawInstant(random, span),
+    domain: random.integer(0, failureDomains - 1),
+  };
+  return {
+    seed,
+    outagePolicy,
+    fault,
+    failureDomains,
+    requestsPerSecond: REQUESTS_PER_SECOND[random.integer(0, REQUESTS_PER_SECOND.length - 1)]!,
+    span,
+    bakeTime: BAKE_TIME_MILLISECONDS,
+    storeFaults: STORE_FAULTS,
+    outages,
+    controllerDeaths,
+    controllerPauses: index % 2 === 0 ? [] : [pause],
+    guardRestarts: [restart],
+    partitions: index % 4 === 3 ? [partition] : [],
+    cancelAt: [],
+  };
+}
--- /dev/null
+++ b/benchmarks/src/moves/simulateMove.ts
@@ -0,0 +1,111 @@
+import type { Generation, Milliseconds } from '@rattanreel/core';
+import type { MoveRecord } from '@rattanreel/moves';
+import createControllerHost from './createControllerHost';
+import createLeaseModel from './createLeaseModel';
+import createMoveWorld from './createMoveWorld';
+import type { Interval, MoveRun, MoveScenario } from './types';
+
+const TICK_MILLISECONDS: Milliseconds = 50;
+const TICKS_PER_SECOND = 20;
+/** How long after the deadline and the bake time a move may still come to a verdict. */
+const PATIENCE_MILLISECONDS: Milliseconds = 900_000;
+/** How long a run goes on after the verdict, for late writes and paused controllers. */
+const AFTERMATH_MILLISECONDS: Milliseconds = 60_000;
+
+type ControllerHost = ReturnType<typeof createControllerHost>;
+
+/** Runs one move with the real decisions, in virtual time, over fakes of the traffic and the store. */
+export default function simulateMove(scenario: MoveScenario): MoveRun {
+  const world = createMoveWorld(scenario);
+  const { clock, cells, hosts, net, store, observer, pool, failureDomains } = world;
+  const lease = createLeaseModel({ isStoreDown: store.isDown, tryStartHolder });
+
+  function tryStartHolder(generation: Generation): ControllerHost & { canRenew(): boolean } {
+    const candidates = cells.map((_, index) => index).filter((index) => !net.isCutOff(index));
+    const domain = candidates[generation % candidates.length] ?? 0;
+    const host = createControllerHost({
+      domain,
+      generation,
+      pool,
+      failureDomains,
+      now: () => clock.now(),
+      apply: world.applyControllerEffect,
+    });
+    hosts.push(host);
+    const canRenew = (): boolean =>
+      host.isRunning() && !store.isDown() && !net.isCutOff(host.domain);
+    return { ...host, canRenew };
+  }
+
+  function passSecond(): void {
+    lease.check(clock.now());
+    world.relist();
+    hosts.forEach((host) => {
+      const names = net.reachableFrom(host.domain).map((index) => failureDomains[index]!);
+      host.handle({ kind: 'reachableChanged', failureDomains: names });
+      host.handle({ kind: 'timePassed' });
+    });
+    cells.forEach((cell) => {
+      cell.countOldTraffic();
+      cell.handle({ kind: 'timePassed' });
+    });
+  }
+
+  function scheduleInterval({ at, duration }: Interval, set: (isOn: boolean) => void): void {
+    clock.after(at, () => set(true));
+    clock.after(at + duration, () => set(false));
+  }
+
+  function scheduleFaults(): void {
+    scenario.outages.forEach((outage) => scheduleInterval(outage, store.setDown));
+    scenario.partitions.forEach((partition) =>
+      scheduleInterval(partition, (isOn) => net.setCutOff(partition.domain, isOn)),
+    );
+    scenario.controllerDeaths.forEach((at) => clock.after(at, () => hosts.at(-1)?.die()));
+    scenario.controllerPauses.forEach(({ at, duration }) =>
+      clock.after(at, () => {
+        const host = hosts.at(-1);
+        host?.pause();
+        clock.after(duration, () => host?.wake());
+      }),
+    );
+    scenario.guardRestarts.forEach(({ at, domain }) =>
+      clock.after(at, () => cells[domain]!.restartGuard()),
+    );
+    scenario.cancelAt.forEach(({ at, domain }) =>
+      clock.after(at, () => {
+        const move = { pool, to: 'new', startedAt: 0 };
+        cells[domain]!.handle({ kind: 'cancelRequested', move, operator: 'operator' });
+      }),
+    );
+  }
+
+  function observeShares(): void {
+    const shares = cells.flatMap((cell, domain) =>
+      net.isCutOff(domain) ? [] : [{ domain, share: cell.share() }],
+    );
+    observer.shares(shares, clock.now());
+  }
+
+  function run(): MoveRecord {
+    const end = scenario.span + scenario.bakeTime + PATIENCE_MILLISECONDS;
+    let stored = store.tryGetStored();
+    let endsAt = end;
+    for (let tick = 0; clock.now() < endsAt; tick += 1) {
+      if (tick % TICKS_PER_SECOND === 0) {
+        passSecond();
+      }
+      cells.forEach((cell) => cell.tick());
+      clock.advance(TICK_MILLISECONDS);
+      observeShares();
+      stored = store.tryGetStored() ?? stored;
+      if (stored!.record.verdict !== 'underWay' && endsAt === end) {
+        endsAt = clock.now() + AFTERMATH_MILLISECONDS;
+      }
+    }
+    return stored!.record;
+  }
+
+  scheduleFaults();
+  return observer.result(run());
+}
