Add stand-ins for the model engine and the plain service

Cause: the thin path, the demo and the benchmarks need backend servers that speak the protocols of docs/BACKENDS.md and count what was executed.

Change: a model of a continuous-batching engine on any clock (prefill and decode cost, memory with eviction, prefix cache, cold start, lagging load, late and gappy cache events), an HTTP engine over it, and an order book with injected faults. The engine and the order book audit every request id.

--- /dev/null
+++ b/stand-ins/engine-model/src/createRequestAudit.ts
@@ -0,0 +1,14 @@
+import type { RequestId } from '@rattanreel/core';
+import type { RequestAudit } from './types';
+
+/** The account of a request that has not been taken in yet. */
+export default function createRequestAudit(request: RequestId): RequestAudit {
+  return {
+    request,
+    dispatches: 0,
+    prefilledTokens: 0,
+    wastedPrefillTokens: 0,
+    evictions: 0,
+    state: 'refused',
+  };
+}
--- /dev/null
+++ b/stand-ins/engine-model/src/getDefaultedOptions.ts
@@ -0,0 +1,18 @@
+import type { EngineModelOptions } from './types';
+
+const DEFAULTS = {
+  version: 'v1',
+  cold: false,
+  coldStart: {},
+  reportLag: 500,
+  cacheEventDelay: 300,
+  cacheEventLossShare: 0.05,
+  everyToken: false,
+} as const;
+
+/** The options with every default filled in. */
+export default function getDefaultedOptions(
+  options: EngineModelOptions,
+): Required<EngineModelOptions> {
+  return { ...DEFAULTS, ...options };
+}
--- /dev/null
+++ b/stand-ins/engine-model/src/getIterationMilliseconds.ts
@@ -0,0 +1,20 @@
+import type { Milliseconds } from '@rattanreel/core';
+import getStreamsInHand from './getStreamsInHand';
+import type { EngineState } from './types';
+
+/** How long one iteration takes with the batch of now; 0 when the batch is empty. */
+export default function getIterationMilliseconds(state: EngineState): Milliseconds {
+  const streams = getStreamsInHand(state);
+  if (streams === 0) {
+    return 0;
+  }
+  const { hardware } = state;
+  const prefilled = state.prefilling.length > 0 ? hardware.prefillTokensPerIteration : 0;
+  const warmCost =
+    hardware.iterationMilliseconds +
+    hardware.decodeMillisecondsPerStream * state.decodingCount +
+    hardware.contextMillisecondsPerToken * state.memoryUsed +
+    hardware.prefillMillisecondsPerToken * prefilled;
+  const inHand = streams + state.waiting.length;
+  return (warmCost * state.slowDownFactor) / state.warmth.speedShare(inHand);
+}
--- /dev/null
+++ b/stand-ins/engine-model/src/takeSnapshot.ts
@@ -0,0 +1,19 @@
+import getStreamsInHand from './getStreamsInHand';
+import type { EngineLoad, EngineState, EngineStatus } from './types';
+
+/** The engine's load at this instant. */
+export default function takeSnapshot(
+  state: EngineState,
+  status: EngineStatus,
+): Omit<EngineLoad, 'reportedAgo'> {
+  return {
+    incarnation: status.incarnation,
+    running: getStreamsInHand(state),
+    waiting: state.waiting.length,
+    memoryTokensUsed: Math.round(state.memoryUsed),
+    memoryTokensTotal: state.hardware.memoryTokens,
+    version: status.version,
+    ready: status.ready,
+    leaving: status.leaving,
+  };
+}
--- /dev/null
+++ b/stand-ins/engine/src/createEngineStandIn.test.ts
@@ -0,0 +1,76 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import createEngineStandIn from './createEngineStandIn';
+
+interface Answer {
+  readonly status: number;
+  readonly events: readonly string[];
+}
+
+async function read(response: Response): Promise<Answer> {
+  const text = await response.text().catch(() => '');
+  return { status: response.status, events: text.split('\n\n').filter(Boolean) };
+}
+
+async function complete(address: string, request: string, tokens = 3): Promise<Answer> {
+  const response = await fetch(`${address}/v1/chat/completions`, {
+    method: 'POST',
+    headers: { 'content-type': 'application/json', 'x-request-id': request },
+    body: JSON.stringify({
+      model: 'drafts',
+      stream: true,
+      max_tokens: tokens,
+      messages: [{ role: 'user', content: 'quilt the long edge first' }],
+    }),
+  });
+  return read(response);
+}
+
+describe(createEngineStandIn.name, () => {
+  it('streams every token, its usage and the final event, and refuses the id afterwards', async () => {
+    const engine = await createEngineStandIn({ id: 'engine-1' });
+    const first = await complete(engine.address, 'request-1');
+    expect(first.status).toEqual(200);
+    expect(first.events.length).toEqual(5);
+    expect(first.events[3]!.includes('"prompt_tokens":5,"completion_tokens":3')).toEqual(true);
+    expect(first.events[4]).toEqual('data: [DONE]');
+    expect((await complete(engine.address, 'request-1')).status).toEqual(409);
+    const resumed = await read(await fetch(`${engine.address}/v1/streams/request-1?after=2`));
+    expect(resumed.events.length).toEqual(3);
+    expect(engine.audit().map(({ dispatches, state }) => ({ dispatches, state }))).toEqual([
+      { dispatches: 2, state: 'completed' },
+    ]);
+    await engine.close();
+  });
+
+  it('goes on with a stream whose connection was cut', async () => {
+    const engine = await createEngineStandIn({ id: 'engine-1' });
+    engine.cutStreamAfter(1);
+    await complete(engine.address, 'request-2');
+    const resumed = await read(await fetch(`${engine.address}/v1/streams/request-2?after=1`));
+    expect(resumed.events.at(-1)).toEqual('data: [DONE]');
+    expect(resumed.events.length).toEqual(4);
+    await engine.close();
+  });
+
+  const fencing = [
+    { checksFencing: true, statuses: [202, 409, 202] },
+    { checksFencing: false, statuses: [202, 202, 202] },
+  ];
+  for (const { checksFencing, statuses } of fencing) {
+    it(`takes orders, ${checksFencing ? 'checking' : 'ignoring'} their fence`, async () => {
+      const engine = await createEngineStandIn({ id: 'engine-1', checksFencing });
+      const seen: number[] = [];
+      for (const fence of [5, 4, 5]) {
+        const order = { order: 'setRole', role: 'decode', fence };
+        const response = await fetch(`${engine.address}/orders`, {
+          method: 'POST',
+          body: JSON.stringify(order),
+        });
+        seen.push(response.status);
+      }
+      expect(seen).toEqual(statuses);
+      await engine.close();
+    });
+  }
+});
--- /dev/null
+++ b/stand-ins/engine/src/createEngineStandIn.ts
@@ -0,0 +1,71 @@
+import { serve } from '@hono/node-server';
+import type { AddressInfo, Socket } from 'node:net';
+import { createRandom, createSystemClock } from '@rattanreel/core';
+import { createEngineModel, getHardware } from '@rattanreel/stand-in-engine-model';
+import createEngineApplication from './createEngineApplication';
+import createEngineService from './createEngineService';
+import type { EngineStandIn, EngineStandInOptions } from './types';
+
+const DEFAULTS = {
+  version: 'v1',
+  generation: 'third',
+  checksFencing: true,
+  seed: 1,
+  host: '127.0.0.1',
+  port: 0,
+  loadMilliseconds: 1_000,
+} as const;
+
+/** Starts a model engine's stand-in on a loopback port; rejects when the port is taken. */
+export default async function createEngineStandIn(
+  given: EngineStandInOptions,
+): Promise<EngineStandIn> {
+  const options = { ...DEFAULTS, ...given };
+  const clock = options.clock ?? createSystemClock();
+  const random = createRandom(options.seed);
+  const hardware = { ...getHardware(options.generation), ...options.hardware };
+  const model = createEngineModel({ ...options, clock, random, hardware, everyToken: true });
+  const service = createEngineService({ ...options, clock, random, model });
+  const sockets = new Set<Socket>();
+  const silentSockets = new Set<Socket>();
+  const application = createEngineApplication({ model, service, silentSockets });
+
+  const server = await new Promise<ReturnType<typeof serve>>((resolve, reject) => {
+    const started = serve(
+      { fetch: application.fetch, hostname: options.host, port: options.port },
+      () => resolve(started),
+    );
+    started.once('error', reject);
+  });
+  server.on('connection', (socket: Socket) => {
+    sockets.add(socket);
+    socket.once('close', () => {
+      sockets.delete(socket);
+      silentSockets.delete(socket);
+    });
+  });
+  const { port } = server.address() as AddressInfo;
+
+  return {
+    id: options.id,
+    address: `http://${options.host}:${port}`,
+    audit: model.audit,
+    version: service.version,
+    orders: service.orders,
+    slowDown: service.slowDown,
+    goSilentOnOpenConnections: () => sockets.forEach((socket) => silentSockets.add(socket)),
+    turnCold: model.turnCold,
+    failNext: model.failNext,
+    cutStreamAfter: service.cutStreamAfter,
+    badVersion: service.badVersion,
+    announceLeaving: (leaving = true) => model.announceLeaving(leaving),
+    close() {
+      model.close();
+      service.close();
+      sockets.forEach((socket) => socket.destroy());
+      return new Promise((resolve) => {
+        server.close(() => resolve());
+      });
+    },
+  };
+}
--- /dev/null
+++ b/stand-ins/engine/src/createTokenStreams.ts
@@ -0,0 +1,57 @@
+import type { Clock } from '@rattanreel/core';
+import type { TokenStream } from './types';
+
+const KEPT_AFTER_END_MILLISECONDS = 60_000;
+
+type OpenedStream = Pick<TokenStream, 'request' | 'model' | 'promptTokens' | 'prefixHashes'>;
+
+/** The token streams that an engine still knows. */
+interface TokenStreams {
+  open(opened: OpenedStream): TokenStream;
+  tryGet(request: string): TokenStream | undefined;
+  /** Tells the subscribers and forgets the stream a minute later. */
+  end(stream: TokenStream, end: 'completed' | 'failed' | 'cancelled'): void;
+  /** Tells the subscribers that tokens have come. */
+  notify(stream: TokenStream): void;
+  closeAll(): void;
+}
+
+/** An empty set of token streams. */
+export default function createTokenStreams(clock: Clock): TokenStreams {
+  const streams = new Map<string, TokenStream>();
+  const timers = new Set<{ cancel(): void }>();
+
+  function notify(stream: TokenStream): void {
+    [...stream.subscribers].forEach((subscriber) => subscriber());
+  }
+
+  return {
+    open(opened) {
+      const stream: TokenStream = {
+        ...opened,
+        tokens: 0,
+        cachedTokens: 0,
+        end: undefined,
+        cutAfter: undefined,
+        subscribers: new Set(),
+      };
+      streams.set(opened.request, stream);
+      return stream;
+    },
+    tryGet: (request) => streams.get(request),
+    end(stream, end) {
+      stream.end = end;
+      notify(stream);
+      const timer = clock.after(KEPT_AFTER_END_MILLISECONDS, () => {
+        streams.delete(stream.request);
+        timers.delete(timer);
+      });
+      timers.add(timer);
+    },
+    notify,
+    closeAll() {
+      timers.forEach((timer) => timer.cancel());
+      timers.clear();
+    },
+  };
+}
--- a/stand-ins/engine/src/index.ts
+++ b/stand-ins/engine/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+/** HTTP stand-in for a model engine, for demos, tests and benchmarks. */
+export type {
+  BadVersion,
+  EngineLoadReport,
+  EngineOrder,
+  EngineStandIn,
+  EngineStandInOptions,
+} from './types';
+export { default as createEngineStandIn } from './createEngineStandIn';
--- /dev/null
+++ b/stand-ins/service/src/createCallSlots.ts
@@ -0,0 +1,35 @@
+/** Lets a limited number of calls run at once. */
+interface CallSlots {
+  readonly running: number;
+  readonly waiting: number;
+  /** Resolves when a slot is free; the slot is held until `release`. */
+  acquire(): Promise<void>;
+  release(): void;
+}
+
+/** `count` free slots. */
+export default function createCallSlots(count: number): CallSlots {
+  const queue: (() => void)[] = [];
+  let running = 0;
+
+  return {
+    get running() {
+      return running;
+    },
+    get waiting() {
+      return queue.length;
+    },
+    async acquire() {
+      if (running >= count) {
+        await new Promise<void>((resolve) => {
+          queue.push(resolve);
+        });
+      }
+      running += 1;
+    },
+    release() {
+      running -= 1;
+      queue.shift()?.();
+    },
+  };
+}
--- a/stand-ins/service/src/index.ts
+++ b/stand-ins/service/src/index.ts
@@ -1,1 +1,9 @@
-export {};
+/** HTTP stand-in for a plain service, for demos, tests and benchmarks. */
+export type {
+  ExecutionCount,
+  ServiceAudit,
+  ServiceFault,
+  ServiceStandIn,
+  ServiceStandInOptions,
+} from './types';
+export { default as createServiceStandIn } from './createServiceStandIn';
