--- /dev/null
+++ b/packages/dispatch/src/createEngineClient.ts
@@ -0,0 +1,124 @@
+import { Agent } from 'undici';
+import type { Dispatcher } from 'undici';
+import { fail, ok } from '@rattanreel/core';
+import type { Milliseconds, Outcome } from '@rattanreel/core';
+import readStreamEvents from './readStreamEvents';
+import toBackendServerError from './toBackendServerError';
+import type {
+  BackendServerError,
+  CacheEventAnswer,
+  EngineClient,
+  LoadAnswer,
+  StreamBatches,
+} from './types';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const SMALL_CALL_TIMEOUT_MS = 1_000;
+
+/** Calls model engines over kept-alive connections, one request at a time on each. */
+export default function createEngineClient(): EngineClient {
+  const agent = new Agent({
+    // With one request a connection, a broken connection concerns that request alone.
+    pipelining: 1,
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+  });
+
+  async function callStream(
+    address: string,
+    request: Omit<Dispatcher.RequestOptions, 'origin'>,
+    tokensBefore: number,
+  ): Promise<Outcome<StreamBatches, BackendServerError>> {
+    try {
+      const response = await agent.request({ ...request, origin: address });
+      if (response.statusCode === 200) {
+        return ok(readStreamEvents(response.body, tokensBefore));
+      }
+      const detail = await response.body.text();
+      return fail(
+        response.statusCode === 404
+          ? { kind: 'streamUnknown' }
+          : { kind: 'rejected', status: response.statusCode, detail },
+      );
+    } catch (error) {
+      return fail(toBackendServerError(error));
+    }
+  }
+
+  async function fetchJson<Answer>(
+    address: string,
+    path: string,
+  ): Promise<Outcome<Answer, BackendServerError>> {
+    try {
+      const response = await agent.request({
+        origin: address,
+        path,
+        method: 'GET',
+        ...bothTimeouts(SMALL_CALL_TIMEOUT_MS),
+      });
+      if (response.statusCode !== 200) {
+        const detail = await response.body.text();
+        return fail({ kind: 'rejected', status: response.statusCode, detail });
+      }
+      return ok((await response.body.json()) as Answer);
+    } catch (error) {
+      return fail(toBackendServerError(error));
+    }
+  }
+
+  return {
+    openStream: (options) =>
+      callStream(
+        options.address,
+        {
+          path: '/v1/chat/completions',
+          method: 'POST',
+          headers: { 'content-type': 'application/json', 'x-request-id': options.request },
+          body: options.body,
+          headersTimeout: options.headTimeout,
+          bodyTimeout: options.silenceTimeout,
+          signal: options.signal,
+        },
+        0,
+      ),
+    resumeStream: (options) =>
+      callStream(
+        options.address,
+        {
+          path: `/v1/streams/${options.request}?after=${options.afterTokens}`,
+          method: 'GET',
+          // A connection of its own: those in the pool may be silent.
+          reset: true,
+          headersTimeout: options.headTimeout,
+          bodyTimeout: options.silenceTimeout,
+          signal: options.signal,
+        },
+        options.afterTokens,
+      ),
+    async cancelStream(address, request) {
+      try {
+        const response = await agent.request({
+          origin: address,
+          path: `/v1/streams/${request}`,
+          method: 'DELETE',
+          ...bothTimeouts(SMALL_CALL_TIMEOUT_MS),
+        });
+        await response.body.dump();
+      } catch {
+        // The engine is gone, and the stream with it.
+      }
+    },
+    fetchLoad: (address) => fetchJson<LoadAnswer>(address, '/load'),
+    async fetchCacheEvents(address, after) {
+      const answer = await fetchJson<{ readonly events: readonly CacheEventAnswer[] }>(
+        address,
+        `/cache-events?after=${after}`,
+      );
+      return answer.kind === 'ok' ? ok(answer.value.events) : answer;
+    },
+    close: () => agent.destroy(),
+  };
+}
+
+function bothTimeouts(timeout: Milliseconds): { headersTimeout: number; bodyTimeout: number } {
+  return { headersTimeout: timeout, bodyTimeout: timeout };
+}
--- /dev/null
+++ b/packages/dispatch/src/createServiceClient.ts
@@ -0,0 +1,57 @@
+import { Agent, Client } from 'undici';
+import type { Dispatcher } from 'undici';
+import { fail, ok } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
+import toBackendServerError from './toBackendServerError';
+import type { BackendServerError, ServiceAnswer, ServiceCall, ServiceClient } from './types';
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const DEFAULT_CONTENT_TYPE = 'application/json';
+
+async function send(
+  dispatcher: Dispatcher,
+  call: ServiceCall,
+): Promise<Outcome<ServiceAnswer, BackendServerError>> {
+  try {
+    const response = await dispatcher.request({
+      origin: call.address,
+      path: call.path,
+      method: call.method,
+      headers: call.headers,
+      body: call.body === '' ? null : call.body,
+      headersTimeout: call.timeout,
+      bodyTimeout: call.timeout,
+      signal: call.signal,
+      // The client must not repeat a call on its own, whatever its method.
+      idempotent: false,
+    });
+    const contentType = response.headers['content-type'];
+    return ok({
+      status: response.statusCode,
+      contentType: typeof contentType === 'string' ? contentType : DEFAULT_CONTENT_TYPE,
+      body: await response.body.text(),
+    });
+  } catch (error) {
+    return fail(toBackendServerError(error));
+  }
+}
+
+/** Calls plain services; no call is ever repeated by the client itself. */
+export default function createServiceClient(): ServiceClient {
+  const agent = new Agent({ pipelining: 1, connect: { timeout: CONNECT_TIMEOUT_MS } });
+  return {
+    async call(options) {
+      if (!options.freshConnection) {
+        return send(agent, options);
+      }
+      const client = new Client(options.address, {
+        pipelining: 1,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+      });
+      const outcome = await send(client, options);
+      await client.destroy();
+      return outcome;
+    },
+    close: () => agent.destroy(),
+  };
+}
--- /dev/null
+++ b/packages/dispatch/src/toBackendServerError.ts
@@ -0,0 +1,31 @@
+import { errors } from 'undici';
+import type { BackendServerError } from './types';
+
+/** Codes of failures to connect: no byte of the request has been written. */
+const NOT_CONNECTED_CODES: readonly string[] = [
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'EADDRNOTAVAIL',
+  'UND_ERR_CONNECT_TIMEOUT',
+];
+
+function codeOf(error: unknown): string {
+  return error instanceof Error && 'code' in error ? String(error.code) : '';
+}
+
+/** Tells from an exception of the HTTP client how far the request got. Anything unknown may have been written. */
+export default function toBackendServerError(error: unknown): BackendServerError {
+  const code = codeOf(error);
+  const detail = error instanceof Error ? error.message : String(error);
+  if (NOT_CONNECTED_CODES.includes(code)) {
+    return { kind: 'notConnected', detail };
+  }
+  if (error instanceof errors.HeadersTimeoutError || error instanceof errors.BodyTimeoutError) {
+    return { kind: 'silent' };
+  }
+  if (error instanceof Error && error.name === 'AbortError') {
+    return { kind: 'aborted' };
+  }
+  return { kind: 'interrupted', detail };
+}
--- /dev/null
+++ b/packages/entry-host/src/types.ts
@@ -0,0 +1,234 @@
+/** Messages between entry hosts and between the tasks of one entry host. */
+import type {
+  BackendServerId,
+  Clock,
+  CustomerId,
+  FailureDomainId,
+  Milliseconds,
+  PoolId,
+  RequestId,
+  TierRank,
+  Timer,
+} from '@rattanreel/core';
+import type {
+  AdministratorSettings,
+  BackendServerSettings,
+  CustomerSettings,
+  DeploymentSettings,
+  EntryHostAddress,
+  ModelPoolSettings,
+  ServicePoolSettings,
+  ServiceRouteSettings,
+  TierSettings,
+} from '@rattanreel/configuration';
+import type { RequestLifecycle } from '@rattanreel/dispatch';
+import type { DecisionLog } from '@rattanreel/observability';
+import type { OrderRequest, OwnerAnswer } from '@rattanreel/orders';
+import type {
+  CancelAtBackendServer,
+  EntryHostIncarnation,
+  FirstTokenSeen,
+  Grant,
+  GrantReleased,
+  GrantRequested,
+  GrantWithdrawn,
+  InFlightReported,
+  InFlightRequest,
+  PoolScheduler,
+  PoolSummary,
+  Refusal,
+  RefusalReason,
+  SchedulerMessage,
+  SpillOver,
+  VersionEvidence,
+} from '@rattanreel/scheduling';
+
+/** What an entry host tells the scheduler of a pool. */
+export type ToScheduler =
+  GrantRequested | GrantWithdrawn | GrantReleased | FirstTokenSeen | InFlightReported;
+
+/** What the scheduler of a pool tells an entry host. */
+export type FromScheduler = Grant | Refusal | SpillOver;
+
+/** One-way messages between entry hosts. */
+export type PeerMessage =
+  | {
+      readonly kind: 'toScheduler';
+      readonly pool: PoolId;
+      readonly failureDomain: FailureDomainId;
+      readonly message: ToScheduler;
+      /** Set once another host of the domain has passed it on; it is not passed on again. */
+      readonly forwarded: boolean;
+    }
+  | {
+      readonly kind: 'fromScheduler';
+      readonly pool: PoolId;
+      readonly failureDomain: FailureDomainId;
+      readonly message: FromScheduler;
+    };
+
+/** Questions between entry hosts. */
+export interface PeerQuestion {
+  /** Asks the owner of a claim or a ticket how its order ended. */
+  readonly kind: 'order';
+  readonly incarnation: string;
+  readonly order: OrderRequest;
+}
+
+export interface PeerAnswer {
+  readonly kind: 'order';
+  readonly answer: OwnerAnswer;
+}
+
+/** What the grant client needs to know of a request. */
+export interface GrantAsk {
+  readonly request: RequestId;
+  readonly pool: PoolId;
+  readonly tier: TierRank;
+  readonly customer: CustomerId;
+  readonly customerWeight: number;
+  readonly route: string;
+  readonly promptTokens: number;
+  readonly maximumOutputTokens: number;
+  readonly prefixHashes: readonly string[];
+  /** Monotonic instants of this host. */
+  readonly arrivedAt: Milliseconds;
+  readonly firstTokenDueAt: Milliseconds;
+  readonly dueAt: Milliseconds;
+  readonly lifecycle: RequestLifecycle;
+  /** Aborted when the caller has gone. */
+  readonly signal: AbortSignal;
+}
+
+/** A grant that has been taken, with the way to give its slot back. */
+export interface HeldGrant {
+  readonly grant: Grant;
+  readonly failureDomain: FailureDomainId;
+  firstToken(after: Milliseconds, cachedTokens: number): void;
+  release(report: ReleaseReport): void;
+}
+
+export type ReleaseReport = Pick<
+  GrantReleased,
+  'outcome' | 'cachedTokens' | 'outputTokens' | 'firstTokenAfter' | 'duration'
+>;
+
+export type GrantResult =
+  | { readonly kind: 'granted'; readonly held: HeldGrant }
+  | {
+      readonly kind: 'refused';
+      readonly reason: RefusalReason;
+      readonly retryAfter: Milliseconds;
+    }
+  | { readonly kind: 'callerGone' };
+
+/** Asks pool schedulers for grants on behalf of this host's requests. */
+export interface GrantClient {
+  obtain(ask: GrantAsk): Promise<GrantResult>;
+  receive(pool: PoolId, failureDomain: FailureDomainId, message: FromScheduler): void;
+  /** Asks again for everything queued: the scheduler of a pool has changed. */
+  askAgain(pool: PoolId, failureDomain: FailureDomainId): void;
+  /** What this host has in flight at a pool. */
+  report(pool: PoolId, failureDomain: FailureDomainId): InFlightReported;
+  /** Requests queued or in flight. */
+  pending(): number;
+}
+
+/** Carries messages to the scheduler of a pool in a failure domain. */
+export type SendToScheduler = (
+  pool: PoolId,
+  failureDomain: FailureDomainId,
+  message: ToScheduler,
+) => void;
+
+/** Where an entry host of this deployment is reached. */
+export interface EntryHostPlace {
+  readonly id: string;
+  readonly failureDomain: FailureDomainId;
+  readonly peerAddress: string;
+}
+
+/** Who is alive, as far as this entry host sees. */
+export interface MembershipView {
+  readonly self: EntryHostIncarnation;
+  /** Live entry hosts of a failure domain. */
+  aliveIn(failureDomain: FailureDomainId): readonly EntryHostIncarnation[];
+  /** The entry host that schedules a pool in a failure domain; undefined when none is alive. */
+  tryGetScheduler(pool: PoolId, failureDomain: FailureDomainId): EntryHostIncarnation | undefined;
+}
+
+/** Names of backend servers and their base URLs. */
+export type AddressOf = (backendServer: BackendServerId) => string;
+
+/** Look-ups in the settings in force, built once for each generation. */
+export interface SettingsView {
+  readonly settings: DeploymentSettings;
+  tryFindCustomer(apiKey: string): CustomerSettings | undefined;
+  tryFindAdministrator(token: string): AdministratorSettings | undefined;
+  tryFindModelPool(model: string): ModelPoolSettings | undefined;
+  tryFindService(service: string): ServicePoolSettings | undefined;
+  tryFindRoute(
+    pool: ServicePoolSettings,
+    method: string,
+    path: string,
+  ): ServiceRouteSettings | undefined;
+  tryFindBackendServer(id: string): BackendServerSettings | undefined;
+  tryFindEntryHost(id: string): EntryHostAddress | undefined;
+  backendServersOf(pool: PoolId, failureDomain: string): readonly BackendServerSettings[];
+  /** Rank of a tier by name; the lowest for an unknown name. */
+  rankOf(tier: string): TierRank;
+  tierAt(rank: TierRank): TierSettings;
+}
+
+/** What a scheduler task needs of the entry host around it. */
+export interface SchedulerTaskOptions {
+  readonly pool: PoolId;
+  readonly failureDomain: FailureDomainId;
+  readonly clock: Clock;
+  readonly scheduler: PoolScheduler;
+  readonly decisions: DecisionLog;
+  readonly sendToHost: (message: FromScheduler) => void;
+  readonly cancelAtBackendServer: (effect: CancelAtBackendServer) => void;
+  readonly takeEvidence: (evidence: VersionEvidence) => void;
+}
+
+/** Owns one pool scheduler: feeds it messages and time, and carries out its effects. */
+export interface SchedulerTask {
+  readonly pool: PoolId;
+  handle(message: SchedulerMessage): void;
+  summary(): PoolSummary;
+  close(): void;
+}
+
+export interface GrantClientOptions {
+  readonly self: EntryHostIncarnation;
+  readonly homeDomain: FailureDomainId;
+  readonly clock: Clock;
+  readonly send: SendToScheduler;
+}
+
+/** A request of this host that waits for a grant. */
+export interface QueuedRequest {
+  readonly ask: GrantAsk;
+  /** Where it is queued now. */
+  failureDomain: FailureDomainId;
+  timer: Timer | undefined;
+  readonly settle: (result: GrantResult) => void;
+}
+
+/** A request in flight with the scheduler that granted it. */
+export interface InFlightAtPool {
+  readonly pool: PoolId;
+  readonly failureDomain: FailureDomainId;
+  readonly inFlight: InFlightRequest;
+}
+
+/** The grants in use at one entry host. */
+export interface HeldGrants {
+  hold(ask: GrantAsk, failureDomain: FailureDomainId, grant: Grant): HeldGrant;
+  /** Tells the scheduler that a grant came too late or for nothing. */
+  sendBackUnused(pool: PoolId, failureDomain: FailureDomainId, grant: Grant): void;
+  isHeld(grant: Grant): boolean;
+  report(pool: PoolId, failureDomain: FailureDomainId): InFlightReported;
+  size(): number;
+}
--- /dev/null
+++ b/packages/observability/src/createMetrics.ts
@@ -0,0 +1,85 @@
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge as PrometheusGauge,
+  Histogram,
+  Registry,
+} from 'prom-client';
+import type { Metrics } from './types';
+
+const DURATION_BUCKETS_SECONDS = [0.05, 0.1, 0.25, 0.5, 1, 1.7, 2.5, 5, 10, 30, 60, 120, 300];
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** Metrics of one process, in a registry of their own. */
+export default function createMetrics(): Metrics {
+  const registry = new Registry();
+  collectDefaultMetrics({ register: registry });
+  const registers = [registry];
+  const requests = new Counter({
+    name: 'rattanreel_requests_total',
+    help: 'Requests by the way they ended.',
+    labelNames: ['tier', 'pool', 'outcome'],
+    registers,
+  });
+  const durations = new Histogram({
+    name: 'rattanreel_request_seconds',
+    help: 'Time from arrival to the end of the answer.',
+    labelNames: ['tier', 'outcome'],
+    buckets: DURATION_BUCKETS_SECONDS,
+    registers,
+  });
+  const firstTokens = new Histogram({
+    name: 'rattanreel_first_token_seconds',
+    help: 'Time from dispatch to the first token.',
+    labelNames: ['tier'],
+    buckets: DURATION_BUCKETS_SECONDS,
+    registers,
+  });
+  const tokens = new Counter({
+    name: 'rattanreel_tokens_total',
+    help: 'Tokens of ended requests: prompt, cached part of the prompt, output.',
+    labelNames: ['tier', 'part'],
+    registers,
+  });
+  const decisions = new Counter({
+    name: 'rattanreel_decisions_total',
+    help: 'Routing and placement decisions.',
+    labelNames: ['kind', 'decision', 'reason'],
+    registers,
+  });
+  const violations = new Counter({
+    name: 'rattanreel_invariant_violations_total',
+    help: 'Invariants that did not hold; anything above zero is a defect.',
+    labelNames: ['code'],
+    registers,
+  });
+
+  return {
+    requestEnded({ tier, pool, outcome, duration, firstTokenAfter, ...counts }) {
+      requests.inc({ tier, pool, outcome });
+      durations.observe({ tier, outcome }, duration / MILLISECONDS_PER_SECOND);
+      if (firstTokenAfter !== undefined) {
+        firstTokens.observe({ tier }, firstTokenAfter / MILLISECONDS_PER_SECOND);
+      }
+      tokens.inc({ tier, part: 'prompt' }, counts.promptTokens);
+      tokens.inc({ tier, part: 'cached' }, counts.cachedTokens);
+      tokens.inc({ tier, part: 'output' }, counts.outputTokens);
+    },
+    decisionTaken: ({ kind, decision, reason }) =>
+      decisions.inc({ kind, decision, reason: reason ?? '' }),
+    invariantViolated: (code) => violations.inc({ code }),
+    addGauge({ name, help, labelNames, read }) {
+      const gauge: PrometheusGauge = new PrometheusGauge({
+        name,
+        help,
+        labelNames,
+        registers,
+        collect() {
+          gauge.reset();
+          read().forEach(({ labels, value }) => gauge.set(labels, value));
+        },
+      });
+    },
+    scrape: async () => ({ contentType: registry.contentType, body: await registry.metrics() }),
+  };
+}
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,1 +1,5 @@
-export {};
+/** Structured logs, metrics and the record of decisions. */
+export type * from './types';
+export { default as createDecisionLog } from './createDecisionLog';
+export { default as createLogger } from './createLogger';
+export { default as createMetrics } from './createMetrics';
--- /dev/null
+++ b/packages/transport/src/createPeerConnection.ts
@@ -0,0 +1,75 @@
+import { makeGenericClientConstructor, status } from '@grpc/grpc-js';
+import type { ChannelCredentials, ClientWritableStream, ServiceError } from '@grpc/grpc-js';
+import { fail, ok } from '@rattanreel/core';
+import type { Milliseconds, Outcome } from '@rattanreel/core';
+import type { Envelope, PeerConnection, PeerError, PeerService } from './types';
+
+const KEEPALIVE_INTERVAL_MS = 1_000;
+const KEEPALIVE_TIMEOUT_MS = 1_000;
+const MAXIMUM_RECONNECT_BACKOFF_MS = 500;
+
+/** Messages held for a slow peer before further ones are dropped. */
+const MAXIMUM_BUFFERED_MESSAGES = 4_096;
+
+function toPeerError(error: ServiceError): PeerError {
+  return error.code === status.UNAVAILABLE
+    ? { kind: 'unreachable', detail: error.details }
+    : { kind: 'noAnswer', detail: error.details };
+}
+
+/** A connection to one peer; it reconnects by itself and finds a silent connection by keepalive. */
+export default function createPeerConnection(
+  address: string,
+  credentials: ChannelCredentials,
+  service: PeerService,
+): PeerConnection {
+  const PeerClient = makeGenericClientConstructor({ ...service }, 'Peer');
+  const client = new PeerClient(address, credentials, {
+    'grpc.keepalive_time_ms': KEEPALIVE_INTERVAL_MS,
+    'grpc.keepalive_timeout_ms': KEEPALIVE_TIMEOUT_MS,
+    'grpc.keepalive_permit_without_calls': 1,
+    'grpc.initial_reconnect_backoff_ms': 100,
+    'grpc.max_reconnect_backoff_ms': MAXIMUM_RECONNECT_BACKOFF_MS,
+    // A retry by the library could deliver a question twice.
+    'grpc.enable_retries': 0,
+  });
+  let stream: ClientWritableStream<Envelope<unknown>> | undefined;
+
+  function openStream(): ClientWritableStream<Envelope<unknown>> {
+    const opened = client.exchange!(() => {
+      if (stream === opened) {
+        stream = undefined;
+      }
+    }) as ClientWritableStream<Envelope<unknown>>;
+    opened.on('error', () => {
+      if (stream === opened) {
+        stream = undefined;
+      }
+    });
+    return opened;
+  }
+
+  return {
+    send(envelope) {
+      stream ??= openStream();
+      if (stream.writableLength < MAXIMUM_BUFFERED_MESSAGES) {
+        stream.write(envelope);
+      }
+    },
+    ask(envelope: Envelope<unknown>, timeout: Milliseconds) {
+      return new Promise<Outcome<unknown, PeerError>>((resolve) => {
+        client.ask!(
+          envelope,
+          { deadline: new Date(Date.now() + timeout) },
+          (error: ServiceError | null, answer?: Envelope<unknown>) => {
+            resolve(error === null ? ok(answer?.body) : fail(toPeerError(error)));
+          },
+        );
+      });
+    },
+    close() {
+      stream?.end();
+      client.close();
+    },
+  };
+}
--- /dev/null
+++ b/packages/transport/src/createPeerService.ts
@@ -0,0 +1,31 @@
+import { decode, encode } from '@msgpack/msgpack';
+import type { MethodDefinition } from '@grpc/grpc-js';
+import type { Envelope, PeerService, TrafficCounter } from './types';
+
+/**
+ * The gRPC service between entry hosts. Its messages are MessagePack, so no generator is needed;
+ * `counter` learns the encoded size of each.
+ */
+export default function createPeerService(counter: TrafficCounter): PeerService {
+  function serialize(value: Envelope<unknown>): Buffer {
+    const bytes = encode(value, { ignoreUndefined: true });
+    counter.sent(bytes.byteLength);
+    return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
+  }
+
+  function deserialize(bytes: Buffer): Envelope<unknown> {
+    counter.received(bytes.byteLength);
+    return decode(bytes) as Envelope<unknown>;
+  }
+
+  const exchange: MethodDefinition<Envelope<unknown>, Envelope<unknown>> = {
+    path: '/rattanreel.Peer/Exchange',
+    requestStream: true,
+    responseStream: false,
+    requestSerialize: serialize,
+    requestDeserialize: deserialize,
+    responseSerialize: serialize,
+    responseDeserialize: deserialize,
+  };
+  return { exchange, ask: { ...exchange, path: '/rattanreel.Peer/Ask', requestStream: false } };
+}
--- /dev/null
+++ b/packages/transport/src/createPeerTransport.ts
@@ -0,0 +1,116 @@
+import { Server } from '@grpc/grpc-js';
+import type {
+  sendUnaryData,
+  ServerReadableStream,
+  ServerUnaryCall,
+  UntypedServiceImplementation,
+} from '@grpc/grpc-js';
+import { fail, ok } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
+import createPeerConnection from './createPeerConnection';
+import createPeerCredentials from './createPeerCredentials';
+import isLoopbackAddress from './isLoopbackAddress';
+import createPeerService from './createPeerService';
+import type {
+  Envelope,
+  PeerConnection,
+  PeerError,
+  PeerTransport,
+  PeerTransportOptions,
+  TransportSettingsError,
+} from './types';
+
+const DEFAULT_ANSWER_TIMEOUT_MS = 2_000;
+
+function hostOf(address: string): string {
+  return address.slice(0, address.lastIndexOf(':'));
+}
+
+/** Listens for peers and connects to them on first use. */
+export default async function createPeerTransport<Message, Question, Answer>(
+  options: PeerTransportOptions<Message, Question, Answer>,
+): Promise<Outcome<PeerTransport<Message, Question, Answer>, TransportSettingsError>> {
+  const { identity, listenAddress, security, onMessage, onQuestion } = options;
+  if (security.kind === 'plainLoopback' && !isLoopbackAddress(listenAddress)) {
+    return fail({ kind: 'plainTextOffLoopback', address: listenAddress });
+  }
+  const peerCredentials = createPeerCredentials(security);
+  const connections = new Map<string, PeerConnection>();
+  const traffic = { messagesSent: 0, bytesSent: 0, messagesReceived: 0, bytesReceived: 0 };
+
+  const service = createPeerService({
+    sent(bytes) {
+      traffic.messagesSent += 1;
+      traffic.bytesSent += bytes;
+    },
+    received(bytes) {
+      traffic.messagesReceived += 1;
+      traffic.bytesReceived += bytes;
+    },
+  });
+
+  function connectionTo(address: string): PeerConnection {
+    let connection = connections.get(address);
+    if (connection === undefined) {
+      connection = createPeerConnection(address, peerCredentials.client, service);
+      connections.set(address, connection);
+    }
+    return connection;
+  }
+
+  const implementation: UntypedServiceImplementation = {
+    exchange(
+      call: ServerReadableStream<Envelope<unknown>, Envelope<unknown>>,
+      reply: sendUnaryData<Envelope<unknown>>,
+    ) {
+      call.on('data', (envelope: Envelope<Message>) => onMessage(envelope));
+      call.on('end', () => reply(null, { from: identity, body: null }));
+      call.on('error', () => call.removeAllListeners('data'));
+    },
+    ask(
+      call: ServerUnaryCall<Envelope<unknown>, Envelope<unknown>>,
+      reply: sendUnaryData<Envelope<unknown>>,
+    ) {
+      onQuestion(call.request as Envelope<Question>).then(
+        (answer) => reply(null, { from: identity, body: answer }),
+        (error: Error) => reply(error),
+      );
+    },
+  };
+
+  const server = new Server({
+    'grpc.keepalive_time_ms': 1_000,
+    'grpc.keepalive_timeout_ms': 1_000,
+    // Peers probe idle connections once a second.
+    'grpc.http2.min_ping_interval_without_data_ms': 500,
+  });
+  server.addService({ ...service }, implementation);
+  const port = await new Promise<number>((resolve, reject) => {
+    server.bindAsync(listenAddress, peerCredentials.server, (error, bound) => {
+      if (error === null) {
+        resolve(bound);
+      } else {
+        reject(error);
+      }
+    });
+  });
+
+  return ok({
+    address: `${hostOf(listenAddress)}:${port}`,
+    send(peerAddress, message) {
+      connectionTo(peerAddress).send({ from: identity, body: message });
+    },
+    async ask(peerAddress, question, timeout = options.answerTimeout ?? DEFAULT_ANSWER_TIMEOUT_MS) {
+      const outcome = await connectionTo(peerAddress).ask(
+        { from: identity, body: question },
+        timeout,
+      );
+      return outcome as Outcome<Answer, PeerError>;
+    },
+    traffic: () => ({ ...traffic }),
+    async close() {
+      connections.forEach((connection) => connection.close());
+      server.forceShutdown();
+    },
+  });
+}
