--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,6 +28,8 @@
         },
       ],
       'no-continue': 'off',
+      // A promise that is not awaited on purpose is marked so.
+      'no-void': ['error', { allowAsStatement: true }],
       // Tasks await one message after the other on purpose.
       'no-await-in-loop': 'off',
       // State closed over by a factory is updated in place.
--- /dev/null
+++ b/packages/entry-host/src/callers/createCallerApplication.ts
@@ -0,0 +1,86 @@
+import { Hono } from 'hono';
+import type { Context } from 'hono';
+import { bodyLimit } from 'hono/body-limit';
+import type { CallerServices } from '../types';
+import authenticateCaller from './authenticateCaller';
+import createProblem from './createProblem';
+import handleChatCompletion from './handleChatCompletion';
+import handleServiceCall from './handleServiceCall';
+import problemTypes from './problemTypes';
+import sendProblem from './sendProblem';
+
+const LARGEST_BODY_BYTES = 4 * 1024 * 1024;
+
+const OVERLOAD_RETRY_AFTER_MS = 1_000;
+
+type Handler = (services: CallerServices, context: Context) => Promise<Response>;
+
+function issueTicket(services: CallerServices, context: Context): Response {
+  const settings = services.tryGetSettings();
+  if (settings === undefined) {
+    return sendProblem(context, createProblem(problemTypes.notReady, 'not-run'));
+  }
+  const caller = authenticateCaller(settings, context.req.header('authorization'), undefined);
+  if (caller.kind === 'error') {
+    return sendProblem(context, createProblem(caller.error, 'not-run'));
+  }
+  return context.json({ ticket: services.orders.issueTicket(caller.value.customer.id) }, 201);
+}
+
+/** The HTTP application that callers, the balancer and the metrics scraper talk to. */
+export default function createCallerApplication(services: CallerServices): Hono {
+  const application = new Hono();
+  const { admission, metrics } = services;
+
+  /** Counts the request as in hand until its handler has answered. */
+  function admitted(handler: Handler): (context: Context) => Promise<Response> {
+    return async (context) => {
+      if (!admission.tryEnter()) {
+        const type = admission.isStopping() ? problemTypes.shuttingDown : problemTypes.overloaded;
+        const retryAfter = OVERLOAD_RETRY_AFTER_MS;
+        return sendProblem(context, createProblem(type, 'not-run', { retryAfter }));
+      }
+      try {
+        return await handler(services, context);
+      } finally {
+        admission.leave();
+      }
+    };
+  }
+
+  const limitBody = bodyLimit({
+    maxSize: LARGEST_BODY_BYTES,
+    onError: (context) => sendProblem(context, createProblem(problemTypes.bodyTooLarge, 'not-run')),
+  });
+
+  application.post('/v1/chat/completions', limitBody, admitted(handleChatCompletion));
+  application.all('/services/*', limitBody, admitted(handleServiceCall));
+  application.post('/v1/tickets', (context) => issueTicket(services, context));
+  application.get('/v1/models', (context) => {
+    const pools = services.tryGetSettings()?.settings.pools ?? [];
+    const models = pools.filter((pool) => pool.kind === 'model');
+    const data = models.map(({ model }) => ({
+      id: model,
+      object: 'model',
+      owned_by: 'rattanreel',
+    }));
+    return context.json({ object: 'list', data });
+  });
+  application.get('/healthz', (context) => context.text('ok'));
+  application.get('/readyz', (context) => {
+    const ready = services.tryGetSettings() !== undefined && !admission.isStopping();
+    return context.text(ready ? 'ready' : 'not ready', ready ? 200 : 503);
+  });
+  application.get('/metrics', async (context) => {
+    const { contentType, body } = await metrics.scrape();
+    return context.body(body, 200, { 'content-type': contentType });
+  });
+  application.notFound((context) =>
+    sendProblem(context, createProblem(problemTypes.unknownRoute, 'not-run')),
+  );
+  application.onError((error, context) => {
+    services.logger.error({ error }, 'handler failed');
+    return sendProblem(context, createProblem(problemTypes.executionInDoubt, 'may-have-run'));
+  });
+  return application;
+}
--- /dev/null
+++ b/packages/entry-host/src/callers/createOrderDispatcher.ts
@@ -0,0 +1,37 @@
+import type { DispatchOrder, OrderRequest } from '@rattanreel/orders';
+import { Debug } from '@rattanreel/core';
+import type { CallerServices, OrderDispatcher, ServiceJob } from '../types';
+import runServiceCall from './runServiceCall';
+
+/** Runs the orders of this incarnation at their backend servers, each with the job of its request. */
+export default function createOrderDispatcher(getServices: () => CallerServices): OrderDispatcher {
+  const jobs = new Map<OrderRequest, ServiceJob>();
+
+  const dispatch: DispatchOrder = async (order) => {
+    const job = Debug.checkDefined(jobs.get(order), 'job of an order');
+    const outcome = await runServiceCall(getServices(), job);
+    switch (outcome.kind) {
+      case 'answered':
+        return { kind: 'answered', answer: outcome.answer };
+      case 'failed':
+        return outcome.notRun ? { kind: 'notRun' } : { kind: 'mayHaveRun' };
+      case 'refused':
+      case 'callerGone':
+        return { kind: 'notRun' };
+      default:
+        return Debug.assertNever(outcome);
+    }
+  };
+
+  return {
+    dispatch,
+    async withJob(order, job, submit) {
+      jobs.set(order, job);
+      try {
+        return await submit();
+      } finally {
+        jobs.delete(order);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry-host/src/callers/createServiceAsk.ts
@@ -0,0 +1,25 @@
+import { createRequestLifecycle } from '@rattanreel/dispatch';
+import type { CallerServices, GrantAsk, ServiceJob } from '../types';
+
+/** A plain service's call counts as one token of prompt and one of answer. */
+const TOKENS_PER_CALL = 1;
+
+/** What the scheduler is asked for one call of a plain service. */
+export default function createServiceAsk(services: CallerServices, job: ServiceJob): GrantAsk {
+  return {
+    request: job.request,
+    pool: job.pool.id,
+    tier: job.caller.rank,
+    customer: job.caller.customer.id,
+    customerWeight: job.caller.customer.weight,
+    route: `${job.method} ${job.route.pathPrefix}`,
+    promptTokens: TOKENS_PER_CALL,
+    maximumOutputTokens: TOKENS_PER_CALL,
+    prefixHashes: [],
+    arrivedAt: services.clock.now(),
+    firstTokenDueAt: job.dueAt,
+    dueAt: job.dueAt,
+    lifecycle: createRequestLifecycle(),
+    signal: job.signal,
+  };
+}
--- /dev/null
+++ b/packages/entry-host/src/callers/handleServiceCall.ts
@@ -0,0 +1,142 @@
+import type { Context } from 'hono';
+import { Debug, fail, ok } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
+import type { RecordedAnswer } from '@rattanreel/orders';
+import type {
+  CallerServices,
+  ProblemDocument,
+  ProblemType,
+  ServiceJob,
+  SettingsView,
+} from '../types';
+import authenticateCaller from './authenticateCaller';
+import createProblem from './createProblem';
+import orderProblem from './orderProblem';
+import problemTypes from './problemTypes';
+import readDeadline from './readDeadline';
+import readOrderKey from './readOrderKey';
+import recordServiceEnd from './recordServiceEnd';
+import runServiceCall from './runServiceCall';
+import sendProblem from './sendProblem';
+import serviceProblem from './serviceProblem';
+
+const SERVICE_PREFIX = /^\/services\/([^/]+)(\/.*)?$/;
+
+function notRun(type: ProblemType, detail?: string): Outcome<never, ProblemDocument> {
+  return fail(createProblem(type, 'not-run', { detail }));
+}
+
+async function readJob(
+  services: CallerServices,
+  settings: SettingsView,
+  context: Context,
+): Promise<Outcome<ServiceJob, ProblemDocument>> {
+  const { method, path: fullPath } = context.req;
+  const [, service = '', path = '/'] = SERVICE_PREFIX.exec(fullPath) ?? [];
+  const pool = settings.tryFindService(service);
+  const route = pool === undefined ? undefined : settings.tryFindRoute(pool, method, path);
+  const authorization = context.req.header('authorization');
+  const caller = authenticateCaller(
+    settings,
+    authorization,
+    context.req.header('x-tier'),
+    route?.tier,
+  );
+  if (caller.kind === 'error') {
+    return notRun(caller.error);
+  }
+  if (pool === undefined || route === undefined) {
+    return notRun(problemTypes.unknownRoute);
+  }
+  const { tier } = caller.value;
+  const deadline = readDeadline(
+    context.req.header('x-deadline-ms'),
+    tier.defaultDeadlineMilliseconds,
+  );
+  if (deadline === undefined) {
+    return notRun(problemTypes.invalidHeader, 'x-deadline-ms');
+  }
+  const request = services.random.identifier();
+  const { search } = new URL(context.req.url);
+  const key = context.req.header('idempotency-key');
+  return ok({
+    request,
+    caller: caller.value,
+    pool,
+    route,
+    method,
+    path: `${path}${search}`,
+    headers: {
+      'content-type': context.req.header('content-type') ?? 'application/json',
+      'x-request-id': request,
+      ...(key === undefined ? {} : { 'x-rattanreel-key': key }),
+    },
+    body: await context.req.text(),
+    dueAt: services.clock.now() + deadline,
+    signal: context.req.raw.signal,
+    addressOf: (backendServer) =>
+      Debug.checkDefined(settings.tryFindBackendServer(backendServer), backendServer).address,
+  });
+}
+
+async function submitOrder(
+  services: CallerServices,
+  job: ServiceJob,
+  context: Context,
+): Promise<Outcome<RecordedAnswer, ProblemDocument>> {
+  const key = readOrderKey(context.req.header('x-ticket'), context.req.header('idempotency-key'));
+  if (key === undefined) {
+    return notRun(problemTypes.invalidHeader, 'idempotency-key or x-ticket');
+  }
+  const order = {
+    customer: job.caller.customer.id,
+    method: job.method,
+    path: context.req.path,
+    body: job.body,
+    key,
+  };
+  // An order that was begun is finished and recorded also when its caller has gone.
+  const unhurried = { ...job, signal: new AbortController().signal };
+  const result = await services.orderDispatcher.withJob(order, unhurried, () =>
+    services.orders.submit(order),
+  );
+  return result.kind === 'ok' ? result : fail(orderProblem(job.request, result.error));
+}
+
+async function runRepeatable(
+  services: CallerServices,
+  job: ServiceJob,
+): Promise<Outcome<RecordedAnswer, ProblemDocument>> {
+  const outcome = await runServiceCall(services, job);
+  return outcome.kind === 'answered'
+    ? ok(outcome.answer)
+    : fail(serviceProblem(job.request, outcome));
+}
+
+/** Passes a call on to a plain service; one that may not be repeated runs at most once. */
+export default async function handleServiceCall(
+  services: CallerServices,
+  context: Context,
+): Promise<Response> {
+  const settings = services.tryGetSettings();
+  if (settings === undefined) {
+    return sendProblem(context, createProblem(problemTypes.notReady, 'not-run'));
+  }
+  const job = await readJob(services, settings, context);
+  if (job.kind === 'error') {
+    return sendProblem(context, job.error);
+  }
+  const startedAt = services.clock.now();
+  const result = job.value.route.repeatable
+    ? await runRepeatable(services, job.value)
+    : await submitOrder(services, job.value, context);
+  recordServiceEnd(services, job.value, result, startedAt);
+  if (result.kind === 'error') {
+    return sendProblem(context, result.error);
+  }
+  const { status, contentType, body } = result.value;
+  return new Response(body, {
+    status,
+    headers: { 'content-type': contentType, 'x-request-id': job.value.request },
+  });
+}
--- /dev/null
+++ b/packages/entry-host/src/callers/orderProblem.ts
@@ -0,0 +1,35 @@
+import type { OrderError } from '@rattanreel/orders';
+import type { RequestId } from '@rattanreel/core';
+import type { ProblemDocument } from '../types';
+import createProblem from './createProblem';
+import problemTypes from './problemTypes';
+
+/** The problem document for an order that was not answered. */
+export default function orderProblem(request: RequestId, error: OrderError): ProblemDocument {
+  const { execution } = error;
+  switch (error.kind) {
+    case 'keyReusedForAnotherRequest':
+      return createProblem(problemTypes.keyReused, execution, { request });
+    case 'storeUnavailable':
+      return createProblem(problemTypes.storeUnavailable, execution, {
+        request,
+        retryAfter: error.retryAfter,
+      });
+    case 'refused':
+      return createProblem(problemTypes.overloaded, execution, {
+        request,
+        retryAfter: error.retryAfter,
+      });
+    case 'ticketUnknown':
+      return createProblem(problemTypes.unknownTicket, execution, { request });
+    case 'claimantGone':
+    case 'ticketHolderGone':
+    case 'dispatchInDoubt':
+      return createProblem(problemTypes.executionInDoubt, execution, {
+        request,
+        detail: error.kind,
+      });
+    default:
+      return error satisfies never;
+  }
+}
--- /dev/null
+++ b/packages/entry-host/src/callers/readOrderKey.ts
@@ -0,0 +1,19 @@
+import type { OrderKey } from '@rattanreel/orders';
+
+const LONGEST_KEY_CHARACTERS = 255;
+
+/** The key of an order from its headers; undefined when a header is invalid. */
+export default function readOrderKey(
+  ticket: string | undefined,
+  callerKey: string | undefined,
+): OrderKey | undefined {
+  const key = ticket ?? callerKey;
+  if (key === undefined) {
+    return { kind: 'none' };
+  }
+  const bothGiven = ticket !== undefined && callerKey !== undefined;
+  if (bothGiven || key === '' || key.length > LONGEST_KEY_CHARACTERS) {
+    return undefined;
+  }
+  return ticket === undefined ? { kind: 'callerKey', key } : { kind: 'ticket', ticket };
+}
--- a/packages/entry-host/src/callers/recordEnd.ts
+++ b/packages/entry-host/src/callers/recordEnd.ts
@@ -1,7 +1,15 @@
 import type { EndedRequest } from '@rattanreel/observability';
+import type { Execution } from '@rattanreel/orders';
 import type { CallerServices, ChatJob, ChatOutcome } from '../types';
 import streamProblem from './streamProblem';
 
+const endedByExecution: Readonly<Record<Execution, EndedRequest['outcome']>> = {
+  'not-run': 'refused',
+  'partly-run': 'partlyRun',
+  'may-have-run': 'mayHaveRun',
+  ran: 'answered',
+};
+
 function outcomeOf(job: ChatJob, outcome: ChatOutcome): EndedRequest['outcome'] {
   if (outcome.kind === 'refused') {
     return 'refused';
@@ -12,14 +20,7 @@
   if (outcome.stream.kind === 'completed') {
     return 'answered';
   }
-  switch (streamProblem(job.ask.request, outcome.stream).execution) {
-    case 'not-run':
-      return 'refused';
-    case 'partly-run':
-      return 'partlyRun';
-    default:
-      return 'mayHaveRun';
-  }
+  return endedByExecution[streamProblem(job.ask.request, outcome.stream).execution];
 }
 
 /** Writes the end of a chat request into the metrics and the decision log. */
--- /dev/null
+++ b/packages/entry-host/src/callers/recordServiceEnd.ts
@@ -0,0 +1,42 @@
+import type { Milliseconds, Outcome } from '@rattanreel/core';
+import type { EndedRequest } from '@rattanreel/observability';
+import type { Execution, RecordedAnswer } from '@rattanreel/orders';
+import type { CallerServices, ProblemDocument, ServiceJob } from '../types';
+
+const endedByExecution: Readonly<Record<Execution, EndedRequest['outcome']>> = {
+  'not-run': 'refused',
+  'partly-run': 'partlyRun',
+  'may-have-run': 'mayHaveRun',
+  ran: 'answered',
+};
+
+/** Writes the end of a plain service's call into the metrics and the decision log. */
+export default function recordServiceEnd(
+  services: CallerServices,
+  job: ServiceJob,
+  result: Outcome<RecordedAnswer, ProblemDocument>,
+  startedAt: Milliseconds,
+): void {
+  const duration = services.clock.now() - startedAt;
+  const outcome = result.kind === 'ok' ? 'answered' : endedByExecution[result.error.execution];
+  services.metrics.requestEnded({
+    tier: job.caller.tier.id,
+    pool: job.pool.id,
+    outcome,
+    duration,
+    firstTokenAfter: undefined,
+    outputTokens: 0,
+    promptTokens: 0,
+    cachedTokens: 0,
+  });
+  services.decisions.record({
+    kind: 'routing',
+    decision: 'ended',
+    request: job.request,
+    pool: job.pool.id,
+    failureDomain: services.failureDomain,
+    tier: job.caller.rank,
+    customer: job.caller.customer.id,
+    reason: result.kind === 'ok' ? outcome : (result.error.detail ?? result.error.type),
+  });
+}
--- a/packages/entry-host/src/callers/runChat.ts
+++ b/packages/entry-host/src/callers/runChat.ts
@@ -11,10 +11,10 @@
 const SHORTEST_SILENCE_MS = 2_000;
 
 function toReleaseOutcome(result: StreamResult, callerGone: boolean): ReleaseOutcome {
-  if (result.kind === 'completed') {
+  if (result.error === undefined) {
     return 'completed';
   }
-  switch (result.error?.kind) {
+  switch (result.error.kind) {
     case 'notConnected':
       return 'notDispatched';
     case 'rejected':
@@ -23,8 +23,12 @@
       return 'silent';
     case 'aborted':
       return callerGone ? 'callerGone' : 'silent';
-    default:
+    case 'interrupted':
+    case 'streamUnknown':
+    case 'invalidAnswer':
       return callerGone ? 'callerGone' : 'backendServerFailed';
+    default:
+      return Debug.assertNever(result.error);
   }
 }
 
--- /dev/null
+++ b/packages/entry-host/src/callers/runServiceCall.ts
@@ -0,0 +1,87 @@
+import { Debug } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
+import type { BackendServerError, ServiceAnswer } from '@rattanreel/dispatch';
+import type { ReleaseOutcome } from '@rattanreel/scheduling';
+import type { CallerServices, HeldGrant, ServiceJob, ServiceOutcome } from '../types';
+import createServiceAsk from './createServiceAsk';
+
+/** Grants used for one call at most: a backend server that refuses the connection has not seen the call. */
+const MAXIMUM_ATTEMPTS = 3;
+
+const SERVER_ERROR_FIRST = 500;
+
+function toReleaseOutcome(result: Outcome<ServiceAnswer, BackendServerError>): ReleaseOutcome {
+  if (result.kind === 'ok') {
+    return result.value.status >= SERVER_ERROR_FIRST ? 'backendServerFailed' : 'completed';
+  }
+  switch (result.error.kind) {
+    case 'notConnected':
+      return 'notDispatched';
+    case 'silent':
+      return 'silent';
+    case 'aborted':
+      return 'callerGone';
+    case 'rejected':
+    case 'interrupted':
+    case 'streamUnknown':
+    case 'invalidAnswer':
+      return 'backendServerFailed';
+    default:
+      return Debug.assertNever(result.error);
+  }
+}
+
+async function dispatch(
+  services: CallerServices,
+  job: ServiceJob,
+  held: HeldGrant,
+): Promise<Outcome<ServiceAnswer, BackendServerError>> {
+  const { clock } = services;
+  const startedAt = clock.now();
+  const result = await services.services.call({
+    address: job.addressOf(held.grant.backendServer),
+    method: job.method,
+    path: job.path,
+    headers: job.headers,
+    body: job.body,
+    timeout: Math.max(1, job.dueAt - startedAt),
+    freshConnection: !job.route.repeatable,
+    signal: job.signal,
+  });
+  const duration = clock.now() - startedAt;
+  const answered = result.kind === 'ok';
+  held.release({
+    outcome: toReleaseOutcome(result),
+    cachedTokens: 0,
+    outputTokens: answered ? 1 : 0,
+    firstTokenAfter: answered ? duration : undefined,
+    duration,
+  });
+  return result;
+}
+
+/** Takes one call of a plain service from the queue to its answer; it is written to one connection at most. */
+export default async function runServiceCall(
+  services: CallerServices,
+  job: ServiceJob,
+): Promise<ServiceOutcome> {
+  const ask = createServiceAsk(services, job);
+  for (let attempt = 1; ; attempt += 1) {
+    const granted = await services.grants.obtain(ask);
+    if (granted.kind !== 'granted') {
+      return granted;
+    }
+    const dispatched = ask.lifecycle.tryDispatch();
+    Debug.invariant(dispatched, 'request-dispatched-twice', () => ask.request);
+    const result = await dispatch(services, job, granted.held);
+    if (result.kind === 'ok') {
+      ask.lifecycle.tryEnd();
+      return { kind: 'answered', answer: result.value };
+    }
+    const unsent = result.error.kind === 'notConnected' && ask.lifecycle.tryRequeueUnsent();
+    if (!unsent || attempt >= MAXIMUM_ATTEMPTS) {
+      ask.lifecycle.tryEnd();
+      return { kind: 'failed', error: result.error, notRun: ask.lifecycle.isNotRun() };
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry-host/src/scheduling/buildPoolChanged.ts
@@ -0,0 +1,30 @@
+import type { FailureDomainId, PoolId } from '@rattanreel/core';
+import type { NeighbourPool, PoolChanged, VersionShare } from '@rattanreel/scheduling';
+import type { SettingsView } from '../types';
+
+/** What a pool's scheduler has to know of the settings in force. */
+export default function buildPoolChanged(
+  view: SettingsView,
+  pool: PoolId,
+  failureDomain: FailureDomainId,
+  shares: readonly VersionShare[],
+  neighbours: readonly NeighbourPool[],
+): PoolChanged {
+  const { drained, tiers } = view.settings;
+  const backendServers = view.backendServersOf(pool, failureDomain).map((server) => ({
+    id: server.id,
+    hardware: server.hardware,
+    version: server.version,
+    memoryTokens: server.memoryTokens,
+    maximumStreams: server.maximumStreams,
+    drained: drained.backendServers.includes(server.id),
+  }));
+  return {
+    kind: 'poolChanged',
+    backendServers,
+    shares,
+    tiers: tiers.length,
+    domainDrained: drained.failureDomains.includes(failureDomain),
+    neighbours,
+  };
+}
--- /dev/null
+++ b/packages/entry-host/src/scheduling/createPeerRouter.ts
@@ -0,0 +1,58 @@
+import type { FailureDomainId, PoolId } from '@rattanreel/core';
+import type { PeerRouter, PeerRouterOptions, ToScheduler } from '../types';
+
+/** Brings messages to the scheduler of a pool, here or at another entry host, and its answers back. */
+export default function createPeerRouter(options: PeerRouterOptions): PeerRouter {
+  const { failureDomain, membership } = options;
+
+  const { sendToPeer } = options;
+
+  function tryDeliverHere(pool: PoolId, message: ToScheduler): boolean {
+    const task = options.tryGetTask(pool);
+    task?.handle(message);
+    return task !== undefined;
+  }
+
+  function toScheduler(
+    pool: PoolId,
+    domain: FailureDomainId,
+    message: ToScheduler,
+    forwarded: boolean,
+  ): void {
+    const target = membership.tryGetScheduler(pool, domain)?.entryHost;
+    if (domain === failureDomain && target === membership.self.entryHost) {
+      tryDeliverHere(pool, message);
+    } else if (target !== undefined) {
+      sendToPeer(target, { kind: 'toScheduler', pool, failureDomain: domain, message, forwarded });
+    }
+  }
+
+  return {
+    sendToScheduler(pool, domain, message) {
+      // A message to a scheduler on this host is handled after the caller's own step.
+      setImmediate(() => toScheduler(pool, domain, message, false));
+    },
+    sendToHost(pool, message) {
+      const { entryHost } = message.to;
+      if (entryHost === membership.self.entryHost) {
+        options.receiveFromScheduler(pool, failureDomain, message);
+      } else {
+        sendToPeer(entryHost, { kind: 'fromScheduler', pool, failureDomain, message });
+      }
+    },
+    receive(message) {
+      switch (message.kind) {
+        case 'fromScheduler':
+          options.receiveFromScheduler(message.pool, message.failureDomain, message.message);
+          break;
+        case 'toScheduler':
+          if (!tryDeliverHere(message.pool, message.message) && !message.forwarded) {
+            toScheduler(message.pool, failureDomain, message.message, true);
+          }
+          break;
+        default:
+          message satisfies never;
+      }
+    },
+  };
+}
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -3,7 +3,9 @@
   BackendServerId,
   Clock,
   CustomerId,
+  EntryHostId,
   FailureDomainId,
+  Incarnation,
   Milliseconds,
   PoolId,
   Random,
@@ -17,20 +19,31 @@
   CustomerSettings,
   DeploymentSettings,
   EntryHostAddress,
+  EntryHostSettings,
   ModelPoolSettings,
   ServicePoolSettings,
   ServiceRouteSettings,
   TierSettings,
 } from '@rattanreel/configuration';
 import type {
+  BackendServerError,
   EngineClient,
   RequestLifecycle,
+  ServiceAnswer,
   ServiceClient,
   StreamResult,
 } from '@rattanreel/dispatch';
 import type { DecisionLog, Logger, Metrics } from '@rattanreel/observability';
-import type { Execution, OrderDesk, OrderRequest, OwnerAnswer } from '@rattanreel/orders';
 import type {
+  DispatchOrder,
+  Execution,
+  OrderDesk,
+  OrderRequest,
+  OrderResult,
+  OwnerAnswer,
+} from '@rattanreel/orders';
+import type {
+  CacheChanged,
   CancelAtBackendServer,
   EntryHostIncarnation,
   FirstTokenSeen,
@@ -40,6 +53,8 @@
   GrantWithdrawn,
   InFlightReported,
   InFlightRequest,
+  LoadReported,
+  NeighbourPool,
   PoolScheduler,
   PoolSummary,
   Refusal,
@@ -47,7 +62,9 @@
   SchedulerMessage,
   SpillOver,
   VersionEvidence,
+  VersionShare,
 } from '@rattanreel/scheduling';
+import type { TransportSettingsError } from '@rattanreel/transport';
 
 /** What an entry host tells the scheduler of a pool. */
 export type ToScheduler =
@@ -321,6 +338,7 @@
   readonly engines: EngineClient;
   readonly services: ServiceClient;
   readonly orders: OrderDesk;
+  readonly orderDispatcher: OrderDispatcher;
   /** The settings in force; undefined until the first are known. */
   readonly tryGetSettings: () => SettingsView | undefined;
   /** Counts requests in hand and tells whether new ones are taken. */
@@ -357,3 +375,123 @@
 export type ChatOutcome =
   | Exclude<GrantResult, { readonly kind: 'granted' }>
   | { readonly kind: 'ended'; readonly held: HeldGrant; readonly stream: StreamResult };
+
+/** A call of a plain service on its way through this entry host. */
+export interface ServiceJob {
+  readonly request: RequestId;
+  readonly caller: AuthenticatedCaller;
+  readonly pool: ServicePoolSettings;
+  readonly route: ServiceRouteSettings;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+  readonly dueAt: Milliseconds;
+  readonly signal: AbortSignal;
+  readonly addressOf: AddressOf;
+}
+
+/** How a call of a plain service ended. */
+export type ServiceOutcome =
+  | Exclude<GrantResult, { readonly kind: 'granted' }>
+  | { readonly kind: 'answered'; readonly answer: ServiceAnswer }
+  | { readonly kind: 'failed'; readonly error: BackendServerError; readonly notRun: boolean };
+
+/** Runs orders at their backend servers for the order desk. */
+export interface OrderDispatcher {
+  readonly dispatch: DispatchOrder;
+  /** Keeps the job of an order for as long as it is submitted. */
+  withJob(
+    order: OrderRequest,
+    job: ServiceJob,
+    submit: () => Promise<OrderResult>,
+  ): Promise<OrderResult>;
+}
+
+/** Asks one backend server for its state until closed. */
+export interface LoadPoller {
+  close(): void;
+}
+
+export interface LoadPollerOptions {
+  readonly backendServer: BackendServerId;
+  readonly address: string;
+  readonly publishesCacheEvents: boolean;
+  readonly clock: Clock;
+  readonly engines: EngineClient;
+  readonly report: (message: LoadReported | CacheChanged) => void;
+}
+
+/** What the schedulers of one entry host need of the tasks around them. */
+export interface SchedulerDirectoryOptions {
+  readonly failureDomain: FailureDomainId;
+  readonly membership: MembershipView;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly engines: EngineClient;
+  readonly decisions: DecisionLog;
+  readonly tryGetSettings: () => SettingsView | undefined;
+  /** Shares in force while a move is under way. */
+  readonly tryGetShares: (pool: PoolId) => readonly VersionShare[] | undefined;
+  readonly getNeighbours: (pool: PoolId) => readonly NeighbourPool[];
+  /** Every live entry host that may hold grants, of this failure domain and of others. */
+  readonly getKnownHosts: () => readonly EntryHostIncarnation[];
+  readonly getDeadHosts: () => readonly EntryHostIncarnation[];
+  readonly sendToHost: (pool: PoolId, message: FromScheduler) => void;
+  readonly cancelAtBackendServer: (effect: CancelAtBackendServer) => void;
+  readonly takeEvidence: (pool: PoolId, evidence: VersionEvidence) => void;
+  /** The scheduler of a pool of this failure domain is another than before. */
+  readonly onSchedulerChanged: (pool: PoolId) => void;
+}
+
+/** The schedulers that run on this entry host. */
+export interface SchedulerDirectory {
+  /** Starts, stops and informs schedulers after a change of settings, members or shares. */
+  update(): void;
+  tryGetTask(pool: PoolId): SchedulerTask | undefined;
+  forEachTask(visit: (task: SchedulerTask) => void): void;
+  isStarted(): boolean;
+  close(): void;
+}
+
+export interface PeerRouterOptions {
+  readonly failureDomain: FailureDomainId;
+  readonly membership: MembershipView;
+  readonly tryGetTask: (pool: PoolId) => SchedulerTask | undefined;
+  readonly sendToPeer: (entryHost: EntryHostId, message: PeerMessage) => void;
+  readonly receiveFromScheduler: (
+    pool: PoolId,
+    failureDomain: FailureDomainId,
+    message: FromScheduler,
+  ) => void;
+}
+
+/** Carries the messages between grant clients and pool schedulers. */
+export interface PeerRouter {
+  readonly sendToScheduler: SendToScheduler;
+  sendToHost(pool: PoolId, message: FromScheduler): void;
+  receive(message: PeerMessage): void;
+}
+
+export interface EntryHostOptions {
+  readonly settings: EntryHostSettings;
+  readonly logger?: Logger;
+  readonly clock?: Clock;
+  readonly random?: Random;
+}
+
+/** Why an entry host could not start. */
+export type EntryHostError =
+  TransportSettingsError | { readonly kind: 'addressInUse'; readonly address: string };
+
+/** A running entry host. */
+export interface EntryHost {
+  readonly callerAddress: string;
+  readonly peerAddress: string;
+  readonly incarnation: Incarnation;
+  isReady(): boolean;
+  /** Finishes every request in hand, takes no new one, and closes. */
+  stop(): Promise<void>;
+  /** Closes at once and cuts what is in hand, as the death of the process would. */
+  kill(): Promise<void>;
+}
