--- /dev/null
+++ b/packages/scheduling/src/createPoolScheduler.ts
@@ -0,0 +1,83 @@
+import type { Milliseconds } from '@rattanreel/core';
+import { createRandom } from '@rattanreel/core';
+import { match } from 'ts-pattern';
+import createHandover from './decisions/createHandover';
+import createRefusalBarrier from './decisions/createRefusalBarrier';
+import createSpillBudget from './decisions/createSpillBudget';
+import createVersionShares from './decisions/createVersionShares';
+import createWorkEstimates from './decisions/createWorkEstimates';
+import summarise from './decisions/summarise';
+import type { SchedulerState } from './decisions/types';
+import defaultPolicy from './defaultPolicy';
+import getNextWakeUp from './getNextWakeUp';
+import changeMembers from './handlers/changeMembers';
+import changePool from './handlers/changePool';
+import passTime from './handlers/passTime';
+import releaseGrant from './handlers/releaseGrant';
+import reportInFlight from './handlers/reportInFlight';
+import reportLoad from './handlers/reportLoad';
+import requestGrant from './handlers/requestGrant';
+import seeFirstToken from './handlers/seeFirstToken';
+import withdrawGrant from './handlers/withdrawGrant';
+import createRequestQueue from './queue/createRequestQueue';
+import createLedger from './servers/createLedger';
+import type { PoolScheduler, PoolSchedulerOptions, SchedulerMessage } from './types';
+
+function createState(options: PoolSchedulerOptions): SchedulerState {
+  const policy = { ...defaultPolicy, ...options.policy };
+  return {
+    options,
+    policy,
+    random: createRandom(options.seed),
+    queue: createRequestQueue(),
+    ledger: createLedger(),
+    servers: new Map(),
+    shares: createVersionShares(),
+    spill: createSpillBudget(),
+    barrier: createRefusalBarrier(),
+    handover: createHandover(options, policy),
+    work: createWorkEstimates(),
+    finished: new Set(),
+    dead: new Set(),
+    orphans: new Map(),
+    effects: [],
+    domainDrained: false,
+    tiers: 1,
+    sequence: 0,
+    poolSpeed: undefined,
+    poolSpeedAt: options.startedAt,
+  };
+}
+
+function apply(state: SchedulerState, message: SchedulerMessage, now: Milliseconds): void {
+  match(message)
+    .with({ kind: 'grantRequested' }, (asked) => requestGrant(state, asked, now))
+    .with({ kind: 'grantWithdrawn' }, (withdrawn) => withdrawGrant(state, withdrawn))
+    .with({ kind: 'grantReleased' }, (released) => releaseGrant(state, released, now))
+    .with({ kind: 'firstTokenSeen' }, (seen) => seeFirstToken(state, seen, now))
+    .with({ kind: 'inFlightReported' }, (report) => reportInFlight(state, report, now))
+    .with({ kind: 'loadReported' }, (report) => reportLoad(state, report, now))
+    .with({ kind: 'cacheChanged' }, ({ backendServer, sequence, added, removed }) =>
+      state.servers.get(backendServer)?.prefixes.changed(sequence, added, removed),
+    )
+    .with({ kind: 'membersChanged' }, (changed) => changeMembers(state, changed, now))
+    .with({ kind: 'poolChanged' }, (changed) => changePool(state, changed, now))
+    .with({ kind: 'versionVetoed' }, ({ version }) => state.shares.veto(version))
+    .with({ kind: 'timePassed' }, () => passTime(state, now))
+    .exhaustive();
+}
+
+/** Creates the decisions of one pool in one failure domain. */
+export default function createPoolScheduler(options: PoolSchedulerOptions): PoolScheduler {
+  const state = createState(options);
+
+  return {
+    handle(message, now) {
+      state.effects = [];
+      apply(state, message, now);
+      return state.effects;
+    },
+    nextWakeUp: (now) => getNextWakeUp(state, now),
+    summary: () => summarise(state),
+  };
+}
--- /dev/null
+++ b/packages/scheduling/src/decisions/createRefusalBarrier.ts
@@ -0,0 +1,20 @@
+import type { Milliseconds } from '@rattanreel/core';
+import type { RefusalBarrier } from './types';
+
+/** Creates a barrier that blocks nothing. */
+export default function createRefusalBarrier(): RefusalBarrier {
+  const untilByTier: Milliseconds[] = [];
+
+  return {
+    refused(tier, until) {
+      untilByTier[tier] = Math.max(untilByTier[tier] ?? Number.NEGATIVE_INFINITY, until);
+    },
+    blockedUntil(tier) {
+      let until = Number.NEGATIVE_INFINITY;
+      for (let higher = 0; higher < tier; higher += 1) {
+        until = Math.max(until, untilByTier[higher] ?? Number.NEGATIVE_INFINITY);
+      }
+      return until;
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduling/src/decisions/estimateWait.ts
@@ -0,0 +1,19 @@
+import type { Milliseconds } from '@rattanreel/core';
+import getPoolSpeed from './getPoolSpeed';
+import type { SchedulerState } from './types';
+
+/** Expected time until the work queued in `band` and above, with `cost` more, has been granted. */
+export default function estimateWait(
+  state: SchedulerState,
+  band: number,
+  cost: number,
+  now: Milliseconds,
+): Milliseconds {
+  const { meanHolding, meanCost } = state.work;
+  const { slots } = getPoolSpeed(state, now);
+  if (meanHolding === undefined || slots === 0) {
+    return 0;
+  }
+  const requestsAhead = (state.queue.costThrough(band) + cost) / Math.max(1, meanCost);
+  return (requestsAhead * meanHolding) / slots;
+}
--- /dev/null
+++ b/packages/scheduling/src/decisions/types.ts
@@ -0,0 +1,124 @@
+/** State of one pool scheduler, shared by its decisions. */
+import type {
+  BackendServerId,
+  FailureDomainId,
+  Milliseconds,
+  Random,
+  RequestId,
+  TierRank,
+  VersionId,
+} from '@rattanreel/core';
+import type createLedger from '../servers/createLedger';
+import type { RequestQueue } from '../queue/types';
+import type { BackendServer } from '../servers/types';
+import type {
+  EntryHostIncarnation,
+  NeighbourPool,
+  PoolSchedulerOptions,
+  RejectedAlternative,
+  SchedulerEffect,
+  SchedulerPolicy,
+  VersionShare,
+} from '../types';
+
+/** Credit account of the versions' shares. */
+export interface VersionShares {
+  /** Whether `version` may get a new request now. */
+  isAllowed(version: VersionId): boolean;
+  /** Whether every version in use may take any amount. */
+  readonly isSingle: boolean;
+  /** Credit of a version relative to its share; the version with most credit comes first. */
+  creditOf(version: VersionId): number;
+  offered(tokens: number): void;
+  granted(version: VersionId, tokens: number): void;
+  configure(shares: readonly VersionShare[]): void;
+  veto(version: VersionId): void;
+}
+
+/** Bounds what is passed on to other failure domains. */
+export interface SpillBudget {
+  /** Takes `tokens` of a neighbour's room; undefined when none has enough. */
+  tryTake(tier: TierRank, tokens: number): FailureDomainId | undefined;
+  configure(neighbours: readonly NeighbourPool[]): void;
+}
+
+/** Keeps capacity that a refused request could have used from lower tiers. */
+export interface RefusalBarrier {
+  refused(tier: TierRank, until: Milliseconds): void;
+  /** Until when requests of `tier` must wait because a higher tier was refused. */
+  blockedUntil(tier: TierRank): Milliseconds;
+}
+
+/** Waits for the entry hosts' accounts of what is in flight. */
+export interface Handover {
+  isOver(now: Milliseconds): boolean;
+  /** When time alone may end it; undefined when it is over. */
+  endsAt(now: Milliseconds): Milliseconds | undefined;
+  reported(from: EntryHostIncarnation): void;
+  membersChanged(alive: readonly EntryHostIncarnation[]): void;
+}
+
+/** Expected lengths of answers and times that slots are held. */
+export interface WorkEstimates {
+  readonly meanHolding: Milliseconds | undefined;
+  readonly meanCost: number;
+  expectedOutputTokens(route: string, maximumOutputTokens: number): number;
+  learnOutput(route: string, maximumOutputTokens: number, outputTokens: number): void;
+  learnHolding(cost: number, held: Milliseconds): void;
+}
+
+/** The fastest times of an idle backend server of the pool. */
+export interface PoolSpeed {
+  readonly slots: number;
+  readonly largestMemoryTokens: number;
+  readonly usableServers: number;
+  /** Whether the speed of every usable backend server has been learnt. */
+  readonly isLearnt: boolean;
+  firstTokenAfter(prefillTokens: number): Milliseconds;
+  readonly tokenTime: Milliseconds;
+}
+
+export interface SchedulerState {
+  readonly options: PoolSchedulerOptions;
+  readonly policy: SchedulerPolicy;
+  readonly random: Random;
+  readonly queue: RequestQueue;
+  readonly ledger: ReturnType<typeof createLedger>;
+  readonly servers: Map<BackendServerId, BackendServer>;
+  readonly shares: VersionShares;
+  readonly spill: SpillBudget;
+  readonly barrier: RefusalBarrier;
+  readonly handover: Handover;
+  readonly work: WorkEstimates;
+  /** Requests that ended lately, so that a late repetition is not served again. */
+  readonly finished: Set<RequestId>;
+  /** Incarnations declared dead. */
+  readonly dead: Set<string>;
+  /** Slots of dead incarnations by the time at which they are freed. */
+  readonly orphans: Map<RequestId, Milliseconds>;
+  effects: SchedulerEffect[];
+  domainDrained: boolean;
+  tiers: number;
+  sequence: number;
+  poolSpeed: PoolSpeed | undefined;
+  poolSpeedAt: Milliseconds;
+}
+
+/** Expected course of a request at a backend server. */
+export interface Expectation {
+  readonly cachedTokens: number;
+  readonly prefillTokens: number;
+  readonly firstTokenAfter: Milliseconds;
+  readonly finishAfter: Milliseconds;
+}
+
+/** Result of choosing a backend server for one request. */
+export type Choice =
+  | {
+      readonly kind: 'chosen';
+      readonly server: BackendServer;
+      readonly expectation: Expectation;
+      readonly rejected: readonly RejectedAlternative[];
+    }
+  /** `reserve` is the backend server that is to be kept free for the request. */
+  | { readonly kind: 'none'; readonly reserve: BackendServer | undefined };
--- /dev/null
+++ b/packages/scheduling/src/defaultPolicy.ts
@@ -0,0 +1,11 @@
+import type { SchedulerPolicy } from './types';
+
+/** How a pool scheduler decides unless told otherwise. */
+const defaultPolicy: SchedulerPolicy = {
+  queueCapacity: 10_000,
+  grantLifetime: 500,
+  handoverWait: 1_000,
+  slowStartStreams: 1,
+};
+
+export default defaultPolicy;
--- /dev/null
+++ b/packages/scheduling/src/getNextWakeUp.ts
@@ -0,0 +1,30 @@
+import type { Milliseconds } from '@rattanreel/core';
+import type { SchedulerState } from './decisions/types';
+
+const AFTER_EXPIRY_MILLISECONDS = 1;
+
+/** The next instant at which time alone changes a decision; undefined when there is none. */
+export default function getNextWakeUp(
+  state: SchedulerState,
+  now: Milliseconds,
+): Milliseconds | undefined {
+  let next = Number.POSITIVE_INFINITY;
+
+  function consider(instant: Milliseconds | undefined): void {
+    if (instant !== undefined && instant < next) {
+      next = instant;
+    }
+  }
+
+  const expiring = state.queue.tryGetNextExpiring();
+  consider(expiring && expiring.latestStart + AFTER_EXPIRY_MILLISECONDS);
+  consider(state.handover.endsAt(now));
+  state.orphans.forEach(consider);
+  state.servers.forEach((server) => consider(server.probeAt));
+  const head = state.queue.peek();
+  if (head !== undefined) {
+    const blockedUntil = state.barrier.blockedUntil(head.asked.tier);
+    consider(blockedUntil > now ? blockedUntil : undefined);
+  }
+  return Number.isFinite(next) ? Math.max(now, next) : undefined;
+}
--- /dev/null
+++ b/packages/scheduling/src/handlers/requestGrant.ts
@@ -0,0 +1,127 @@
+import type { Milliseconds } from '@rattanreel/core';
+import estimateWait from '../decisions/estimateWait';
+import getBand from '../decisions/getBand';
+import getPoolSpeed from '../decisions/getPoolSpeed';
+import grantQueued from '../decisions/grantQueued';
+import spillOrRefuse from '../decisions/spillOrRefuse';
+import trySpill from '../decisions/trySpill';
+import type { SchedulerState } from '../decisions/types';
+import getIncarnationKey from '../getIncarnationKey';
+import type { QueuedRequest } from '../queue/types';
+import type { GrantRequested, RefusalReason } from '../types';
+
+const NOT_HELD = -1;
+
+function toQueued(state: SchedulerState, asked: GrantRequested, now: Milliseconds): QueuedRequest {
+  const output = state.work.expectedOutputTokens(asked.route, asked.maximumOutputTokens);
+  const speed = getPoolSpeed(state, now);
+  const firstToken = speed.isLearnt ? speed.firstTokenAfter(1) : 0;
+  const answer = speed.isLearnt ? firstToken + (output - 1) * speed.tokenTime : 0;
+  const firstTokenDueAt = now + asked.firstTokenDue;
+  const dueAt = now + asked.due;
+  state.sequence += 1;
+  return {
+    positions: [NOT_HELD, NOT_HELD, NOT_HELD],
+    id: asked.request,
+    asked,
+    band: getBand(asked.tier, asked.homeDomain !== state.options.failureDomain),
+    cost: asked.promptTokens + output,
+    sequence: state.sequence,
+    enqueuedAt: now,
+    arrivedAt: now - asked.age,
+    firstTokenDueAt,
+    dueAt,
+    latestStart: Math.min(firstTokenDueAt - firstToken, dueAt - answer),
+  };
+}
+
+/** Sends the grant of a request that is asked for again, under its new stamp. */
+function repeatGrant(state: SchedulerState, asked: GrantRequested): void {
+  const slot = state.ledger.tryGet(asked.request);
+  if (slot?.grant !== undefined && slot.firstTokenAt === undefined) {
+    state.effects.push({ ...slot.grant, to: asked.from, echo: asked.stamp });
+  }
+}
+
+function tryGetImmediateRefusal(
+  state: SchedulerState,
+  request: QueuedRequest,
+  now: Milliseconds,
+): RefusalReason | undefined {
+  if (state.domainDrained) {
+    return 'domainDrained';
+  }
+  const speed = getPoolSpeed(state, now);
+  if (speed.usableServers === 0) {
+    return 'noBackendServer';
+  }
+  const { promptTokens, maximumOutputTokens } = request.asked;
+  if (promptTokens + maximumOutputTokens > speed.largestMemoryTokens) {
+    return 'tooLargeForAnyBackendServer';
+  }
+  return request.latestStart < now ? 'deadlineCannotBeMet' : undefined;
+}
+
+/** Evicts the newest of the lowest tier when the queue has outgrown its capacity. */
+function evictOverflow(state: SchedulerState, arrived: QueuedRequest, now: Milliseconds): void {
+  const evicted = state.queue.tryGetNewestOfLowest();
+  if (evicted === undefined || state.queue.size <= state.policy.queueCapacity) {
+    return;
+  }
+  state.queue.remove(evicted);
+  const isLower = evicted.asked.tier > arrived.asked.tier;
+  spillOrRefuse(state, evicted, isLower ? 'evictedByHigherTier' : 'queueFull', now);
+}
+
+/** Refuses a request that the work ahead of it would make late, unless a lower tier is still queued. */
+function refuseIfHopeless(state: SchedulerState, request: QueuedRequest, now: Milliseconds): void {
+  if (now + estimateWait(state, request.band, 0, now) <= request.latestStart) {
+    return;
+  }
+  if (trySpill(state, request, now)) {
+    state.queue.remove(request);
+    return;
+  }
+  const lowest = state.queue.tryGetNewestOfLowest();
+  if (lowest !== undefined && lowest.asked.tier === request.asked.tier) {
+    state.queue.remove(request);
+    spillOrRefuse(state, request, 'deadlineCannotBeMet', now, true);
+  }
+}
+
+function enqueue(state: SchedulerState, asked: GrantRequested, now: Milliseconds): void {
+  const request = toQueued(state, asked, now);
+  state.shares.offered(request.cost);
+  const reason = tryGetImmediateRefusal(state, request, now);
+  if (reason !== undefined) {
+    spillOrRefuse(state, request, reason, now);
+    return;
+  }
+  state.queue.add(request);
+  grantQueued(state, now);
+  if (state.queue.tryGet(request.id) !== undefined && state.handover.isOver(now)) {
+    refuseIfHopeless(state, request, now);
+  }
+  evictOverflow(state, request, now);
+}
+
+/** Takes a request for a grant; one that is known already changes nothing but its stamp. */
+export default function requestGrant(
+  state: SchedulerState,
+  asked: GrantRequested,
+  now: Milliseconds,
+): void {
+  if (state.dead.has(getIncarnationKey(asked.from)) || state.finished.has(asked.request)) {
+    return;
+  }
+  const queued = state.queue.tryGet(asked.request);
+  if (queued !== undefined) {
+    queued.asked = { ...queued.asked, from: asked.from, stamp: asked.stamp };
+    return;
+  }
+  if (state.ledger.tryGet(asked.request) !== undefined) {
+    repeatGrant(state, asked);
+    return;
+  }
+  enqueue(state, asked, now);
+}
--- /dev/null
+++ b/packages/scheduling/src/servers/createBackendServer.ts
@@ -0,0 +1,38 @@
+import type { Milliseconds } from '@rattanreel/core';
+import type { PoolBackendServer, SchedulerPolicy } from '../types';
+import createHealthMonitor from './createHealthMonitor';
+import createPrefixIndex from './createPrefixIndex';
+import createSpeedModel from './createSpeedModel';
+import createStreamLimit from './createStreamLimit';
+import type { BackendServer } from './types';
+
+/** Creates the record of a backend server of which nothing is known yet: it counts as cold. */
+export default function createBackendServer(
+  settings: PoolBackendServer,
+  policy: SchedulerPolicy,
+  now: Milliseconds,
+): BackendServer {
+  const { maximumStreams } = settings;
+  return {
+    settings,
+    version: settings.version,
+    incarnation: undefined,
+    ready: true,
+    leaving: false,
+    standing: 'slowStart',
+    probeAt: undefined,
+    ejections: 0,
+    memoryTokens: settings.memoryTokens,
+    inFlight: new Map(),
+    reservedTokens: 0,
+    prefillTokens: 0,
+    unknownStreams: 0,
+    recentReleases: [],
+    streamTime: 0,
+    streamTimeAt: now,
+    speed: createSpeedModel(),
+    limit: createStreamLimit({ maximumStreams, slowStartStreams: policy.slowStartStreams }),
+    health: createHealthMonitor(),
+    prefixes: createPrefixIndex(settings.memoryTokens),
+  };
+}
--- /dev/null
+++ b/packages/scheduling/src/servers/createHealthMonitor.ts
@@ -0,0 +1,69 @@
+import type { HealthMonitor, HealthVerdict } from './types';
+
+const FAILURE_WEIGHT = 0.15;
+const FAILURES_IN_A_ROW = 3;
+const BAD_FAILURE_SHARE = 0.5;
+const SILENCES_IN_A_ROW = 3;
+const LATENCY_WEIGHT = 0.3;
+const LATENCY_STEP_RATIO = 2.5;
+const SMALLEST_RATIO = 0.01;
+
+/** Watches one backend server for errors, silence and steps of latency. */
+export default function createHealthMonitor(): HealthMonitor {
+  let failureShare = 0;
+  let failuresInARow = 0;
+  let silencesInARow = 0;
+  let logarithmicRatio = 0;
+
+  function failed(): HealthVerdict {
+    failureShare += FAILURE_WEIGHT * (1 - failureShare);
+    failuresInARow += 1;
+    const bad = failuresInARow >= FAILURES_IN_A_ROW || failureShare >= BAD_FAILURE_SHARE;
+    return bad ? 'bad' : 'good';
+  }
+
+  function silent(): HealthVerdict {
+    silencesInARow += 1;
+    return silencesInARow >= SILENCES_IN_A_ROW ? 'bad' : 'cold';
+  }
+
+  function succeeded(): HealthVerdict {
+    failureShare -= FAILURE_WEIGHT * failureShare;
+    failuresInARow = 0;
+    silencesInARow = 0;
+    return 'good';
+  }
+
+  return {
+    get failureShare() {
+      return failureShare;
+    },
+    finished(outcome) {
+      switch (outcome) {
+        case 'completed':
+          return succeeded();
+        case 'backendServerFailed':
+        case 'backendServerRefused':
+          return failed();
+        case 'silent':
+          return silent();
+        case 'callerGone':
+        case 'notDispatched':
+          return 'good';
+        default:
+          return outcome satisfies never;
+      }
+    },
+    measured(ratio) {
+      const logarithm = Math.log(Math.max(SMALLEST_RATIO, ratio));
+      logarithmicRatio += LATENCY_WEIGHT * (logarithm - logarithmicRatio);
+      return logarithmicRatio > Math.log(LATENCY_STEP_RATIO) ? 'bad' : 'good';
+    },
+    reset() {
+      failureShare = 0;
+      failuresInARow = 0;
+      silencesInARow = 0;
+      logarithmicRatio = 0;
+    },
+  };
+}
