--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -35,8 +35,8 @@
       // State closed over by a factory is updated in place.
       'no-param-reassign': ['error', { props: false }],
       'no-plusplus': ['error', { allowForLoopAfterthoughts: true }],
-      // Function declarations are hoisted, so a file may start with its export.
-      '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
+      // Functions are hoisted, and tasks that refer to each other are bound by the time they run.
+      '@typescript-eslint/no-use-before-define': ['error', { functions: false, variables: false }],
       curly: ['error', 'all'],
       'import-x/no-extraneous-dependencies': 'off',
       'import-x/extensions': 'off',
--- /dev/null
+++ b/packages/entry-host/src/listenForCallers.ts
@@ -0,0 +1,58 @@
+import { serve } from '@hono/node-server';
+import { createServer } from 'node:http';
+import type { Server } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import type { Hono } from 'hono';
+import { fail, ok } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
+import type { CallerListener, EntryHostError } from './types';
+
+const LARGEST_HEADERS_BYTES = 16_384;
+const MOST_CONNECTIONS = 8_192;
+const HEADERS_TIMEOUT_MS = 10_000;
+
+function splitAddress(address: string): { hostname: string; port: number } {
+  const colon = address.lastIndexOf(':');
+  return { hostname: address.slice(0, colon), port: Number(address.slice(colon + 1)) };
+}
+
+/** Listens for callers; fails when the address is in use. */
+export default function listenForCallers(
+  application: Hono,
+  address: string,
+): Promise<Outcome<CallerListener, EntryHostError>> {
+  const { hostname, port } = splitAddress(address);
+  return new Promise((resolve) => {
+    const server = serve(
+      {
+        fetch: application.fetch,
+        hostname,
+        port,
+        createServer,
+        serverOptions: {
+          maxHeaderSize: LARGEST_HEADERS_BYTES,
+          headersTimeout: HEADERS_TIMEOUT_MS,
+          noDelay: true,
+        },
+      },
+      (info: AddressInfo) => {
+        resolve(
+          ok({
+            address: `${hostname}:${info.port}`,
+            close: () =>
+              new Promise<void>((closed) => {
+                server.close(() => closed());
+                server.closeIdleConnections();
+              }),
+            cut: () => {
+              server.close();
+              server.closeAllConnections();
+            },
+          }),
+        );
+      },
+    ) as Server;
+    server.maxConnections = MOST_CONNECTIONS;
+    server.once('error', () => resolve(fail({ kind: 'addressInUse', address })));
+  });
+}
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -495,3 +495,12 @@
   /** Closes at once and cuts what is in hand, as the death of the process would. */
   kill(): Promise<void>;
 }
+
+/** The listener for callers of one entry host. */
+export interface CallerListener {
+  readonly address: string;
+  /** Stops listening and waits for open connections to end. */
+  close(): Promise<void>;
+  /** Stops listening and breaks every connection. */
+  cut(): void;
+}
