Add leases and settled writes to the platform client

Cause: moves, placement and orders need a holder with a fencing number, and writes whose answer was lost settled.

--- /dev/null
+++ b/packages/platform/src/createSleeper.ts
@@ -0,0 +1,32 @@
+import type { Clock, Milliseconds } from '@rattanreel/core';
+
+interface Sleeper {
+  sleep(delay: Milliseconds): Promise<void>;
+  /** Ends the sleep at hand, and every later one at once. */
+  wakeForGood(): void;
+}
+
+/** Pauses of one task, which a stop cuts short. */
+export default function createSleeper(clock: Clock): Sleeper {
+  let isAwake = false;
+  let wake: (() => void) | undefined;
+  return {
+    sleep(delay) {
+      return new Promise((resolve) => {
+        if (isAwake) {
+          resolve();
+          return;
+        }
+        const timer = clock.after(delay, resolve);
+        wake = () => {
+          timer.cancel();
+          resolve();
+        };
+      });
+    },
+    wakeForGood() {
+      isAwake = true;
+      wake?.();
+    },
+  };
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,7 @@
 /** Client of the platform's object API: calls, watches and leases. */
 export type * from './types';
+export { default as createLease } from './createLease';
 export { default as createObjectStore } from './createObjectStore';
 export { default as createObjectStoreClient } from './createObjectStoreClient';
 export { default as createTokenBucket } from './createTokenBucket';
+export { default as settleWrite } from './settleWrite';
--- /dev/null
+++ b/packages/platform/src/settleWrite.ts
@@ -0,0 +1,58 @@
+import type { Clock, Milliseconds, Outcome, Random } from '@rattanreel/core';
+import type { SettledWrite, StoredObject, StoreError } from './types';
+
+const DEFAULT_DEADLINE: Milliseconds = 3_000;
+const FIRST_PAUSE: Milliseconds = 50;
+const LONGEST_PAUSE: Milliseconds = 1_000;
+const PAUSE_FACTOR = 2;
+
+interface SettleWriteOptions<Value> {
+  /**
+   * The conditional write. It is made again while in doubt, under the same condition: as soon as one attempt
+   * has succeeded or met a conflict, no earlier one can take effect any more.
+   */
+  readonly write: () => Promise<Outcome<StoredObject<Value>, StoreError>>;
+  /** Tells by a nonce or change id whether an object found instead is the result of this write. */
+  readonly isOwn: (current: StoredObject) => boolean;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Longest time over all attempts. */
+  readonly deadline?: Milliseconds;
+  /** Gives up early when it returns false. */
+  readonly shouldGoOn?: () => boolean;
+}
+
+function sleep(clock: Clock, delay: Milliseconds): Promise<void> {
+  return new Promise((resolve) => {
+    clock.after(delay, resolve);
+  });
+}
+
+/** Makes a conditional write and settles it by further attempts until its effect is known. */
+export default async function settleWrite<Value>(
+  options: SettleWriteOptions<Value>,
+): Promise<SettledWrite<Value>> {
+  const { clock, random } = options;
+  const end = clock.now() + (options.deadline ?? DEFAULT_DEADLINE);
+  let isInDoubt = false;
+  for (let attempt = 0; ; attempt += 1) {
+    const made = await options.write();
+    if (made.kind === 'ok') {
+      return { kind: 'written', object: made.value };
+    }
+    const { error } = made;
+    if (error.kind === 'conflict') {
+      return error.current !== undefined && options.isOwn(error.current)
+        ? { kind: 'written', object: error.current as StoredObject<Value> }
+        : { kind: 'superseded', current: error.current, wasInDoubt: isInDoubt };
+    }
+    isInDoubt ||= error.kind === 'outcomeUnknown' || error.kind === 'invalidAnswer';
+    const ceiling = Math.min(LONGEST_PAUSE, FIRST_PAUSE * PAUSE_FACTOR ** attempt);
+    const pause = ceiling * (0.5 + random.next() / 2);
+    const isOver = clock.now() + pause >= end || options.shouldGoOn?.() === false;
+    if (isOver) {
+      return isInDoubt ? { kind: 'inDoubt' } : { kind: 'notWritten', error };
+    }
+    await sleep(clock, pause);
+  }
+}
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -180,3 +180,54 @@
   /** A watch is opened anew with a new list about this often. */
   readonly relistInterval?: Milliseconds;
 }
+
+/** What is known of a conditional write after its attempts. */
+export type SettledWrite<Value = unknown> =
+  | { readonly kind: 'written'; readonly object: StoredObject<Value> }
+  /** Something else stands there. `wasInDoubt`: an attempt may have taken effect before it. */
+  | {
+      readonly kind: 'superseded';
+      readonly current: StoredObject | undefined;
+      readonly wasInDoubt: boolean;
+    }
+  /** No attempt took effect, and none will. */
+  | { readonly kind: 'notWritten'; readonly error: StoreError }
+  /** An attempt may have taken effect, or may still do so. */
+  | { readonly kind: 'inDoubt' };
+
+/** The lease object in the store. */
+export interface LeaseRecord {
+  readonly holder: string;
+  /** Tells this write from every other. */
+  readonly nonce: string;
+  readonly generation: Generation;
+  /** How long the holder may act after each renewal. */
+  readonly duration: Milliseconds;
+  readonly isReleased: boolean;
+}
+
+/** A version of the lease and when this process first saw it, by its own clock. */
+export interface LeaseObservation {
+  readonly object: StoredObject<LeaseRecord>;
+  readonly since: Milliseconds;
+}
+
+/** What a candidate does next about a lease that it does not hold. */
+export type LeaseStep =
+  | { readonly kind: 'create'; readonly generation: Generation }
+  | { readonly kind: 'take'; readonly version: number; readonly generation: Generation }
+  | { readonly kind: 'wait'; readonly delay: Milliseconds };
+
+export interface LeaseOptions {
+  readonly store: ObjectStore;
+  /** Name of the lease object. */
+  readonly name: string;
+  /** Incarnation that asks for the lease. */
+  readonly holder: string;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** How long the lease holds after each renewal. */
+  readonly duration?: Milliseconds;
+  /** Told of every change; a lapse is reported when its timer runs, `state()` shows it at once. */
+  readonly onChange?: (state: LeaseState) => void;
+}
