Order loads, adapters and roles under the placement lease of a failure domain

One load to a pool at a time, never the last server of a version that carries traffic, cold servers counted in part, orders foreseen while reports lag. Servers that ignore fences get one order at a time after the lease and the longest order have passed, and their state is read back until no older order can land. Loads keep this domain's part of the weight store's rate; a new holder starts with none saved.

--- /dev/null
+++ b/packages/placement/src/createPlacementController.test.ts
@@ -0,0 +1,307 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { fail, ok } from '@rattanreel/core';
+import createPlacementController from './createPlacementController';
+import type {
+  EngineState,
+  PlacedServer,
+  PlacementController,
+  PlacementDemand,
+  PlacementEffect,
+  PlacementMessage,
+  SendOrder,
+} from './types';
+
+const SECOND = 1000;
+/** Lease and longest order of the default policy together. */
+const UNFENCED_WAIT = 20 * SECOND;
+const AMPLE = { loadsPerMinute: 6000, burst: 10 };
+
+function makeServer(id: string, fields: Partial<PlacedServer> = {}): PlacedServer {
+  return {
+    backendServer: id,
+    pool: 'drafts',
+    checksFencing: true,
+    speed: 10,
+    version: '1',
+    incarnation: 'a',
+    ready: true,
+    cold: false,
+    leaving: false,
+    drained: false,
+    role: 'both',
+    running: 0,
+    ...fields,
+  };
+}
+
+function makeDemand(first: number, second: number): PlacementDemand {
+  return {
+    versions: [
+      { pool: 'drafts', version: '1', work: first, carriesTraffic: true },
+      { pool: 'drafts', version: '2', work: second, carriesTraffic: second > 0 },
+    ],
+    adapters: [],
+    roles: [],
+  };
+}
+
+interface Fixture {
+  readonly controller: PlacementController;
+  at(now: number, ...messages: readonly PlacementMessage[]): readonly SendOrder[];
+  /** Every effect so far. */
+  readonly effects: PlacementEffect[];
+}
+
+function createFixture(budget = AMPLE): Fixture {
+  const controller = createPlacementController({ failureDomain: 'rennes', loadBudget: budget });
+  const effects: PlacementEffect[] = [];
+  return {
+    controller,
+    effects,
+    at(now, ...messages) {
+      const all = messages.flatMap((message) => controller.handle(message, now));
+      effects.push(...all);
+      return all.filter((effect) => effect.kind === 'sendOrder');
+    },
+  };
+}
+
+function lease(generation: number): PlacementMessage {
+  return { kind: 'leaseChanged', lease: { kind: 'held', generation } };
+}
+
+function report(...servers: readonly PlacedServer[]): PlacementMessage {
+  return { kind: 'serversReported', servers };
+}
+
+function want(demand: PlacementDemand): PlacementMessage {
+  return { kind: 'demandChanged', demand };
+}
+
+const tick: PlacementMessage = { kind: 'timePassed' };
+
+describe(createPlacementController.name, () => {
+  const planned: readonly {
+    readonly name: string;
+    readonly servers: readonly PlacedServer[];
+    readonly demand: PlacementDemand;
+    readonly ordered: string | undefined;
+  }[] = [
+    {
+      name: 'loads the new version on the server with the least work in hand',
+      servers: [makeServer('a', { running: 5 }), makeServer('b', { running: 1 })],
+      demand: makeDemand(5, 1),
+      ordered: 'b',
+    },
+    {
+      name: 'prefers a server whose version nobody wants',
+      servers: [makeServer('a'), makeServer('b'), makeServer('c', { version: '0', running: 9 })],
+      demand: makeDemand(5, 1),
+      ordered: 'c',
+    },
+    {
+      name: 'keeps the last server of a version that carries traffic',
+      servers: [makeServer('a')],
+      demand: makeDemand(5, 1),
+      ordered: undefined,
+    },
+    {
+      name: 'keeps the last ready server beside one that is loading',
+      servers: [makeServer('a'), makeServer('b', { ready: false })],
+      demand: makeDemand(5, 1),
+      ordered: 'b',
+    },
+    {
+      name: 'counts a cold server as a part',
+      servers: [makeServer('a'), makeServer('b', { cold: true }), makeServer('c', { cold: true })],
+      demand: makeDemand(14, 1),
+      ordered: undefined,
+    },
+    {
+      name: 'leaves too little to no version',
+      servers: [makeServer('a'), makeServer('b')],
+      demand: makeDemand(15, 1),
+      ordered: undefined,
+    },
+    {
+      name: 'changes nothing when the version that is loading will do',
+      servers: [makeServer('a'), makeServer('b', { version: '2', ready: false })],
+      demand: makeDemand(5, 5),
+      ordered: undefined,
+    },
+    {
+      name: 'passes over drained and leaving servers',
+      servers: [
+        makeServer('a', { running: 9 }),
+        makeServer('b', { drained: true }),
+        makeServer('c', { leaving: true }),
+        makeServer('d', { running: 3 }),
+      ],
+      demand: makeDemand(5, 1),
+      ordered: 'd',
+    },
+  ];
+  for (const { name, servers, demand, ordered } of planned) {
+    it(name, () => {
+      const fixture = createFixture();
+      fixture.at(0, lease(3), report(...servers), want(demand));
+      const [order] = fixture.at(SECOND, tick);
+      expect(order?.backendServer).toEqual(ordered);
+      if (order !== undefined) {
+        expect(order.fence).toEqual(3);
+      }
+    });
+  }
+
+  it('orders nothing without the lease and nothing after losing it', () => {
+    const fixture = createFixture();
+    fixture.at(0, report(makeServer('a'), makeServer('b')), want(makeDemand(5, 1)));
+    expect(fixture.at(SECOND, tick)).toEqual([]);
+    fixture.at(SECOND, lease(1));
+    fixture.at(SECOND, { kind: 'leaseChanged', lease: { kind: 'notHeld' } });
+    expect(fixture.at(2 * SECOND, tick)).toEqual([]);
+  });
+
+  it('stops when a backend server has heard a newer holder', () => {
+    const fixture = createFixture();
+    fixture.at(0, lease(1), report(makeServer('a'), makeServer('b')), want(makeDemand(5, 1)));
+    const [order] = fixture.at(SECOND, tick);
+    const outcome = fail({ kind: 'staleFence' as const, fence: 2 });
+    fixture.at(SECOND, { kind: 'orderAnswered', backendServer: order!.backendServer, outcome });
+    expect(fixture.at(200 * SECOND, tick)).toEqual([]);
+  });
+
+  const failed = [
+    { name: 'a refusal', error: { kind: 'refused', status: 503, detail: '' }, orders: 1 },
+    { name: 'an unknown outcome', error: { kind: 'outcomeUnknown', detail: '' }, orders: 0 },
+  ] as const;
+  for (const { name, error, orders } of failed) {
+    it(`orders ${orders} more after ${name}`, () => {
+      const fixture = createFixture();
+      const servers = [makeServer('a'), makeServer('b'), makeServer('c')];
+      fixture.at(0, lease(1), report(...servers), want(makeDemand(5, 1)));
+      const [order] = fixture.at(SECOND, tick);
+      const { backendServer } = order!;
+      fixture.at(SECOND, { kind: 'orderAnswered', backendServer, outcome: fail(error) });
+      expect(fixture.at(2 * SECOND, tick).length).toEqual(orders);
+    });
+  }
+
+  it('logs what was chosen and why nothing else was', () => {
+    const fixture = createFixture();
+    const servers = [makeServer('a'), makeServer('b', { drained: true }), makeServer('c')];
+    fixture.at(0, lease(1), report(...servers), want(makeDemand(5, 1)));
+    fixture.at(SECOND, tick);
+    const logged = fixture.effects.find((effect) => effect.kind === 'logPlacement');
+    expect(logged?.decision.alternatives).toEqual([
+      { backendServer: 'b', reason: 'drained' },
+      { backendServer: 'c', reason: 'worseChoice' },
+    ]);
+  });
+
+  it('paces loads by the budget and starts with none saved', () => {
+    const fixture = createFixture({ loadsPerMinute: 2, burst: 1 });
+    const servers = ['a', 'b', 'c', 'd', 'e'].map((id) => makeServer(id));
+    fixture.at(0, lease(1), report(...servers), want(makeDemand(5, 40)));
+    const sent: number[] = [];
+    const loading = new Set<string>();
+    for (let now = 0; now <= 120 * SECOND; now += SECOND) {
+      for (const order of fixture.at(now, tick)) {
+        sent.push(now / SECOND);
+        loading.add(order.backendServer);
+        fixture.at(now, {
+          kind: 'orderAnswered',
+          backendServer: order.backendServer,
+          outcome: ok(undefined),
+        });
+        const next = servers.map((server) =>
+          loading.has(server.backendServer) ? { ...server, version: '2' } : server,
+        );
+        fixture.at(now, report(...next));
+      }
+    }
+    expect(sent).toEqual([30, 60, 90, 120]);
+  });
+
+  it('loads an adapter on as many servers of its version as are wanted, again after a restart', () => {
+    const fixture = createFixture();
+    const adapters = [{ pool: 'drafts', version: '1', adapter: 'felt', servers: 1 }];
+    const demand = { ...makeDemand(5, 0), adapters };
+    fixture.at(
+      0,
+      lease(1),
+      report(makeServer('a'), makeServer('b', { version: '9' })),
+      want(demand),
+    );
+    const [order] = fixture.at(SECOND, tick);
+    expect(order?.backendServer).toEqual('a');
+    expect(order?.order).toEqual({ order: 'loadAdapter', adapter: 'felt' });
+    fixture.at(SECOND, { kind: 'orderAnswered', backendServer: 'a', outcome: ok(undefined) });
+    expect(fixture.at(2 * SECOND, tick)).toEqual([]);
+    fixture.at(3 * SECOND, report(makeServer('a', { incarnation: 'b' })));
+    expect(fixture.at(4 * SECOND, tick).length).toEqual(1);
+  });
+
+  it('changes a role when too few servers have it', () => {
+    const fixture = createFixture();
+    const roles = [
+      { pool: 'drafts', role: 'both', servers: 1 },
+      { pool: 'drafts', role: 'prefill', servers: 1 },
+    ];
+    const servers = [makeServer('a'), makeServer('b', { running: 2 })];
+    fixture.at(0, lease(1), report(...servers), want({ ...makeDemand(5, 0), roles }));
+    const [order] = fixture.at(SECOND, tick);
+    expect(order?.order).toEqual({ order: 'setRole', role: 'prefill' });
+    fixture.at(SECOND, report(makeServer('a', { role: 'prefill' }), makeServer('b')));
+    expect(fixture.at(2 * SECOND, tick)).toEqual([]);
+  });
+});
+
+describe('servers that ignore fencing numbers', () => {
+  const unfenced = { checksFencing: false };
+  const state: EngineState = { incarnation: 'a', version: '2', role: 'both', ready: false };
+
+  it('waits out the lease and the longest order, then sends one at a time', () => {
+    const fixture = createFixture();
+    const servers = ['a', 'b', 'c'].map((id) => makeServer(id, unfenced));
+    const roles = [{ pool: 'drafts', role: 'decode', servers: 1 }];
+    const demand = { ...makeDemand(5, 10), roles };
+    fixture.at(0, lease(1), report(...servers), want(demand));
+    expect(fixture.at(UNFENCED_WAIT - 1, tick)).toEqual([]);
+    expect(fixture.at(UNFENCED_WAIT, tick).length).toEqual(1);
+    expect(fixture.at(UNFENCED_WAIT + 1, tick)).toEqual([]);
+    const sent = fixture.effects.find((effect) => effect.kind === 'sendOrder')!;
+    const outcome = ok(undefined);
+    const { backendServer } = sent;
+    fixture.at(UNFENCED_WAIT + 2, { kind: 'orderAnswered', backendServer, outcome });
+    expect(fixture.at(UNFENCED_WAIT + 3, tick).length).toEqual(1);
+  });
+
+  it('orders again when an old holder’s order lands late, and stops reading once none can', () => {
+    const fixture = createFixture();
+    const servers = [makeServer('a', unfenced), makeServer('b', { ...unfenced, running: 1 })];
+    fixture.at(0, lease(2), report(...servers), want(makeDemand(5, 1)));
+    fixture.at(UNFENCED_WAIT, tick);
+    const sentAt = UNFENCED_WAIT;
+    const answered = { kind: 'orderAnswered', backendServer: 'a', outcome: ok(undefined) } as const;
+    fixture.at(sentAt + 10, answered);
+    fixture.at(sentAt + 2 * SECOND, tick);
+    expect(fixture.effects.filter(({ kind }) => kind === 'readState').length).toEqual(1);
+    const old = { ...state, version: '1' };
+    const again = fixture.at(sentAt + 2 * SECOND, {
+      kind: 'stateRead',
+      backendServer: 'a',
+      state: old,
+    });
+    expect(again.map(({ order }) => order)).toEqual([{ order: 'loadVersion', version: '2' }]);
+    fixture.at(sentAt + 3 * SECOND, answered);
+    for (let now = sentAt + 4 * SECOND; now <= sentAt + 60 * SECOND; now += SECOND) {
+      fixture.at(now, tick);
+      fixture.at(now, { kind: 'stateRead', backendServer: 'a', state });
+    }
+    const reads = fixture.effects.filter(({ kind }) => kind === 'readState').length;
+    fixture.at(sentAt + 90 * SECOND, tick);
+    expect(fixture.effects.filter(({ kind }) => kind === 'readState').length).toEqual(reads);
+  });
+});
--- /dev/null
+++ b/packages/placement/src/planVersionLoads.ts
@@ -0,0 +1,141 @@
+import type { PassedOver } from '@rattanreel/observability';
+import type {
+  PassOverReason,
+  PlacedServer,
+  PlacementPolicy,
+  PlannedOrder,
+  VersionDemand,
+} from './types';
+
+interface VersionLoadOptions {
+  /** Servers of the pool. */
+  readonly servers: readonly PlacedServer[];
+  readonly demands: readonly VersionDemand[];
+  /** Servers with an order under way or loaded too short a time ago. */
+  readonly isBusy: (server: PlacedServer) => boolean;
+  readonly policy: PlacementPolicy;
+}
+
+type Judged =
+  | { readonly kind: 'eligible'; readonly server: PlacedServer; readonly cost: number }
+  | { readonly kind: 'passedOver'; readonly passedOver: PassedOver };
+
+/** Work that a server can be counted on for now. */
+function getUsableSpeed(server: PlacedServer, policy: PlacementPolicy): number {
+  if (!server.ready || server.leaving || server.drained) {
+    return 0;
+  }
+  return server.cold ? server.speed * policy.coldPart : server.speed;
+}
+
+/** Work that a server will bear once it is warm. */
+function getComingSpeed(server: PlacedServer): number {
+  return server.leaving || server.drained ? 0 : server.speed;
+}
+
+function sumUsable(
+  servers: readonly PlacedServer[],
+  version: string,
+  policy: PlacementPolicy,
+): number {
+  return servers
+    .filter((server) => server.version === version)
+    .reduce((sum, server) => sum + getUsableSpeed(server, policy), 0);
+}
+
+/** How much more a version needs than it will have; a version with demand needs at least one server. */
+function getShortfall(
+  demand: VersionDemand,
+  servers: readonly PlacedServer[],
+  policy: PlacementPolicy,
+): number {
+  const own = servers.filter(({ version }) => version === demand.version);
+  const coming = own.reduce((sum, server) => sum + getComingSpeed(server), 0);
+  const needed = demand.work * policy.headroom;
+  const needsOne = coming === 0 && (demand.work > 0 || demand.carriesTraffic);
+  return needsOne ? Math.max(needed, Number.MIN_VALUE) : needed - coming;
+}
+
+function tryGetUnfitness(
+  server: PlacedServer,
+  wanted: VersionDemand,
+  options: VersionLoadOptions,
+): PassOverReason | undefined {
+  if (server.drained) {
+    return 'drained';
+  }
+  if (server.leaving) {
+    return 'leaving';
+  }
+  if (server.version === wanted.version) {
+    return 'alreadyServes';
+  }
+  return options.isBusy(server) ? 'orderUnderWay' : undefined;
+}
+
+/** Whether the server's present version can do without it. */
+function tryGetNeed(server: PlacedServer, options: VersionLoadOptions): PassOverReason | undefined {
+  const { servers, demands, policy } = options;
+  const present = demands.find(({ version }) => version === server.version);
+  if (present === undefined || !(present.carriesTraffic || present.work > 0)) {
+    return undefined;
+  }
+  const left = servers.filter((other) => other !== server);
+  const remaining = sumUsable(left, server.version, policy);
+  if (remaining === 0 && present.carriesTraffic) {
+    return 'lastServerOfVersion';
+  }
+  return remaining < present.work ? 'wouldLeaveTooLittle' : undefined;
+}
+
+function judge(server: PlacedServer, wanted: VersionDemand, options: VersionLoadOptions): Judged {
+  const reason = tryGetUnfitness(server, wanted, options) ?? tryGetNeed(server, options);
+  if (reason !== undefined) {
+    return { kind: 'passedOver', passedOver: { backendServer: server.backendServer, reason } };
+  }
+  const present = options.demands.find(({ version }) => version === server.version);
+  const isWanted = present !== undefined && (present.carriesTraffic || present.work > 0);
+  // A server whose version nobody wants goes first, then the one with the least work in hand.
+  const cost = (isWanted ? 1_000_000 : 0) + server.running;
+  return { kind: 'eligible', server, cost };
+}
+
+/**
+ * Plans at most one load for the version of a pool that is shortest: one at a time keeps changes few, since
+ * the next look counts the server that is loading.
+ */
+export default function planVersionLoads(options: VersionLoadOptions): readonly PlannedOrder[] {
+  const { servers, demands, policy } = options;
+  const shortest = demands
+    .map((demand) => ({ demand, shortfall: getShortfall(demand, servers, policy) }))
+    .filter(({ shortfall }) => shortfall > 0)
+    .sort((left, right) => right.shortfall - left.shortfall)[0];
+  if (shortest === undefined) {
+    return [];
+  }
+  const { demand } = shortest;
+  const judged = servers.map((server) => judge(server, demand, options));
+  const eligible = judged
+    .filter((entry) => entry.kind === 'eligible')
+    .sort((left, right) => left.cost - right.cost);
+  const chosen = eligible[0];
+  if (chosen === undefined) {
+    return [];
+  }
+  const passedOver = judged.flatMap((entry) =>
+    entry.kind === 'passedOver' ? [entry.passedOver] : [],
+  );
+  const worse = eligible.slice(1).map(({ server }) => ({
+    backendServer: server.backendServer,
+    reason: 'worseChoice',
+  }));
+  return [
+    {
+      backendServer: chosen.server.backendServer,
+      pool: demand.pool,
+      order: { order: 'loadVersion', version: demand.version },
+      reason: `version ${demand.version} lacks ${shortest.shortfall.toPrecision(3)} of work a second`,
+      alternatives: [...passedOver, ...worse],
+    },
+  ];
+}
