--- /dev/null
+++ b/packages/orders/src/claimKind.ts
@@ -0,0 +1,4 @@
+/** Kind of the objects that hold claims. */
+const claimKind = 'claim';
+
+export default claimKind;
--- /dev/null
+++ b/packages/orders/src/createClaimSweeper.ts
@@ -0,0 +1,87 @@
+import type { Clock, Milliseconds, Random, Timer } from '@rattanreel/core';
+import type { ObjectStore, StoredObject } from '@rattanreel/platform';
+import claimKind from './claimKind';
+import isClaimRemovable from './isClaimRemovable';
+import type { ClaimRecord } from './types';
+
+const DEFAULT_REMOVALS_PER_SECOND = 20;
+const DEFAULT_LIST_PAUSE: Milliseconds = 1_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+const HEXADECIMAL = 16;
+const DEFAULT_PREFIX_LENGTH = 2;
+
+interface ClaimSweeperOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly random: Random;
+  /** Whether this host is the one to clean up now; two at once only cost calls. */
+  readonly isActive: () => boolean;
+  readonly removalsPerSecond?: number;
+  /** Time between the lists of two parts of the claims. */
+  readonly listPause?: Milliseconds;
+  /** Hexadecimal digits of a claim's name that make one part. */
+  readonly prefixLength?: number;
+}
+
+interface ClaimSweeper {
+  stop(): void;
+}
+
+/** Removes expired claims, part after part, at a bounded rate. */
+export default function createClaimSweeper(options: ClaimSweeperOptions): ClaimSweeper {
+  const { store, clock, random } = options;
+  const prefixLength = options.prefixLength ?? DEFAULT_PREFIX_LENGTH;
+  const listPause = options.listPause ?? DEFAULT_LIST_PAUSE;
+  const removalPause =
+    MILLISECONDS_PER_SECOND / (options.removalsPerSecond ?? DEFAULT_REMOVALS_PER_SECOND);
+  const parts = HEXADECIMAL ** prefixLength;
+  let part = random.integer(0, parts - 1);
+  let timer: Timer | undefined;
+  let isStopped = false;
+
+  function getPrefix(): string {
+    return part.toString(HEXADECIMAL).padStart(prefixLength, '0');
+  }
+
+  async function removeExpired(claims: readonly StoredObject<ClaimRecord>[]): Promise<void> {
+    for (const claim of claims) {
+      if (isStopped || !options.isActive()) {
+        return;
+      }
+      // A claim that has changed stays; one whose removal failed is met again in the next round.
+      await store.remove(claimKind, claim.name, claim.version);
+      await new Promise<void>((resolve) => {
+        clock.after(removalPause, resolve);
+      });
+    }
+  }
+
+  async function sweepPart(): Promise<void> {
+    if (options.isActive()) {
+      const listed = await store.list<ClaimRecord>(claimKind, getPrefix());
+      if (listed.kind === 'ok') {
+        const now = clock.wallTime();
+        await removeExpired(
+          listed.value.items.filter((claim) => isClaimRemovable(claim.value, now)),
+        );
+        part = (part + 1) % parts;
+      }
+    }
+  }
+
+  function schedule(): void {
+    if (!isStopped) {
+      timer = clock.after(listPause, () => {
+        sweepPart().then(schedule, schedule);
+      });
+    }
+  }
+
+  schedule();
+  return {
+    stop() {
+      isStopped = true;
+      timer?.cancel();
+    },
+  };
+}
--- /dev/null
+++ b/packages/orders/src/createClaimedRuns.ts
@@ -0,0 +1,133 @@
+import { Debug } from '@rattanreel/core';
+import type { Milliseconds } from '@rattanreel/core';
+import type { StoredObject } from '@rattanreel/platform';
+import type createAttempts from './createAttempts';
+import createClaimFollower from './createClaimFollower';
+import createClaimWriter from './createClaimWriter';
+import createOutcomeRecorder from './createOutcomeRecorder';
+import surveyPeers from './surveyPeers';
+import toResult from './toResult';
+import type {
+  ClaimDecision,
+  ClaimRecord,
+  OrderDecision,
+  OrderDeskOptions,
+  OrderEntry,
+  OrderRequest,
+  OrderResult,
+} from './types';
+
+const DEFAULT_RETENTION: Milliseconds = 24 * 3_600_000;
+const DEFAULT_CLAIM_DEADLINE: Milliseconds = 4_000;
+const DEFAULT_DISPATCH_WINDOW: Milliseconds = 30_000;
+/** Claims that may change hands under one attempt before it gives up. */
+const ROUND_LIMIT = 6;
+
+interface ClaimedRunsOptions extends OrderDeskOptions {
+  readonly attempts: ReturnType<typeof createAttempts>;
+}
+
+interface ClaimedRuns {
+  /** Claims an order, then dispatches it, or finds how it ended elsewhere. */
+  run(entry: OrderEntry, order: OrderRequest): Promise<OrderResult>;
+  flush(deadline: Milliseconds): Promise<void>;
+}
+
+/** Runs orders that are claimed in the store before they are dispatched. */
+export default function createClaimedRuns(options: ClaimedRunsOptions): ClaimedRuns {
+  const { entryHost, incarnation, store, clock, random, attempts, askOwner } = options;
+  const deadline = options.claimDeadline ?? DEFAULT_CLAIM_DEADLINE;
+  const dispatchWindow = options.dispatchWindow ?? DEFAULT_DISPATCH_WINDOW;
+  const recorder = createOutcomeRecorder({ store, clock, random });
+  const followClaim = createClaimFollower(options);
+  const writeClaim = createClaimWriter({
+    store,
+    self: { entryHost, incarnation },
+    clock,
+    random,
+    retention: options.retention ?? DEFAULT_RETENTION,
+  });
+
+  function note(kind: OrderDecision['kind'], entry: OrderEntry): void {
+    options.onDecision?.({ kind, order: entry.name });
+  }
+
+  /** Forbids the dispatch under this attempt's nonce; it has to come before any answer "not run". */
+  function giveUp(entry: OrderEntry): void {
+    attempts.advance(entry, { kind: 'giveUp' });
+    note('gaveUp', entry);
+  }
+
+  async function runClaimed(
+    entry: OrderEntry,
+    order: OrderRequest,
+    claim: StoredObject<ClaimRecord>,
+  ): Promise<OrderResult> {
+    attempts.advance(entry, { kind: 'claimWritten' });
+    const outcome = await attempts.dispatch(entry, order);
+    recorder.record(claim, outcome);
+    return toResult(outcome);
+  }
+
+  /** A process that was paused over its claim leaves the order to a later attempt. */
+  function refuseClaimed(entry: OrderEntry, claim: StoredObject<ClaimRecord>): OrderResult {
+    giveUp(entry);
+    recorder.record(claim, { kind: 'notRun' });
+    return toResult({ kind: 'notRun' });
+  }
+
+  function finish(
+    entry: OrderEntry,
+    decision: Extract<ClaimDecision, { kind: 'finish' }>,
+  ): OrderResult {
+    if (decision.outcome === undefined) {
+      giveUp(entry);
+    } else {
+      attempts.advance(entry, { kind: 'outcomeLearned', outcome: decision.outcome });
+      note('answeredFromClaim', entry);
+    }
+    return decision.result;
+  }
+
+  /** Gives up, then tells whether the order can have run at all. */
+  async function giveUpInDoubt(entry: OrderEntry, order: OrderRequest): Promise<OrderResult> {
+    giveUp(entry);
+    note('surveyed', entry);
+    const view = options.listPeers?.() ?? { peers: [], isComplete: false };
+    return surveyPeers({ order, view, askOwner, hasForgotten: attempts.hasForgotten() });
+  }
+
+  async function run(entry: OrderEntry, order: OrderRequest): Promise<OrderResult> {
+    const startedAt = clock.now();
+    let version: number | undefined;
+    for (let round = 0; round < ROUND_LIMIT; round += 1) {
+      const settled = await writeClaim({ entry, version, deadline });
+      switch (settled.kind) {
+        case 'written':
+          return clock.now() - startedAt > dispatchWindow
+            ? refuseClaimed(entry, settled.object)
+            : runClaimed(entry, order, settled.object);
+        case 'notWritten':
+        case 'inDoubt':
+          return giveUpInDoubt(entry, order);
+        case 'superseded':
+          break;
+        default:
+          return Debug.assertNever(settled);
+      }
+      version = undefined;
+      if (settled.current !== undefined) {
+        const claim = settled.current as StoredObject<ClaimRecord>;
+        const decision = await followClaim(entry, order, claim);
+        if (decision.kind === 'finish') {
+          return finish(entry, decision);
+        }
+        note('tookOver', entry);
+        version = decision.version;
+      }
+    }
+    return giveUpInDoubt(entry, order);
+  }
+
+  return { run, flush: recorder.flush };
+}
--- /dev/null
+++ b/packages/orders/src/createKeyedOrders.ts
@@ -0,0 +1,73 @@
+import { fail } from '@rattanreel/core';
+import type { Milliseconds } from '@rattanreel/core';
+import type createAttempts from './createAttempts';
+import createClaimedRuns from './createClaimedRuns';
+import getRequestDigest from './getRequestDigest';
+import hashText from './hashText';
+import toResult from './toResult';
+import type { OrderDeskOptions, OrderRequest, OrderResult, OwnerAnswer } from './types';
+
+const DEFAULT_PEER_WAIT: Milliseconds = 10_000;
+const RETRY_AFTER: Milliseconds = 2_000;
+const KEY_REUSED = fail({ kind: 'keyReusedForAnotherRequest', execution: 'not-run' } as const);
+const STILL_RUNNING = fail({
+  kind: 'stillRunning',
+  execution: 'may-have-run',
+  retryAfter: RETRY_AFTER,
+} as const);
+
+interface KeyedOrdersOptions extends OrderDeskOptions {
+  readonly attempts: ReturnType<typeof createAttempts>;
+}
+
+interface KeyedOrders {
+  submit(order: OrderRequest, key: string): Promise<OrderResult>;
+  /** Answers a peer that met a claim of this incarnation, or that asks everybody. */
+  answerPeer(order: OrderRequest, key: string, nonce: string | undefined): Promise<OwnerAnswer>;
+  flush(deadline: Milliseconds): Promise<void>;
+}
+
+/** Orders under keys of the callers' own. */
+export default function createKeyedOrders(options: KeyedOrdersOptions): KeyedOrders {
+  const { random, attempts } = options;
+  const peerWait = options.peerWait ?? DEFAULT_PEER_WAIT;
+  const runs = createClaimedRuns(options);
+
+  return {
+    async submit(order, key) {
+      const name = hashText(order.customer, key);
+      const requestDigest = getRequestDigest(order);
+      const joined = attempts.tryJoin(name, requestDigest);
+      if (joined !== undefined) {
+        return joined;
+      }
+      const nonce = random.identifier();
+      return attempts.begin({
+        name,
+        requestDigest,
+        nonce,
+        run: (entry) => runs.run(entry, order),
+      });
+    },
+    async answerPeer(order, key, nonce) {
+      const entry = attempts.tryGet(hashText(order.customer, key));
+      if (entry === undefined) {
+        return { kind: 'unknown', hasForgotten: attempts.hasForgotten() };
+      }
+      if (entry.requestDigest !== getRequestDigest(order)) {
+        return { kind: 'result', result: KEY_REUSED };
+      }
+      const { givenUpNonces } = entry;
+      if (nonce !== undefined && givenUpNonces.includes(nonce)) {
+        return { kind: 'givenUp', nonces: [...givenUpNonces] };
+      }
+      if (!(await attempts.waitForEnd(entry, peerWait))) {
+        return { kind: 'result', result: STILL_RUNNING };
+      }
+      return entry.state.kind === 'ended' && entry.state.outcome.kind !== 'notRun'
+        ? { kind: 'result', result: toResult(entry.state.outcome) }
+        : { kind: 'givenUp', nonces: [...givenUpNonces] };
+    },
+    flush: runs.flush,
+  };
+}
--- /dev/null
+++ b/packages/orders/src/createOutcomeRecorder.ts
@@ -0,0 +1,95 @@
+import type { Clock, Milliseconds, Random } from '@rattanreel/core';
+import { settleWrite } from '@rattanreel/platform';
+import type { ObjectStore, StoredObject } from '@rattanreel/platform';
+import claimKind from './claimKind';
+import type { ClaimRecord, OrderOutcome } from './types';
+
+const PENDING_LIMIT = 2_000;
+const CONCURRENCY = 4;
+const SETTLE_DEADLINE: Milliseconds = 15 * 60_000;
+/** Leaves room for the rest of the claim in a value of 1 MiB. */
+const LARGEST_BODY_BYTES = 900_000;
+
+interface OutcomeRecorderOptions {
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  readonly random: Random;
+}
+
+interface PendingOutcome {
+  readonly claim: StoredObject<ClaimRecord>;
+  readonly outcome: OrderOutcome;
+}
+
+interface OutcomeRecorder {
+  /** Writes the outcome into the claim in the background. */
+  record(claim: StoredObject<ClaimRecord>, outcome: OrderOutcome): void;
+  flush(deadline: Milliseconds): Promise<void>;
+}
+
+function isTooLarge(outcome: OrderOutcome): boolean {
+  return outcome.kind === 'answered' && Buffer.byteLength(outcome.answer.body) > LARGEST_BODY_BYTES;
+}
+
+/**
+ * Records how orders ended, a few at a time. An outcome that can't be recorded is dropped: a retry after this
+ * incarnation's end is then answered `may-have-run`.
+ */
+export default function createOutcomeRecorder(options: OutcomeRecorderOptions): OutcomeRecorder {
+  const { store, clock, random } = options;
+  const pending: PendingOutcome[] = [];
+  const whenIdle: (() => void)[] = [];
+  let active = 0;
+
+  async function write({ claim, outcome }: PendingOutcome): Promise<void> {
+    const value: ClaimRecord = { ...claim.value, outcome };
+    await settleWrite<ClaimRecord>({
+      write: () => store.update(claimKind, claim.name, value, claim.version),
+      isOwn: (current) => {
+        const found = current.value as ClaimRecord;
+        return found.nonce === value.nonce && found.outcome !== undefined;
+      },
+      clock,
+      random,
+      deadline: SETTLE_DEADLINE,
+    });
+  }
+
+  async function work(): Promise<void> {
+    for (let next = pending.shift(); next !== undefined; next = pending.shift()) {
+      await write(next);
+    }
+    active -= 1;
+    if (active === 0) {
+      whenIdle.splice(0).forEach((resolve) => resolve());
+    }
+  }
+
+  return {
+    record(claim, outcome) {
+      if (isTooLarge(outcome) || pending.length >= PENDING_LIMIT) {
+        return;
+      }
+      pending.push({ claim, outcome });
+      if (active < CONCURRENCY) {
+        active += 1;
+        // A failure of the store is an outcome, so that only a defect can reject here.
+        work().catch(() => {
+          active -= 1;
+        });
+      }
+    },
+    async flush(deadline) {
+      if (active === 0) {
+        return;
+      }
+      await new Promise<void>((resolve) => {
+        const timer = clock.after(deadline, resolve);
+        whenIdle.push(() => {
+          timer.cancel();
+          resolve();
+        });
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/orders/src/createTicketOrders.ts
@@ -0,0 +1,114 @@
+import { Debug, fail } from '@rattanreel/core';
+import type { Milliseconds } from '@rattanreel/core';
+import type createAttempts from './createAttempts';
+import createTicketBook from './createTicketBook';
+import getRequestDigest from './getRequestDigest';
+import toResult from './toResult';
+import type { OrderDeskOptions, OrderOwner, OrderRequest, OrderResult, OwnerAnswer } from './types';
+
+const RETRY_AFTER: Milliseconds = 2_000;
+const TICKET_UNKNOWN = fail({ kind: 'ticketUnknown', execution: 'not-run' } as const);
+const TICKET_HOLDER_GONE = fail({ kind: 'ticketHolderGone', execution: 'may-have-run' } as const);
+const IN_DOUBT = toResult({ kind: 'mayHaveRun' });
+const OWNER_UNREACHABLE = fail({
+  kind: 'ownerUnreachable',
+  execution: 'may-have-run',
+  retryAfter: RETRY_AFTER,
+} as const);
+
+interface TicketOrdersOptions extends OrderDeskOptions {
+  readonly attempts: ReturnType<typeof createAttempts>;
+}
+
+interface TicketOrders {
+  issue(customer: string): string;
+  submit(order: OrderRequest, ticket: string): Promise<OrderResult>;
+  /** Answers a peer that forwards an order with a ticket. */
+  answerPeer(order: OrderRequest, ticket: string): Promise<OwnerAnswer>;
+}
+
+/** The result of a forwarded order as the ticket's issuer answers it. */
+function toResultOfTicket(answer: OwnerAnswer): OrderResult {
+  switch (answer.kind) {
+    case 'result':
+      return answer.result;
+    case 'gone':
+      return TICKET_HOLDER_GONE;
+    case 'unreachable':
+      return OWNER_UNREACHABLE;
+    case 'givenUp':
+    case 'unknown':
+      return IN_DOUBT;
+    default:
+      return Debug.assertNever(answer);
+  }
+}
+
+/** Orders under tickets: only the incarnation that issued a ticket dispatches its order. */
+export default function createTicketOrders(options: TicketOrdersOptions): TicketOrders {
+  const { entryHost, incarnation, random, attempts, askOwner } = options;
+  const tickets = createTicketBook({ entryHost, incarnation, random });
+
+  async function submitOwn(order: OrderRequest, id: string): Promise<OrderResult> {
+    const requestDigest = getRequestDigest(order);
+    const joined = attempts.tryJoin(id, requestDigest);
+    if (joined !== undefined) {
+      return joined;
+    }
+    if (attempts.tryGet(id) === undefined && !tickets.tryUse(id)) {
+      // Used before and forgotten, or dropped unused: the two cannot be told apart.
+      return IN_DOUBT;
+    }
+    return attempts.begin({
+      name: id,
+      requestDigest,
+      nonce: random.identifier(),
+      run: async (entry) => {
+        attempts.advance(entry, { kind: 'claimWritten' });
+        return toResult(await attempts.dispatch(entry, order));
+      },
+    });
+  }
+
+  async function forward(order: OrderRequest, owner: OrderOwner): Promise<OrderResult> {
+    if (owner.entryHost === entryHost) {
+      return TICKET_HOLDER_GONE;
+    }
+    options.onDecision?.({ kind: 'askedOwner', order: owner.incarnation });
+    return toResultOfTicket(await askOwner(owner, order));
+  }
+
+  return {
+    issue: tickets.issue,
+    async submit(order, ticket) {
+      const inspected = tickets.inspect(ticket, order.customer);
+      switch (inspected.kind) {
+        case 'malformed':
+        case 'forged':
+          return TICKET_UNKNOWN;
+        case 'own':
+          return submitOwn(order, inspected.id);
+        case 'elsewhere':
+          return forward(order, inspected.owner);
+        default:
+          return Debug.assertNever(inspected);
+      }
+    },
+    async answerPeer(order, ticket) {
+      const inspected = tickets.inspect(ticket, order.customer);
+      switch (inspected.kind) {
+        case 'malformed':
+        case 'forged':
+          return { kind: 'result', result: TICKET_UNKNOWN };
+        case 'own':
+          return { kind: 'result', result: await submitOwn(order, inspected.id) };
+        case 'elsewhere':
+          return inspected.owner.entryHost === entryHost
+            ? { kind: 'gone' }
+            : { kind: 'unknown', hasForgotten: false };
+        default:
+          return Debug.assertNever(inspected);
+      }
+    },
+  };
+}
--- /dev/null
+++ b/packages/orders/src/decideAfterSurvey.ts
@@ -0,0 +1,26 @@
+import { fail } from '@rattanreel/core';
+import type { Milliseconds } from '@rattanreel/core';
+import type { OrderResult, OwnerAnswer } from './types';
+
+interface Survey {
+  /** Answers of all other incarnations that may know the order. */
+  readonly answers: readonly OwnerAnswer[];
+  /** Whether nobody else can have run it, this host's own forgotten orders included. */
+  readonly isComplete: boolean;
+  readonly retryAfter: Milliseconds;
+}
+
+function isDenial(answer: OwnerAnswer): boolean {
+  return answer.kind === 'givenUp' || (answer.kind === 'unknown' && !answer.hasForgotten);
+}
+
+/** The result of a keyed order whose claim could not be written. */
+export default function decideAfterSurvey(survey: Survey): OrderResult {
+  const found = survey.answers.find((answer) => answer.kind === 'result');
+  if (found !== undefined) {
+    return found.result;
+  }
+  const isNotRun = survey.isComplete && survey.answers.every(isDenial);
+  const execution = isNotRun ? 'not-run' : 'may-have-run';
+  return fail({ kind: 'storeUnavailable', execution, retryAfter: survey.retryAfter });
+}
--- /dev/null
+++ b/packages/orders/src/decideOnClaim.ts
@@ -0,0 +1,41 @@
+import { Debug, fail } from '@rattanreel/core';
+import type { EntryHostId, Incarnation } from '@rattanreel/core';
+import type { StoredObject } from '@rattanreel/platform';
+import toResult from './toResult';
+import type { ClaimDecision, ClaimRecord } from './types';
+
+interface FoundClaim {
+  readonly claim: StoredObject<ClaimRecord>;
+  readonly requestDigest: string;
+  readonly entryHost: EntryHostId;
+  readonly incarnation: Incarnation;
+  /** Nonces under which this incarnation has forbidden itself the dispatch. */
+  readonly givenUpNonces: readonly string[];
+}
+
+/** Decides what an order does that meets a claim of another attempt in the store. */
+export default function decideOnClaim(found: FoundClaim): ClaimDecision {
+  const { claim } = found;
+  const { claimant, incarnation, nonce, outcome, requestDigest } = claim.value;
+  if (requestDigest !== found.requestDigest) {
+    const result = fail({ kind: 'keyReusedForAnotherRequest', execution: 'not-run' } as const);
+    return { kind: 'finish', result };
+  }
+  switch (outcome?.kind) {
+    case 'answered':
+    case 'mayHaveRun':
+      return { kind: 'finish', result: toResult(outcome), outcome };
+    case 'notRun':
+      return { kind: 'takeOver', version: claim.version };
+    case undefined:
+      break;
+    default:
+      return Debug.assertNever(outcome);
+  }
+  if (claimant !== found.entryHost || incarnation !== found.incarnation) {
+    return { kind: 'askOwner', owner: { entryHost: claimant, incarnation, nonce } };
+  }
+  return found.givenUpNonces.includes(nonce)
+    ? { kind: 'takeOver', version: claim.version }
+    : { kind: 'finish', result: toResult({ kind: 'mayHaveRun' }) };
+}
--- a/packages/orders/src/types.ts
+++ b/packages/orders/src/types.ts
@@ -1,5 +1,13 @@
 /** Claims and tickets: what keeps a non-idempotent request to one run. */
-import type { EntryHostId, Incarnation, Milliseconds, Outcome } from '@rattanreel/core';
+import type {
+  Clock,
+  EntryHostId,
+  Incarnation,
+  Milliseconds,
+  Outcome,
+  Random,
+} from '@rattanreel/core';
+import type { ObjectStore } from '@rattanreel/platform';
 
 /** What is known of a request's execution. */
 export type Execution = 'not-run' | 'may-have-run' | 'partly-run' | 'ran';
@@ -15,7 +23,7 @@
 export type OrderOutcome =
   | { readonly kind: 'answered'; readonly answer: RecordedAnswer }
   /** Given up before any dispatch, and never to be dispatched under this claim. */
-  | { readonly kind: 'notRun' }
+  | { readonly kind: 'notRun'; readonly retryAfter?: Milliseconds }
   | { readonly kind: 'mayHaveRun' };
 
 /** The claim object in the store; its name is a hash of customer and key. */
@@ -35,15 +43,31 @@
 export type OrderError =
   | { readonly kind: 'keyReusedForAnotherRequest'; readonly execution: 'not-run' }
   | {
+      /**
+       * The claim could not be written, so this host did not dispatch the order. `may-have-run` when it cannot be
+       * told whether an earlier request under the same key ran. A ticket, or no key, works meanwhile.
+       */
       readonly kind: 'storeUnavailable';
-      readonly execution: 'not-run';
+      readonly execution: 'not-run' | 'may-have-run';
       readonly retryAfter: Milliseconds;
     }
   | { readonly kind: 'refused'; readonly execution: 'not-run'; readonly retryAfter: Milliseconds }
   | { readonly kind: 'claimantGone'; readonly execution: 'may-have-run' }
   | { readonly kind: 'ticketUnknown'; readonly execution: 'not-run' }
   | { readonly kind: 'ticketHolderGone'; readonly execution: 'may-have-run' }
-  | { readonly kind: 'dispatchInDoubt'; readonly execution: 'may-have-run' };
+  | { readonly kind: 'dispatchInDoubt'; readonly execution: 'may-have-run' }
+  /** The host that claimed the order, or issued its ticket, cannot be asked now. */
+  | {
+      readonly kind: 'ownerUnreachable';
+      readonly execution: 'may-have-run';
+      readonly retryAfter: Milliseconds;
+    }
+  /** The order is still running; a later retry gets its answer. */
+  | {
+      readonly kind: 'stillRunning';
+      readonly execution: 'may-have-run';
+      readonly retryAfter: Milliseconds;
+    };
 
 export type OrderResult = Outcome<RecordedAnswer, OrderError>;
 
@@ -67,19 +91,118 @@
  */
 export type DispatchOrder = (order: OrderRequest) => Promise<OrderOutcome>;
 
-/** Asks another entry host about an order that it claimed or issued the ticket of. */
-export type AskOwner = (
-  owner: { readonly entryHost: EntryHostId; readonly incarnation: Incarnation },
-  order: OrderRequest,
-) => Promise<OwnerAnswer>;
+/** The incarnation that claimed an order or issued its ticket. */
+export interface OrderOwner {
+  readonly entryHost: EntryHostId;
+  readonly incarnation: Incarnation;
+  /** Nonce of the claim that is asked about; to be passed on to the owner's `answerPeer`. */
+  readonly nonce?: string;
+}
+
+/** Asks another entry host about an order that it claimed or issued the ticket of. Bounded in time. */
+export type AskOwner = (owner: OrderOwner, order: OrderRequest) => Promise<OwnerAnswer>;
 
 export type OwnerAnswer =
   | { readonly kind: 'result'; readonly result: OrderResult }
+  /** The owner did not dispatch under these nonces and never will; a claim with one may be taken over. */
+  | { readonly kind: 'givenUp'; readonly nonces: readonly string[] }
+  /** The owner does not know the order. `hasForgotten`: it may have known it once. */
+  | { readonly kind: 'unknown'; readonly hasForgotten: boolean }
   /** That incarnation is known to have ended. */
   | { readonly kind: 'gone' }
   /** It cannot be reached; nothing is known. */
   | { readonly kind: 'unreachable' };
 
+/** The other incarnations that may know an order, for when the store cannot be asked. */
+export interface PeerView {
+  readonly peers: readonly OrderOwner[];
+  /** False when an incarnation that ended, or that this host never heard of, may have run orders whose claims still stand. */
+  readonly isComplete: boolean;
+}
+
+/** How many ended orders one incarnation remembers. */
+export interface OrderMemoryLimits {
+  readonly entries: number;
+  /** Bytes of recorded answers. */
+  readonly bytes: number;
+}
+
+/** What the order desk decided, for the decision log. */
+export interface OrderDecision {
+  readonly kind:
+    | 'dispatched'
+    | 'joined'
+    | 'answeredFromMemory'
+    | 'answeredFromClaim'
+    | 'askedOwner'
+    | 'tookOver'
+    | 'gaveUp'
+    | 'surveyed';
+  /** Name of the claim, or identifier of the ticket. */
+  readonly order: string;
+}
+
+export interface OrderDeskOptions {
+  readonly entryHost: EntryHostId;
+  readonly incarnation: Incarnation;
+  readonly store: ObjectStore;
+  readonly clock: Clock;
+  /** Makes nonces and the ticket secret: must not repeat across hosts. */
+  readonly random: Random;
+  readonly dispatch: DispatchOrder;
+  readonly askOwner: AskOwner;
+  /** Without it a keyed order is `may-have-run` whenever the store cannot be asked. */
+  readonly listPeers?: () => PeerView;
+  /** How long a claim and its answer are kept in the store. */
+  readonly retention?: Milliseconds;
+  /** Longest time for the claim to be written. */
+  readonly claimDeadline?: Milliseconds;
+  /** An order whose claim took longer than this, as in a paused process, is given up. */
+  readonly dispatchWindow?: Milliseconds;
+  /** Longest time that a peer's question waits for an order that is running. */
+  readonly peerWait?: Milliseconds;
+  readonly memory?: Partial<OrderMemoryLimits>;
+  readonly onDecision?: (decision: OrderDecision) => void;
+}
+
+/** How far an order has come here. It passes one way, and `dispatching` is set before the first byte. */
+export type OrderState =
+  | { readonly kind: 'unclaimed' }
+  | { readonly kind: 'claimed' }
+  | { readonly kind: 'dispatching' }
+  | { readonly kind: 'ended'; readonly outcome: OrderOutcome };
+
+export type OrderStateMessage =
+  | { readonly kind: 'claimWritten' }
+  /** Forbids the dispatch, unless it has begun. */
+  | { readonly kind: 'giveUp' }
+  | { readonly kind: 'dispatchStarted' }
+  | { readonly kind: 'dispatchEnded'; readonly outcome: OrderOutcome }
+  /** The order ended under another incarnation's claim. */
+  | { readonly kind: 'outcomeLearned'; readonly outcome: OrderOutcome };
+
+/** What one incarnation knows of one order. */
+export interface OrderEntry {
+  /** Name of the claim, or identifier of the ticket. */
+  readonly name: string;
+  readonly requestDigest: string;
+  /** Nonce of the attempt at hand. */
+  nonce: string;
+  /** Nonces of attempts under which nothing will be dispatched. */
+  readonly givenUpNonces: string[];
+  state: OrderState;
+  /** Result of the attempt at hand. */
+  result: Promise<OrderResult>;
+}
+
+/** What a claim found in the store asks for. */
+export type ClaimDecision =
+  | { readonly kind: 'finish'; readonly result: OrderResult; readonly outcome?: OrderOutcome }
+  | { readonly kind: 'takeOver'; readonly version: number }
+  | { readonly kind: 'askOwner'; readonly owner: OrderOwner }
+  /** The claim's record may have changed since it was read. */
+  | { readonly kind: 'readAgain'; readonly otherwise: OrderResult };
+
 /** The orders of one incarnation of an entry host. */
 export interface OrderDesk {
   /** A key that names this incarnation; only it may dispatch the order. */
@@ -87,5 +210,7 @@
   /** Runs an order, or finds how it ended. */
   submit(order: OrderRequest): Promise<OrderResult>;
   /** Answers another entry host that asks about an order owned here. */
-  answerPeer(order: OrderRequest): Promise<OwnerAnswer>;
+  answerPeer(order: OrderRequest, nonce?: string): Promise<OwnerAnswer>;
+  /** Waits, for a bounded time, until the outcomes of ended orders are recorded; for a graceful shutdown. */
+  flush(deadline: Milliseconds): Promise<void>;
 }
