--- a/packages/orders/src/createClaimedRuns.ts
+++ b/packages/orders/src/createClaimedRuns.ts
@@ -94,7 +94,14 @@
     giveUp(entry);
     note('surveyed', entry);
     const view = options.listPeers?.() ?? { peers: [], isComplete: false };
-    return surveyPeers({ order, view, askOwner, hasForgotten: attempts.hasForgotten() });
+    const hasForgotten = attempts.hasForgotten();
+    const result = await surveyPeers({ order, view, askOwner, hasForgotten });
+    const latest = attempts.tryGet(entry.name);
+    // Meanwhile a later attempt here, or a peer that was told of the giving up, may have run the order.
+    if (latest !== undefined && latest !== entry) {
+      return latest.result;
+    }
+    return entry.wasReleased ? toResult({ kind: 'mayHaveRun' }) : result;
   }
 
   async function run(entry: OrderEntry, order: OrderRequest): Promise<OrderResult> {
--- a/packages/orders/src/createKeyedOrders.ts
+++ b/packages/orders/src/createKeyedOrders.ts
@@ -5,7 +5,7 @@
 import getRequestDigest from './getRequestDigest';
 import hashText from './hashText';
 import toResult from './toResult';
-import type { OrderDeskOptions, OrderRequest, OrderResult, OwnerAnswer } from './types';
+import type { OrderDeskOptions, OrderEntry, OrderRequest, OrderResult, OwnerAnswer } from './types';
 
 const DEFAULT_PEER_WAIT: Milliseconds = 10_000;
 const RETRY_AFTER: Milliseconds = 2_000;
@@ -27,6 +27,12 @@
   flush(deadline: Milliseconds): Promise<void>;
 }
 
+/** Lets a peer take over what this incarnation has forbidden itself. */
+function release(entry: OrderEntry): OwnerAnswer {
+  entry.wasReleased = true;
+  return { kind: 'givenUp', nonces: [...entry.givenUpNonces] };
+}
+
 /** Orders under keys of the callers' own. */
 export default function createKeyedOrders(options: KeyedOrdersOptions): KeyedOrders {
   const { random, attempts } = options;
@@ -59,14 +65,14 @@
       }
       const { givenUpNonces } = entry;
       if (nonce !== undefined && givenUpNonces.includes(nonce)) {
-        return { kind: 'givenUp', nonces: [...givenUpNonces] };
+        return release(entry);
       }
       if (!(await attempts.waitForEnd(entry, peerWait))) {
         return { kind: 'result', result: STILL_RUNNING };
       }
       return entry.state.kind === 'ended' && entry.state.outcome.kind !== 'notRun'
         ? { kind: 'result', result: toResult(entry.state.outcome) }
-        : { kind: 'givenUp', nonces: [...givenUpNonces] };
+        : release(entry);
     },
     flush: runs.flush,
   };
--- /dev/null
+++ b/packages/orders/src/createOrderDesk.test.ts
@@ -0,0 +1,408 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createRandom, createVirtualClock } from '@rattanreel/core';
+import type { Milliseconds, VirtualClock } from '@rattanreel/core';
+import { createObjectStoreModel, runInVirtualTime } from '@rattanreel/stand-in-platform';
+import type { ObjectStoreModel } from '@rattanreel/stand-in-platform';
+import createOrderDesk from './createOrderDesk';
+import createOrderFleet from './testing/createOrderFleet';
+import type { FleetFaults, OrderFleet, SubmissionOutcome } from './testing/types';
+import type { OrderKey, OrderRequest } from './types';
+
+const KEYED: OrderKey = { kind: 'callerKey', key: 'k-1' };
+const BODY = 'hulls';
+
+function order(key: OrderKey, body = BODY, customer = 'cushions'): OrderRequest {
+  return { customer, method: 'POST', path: '/orders', body, key };
+}
+
+/** One failure case: a fleet of hosts `a`, `b` and `c` with times that a case can rely on. */
+interface Stage {
+  readonly clock: VirtualClock;
+  readonly model: ObjectStoreModel;
+  readonly fleet: OrderFleet;
+  wait(span: Milliseconds): Promise<void>;
+  /** Submits and waits for the result. */
+  submit(host: string, submitted: OrderRequest): Promise<SubmissionOutcome>;
+  finish<Value>(work: Promise<Value>): Promise<Value>;
+}
+
+function createStage(faults: Partial<FleetFaults> = {}): Stage {
+  const clock = createVirtualClock();
+  const random = createRandom(5);
+  const model = createObjectStoreModel({ clock, random, latency: 4 });
+  const times = { queue: 0, service: 0, network: 50 };
+  const fleet = createOrderFleet({ clock, random, model, hosts: ['a', 'b', 'c'], faults, times });
+  const finish = <Value>(work: Promise<Value>) => runInVirtualTime(clock, work);
+  return {
+    clock,
+    model,
+    fleet,
+    finish,
+    submit: (host, submitted) => finish(fleet.submit(host, submitted)),
+    wait: (span) =>
+      finish(
+        new Promise((resolve) => {
+          clock.after(span, resolve);
+        }),
+      ),
+  };
+}
+
+/** A submission's outcome in a word: the booking, or the error with its execution. */
+function describeOutcome(outcome: SubmissionOutcome): string {
+  if (outcome.kind === 'connectionLost') {
+    return outcome.kind;
+  }
+  const { result } = outcome;
+  return result.kind === 'ok'
+    ? result.value.body
+    : `${result.error.kind} ${result.error.execution}`;
+}
+
+const BOOKED = JSON.stringify({ booking: `${BODY}/1` });
+const GONE = 'claimantGone may-have-run';
+const LOST = 'connectionLost';
+/** Times after submission at `a`: the claim takes 4 ms, the way to the order book 50 ms more. */
+const CLAIM_ON_ITS_WAY: Milliseconds = 1;
+const CLAIM_WRITTEN: Milliseconds = 3;
+const DISPATCHED: Milliseconds = 20;
+const BOOKED_UNANSWERED: Milliseconds = 60;
+const RECORDED: Milliseconds = 200;
+
+/** Ends `a` so long after a submission there, lets its end be seen, and retries at `b`. */
+async function retryAfterEnd(stage: Stage, delay: Milliseconds): Promise<SubmissionOutcome[]> {
+  const first = stage.fleet.submit('a', order(KEYED));
+  await stage.wait(delay);
+  stage.fleet.end('a');
+  await stage.wait(4_000);
+  return [await stage.finish(first), await stage.submit('b', order(KEYED))];
+}
+
+interface FailureCase {
+  readonly name: string;
+  readonly faults?: Partial<FleetFaults>;
+  readonly run: (stage: Stage) => Promise<readonly SubmissionOutcome[]>;
+  readonly expected: readonly string[];
+  readonly booked: number;
+}
+
+const KEYED_CASES: readonly FailureCase[] = [
+  {
+    name: 'a retry elsewhere gets the recorded answer whole',
+    run: async (stage) => [
+      await stage.submit('a', order(KEYED)),
+      await stage.submit('b', order(KEYED)),
+    ],
+    expected: [BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'the claim took effect and its answer was lost',
+    run: async (stage) => {
+      stage.model.failNextWrite({ kind: 'loseAnswer' });
+      return [await stage.submit('a', order(KEYED)), await stage.submit('b', order(KEYED))];
+    },
+    expected: [BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'the claim lands after its attempt was given up, and a retry elsewhere takes it over',
+    run: async (stage) => {
+      stage.model.failNextWrite({ kind: 'landLate', delay: 15_000 });
+      const first = stage.fleet.submit('a', order(KEYED));
+      await stage.wait(10);
+      stage.model.setFaults({ outage: 'refusing' });
+      const refused = await stage.finish(first);
+      stage.model.setFaults({ outage: 'none' });
+      await stage.wait(16_000);
+      return [refused, await stage.submit('b', order(KEYED))];
+    },
+    expected: ['storeUnavailable not-run', BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'the claim lands late between two attempts, and only one of them holds it',
+    run: async (stage) => {
+      stage.model.failNextWrite({ kind: 'landLate', delay: 1_020 });
+      const both = [stage.fleet.submit('a', order(KEYED)), stage.fleet.submit('b', order(KEYED))];
+      return stage.finish(Promise.all(both));
+    },
+    expected: [BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'the claimant ends with its claim on the way',
+    run: (stage) => retryAfterEnd(stage, CLAIM_ON_ITS_WAY),
+    expected: [LOST, GONE],
+    booked: 0,
+  },
+  {
+    name: 'the claimant ends before the dispatch',
+    run: (stage) => retryAfterEnd(stage, CLAIM_WRITTEN),
+    expected: [LOST, GONE],
+    booked: 0,
+  },
+  {
+    name: 'the claimant ends after the dispatch',
+    run: (stage) => retryAfterEnd(stage, DISPATCHED),
+    expected: [LOST, GONE],
+    booked: 1,
+  },
+  {
+    name: 'the claimant ends before the answer came',
+    run: (stage) => retryAfterEnd(stage, BOOKED_UNANSWERED),
+    expected: [LOST, GONE],
+    booked: 1,
+  },
+  {
+    name: 'the claimant ends after it recorded the outcome',
+    run: (stage) => retryAfterEnd(stage, RECORDED),
+    expected: [BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'the claimant is paused before the dispatch, counts as gone, and wakes',
+    run: async (stage) => {
+      const first = stage.fleet.submit('a', order(KEYED));
+      await stage.wait(CLAIM_WRITTEN);
+      stage.fleet.pause('a');
+      await stage.wait(5_000);
+      const retried = await stage.submit('b', order(KEYED));
+      stage.fleet.resume('a');
+      const answered = await stage.finish(first);
+      return [retried, answered, await stage.submit('c', order(KEYED))];
+    },
+    expected: [GONE, BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'the claimant wakes after the dispatch window and refuses, and a retry runs the order',
+    run: async (stage) => {
+      const first = stage.fleet.submit('a', order(KEYED));
+      await stage.wait(CLAIM_WRITTEN);
+      stage.fleet.pause('a');
+      await stage.wait(60_000);
+      stage.fleet.resume('a');
+      return [await stage.finish(first), await stage.submit('b', order(KEYED))];
+    },
+    expected: ['refused not-run', BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'crossed retries at two hosts at once',
+    run: (stage) => {
+      const hosts = ['a', 'b', 'c', 'a'];
+      return stage.finish(Promise.all(hosts.map((host) => stage.fleet.submit(host, order(KEYED)))));
+    },
+    expected: [BOOKED, BOOKED, BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'the dispatch is refused, and a retry elsewhere meets the record of it',
+    faults: { refusedShare: 1 },
+    run: async (stage) => [
+      await stage.submit('a', order(KEYED)),
+      await stage.submit('b', order(KEYED)),
+    ],
+    expected: ['refused not-run', 'refused not-run'],
+    booked: 0,
+  },
+  {
+    name: 'the connection to the backend server breaks',
+    faults: { brokenShare: 1 },
+    run: async (stage) => [
+      await stage.submit('a', order(KEYED)),
+      await stage.submit('b', order(KEYED)),
+    ],
+    expected: ['dispatchInDoubt may-have-run', 'dispatchInDoubt may-have-run'],
+    booked: 1,
+  },
+  {
+    name: 'the store is down before the claim, and every host denies the order',
+    run: async (stage) => {
+      stage.model.setFaults({ outage: 'refusing' });
+      return [await stage.submit('a', order(KEYED))];
+    },
+    expected: ['storeUnavailable not-run'],
+    booked: 0,
+  },
+  {
+    name: 'the store is down before the claim, and a host that may have run the order has ended',
+    run: async (stage) => {
+      const first = await stage.submit('a', order(KEYED));
+      stage.model.setFaults({ outage: 'refusing' });
+      stage.fleet.end('a');
+      return [first, await stage.submit('b', order(KEYED))];
+    },
+    expected: [BOOKED, 'storeUnavailable may-have-run'],
+    booked: 1,
+  },
+  {
+    name: 'the store goes down after the order ran, and another host asks the one that ran it',
+    run: async (stage) => {
+      const first = await stage.submit('a', order(KEYED));
+      stage.model.setFaults({ outage: 'silent' });
+      return [first, await stage.submit('b', order(KEYED))];
+    },
+    expected: [BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'the store goes down while the order runs elsewhere',
+    run: async (stage) => {
+      const first = stage.fleet.submit('a', order(KEYED));
+      await stage.wait(DISPATCHED);
+      stage.model.setFaults({ outage: 'silent' });
+      const second = stage.fleet.submit('b', order(KEYED));
+      return [await stage.finish(first), await stage.finish(second)];
+    },
+    expected: [BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'the store is down when the outcome is recorded, and the record follows later',
+    run: async (stage) => {
+      const first = stage.fleet.submit('a', order(KEYED));
+      await stage.wait(DISPATCHED);
+      stage.model.setFaults({ outage: 'refusing' });
+      const answered = await stage.finish(first);
+      await stage.wait(30_000);
+      stage.model.setFaults({ outage: 'none' });
+      await stage.wait(10_000);
+      stage.fleet.end('a');
+      await stage.wait(4_000);
+      return [answered, await stage.submit('b', order(KEYED))];
+    },
+    expected: [BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'a key reused for another body is refused, here and elsewhere',
+    run: async (stage) => [
+      await stage.submit('a', order(KEYED)),
+      await stage.submit('a', order(KEYED, 'felt')),
+      await stage.submit('b', order(KEYED, 'felt')),
+    ],
+    expected: [BOOKED, 'keyReusedForAnotherRequest not-run', 'keyReusedForAnotherRequest not-run'],
+    booked: 1,
+  },
+  {
+    name: 'the same key of another customer is another order',
+    run: async (stage) => [
+      await stage.submit('a', order(KEYED)),
+      await stage.submit('b', order(KEYED, 'felt', 'wholesaler')),
+    ],
+    expected: [BOOKED, JSON.stringify({ booking: 'felt/1' })],
+    booked: 1,
+  },
+];
+
+/** An order with a ticket that `a` issued. */
+function ticketOrder(stage: Stage, body = BODY): OrderRequest {
+  return order({ kind: 'ticket', ticket: stage.fleet.getDesk('a').issueTicket('cushions') }, body);
+}
+
+const TICKET_CASES: readonly FailureCase[] = [
+  {
+    name: 'a ticket is forwarded to its issuer, with the store down',
+    run: async (stage) => {
+      stage.model.setFaults({ outage: 'silent' });
+      const submitted = ticketOrder(stage);
+      return [await stage.submit('b', submitted), await stage.submit('a', submitted)];
+    },
+    expected: [BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'crossed submissions of one ticket',
+    run: (stage) => {
+      const submitted = ticketOrder(stage);
+      const hosts = ['a', 'b', 'c'];
+      return stage.finish(Promise.all(hosts.map((host) => stage.fleet.submit(host, submitted))));
+    },
+    expected: [BOOKED, BOOKED, BOOKED],
+    booked: 1,
+  },
+  {
+    name: 'the issuer of a ticket has ended',
+    run: async (stage) => {
+      const submitted = ticketOrder(stage);
+      stage.fleet.end('a');
+      await stage.wait(4_000);
+      return [await stage.submit('b', submitted)];
+    },
+    expected: ['ticketHolderGone may-have-run'],
+    booked: 0,
+  },
+  {
+    name: 'the issuer of a ticket was replaced by a new incarnation',
+    run: async (stage) => {
+      const submitted = ticketOrder(stage);
+      stage.fleet.end('a');
+      stage.fleet.start('a');
+      return [await stage.submit('a', submitted), await stage.submit('b', submitted)];
+    },
+    expected: ['ticketHolderGone may-have-run', 'ticketHolderGone may-have-run'],
+    booked: 0,
+  },
+  {
+    name: 'the issuer of a ticket does not answer',
+    faults: { lostQuestionShare: 1 },
+    run: async (stage) => [await stage.submit('b', ticketOrder(stage))],
+    expected: ['ownerUnreachable may-have-run'],
+    booked: 1,
+  },
+  {
+    name: 'a forged ticket is refused, by its issuer and through others',
+    run: async (stage) => {
+      const { key } = ticketOrder(stage);
+      const ticket = key.kind === 'ticket' ? `${key.ticket.slice(0, -4)}AAAA` : '';
+      const forged = order({ kind: 'ticket', ticket });
+      return [await stage.submit('a', forged), await stage.submit('b', forged)];
+    },
+    expected: ['ticketUnknown not-run', 'ticketUnknown not-run'],
+    booked: 0,
+  },
+  {
+    name: 'a ticket of another customer, or none at all, is refused',
+    run: async (stage) => {
+      const { key } = ticketOrder(stage);
+      const stolen = order(key, BODY, 'wholesaler');
+      const garbled = order({ kind: 'ticket', ticket: 'no ticket' });
+      return [await stage.submit('a', stolen), await stage.submit('b', garbled)];
+    },
+    expected: ['ticketUnknown not-run', 'ticketUnknown not-run'],
+    booked: 0,
+  },
+  {
+    name: 'a ticket reused for another body is refused',
+    run: async (stage) => {
+      const submitted = ticketOrder(stage);
+      const reused = { ...submitted, body: 'felt' };
+      return [await stage.submit('a', submitted), await stage.submit('b', reused)];
+    },
+    expected: [BOOKED, 'keyReusedForAnotherRequest not-run'],
+    booked: 1,
+  },
+  {
+    name: 'orders without a key are each dispatched once, with the store down',
+    run: async (stage) => {
+      stage.model.setFaults({ outage: 'refusing' });
+      return [await stage.submit('a', order({ kind: 'none' }))];
+    },
+    expected: [BOOKED],
+    booked: 1,
+  },
+];
+
+describe(createOrderDesk.name, () => {
+  for (const { name, faults, run, expected, booked } of [...KEYED_CASES, ...TICKET_CASES]) {
+    it(name, async () => {
+      const stage = createStage(faults);
+      const outcomes = await run(stage);
+      expect(outcomes.map(describeOutcome)).toEqual([...expected]);
+      expect(stage.fleet.getBookings(BODY)).toEqual(booked);
+    });
+  }
+});
--- /dev/null
+++ b/packages/orders/src/testing/createOrderBook.ts
@@ -0,0 +1,64 @@
+import type { Clock, Milliseconds, Random } from '@rattanreel/core';
+import type { OrderOutcome, OrderRequest } from '../types';
+import type { FleetFaults, FleetTimes, ProcessClock } from './types';
+
+const HTTP_OK = 200;
+
+interface OrderBookOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly faults: FleetFaults;
+  readonly times: FleetTimes;
+  readonly onDispatch: (order: OrderRequest) => void;
+}
+
+interface OrderBook {
+  /** Sends an order from a process: a wait for a slot, then the bytes, then the answer. */
+  dispatch(process: ProcessClock, order: OrderRequest): Promise<OrderOutcome>;
+  getBookings(body: string): number;
+}
+
+/** A backend server that books every order that reaches it, as often as it comes. */
+export default function createOrderBook(options: OrderBookOptions): OrderBook {
+  const { clock, random, faults, times } = options;
+  const bookings = new Map<string, number>();
+
+  function sleep(source: Clock, delay: Milliseconds): Promise<void> {
+    return new Promise((resolve) => {
+      source.after(delay, resolve);
+    });
+  }
+
+  function book(order: OrderRequest): OrderOutcome {
+    const count = (bookings.get(order.body) ?? 0) + 1;
+    bookings.set(order.body, count);
+    const body = JSON.stringify({ booking: `${order.body}/${count}` });
+    return {
+      kind: 'answered',
+      answer: { status: HTTP_OK, contentType: 'application/json', body },
+    };
+  }
+
+  async function serve(order: OrderRequest): Promise<OrderOutcome> {
+    await sleep(clock, times.network);
+    const isBroken = random.next() < faults.brokenShare;
+    if (isBroken && random.next() < 0.5) {
+      return { kind: 'mayHaveRun' };
+    }
+    const outcome = book(order);
+    await sleep(clock, random.next() * times.service + times.network);
+    return isBroken ? { kind: 'mayHaveRun' } : outcome;
+  }
+
+  return {
+    async dispatch(process, order) {
+      await sleep(process, random.next() * times.queue);
+      if (random.next() < faults.refusedShare) {
+        return { kind: 'notRun' };
+      }
+      options.onDispatch(order);
+      return process.enter(serve(order));
+    },
+    getBookings: (body) => bookings.get(body) ?? 0,
+  };
+}
--- /dev/null
+++ b/packages/orders/src/testing/createOrderFleet.ts
@@ -0,0 +1,166 @@
+import { Debug } from '@rattanreel/core';
+import type { EntryHostId, Incarnation, Milliseconds } from '@rattanreel/core';
+import { createObjectStore } from '@rattanreel/platform';
+import type { ObjectStore } from '@rattanreel/platform';
+import { createModelTransport } from '@rattanreel/stand-in-platform';
+import createOrderDesk from '../createOrderDesk';
+import type { AskOwner, OrderDesk, OwnerAnswer, PeerView } from '../types';
+import createOrderBook from './createOrderBook';
+import createProcessClock from './createProcessClock';
+import type {
+  FleetFaults,
+  FleetTimes,
+  OrderFleet,
+  OrderFleetOptions,
+  ProcessClock,
+  SubmissionOutcome,
+} from './types';
+
+const NO_FAULTS: FleetFaults = { refusedShare: 0, brokenShare: 0, lostQuestionShare: 0 };
+const DEFAULT_TIMES: FleetTimes = {
+  network: 1.5,
+  queue: 20,
+  service: 200,
+  detection: 3_000,
+  question: 12_000,
+};
+const CALL_BUDGET = { callsPerSecond: 500, burst: 500 };
+
+interface Process {
+  readonly host: EntryHostId;
+  readonly incarnation: Incarnation;
+  readonly clock: ProcessClock;
+  readonly desk: OrderDesk;
+  readonly onEnd: Set<() => void>;
+  /** When it was paused or ended; undefined while it runs. */
+  stoppedAt: Milliseconds | undefined;
+  hasEnded: boolean;
+}
+
+/** Order desks on several hosts over one store and one order book, in virtual time. */
+export default function createOrderFleet(options: OrderFleetOptions): OrderFleet {
+  const { clock, random, model } = options;
+  const faults = { ...NO_FAULTS, ...options.faults };
+  const times = { ...DEFAULT_TIMES, ...options.times };
+  const onDispatch = options.onDispatch ?? (() => undefined);
+  const book = createOrderBook({ clock, random, faults, times, onDispatch });
+  const processes = new Map<EntryHostId, Process>();
+  let incarnations = 0;
+  let ended = 0;
+
+  function sleep(delay: Milliseconds): Promise<void> {
+    return new Promise((resolve) => {
+      clock.after(delay, resolve);
+    });
+  }
+
+  function getProcess(host: EntryHostId): Process {
+    return Debug.checkDefined(processes.get(host), host);
+  }
+
+  function isGone(process: Process, incarnation: Incarnation): boolean {
+    const isDetected =
+      process.stoppedAt !== undefined && clock.now() - process.stoppedAt > times.detection;
+    return process.incarnation !== incarnation || isDetected;
+  }
+
+  async function carryQuestion(...[owner, order]: Parameters<AskOwner>): Promise<OwnerAnswer> {
+    await sleep(times.network);
+    const process = getProcess(owner.entryHost);
+    if (isGone(process, owner.incarnation)) {
+      return { kind: 'gone' };
+    }
+    const isLost = random.next() < faults.lostQuestionShare;
+    const arrived = process.clock.enter(Promise.resolve());
+    const answer = arrived.then(() => process.desk.answerPeer(order, owner.nonce));
+    const timedOut = sleep(times.question).then((): OwnerAnswer => ({ kind: 'unreachable' }));
+    const first = await Promise.race(isLost ? [timedOut] : [answer, timedOut]);
+    await sleep(times.network);
+    return first;
+  }
+
+  function listPeers(host: EntryHostId): PeerView {
+    const others = [...processes.values()].filter((process) => process.host !== host);
+    const peers = others.map((process) => ({
+      entryHost: process.host,
+      incarnation: process.incarnation,
+    }));
+    return { peers, isComplete: ended === 0 };
+  }
+
+  function createStore(process: ProcessClock): ObjectStore {
+    const transport = createModelTransport({ model, clock: process });
+    const call: typeof transport.call = (storeCall, timeout) =>
+      process.enter(transport.call(storeCall, timeout));
+    return createObjectStore({
+      transport: { ...transport, call },
+      clock: process,
+      random,
+      callBudget: CALL_BUDGET,
+    });
+  }
+
+  function start(host: EntryHostId): void {
+    incarnations += 1;
+    const incarnation = `${host}#${incarnations}`;
+    const process = createProcessClock(clock);
+    const desk = createOrderDesk({
+      entryHost: host,
+      incarnation,
+      store: createStore(process),
+      clock: process,
+      random,
+      dispatch: (order) => book.dispatch(process, order),
+      askOwner: (owner, order) => process.enter(carryQuestion(owner, order)),
+      listPeers: () => listPeers(host),
+      onDecision: (decision) => options.onDecision?.(host, decision),
+    });
+    const onEnd = new Set<() => void>();
+    const fixed = { host, incarnation, clock: process, desk, onEnd };
+    processes.set(host, { ...fixed, stoppedAt: undefined, hasEnded: false });
+  }
+
+  async function submit(...[host, order]: Parameters<OrderFleet['submit']>) {
+    const process = getProcess(host);
+    if (process.hasEnded) {
+      return { kind: 'connectionLost' } as const;
+    }
+    return new Promise<SubmissionOutcome>((resolve, reject) => {
+      const lose = () => resolve({ kind: 'connectionLost' });
+      process.onEnd.add(lose);
+      const arrived = process.clock.enter(Promise.resolve());
+      arrived
+        .then(() => process.desk.submit(order))
+        .then((result) => resolve({ kind: 'result', result }), reject)
+        .finally(() => process.onEnd.delete(lose));
+    });
+  }
+
+  options.hosts.forEach(start);
+  return {
+    submit,
+    getDesk: (host) => getProcess(host).desk,
+    pause(host) {
+      getProcess(host).clock.pause();
+      getProcess(host).stoppedAt ??= clock.now();
+    },
+    resume(host) {
+      const process = getProcess(host);
+      if (!process.hasEnded) {
+        process.stoppedAt = undefined;
+        process.clock.resume();
+      }
+    },
+    end(host) {
+      const process = getProcess(host);
+      ended += 1;
+      process.stoppedAt ??= clock.now();
+      process.hasEnded = true;
+      process.clock.end();
+      process.onEnd.forEach((lose) => lose());
+    },
+    start,
+    isRunning: (host) => getProcess(host).stoppedAt === undefined,
+    getBookings: book.getBookings,
+  };
+}
