Check that an outage's 'not run' needs every incarnation asked

Checked by breaking one guard at a time: nonce comparison (both ways), settling attempts, taking over from a claimant that is gone, the survey's completeness, ticket signature, dispatch window, outcome record, given-up nonces and request digest each fail named tests.

--- a/packages/orders/src/createOrderDesk.test.ts
+++ b/packages/orders/src/createOrderDesk.test.ts
@@ -228,11 +228,12 @@
     booked: 0,
   },
   {
-    name: 'the store is down before the claim, and a host that may have run the order has ended',
+    name: 'the store is down before the claim, and the host that ran the order was replaced',
     run: async (stage) => {
       const first = await stage.submit('a', order(KEYED));
       stage.model.setFaults({ outage: 'refusing' });
       stage.fleet.end('a');
+      stage.fleet.start('a');
       return [first, await stage.submit('b', order(KEYED))];
     },
     expected: [BOOKED, 'storeUnavailable may-have-run'],
