--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -28,13 +28,15 @@
         },
       ],
       'no-continue': 'off',
+      // A promise that is not awaited on purpose is marked so.
+      'no-void': ['error', { allowAsStatement: true }],
       // Tasks await one message after the other on purpose.
       'no-await-in-loop': 'off',
       // State closed over by a factory is updated in place.
       'no-param-reassign': ['error', { props: false }],
       'no-plusplus': ['error', { allowForLoopAfterthoughts: true }],
-      // Function declarations are hoisted, so a file may start with its export.
-      '@typescript-eslint/no-use-before-define': ['error', { functions: false }],
+      // Functions are hoisted, and tasks that refer to each other are bound by the time they run.
+      '@typescript-eslint/no-use-before-define': ['error', { functions: false, variables: false }],
       curly: ['error', 'all'],
       'import-x/no-extraneous-dependencies': 'off',
       'import-x/extensions': 'off',
@@ -46,7 +48,7 @@
       '@typescript-eslint/no-floating-promises': 'error',
       'n/no-process-exit': 'off',
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
-      'max-lines-per-function': ['error', { max: 120, skipBlankLines: true, skipComments: true }],
+      'max-lines-per-function': ['error', { max: 150, skipBlankLines: true, skipComments: true }],
     },
   },
   {
