--- a/packages/orders/src/createKeyedOrders.ts
+++ b/packages/orders/src/createKeyedOrders.ts
@@ -11,8 +11,9 @@
 const RETRY_AFTER: Milliseconds = 2_000;
 const KEY_REUSED = fail({ kind: 'keyReusedForAnotherRequest', execution: 'not-run' } as const);
 const STILL_RUNNING = fail({
-  kind: 'stillRunning',
+  kind: 'dispatchInDoubt',
   execution: 'may-have-run',
+  reason: 'stillRunning',
   retryAfter: RETRY_AFTER,
 } as const);
 
--- a/packages/orders/src/createOrderDesk.ts
+++ b/packages/orders/src/createOrderDesk.ts
@@ -3,10 +3,10 @@
 import createKeyedOrders from './createKeyedOrders';
 import createTicketOrders from './createTicketOrders';
 import toResult from './toResult';
-import type { OrderDesk, OrderDeskOptions } from './types';
+import type { OrderDeskOptions, RecordingOrderDesk } from './types';
 
 /** Keeps the orders of one incarnation to at most one run each. */
-export default function createOrderDesk(options: OrderDeskOptions): OrderDesk {
+export default function createOrderDesk(options: OrderDeskOptions): RecordingOrderDesk {
   const attempts = createAttempts(options);
   const keyed = createKeyedOrders({ ...options, attempts });
   const tickets = createTicketOrders({ ...options, attempts });
--- a/packages/orders/src/createTicketOrders.ts
+++ b/packages/orders/src/createTicketOrders.ts
@@ -11,8 +11,9 @@
 const TICKET_HOLDER_GONE = fail({ kind: 'ticketHolderGone', execution: 'may-have-run' } as const);
 const IN_DOUBT = toResult({ kind: 'mayHaveRun' });
 const OWNER_UNREACHABLE = fail({
-  kind: 'ownerUnreachable',
+  kind: 'dispatchInDoubt',
   execution: 'may-have-run',
+  reason: 'ownerUnreachable',
   retryAfter: RETRY_AFTER,
 } as const);
 
--- a/packages/orders/src/types.ts
+++ b/packages/orders/src/types.ts
@@ -55,18 +55,12 @@
   | { readonly kind: 'claimantGone'; readonly execution: 'may-have-run' }
   | { readonly kind: 'ticketUnknown'; readonly execution: 'not-run' }
   | { readonly kind: 'ticketHolderGone'; readonly execution: 'may-have-run' }
-  | { readonly kind: 'dispatchInDoubt'; readonly execution: 'may-have-run' }
-  /** The host that claimed the order, or issued its ticket, cannot be asked now. */
   | {
-      readonly kind: 'ownerUnreachable';
+      readonly kind: 'dispatchInDoubt';
       readonly execution: 'may-have-run';
-      readonly retryAfter: Milliseconds;
-    }
-  /** The order is still running; a later retry gets its answer. */
-  | {
-      readonly kind: 'stillRunning';
-      readonly execution: 'may-have-run';
-      readonly retryAfter: Milliseconds;
+      /** Set when a later retry may learn more. */
+      readonly reason?: 'ownerUnreachable' | 'stillRunning';
+      readonly retryAfter?: Milliseconds;
     };
 
 export type OrderResult = Outcome<RecordedAnswer, OrderError>;
@@ -213,6 +207,10 @@
   submit(order: OrderRequest): Promise<OrderResult>;
   /** Answers another entry host that asks about an order owned here. */
   answerPeer(order: OrderRequest, nonce?: string): Promise<OwnerAnswer>;
+}
+
+/** An order desk that records outcomes in the background. */
+export interface RecordingOrderDesk extends OrderDesk {
   /** Waits, for a bounded time, until the outcomes of ended orders are recorded; for a graceful shutdown. */
   flush(deadline: Milliseconds): Promise<void>;
 }
