Detect failures within a domain and sum domains up for each other

Cause: nothing told who is alive, who owns a pool, or what other failure domains have room for. Change: heartbeats go to three ring neighbours, so a host's traffic does not grow with its domain; a silent host is suspected on the word of two watchers and declared dead only by a host that hears half of its domain, or when the platform no longer lists it. Rows merge as a lattice. A host declared dead goes on under a new incarnation; one whose name another process has taken stops. Two delegates a domain report, sum up and relay, at intervals that grow with the number of domains. Tests: tables of failures on virtual time, and randomised deaths, pauses, cuts and loss that must converge.

--- /dev/null
+++ b/packages/membership/src/createMembership.test.ts
@@ -0,0 +1,376 @@
+import { describe, it } from 'node:test';
+import { createRandom } from '@rattanreel/core';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import chooseOwner from './chooseOwner';
+import createIncarnation from './createIncarnation';
+import createMembership from './createMembership';
+import mergeRows from './mergeRows';
+import simulateMembers from './simulateMembers';
+import type { MemberRow, SimulatedMember, SimulatedMembers } from './types';
+
+const SETTLED = 6_000;
+
+function statesSeenBy(host: SimulatedMember, now: number): Readonly<Record<string, string>> {
+  const { members } = host.membership.view(now);
+  return Object.fromEntries(members.map(({ entryHost, state }) => [entryHost, state]));
+}
+
+function effectsOf(host: SimulatedMember, kind: string): number {
+  return host.effects.filter((effect) => effect.kind === kind).length;
+}
+
+/** Effects of one kind at all running hosts since they started. */
+function countAll(members: SimulatedMembers, kind: string): number {
+  return members.hosts().reduce((sum, host) => sum + effectsOf(host, kind), 0);
+}
+
+describe(createMembership.name, () => {
+  for (const hostsPerDomain of [1, 2, 3, 8, 30]) {
+    it(`sees every host of a domain of ${hostsPerDomain} and suspects none`, () => {
+      const members = simulateMembers({ domains: 1, hostsPerDomain, seed: 1 });
+      members.clock.advance(60_000);
+      members.hosts().forEach((host) => {
+        const view = host.membership.view(members.clock.now());
+        expect(view.joined).toEqual(true);
+        expect(view.members.map(({ state }) => state)).toEqual(
+          Array<'alive'>(hostsPerDomain).fill('alive'),
+        );
+        expect(view.delegates.length).toEqual(Math.min(2, hostsPerDomain));
+      });
+    });
+  }
+
+  interface FailureCase {
+    readonly name: string;
+    readonly hosts: number;
+    readonly act: (members: SimulatedMembers) => void;
+    readonly after: number;
+    /** What h0 sees. */
+    readonly expected: Readonly<Record<string, string>>;
+    readonly incarnationsChanged?: number;
+  }
+  const failures: readonly FailureCase[] = [
+    {
+      name: 'a dead host is suspected within 1.6 s',
+      hosts: 4,
+      act: (members) => members.stop('d0-h2'),
+      after: 1_600,
+      expected: { 'd0-h0': 'alive', 'd0-h1': 'alive', 'd0-h2': 'suspected', 'd0-h3': 'alive' },
+    },
+    {
+      name: 'a dead host is gone within 3 s',
+      hosts: 4,
+      act: (members) => members.stop('d0-h2'),
+      after: 3_000,
+      expected: { 'd0-h0': 'alive', 'd0-h1': 'alive', 'd0-h3': 'alive' },
+    },
+    {
+      name: 'the last host of two outlives the other',
+      hosts: 2,
+      act: (members) => members.stop('d0-h1'),
+      after: 3_000,
+      expected: { 'd0-h0': 'alive' },
+    },
+    {
+      name: 'a short pause ends in a refuted suspicion',
+      hosts: 4,
+      act(members) {
+        members.pause('d0-h2');
+        members.clock.after(1_700, () => members.resume('d0-h2'));
+      },
+      after: 4_000,
+      expected: { 'd0-h0': 'alive', 'd0-h1': 'alive', 'd0-h2': 'alive', 'd0-h3': 'alive' },
+      incarnationsChanged: 0,
+    },
+    {
+      name: 'after a long pause the host comes back under a new incarnation',
+      hosts: 4,
+      act(members) {
+        members.pause('d0-h2');
+        members.clock.after(10_000, () => members.resume('d0-h2'));
+      },
+      after: 14_000,
+      expected: { 'd0-h0': 'alive', 'd0-h1': 'alive', 'd0-h2': 'alive', 'd0-h3': 'alive' },
+      incarnationsChanged: 1,
+    },
+    {
+      name: 'one broken link condemns nobody',
+      hosts: 5,
+      act: (members) => members.cuts.add('d0-h2 d0-h3').add('d0-h3 d0-h2'),
+      after: 30_000,
+      expected: {
+        'd0-h0': 'alive',
+        'd0-h1': 'alive',
+        'd0-h2': 'alive',
+        'd0-h3': 'alive',
+        'd0-h4': 'alive',
+      },
+      incarnationsChanged: 0,
+    },
+    {
+      name: 'a host cut off from all condemns nobody, and comes back under a new incarnation',
+      hosts: 5,
+      act(members) {
+        members.cuts.add('d0-h2 *').add('* d0-h2');
+        members.clock.after(20_000, () => members.cuts.clear());
+      },
+      after: 25_000,
+      expected: {
+        'd0-h0': 'alive',
+        'd0-h1': 'alive',
+        'd0-h2': 'alive',
+        'd0-h3': 'alive',
+        'd0-h4': 'alive',
+      },
+      incarnationsChanged: 1,
+    },
+    {
+      name: 'a majority that dies at once is suspected but not declared dead',
+      hosts: 6,
+      act: (members) => [1, 2, 3, 4].forEach((index) => members.stop(`d0-h${index}`)),
+      after: 10_000,
+      expected: {
+        'd0-h0': 'alive',
+        'd0-h1': 'suspected',
+        'd0-h2': 'suspected',
+        'd0-h3': 'suspected',
+        'd0-h4': 'suspected',
+        'd0-h5': 'alive',
+      },
+    },
+    {
+      name: 'a majority that the platform no longer lists is declared dead',
+      hosts: 6,
+      act(members) {
+        [1, 2, 3, 4].forEach((index) => members.stop(`d0-h${index}`));
+        const entryHosts = ['d0-h0', 'd0-h5'];
+        entryHosts.forEach((id) => members.tell(id, { kind: 'hostsListed', entryHosts }));
+      },
+      after: 10_000,
+      expected: { 'd0-h0': 'alive', 'd0-h5': 'alive' },
+    },
+    {
+      name: 'a host that departs is gone at once',
+      hosts: 3,
+      act: (members) => {
+        members.tell('d0-h2', { kind: 'departed' });
+        members.stop('d0-h2');
+      },
+      after: 10,
+      expected: { 'd0-h0': 'alive', 'd0-h1': 'alive' },
+    },
+    {
+      name: 'a restarted host takes the place of its earlier run',
+      hosts: 3,
+      act(members) {
+        members.stop('d0-h2');
+        members.start('d0-h2');
+      },
+      after: 1_000,
+      expected: { 'd0-h0': 'alive', 'd0-h1': 'alive', 'd0-h2': 'alive' },
+      incarnationsChanged: 0,
+    },
+  ];
+  for (const { name, hosts, act, after, expected, incarnationsChanged } of failures) {
+    it(name, () => {
+      const members = simulateMembers({ domains: 1, hostsPerDomain: hosts, seed: 7 });
+      members.clock.advance(SETTLED);
+      act(members);
+      members.clock.advance(after);
+      expect(statesSeenBy(members.host('d0-h0'), members.clock.now())).toLooseEqual(expected);
+      if (incarnationsChanged !== undefined) {
+        expect(countAll(members, 'incarnationChanged')).toEqual(incarnationsChanged);
+      }
+    });
+  }
+
+  it('tells of the dead incarnation when a process is replaced, and stops the older process', () => {
+    const members = simulateMembers({ domains: 1, hostsPerDomain: 3, seed: 3 });
+    members.clock.advance(SETTLED);
+    const older = members.host('d0-h1');
+    const { incarnation } = older.membership.view(0).self;
+    members.pause('d0-h1');
+    members.start('d0-h1');
+    members.clock.advance(SETTLED);
+    const dead = members
+      .host('d0-h0')
+      .effects.flatMap((effect) => (effect.kind === 'membersChanged' ? effect.dead : []));
+    expect(dead).toEqual([{ entryHost: 'd0-h1', incarnation, failureDomain: 'd0' }]);
+    const told = { from: 'd0-h0', kind: 'rowsChanged' as const };
+    const [row] = members.host('d0-h1').membership.view(0).members.filter(isNamed('d0-h1'));
+    const rows: MemberRow[] = [{ ...row!, version: 0, leaving: false, dead: false, accusers: [] }];
+    const effects = older.membership.handle(
+      { kind: 'peerMessageReceived', message: { ...told, rows } },
+      members.clock.now(),
+    );
+    expect(effects.map(({ kind }) => kind)).toInclude('replaced');
+    expect(older.membership.handle({ kind: 'timePassed' }, members.clock.now())).toEqual([]);
+  });
+
+  it('brings summaries, rooms, members and generations of every domain to every host', () => {
+    const members = simulateMembers({ domains: 4, hostsPerDomain: 5, seed: 5, loss: 0.05 });
+    members.hosts().forEach(({ id, membership }) => {
+      const owner = () => membership.tryGetOwner('pool-a', id.slice(0, 2))?.entryHost;
+      members.clock.after(3_000, () => {
+        members.tell(id, {
+          kind: 'configurationChanged',
+          generation: 4,
+          entryHosts: known(members),
+        });
+        const room = { pool: 'pool-a', spareTokens: 10, queuedTokens: 2, drained: false };
+        members.tell(id, { kind: 'roomsChanged', rooms: owner() === id ? [room] : [] });
+      });
+    });
+    members.clock.advance(30_000);
+    members.hosts().forEach(({ id, membership }) => {
+      const { domains, isDelegate } = membership.view(members.clock.now());
+      expect(domains.map(({ members: list }) => list.length)).toEqual([5, 5, 5, 5]);
+      expect(domains.map(({ generations }) => generations)).toEqual(
+        Array(4).fill([{ generation: 4, hosts: 5 }]) as never,
+      );
+      if (isDelegate || membership.tryGetOwner('pool-a', id.slice(0, 2))?.entryHost === id) {
+        const others = domains.filter(({ failureDomain }) => failureDomain !== id.slice(0, 2));
+        expect(others.flatMap(({ rooms }) => rooms.map(({ pool }) => pool))).toEqual(
+          Array<string>(3).fill('pool-a'),
+        );
+      }
+    });
+  });
+
+  it('moves ownership off a leaving host', () => {
+    const members = simulateMembers({ domains: 1, hostsPerDomain: 3, seed: 5 });
+    members.clock.advance(SETTLED);
+    const { membership } = members.host('d0-h0');
+    const owner = membership.tryGetOwner('pool', 'd0')!.entryHost;
+    members.tell(owner, { kind: 'leavingChanged', leaving: true });
+    members.clock.advance(10);
+    expect(membership.tryGetOwner('pool', 'd0')!.entryHost).not.toEqual(owner);
+    expect(membership.view(0).members.length).toEqual(3);
+  });
+
+  it('converges after deaths, pauses, cuts and loss, at any seed', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 1, max: 1_000_000 }), (seed) => {
+        const random = createRandom(seed);
+        const members = simulateMembers({ domains: 2, hostsPerDomain: 4, seed, loss: 0.1 });
+        const ids = members.hosts().map(({ id }) => id);
+        const chosen = () => ids[random.integer(0, ids.length - 1)]!;
+        for (let step = 0; step < 12; step += 1) {
+          members.clock.advance(random.integer(100, 3_000));
+          disturb(members, random.integer(0, 4), chosen(), chosen());
+        }
+        members.cuts.clear();
+        ids.forEach((id) => members.resume(id));
+        ids.filter((id) => !members.host(id).running).forEach((id) => members.start(id));
+        members.clock.advance(30_000);
+        const digests = new Set(
+          members.hosts().map(({ id, membership }) => {
+            const view = membership.view(members.clock.now());
+            const present = view.members.map((row) => `${row.entryHost} ${row.incarnation}`).sort();
+            expect(view.members.length).toEqual(4);
+            return `${id.slice(0, 2)} ${present.join()} ${view.delegates.join()}`;
+          }),
+        );
+        expect(digests.size).toEqual(2);
+      }),
+      { seed: 11, numRuns: 16 },
+    );
+  });
+});
+
+function isNamed(name: string): (row: { readonly entryHost: string }) => boolean {
+  return ({ entryHost }) => entryHost === name;
+}
+
+function known(members: SimulatedMembers) {
+  return members
+    .hosts()
+    .map(({ id }) => ({ id, failureDomain: id.slice(0, 2), peerAddress: `${id}:1` }));
+}
+
+function disturb(members: SimulatedMembers, kind: number, id: string, other: string): void {
+  const host = members.host(id);
+  if (kind === 0) {
+    members.stop(id);
+  } else if (kind === 1 && !host.running) {
+    members.start(id);
+  } else if (kind === 2) {
+    members.pause(id);
+  } else if (kind === 3) {
+    members.resume(id);
+  } else {
+    members.cuts.add(`${id} ${other}`);
+  }
+}
+
+describe(mergeRows.name, () => {
+  const row = fc
+    .tuple(
+      fc.constantFrom('1', '2'),
+      fc.integer({ min: 0, max: 2 }),
+      fc.boolean(),
+      fc.subarray(['a', 'b', 'c']),
+    )
+    .map<MemberRow>(([incarnation, version, dead, accusers]) => ({
+      entryHost: 'h',
+      incarnation,
+      version,
+      address: 'h:1',
+      leaving: false,
+      dead,
+      accusers,
+    }));
+  /** Versions and accusers of a dead row mean nothing. */
+  const normal = (value: MemberRow) =>
+    value.dead ? { incarnation: value.incarnation, dead: true } : value;
+
+  it('is commutative, associative and idempotent', () => {
+    fc.assert(
+      fc.property(row, row, row, (left, middle, right) => {
+        const merge = (one: MemberRow, two: MemberRow) => mergeRows(one, two);
+        expect<unknown>(normal(merge(left, middle))).toEqual(normal(merge(middle, left)));
+        expect<unknown>(normal(merge(merge(left, middle), right))).toEqual(
+          normal(merge(left, merge(middle, right))),
+        );
+        expect<unknown>(normal(merge(left, left))).toEqual(normal(left));
+      }),
+      { seed: 11 },
+    );
+  });
+});
+
+describe(chooseOwner.name, () => {
+  const members = Array.from({ length: 30 }, (_, index) => ({ entryHost: `host-${index}` }));
+  const keys = Array.from({ length: 600 }, (_, index) => `pool-${index}`);
+  const ownerOf = (key: string, list = members) => chooseOwner(key, list)!.entryHost;
+
+  it('moves only the keys of a member that goes', () => {
+    const gone = members[7]!.entryHost;
+    const rest = members.filter(({ entryHost }) => entryHost !== gone);
+    const moved = keys.filter((key) => ownerOf(key) !== ownerOf(key, rest));
+    expect(moved).toEqual(keys.filter((key) => ownerOf(key) === gone));
+  });
+
+  it('spreads keys over members', () => {
+    const owners = keys.map((key) => ownerOf(key));
+    const counts = members.map(
+      ({ entryHost }) => owners.filter((owner) => owner === entryHost).length,
+    );
+    expect(Math.max(...counts)).toBeLessThan(3 * (keys.length / members.length));
+  });
+
+  it('knows no owner among no members', () => {
+    expect(chooseOwner('key', [])).toEqual(undefined);
+  });
+});
+
+describe(createIncarnation.name, () => {
+  it('sorts by order', () => {
+    const random = createRandom(1);
+    const incarnations = [5, 40, 1_800_000_000_000].map((order) =>
+      createIncarnation(order, random),
+    );
+    expect(incarnations.toSorted()).toEqual(incarnations);
+  });
+});
--- /dev/null
+++ b/packages/membership/src/createOwnership.ts
@@ -0,0 +1,39 @@
+import chooseOwner from './chooseOwner';
+import chooseOwners from './chooseOwners';
+import type { DomainMember, Ownership } from './types';
+
+const DELEGATES = 2;
+const DELEGATE_KEY = 'delegate';
+
+/** Chooses owners among members that are not leaving; when all are, among all. */
+export default function createOwnership(): Ownership {
+  const delegates = new WeakMap<readonly DomainMember[], readonly DomainMember[]>();
+  const owners = new WeakMap<readonly DomainMember[], Map<string, DomainMember | undefined>>();
+
+  return {
+    delegates(members) {
+      let chosen = delegates.get(members);
+      if (chosen === undefined) {
+        chosen = chooseOwners(DELEGATE_KEY, selectStaying(members), DELEGATES);
+        delegates.set(members, chosen);
+      }
+      return chosen;
+    },
+    tryGetOwner(key, members) {
+      let byKey = owners.get(members);
+      if (byKey === undefined) {
+        byKey = new Map();
+        owners.set(members, byKey);
+      }
+      if (!byKey.has(key)) {
+        byKey.set(key, chooseOwner(key, selectStaying(members)));
+      }
+      return byKey.get(key);
+    },
+  };
+}
+
+function selectStaying(members: readonly DomainMember[]): readonly DomainMember[] {
+  const staying = members.filter(({ leaving }) => !leaving);
+  return staying.length > 0 ? staying : members;
+}
--- /dev/null
+++ b/packages/membership/src/createTableExchange.ts
@@ -0,0 +1,102 @@
+import type { EntryHostId, Milliseconds } from '@rattanreel/core';
+import type {
+  FailureDetector,
+  Heartbeat,
+  MemberRow,
+  MembershipContext,
+  TableExchange,
+} from './types';
+
+interface TableExchangeOptions {
+  readonly context: MembershipContext;
+  readonly detector: FailureDetector;
+}
+
+/** Heartbeats, and the reconciliation of tables within the own failure domain. */
+export default function createTableExchange(options: TableExchangeOptions): TableExchange {
+  const { context, detector } = options;
+  const { table } = context;
+  /** Peers whose last heartbeat showed another table than this one. */
+  const mismatched = new Set<EntryHostId>();
+
+  function requestSync(entryHost: EntryHostId, address?: string): void {
+    const row = context.self();
+    context.send(entryHost, { kind: 'syncRequested', from: row.entryHost, row }, address);
+  }
+
+  function tellRow(entryHost: EntryHostId, row: MemberRow): void {
+    const from = context.self().entryHost;
+    context.send(entryHost, { kind: 'rowsChanged', from, rows: [row] });
+  }
+
+  function compareDigest({ from, digest }: Heartbeat): void {
+    if (digest === table.digest()) {
+      mismatched.delete(from);
+    } else if (mismatched.has(from)) {
+      mismatched.delete(from);
+      requestSync(from);
+    } else {
+      // News on its way explains one mismatch.
+      mismatched.add(from);
+    }
+  }
+
+  function noteGeneration({ from, generation }: Heartbeat): void {
+    const address = table.tryGet(from)?.address;
+    if (generation > context.known.generation && address !== undefined) {
+      context.emit({ kind: 'laterGenerationSeen', entryHost: from, address, generation });
+    }
+  }
+
+  return {
+    requestSync,
+    sendHeartbeats() {
+      const { entryHost: from, incarnation } = context.self();
+      const heartbeat: Heartbeat = {
+        kind: 'heartbeat',
+        from,
+        incarnation,
+        digest: table.digest(),
+        generation: context.known.generation,
+      };
+      table.watchersOf(from).forEach((watcher) => context.send(watcher, heartbeat));
+    },
+    takeHeartbeat(heartbeat, now: Milliseconds) {
+      const row = table.tryGet(heartbeat.from);
+      if (row === undefined || row.incarnation < heartbeat.incarnation) {
+        requestSync(heartbeat.from);
+      } else if (row.dead || row.incarnation > heartbeat.incarnation) {
+        tellRow(heartbeat.from, row);
+      } else {
+        detector.heard(heartbeat.from, now);
+        compareDigest(heartbeat);
+        noteGeneration(heartbeat);
+      }
+    },
+    answerSync({ from, row }) {
+      context.send(
+        from,
+        { kind: 'synced', from: context.self().entryHost, rows: table.rows() },
+        row.address,
+      );
+    },
+    takeSync({ from, rows }, now) {
+      const theirs = new Map(rows.map((row) => [row.entryHost, row]));
+      rows.forEach((row) => table.put(row, now));
+      const missing = table.rows().filter((row) => isNews(row, theirs.get(row.entryHost)));
+      if (missing.length > 0) {
+        context.send(from, { kind: 'rowsChanged', from: context.self().entryHost, rows: missing });
+      }
+    },
+  };
+}
+
+/** Whether a row says more than the one that the peer has. */
+function isNews(row: MemberRow, theirs: MemberRow | undefined): boolean {
+  return (
+    theirs === undefined ||
+    row.incarnation !== theirs.incarnation ||
+    row.version !== theirs.version ||
+    row.dead !== theirs.dead
+  );
+}
--- /dev/null
+++ b/packages/membership/src/listOtherDomains.ts
@@ -0,0 +1,12 @@
+import type { FailureDomainId } from '@rattanreel/core';
+import type { MembershipContext } from './types';
+
+/** Failure domains that the settings name, without the own one. */
+export default function listOtherDomains({
+  known,
+  failureDomain,
+}: MembershipContext): readonly FailureDomainId[] {
+  const names = new Set(known.entryHosts.map((host) => host.failureDomain));
+  names.delete(failureDomain);
+  return [...names];
+}
