Tell an accused host of its accusation while its heartbeats arrive

Cause: an accusation is broadcast once; when it was lost on the way to the accused, the accused could not refute it and was declared dead although its heartbeats arrived. Change: a heartbeat of an accused host is answered with its row, and nobody who was heard lately is declared dead. Tests: a lost accusation, a departure heard by one host only, a paused host that resumes.

--- a/packages/membership/src/createFailureDetector.ts
+++ b/packages/membership/src/createFailureDetector.ts
@@ -103,6 +103,9 @@
     if (span === undefined || span < policy.deadAfter || !row.accusers.includes(self)) {
       return undefined;
     }
+    if (now - watchOf(row.entryHost, now).heardAt < policy.accuseAfter) {
+      return undefined;
+    }
     const gone = listed !== undefined && !listed.has(row.entryHost);
     if (!gone && !hearsEnough(now)) {
       return undefined;
--- a/packages/membership/src/createMembership.test.ts
+++ b/packages/membership/src/createMembership.test.ts
@@ -160,6 +160,42 @@
       after: 10,
       expected: { 'd0-h0': 'alive', 'd0-h1': 'alive' },
     },
+    {
+      name: 'a departure that only one host heard of reaches the others',
+      hosts: 8,
+      act(members) {
+        [0, 1, 3, 4, 5, 6].forEach((index) => members.cuts.add(`d0-h2 d0-h${index}`));
+        members.tell('d0-h2', { kind: 'departed' });
+        members.stop('d0-h2');
+      },
+      after: 900,
+      expected: Object.fromEntries([0, 1, 3, 4, 5, 6, 7].map((index) => [`d0-h${index}`, 'alive'])),
+    },
+    {
+      name: 'a host accuses nobody for what it missed while it was paused',
+      hosts: 2,
+      act(members) {
+        members.pause('d0-h0');
+        members.clock.after(3_000, () => {
+          members.host('d0-h0').backlog.length = 0;
+          members.cuts.add('d0-h1 d0-h0');
+          members.resume('d0-h0');
+        });
+      },
+      after: 3_500,
+      expected: { 'd0-h0': 'alive', 'd0-h1': 'alive' },
+    },
+    {
+      name: 'an accusation that the accused never heard of is taken back when it is heard again',
+      hosts: 2,
+      act(members) {
+        members.cuts.add('d0-h1 d0-h0').add('d0-h0 d0-h1');
+        members.clock.after(1_400, () => members.cuts.clear());
+      },
+      after: 5_000,
+      expected: { 'd0-h0': 'alive', 'd0-h1': 'alive' },
+      incarnationsChanged: 0,
+    },
     {
       name: 'a restarted host takes the place of its earlier run',
       hosts: 3,
--- a/packages/membership/src/createTableExchange.ts
+++ b/packages/membership/src/createTableExchange.ts
@@ -69,6 +69,10 @@
         tellRow(heartbeat.from, row);
       } else {
         detector.heard(heartbeat.from, now);
+        if (row.accusers.length > 0) {
+          // It lives but may not know of the accusation, so that it cannot refute it.
+          tellRow(heartbeat.from, row);
+        }
         compareDigest(heartbeat);
         noteGeneration(heartbeat);
       }
