Let two hosts that suspect each other find each other again

Cause: a suspected host got no heartbeats and probes did not carry the accusation, so that two hosts whose link had failed for a second suspected each other for good. Seen by the test of a lost accusation. Change: suspected hosts fill up the watchers where too few are left, and a host that is heard by any probe is told of its accusation.

--- a/packages/membership/src/createMemberTable.ts
+++ b/packages/membership/src/createMemberTable.ts
@@ -95,10 +95,12 @@
     .sort((left, right) => ringPosition(left.entryHost) - ringPosition(right.entryHost));
   const suspected = findSuspected(live, watcherCount);
   const watchers = new Map(
-    live.map((row, index) => [
-      row.entryHost,
-      successorsOf(live, index, watcherCount, (entryHost) => !suspected.has(entryHost)),
-    ]),
+    live.map((row, index) => {
+      const trusted = successorsOf(live, index, watcherCount, (host) => !suspected.has(host));
+      // Where too few are left, suspected ones are told too: they may be alive.
+      const rest = successorsOf(live, index, watcherCount, (host) => suspected.has(host));
+      return [row.entryHost, [...trusted, ...rest].slice(0, watcherCount)];
+    }),
   );
   const members = live
     .filter(({ entryHost }) => !suspected.has(entryHost))
--- a/packages/membership/src/createPeerReceiver.ts
+++ b/packages/membership/src/createPeerReceiver.ts
@@ -34,10 +34,11 @@
           exchange.answerSync(request);
         })
         .with({ kind: 'synced' }, (answer) => exchange.takeSync(answer, now))
-        .with({ kind: 'probe' }, ({ from }) =>
-          context.send(from, { kind: 'probeAnswered', from: context.self().entryHost }),
-        )
-        .with({ kind: 'probeAnswered' }, () => undefined)
+        .with({ kind: 'probe' }, ({ from }) => {
+          context.send(from, { kind: 'probeAnswered', from: context.self().entryHost });
+          exchange.tellAccusation(from);
+        })
+        .with({ kind: 'probeAnswered' }, ({ from }) => exchange.tellAccusation(from))
         .with({ kind: 'hostReported' }, (report) => directory.reported(report, now))
         .with({ kind: 'domainSummarised' }, (summary) => {
           directory.summarised(summary, now);
--- a/packages/membership/src/createTableExchange.ts
+++ b/packages/membership/src/createTableExchange.ts
@@ -29,6 +29,13 @@
     context.send(entryHost, { kind: 'rowsChanged', from, rows: [row] });
   }
 
+  function tellAccusation(entryHost: EntryHostId): void {
+    const row = table.tryGet(entryHost);
+    if (row !== undefined && row.accusers.length > 0) {
+      tellRow(entryHost, row);
+    }
+  }
+
   function compareDigest({ from, digest }: Heartbeat): void {
     if (digest === table.digest()) {
       mismatched.delete(from);
@@ -50,6 +57,7 @@
 
   return {
     requestSync,
+    tellAccusation,
     sendHeartbeats() {
       const { entryHost: from, incarnation } = context.self();
       const heartbeat: Heartbeat = {
@@ -69,10 +77,7 @@
         tellRow(heartbeat.from, row);
       } else {
         detector.heard(heartbeat.from, now);
-        if (row.accusers.length > 0) {
-          // It lives but may not know of the accusation, so that it cannot refute it.
-          tellRow(heartbeat.from, row);
-        }
+        tellAccusation(heartbeat.from);
         compareDigest(heartbeat);
         noteGeneration(heartbeat);
       }
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -509,6 +509,8 @@
 /** Heartbeats and reconciliation within a failure domain; internal to the library. */
 export interface TableExchange {
   requestSync(entryHost: EntryHostId, address?: string): void;
+  /** Tells a host that lives of its accusation, which it may not have heard of, so that it can refute it. */
+  tellAccusation(entryHost: EntryHostId): void;
   sendHeartbeats(): void;
   takeHeartbeat(heartbeat: Heartbeat, now: Milliseconds): void;
   answerSync(message: SyncRequested): void;
