--- /dev/null
+++ b/packages/load/src/runLoad.ts
@@ -0,0 +1,85 @@
+import { Agent } from 'undici';
+import { createSystemClock } from '@rattanreel/core';
+import type { Clock, Milliseconds } from '@rattanreel/core';
+import planLoad from './planLoad';
+import sendChat from './sendChat';
+import sendOrder from './sendOrder';
+import summariseLoad from './summariseLoad';
+import tryFetchTicket from './tryFetchTicket';
+import type { CallerRecord, LoadOptions, LoadRun, PlannedOrder, PlannedRequest } from './types';
+
+const PROGRESS_INTERVAL_MS = 1_000;
+const ANSWER_TIMEOUT_MS = 120_000;
+
+function sleep(clock: Clock, span: Milliseconds): Promise<void> {
+  return new Promise((resolve) => {
+    clock.after(Math.max(0, span), resolve);
+  });
+}
+
+/** Sends each planned request at its time, whether or not earlier ones have been answered. */
+export default async function runLoad(options: LoadOptions): Promise<LoadRun> {
+  const clock = createSystemClock();
+  const dispatcher = new Agent({
+    pipelining: 1,
+    headersTimeout: ANSWER_TIMEOUT_MS,
+    bodyTimeout: ANSWER_TIMEOUT_MS,
+  });
+  const records: CallerRecord[] = [];
+  let sent = 0;
+
+  async function runOrder(planned: PlannedOrder): Promise<void> {
+    const { orders: target, deadline } = options;
+    if (target === undefined) {
+      return;
+    }
+    const { customer, entryHost } = planned;
+    const ticket =
+      planned.key === 'ticket'
+        ? await tryFetchTicket(dispatcher, entryHost, customer.apiKey)
+        : undefined;
+    const sending = { planned, target, ticket, deadline };
+
+    async function retry(retriedAt: string): Promise<void> {
+      await sleep(clock, planned.retryDelay);
+      sent += 1;
+      records.push(await sendOrder(dispatcher, clock, { ...sending, entryHost: retriedAt }));
+    }
+
+    sent += 1;
+    // Without its ticket the order has no key, and a second sending would be a second order.
+    const retriable = planned.key !== 'ticket' || ticket !== undefined;
+    const retried =
+      planned.retriedAt === undefined || !retriable ? undefined : retry(planned.retriedAt);
+    records.push(await sendOrder(dispatcher, clock, { ...sending, entryHost }));
+    await retried;
+  }
+
+  async function runOne(planned: PlannedRequest, startedAt: Milliseconds): Promise<void> {
+    await sleep(clock, startedAt + planned.at - clock.now());
+    if (planned.kind === 'order') {
+      await runOrder(planned);
+    } else {
+      sent += 1;
+      records.push(await sendChat(dispatcher, clock, planned, options.deadline));
+    }
+  }
+
+  function count(outcome: CallerRecord['outcome']): number {
+    return records.filter((record) => record.outcome === outcome).length;
+  }
+
+  const progress = setInterval(() => {
+    options.onProgress?.({
+      sent,
+      ended: records.length,
+      answeredWhole: count('answeredWhole'),
+      refusedNotRun: count('refusedNotRun'),
+    });
+  }, PROGRESS_INTERVAL_MS);
+  const startedAt = clock.now();
+  await Promise.all(planLoad(options).map((planned) => runOne(planned, startedAt)));
+  clearInterval(progress);
+  await dispatcher.close();
+  return { records, summary: summariseLoad(options.seed, records) };
+}
--- /dev/null
+++ b/packages/load/src/sendOrder.ts
@@ -0,0 +1,72 @@
+import type { Dispatcher } from 'undici';
+import type { Clock } from '@rattanreel/core';
+import readProblem from './readProblem';
+import type { CallerRecord, OrderSending } from './types';
+
+const SUCCESS_FIRST = 200;
+const SUCCESS_AFTER = 300;
+
+function keyHeaders({ planned, ticket }: OrderSending): Record<string, string> {
+  switch (planned.key) {
+    case 'none':
+      return {};
+    case 'callerKey':
+      return { 'idempotency-key': planned.reference };
+    case 'ticket':
+      return ticket === undefined ? {} : { 'x-ticket': ticket };
+    default:
+      return planned.key satisfies never;
+  }
+}
+
+/** Sends an order to one entry host and reads what became of it. */
+export default async function sendOrder(
+  dispatcher: Dispatcher,
+  clock: Clock,
+  sending: OrderSending,
+): Promise<CallerRecord> {
+  const { planned, target, deadline } = sending;
+  const startedAt = clock.now();
+  const base = {
+    planned,
+    firstTokenAfter: undefined,
+    outputTokens: 0,
+    crossed: false,
+  };
+  try {
+    const response = await dispatcher.request({
+      origin: sending.entryHost,
+      path: `/services/${target.service}${target.path}`,
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${planned.customer.apiKey}`,
+        'content-type': 'application/json',
+        'x-tier': planned.tier,
+        ...(deadline === undefined ? {} : { 'x-deadline-ms': String(deadline) }),
+        ...keyHeaders(sending),
+      },
+      body: JSON.stringify({ reference: planned.reference, item: 'underlay', quantity: 1 }),
+    });
+    const status = response.statusCode;
+    const text = await response.body.text();
+    const duration = clock.now() - startedAt;
+    const request = response.headers['x-request-id'];
+    if (status >= SUCCESS_FIRST && status < SUCCESS_AFTER) {
+      const crossed = !text.includes(planned.reference);
+      return {
+        ...base,
+        outcome: crossed ? 'cutShort' : 'answeredWhole',
+        crossed,
+        status,
+        problem: undefined,
+        request: typeof request === 'string' ? request : undefined,
+        duration,
+      };
+    }
+    return { ...base, ...readProblem(status, text), status, duration };
+  } catch (error) {
+    const problem = error instanceof Error ? error.message : String(error);
+    const duration = clock.now() - startedAt;
+    return { ...base, outcome: 'cutShort', request: undefined, status: 0, problem, duration };
+  }
+}
