--- /dev/null
+++ b/packages/command-line/src/commands/demo.ts
@@ -0,0 +1,38 @@
+import runDemo from '../demo/runDemo';
+import type { DemoReport } from '../demo/types';
+import exitCodes from '../exitCodes';
+import type { Command } from '../types';
+
+function isSound(report: DemoReport): boolean {
+  const broken =
+    report.dispatchedTwice +
+    report.ordersBookedTwice +
+    report.falseNotRun +
+    report.crossedAnswers +
+    report.cutShort;
+  return broken === 0;
+}
+
+/** `demo`: the main job on an embedded deployment in one process. */
+const demo: Command = {
+  name: 'demo',
+  usage: 'demo [--seconds N] [--seed N] [--rate N] [--json]',
+  summary: 'Run a deployment with stand-ins and load in one process, and count what happened',
+  async run({ flags, print, complain }) {
+    const report = await runDemo({
+      seconds: flags.seconds,
+      seed: flags.seed,
+      requestsPerSecond: flags.rate,
+      logLevel: 'silent',
+      onProgress: flags.json ? () => undefined : print,
+    });
+    print(JSON.stringify(report, undefined, flags.json ? undefined : 2));
+    if (!isSound(report)) {
+      complain('a promise was broken: see the counts');
+      return exitCodes.invariantBroken;
+    }
+    return exitCodes.success;
+  },
+};
+
+export default demo;
--- /dev/null
+++ b/packages/command-line/src/commands/serve.ts
@@ -0,0 +1,47 @@
+import { readFile } from 'node:fs/promises';
+import { parse } from 'yaml';
+import { parseEntryHostSettings } from '@rattanreel/configuration';
+import { createEntryHost } from '@rattanreel/entry-host';
+import exitCodes from '../exitCodes';
+import type { Command } from '../types';
+
+function untilSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once('SIGTERM', resolve);
+    process.once('SIGINT', resolve);
+  });
+}
+
+/** `serve`: runs an entry host until it is told to stop, and then finishes every request in hand. */
+const serve: Command = {
+  name: 'serve',
+  usage: 'serve --settings FILE',
+  summary: 'Run an entry host',
+  async run(context) {
+    const fileName = context.flags.settings;
+    if (fileName === undefined) {
+      context.complain('--settings FILE is needed');
+      return exitCodes.usage;
+    }
+    const text = await readFile(fileName, 'utf8').catch(() => undefined);
+    if (text === undefined) {
+      context.complain(`${fileName}: cannot be read`);
+      return exitCodes.invalidInput;
+    }
+    const settings = parseEntryHostSettings(parse(text));
+    if (settings.kind === 'error') {
+      context.complain(`${fileName}: ${JSON.stringify(settings.error)}`);
+      return exitCodes.invalidInput;
+    }
+    const entryHost = await createEntryHost({ settings: settings.value });
+    if (entryHost.kind === 'error') {
+      context.complain(`${fileName}: ${JSON.stringify(entryHost.error)}`);
+      return exitCodes.unavailable;
+    }
+    await untilSignal();
+    await entryHost.value.stop();
+    return exitCodes.success;
+  },
+};
+
+export default serve;
--- /dev/null
+++ b/packages/command-line/src/demo/countDemo.ts
@@ -0,0 +1,66 @@
+import type { CallerRecord } from '@rattanreel/load';
+import type { DemoEvidence, DemoReport } from './types';
+
+function sum(counts: readonly number[]): number {
+  return counts.reduce((total, count) => total + count, 0);
+}
+
+/** Adds up executions by name over several stand-ins. */
+function addExecutions(
+  counts: readonly { readonly name: string; readonly executions: number }[],
+): Map<string, number> {
+  const totals = new Map<string, number>();
+  counts.forEach(({ name, executions }) => {
+    totals.set(name, (totals.get(name) ?? 0) + executions);
+  });
+  return totals;
+}
+
+function countAbove(counts: ReadonlyMap<string, number>, bound: number): number {
+  return [...counts.values()].filter((count) => count > bound).length;
+}
+
+/**
+ * Whether a caller was told "not run" of something that ran. An order that is sent twice under one
+ * key is one order: it ran once any sending of it did.
+ */
+function isFalseNotRun(
+  record: CallerRecord,
+  dispatches: ReadonlyMap<string, number>,
+  bookings: ReadonlyMap<string, number>,
+): boolean {
+  if (record.outcome !== 'refusedNotRun') {
+    return false;
+  }
+  if (record.planned.kind === 'order') {
+    return (bookings.get(record.planned.reference) ?? 0) > 0;
+  }
+  return record.request !== undefined && (dispatches.get(record.request) ?? 0) > 0;
+}
+
+/** Judges a demo by what the stand-ins and the callers saw, not by the product's own word. */
+export default function countDemo({ run, engines, orderBooks }: DemoEvidence): DemoReport {
+  const audits = engines.flatMap((engine) => engine.audit());
+  const serviceAudits = orderBooks.map((orderBook) => orderBook.audit());
+  const dispatches = addExecutions([
+    ...audits.map(({ request, dispatched }) => ({ name: request, executions: dispatched })),
+    ...serviceAudits.flatMap(({ requests }) => requests),
+  ]);
+  const bookings = addExecutions(serviceAudits.flatMap((audit) => audit.bookings));
+  const prefilled = sum(audits.map((audit) => audit.prefilledTokens));
+  const wasted = sum(audits.map((audit) => audit.wastedPrefillTokens));
+  const { outcomes } = run.summary;
+  return {
+    requests: run.summary.requests,
+    ...outcomes,
+    crossedAnswers: run.summary.crossedAnswers,
+    dispatchedTwice: countAbove(dispatches, 1),
+    ordersBooked: countAbove(bookings, 0),
+    ordersBookedTwice: countAbove(bookings, 1),
+    falseNotRun: run.records.filter((record) => isFalseNotRun(record, dispatches, bookings)).length,
+    goodputByTier: Object.fromEntries(
+      run.summary.tiers.map(({ tier, goodputShare }) => [tier, goodputShare]),
+    ),
+    wastedPrefillShare: prefilled === 0 ? 0 : wasted / prefilled,
+  };
+}
--- /dev/null
+++ b/packages/command-line/src/main.ts
@@ -0,0 +1,66 @@
+import meow from 'meow';
+import commandTable from './commandTable';
+import exitCodes from './exitCodes';
+
+const DEFAULT_SECONDS = 15;
+const DEFAULT_SEED = 11;
+const DEFAULT_RATE = 20;
+
+const cli = meow(
+  `
+  Usage
+    $ rattanreel COMMAND
+
+  Commands
+${commandTable.map(({ usage, summary }) => `    ${usage}\n        ${summary}`).join('\n')}
+
+  Exit codes
+    0 success, 1 unexpected failure, 2 wrong usage, 3 invalid input, 4 conflict,
+    5 unavailable, 6 not allowed, 7 a promise was broken
+`,
+  {
+    importMeta: import.meta,
+    flags: {
+      settings: { type: 'string' },
+      output: { type: 'string' },
+      json: { type: 'boolean', default: false },
+      seconds: { type: 'number', default: DEFAULT_SECONDS },
+      seed: { type: 'number', default: DEFAULT_SEED },
+      rate: { type: 'number', default: DEFAULT_RATE },
+      target: { type: 'string', isMultiple: true },
+      apiKey: { type: 'string', isMultiple: true },
+      model: { type: 'string', isMultiple: true },
+      tier: { type: 'string', isMultiple: true },
+      orders: { type: 'string' },
+      host: { type: 'string' },
+      token: { type: 'string' },
+      deadline: { type: 'string' },
+      bake: { type: 'string' },
+      from: { type: 'string' },
+      to: { type: 'string' },
+    },
+  },
+);
+
+async function main(): Promise<number> {
+  const [name, ...input] = cli.input;
+  const command = commandTable.find((candidate) => candidate.name === name);
+  if (command === undefined) {
+    process.stderr.write(cli.help);
+    return exitCodes.usage;
+  }
+  return command.run({
+    input,
+    flags: cli.flags,
+    print: (line) => process.stdout.write(`${line}\n`),
+    complain: (line) => process.stderr.write(`${line}\n`),
+  });
+}
+
+main().then(
+  (code) => process.exit(code),
+  (error: unknown) => {
+    process.stderr.write(`${error instanceof Error ? error.stack : String(error)}\n`);
+    process.exit(exitCodes.unexpected);
+  },
+);
--- /dev/null
+++ b/packages/command-line/src/types.ts
@@ -0,0 +1,42 @@
+/** Commands of the program and what they share. */
+
+/** Exit codes, by kind of failure. */
+export type ExitCode = 0 | 1 | 2 | 3 | 4 | 5 | 6 | 7;
+
+/** Flags that any command may read; each command's help names those that it takes. */
+export interface CommandFlags {
+  readonly settings: string | undefined;
+  readonly output: string | undefined;
+  readonly json: boolean;
+  readonly seconds: number;
+  readonly seed: number;
+  readonly rate: number;
+  readonly target: readonly string[];
+  readonly apiKey: readonly string[];
+  readonly model: readonly string[];
+  readonly tier: readonly string[];
+  readonly orders: string | undefined;
+  readonly host: string | undefined;
+  readonly token: string | undefined;
+  readonly deadline: string | undefined;
+  readonly bake: string | undefined;
+  readonly from: string | undefined;
+  readonly to: string | undefined;
+}
+
+export interface CommandContext {
+  /** Words after the command's name. */
+  readonly input: readonly string[];
+  readonly flags: CommandFlags;
+  /** Writes a line for people or scripts to standard output. */
+  readonly print: (line: string) => void;
+  /** Writes a line about a failure to standard error. */
+  readonly complain: (line: string) => void;
+}
+
+export interface Command {
+  readonly name: string;
+  readonly usage: string;
+  readonly summary: string;
+  readonly run: (context: CommandContext) => Promise<ExitCode>;
+}
