--- a/packages/command-line/src/demo/countDemo.ts
+++ b/packages/command-line/src/demo/countDemo.ts
@@ -26,7 +26,7 @@
  */
 function isFalseNotRun(
   record: CallerRecord,
-  dispatches: ReadonlyMap<string, number>,
+  runs: ReadonlyMap<string, number>,
   bookings: ReadonlyMap<string, number>,
 ): boolean {
   if (record.outcome !== 'refusedNotRun') {
@@ -35,16 +35,23 @@
   if (record.planned.kind === 'order') {
     return (bookings.get(record.planned.reference) ?? 0) > 0;
   }
-  return record.request !== undefined && (dispatches.get(record.request) ?? 0) > 0;
+  return record.request !== undefined && (runs.get(record.request) ?? 0) > 0;
 }
 
 /** Judges a demo by what the stand-ins and the callers saw, not by the product's own word. */
 export default function countDemo({ run, engines, orderBooks }: DemoEvidence): DemoReport {
   const audits = engines.flatMap((engine) => engine.audit());
   const serviceAudits = orderBooks.map((orderBook) => orderBook.audit());
+  const calls = serviceAudits.flatMap(({ requests }) => requests);
   const dispatches = addExecutions([
-    ...audits.map(({ request, dispatched }) => ({ name: request, executions: dispatched })),
-    ...serviceAudits.flatMap(({ requests }) => requests),
+    ...audits.map((audit) => ({ name: audit.request, executions: audit.dispatches })),
+    ...calls,
+  ]);
+  const runs = addExecutions([
+    ...audits
+      .filter(({ state }) => state !== 'refused')
+      .map(({ request }) => ({ name: request, executions: 1 })),
+    ...calls,
   ]);
   const bookings = addExecutions(serviceAudits.flatMap((audit) => audit.bookings));
   const prefilled = sum(audits.map((audit) => audit.prefilledTokens));
@@ -57,7 +64,7 @@
     dispatchedTwice: countAbove(dispatches, 1),
     ordersBooked: countAbove(bookings, 0),
     ordersBookedTwice: countAbove(bookings, 1),
-    falseNotRun: run.records.filter((record) => isFalseNotRun(record, dispatches, bookings)).length,
+    falseNotRun: run.records.filter((record) => isFalseNotRun(record, runs, bookings)).length,
     goodputByTier: Object.fromEntries(
       run.summary.tiers.map(({ tier, goodputShare }) => [tier, goodputShare]),
     ),
--- a/packages/command-line/src/demo/createDemoAnswers.ts
+++ b/packages/command-line/src/demo/createDemoAnswers.ts
@@ -94,6 +94,8 @@
         })),
       },
     ],
-    administrators: [{ name: 'operator', role: 'operator', tokenHash: sha256(ports.operatorToken) }],
+    administrators: [
+      { name: 'operator', role: 'operator', tokenHash: sha256(ports.operatorToken) },
+    ],
   });
 }
--- a/packages/command-line/src/main.ts
+++ b/packages/command-line/src/main.ts
@@ -27,10 +27,10 @@
       seconds: { type: 'number', default: DEFAULT_SECONDS },
       seed: { type: 'number', default: DEFAULT_SEED },
       rate: { type: 'number', default: DEFAULT_RATE },
-      target: { type: 'string', isMultiple: true },
-      apiKey: { type: 'string', isMultiple: true },
-      model: { type: 'string', isMultiple: true },
-      tier: { type: 'string', isMultiple: true },
+      target: { type: 'string', isMultiple: true, default: [] },
+      apiKey: { type: 'string', isMultiple: true, default: [] },
+      model: { type: 'string', isMultiple: true, default: [] },
+      tier: { type: 'string', isMultiple: true, default: [] },
       orders: { type: 'string' },
       host: { type: 'string' },
       token: { type: 'string' },
@@ -51,7 +51,13 @@
   }
   return command.run({
     input,
-    flags: cli.flags,
+    flags: {
+      ...cli.flags,
+      target: cli.flags.target ?? [],
+      apiKey: cli.flags.apiKey ?? [],
+      model: cli.flags.model ?? [],
+      tier: cli.flags.tier ?? [],
+    },
     print: (line) => process.stdout.write(`${line}\n`),
     complain: (line) => process.stderr.write(`${line}\n`),
   });
