Judge by route and over all failure domains together, and normalise times by what is learnt

Units are now everything, each route, and each route and tier; domains multiply their wealth; times are taken relative to learnt levels of length, route and tier; full share is told to the judge. Plans grow by odds so that the last steps are small, and steps wait for the capacity of the new version.

--- a/benchmarks/src/moves/drawFault.ts
+++ b/benchmarks/src/moves/drawFault.ts
@@ -9,7 +9,8 @@
   slowBetweenTokens: [1.6, 2, 4],
 };
 const EARLIEST_LATER_MILLISECONDS = 120_000;
-const LATEST_LATER_MILLISECONDS = 900_000;
+/** Before the shortest move's full share has been watched out. */
+const LATEST_LATER_MILLISECONDS = 700_000;
 const UNDER_LOAD_SHARES: readonly number[] = [0.1, 0.3, 0.9];
 
 /** Draws a bad version; each symptom and onset comes round by `index`. */
--- a/packages/moves/src/canStepLocally.ts
+++ b/packages/moves/src/canStepLocally.ts
@@ -32,6 +32,9 @@
   if (all.some((report) => report.step < step || report.suspicious || report.vetoed)) {
     return false;
   }
+  if (all.some(({ bearableShare }) => bearableShare < next.share)) {
+    return false;
+  }
   if (step < 0 || heard.some((report) => report.step > step)) {
     return true;
   }
--- a/packages/moves/src/changeMoveRecord.test.ts
+++ b/packages/moves/src/changeMoveRecord.test.ts
@@ -71,11 +71,11 @@
   }[] = [
     { name: 'nothing before the first step', fields: {}, share: 0 },
     { name: 'the share of the step', fields: { step: 0 }, share: 0.01 },
-    { name: 'a step taken locally', fields: { step: 0 }, localStep: 7, share: 1 },
-    { name: 'nothing after a veto', fields: { step: 7 }, vetoed: true, share: 0 },
-    { name: 'nothing once taken back', fields: { step: 7, verdict: 'takenBack' }, share: 0 },
-    { name: 'nothing once cancelled', fields: { step: 7, verdict: 'cancelled' }, share: 0 },
-    { name: 'everything once done', fields: { step: 7, verdict: 'done' }, share: 1 },
+    { name: 'a step taken locally', fields: { step: 0 }, localStep: 8, share: 1 },
+    { name: 'nothing after a veto', fields: { step: 8 }, vetoed: true, share: 0 },
+    { name: 'nothing once taken back', fields: { step: 8, verdict: 'takenBack' }, share: 0 },
+    { name: 'nothing once cancelled', fields: { step: 8, verdict: 'cancelled' }, share: 0 },
+    { name: 'everything once done', fields: { step: 8, verdict: 'done' }, share: 1 },
   ];
   for (const { name, fields, vetoed = false, localStep, share } of cases) {
     it(`gives ${name}`, () => {
--- a/packages/moves/src/createArmBalance.ts
+++ b/packages/moves/src/createArmBalance.ts
@@ -1,16 +1,13 @@
 const RETENTION = 127 / 128;
-/** Below this share of the old version there is nothing to compare with at the same time. */
-const LEAST_OLD_SHARE = 0.01;
 
 /** Which of the two versions the last requests went to. */
 interface ArmBalance {
   count(isNew: boolean): void;
   /** Estimate of the new version's part, from earlier requests; rather too high than too low. */
   newPart(): number;
-  hasOldTraffic(): boolean;
 }
 
-/** Keeps a decaying count of both versions' requests on one route and tier. */
+/** Keeps a decaying count of both versions' requests. */
 export default function createArmBalance(): ArmBalance {
   let newWeight = 0;
   let oldWeight = 0;
@@ -22,6 +19,5 @@
     },
     // One request is added: the mean of (n + 1) / (X + 1) is at most 1 / p for a binomial X.
     newPart: () => (newWeight + 1) / (newWeight + oldWeight + 1),
-    hasOldTraffic: () => oldWeight > LEAST_OLD_SHARE * (newWeight + oldWeight),
   };
 }
--- a/packages/moves/src/createFailureTest.ts
+++ b/packages/moves/src/createFailureTest.ts
@@ -1,10 +1,14 @@
 import createSequentialTest from './createSequentialTest';
+import type { SequentialTest } from './types';
 
 /** Failure rates of the new version that the test is made to notice. */
 const ALTERNATIVE_RATES: readonly number[] = [0.05, 0.3, 0.9];
 /** Factors over the tolerated ratio of failure rates that the test is made to notice. */
 const ALTERNATIVE_RATIOS: readonly number[] = [3, 10, 100];
 
+/** Requests of the old version that are assumed, with one failure, before any was seen. */
+const ASSUMED_OLD_REQUESTS = 100;
+
 interface FailureTestOptions {
   readonly toleratedRate: number;
   readonly toleratedRatio: number;
@@ -15,14 +19,16 @@
   readonly failed: boolean;
   /** The new version's part of the requests at the time. */
   readonly newPart: number;
-  /** Whether the old version still has traffic to compare with. */
-  readonly hasOldTraffic: boolean;
+  /** Whether the old version has no traffic any more to compare with. */
+  readonly isFullShare: boolean;
 }
 
 interface FailureTest {
   observe(observation: FailureObservation): void;
-  /** The smaller evidence of the two hypotheses, either of which would make the version good. */
-  evidence(): number;
+  /** Against a failure rate of at most the tolerated one. */
+  readonly rate: SequentialTest;
+  /** Against a failure rate of at most the tolerated multiple of the old version's. */
+  readonly ratio: SequentialTest;
 }
 
 function rateFactors(failed: boolean, toleratedRate: number): readonly number[] {
@@ -47,7 +53,7 @@
  * that its rate is at most the tolerated multiple of the old version's. The second follows Lindon, Sanden and
  * Shirikian, "Rapid regression detection in software deployments through sequential testing" (2022): given a
  * failure, which version it came from depends on the ratio of the rates only, whatever common cause there is.
- * Without old traffic to compare with, the old version's rate until then stands in.
+ * At full share, the old version's rate until then stands in.
  */
 export default function createFailureTest(options: FailureTestOptions): FailureTest {
   const rateTest = createSequentialTest(ALTERNATIVE_RATES.length);
@@ -56,12 +62,12 @@
   let oldFailures = 0;
 
   function baselineRate(): number {
-    const observed = (oldFailures + 1) / (oldRequests + 2);
+    const observed = (oldFailures + 1) / (oldRequests + ASSUMED_OLD_REQUESTS);
     return Math.min(0.5, Math.max(options.toleratedRate, options.toleratedRatio * observed));
   }
 
   return {
-    observe({ isNew, failed, newPart, hasOldTraffic }) {
+    observe({ isNew, failed, newPart, isFullShare }) {
       if (!isNew) {
         oldRequests += 1;
         oldFailures += failed ? 1 : 0;
@@ -69,7 +75,7 @@
       if (isNew) {
         rateTest.update(rateFactors(failed, options.toleratedRate));
       }
-      if (hasOldTraffic) {
+      if (!isFullShare) {
         if (failed) {
           ratioTest.update(originFactors(isNew, newPart, options.toleratedRatio));
         }
@@ -77,6 +83,7 @@
         ratioTest.update(rateFactors(failed, baselineRate()));
       }
     },
-    evidence: () => Math.min(rateTest.evidence, ratioTest.evidence),
+    rate: rateTest,
+    ratio: ratioTest,
   };
 }
--- a/packages/moves/src/createFollowedMove.ts
+++ b/packages/moves/src/createFollowedMove.ts
@@ -11,6 +11,7 @@
 import type {
   DomainReport,
   FollowedMove,
+  JudgedBadness,
   MoveDecisionLogged,
   MoveGuardEffect,
   MovePolicy,
@@ -43,6 +44,8 @@
   let { record } = options;
   let veto: MoveVeto | undefined;
   let localStep = -1;
+  let oldInFlight = 0;
+  let bearableShare = 1;
   let stepSince = options.now;
   const keeper = createShareKeeper(record, failureDomain);
   if (record.verdict === 'takenBack') {
@@ -53,6 +56,8 @@
     return Math.max(record.step, localStep);
   }
 
+  judge.beginStep(record.steps[getStep()]?.share ?? 0);
+
   function log(decision: MoveDecisionLogged['decision'], reason: string): MoveDecisionLogged {
     return { kind: 'logMoveDecision', decision, move, reason, share: keeper.share() };
   }
@@ -66,7 +71,7 @@
 
   function beginStep(now: number): void {
     stepSince = now;
-    judge.beginStep();
+    judge.beginStep(record.steps[getStep()]?.share ?? 0);
   }
 
   function logChange(before: MoveRecord): readonly MoveGuardEffect[] {
@@ -92,6 +97,19 @@
     ];
   }
 
+  function isJudged(): boolean {
+    return !keeper.isBad() && record.verdict === 'underWay';
+  }
+
+  function vetoBadness(
+    badness: JudgedBadness | undefined,
+    now: number,
+  ): readonly MoveGuardEffect[] {
+    return badness === undefined
+      ? []
+      : applyVeto({ kind: 'moveVeto', move, reason: { ...badness, failureDomain } }, now);
+  }
+
   function makeReport(): DomainReport {
     return {
       kind: 'domainReport',
@@ -101,10 +119,12 @@
       step: getStep(),
       stepSince,
       share: keeper.share(),
-      oldInFlight: 0,
+      oldInFlight,
       suspicious: judge.isSuspicious(),
       vetoed: veto !== undefined,
+      bearableShare,
       cells: judge.cells(),
+      units: judge.units(),
     };
   }
 
@@ -128,14 +148,15 @@
       }
       return [...refreshShares(now), ...logChange(before)];
     },
-    observe(evidence, now) {
-      if (keeper.isBad() || record.verdict !== 'underWay') {
-        return [];
+    observe: (evidence, now) => (isJudged() ? vetoBadness(judge.observe(evidence, now), now) : []),
+    judgeTogether: (heard, now) =>
+      isJudged() ? vetoBadness(judge.judgeTogether(heard.map(({ units }) => units)), now) : [],
+    count(counted) {
+      if (counted.kind === 'oldTrafficCounted') {
+        oldInFlight = counted.inFlight;
+      } else {
+        bearableShare = counted.bearableShare;
       }
-      const badness = judge.observe(evidence, now);
-      return badness === undefined
-        ? []
-        : applyVeto({ kind: 'moveVeto', move, reason: { ...badness, failureDomain } }, now);
     },
     cancel(request, now) {
       if (record.verdict !== 'underWay') {
--- /dev/null
+++ b/packages/moves/src/createLatencyTest.ts
@@ -0,0 +1,106 @@
+import type { Milliseconds } from '@rattanreel/core';
+import createReferenceTimes from './createReferenceTimes';
+import createSequentialTest from './createSequentialTest';
+import type { SequentialTest } from './types';
+
+/** Old requests that one new request is compared with at most. */
+const MOST_COMPARED = 8;
+/** Old and new requests further apart than this are not compared. */
+const COMPARISON_WINDOW_MILLISECONDS = 60_000;
+/** Ratios of the weights of neighbouring ranks; the smaller, the more the top rank counts. */
+const RANK_RATIOS: readonly number[] = [0.2, 0.5, 0.8];
+/** Tolerated and alternative parts of requests above the old version's 90th percentile. */
+const TOLERATED_ABOVE_QUANTILE = 0.2;
+const ALTERNATIVES_ABOVE_QUANTILE: readonly number[] = [0.4, 0.7, 0.9];
+
+interface TimedValue {
+  readonly value: number;
+  readonly at: Milliseconds;
+}
+
+interface LatencyObservation {
+  readonly isNew: boolean;
+  /** Normalised logarithm of the time. */
+  readonly value: number;
+  /** Whether the old version has no traffic any more to compare with. */
+  readonly isFullShare: boolean;
+}
+
+interface LatencyTest {
+  observe(observation: LatencyObservation, now: Milliseconds): void;
+  readonly test: SequentialTest;
+}
+
+/** Weights of the ranks 0 to `compared`, with mean 1, growing towards the slowest. */
+function rankFactors(rank: number, compared: number): readonly number[] {
+  return RANK_RATIOS.map((ratio) => {
+    const scale = ((compared + 1) * (1 - ratio)) / (1 - ratio ** (compared + 1));
+    return scale * ratio ** (compared - rank);
+  });
+}
+
+function quantileFactors(above: boolean): readonly number[] {
+  return ALTERNATIVES_ABOVE_QUANTILE.map((rate) =>
+    above ? rate / TOLERATED_ABOVE_QUANTILE : (1 - rate) / (1 - TOLERATED_ABOVE_QUANTILE),
+  );
+}
+
+/**
+ * Compares the new version's times with the old one's by rank, within a minute, each request being used once. A rank
+ * among fresh exchangeable observations is uniform, so that a bet on it has mean 1 whatever the distribution (a
+ * conformal test martingale: Vovk, Gammerman and Shafer, "Algorithmic learning in a random world", 2005). Times of
+ * the new version are first divided by the `tolerated` ratio. At full share, the new version's times are held against
+ * the 90th percentile of the old one's last, with twice the part above it borne.
+ */
+export default function createLatencyTest(tolerated: number): LatencyTest {
+  const test = createSequentialTest(RANK_RATIOS.length);
+  const reference = createReferenceTimes();
+  const allowance = Math.log(tolerated);
+  let old: TimedValue[] = [];
+  const waiting: TimedValue[] = [];
+
+  function observeOld(seen: TimedValue): void {
+    reference.add(seen.value);
+    const partner = waiting.shift();
+    if (partner !== undefined && seen.at - partner.at <= COMPARISON_WINDOW_MILLISECONDS) {
+      test.update(rankFactors(partner.value - allowance > seen.value ? 1 : 0, 1));
+      return;
+    }
+    old.push(seen);
+    if (old.length > MOST_COMPARED) {
+      old.shift();
+    }
+  }
+
+  function observeNew(seen: TimedValue): void {
+    const fresh = old.filter(({ at }) => seen.at - at <= COMPARISON_WINDOW_MILLISECONDS);
+    old = [];
+    if (fresh.length === 0) {
+      waiting.push(seen);
+      if (waiting.length > MOST_COMPARED) {
+        waiting.shift();
+      }
+      return;
+    }
+    const slower = fresh.filter(({ value }) => seen.value - allowance > value).length;
+    test.update(rankFactors(slower, fresh.length));
+  }
+
+  return {
+    test,
+    observe({ isNew, value, isFullShare }, now) {
+      if (!isNew) {
+        observeOld({ value, at: now });
+        return;
+      }
+      if (!isFullShare) {
+        observeNew({ value, at: now });
+        return;
+      }
+      const limit = reference.tryGetUpperQuantile();
+      if (limit !== undefined) {
+        test.update(quantileFactors(value - allowance > limit));
+      }
+    },
+  };
+}
--- a/packages/moves/src/createMoveGuard.ts
+++ b/packages/moves/src/createMoveGuard.ts
@@ -32,7 +32,6 @@
   const reports = createReportBook(policy.reportLifetime);
   let earlyVetoes: readonly MoveVeto[] = [];
   let followed: FollowedMove | undefined;
-  let oldInFlight = 0;
   let reportedAt = Number.NEGATIVE_INFINITY;
   let settledAt: number | undefined;
 
@@ -78,7 +77,7 @@
     reportedAt = now;
     const veto = move.veto();
     return [
-      { kind: 'announceReport', report: { ...move.makeReport(), oldInFlight } },
+      { kind: 'announceReport', report: move.makeReport() },
       ...(veto === undefined ? [] : [{ kind: 'announceVeto' as const, veto }]),
     ];
   }
@@ -110,8 +109,8 @@
           ? followed.cancel(request, now)
           : [],
       )
-      .with({ kind: 'oldTrafficCounted' }, ({ inFlight }) => {
-        oldInFlight = inFlight;
+      .with({ kind: 'oldTrafficCounted' }, { kind: 'capacityCounted' }, (counted) => {
+        followed?.count(counted);
         return [];
       })
       .exhaustive();
--- a/packages/moves/src/createReferenceTimes.ts
+++ b/packages/moves/src/createReferenceTimes.ts
@@ -1,14 +1,12 @@
-import type { Milliseconds } from '@rattanreel/core';
-
 const CAPACITY = 128;
 const LEAST_REFERENCE = 24;
 const QUANTILE = 0.9;
 
-/** The old version's last times for one range of lengths. */
+/** The old version's last normalised times. */
 interface ReferenceTimes {
-  add(value: Milliseconds): void;
+  add(value: number): void;
   /** The 90th percentile, once there is enough to tell. */
-  tryGetUpperQuantile(): Milliseconds | undefined;
+  tryGetUpperQuantile(): number | undefined;
 }
 
 /** Keeps a ring of times, for comparison after the old version's traffic has ended. */
--- a/packages/moves/src/createReportBook.ts
+++ b/packages/moves/src/createReportBook.ts
@@ -11,6 +11,8 @@
 interface ReportBook {
   add(report: DomainReport, now: number): void;
   clear(): void;
+  /** The last report of each failure domain about the move, however old. */
+  lastOf(move: MoveIdentity): readonly DomainReport[];
   /** The fresh reports about the move, when each of the failure domains has one. */
   tryGetAll(
     move: MoveIdentity,
@@ -30,6 +32,10 @@
     clear() {
       reports.clear();
     },
+    lastOf: (move) =>
+      [...reports.values()]
+        .map(({ report }) => report)
+        .filter((report) => isSameMove(report.move, move)),
     tryGetAll(move, failureDomains, now) {
       const found = failureDomains.flatMap((failureDomain) => {
         const timed = reports.get(failureDomain);
--- a/packages/moves/src/createSequentialTest.ts
+++ b/packages/moves/src/createSequentialTest.ts
@@ -1,17 +1,17 @@
 import type { SequentialTest } from './types';
 
 /** Part of the wealth that bets on a change present from the first observation. */
-const INITIAL_WEALTH = 0.5;
+const INITIAL_STAKE = 0.5;
 /** Offset of the series that shares the rest out to later starts. */
 const RESTART_OFFSET = 8;
 /** Evidence far beyond any threshold, kept finite. */
-const EVIDENCE_CEILING = 1e100;
+const EVIDENCE_CEILING = 1e60;
 
-/** Wealth staked on a change at observation `count`; the sum over all counts is at most 1 - INITIAL_WEALTH. */
-function getRestartWealth(count: number): number {
+/** Wealth staked on a change at observation `count`; the sum over all counts is at most 1 - INITIAL_STAKE. */
+function getRestartStake(count: number): number {
   const position = count + RESTART_OFFSET;
   const logarithm = Math.log(position);
-  return ((1 - INITIAL_WEALTH) * Math.log(RESTART_OFFSET)) / (position * logarithm * logarithm);
+  return ((1 - INITIAL_STAKE) * Math.log(RESTART_OFFSET)) / (position * logarithm * logarithm);
 }
 
 /**
@@ -21,22 +21,27 @@
  * Each factor given to `update` must have a conditional mean of at most 1 under the hypothesis.
  */
 export default function createSequentialTest(alternatives: number): SequentialTest {
-  const wealth = new Float64Array(alternatives).fill(INITIAL_WEALTH / alternatives);
-  let evidence = INITIAL_WEALTH;
+  const bets = new Float64Array(alternatives).fill(INITIAL_STAKE / alternatives);
+  let evidence = INITIAL_STAKE;
+  let unstaked = 1 - INITIAL_STAKE;
   let count = 0;
 
   return {
     get evidence() {
       return evidence;
     },
+    get wealth() {
+      return evidence + unstaked;
+    },
     update(factors) {
       count += 1;
-      const stake = getRestartWealth(count) / alternatives;
+      const stake = getRestartStake(count);
+      unstaked -= stake;
       let sum = 0;
       for (let index = 0; index < alternatives; index += 1) {
-        const grown = (wealth[index]! + stake) * factors[index]!;
-        wealth[index] = Math.min(EVIDENCE_CEILING, grown);
-        sum += wealth[index]!;
+        const grown = (bets[index]! + stake / alternatives) * factors[index]!;
+        bets[index] = Math.min(EVIDENCE_CEILING, grown);
+        sum += bets[index]!;
       }
       evidence = sum;
     },
--- a/packages/moves/src/createVersionJudge.ts
+++ b/packages/moves/src/createVersionJudge.ts
@@ -1,13 +1,17 @@
+import type { Milliseconds } from '@rattanreel/core';
 import type { VersionEvidence } from '@rattanreel/scheduling';
-import createArmBalance from './createArmBalance';
-import createCellJudge from './createCellJudge';
-import createFailureTest from './createFailureTest';
-import createSequentialTest from './createSequentialTest';
+import createTimeNormaliser from './createTimeNormaliser';
+import createUnitJudge from './createUnitJudge';
+import multiplyWealth from './multiplyWealth';
 import shareFalseAlarm from './shareFalseAlarm';
+import tryGetGround from './tryGetGround';
 import type {
   BadnessGround,
   JudgedBadness,
+  JudgedUnit,
   JudgePolicy,
+  UnitEvidence,
+  UnitJudge,
   VersionJudge,
   VersionJudgeOptions,
 } from './types';
@@ -19,91 +23,123 @@
   toleratedFirstTokenRatio: 1.25,
   toleratedBetweenTokensRatio: 1.2,
   warmUpRequests: 10,
-  expectedCells: 16,
+  expectedUnits: 20,
 };
-const LATENCY_ALTERNATIVES = 3;
+/** Power of the final threshold at which a version counts as suspicious. */
+const SUSPICION_EXPONENT = 0.6;
 
-type CellJudge = ReturnType<typeof createCellJudge>;
+function makeBadness(unit: JudgedUnit, ground: BadnessGround, where: string): JudgedBadness {
+  const route = unit.route ?? '*';
+  const detail = `${ground} beyond tolerance ${where}, ${unit.tier === undefined ? 'over all tiers' : 'on one tier'}`;
+  return { ground, route, tier: unit.tier ?? 0, detail };
+}
 
 /**
- * Judges a new version against the old one in one failure domain, at the same time, on each route and tier and
- * over all of them. Every test is valid at any time; see `createSequentialTest`, `createFailureTest` and
- * `createLatencyPairing` for the methods. The false alarm over a whole move is bounded by Bonferroni's inequality.
+ * Judges a new version against the old one in one failure domain, at the same time: over everything, on each route,
+ * and on each route and tier. Every test is valid at any time; see `createSequentialTest`, `createFailureTest` and
+ * `createLatencyTest` for the methods. The false alarm over a whole move is bounded by Bonferroni's inequality.
  */
 export default function createVersionJudge(options: VersionJudgeOptions): VersionJudge {
   const policy = { ...DEFAULT_POLICY, ...options.policy };
   const { failureDomains } = options;
-  const cells = new Map<string, CellJudge>();
-  const pooledFalseAlarm = shareFalseAlarm({ policy, failureDomains, cell: undefined });
-  const pooledBalance = createArmBalance();
-  const pooledFailures = createFailureTest({
-    toleratedRate: policy.toleratedFailureRate,
-    toleratedRatio: policy.toleratedFailureRatio,
-  });
-  const pooledFirstToken = createSequentialTest(LATENCY_ALTERNATIVES);
-  const pooledBetweenTokens = createSequentialTest(LATENCY_ALTERNATIVES);
+  const units = new Map<string, UnitJudge>();
+  const firstTokens = createTimeNormaliser();
+  const timesBetween = createTimeNormaliser();
   let newRequests = 0;
+  let isFullShare = false;
   let badness: JudgedBadness | undefined;
 
-  function getCell({ route, tier }: VersionEvidence): CellJudge {
-    const key = `${tier} ${route}`;
-    let cell = cells.get(key);
-    if (cell === undefined) {
-      const falseAlarm = shareFalseAlarm({ policy, failureDomains, cell: cells.size });
-      cell = createCellJudge({ route, tier, policy, falseAlarm });
-      cells.set(key, cell);
+  function getUnit(key: string, unit: JudgedUnit): UnitJudge {
+    let judge = units.get(key);
+    if (judge === undefined) {
+      const position = unit.route === undefined ? undefined : units.size - 1;
+      const falseAlarm = shareFalseAlarm({ policy, failureDomains, position });
+      judge = createUnitJudge({ unit, policy, falseAlarm });
+      units.set(key, judge);
     }
-    return cell;
+    return judge;
+  }
+
+  /** The units that a request counts in; the unit of every route comes first. */
+  function getUnits({ route, tier }: VersionEvidence): readonly UnitJudge[] {
+    return [
+      getUnit('', { route: undefined, tier: undefined }),
+      getUnit(`route ${route}`, { route, tier: undefined }),
+      getUnit(`tier ${tier} route ${route}`, { route, tier }),
+    ];
   }
 
-  function tryGetPooledGround(): BadnessGround | undefined {
-    if (pooledFailures.evidence() * pooledFalseAlarm >= 1) {
-      return 'errors';
+  function normalise(
+    normaliser: ReturnType<typeof createTimeNormaliser>,
+    evidence: VersionEvidence,
+    value: Milliseconds | undefined,
+  ): number | undefined {
+    if (value === undefined) {
+      return undefined;
     }
-    if (pooledFirstToken.evidence * pooledFalseAlarm >= 1) {
-      return 'slowFirstToken';
+    const cell = `${evidence.tier} ${evidence.route}`;
+    const isNew = evidence.version === options.to;
+    const isCold = isNew && newRequests <= policy.warmUpRequests;
+    const normalised = isCold
+      ? undefined
+      : normaliser.tryNormalise(cell, evidence.promptTokens, value);
+    if (!isNew) {
+      normaliser.learn(cell, evidence.promptTokens, value);
     }
-    return pooledBetweenTokens.evidence * pooledFalseAlarm >= 1 ? 'slowBetweenTokens' : undefined;
+    return normalised;
   }
 
-  function judge(cell: CellJudge, evidence: VersionEvidence): JudgedBadness | undefined {
-    const ground = cell.tryGetGround();
-    const pooled = ground === undefined ? tryGetPooledGround() : undefined;
-    const found = ground ?? pooled;
-    if (found === undefined) {
-      return undefined;
+  function toEvidence(judge: UnitJudge): UnitEvidence {
+    return { ...judge.unit, ...judge.wealth() };
+  }
+
+  function observe(evidence: VersionEvidence, now: Milliseconds): JudgedBadness | undefined {
+    const isNew = evidence.version === options.to;
+    if (badness !== undefined || (!isNew && evidence.version !== options.from)) {
+      return badness;
+    }
+    newRequests += isNew ? 1 : 0;
+    const firstToken = normalise(firstTokens, evidence, evidence.firstTokenAfter);
+    const betweenTokens = normalise(timesBetween, evidence, evidence.betweenTokens);
+    const { failed } = evidence;
+    for (const judge of getUnits(evidence)) {
+      judge.observe({ isNew, failed, firstToken, betweenTokens, isFullShare }, now);
+      const ground = tryGetGround(judge.evidence(), 1 / judge.falseAlarm);
+      if (ground !== undefined) {
+        badness ??= makeBadness(judge.unit, ground, 'in this failure domain');
+      }
     }
-    const where = ground === undefined ? 'over all routes' : 'on this route and tier';
-    const detail = `${found} beyond tolerance ${where} after ${newRequests} requests`;
-    return { ground: found, route: evidence.route, tier: evidence.tier, detail };
+    return badness;
   }
 
   return {
-    observe(evidence, now) {
-      const isNew = evidence.version === options.to;
-      if (badness !== undefined || (!isNew && evidence.version !== options.from)) {
-        return badness;
+    observe,
+    judgeTogether(others) {
+      for (const judge of units.values()) {
+        const product = multiplyWealth(toEvidence(judge), others);
+        const ground = tryGetGround(product, 1 / judge.falseAlarm);
+        if (ground !== undefined) {
+          badness ??= makeBadness(judge.unit, ground, 'in all failure domains together');
+        }
       }
-      newRequests += isNew ? 1 : 0;
-      const timesCount = !isNew || newRequests > policy.warmUpRequests;
-      const cell = getCell(evidence);
-      const times = cell.observe({ evidence, isNew, timesCount }, now);
-      times.firstToken.forEach((factors) => pooledFirstToken.update(factors));
-      times.betweenTokens.forEach((factors) => pooledBetweenTokens.update(factors));
-      pooledFailures.observe({
-        isNew,
-        failed: evidence.failed,
-        newPart: pooledBalance.newPart(),
-        hasOldTraffic: pooledBalance.hasOldTraffic(),
-      });
-      pooledBalance.count(isNew);
-      badness = judge(cell, evidence);
       return badness;
     },
-    beginStep() {
-      cells.forEach((cell) => cell.beginStep());
+    beginStep(share) {
+      isFullShare = share >= 1;
+      units.forEach((judge) => judge.beginStep());
     },
-    isSuspicious: () => [...cells.values()].some((cell) => cell.isSuspicious()),
-    cells: () => [...cells.values()].map((cell) => cell.counts()),
+    isSuspicious: () =>
+      [...units.values()].some(
+        (judge) =>
+          tryGetGround(judge.evidence(), judge.falseAlarm ** -SUSPICION_EXPONENT) !== undefined,
+      ),
+    cells: () =>
+      [...units.values()].flatMap((judge) => {
+        const { route, tier } = judge.unit;
+        return route === undefined || tier === undefined
+          ? []
+          : [{ route, tier, newRequests: judge.newRequests(), oldRequests: judge.oldRequests() }];
+      }),
+    units: () => [...units.values()].map(toEvidence),
   };
 }
--- a/packages/moves/src/decideProgress.ts
+++ b/packages/moves/src/decideProgress.ts
@@ -21,6 +21,9 @@
   if (heard.some(({ suspicious, vetoed }) => suspicious || vetoed)) {
     return 'suspicion';
   }
+  if (heard.some(({ bearableShare }) => bearableShare < next.share)) {
+    return 'tooLittleCapacity';
+  }
   if (record.step < 0 || getConfirmedStep(record, heard) > record.step) {
     return undefined;
   }
--- a/packages/moves/src/planMove.test.ts
+++ b/packages/moves/src/planMove.test.ts
@@ -6,11 +6,11 @@
 
 describe(planMove.name, () => {
   const cases = [
-    { name: 'an hour', span: 60 * MINUTE, requestsPerSecond: undefined, steps: 8, first: 0.01 },
-    { name: 'ten minutes', span: 10 * MINUTE, requestsPerSecond: undefined, steps: 8, first: 0.01 },
+    { name: 'an hour', span: 60 * MINUTE, requestsPerSecond: undefined, steps: 9, first: 0.01 },
+    { name: 'ten minutes', span: 10 * MINUTE, requestsPerSecond: undefined, steps: 9, first: 0.01 },
     { name: 'two minutes', span: 2 * MINUTE, requestsPerSecond: undefined, steps: 5, first: 0.01 },
-    { name: 'a quiet pool', span: 60 * MINUTE, requestsPerSecond: 0.5, steps: 8, first: 0.1 },
-    { name: 'a busy pool', span: 60 * MINUTE, requestsPerSecond: 100, steps: 8, first: 0.01 },
+    { name: 'a quiet pool', span: 60 * MINUTE, requestsPerSecond: 0.5, steps: 9, first: 0.1 },
+    { name: 'a busy pool', span: 60 * MINUTE, requestsPerSecond: 100, steps: 9, first: 0.01 },
   ];
   for (const { name, span, requestsPerSecond, steps, first } of cases) {
     it(`plans growing shares with margin for ${name}`, () => {
--- a/packages/moves/src/planMove.ts
+++ b/packages/moves/src/planMove.ts
@@ -3,21 +3,28 @@
 import type { MovePlanError, MovePlanOptions, MoveStep } from './types';
 
 const DEFAULT_FIRST_SHARE = 0.01;
-const DEFAULT_GROWTH = 2;
+const DEFAULT_GROWTH = 2.5;
 const DEFAULT_MINIMUM_STEP_TIME_MILLISECONDS = 20_000;
 const DEFAULT_MARGIN = 0.25;
 const MAXIMUM_FIRST_SHARE = 0.1;
-/** Steps in which a share of one tenth grows to all when the time is shortest. */
+const LAST_PARTIAL_SHARE = 0.8;
+/** Steps in which the first share grows to all when the time is shortest. */
 const FEWEST_STEPS = 4;
 /** Requests of the new version that the first step should see. */
 const FIRST_STEP_REQUESTS = 30;
 
-/** Steps whose shares grow by an equal factor from `firstShare` to 1. */
+/**
+ * Shares whose odds grow by an equal factor from `firstShare` to LAST_PARTIAL_SHARE, and then 1: small steps at both
+ * ends, so that the last servers of the old version are not needed by both versions at once.
+ */
 function growShares(firstShare: number, count: number): readonly number[] {
-  const factor = (1 / firstShare) ** (1 / (count - 1));
-  return Array.from({ length: count }, (_, index) =>
-    index === count - 1 ? 1 : firstShare * factor ** index,
-  );
+  const firstOdds = firstShare / (1 - firstShare);
+  const lastOdds = LAST_PARTIAL_SHARE / (1 - LAST_PARTIAL_SHARE);
+  const factor = (lastOdds / firstOdds) ** (1 / (count - 2));
+  return Array.from({ length: count }, (_, index) => {
+    const odds = firstOdds * factor ** index;
+    return index === count - 1 ? 1 : odds / (1 + odds);
+  });
 }
 
 function chooseFirstShare(options: MovePlanOptions, stepTime: number): number {
@@ -30,8 +37,7 @@
 }
 
 /**
- * Plans the steps of a move: a small share first, then equal factors at equal distances of time, so that
- * full share is due a margin before the deadline. Fails when the time is too short for the fewest steps.
+ * Plans the steps of a move: a small share first, then growing at equal distances of time, so that full share is due a margin before the deadline. Fails when the time is too short for the fewest steps.
  */
 export default function planMove(
   options: MovePlanOptions,
@@ -49,7 +55,8 @@
   }
   const growth = options.growth ?? DEFAULT_GROWTH;
   const smallest = options.firstShare ?? DEFAULT_FIRST_SHARE;
-  const wanted = Math.ceil(Math.log(1 / smallest) / Math.log(growth)) + 1;
+  const oddsRatio = (LAST_PARTIAL_SHARE * (1 - smallest)) / ((1 - LAST_PARTIAL_SHARE) * smallest);
+  const wanted = Math.ceil(Math.log(oddsRatio) / Math.log(growth)) + 2;
   const count = Math.min(fitting, Math.max(FEWEST_STEPS, wanted));
   const distance = available / (count - 1);
   const shares = growShares(chooseFirstShare(options, distance), count);
--- a/packages/moves/src/shareFalseAlarm.ts
+++ b/packages/moves/src/shareFalseAlarm.ts
@@ -2,16 +2,18 @@
 
 /** Errors, time to the first token, time between tokens. */
 const GROUNDS = 3;
-/** Part for the test over all routes and tiers together. */
-const POOLED_PART = 0.25;
-/** Part shared equally by the cells that are expected; the rest goes to any further ones. */
-const EXPECTED_CELLS_PART = 0.5;
+/** A failure domain's own evidence, and that of all failure domains together. */
+const WAYS_TO_JUDGE = 2;
+/** Part for the unit of every route. */
+const WHOLE_UNIT_PART = 0.25;
+/** Part shared equally by the units that are expected; the rest goes to any further ones. */
+const EXPECTED_UNITS_PART = 0.5;
 
 interface FalseAlarmOptions {
   readonly policy: JudgePolicy;
   readonly failureDomains: number;
-  /** Position of the cell in order of appearance from 0; undefined for the pooled test. */
-  readonly cell: number | undefined;
+  /** Position of the unit in order of appearance from 0; undefined for the unit of every route. */
+  readonly position: number | undefined;
 }
 
 /**
@@ -19,14 +21,14 @@
  * at most the whole, however many routes and tiers appear.
  */
 export default function shareFalseAlarm(options: FalseAlarmOptions): number {
-  const { policy, failureDomains, cell } = options;
-  const whole = policy.falseAlarm / failureDomains / GROUNDS;
-  if (cell === undefined) {
-    return whole * POOLED_PART;
+  const { policy, failureDomains, position } = options;
+  const whole = policy.falseAlarm / failureDomains / GROUNDS / WAYS_TO_JUDGE;
+  if (position === undefined) {
+    return whole * WHOLE_UNIT_PART;
   }
-  if (cell < policy.expectedCells) {
-    return (whole * EXPECTED_CELLS_PART) / policy.expectedCells;
+  if (position < policy.expectedUnits) {
+    return (whole * EXPECTED_UNITS_PART) / policy.expectedUnits;
   }
-  const further = cell - policy.expectedCells + 1;
-  return (whole * (1 - POOLED_PART - EXPECTED_CELLS_PART)) / (further * (further + 1));
+  const further = position - policy.expectedUnits + 1;
+  return (whole * (1 - WHOLE_UNIT_PART - EXPECTED_UNITS_PART)) / (further * (further + 1));
 }
--- a/packages/moves/src/types.ts
+++ b/packages/moves/src/types.ts
@@ -84,7 +84,7 @@
   readonly bakeTime: Milliseconds;
   /** Share of the first step where the traffic is enough to judge by it. */
   readonly firstShare?: number;
-  /** Factor between the shares of two steps where the time allows it. */
+  /** Factor between the odds of the shares of two steps where the time allows it. */
   readonly growth?: number;
   /** Least time between two steps. */
   readonly minimumStepTime?: Milliseconds;
@@ -152,7 +152,10 @@
   /** The evidence leans against the new version; no step up until it has gone. */
   readonly suspicious: boolean;
   readonly vetoed: boolean;
+  /** Share of the traffic there that the new version's backend servers can bear now. */
+  readonly bearableShare: number;
   readonly cells: readonly CellEvidence[];
+  readonly units: readonly UnitEvidence[];
 }
 
 /** How sure the judgement must be and how much worse a version may be. */
@@ -169,8 +172,8 @@
   readonly toleratedBetweenTokensRatio: number;
   /** First requests of the new version in a failure domain whose times do not count: its engines are cold. */
   readonly warmUpRequests: number;
-  /** Pairs of route and tier that are expected; more are judged with less power. */
-  readonly expectedCells: number;
+  /** Routes, and pairs of route and tier, that are expected; more are judged with less power. */
+  readonly expectedUnits: number;
 }
 
 export interface VersionJudgeOptions {
@@ -193,17 +196,64 @@
 export interface VersionJudge {
   /** Takes one finished request; returns the badness once it is certain enough, and on every call after. */
   observe(evidence: VersionEvidence, now: Milliseconds): JudgedBadness | undefined;
-  /** Starts the counts of a new step; the tests go on. */
-  beginStep(): void;
+  /** Judges this failure domain's evidence together with what the others last reported. */
+  judgeTogether(others: readonly (readonly UnitEvidence[])[]): JudgedBadness | undefined;
+  /** Starts the counts of a step with this share; the tests go on. */
+  beginStep(share: number): void;
   /** Whether the evidence leans against the new version without being certain. */
   isSuspicious(): boolean;
   cells(): readonly CellEvidence[];
+  units(): readonly UnitEvidence[];
+}
+
+/** Wealth of the four tests of one unit: 1 at the start, and growing as the evidence does. */
+export interface UnitWealth {
+  readonly failureRate: number;
+  readonly failureRatio: number;
+  readonly firstToken: number;
+  readonly betweenTokens: number;
+}
+
+/** What is judged as one: everything, one route, or one route and tier. */
+export interface JudgedUnit {
+  /** Undefined for every route. */
+  readonly route: string | undefined;
+  /** Undefined for every tier. */
+  readonly tier: TierRank | undefined;
+}
+
+/** A unit's evidence as one failure domain reports it. */
+export interface UnitEvidence extends JudgedUnit, UnitWealth {}
+
+/** One finished request as a unit's tests take it. */
+export interface UnitObservation {
+  readonly isNew: boolean;
+  readonly failed: boolean;
+  /** Normalised logarithm; undefined when no token came or the new version's engines are cold. */
+  readonly firstToken: number | undefined;
+  readonly betweenTokens: number | undefined;
+  readonly isFullShare: boolean;
+}
+
+/** Judges one unit in one failure domain. */
+export interface UnitJudge {
+  readonly unit: JudgedUnit;
+  /** Probability of a false alarm that one ground may spend here. */
+  readonly falseAlarm: number;
+  observe(observation: UnitObservation, now: Milliseconds): void;
+  evidence(): UnitWealth;
+  wealth(): UnitWealth;
+  newRequests(): number;
+  oldRequests(): number;
+  beginStep(): void;
 }
 
 /** An accumulated test of "no worse than tolerated" that is valid at any time. */
 export interface SequentialTest {
   /** Evidence against the hypothesis; the probability of ever reaching `1 / p` under it is at most `p`. */
   readonly evidence: number;
+  /** The evidence with what is not yet staked: a supermartingale from 1, which may be multiplied over domains. */
+  readonly wealth: number;
   /** Multiplies in what one observation says, one factor for each alternative. */
   update(factors: readonly number[]): void;
 }
@@ -240,6 +290,7 @@
   | 'stepTooYoung'
   | 'stepNotInForce'
   | 'tooLittleEvidence'
+  | 'tooLittleCapacity'
   | 'oldTraffic'
   | 'baking';
 
@@ -254,6 +305,10 @@
   cancel(request: CancelRequested, now: number): readonly MoveGuardEffect[];
   /** Takes a pre-authorised step when the other failure domains' reports allow it. */
   stepLocally(heard: readonly DomainReport[], now: number): readonly MoveGuardEffect[];
+  /** Judges the evidence of all failure domains together. */
+  judgeTogether(heard: readonly DomainReport[], now: number): readonly MoveGuardEffect[];
+  /** Notes what the pool's scheduler counted. */
+  count(counted: OldTrafficCounted | CapacityCounted): void;
   /** Gives the scheduler the shares when they differ from the last. */
   refreshShares(now: number): readonly MoveGuardEffect[];
   shares(): readonly VersionShare[];
@@ -362,6 +417,12 @@
   readonly inFlight: number;
 }
 
+/** How much of the pool's traffic in the failure domain the new version's backend servers can bear. */
+export interface CapacityCounted {
+  readonly kind: 'capacityCounted';
+  readonly bearableShare: number;
+}
+
 /** Failure domains that can be heard. */
 export interface ReachableChanged {
   readonly kind: 'reachableChanged';
@@ -381,6 +442,7 @@
   | ReportHeard
   | CancelRequested
   | OldTrafficCounted
+  | CapacityCounted
   | MoveTimePassed;
 
 /** Sets the version's share to nothing at the domain's schedulers at once. */
