--- /dev/null
+++ b/packages/moves/src/createMoveController.test.ts
@@ -0,0 +1,273 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import createMoveController from './createMoveController';
+import createMoveRecord from './createMoveRecord';
+import identifyMove from './identifyMove';
+import type {
+  DomainReport,
+  MoveController,
+  MoveControllerMessage,
+  MoveRecord,
+  WriteRecord,
+} from './types';
+
+const MINUTE = 60_000;
+const LAST = 8;
+const RECORD = makeRecord({});
+const MOVE = identifyMove(RECORD);
+const tick: MoveControllerMessage = { kind: 'timePassed' };
+
+function makeRecord(fields: Partial<MoveRecord>): MoveRecord {
+  const times = { startedAt: 0, deadline: 10 * MINUTE, bakeTime: MINUTE };
+  const made = createMoveRecord({ pool: 'drafts', from: '1', to: '2', ...times });
+  if (made.kind === 'error') {
+    throw new RangeError(made.error.kind);
+  }
+  return { ...made.value, ...fields };
+}
+
+function makeReport(failureDomain: string, fields: Partial<DomainReport>): DomainReport {
+  const step = fields.step ?? -1;
+  return {
+    kind: 'domainReport',
+    move: MOVE,
+    failureDomain,
+    generation: 1,
+    step,
+    stepSince: 0,
+    share: RECORD.steps[step]?.share ?? 0,
+    oldInFlight: 0,
+    suspicious: false,
+    vetoed: false,
+    bearableShare: 1,
+    cells: [{ route: 'quotes', tier: 0, newRequests: 40, oldRequests: 400 }],
+    units: [],
+    ...fields,
+  };
+}
+
+function lease(generation: number): MoveControllerMessage {
+  return { kind: 'leaseChanged', lease: { kind: 'held', generation } };
+}
+
+function seen(record: MoveRecord, version: number): MoveControllerMessage {
+  return { kind: 'recordSeen', stored: { record, version } };
+}
+
+function createController(): MoveController {
+  return createMoveController({ pool: 'drafts', failureDomains: ['rennes', 'brest'] });
+}
+
+function tryGetWrite(
+  controller: MoveController,
+  message: MoveControllerMessage,
+  now: number,
+): WriteRecord | undefined {
+  return controller.handle(message, now).find((effect) => effect.kind === 'writeRecord');
+}
+
+interface Situation {
+  readonly name: string;
+  readonly record: Partial<MoveRecord>;
+  readonly reports: readonly (Partial<DomainReport> | undefined)[];
+  readonly now: number;
+  /** What the written record must have; undefined when nothing is to be written. */
+  readonly written: Partial<MoveRecord> | undefined;
+}
+
+const due = RECORD.steps[3]!.notBefore;
+const full = { step: LAST };
+const atFull = { step: LAST, fullShareAt: 8 * MINUTE };
+
+describe(createMoveController.name, () => {
+  const situations: readonly Situation[] = [
+    { name: 'takes the first step', record: {}, reports: [{}, {}], now: 0, written: { step: 0 } },
+    {
+      name: 'takes a step that is due',
+      record: { step: 2 },
+      reports: [{ step: 2 }, { step: 2 }],
+      now: due,
+      written: { step: 3 },
+    },
+    {
+      name: 'waits for the step to be due',
+      record: { step: 2 },
+      reports: [{ step: 2 }, { step: 2 }],
+      now: due - 1,
+      written: undefined,
+    },
+    {
+      name: 'waits for a report',
+      record: { step: 2 },
+      reports: [{ step: 2 }, undefined],
+      now: due,
+      written: undefined,
+    },
+    {
+      name: 'waits for a domain that lags',
+      record: { step: 2 },
+      reports: [{ step: 2 }, { step: 1 }],
+      now: due,
+      written: undefined,
+    },
+    {
+      name: 'waits while a domain suspects',
+      record: { step: 2 },
+      reports: [{ step: 2 }, { step: 2, suspicious: true }],
+      now: due,
+      written: undefined,
+    },
+    {
+      name: 'waits for evidence',
+      record: { step: 2 },
+      reports: [
+        { step: 2, cells: [] },
+        { step: 2, cells: [] },
+      ],
+      now: due,
+      written: undefined,
+    },
+    {
+      name: 'waits for evidence on each route',
+      record: { step: 2 },
+      reports: [
+        { step: 2 },
+        { step: 2, cells: [{ route: 'claims', tier: 0, newRequests: 0, oldRequests: 400 }] },
+      ],
+      now: due,
+      written: undefined,
+    },
+    {
+      name: 'waits for capacity',
+      record: { step: 2 },
+      reports: [{ step: 2 }, { step: 2, bearableShare: 0.1 }],
+      now: due,
+      written: undefined,
+    },
+    {
+      name: 'records steps that domains took on their own',
+      record: { step: 2 },
+      reports: [{ step: 5 }, { step: 6 }],
+      now: due,
+      written: { step: 5 },
+    },
+    {
+      name: 'says late as soon as too many steps are left',
+      record: { step: 2 },
+      reports: [{ step: 2 }, { step: 2 }],
+      now: 10 * MINUTE - 5 * 20_000 + 1,
+      written: { late: true },
+    },
+    {
+      name: 'does not say late while every step could still be taken',
+      record: { step: 2 },
+      reports: [
+        { step: 2, cells: [] },
+        { step: 2, cells: [] },
+      ],
+      now: 10 * MINUTE - 5 * 20_000,
+      written: undefined,
+    },
+    {
+      name: 'does not say late when full share was reached in time',
+      record: full,
+      reports: [
+        { ...full, stepSince: 9 * MINUTE },
+        { ...full, stepSince: 10 * MINUTE },
+      ],
+      now: 11 * MINUTE,
+      written: { late: false, fullShareAt: 10 * MINUTE },
+    },
+    {
+      name: 'is done after the bake time',
+      record: atFull,
+      reports: [full, full],
+      now: 9 * MINUTE,
+      written: { verdict: 'done' },
+    },
+    {
+      name: 'is not done within the bake time',
+      record: atFull,
+      reports: [full, full],
+      now: 9 * MINUTE - 1,
+      written: undefined,
+    },
+    {
+      name: 'is not done while the old version carries something',
+      record: atFull,
+      reports: [full, { ...full, oldInFlight: 1 }],
+      now: 9 * MINUTE,
+      written: undefined,
+    },
+    {
+      name: 'is not done while a domain has not confirmed',
+      record: atFull,
+      reports: [full, { step: LAST - 1 }],
+      now: 9 * MINUTE,
+      written: undefined,
+    },
+    {
+      name: 'is not done while a domain suspects',
+      record: atFull,
+      reports: [full, { ...full, suspicious: true }],
+      now: 9 * MINUTE,
+      written: undefined,
+    },
+    {
+      name: 'refuses to act under an older lease than the record’s',
+      record: { step: 2, controllerGeneration: 8 },
+      reports: [{ step: 2 }, { step: 2 }],
+      now: due,
+      written: undefined,
+    },
+    ...(['done', 'takenBack', 'cancelled'] as const).map((verdict) => ({
+      name: `writes nothing after ${verdict}`,
+      record: { ...atFull, verdict },
+      reports: [full, full],
+      now: 9 * MINUTE,
+      written: undefined,
+    })),
+  ];
+  for (const { name, record, reports, now, written } of situations) {
+    it(name, () => {
+      const controller = createController();
+      controller.handle(lease(7), 0);
+      controller.handle(seen(makeRecord(record), 5), now - 30_000);
+      reports.forEach((fields, index) => {
+        if (fields !== undefined) {
+          const report = makeReport(index === 0 ? 'rennes' : 'brest', fields);
+          controller.handle({ kind: 'reportHeard', report }, now);
+        }
+      });
+      const write = tryGetWrite(controller, tick, now);
+      if (written === undefined) {
+        expect(write).toEqual(undefined);
+        return;
+      }
+      expect(write?.version).toEqual(5);
+      expect({ ...write?.record, ...written }).toEqual({ ...write?.record });
+      expect(write?.record.controllerGeneration).toEqual(7);
+    });
+  }
+
+  it('writes nothing without the lease', () => {
+    const controller = createController();
+    controller.handle(seen(RECORD, 1), 0);
+    expect(tryGetWrite(controller, tick, 0)).toEqual(undefined);
+  });
+
+  it('stops when it wakes and finds a newer controller’s verdict', () => {
+    const controller = createController();
+    controller.handle(lease(3), 0);
+    controller.handle(seen(makeRecord({ step: 2 }), 5), 0);
+    ['rennes', 'brest'].forEach((domain) => {
+      const report = makeReport(domain, { step: 2 });
+      controller.handle({ kind: 'reportHeard', report }, due);
+    });
+    expect(tryGetWrite(controller, tick, due)?.version).toEqual(5);
+    const taken = makeRecord({ step: 2, generation: 4, verdict: 'takenBack' });
+    const answer = { kind: 'conflict' as const, stored: { record: taken, version: 9 } };
+    expect(tryGetWrite(controller, { kind: 'recordAnswered', answer }, due + 1)).toEqual(undefined);
+    expect(tryGetWrite(controller, tick, due + MINUTE)).toEqual(undefined);
+  });
+});
--- /dev/null
+++ b/packages/moves/src/createMoveGuard.test.ts
@@ -0,0 +1,297 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import createMoveGuard from './createMoveGuard';
+import createMoveRecord from './createMoveRecord';
+import identifyMove from './identifyMove';
+import type {
+  DomainReport,
+  MoveGuardEffect,
+  MoveGuardMessage,
+  MovePlanOptions,
+  MoveRecord,
+  MoveVeto,
+  RecordSeen,
+} from './types';
+
+const SETTLED = 3_000;
+const PLAN: MovePlanOptions = {
+  pool: 'drafts',
+  from: '1',
+  to: '2',
+  startedAt: 0,
+  deadline: 600_000,
+  bakeTime: 60_000,
+};
+const RECORD = makeRecord({ step: 2 });
+const MOVE = identifyMove(RECORD);
+const SHARE = RECORD.steps[2]!.share;
+const VETO: MoveVeto = {
+  kind: 'moveVeto',
+  move: MOVE,
+  reason: { ground: 'errors', route: '*', tier: 0, failureDomain: 'brest', detail: 'fails' },
+};
+const tick: MoveGuardMessage = { kind: 'timePassed' };
+
+function makeRecord(fields: Partial<MoveRecord>, plan: Partial<MovePlanOptions> = {}): MoveRecord {
+  const made = createMoveRecord({ ...PLAN, ...plan });
+  if (made.kind === 'error') {
+    throw new RangeError(made.error.kind);
+  }
+  return { ...made.value, ...fields };
+}
+
+function seen(record: MoveRecord, version: number): RecordSeen {
+  return { kind: 'recordSeen', stored: { record, version } };
+}
+
+function failure(version: string): MoveGuardMessage {
+  return {
+    kind: 'versionEvidence',
+    version,
+    route: 'quotes',
+    tier: 0,
+    failed: version === '2',
+    firstTokenAfter: undefined,
+    betweenTokens: undefined,
+    outputTokens: 0,
+    promptTokens: 10,
+  };
+}
+
+interface Fixture {
+  at(now: number, ...messages: readonly MoveGuardMessage[]): readonly MoveGuardEffect[];
+  /** Share of the new version that the scheduler was given last. */
+  share(): number | undefined;
+}
+
+function createFixture(record = RECORD): Fixture {
+  const failureDomains = ['rennes', 'brest'];
+  const guard = createMoveGuard({ pool: 'drafts', failureDomain: 'rennes', failureDomains });
+  let share: number | undefined;
+  function at(now: number, ...messages: readonly MoveGuardMessage[]): readonly MoveGuardEffect[] {
+    const effects = messages.flatMap((message) => guard.handle(message, now));
+    effects.forEach((effect) => {
+      if (effect.kind === 'sharesChanged') {
+        share = effect.shares.find(({ version }) => version === '2')?.share;
+      }
+    });
+    return effects;
+  }
+  at(0, seen(record, 1));
+  at(SETTLED, tick);
+  return { at, share: () => share };
+}
+
+function failUntilVetoed(fixture: Fixture): readonly MoveGuardEffect[] {
+  for (let round = 0; round < 100; round += 1) {
+    const effects = fixture.at(SETTLED + round, failure('1'), failure('1'), failure('2'));
+    if (effects.length > 0) {
+      return effects;
+    }
+  }
+  return [];
+}
+
+describe(createMoveGuard.name, () => {
+  it('gives nothing until it has settled, then the share of the step', () => {
+    const fixture = createFixture();
+    expect(fixture.share()).toEqual(SHARE);
+    const fresh = createMoveGuard({ pool: 'drafts', failureDomain: 'a', failureDomains: ['a'] });
+    fresh.handle(seen(RECORD, 1), 0);
+    expect(fresh.shares()?.[1]?.share).toEqual(0);
+  });
+
+  it('takes its share away first, then tells the others and writes the verdict', () => {
+    const fixture = createFixture();
+    const effects = failUntilVetoed(fixture);
+    expect(effects.map(({ kind }) => kind)).toEqual([
+      'vetoVersion',
+      'sharesChanged',
+      'announceVeto',
+      'logMoveDecision',
+      'writeRecord',
+    ]);
+    const write = effects.at(-1);
+    expect(write?.kind === 'writeRecord' && write.record.verdict).toEqual('takenBack');
+    expect(fixture.share()).toEqual(0);
+  });
+
+  const afterVeto: readonly {
+    readonly name: string;
+    readonly messages: readonly MoveGuardMessage[];
+  }[] = [
+    { name: 'a later step', messages: [seen(makeRecord({ step: 5, generation: 9 }), 9)] },
+    { name: 'full share', messages: [seen(makeRecord({ step: 8, generation: 9 }), 9)] },
+    {
+      name: 'a verdict of done that was written meanwhile',
+      messages: [seen(makeRecord({ step: 8, generation: 9, verdict: 'done' }), 9)],
+    },
+    {
+      name: 'a late watch event of an older record',
+      messages: [
+        seen(makeRecord({ step: 5, generation: 9, verdict: 'takenBack' }), 9),
+        seen(makeRecord({ step: 5, generation: 8 }), 8),
+      ],
+    },
+    { name: 'time', messages: [tick] },
+  ];
+  for (const { name, messages } of afterVeto) {
+    it(`keeps a vetoed share at nothing through ${name}`, () => {
+      const fixture = createFixture();
+      fixture.at(SETTLED, { kind: 'vetoHeard', veto: VETO });
+      expect(fixture.share()).toEqual(0);
+      fixture.at(500_000, ...messages, tick);
+      expect(fixture.share()).toEqual(0);
+    });
+  }
+
+  it('ignores a late watch event of an older record', () => {
+    const fixture = createFixture();
+    fixture.at(SETTLED, seen(makeRecord({ step: 5, generation: 9, verdict: 'takenBack' }), 9));
+    fixture.at(SETTLED + 1, seen(makeRecord({ step: 5, generation: 8 }), 8));
+    expect(fixture.share()).toEqual(0);
+  });
+
+  it('applies a veto that came before the record', () => {
+    const fixture = createFixture(makeRecord({ startedAt: 5, step: 2 }));
+    fixture.at(SETTLED, { kind: 'vetoHeard', veto: VETO }, seen(RECORD, 2), tick);
+    expect(fixture.share()).toEqual(0);
+  });
+
+  const cancels: readonly {
+    readonly name: string;
+    readonly before: readonly MoveGuardMessage[];
+    readonly after: readonly MoveGuardMessage[];
+    readonly share: number;
+    readonly decision: string;
+  }[] = [
+    { name: 'at once', before: [], after: [], share: 0, decision: 'vetoed' },
+    {
+      name: 'not after done',
+      before: [seen(makeRecord({ step: 8, generation: 4, verdict: 'done' }), 4)],
+      after: [],
+      share: 1,
+      decision: 'cancelRefused',
+    },
+    {
+      name: 'and loses to a verdict of done written first',
+      before: [],
+      after: [seen(makeRecord({ step: 8, generation: 4, verdict: 'done' }), 4)],
+      share: 1,
+      decision: 'vetoed',
+    },
+  ];
+  for (const { name, before, after, share, decision } of cancels) {
+    it(`cancels by an operator ${name}`, () => {
+      const fixture = createFixture();
+      fixture.at(SETTLED, ...before);
+      const request = { kind: 'cancelRequested', move: MOVE, operator: 'anne' } as const;
+      const effects = fixture.at(SETTLED, request);
+      const logged = effects.find((effect) => effect.kind === 'logMoveDecision');
+      expect(logged?.decision ?? '').toEqual(decision);
+      fixture.at(SETTLED + 1, ...after);
+      expect(fixture.share()).toEqual(share);
+    });
+  }
+
+  const answers: readonly {
+    readonly name: string;
+    readonly answer: MoveGuardMessage;
+    readonly next: readonly string[];
+  }[] = [
+    {
+      name: 'writes again when the store is back',
+      answer: { kind: 'recordAnswered', answer: { kind: 'unavailable', retryAfter: 100 } },
+      next: ['writeRecord'],
+    },
+    {
+      name: 'reads before it writes again when the outcome is unknown',
+      answer: { kind: 'recordAnswered', answer: { kind: 'outcomeUnknown' } },
+      next: ['readRecord'],
+    },
+    {
+      name: 'writes over a step that came between',
+      answer: {
+        kind: 'recordAnswered',
+        answer: {
+          kind: 'conflict',
+          stored: { record: makeRecord({ step: 3, generation: 3 }), version: 7 },
+        },
+      },
+      next: ['writeRecord'],
+    },
+    {
+      name: 'lets a final verdict stand',
+      answer: {
+        kind: 'recordAnswered',
+        answer: {
+          kind: 'conflict',
+          stored: {
+            record: makeRecord({ generation: 3, verdict: 'cancelled' }),
+            version: 7,
+          },
+        },
+      },
+      next: [],
+    },
+  ];
+  for (const { name, answer, next } of answers) {
+    it(name, () => {
+      const fixture = createFixture();
+      fixture.at(SETTLED, { kind: 'vetoHeard', veto: VETO });
+      const effects = [...fixture.at(SETTLED + 10, answer), ...fixture.at(SETTLED + 900, tick)];
+      const kinds = effects.map(({ kind }): string => kind);
+      expect(kinds.filter((kind) => kind.endsWith('Record'))).toEqual([...next]);
+      expect(fixture.share()).toEqual(0);
+    });
+  }
+});
+
+describe('steps without the controller', () => {
+  const due = RECORD.steps[3]!.notBefore + 15_000;
+  const other: DomainReport = {
+    kind: 'domainReport',
+    move: MOVE,
+    failureDomain: 'brest',
+    generation: 1,
+    step: 2,
+    stepSince: 0,
+    share: SHARE,
+    oldInFlight: 0,
+    suspicious: false,
+    vetoed: false,
+    bearableShare: 1,
+    cells: [{ route: 'quotes', tier: 0, newRequests: 40, oldRequests: 400 }],
+    units: [],
+  };
+  const cases: readonly {
+    readonly name: string;
+    readonly record?: MoveRecord;
+    readonly report: DomainReport | undefined;
+    readonly at?: number;
+    readonly step: number;
+  }[] = [
+    { name: 'takes a pre-authorised step that is overdue', report: other, step: 3 },
+    { name: 'waits for the controller first', report: other, at: due - 1, step: 2 },
+    {
+      name: 'holds when the plan says so',
+      record: makeRecord({ step: 2 }, { outagePolicy: 'hold' }),
+      report: other,
+      step: 2,
+    },
+    { name: 'holds when another domain is not heard', report: undefined, step: 2 },
+    { name: 'holds when another domain suspects', report: { ...other, suspicious: true }, step: 2 },
+    { name: 'holds when another domain has vetoed', report: { ...other, vetoed: true }, step: 2 },
+    { name: 'holds when another domain is behind', report: { ...other, step: 1 }, step: 2 },
+    { name: 'holds with too little evidence', report: { ...other, cells: [] }, step: 2 },
+    { name: 'holds without capacity', report: { ...other, bearableShare: 0.1 }, step: 2 },
+  ];
+  for (const { name, record = RECORD, report, at = due, step } of cases) {
+    it(name, () => {
+      const fixture = createFixture(record);
+      const messages = report === undefined ? [] : [{ kind: 'reportHeard' as const, report }];
+      fixture.at(at, ...messages, tick);
+      expect(fixture.share()).toEqual(RECORD.steps[step]!.share);
+    });
+  }
+});
