Keep one configuration in force that never goes back, and change it conditionally

Cause: nothing put settings in force, spread them or let operators change them. Change: a pure keeper takes only a higher generation; a starting host gathers what the store and its peers offer before it chooses; delegates watch the store and announce, everyone else fetches differences from a peer, with a digest and the whole as the fallback. Changes are conditional updates under an id: racing operators get a conflict with the readable difference, drains and restores are put on top of what stands, a lost or late answer is settled by further conditional writes and by the list of recent changes. A local drain is in force at once, spreads in its domain, is recorded when the store is back, and cannot return after a restore that knew of it.

--- /dev/null
+++ b/packages/configuration/src/changes/changeSettings.ts
@@ -0,0 +1,88 @@
+import { fail, ok } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
+import { match } from 'ts-pattern';
+import type {
+  ChangeError,
+  DeploymentSettings,
+  DrainedSettings,
+  DrainTarget,
+  SettingsChange,
+} from '../types';
+
+const RECORDED_DRAINS_KEPT = 256;
+
+/** Settings after a change; the same object when the change changes nothing. */
+export default function changeSettings(
+  settings: DeploymentSettings,
+  change: SettingsChange,
+): Outcome<DeploymentSettings, ChangeError> {
+  return match(change)
+    .with({ kind: 'replaceSettings' }, (replace) =>
+      ok({ ...replace.settings, drained: keepDrained(settings.drained, replace.settings) }),
+    )
+    .with({ kind: 'drain' }, ({ target, localDrain }) =>
+      setDrained(settings, target, true, localDrain === undefined ? [] : [localDrain]),
+    )
+    .with({ kind: 'restore' }, ({ target, localDrains }) =>
+      setDrained(settings, target, false, localDrains ?? []),
+    )
+    .exhaustive();
+}
+
+function idsOf(settings: DeploymentSettings, kind: DrainTarget['kind']): readonly string[] {
+  switch (kind) {
+    case 'failureDomain':
+      return settings.failureDomains.map(({ id }) => id);
+    case 'entryHost':
+      return settings.entryHosts.map(({ id }) => id);
+    case 'backendServer':
+      return settings.backendServers.map(({ id }) => id);
+    default:
+      return kind satisfies never;
+  }
+}
+
+const FIELDS = {
+  failureDomain: 'failureDomains',
+  entryHost: 'entryHosts',
+  backendServer: 'backendServers',
+} as const;
+
+/** What stays drained when the answers are revised: all that still exists. */
+function keepDrained(drained: DrainedSettings, next: DeploymentSettings): DrainedSettings {
+  const kept = (kind: DrainTarget['kind']) =>
+    drained[FIELDS[kind]].filter((id) => idsOf(next, kind).includes(id));
+  return {
+    ...drained,
+    failureDomains: kept('failureDomain'),
+    entryHosts: kept('entryHost'),
+    backendServers: kept('backendServer'),
+  };
+}
+
+function setDrained(
+  settings: DeploymentSettings,
+  target: DrainTarget,
+  drained: boolean,
+  localDrains: readonly string[],
+): Outcome<DeploymentSettings, ChangeError> {
+  if (!idsOf(settings, target.kind).includes(target.id)) {
+    return fail({ kind: 'unknownDrainTarget', target });
+  }
+  const field = FIELDS[target.kind];
+  const recorded = settings.drained.recordedLocalDrains ?? [];
+  const news = localDrains.filter((id) => !recorded.includes(id));
+  const isDrained = settings.drained[field].includes(target.id);
+  // A local drain that is recorded already must not take effect again after a restore.
+  const isRepeated = localDrains.length > 0 && news.length === 0;
+  if (isRepeated || (news.length === 0 && isDrained === drained)) {
+    return ok(settings);
+  }
+  const others = settings.drained[field].filter((id) => id !== target.id);
+  const next: DrainedSettings = {
+    ...settings.drained,
+    [field]: drained ? [...others, target.id] : others,
+    recordedLocalDrains: [...recorded, ...news].slice(-RECORDED_DRAINS_KEPT),
+  };
+  return ok({ ...settings, drained: next });
+}
--- /dev/null
+++ b/packages/configuration/src/changes/createConfigurationPatch.ts
@@ -0,0 +1,22 @@
+import diffSettings from '../diffSettings';
+import type { AcceptedConfiguration, ConfigurationPatch } from '../types';
+import digestOfSettings from './digestOfSettings';
+
+/** The patch that leads from one accepted configuration to a later one. */
+export default function createConfigurationPatch(
+  before: AcceptedConfiguration,
+  after: AcceptedConfiguration,
+): ConfigurationPatch {
+  const { settings, ...header } = after;
+  return {
+    from: before.generation,
+    to: after.generation,
+    header,
+    // What stood before is known to the receiver.
+    differences: diffSettings(before.settings, settings).map((difference) => ({
+      ...difference,
+      before: undefined,
+    })),
+    digest: digestOfSettings(settings),
+  };
+}
--- /dev/null
+++ b/packages/configuration/src/changes/settingsWalk.ts
@@ -0,0 +1,39 @@
+import type { SettingsStep } from '../types';
+
+/** An entry of a list that has an identity of its own. */
+type Identified = Readonly<Record<string, unknown>>;
+
+/** Whether a value is a plain mapping. */
+function isMapping(value: unknown): value is Identified {
+  return typeof value === 'object' && value !== null && !Array.isArray(value);
+}
+
+/** The id or name of a list's entry; undefined when it has none. */
+function tryGetId(entry: unknown): string | undefined {
+  const id = isMapping(entry) ? (entry.id ?? entry.name) : undefined;
+  return typeof id === 'string' ? id : undefined;
+}
+
+/** Whether a list's entries are told apart by id, so that it can be compared entry by entry. */
+function isIdentifiedList(value: unknown): value is readonly Identified[] {
+  if (!Array.isArray(value) || value.length === 0) {
+    return false;
+  }
+  const ids = value.map(tryGetId);
+  return ids.every((id) => id !== undefined) && new Set(ids).size === ids.length;
+}
+
+/** Writes steps as `customers[makers].weight`. */
+function formatSteps(steps: readonly SettingsStep[]): string {
+  return steps.reduce((text, step) => {
+    if (step.kind === 'entry') {
+      return `${text}[${step.id}]`;
+    }
+    return text === '' ? step.name : `${text}.${step.name}`;
+  }, '');
+}
+
+/** How settings are walked: mappings by field, lists of identified entries by id. */
+const settingsWalk = { isMapping, tryGetId, isIdentifiedList, formatSteps };
+
+export default settingsWalk;
--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -1,8 +1,15 @@
 /** The questionnaire, the settings generated from it, and the configuration in force. */
 export type * from './types';
+export { default as applyChange } from './applyChange';
 export { default as checkQuestionnaire } from './checkQuestionnaire';
+export { default as createConfigurationKeeper } from './createConfigurationKeeper';
+export { default as createConfigurationTask } from './createConfigurationTask';
+export { default as diffSettings } from './diffSettings';
 export { default as formatDiagnostics } from './formatDiagnostics';
 export { default as isLoopbackAddress } from './isLoopbackAddress';
+export { default as parseAcceptedConfiguration } from './parseAcceptedConfiguration';
 export { default as parseAddress } from './parseAddress';
 export { default as parseDeploymentSettings } from './parseDeploymentSettings';
 export { default as parseEntryHostSettings } from './parseEntryHostSettings';
+export { default as storedConfiguration } from './changes/storedConfiguration';
+export { default as summariseInForce } from './summariseInForce';
