Package the program as one executable

Cause: it must ship as one binary that needs no node_modules. Change: npm run package bundles with esbuild and injects a single-executable blob into a copy of node. Conclusion: works; a CommonJS bundle needs import.meta defined, or meow refuses to start.

--- /dev/null
+++ b/scripts/package.mjs
@@ -0,0 +1,44 @@
+/**
+ * Builds dist/rattanreel, one executable that needs no node_modules: bundles the program, makes a
+ * single-executable blob of it and injects the blob into a copy of the running Node.js binary.
+ */
+import { execFileSync } from 'node:child_process';
+import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import { build } from 'esbuild';
+import { inject } from 'postject';
+
+const FOLDER = 'dist';
+const BUNDLE = path.join(FOLDER, 'rattanreel.cjs');
+const BLOB = path.join(FOLDER, 'rattanreel.blob');
+const CONFIGURATION = path.join(FOLDER, 'sea.json');
+const EXECUTABLE = path.join(FOLDER, 'rattanreel');
+const SENTINEL = 'NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2';
+
+mkdirSync(FOLDER, { recursive: true });
+
+await build({
+  entryPoints: ['packages/command-line/src/main.ts'],
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  outfile: BUNDLE,
+  // meow looks for a package.json from import.meta.url on, which a CommonJS bundle lacks.
+  define: { 'import.meta': 'importMeta' },
+  banner: {
+    js: "const importMeta = { url: require('node:url').pathToFileURL(process.execPath).href };",
+  },
+  logLevel: 'warning',
+});
+
+writeFileSync(
+  CONFIGURATION,
+  JSON.stringify({ main: BUNDLE, output: BLOB, disableExperimentalSEAWarning: true }),
+);
+execFileSync(process.execPath, ['--experimental-sea-config', CONFIGURATION], { stdio: 'inherit' });
+copyFileSync(process.execPath, EXECUTABLE);
+chmodSync(EXECUTABLE, 0o755);
+await inject(EXECUTABLE, 'NODE_SEA_BLOB', readFileSync(BLOB), { sentinelFuse: SENTINEL });
+process.stdout.write(`${EXECUTABLE}\n`);
