Wire membership and the order desk into the entry host

Cause: placeholders took every configured host for alive, and keyed orders were booked twice on a retry.

--- a/packages/entry-host/src/callers/answerStreamed.ts
+++ b/packages/entry-host/src/callers/answerStreamed.ts
@@ -1,6 +1,6 @@
 import type { Context } from 'hono';
 import type { StreamEvent } from '@rattanreel/dispatch';
-import type { CallerServices, ChatJob, ChatOutcome, ProblemDocument } from '../types';
+import type { CallerServices, ChatJob, ChatOutcome, ProblemDocument } from './types';
 import chatProblem from './chatProblem';
 import recordEnd from './recordEnd';
 import runChat from './runChat';
--- a/packages/entry-host/src/callers/answerWhole.ts
+++ b/packages/entry-host/src/callers/answerWhole.ts
@@ -1,5 +1,5 @@
 import type { Context } from 'hono';
-import type { CallerServices, ChatJob, ChatOutcome } from '../types';
+import type { CallerServices, ChatJob, ChatOutcome } from './types';
 import chatProblem from './chatProblem';
 import collectChatAnswer from './collectChatAnswer';
 import recordEnd from './recordEnd';
--- a/packages/entry-host/src/callers/authenticateCaller.ts
+++ b/packages/entry-host/src/callers/authenticateCaller.ts
@@ -1,6 +1,7 @@
 import { fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
-import type { AuthenticatedCaller, ProblemType, SettingsView } from '../types';
+import type { AuthenticatedCaller, ProblemType } from './types';
+import type { SettingsView } from '../types';
 import problemTypes from './problemTypes';
 
 const BEARER = /^Bearer\s+(.+)$/i;
--- a/packages/entry-host/src/callers/chatProblem.ts
+++ b/packages/entry-host/src/callers/chatProblem.ts
@@ -1,5 +1,5 @@
 import type { RequestId } from '@rattanreel/core';
-import type { ChatOutcome, ProblemDocument } from '../types';
+import type { ChatOutcome, ProblemDocument } from './types';
 import createProblem from './createProblem';
 import problemTypes from './problemTypes';
 import refusalProblem from './refusalProblem';
--- a/packages/entry-host/src/callers/collectChatAnswer.ts
+++ b/packages/entry-host/src/callers/collectChatAnswer.ts
@@ -1,5 +1,5 @@
 import type { StreamUsage } from '@rattanreel/dispatch';
-import type { ChatAnswer } from '../types';
+import type { ChatAnswer } from './types';
 
 interface ChunkBody {
   readonly id?: string;
--- a/packages/entry-host/src/callers/createCallerApplication.ts
+++ b/packages/entry-host/src/callers/createCallerApplication.ts
@@ -1,7 +1,7 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
-import type { CallerServices } from '../types';
+import type { CallerServices } from './types';
 import authenticateCaller from './authenticateCaller';
 import createProblem from './createProblem';
 import handleChatCompletion from './handleChatCompletion';
--- a/packages/entry-host/src/callers/createProblem.ts
+++ b/packages/entry-host/src/callers/createProblem.ts
@@ -1,5 +1,5 @@
 import type { Execution } from '@rattanreel/orders';
-import type { ProblemDetails, ProblemDocument, ProblemType } from '../types';
+import type { ProblemDetails, ProblemDocument, ProblemType } from './types';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 
--- a/packages/entry-host/src/callers/createServiceAsk.ts
+++ b/packages/entry-host/src/callers/createServiceAsk.ts
@@ -1,5 +1,6 @@
 import { createRequestLifecycle } from '@rattanreel/dispatch';
-import type { CallerServices, GrantAsk, ServiceJob } from '../types';
+import type { CallerServices, ServiceJob } from './types';
+import type { GrantAsk } from '../scheduling/types';
 
 /** A plain service's call counts as one token of prompt and one of answer. */
 const TOKENS_PER_CALL = 1;
--- a/packages/entry-host/src/callers/handleChatCompletion.ts
+++ b/packages/entry-host/src/callers/handleChatCompletion.ts
@@ -2,13 +2,8 @@
 import { createRequestLifecycle, hashPromptPrefixes } from '@rattanreel/dispatch';
 import type { ModelPoolSettings } from '@rattanreel/configuration';
 import { Debug } from '@rattanreel/core';
-import type {
-  AuthenticatedCaller,
-  CallerServices,
-  ChatJob,
-  ChatRequest,
-  SettingsView,
-} from '../types';
+import type { AuthenticatedCaller, CallerServices, ChatJob, ChatRequest } from './types';
+import type { SettingsView } from '../types';
 import answerStreamed from './answerStreamed';
 import answerWhole from './answerWhole';
 import authenticateCaller from './authenticateCaller';
--- a/packages/entry-host/src/callers/handleServiceCall.ts
+++ b/packages/entry-host/src/callers/handleServiceCall.ts
@@ -2,13 +2,8 @@
 import { Debug, fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import type { RecordedAnswer } from '@rattanreel/orders';
-import type {
-  CallerServices,
-  ProblemDocument,
-  ProblemType,
-  ServiceJob,
-  SettingsView,
-} from '../types';
+import type { CallerServices, ProblemDocument, ProblemType, ServiceJob } from './types';
+import type { SettingsView } from '../types';
 import authenticateCaller from './authenticateCaller';
 import createProblem from './createProblem';
 import orderProblem from './orderProblem';
--- a/packages/entry-host/src/callers/orderProblem.ts
+++ b/packages/entry-host/src/callers/orderProblem.ts
@@ -1,6 +1,6 @@
 import type { OrderError } from '@rattanreel/orders';
 import type { RequestId } from '@rattanreel/core';
-import type { ProblemDocument } from '../types';
+import type { ProblemDocument } from './types';
 import createProblem from './createProblem';
 import problemTypes from './problemTypes';
 
--- a/packages/entry-host/src/callers/problemTypes.ts
+++ b/packages/entry-host/src/callers/problemTypes.ts
@@ -1,4 +1,4 @@
-import type { ProblemType } from '../types';
+import type { ProblemType } from './types';
 
 /** Every refusal and failure that a caller can see; `code` is the last part of the problem's type URI. */
 const problemTypes = {
--- a/packages/entry-host/src/callers/readChatRequest.ts
+++ b/packages/entry-host/src/callers/readChatRequest.ts
@@ -1,7 +1,7 @@
 import { fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import { z } from 'zod';
-import type { ChatRequest, MalformedBody } from '../types';
+import type { ChatRequest, MalformedBody } from './types';
 
 const DEFAULT_OUTPUT_TOKENS = 512;
 const LARGEST_OUTPUT_TOKENS = 32_768;
--- a/packages/entry-host/src/callers/recordEnd.ts
+++ b/packages/entry-host/src/callers/recordEnd.ts
@@ -1,6 +1,6 @@
 import type { EndedRequest } from '@rattanreel/observability';
 import type { Execution } from '@rattanreel/orders';
-import type { CallerServices, ChatJob, ChatOutcome } from '../types';
+import type { CallerServices, ChatJob, ChatOutcome } from './types';
 import streamProblem from './streamProblem';
 
 const endedByExecution: Readonly<Record<Execution, EndedRequest['outcome']>> = {
--- a/packages/entry-host/src/callers/recordServiceEnd.ts
+++ b/packages/entry-host/src/callers/recordServiceEnd.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds, Outcome } from '@rattanreel/core';
 import type { EndedRequest } from '@rattanreel/observability';
 import type { Execution, RecordedAnswer } from '@rattanreel/orders';
-import type { CallerServices, ProblemDocument, ServiceJob } from '../types';
+import type { CallerServices, ProblemDocument, ServiceJob } from './types';
 
 const endedByExecution: Readonly<Record<Execution, EndedRequest['outcome']>> = {
   'not-run': 'refused',
--- a/packages/entry-host/src/callers/refusalProblem.ts
+++ b/packages/entry-host/src/callers/refusalProblem.ts
@@ -1,5 +1,5 @@
 import type { RefusalReason } from '@rattanreel/scheduling';
-import type { ProblemType } from '../types';
+import type { ProblemType } from './types';
 import problemTypes from './problemTypes';
 
 /** The problem that a caller sees for each ground of refusal. */
--- a/packages/entry-host/src/callers/runChat.ts
+++ b/packages/entry-host/src/callers/runChat.ts
@@ -2,7 +2,8 @@
 import type { StreamEvent, StreamResult } from '@rattanreel/dispatch';
 import { Debug } from '@rattanreel/core';
 import type { ReleaseOutcome } from '@rattanreel/scheduling';
-import type { CallerServices, ChatJob, ChatOutcome, HeldGrant } from '../types';
+import type { CallerServices, ChatJob, ChatOutcome } from './types';
+import type { HeldGrant } from '../scheduling/types';
 
 /** Grants used for one request at most: an engine that refuses the connection has not seen the request. */
 const MAXIMUM_ATTEMPTS = 3;
--- a/packages/entry-host/src/callers/runServiceCall.ts
+++ b/packages/entry-host/src/callers/runServiceCall.ts
@@ -2,7 +2,8 @@
 import type { Outcome } from '@rattanreel/core';
 import type { BackendServerError, ServiceAnswer } from '@rattanreel/dispatch';
 import type { ReleaseOutcome } from '@rattanreel/scheduling';
-import type { CallerServices, HeldGrant, ServiceJob, ServiceOutcome } from '../types';
+import type { CallerServices, ServiceJob, ServiceOutcome } from './types';
+import type { HeldGrant } from '../scheduling/types';
 import createServiceAsk from './createServiceAsk';
 
 /** Grants used for one call at most: a backend server that refuses the connection has not seen the call. */
--- a/packages/entry-host/src/callers/sendProblem.ts
+++ b/packages/entry-host/src/callers/sendProblem.ts
@@ -1,5 +1,5 @@
 import type { Context } from 'hono';
-import type { ProblemDocument } from '../types';
+import type { ProblemDocument } from './types';
 
 /** Answers with a problem document, and with a retry hint when there is one. */
 export default function sendProblem(context: Context, problem: ProblemDocument): Response {
--- a/packages/entry-host/src/callers/serviceProblem.ts
+++ b/packages/entry-host/src/callers/serviceProblem.ts
@@ -1,5 +1,5 @@
 import type { RequestId } from '@rattanreel/core';
-import type { ProblemDocument, ServiceOutcome } from '../types';
+import type { ProblemDocument, ServiceOutcome } from './types';
 import createProblem from './createProblem';
 import problemTypes from './problemTypes';
 import refusalProblem from './refusalProblem';
--- a/packages/entry-host/src/callers/streamProblem.ts
+++ b/packages/entry-host/src/callers/streamProblem.ts
@@ -1,7 +1,7 @@
 import type { Execution } from '@rattanreel/orders';
 import type { StreamResult } from '@rattanreel/dispatch';
 import type { RequestId } from '@rattanreel/core';
-import type { ProblemDocument } from '../types';
+import type { ProblemDocument } from './types';
 import createProblem from './createProblem';
 import problemTypes from './problemTypes';
 
--- a/packages/entry-host/src/listenForCallers.ts
+++ b/packages/entry-host/src/listenForCallers.ts
@@ -5,7 +5,8 @@
 import type { Hono } from 'hono';
 import { fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
-import type { CallerListener, EntryHostError } from './types';
+import type { CallerListener } from './callers/types';
+import type { EntryHostError } from './types';
 
 const LARGEST_HEADERS_BYTES = 16_384;
 const MOST_CONNECTIONS = 8_192;
--- a/packages/entry-host/src/callers/createOrderDispatcher.ts
+++ b/packages/entry-host/src/orders/createOrderDispatcher.ts
@@ -1,7 +1,7 @@
 import type { DispatchOrder, OrderRequest } from '@rattanreel/orders';
 import { Debug } from '@rattanreel/core';
-import type { CallerServices, OrderDispatcher, ServiceJob } from '../types';
-import runServiceCall from './runServiceCall';
+import type { CallerServices, OrderDispatcher, ServiceJob } from '../callers/types';
+import runServiceCall from '../callers/runServiceCall';
 
 /** Runs the orders of this incarnation at their backend servers, each with the job of its request. */
 export default function createOrderDispatcher(getServices: () => CallerServices): OrderDispatcher {
--- /dev/null
+++ b/packages/entry-host/src/orders/createOwnerQuestions.ts
@@ -0,0 +1,34 @@
+import type { AskOwner, OwnerAnswer } from '@rattanreel/orders';
+import type { OwnerQuestions, OwnerQuestionsOptions } from '../types';
+
+const ANSWER_TIMEOUT_MS = 10_000;
+
+/** Asks other entry hosts about orders that they own, and answers their questions. */
+export default function createOwnerQuestions(options: OwnerQuestionsOptions): OwnerQuestions {
+  const { incarnation, transport, tryGetAddress, getOrderDesk } = options;
+
+  const askOwner: AskOwner = async (owner, order) => {
+    const address = tryGetAddress(owner.entryHost);
+    if (address === undefined) {
+      return { kind: 'unreachable' };
+    }
+    const answer = await transport.ask(
+      address,
+      { kind: 'order', incarnation: owner.incarnation, nonce: owner.nonce, order },
+      ANSWER_TIMEOUT_MS,
+    );
+    return answer.kind === 'ok' && answer.value.kind === 'order'
+      ? answer.value.answer
+      : { kind: 'unreachable' };
+  };
+
+  return {
+    askOwner,
+    async answer(question): Promise<OwnerAnswer> {
+      // Another process has taken this host's name: the one that is asked for has ended.
+      return question.incarnation === incarnation
+        ? getOrderDesk().answerPeer(question.order, question.nonce)
+        : { kind: 'gone' };
+    },
+  };
+}
--- a/packages/entry-host/src/scheduling/createGrantClient.ts
+++ b/packages/entry-host/src/scheduling/createGrantClient.ts
@@ -2,31 +2,26 @@
 import type { FailureDomainId, PoolId, RequestId } from '@rattanreel/core';
 import type { Grant } from '@rattanreel/scheduling';
 import createHeldGrants from './createHeldGrants';
-import type {
-  FromScheduler,
-  GrantClient,
-  GrantClientOptions,
-  GrantResult,
-  QueuedRequest,
-} from '../types';
+import type { FromScheduler } from '../types';
+import type { GrantClient, GrantClientOptions, GrantResult, QueuedRequest } from './types';
 
 /** A queued request is asked for again this often, which also renews the stamp that a grant echoes. */
-const ASK_INTERVAL_MS = 500;
+const ASK_INTERVAL_MS = 200;
 
 const REFUSAL_RETRY_AFTER_MS = 1_000;
 
 /** Keeps the requests of this host that wait for a grant, and asks for them until they are settled. */
 export default function createGrantClient(options: GrantClientOptions): GrantClient {
-  const { self, homeDomain, clock, send } = options;
+  const { getSelf, homeDomain, clock, send } = options;
   const queued = new Map<RequestId, QueuedRequest>();
-  const heldGrants = createHeldGrants(self, send);
+  const heldGrants = createHeldGrants(getSelf, send);
 
   function sendAsk({ ask, failureDomain }: QueuedRequest): void {
     const now = clock.now();
     send(ask.pool, failureDomain, {
       kind: 'grantRequested',
       request: ask.request,
-      from: self,
+      from: getSelf(),
       homeDomain,
       tier: ask.tier,
       customer: ask.customer,
@@ -49,7 +44,11 @@
   }
 
   function withdraw({ ask, failureDomain }: QueuedRequest): void {
-    send(ask.pool, failureDomain, { kind: 'grantWithdrawn', request: ask.request, from: self });
+    send(ask.pool, failureDomain, {
+      kind: 'grantWithdrawn',
+      request: ask.request,
+      from: getSelf(),
+    });
   }
 
   function keepAsking(entry: QueuedRequest): void {
@@ -90,7 +89,7 @@
   }
 
   function receive(pool: PoolId, failureDomain: FailureDomainId, message: FromScheduler): void {
-    if (message.to.incarnation !== self.incarnation) {
+    if (message.to.incarnation !== getSelf().incarnation) {
       return;
     }
     if (message.kind === 'grant') {
@@ -144,6 +143,7 @@
       }
     },
     report: heldGrants.report,
+    forEachPlace: heldGrants.forEachPlace,
     pending: () => queued.size + heldGrants.size(),
   };
 }
--- a/packages/entry-host/src/scheduling/createHeldGrants.ts
+++ b/packages/entry-host/src/scheduling/createHeldGrants.ts
@@ -1,7 +1,7 @@
 import { Debug } from '@rattanreel/core';
 import type { FailureDomainId, PoolId, RequestId } from '@rattanreel/core';
 import type { EntryHostIncarnation, Grant } from '@rattanreel/scheduling';
-import type { HeldGrants, InFlightAtPool, ReleaseReport, SendToScheduler } from '../types';
+import type { HeldGrants, InFlightAtPool, ReleaseReport, SendToScheduler } from './types';
 
 const UNUSED_GRANT: ReleaseReport = {
   outcome: 'notDispatched',
@@ -13,7 +13,7 @@
 
 /** Keeps the grants in use at this host until their slots are given back. */
 export default function createHeldGrants(
-  self: EntryHostIncarnation,
+  getSelf: () => EntryHostIncarnation,
   send: SendToScheduler,
 ): HeldGrants {
   const inFlight = new Map<RequestId, InFlightAtPool>();
@@ -27,7 +27,8 @@
     send(pool, failureDomain, {
       kind: 'grantReleased',
       request: grant.request,
-      from: self,
+      // The slot belongs to the incarnation that it was granted to, also after a change.
+      from: grant.to,
       backendServer: grant.backendServer,
       ...report,
     });
@@ -63,7 +64,7 @@
           send(pool, failureDomain, {
             kind: 'firstTokenSeen',
             request,
-            from: self,
+            from: grant.to,
             firstTokenAfter,
             cachedTokens,
           });
@@ -82,11 +83,17 @@
     isHeld: (grant) => inFlight.get(grant.request)?.inFlight.backendServer === grant.backendServer,
     report: (pool, failureDomain) => ({
       kind: 'inFlightReported',
-      from: self,
+      from: getSelf(),
       inFlight: [...inFlight.values()]
         .filter((held) => held.pool === pool && held.failureDomain === failureDomain)
         .map((held) => held.inFlight),
     }),
+    forEachPlace(visit) {
+      const places = new Map(
+        [...inFlight.values()].map((held) => [`${held.failureDomain} ${held.pool}`, held]),
+      );
+      places.forEach(({ pool, failureDomain }) => visit(pool, failureDomain));
+    },
     size: () => inFlight.size,
   };
 }
--- a/packages/entry-host/src/scheduling/createLoadPoller.ts
+++ b/packages/entry-host/src/scheduling/createLoadPoller.ts
@@ -1,7 +1,7 @@
 import type { BackendServerId, Timer } from '@rattanreel/core';
 import type { LoadAnswer } from '@rattanreel/dispatch';
 import type { LoadReported } from '@rattanreel/scheduling';
-import type { LoadPoller, LoadPollerOptions } from '../types';
+import type { LoadPoller, LoadPollerOptions } from './types';
 
 const POLL_INTERVAL_MS = 500;
 
--- a/packages/entry-host/src/scheduling/createPeerRouter.ts
+++ b/packages/entry-host/src/scheduling/createPeerRouter.ts
@@ -1,5 +1,6 @@
 import type { FailureDomainId, PoolId } from '@rattanreel/core';
-import type { PeerRouter, PeerRouterOptions, ToScheduler } from '../types';
+import type { PeerRouter, PeerRouterOptions } from './types';
+import type { ToScheduler } from '../types';
 
 /** Brings messages to the scheduler of a pool, here or at another entry host, and its answers back. */
 export default function createPeerRouter(options: PeerRouterOptions): PeerRouter {
@@ -20,7 +21,7 @@
     forwarded: boolean,
   ): void {
     const target = membership.tryGetScheduler(pool, domain)?.entryHost;
-    if (domain === failureDomain && target === membership.self.entryHost) {
+    if (domain === failureDomain && target === membership.self().entryHost) {
       tryDeliverHere(pool, message);
     } else if (target !== undefined) {
       sendToPeer(target, { kind: 'toScheduler', pool, failureDomain: domain, message, forwarded });
@@ -34,7 +35,7 @@
     },
     sendToHost(pool, message) {
       const { entryHost } = message.to;
-      if (entryHost === membership.self.entryHost) {
+      if (entryHost === membership.self().entryHost) {
         options.receiveFromScheduler(pool, failureDomain, message);
       } else {
         sendToPeer(entryHost, { kind: 'fromScheduler', pool, failureDomain, message });
@@ -45,6 +46,9 @@
         case 'fromScheduler':
           options.receiveFromScheduler(message.pool, message.failureDomain, message.message);
           break;
+        case 'membership':
+          options.receiveMembership(message.message);
+          break;
         case 'toScheduler':
           if (!tryDeliverHere(message.pool, message.message) && !message.forwarded) {
             toScheduler(message.pool, failureDomain, message.message, true);
--- a/packages/entry-host/src/scheduling/createSchedulerDirectory.ts
+++ b/packages/entry-host/src/scheduling/createSchedulerDirectory.ts
@@ -1,13 +1,13 @@
-import type { PoolId } from '@rattanreel/core';
+import type { FailureDomainId, Incarnation, PoolId } from '@rattanreel/core';
 import { createPoolScheduler } from '@rattanreel/scheduling';
-import type { VersionShare } from '@rattanreel/scheduling';
+import type { MembersChanged, VersionShare } from '@rattanreel/scheduling';
 import type {
   LoadPoller,
   SchedulerDirectory,
   SchedulerDirectoryOptions,
   SchedulerTask,
-  SettingsView,
-} from '../types';
+} from './types';
+import type { SettingsView } from '../types';
 import buildPoolChanged from './buildPoolChanged';
 import createLoadPoller from './createLoadPoller';
 import createSchedulerTask from './createSchedulerTask';
@@ -28,8 +28,8 @@
 ): SchedulerDirectory {
   const { failureDomain, membership, clock, random, engines } = options;
   const scheduled = new Map<PoolId, ScheduledPool>();
-  const owners = new Map<PoolId, string>();
-  let started = false;
+  const owners = new Map<string, Incarnation>();
+  let members: MembersChanged = { kind: 'membersChanged', alive: [], dead: [] };
 
   function startPool(pool: PoolId): ScheduledPool {
     const scheduler = createPoolScheduler({
@@ -52,6 +52,7 @@
     });
     const entry = { task, pollers: new Map<string, LoadPoller>() };
     scheduled.set(pool, entry);
+    task.handle({ ...members, dead: [] });
     return entry;
   }
 
@@ -87,17 +88,12 @@
 
   function updatePool(view: SettingsView, pool: PoolId): void {
     const owner = membership.tryGetScheduler(pool, failureDomain);
-    if (owner?.incarnation === membership.self.incarnation) {
+    if (owner?.incarnation === membership.self().incarnation) {
       const entry = scheduled.get(pool) ?? startPool(pool);
       const shares = options.tryGetShares(pool) ?? defaultShares(view, pool);
       entry.task.handle(
         buildPoolChanged(view, pool, failureDomain, shares, options.getNeighbours(pool)),
       );
-      entry.task.handle({
-        kind: 'membersChanged',
-        alive: options.getKnownHosts(),
-        dead: options.getDeadHosts(),
-      });
       updatePollers(view, pool, entry);
     } else {
       const entry = scheduled.get(pool);
@@ -105,9 +101,15 @@
         stopPool(pool, entry);
       }
     }
-    if (owner !== undefined && owners.get(pool) !== owner.incarnation) {
-      owners.set(pool, owner.incarnation);
-      options.onSchedulerChanged(pool);
+  }
+
+  /** Finds out where schedulers have moved to, here and in other failure domains. */
+  function noteOwner(pool: PoolId, domain: FailureDomainId): void {
+    const owner = membership.tryGetScheduler(pool, domain);
+    const place = `${domain} ${pool}`;
+    if (owner !== undefined && owners.get(place) !== owner.incarnation) {
+      owners.set(place, owner.incarnation);
+      options.onSchedulerChanged(pool, domain);
     }
   }
 
@@ -117,17 +119,29 @@
       if (view === undefined) {
         return;
       }
-      started = true;
       const pools = new Set(
         view.settings.backendServers
           .filter((server) => server.failureDomain === failureDomain)
           .map((server) => server.pool),
       );
       pools.forEach((pool) => updatePool(view, pool));
+      for (const { pool, failureDomain: domain } of view.settings.backendServers) {
+        noteOwner(pool, domain);
+      }
+    },
+    membersChanged(message) {
+      members = message;
+      scheduled.forEach(({ task }) => task.handle(message));
+      this.update();
     },
     tryGetTask: (pool) => scheduled.get(pool)?.task,
-    forEachTask: (visit) => scheduled.forEach(({ task }) => visit(task)),
-    isStarted: () => started,
+    rooms() {
+      const drained = options.tryGetSettings()?.settings.drained.failureDomains ?? [];
+      return [...scheduled].map(([pool, { task }]) => {
+        const { spareTokens, queuedTokens } = task.summary();
+        return { pool, spareTokens, queuedTokens, drained: drained.includes(failureDomain) };
+      });
+    },
     close() {
       scheduled.forEach((entry, pool) => stopPool(pool, entry));
     },
--- a/packages/entry-host/src/scheduling/createSchedulerTask.ts
+++ b/packages/entry-host/src/scheduling/createSchedulerTask.ts
@@ -1,7 +1,8 @@
 import { Debug } from '@rattanreel/core';
 import type { Timer } from '@rattanreel/core';
 import type { SchedulerEffect, SchedulerMessage } from '@rattanreel/scheduling';
-import type { FromScheduler, SchedulerTask, SchedulerTaskOptions } from '../types';
+import type { FromScheduler } from '../types';
+import type { SchedulerTask, SchedulerTaskOptions } from './types';
 
 /** Runs a pool scheduler on this entry host until closed. */
 export default function createSchedulerTask(options: SchedulerTaskOptions): SchedulerTask {
--- a/packages/transport/src/createPeerTransport.ts
+++ b/packages/transport/src/createPeerTransport.ts
@@ -36,6 +36,7 @@
   }
   const peerCredentials = createPeerCredentials(security);
   const connections = new Map<string, PeerConnection>();
+  let closed = false;
   const traffic = { messagesSent: 0, bytesSent: 0, messagesReceived: 0, bytesReceived: 0 };
 
   const service = createPeerService({
@@ -98,9 +99,15 @@
   return ok({
     address: `${hostOf(listenAddress)}:${port}`,
     send(peerAddress, message) {
+      if (closed) {
+        return;
+      }
       connectionTo(peerAddress).send({ from: identity, body: message });
     },
     async ask(peerAddress, question, timeout = options.answerTimeout ?? DEFAULT_ANSWER_TIMEOUT_MS) {
+      if (closed) {
+        return fail({ kind: 'unreachable', detail: 'the transport is closed' });
+      }
       const outcome = await connectionTo(peerAddress).ask(
         { from: identity, body: question },
         timeout,
@@ -109,6 +116,7 @@
     },
     traffic: () => ({ ...traffic }),
     async close() {
+      closed = true;
       connections.forEach((connection) => connection.close());
       server.forceShutdown();
     },
