Measure goodput of the scheduler and three baselines over the same arrivals

Cause: whether the scheduler is any better than simple balancing has to be measured under the same load and faults.

--- /dev/null
+++ b/benchmarks/src/goodput/createPolicy.ts
@@ -0,0 +1,31 @@
+import { Debug } from '@rattanreel/core';
+import type { Policy, PolicyName, World } from './types';
+import chooseByTurn from './policies/chooseByTurn';
+import chooseLeast from './policies/chooseLeast';
+import createBaselinePolicy from './policies/createBaselinePolicy';
+import createRattanreelPolicy from './policies/rattanreel/createRattanreelPolicy';
+
+/** The policy of that name over `world`. */
+export default function createPolicy(name: PolicyName, world: World, seed: number): Policy {
+  switch (name) {
+    case 'rattanreel':
+      return createRattanreelPolicy({ world, seed });
+    case 'roundRobin':
+      return createBaselinePolicy({ world, seed, choose: chooseByTurn });
+    case 'leastReported':
+      return createBaselinePolicy({
+        world,
+        seed,
+        choose: (views, _turn, random) => chooseLeast(views, random, ({ reported }) => reported),
+      });
+    case 'leastInFlight':
+      return createBaselinePolicy({
+        world,
+        seed,
+        choose: (views, _turn, random) =>
+          chooseLeast(views, random, ({ ownInFlight }) => ownInFlight),
+      });
+    default:
+      return Debug.assertNever(name);
+  }
+}
--- a/benchmarks/src/goodput/index.ts
+++ b/benchmarks/src/goodput/index.ts
@@ -1,6 +1,19 @@
 import type { BenchmarkArguments } from '../types';
+import getDeployments from './deployment/getDeployments';
+import getMeasuredWindow from './getMeasuredWindow';
+import runScenario from './runScenario';
+import getScenarios from './scenarios/getScenarios';
+import createWorkModel from './workload/createWorkModel';
 
-/** Not built yet. */
-export default async function run(options: BenchmarkArguments): Promise<unknown> {
-  return { notBuilt: true, seed: options.seed };
+/** Goodput by tier of the product and of three baselines, over the same arrivals in virtual time. */
+export default async function run({ seed, quick }: BenchmarkArguments): Promise<unknown> {
+  const window = getMeasuredWindow(quick);
+  const work = createWorkModel();
+  const deployments = quick ? getDeployments().slice(-1) : getDeployments();
+  const scenarios = deployments.flatMap((deployment) =>
+    getScenarios(window).map((scenario) =>
+      runScenario({ deployment, scenario, window, seed, work }),
+    ),
+  );
+  return { seed, quick, scenarios };
 }
--- /dev/null
+++ b/benchmarks/src/goodput/policies/chooseLeast.ts
@@ -0,0 +1,22 @@
+import type { Random } from '@rattanreel/core';
+import type { BaselineView } from './types';
+
+/** The engine with the least load for its size; ties are broken at random. */
+export default function chooseLeast(
+  views: readonly BaselineView[],
+  random: Random,
+  loadOf: (view: BaselineView) => number,
+): BaselineView {
+  let best: BaselineView[] = [];
+  let least = Number.POSITIVE_INFINITY;
+  views.forEach((view) => {
+    const load = loadOf(view) / view.engine.settings.maximumStreams;
+    if (load < least) {
+      best = [view];
+      least = load;
+    } else if (load === least) {
+      best.push(view);
+    }
+  });
+  return best[random.integer(0, best.length - 1)]!;
+}
--- /dev/null
+++ b/benchmarks/src/goodput/policies/rattanreel/createMembershipModel.ts
@@ -0,0 +1,48 @@
+import type { EntryHostIncarnation } from '@rattanreel/scheduling';
+import type { SimulatedHost, World } from '../../types';
+import type { MembershipModel } from './types';
+
+const DETECTION_MILLISECONDS = 1_000;
+const JOIN_MILLISECONDS = 300;
+
+interface MembershipOptions {
+  readonly world: World;
+  onChange(dead: readonly EntryHostIncarnation[]): void;
+}
+
+interface DrivenMembership extends MembershipModel {
+  died(host: SimulatedHost): void;
+  started(host: SimulatedHost): void;
+}
+
+/** Members as heartbeats show them: a death is seen a second late, a start some time after it. */
+export default function createMembershipModel(options: MembershipOptions): DrivenMembership {
+  const { world } = options;
+  let members = world.hosts.map((host) => ({ host, incarnation: host.incarnation }));
+
+  const toMember = ({ host, incarnation }: (typeof members)[number]): EntryHostIncarnation => ({
+    entryHost: host.id,
+    incarnation,
+  });
+
+  return {
+    aliveIn: (failureDomain) =>
+      members.filter(({ host }) => host.failureDomain === failureDomain).map(toMember),
+    all: () => members.map(toMember),
+    died(host) {
+      const { incarnation } = host;
+      world.clock.after(DETECTION_MILLISECONDS, () => {
+        members = members.filter((member) => member.incarnation !== incarnation);
+        options.onChange([{ entryHost: host.id, incarnation }]);
+      });
+    },
+    started(host) {
+      world.clock.after(JOIN_MILLISECONDS, () => {
+        members = [...members, { host, incarnation: host.incarnation }].sort((left, right) =>
+          left.host.id < right.host.id ? -1 : 1,
+        );
+        options.onChange([]);
+      });
+    },
+  };
+}
--- /dev/null
+++ b/benchmarks/src/goodput/policies/rattanreel/createPoolPublisher.ts
@@ -0,0 +1,73 @@
+import type { FailureDomainId } from '@rattanreel/core';
+import type { NeighbourPool, PoolChanged } from '@rattanreel/scheduling';
+import type { PoolName, World } from '../../types';
+import type { PublishedSummary, SchedulerRunner } from './types';
+
+const SUMMARY_INTERVAL_MILLISECONDS = 500;
+const VERSION = 'v1';
+
+interface PoolPublisherOptions {
+  readonly world: World;
+  runners(): readonly SchedulerRunner[];
+}
+
+/** Tells schedulers the configuration and what other failure domains have said of their room. */
+interface PoolPublisher {
+  start(): void;
+  tell(runner: SchedulerRunner): void;
+}
+
+/** A publisher that tells each scheduler at intervals. */
+export default function createPoolPublisher(options: PoolPublisherOptions): PoolPublisher {
+  const { world } = options;
+  const { clock, deployment, drainedDomains } = world;
+  const published = new Map<string, PublishedSummary>();
+
+  const keyOf = (pool: PoolName, failureDomain: FailureDomainId): string =>
+    `${pool} ${failureDomain}`;
+
+  function neighbourOf(pool: PoolName, failureDomain: FailureDomainId): NeighbourPool[] {
+    const last = published.get(keyOf(pool, failureDomain));
+    if (last === undefined) {
+      return [];
+    }
+    return [
+      {
+        failureDomain,
+        summaryAge: clock.now() - last.takenAt + deployment.betweenDomainsMilliseconds,
+        spareTokens: last.summary.spareTokens,
+        queuedTokens: last.summary.queuedTokens,
+        drained: drainedDomains.has(failureDomain),
+      },
+    ];
+  }
+
+  function toPoolChanged({ pool, failureDomain }: SchedulerRunner): PoolChanged {
+    const engines = world.engines.filter(
+      (engine) => engine.pool === pool && engine.failureDomain === failureDomain,
+    );
+    return {
+      kind: 'poolChanged',
+      backendServers: engines.map(({ settings }) => settings),
+      shares: [{ version: VERSION, share: 1 }],
+      tiers: deployment.tiers.length,
+      domainDrained: drainedDomains.has(failureDomain),
+      neighbours: deployment.failureDomains
+        .filter(({ id }) => id !== failureDomain)
+        .flatMap(({ id }) => neighbourOf(pool, id)),
+    };
+  }
+
+  function publish(): void {
+    options.runners().forEach((runner) => {
+      if (runner.host.alive) {
+        const summary = runner.summary();
+        published.set(keyOf(runner.pool, runner.failureDomain), { summary, takenAt: clock.now() });
+      }
+    });
+    options.runners().forEach((runner) => runner.handle(toPoolChanged(runner)));
+    clock.after(SUMMARY_INTERVAL_MILLISECONDS, publish);
+  }
+
+  return { start: publish, tell: (runner) => runner.handle(toPoolChanged(runner)) };
+}
--- /dev/null
+++ b/benchmarks/src/goodput/policies/rattanreel/createSchedulerPlacement.ts
@@ -0,0 +1,72 @@
+import type { FailureDomainId } from '@rattanreel/core';
+import type { SchedulerEffect } from '@rattanreel/scheduling';
+import type { PoolName, SimulatedHost, World } from '../../types';
+import createSchedulerRunner from './createSchedulerRunner';
+import type { MembershipModel, SchedulerRunner } from './types';
+
+interface PlacementOptions {
+  readonly world: World;
+  readonly membership: MembershipModel;
+  readonly seed: number;
+  onEffect(runner: SchedulerRunner, effect: SchedulerEffect): void;
+  /** A scheduler has started; it is to be told the pool and its members. */
+  onStarted(runner: SchedulerRunner): void;
+}
+
+/** Runs one scheduler for each pool of each failure domain, on a host that is seen alive. */
+interface SchedulerPlacement {
+  /** Moves schedulers to the hosts that have to run them by now. */
+  update(): void;
+  tryGet(pool: PoolName, failureDomain: FailureDomainId): SchedulerRunner | undefined;
+  all(): readonly SchedulerRunner[];
+}
+
+const POOLS: readonly PoolName[] = ['drafts', 'orders'];
+
+/** A placement that runs nothing until updated. */
+export default function createSchedulerPlacement(options: PlacementOptions): SchedulerPlacement {
+  const { world, membership } = options;
+  const runners = new Map<string, SchedulerRunner>();
+  let started = 0;
+
+  const keyOf = (pool: PoolName, failureDomain: FailureDomainId): string =>
+    `${pool} ${failureDomain}`;
+
+  function start(pool: PoolName, failureDomain: FailureDomainId, host: SimulatedHost): void {
+    started += 1;
+    const runner: SchedulerRunner = createSchedulerRunner({
+      world,
+      host,
+      pool,
+      failureDomain,
+      seed: options.seed + started,
+      onEffect: (effect) => options.onEffect(runner, effect),
+    });
+    runners.set(keyOf(pool, failureDomain), runner);
+    options.onStarted(runner);
+  }
+
+  function place(pool: PoolName, failureDomain: FailureDomainId): void {
+    const hasEngines = world.engines.some(
+      (engine) => engine.pool === pool && engine.failureDomain === failureDomain,
+    );
+    const alive = membership.aliveIn(failureDomain);
+    const owner = pool === 'drafts' ? alive[0] : alive.at(-1);
+    const current = runners.get(keyOf(pool, failureDomain));
+    if (!hasEngines || current?.incarnation === owner?.incarnation) {
+      return;
+    }
+    current?.close();
+    runners.delete(keyOf(pool, failureDomain));
+    if (owner !== undefined) {
+      start(pool, failureDomain, world.getHost(owner.entryHost));
+    }
+  }
+
+  return {
+    update: () =>
+      world.deployment.failureDomains.forEach(({ id }) => POOLS.forEach((pool) => place(pool, id))),
+    tryGet: (pool, failureDomain) => runners.get(keyOf(pool, failureDomain)),
+    all: () => [...runners.values()],
+  };
+}
--- /dev/null
+++ b/benchmarks/src/goodput/policies/startPolling.ts
@@ -0,0 +1,22 @@
+import type { BackendServerId } from '@rattanreel/core';
+import type { World } from '../types';
+import type { ReportedLoad, ReportedLoads } from './types';
+
+const POLL_INTERVAL_MILLISECONDS = 500;
+
+/** Asks every engine for its load at fixed intervals; an engine that does not answer is not usable. */
+export default function startPolling(world: World): ReportedLoads {
+  const loads = new Map<BackendServerId, ReportedLoad>();
+
+  function poll(): void {
+    world.engines.forEach(({ id, model, reachable }) => {
+      const { running, waiting, ready, leaving } = model.load();
+      const usable = reachable && ready && !leaving;
+      loads.set(id, { requests: running + waiting, usable });
+    });
+    world.clock.after(POLL_INTERVAL_MILLISECONDS, poll);
+  }
+
+  poll();
+  return loads;
+}
--- /dev/null
+++ b/benchmarks/src/goodput/runPolicy.ts
@@ -0,0 +1,61 @@
+import createPolicy from './createPolicy';
+import summarise from './results/summarise';
+import type {
+  Arrival,
+  DeploymentProfile,
+  MeasuredWindow,
+  PolicyName,
+  PolicyResult,
+  Scenario,
+} from './types';
+import applyFault from './world/applyFault';
+import createWorld from './world/createWorld';
+
+interface PolicyRunOptions {
+  readonly policy: PolicyName;
+  readonly deployment: DeploymentProfile;
+  readonly scenario: Scenario;
+  readonly window: MeasuredWindow;
+  readonly arrivals: readonly Arrival[];
+  readonly seed: number;
+}
+
+const STEP_MILLISECONDS = 1_000;
+
+/** Sends the arrivals through one policy in a world of its own. */
+export default function runPolicy(options: PolicyRunOptions): PolicyResult {
+  const { deployment, scenario, window, arrivals, seed } = options;
+  const driven = createWorld({ deployment, seed, reportLag: scenario.reportLag });
+  const { world } = driven;
+  const policy = createPolicy(options.policy, world, seed);
+  driven.setPolicy(policy);
+  policy.start();
+  scenario.faults.forEach(({ at, action }) =>
+    world.clock.after(at, () => applyFault({ ...driven, policy }, action)),
+  );
+  let next = 0;
+  function arriveNext(): void {
+    const arrival = arrivals[next];
+    next += 1;
+    if (arrival !== undefined) {
+      world.clock.after(arrival.at - world.clock.now(), () => {
+        driven.arrive(arrival);
+        arriveNext();
+      });
+    }
+  }
+  arriveNext();
+  while (next <= arrivals.length || driven.openRequests() > 0) {
+    world.clock.advance(STEP_MILLISECONDS);
+  }
+  const { records } = driven;
+  const observations = policy.observations();
+  return summarise({
+    deployment,
+    scenario,
+    window,
+    records,
+    engines: world.engines,
+    observations,
+  });
+}
--- /dev/null
+++ b/benchmarks/src/goodput/world/applyFault.ts
@@ -0,0 +1,67 @@
+import { Debug } from '@rattanreel/core';
+import type { FaultAction, Policy, SimulatedEngine, SimulatedHost, World } from '../types';
+
+interface FaultTarget {
+  readonly world: World;
+  readonly policy: Policy;
+  drain(failureDomain: string, drained: boolean): void;
+  killHost(host: SimulatedHost): void;
+  startHost(host: SimulatedHost): void;
+}
+
+function modelEngine(world: World, index: number): SimulatedEngine {
+  return world.engines.filter(({ pool }) => pool === 'drafts')[index]!;
+}
+
+function domainId(world: World, index: number): string {
+  return world.deployment.failureDomains[index]!.id;
+}
+
+function loseDomain({ world, killHost }: FaultTarget, failureDomain: string): void {
+  world.hosts.filter((host) => host.failureDomain === failureDomain).forEach(killHost);
+  world.engines
+    .filter((engine) => engine.failureDomain === failureDomain)
+    .forEach((engine) => {
+      engine.reachable = false;
+      engine.model.fallOver();
+    });
+}
+
+/** Brings hosts and engines back; the engines start anew and cold. */
+function returnDomain({ world, startHost, drain }: FaultTarget, failureDomain: string): void {
+  world.engines
+    .filter((engine) => engine.failureDomain === failureDomain)
+    .forEach((engine) => {
+      engine.model.fallOver();
+      engine.reachable = true;
+    });
+  drain(failureDomain, false);
+  world.hosts.filter((host) => host.failureDomain === failureDomain).forEach(startHost);
+}
+
+/** Lets a fault happen. */
+export default function applyFault(target: FaultTarget, action: FaultAction): void {
+  const { world, policy } = target;
+  switch (action.kind) {
+    case 'slowEngine':
+      modelEngine(world, action.engine).model.slowDown(action.factor);
+      break;
+    case 'coldTurn':
+      modelEngine(world, action.engine).model.turnCold();
+      break;
+    case 'drainDomain':
+      target.drain(domainId(world, action.domain), true);
+      break;
+    case 'loseDomain':
+      loseDomain(target, domainId(world, action.domain));
+      break;
+    case 'returnDomain':
+      returnDomain(target, domainId(world, action.domain));
+      break;
+    case 'killSchedulerHost':
+      target.killHost(policy.schedulerHostOf(domainId(world, action.domain)));
+      break;
+    default:
+      Debug.assertNever(action);
+  }
+}
--- /dev/null
+++ b/benchmarks/src/goodput/world/createCallers.ts
@@ -0,0 +1,105 @@
+import type { Milliseconds, Timer, VirtualClock } from '@rattanreel/core';
+import type { Arrival, RequestOutcome, RequestRecord, RequestTask } from '../types';
+
+interface CallersOptions {
+  readonly clock: VirtualClock;
+  readonly toCallersMilliseconds: Milliseconds;
+  /** The caller has gone; its entry host is told. */
+  onCallerLeft(task: RequestTask): void;
+}
+
+interface CallerState {
+  readonly task: RequestTask;
+  timers: readonly Timer[];
+}
+
+/** The callers: each waits for its own deadlines and then leaves. */
+interface Callers {
+  readonly records: readonly RequestRecord[];
+  /** Requests that are not settled yet. */
+  readonly openRequests: number;
+  open(arrival: Arrival): RequestRecord;
+  /** Starts to wait for a request that an entry host has taken. */
+  wait(task: RequestTask): void;
+  firstToken(task: RequestTask): void;
+  end(task: RequestTask, outcome: RequestOutcome): void;
+  /** Ends every open request of an entry host. */
+  endWhere(outcome: RequestOutcome, matches: (task: RequestTask) => boolean): void;
+}
+
+/** Callers with nothing asked yet. */
+export default function createCallers(options: CallersOptions): Callers {
+  const { clock, toCallersMilliseconds } = options;
+  const records: RequestRecord[] = [];
+  const waiting = new Map<string, CallerState>();
+  let openRequests = 0;
+
+  function close(task: RequestTask, outcome: RequestOutcome): void {
+    const state = waiting.get(task.arrival.request);
+    if (state === undefined) {
+      return;
+    }
+    state.timers.forEach((timer) => timer.cancel());
+    waiting.delete(task.arrival.request);
+    task.record.outcome = outcome;
+    openRequests -= 1;
+    task.record.endedAt = clock.now();
+  }
+
+  function leave(task: RequestTask): void {
+    if (waiting.has(task.arrival.request)) {
+      close(task, 'callerLeft');
+      clock.after(toCallersMilliseconds, () => options.onCallerLeft(task));
+    }
+  }
+
+  function leaveWithoutFirstToken(task: RequestTask): void {
+    if (task.record.firstTokenAfter === undefined) {
+      leave(task);
+    }
+  }
+
+  return {
+    records,
+    get openRequests() {
+      return openRequests;
+    },
+    open(arrival) {
+      const record: RequestRecord = {
+        arrival,
+        entryHost: undefined,
+        outcome: 'open',
+        firstTokenAfter: undefined,
+        endedAt: undefined,
+        refusal: undefined,
+      };
+      records.push(record);
+      openRequests += 1;
+      return record;
+    },
+    wait(task) {
+      const { at, firstTokenDue, due } = task.arrival;
+      const passed = clock.now() - at;
+      const timers = [
+        clock.after(firstTokenDue - passed, () => leaveWithoutFirstToken(task)),
+        clock.after(due - passed, () => leave(task)),
+      ];
+      waiting.set(task.arrival.request, { task, timers });
+    },
+    firstToken(task) {
+      clock.after(toCallersMilliseconds, () => {
+        if (waiting.has(task.arrival.request)) {
+          task.record.firstTokenAfter = clock.now() - task.arrival.at;
+        }
+      });
+    },
+    end(task, outcome) {
+      clock.after(toCallersMilliseconds, () => close(task, outcome));
+    },
+    endWhere(outcome, matches) {
+      [...waiting.values()]
+        .filter(({ task }) => matches(task))
+        .forEach(({ task }) => close(task, outcome));
+    },
+  };
+}
--- /dev/null
+++ b/benchmarks/src/goodput/world/createWorld.ts
@@ -0,0 +1,134 @@
+import { createRandom, createVirtualClock, Debug } from '@rattanreel/core';
+import type { FailureDomainId, Milliseconds } from '@rattanreel/core';
+import type {
+  Arrival,
+  DeploymentProfile,
+  Policy,
+  RequestRecord,
+  RequestTask,
+  SimulatedHost,
+  World,
+} from '../types';
+import createBalancer from './createBalancer';
+import createCallers from './createCallers';
+import createDispatcher from './createDispatcher';
+import createEngines from './createEngines';
+import createHosts from './createHosts';
+
+interface WorldOptions {
+  readonly deployment: DeploymentProfile;
+  readonly seed: number;
+  readonly reportLag: Milliseconds;
+}
+
+/** A world and what drives it. */
+interface DrivenWorld {
+  readonly world: World;
+  readonly records: readonly RequestRecord[];
+  /** Requests that are not settled yet. */
+  openRequests(): number;
+  setPolicy(policy: Policy): void;
+  arrive(arrival: Arrival): void;
+  drain(failureDomain: FailureDomainId, drained: boolean): void;
+  killHost(host: SimulatedHost): void;
+  startHost(host: SimulatedHost): void;
+}
+
+/** Hosts, engines and callers of a deployment in virtual time. */
+export default function createWorld(options: WorldOptions): DrivenWorld {
+  const { deployment, seed, reportLag } = options;
+  const clock = createVirtualClock();
+  const engines = createEngines({ deployment, clock, seed, reportLag });
+  const hosts = createHosts(deployment);
+  const balance = createBalancer(hosts);
+  const drainedDomains = new Set<FailureDomainId>();
+  const enginesById = new Map(engines.map((engine) => [engine.id, engine]));
+  const hostsById = new Map(hosts.map((host) => [host.id, host]));
+  const { toCallersMilliseconds } = deployment;
+  let policy: Policy | undefined;
+
+  const isHere = ({ host, incarnation }: RequestTask): boolean =>
+    host.alive && host.incarnation === incarnation;
+  const latency = (from: FailureDomainId, to: FailureDomainId): Milliseconds =>
+    from === to ? deployment.withinDomainMilliseconds : deployment.betweenDomainsMilliseconds;
+
+  const callers = createCallers({
+    clock,
+    toCallersMilliseconds,
+    onCallerLeft(task) {
+      if (isHere(task)) {
+        policy?.callerLeft(task);
+      }
+    },
+  });
+  const dispatcher = createDispatcher({ clock, latency, isHere, firstToken: callers.firstToken });
+
+  const world: World = {
+    clock,
+    random: createRandom(seed),
+    deployment,
+    engines,
+    hosts,
+    drainedDomains,
+    getEngine: (id) => Debug.checkDefined(enginesById.get(id), `engine ${id}`),
+    getHost: (id) => Debug.checkDefined(hostsById.get(id), `entry host ${id}`),
+    latency,
+    sendToHost(from, to, action) {
+      const host = hostsById.get(to.entryHost)!;
+      clock.after(latency(from, host.failureDomain), () => {
+        if (host.alive && host.incarnation === to.incarnation) {
+          action();
+        }
+      });
+    },
+    dispatch: dispatcher.dispatch,
+    cancel: dispatcher.cancel,
+    refuse(task, reason) {
+      task.record.refusal = reason;
+      callers.end(task, 'refused');
+    },
+    fail: (task) => callers.end(task, 'failed'),
+    answer: (task) => callers.end(task, 'answered'),
+    firstToken: callers.firstToken,
+    isHere,
+  };
+
+  function take(arrival: Arrival, record: RequestRecord): void {
+    const host = Debug.checkDefined(balance(arrival), 'a living entry host');
+    record.entryHost = host.id;
+    const task = { arrival, record, host, incarnation: host.incarnation };
+    callers.wait(task);
+    policy?.arrive(task);
+  }
+
+  return {
+    world,
+    records: callers.records,
+    openRequests: () => callers.openRequests,
+    setPolicy(next) {
+      policy = next;
+    },
+    arrive(arrival) {
+      const record = callers.open(arrival);
+      clock.after(toCallersMilliseconds, () => take(arrival, record));
+    },
+    drain(failureDomain, drained) {
+      if (drained) {
+        drainedDomains.add(failureDomain);
+      } else {
+        drainedDomains.delete(failureDomain);
+      }
+      policy?.domainDrained(failureDomain, drained);
+    },
+    killHost(host) {
+      host.alive = false;
+      callers.endWhere('entryHostDied', (task) => task.host === host);
+      policy?.hostDied(host);
+    },
+    startHost(host) {
+      host.alive = true;
+      host.incarnation = `${host.id}.${clock.now()}`;
+      policy?.hostStarted(host);
+    },
+  };
+}
