--- /dev/null
+++ b/benchmarks/src/soak/drawRequest.ts
@@ -0,0 +1,39 @@
+import type { FailureDomainId, Milliseconds, Random } from '@rattanreel/core';
+import type { EntryHostIncarnation, GrantRequested } from '@rattanreel/scheduling';
+
+const TIERS = 3;
+const CUSTOMERS = 5;
+const LONG_SHARE = 0.1;
+const FOREIGN_SHARE = 0.1;
+
+/** Deadlines of every request of the randomised runs. */
+const FIRST_TOKEN_DUE_MILLISECONDS: Milliseconds = 3_000;
+const DUE_MILLISECONDS: Milliseconds = 20_000;
+
+/** Draws a request; one in ten is long and one in ten comes from another failure domain. */
+export default function drawRequest(
+  random: Random,
+  from: EntryHostIncarnation,
+  sequence: number,
+  now: Milliseconds,
+): GrantRequested {
+  const isLong = random.next() < LONG_SHARE;
+  const homeDomain: FailureDomainId = random.next() < FOREIGN_SHARE ? 'd2' : 'd1';
+  return {
+    kind: 'grantRequested',
+    request: `${from.entryHost}-${from.incarnation}-${sequence}`,
+    from,
+    homeDomain,
+    tier: random.integer(0, TIERS - 1),
+    customer: `customer${random.integer(1, CUSTOMERS)}`,
+    customerWeight: 1,
+    route: 'chat',
+    promptTokens: random.integer(10, isLong ? 8_000 : 400),
+    maximumOutputTokens: random.integer(4, isLong ? 800 : 100),
+    prefixHashes: [],
+    age: 0,
+    firstTokenDue: FIRST_TOKEN_DUE_MILLISECONDS,
+    due: DUE_MILLISECONDS,
+    stamp: now,
+  };
+}
--- a/benchmarks/src/soak/index.ts
+++ b/benchmarks/src/soak/index.ts
@@ -1,6 +1,54 @@
+import fc from 'fast-check';
 import type { BenchmarkArguments } from '../types';
+import createScenarioArbitrary from './createScenarioArbitrary';
+import runScenario from './runScenario';
+import type { SoakCounts } from './types';
 
-/** Not built yet. */
-export default async function run(options: BenchmarkArguments): Promise<unknown> {
-  return { notBuilt: true, seed: options.seed };
+const MILLISECONDS_PER_MINUTE = 60_000;
+const QUICK_RUNS = 40;
+const MOST_RUNS = 1_000_000;
+
+interface SoakSummary {
+  readonly seed: number;
+  readonly scenarios: number;
+  readonly counts: Readonly<Partial<SoakCounts>>;
+  /** The smallest scenario found that breaks an invariant, with the path that replays it. */
+  readonly counterexample:
+    { readonly scenario: unknown; readonly path: string; readonly error: string } | undefined;
+}
+
+function addUp(total: Record<string, number>, counts: SoakCounts): void {
+  Object.entries(counts).forEach(([name, count]) => {
+    total[name] = (total[name] ?? 0) + Number(count);
+  });
+}
+
+function describeError(error: unknown): string {
+  return error instanceof Error ? error.message : JSON.stringify(error);
+}
+
+/** Runs random scenarios until the time is up or an invariant breaks. */
+export default async function run(options: BenchmarkArguments): Promise<SoakSummary> {
+  const total: Record<string, number> = {};
+  let scenarios = 0;
+  const property = fc.property(createScenarioArbitrary(), (scenario) => {
+    addUp(total, runScenario(scenario));
+    scenarios += 1;
+  });
+  const details = await fc.check(property, {
+    seed: options.seed,
+    numRuns: options.quick ? QUICK_RUNS : MOST_RUNS,
+    interruptAfterTimeLimit: options.minutes * MILLISECONDS_PER_MINUTE,
+  });
+  const counterexample = details.counterexample?.[0];
+  return {
+    seed: options.seed,
+    scenarios,
+    counts: total,
+    counterexample: counterexample && {
+      scenario: counterexample,
+      path: details.counterexamplePath ?? '',
+      error: describeError(details.errorInstance),
+    },
+  };
 }
--- /dev/null
+++ b/benchmarks/src/soak/runScenario.ts
@@ -0,0 +1,95 @@
+import { Debug, createRandom, createVirtualClock } from '@rattanreel/core';
+import createFaultInjector from './createFaultInjector';
+import createRun from './createRun';
+import type { SoakCounts, SoakRun, SoakScenario, SoakWorld } from './types';
+
+const ARRIVALS_END_MILLISECONDS = 20_000;
+const RUN_MILLISECONDS = 90_000;
+const TICK_MILLISECONDS = 100;
+const REPORT_MILLISECONDS = 200;
+const IN_FLIGHT_MILLISECONDS = 1_000;
+const LATE_SHARE = 0.02;
+const LATEST_MILLISECONDS = 400;
+const NOTHING_COUNTED: SoakCounts = {
+  arrivals: 0,
+  completed: 0,
+  refused: 0,
+  spilled: 0,
+  failed: 0,
+  withdrawn: 0,
+  lostWithHost: 0,
+};
+
+function createWorld(scenario: SoakScenario): SoakWorld & { advance(span: number): void } {
+  const clock = createVirtualClock();
+  const random = createRandom(scenario.seed);
+  const world = {
+    clock,
+    random,
+    counts: { ...NOTHING_COUNTED },
+    badness: 0,
+    send(deliver: () => void): void {
+      if (random.next() < world.badness) {
+        return;
+      }
+      const isLate = random.next() < LATE_SHARE;
+      clock.after(random.integer(1, isLate ? LATEST_MILLISECONDS : 4), deliver);
+      if (random.next() < world.badness) {
+        clock.after(random.integer(1, LATEST_MILLISECONDS), deliver);
+      }
+    },
+    advance: clock.advance,
+  };
+  return world;
+}
+
+function every(run: SoakRun, span: number, until: number, action: () => void): void {
+  run.world.clock.after(span, () => {
+    action();
+    if (run.world.clock.now() < until) {
+      every(run, span, until, action);
+    }
+  });
+}
+
+function arriveAtRandom(run: SoakRun, scenario: SoakScenario): void {
+  const { clock, random } = run.world;
+  const mean = 1_000 / (scenario.arrivalsPerSecond * run.flags.arrivalFactor);
+  clock.after(-Math.log(1 - random.next()) * mean, () => {
+    run.hosts[random.integer(0, run.hosts.length - 1)]!.arrive();
+    if (clock.now() < ARRIVALS_END_MILLISECONDS) {
+      arriveAtRandom(run, scenario);
+    }
+  });
+}
+
+function assertNothingLeft(run: SoakRun): void {
+  const { queuedTokens, inFlight } = run.scheduler.summary();
+  const waiting = run.hosts.reduce((sum, host) => sum + host.waiting, 0);
+  Debug.invariant(queuedTokens === 0, 'soak-queue-left', () => `${queuedTokens} tokens queued`);
+  const running = run.hosts.reduce((sum, host) => sum + host.inFlight().length, 0);
+  Debug.invariant(
+    inFlight === running,
+    'soak-slots-leaked',
+    () => `${inFlight} slots held, ${running} in use`,
+  );
+  Debug.invariant(waiting === 0, 'soak-requests-left', () => `${waiting} requests waiting`);
+}
+
+/** Runs one scenario in virtual time; throws when an invariant does not hold. */
+export default function runScenario(scenario: SoakScenario): SoakCounts {
+  const world = createWorld(scenario);
+  const run = createRun(scenario, world);
+  run.tellPool();
+  run.tellMembers([]);
+  createFaultInjector(run, scenario.faults);
+  arriveAtRandom(run, scenario);
+  every(run, TICK_MILLISECONDS, RUN_MILLISECONDS, () => run.hosts.forEach((host) => host.tick()));
+  every(run, REPORT_MILLISECONDS, RUN_MILLISECONDS, () =>
+    run.engines.forEach((engine) => run.tell(engine.report())),
+  );
+  every(run, IN_FLIGHT_MILLISECONDS, RUN_MILLISECONDS, run.reportInFlight);
+  world.advance(RUN_MILLISECONDS);
+  assertNothingLeft(run);
+  return world.counts;
+}
--- /dev/null
+++ b/benchmarks/src/soak/types.ts
@@ -0,0 +1,155 @@
+/** Scenarios of the randomised runs and what they find. */
+import type { Clock, Milliseconds, Random } from '@rattanreel/core';
+import type {
+  EntryHostIncarnation,
+  Grant,
+  GrantReleased,
+  GrantRequested,
+  InFlightRequest,
+  PoolSummary,
+  SchedulerMessage,
+} from '@rattanreel/scheduling';
+
+/** One fault of a scenario. */
+export interface SoakFault {
+  readonly kind:
+    | 'hostDies'
+    | 'hostPauses'
+    | 'schedulerDies'
+    | 'schedulerPauses'
+    | 'engineTurnsCold'
+    | 'engineRestarts'
+    | 'engineSlows'
+    | 'engineFails'
+    | 'engineSilent'
+    | 'engineDrained'
+    | 'engineLeaves'
+    | 'domainDrained'
+    | 'burst'
+    | 'badNetwork';
+  readonly at: Milliseconds;
+  readonly target: number;
+  readonly duration: Milliseconds;
+}
+
+export interface SoakScenario {
+  readonly seed: number;
+  readonly hosts: number;
+  readonly engines: number;
+  readonly arrivalsPerSecond: number;
+  readonly faults: readonly SoakFault[];
+}
+
+/** What a run counted. Violations of invariants throw instead. */
+export interface SoakCounts {
+  arrivals: number;
+  completed: number;
+  refused: number;
+  spilled: number;
+  failed: number;
+  withdrawn: number;
+  lostWithHost: number;
+}
+
+/** What the parts of a run share. */
+export interface SoakWorld {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly counts: SoakCounts;
+  /** Delivers after a random delay; loses and repeats while the network is bad. */
+  send(deliver: () => void): void;
+  /** Share of messages lost and of messages repeated. */
+  badness: number;
+}
+
+/** What faults change at a fake engine. */
+export interface FakeEngineState {
+  drained: boolean;
+  drainedAt: Milliseconds | undefined;
+  leaving: boolean;
+  failing: boolean;
+  silent: boolean;
+  slowness: number;
+}
+
+/** A backend server that runs streams for a time drawn at random. */
+export interface FakeEngine {
+  readonly id: string;
+  readonly streams: number;
+  readonly version: string;
+  readonly state: FakeEngineState;
+  dispatch(grant: Grant, work: StreamWork, listener: StreamListener): void;
+  cancel(request: string): void;
+  turnCold(): void;
+  restart(downFor: Milliseconds): void;
+  report(): SchedulerMessage;
+}
+
+/** Size of one stream. */
+export interface StreamWork {
+  readonly promptTokens: number;
+  readonly outputTokens: number;
+}
+
+export interface StreamListener {
+  firstToken(after: Milliseconds): void;
+  ended(outcome: GrantReleased['outcome'], duration: Milliseconds): void;
+}
+
+/** A request in hand at an entry host; dispatched once it has a grant. */
+export interface HostRequest {
+  readonly asked: GrantRequested;
+  readonly arrivedAt: Milliseconds;
+  askedAt: Milliseconds;
+  grant: Grant | undefined;
+  firstTokenAfter: Milliseconds | undefined;
+}
+
+export interface FakeHostOptions {
+  readonly world: SoakWorld;
+  readonly name: string;
+  readonly incarnation: string;
+  readonly engines: readonly FakeEngine[];
+  /** Identifiers of every request dispatched so far in the run. */
+  readonly dispatched: Set<string>;
+  tell(message: SchedulerMessage): void;
+}
+
+/** An entry host that asks for grants, uses each once, and reports what it has in hand. */
+export interface FakeHost {
+  readonly member: EntryHostIncarnation;
+  arrive(): void;
+  receiveGrant(grant: Grant): void;
+  refused(request: string): void;
+  spilled(request: string): void;
+  inFlight(): readonly InFlightRequest[];
+  tick(): void;
+  pause(span: Milliseconds): void;
+  die(): void;
+  readonly waiting: number;
+}
+
+/** One scenario under way. */
+export interface SoakRun {
+  readonly world: SoakWorld;
+  readonly engines: readonly FakeEngine[];
+  readonly hosts: FakeHost[];
+  /** The scheduler that the entry hosts ask now. */
+  readonly scheduler: FakeSchedulerHost;
+  readonly flags: { domainDrained: boolean; arrivalFactor: number };
+  /** Sends a message to the scheduler over the network. */
+  tell(message: SchedulerMessage): void;
+  tellPool(): void;
+  tellMembers(dead: readonly EntryHostIncarnation[]): void;
+  reportInFlight(): void;
+  replaceScheduler(): void;
+  replaceHost(host: FakeHost): void;
+}
+
+/** A process that runs a pool scheduler and can be paused or killed. */
+export interface FakeSchedulerHost {
+  receive(message: SchedulerMessage): void;
+  pause(span: Milliseconds): void;
+  die(): void;
+  summary(): PoolSummary;
+}
--- a/packages/scheduling/src/createPoolScheduler.test.ts
+++ b/packages/scheduling/src/createPoolScheduler.test.ts
@@ -248,7 +248,7 @@
         [0, { kind: 'versionVetoed', version: 'v1' }],
         [1, asked('a')],
       ],
-      effects: [],
+      effects: ['refuse a noBackendServer'],
     },
   ];
   for (const { name, options, steps, effects } of cases) {
--- a/packages/scheduling/src/createPoolScheduler.ts
+++ b/packages/scheduling/src/createPoolScheduler.ts
@@ -6,10 +6,12 @@
 import createSpillBudget from './decisions/createSpillBudget';
 import createVersionShares from './decisions/createVersionShares';
 import createWorkEstimates from './decisions/createWorkEstimates';
+import settleDeferred from './decisions/settleDeferred';
 import summarise from './decisions/summarise';
 import type { SchedulerState } from './decisions/types';
 import defaultPolicy from './defaultPolicy';
 import getNextWakeUp from './getNextWakeUp';
+import changeCache from './handlers/changeCache';
 import changeMembers from './handlers/changeMembers';
 import changePool from './handlers/changePool';
 import passTime from './handlers/passTime';
@@ -18,7 +20,9 @@
 import reportLoad from './handlers/reportLoad';
 import requestGrant from './handlers/requestGrant';
 import seeFirstToken from './handlers/seeFirstToken';
+import vetoVersion from './handlers/vetoVersion';
 import withdrawGrant from './handlers/withdrawGrant';
+import createDeferredRefusals from './queue/createDeferredRefusals';
 import createRequestQueue from './queue/createRequestQueue';
 import createLedger from './servers/createLedger';
 import type { PoolScheduler, PoolSchedulerOptions, SchedulerMessage } from './types';
@@ -30,6 +34,7 @@
     policy,
     random: createRandom(options.seed),
     queue: createRequestQueue(),
+    deferred: createDeferredRefusals(),
     ledger: createLedger(),
     servers: new Map(),
     shares: createVersionShares(),
@@ -52,17 +57,15 @@
 function apply(state: SchedulerState, message: SchedulerMessage, now: Milliseconds): void {
   match(message)
     .with({ kind: 'grantRequested' }, (asked) => requestGrant(state, asked, now))
-    .with({ kind: 'grantWithdrawn' }, (withdrawn) => withdrawGrant(state, withdrawn))
+    .with({ kind: 'grantWithdrawn' }, (withdrawn) => withdrawGrant(state, withdrawn, now))
     .with({ kind: 'grantReleased' }, (released) => releaseGrant(state, released, now))
     .with({ kind: 'firstTokenSeen' }, (seen) => seeFirstToken(state, seen, now))
     .with({ kind: 'inFlightReported' }, (report) => reportInFlight(state, report, now))
     .with({ kind: 'loadReported' }, (report) => reportLoad(state, report, now))
-    .with({ kind: 'cacheChanged' }, ({ backendServer, sequence, added, removed }) =>
-      state.servers.get(backendServer)?.prefixes.changed(sequence, added, removed),
-    )
+    .with({ kind: 'cacheChanged' }, (changed) => changeCache(state, changed, now))
     .with({ kind: 'membersChanged' }, (changed) => changeMembers(state, changed, now))
     .with({ kind: 'poolChanged' }, (changed) => changePool(state, changed, now))
-    .with({ kind: 'versionVetoed' }, ({ version }) => state.shares.veto(version))
+    .with({ kind: 'versionVetoed' }, (vetoed) => vetoVersion(state, vetoed, now))
     .with({ kind: 'timePassed' }, () => passTime(state, now))
     .exhaustive();
 }
@@ -75,6 +78,7 @@
     handle(message, now) {
       state.effects = [];
       apply(state, message, now);
+      settleDeferred(state, now);
       return state.effects;
     },
     nextWakeUp: (now) => getNextWakeUp(state, now),
--- a/packages/scheduling/src/decisions/chooseBackendServer.ts
+++ b/packages/scheduling/src/decisions/chooseBackendServer.ts
@@ -1,12 +1,16 @@
 import type { Milliseconds } from '@rattanreel/core';
+import isTrusted from '../servers/isTrusted';
 import type { BackendServer } from '../servers/types';
 import type { QueuedRequest } from '../queue/types';
 import type { RejectedAlternative, RejectionReason } from '../types';
-import type { Choice, Expectation, SchedulerState } from './types';
+import expectCourse from './expectCourse';
+import getNeededMemory from './getNeededMemory';
+import tryGetRoomReason from './tryGetRoomReason';
+import type { Choice, Expectation, SchedulerState, Survey } from './types';
 
 const ALTERNATIVES_TOLD = 8;
-const PREFILL_WINDOW_MILLISECONDS = 400;
 const FAILURE_PENALTY = 4;
+const NO_CREDIT_PENALTY = 2;
 
 interface Candidate {
   readonly server: BackendServer;
@@ -14,43 +18,6 @@
   readonly score: number;
 }
 
-function expect(state: SchedulerState, server: BackendServer, request: QueuedRequest): Expectation {
-  const { asked } = request;
-  const cachedTokens = server.prefixes.expectedTokens(asked.prefixHashes, asked.promptTokens);
-  const prefillTokens = Math.max(1, asked.promptTokens - cachedTokens);
-  const streams = server.inFlight.size + 1;
-  const { speed } = server;
-  const firstTokenAfter = speed.firstTokenAfter(server.prefillTokens + prefillTokens, streams);
-  const output = state.work.expectedOutputTokens(asked.route, asked.maximumOutputTokens);
-  const finishAfter = firstTokenAfter + (output - 1) * speed.tokenTime(streams);
-  return { cachedTokens, prefillTokens, firstTokenAfter, finishAfter };
-}
-
-function tryGetStandingReason(server: BackendServer): RejectionReason | undefined {
-  if (server.settings.drained) {
-    return 'drained';
-  }
-  if (server.leaving) {
-    return 'leaving';
-  }
-  if (!server.ready) {
-    return 'notReady';
-  }
-  return server.standing === 'ejected' ? 'ejected' : undefined;
-}
-
-function tryGetRoomReason(server: BackendServer): RejectionReason | undefined {
-  const streams = server.inFlight.size + server.unknownStreams;
-  if (server.standing === 'probing' && streams > 0) {
-    return 'ejected';
-  }
-  if (streams >= server.limit.current) {
-    return server.limit.isSlowStart ? 'slowStart' : 'limit';
-  }
-  const pending = server.speed.firstTokenAfter(server.prefillTokens, 0);
-  return server.prefillTokens > 0 && pending > PREFILL_WINDOW_MILLISECONDS ? 'limit' : undefined;
-}
-
 function isTooSlow(
   server: BackendServer,
   request: QueuedRequest,
@@ -58,24 +25,30 @@
   now: Milliseconds,
 ): boolean {
   return (
-    server.speed.isLearnt &&
+    isTrusted(server, now) &&
     (now + expectation.firstTokenAfter > request.firstTokenDueAt ||
       now + expectation.finishAfter > request.dueAt)
   );
 }
 
+function scoreOf(state: SchedulerState, server: BackendServer, expectation: Expectation): number {
+  const failures = 1 + FAILURE_PENALTY * server.health.failureShare;
+  const credit = state.shares.creditOf(server.version) > 0 ? 1 : NO_CREDIT_PENALTY;
+  return expectation.finishAfter * failures * credit;
+}
+
 /**
- * Chooses the backend server at which a request is expected to finish first, among those that have room and
- * can answer in time. `reserved` holds backend servers kept free for requests ahead in the order.
+ * Chooses the backend server at which a request is expected to finish first, among those of the survey that
+ * have room and can answer in time. `reserved` holds backend servers kept free for requests ahead in the order.
  */
 export default function chooseBackendServer(
   state: SchedulerState,
   request: QueuedRequest,
+  survey: Survey,
   reserved: ReadonlySet<BackendServer>,
   now: Milliseconds,
 ): Choice {
-  const needed = request.asked.promptTokens + request.asked.maximumOutputTokens;
-  const rejected: RejectedAlternative[] = [];
+  const rejected: RejectedAlternative[] = [...survey.closed];
   let best: Candidate | undefined;
   let reserve: BackendServer | undefined;
 
@@ -86,7 +59,7 @@
   }
 
   function tryGetReason(server: BackendServer): RejectionReason | undefined {
-    const reason = tryGetStandingReason(server) ?? tryGetRoomReason(server);
+    const reason = tryGetRoomReason(server, now);
     if (reason !== undefined) {
       return reason;
     }
@@ -96,37 +69,37 @@
     if (reserved.has(server)) {
       return 'limit';
     }
-    return server.memoryTokens - server.reservedTokens < needed ? 'memory' : undefined;
+    const free = server.memoryTokens - server.reservedTokens;
+    return free < getNeededMemory(state, request.asked, server) ? 'memory' : undefined;
   }
 
   function keepForLarge(server: BackendServer): void {
     const free = server.memoryTokens - server.reservedTokens;
     const heldFree = reserve === undefined ? -1 : reserve.memoryTokens - reserve.reservedTokens;
-    if (server.memoryTokens >= needed && free > heldFree) {
+    const fits = server.memoryTokens >= getNeededMemory(state, request.asked, server);
+    if (fits && free > heldFree) {
       reserve = server;
     }
   }
 
   function consider(server: BackendServer): void {
-    const expectation = expect(state, server, request);
+    const expectation = expectCourse(state, server, request);
     if (isTooSlow(server, request, expectation, now)) {
       reject(server, 'tooSlow');
       return;
     }
-    const credit = state.shares.creditOf(server.version);
-    const penalty = 1 + FAILURE_PENALTY * server.health.failureShare;
-    const score = expectation.finishAfter * penalty * (credit > 0 ? 1 : 2);
-    if (best === undefined || score < best.score) {
-      if (best !== undefined) {
-        reject(best.server, 'worseEstimate');
-      }
-      best = { server, expectation, score };
-    } else {
+    const score = scoreOf(state, server, expectation);
+    if (best !== undefined && score >= best.score) {
       reject(server, 'worseEstimate');
+      return;
+    }
+    if (best !== undefined) {
+      reject(best.server, 'worseEstimate');
     }
+    best = { server, expectation, score };
   }
 
-  for (const server of state.servers.values()) {
+  for (const server of survey.open) {
     const reason = tryGetReason(server);
     if (reason === undefined) {
       consider(server);
--- a/packages/scheduling/src/decisions/createSpillBudget.ts
+++ b/packages/scheduling/src/decisions/createSpillBudget.ts
@@ -5,21 +5,34 @@
 const SPARE_SHARE = 0.25;
 const SUMMARY_HALF_LIFE_MILLISECONDS: Milliseconds = 2_000;
 const OLDEST_SUMMARY_MILLISECONDS: Milliseconds = 10_000;
+const SAME_SUMMARY_MILLISECONDS: Milliseconds = 1;
 const KEPT_FOR_HIGHER_TIER = 0.1;
 const MOST_KEPT_FOR_HIGHER_TIERS = 0.8;
 
 interface Allowance {
-  total: number;
-  left: number;
+  readonly takenAt: Milliseconds;
+  readonly drained: boolean;
+  /** Tokens allowed by the announcement before it ages. */
+  readonly announced: number;
+  spent: number;
+  /** Spent since the announcement was made, and so not seen in the next one either. */
+  readonly spends: { readonly at: Milliseconds; readonly tokens: number }[];
 }
 
-function allowanceOf(neighbour: NeighbourPool): number {
-  if (neighbour.drained || neighbour.summaryAge > OLDEST_SUMMARY_MILLISECONDS) {
-    return 0;
-  }
-  const decay = 0.5 ** (neighbour.summaryAge / SUMMARY_HALF_LIFE_MILLISECONDS);
-  const spare = neighbour.spareTokens - neighbour.queuedTokens;
-  return Math.max(0, spare) * SPARE_SHARE * decay;
+function freshAllowance(neighbour: NeighbourPool, takenAt: Milliseconds): Allowance {
+  const spare = Math.max(0, neighbour.spareTokens - neighbour.queuedTokens);
+  const announced = spare * SPARE_SHARE;
+  return { takenAt, drained: neighbour.drained, announced, spent: 0, spends: [] };
+}
+
+/** Carries over what was spent after the newer announcement was made. */
+function carryOver(from: Allowance, to: Allowance): void {
+  from.spends
+    .filter((spend) => spend.at >= to.takenAt)
+    .forEach((spend) => {
+      to.spends.push(spend);
+      to.spent += spend.tokens;
+    });
 }
 
 /**
@@ -29,35 +42,47 @@
 export default function createSpillBudget(): SpillBudget {
   let allowances = new Map<FailureDomainId, Allowance>();
 
-  function usable(allowance: Allowance, tier: number): number {
+  function usable(allowance: Allowance, tier: number, now: Milliseconds): number {
+    const age = Math.max(0, now - allowance.takenAt);
+    if (allowance.drained || age > OLDEST_SUMMARY_MILLISECONDS) {
+      return 0;
+    }
+    const total = allowance.announced * 0.5 ** (age / SUMMARY_HALF_LIFE_MILLISECONDS);
     const kept = Math.min(MOST_KEPT_FOR_HIGHER_TIERS, tier * KEPT_FOR_HIGHER_TIER);
-    return allowance.left - allowance.total * kept;
+    return total * (1 - kept) - allowance.spent;
   }
 
   return {
-    tryTake(tier, tokens) {
+    tryTake(tier, tokens, now) {
       let best: FailureDomainId | undefined;
       let most = tokens;
       allowances.forEach((allowance, failureDomain) => {
-        const room = usable(allowance, tier);
+        const room = usable(allowance, tier, now);
         if (room >= most) {
           best = failureDomain;
           most = room;
         }
       });
-      if (best !== undefined) {
-        allowances.get(best)!.left -= tokens;
+      const taken = best === undefined ? undefined : allowances.get(best);
+      if (taken !== undefined) {
+        taken.spent += tokens;
+        taken.spends.push({ at: now, tokens });
       }
       return best;
     },
-    configure(neighbours) {
+    configure(neighbours, now) {
       const previous = allowances;
       allowances = new Map();
       neighbours.forEach((neighbour) => {
-        const total = allowanceOf(neighbour);
+        const takenAt = now - neighbour.summaryAge;
         const held = previous.get(neighbour.failureDomain);
-        const left = neighbour.summaryAge > 0 && held ? Math.min(held.left, total) : total;
-        allowances.set(neighbour.failureDomain, { total, left });
+        let next = freshAllowance(neighbour, takenAt);
+        if (held !== undefined && takenAt <= held.takenAt + SAME_SUMMARY_MILLISECONDS) {
+          next = { ...held, drained: neighbour.drained };
+        } else if (held !== undefined) {
+          carryOver(held, next);
+        }
+        allowances.set(neighbour.failureDomain, next);
       });
     },
   };
--- a/packages/scheduling/src/decisions/createVersionShares.ts
+++ b/packages/scheduling/src/decisions/createVersionShares.ts
@@ -34,9 +34,7 @@
   }
 
   return {
-    get isSingle() {
-      return accounts.size === 0;
-    },
+    hasShare: (version) => accounts.size === 0 || (accounts.get(version)?.share ?? 0) > 0,
     isAllowed(version) {
       if (accounts.size === 0) {
         return true;
--- a/packages/scheduling/src/decisions/createWorkEstimates.ts
+++ b/packages/scheduling/src/decisions/createWorkEstimates.ts
@@ -3,7 +3,8 @@
 const WEIGHT = 0.05;
 const ROUTES_KEPT = 512;
 const FIRST_OUTPUT_RATIO = 0.5;
-const FIRST_COST_TOKENS = 512;
+const FIRST_TOKENS = 512;
+const FIRST_PROMPT_SHARE = 0.5;
 const DEVIATIONS_ADDED = 0.5;
 
 interface OutputRatio {
@@ -15,7 +16,9 @@
 export default function createWorkEstimates(): WorkEstimates {
   const ratios = new Map<string, OutputRatio>();
   let meanHolding: number | undefined;
-  let meanCost = FIRST_COST_TOKENS;
+  let meanCost = FIRST_TOKENS;
+  let meanReserved = FIRST_TOKENS;
+  let meanPrompt = FIRST_TOKENS * FIRST_PROMPT_SHARE;
 
   function ratioOf(route: string): OutputRatio {
     let ratio = ratios.get(route);
@@ -36,6 +39,13 @@
     get meanCost() {
       return meanCost;
     },
+    get meanReserved() {
+      return meanReserved;
+    },
+    get promptShare() {
+      return Math.min(1, meanPrompt / meanCost);
+    },
+    reservedTokens: (asked) => asked.promptTokens + asked.maximumOutputTokens,
     expectedOutputTokens(route, maximumOutputTokens) {
       const { mean, deviation } = ratioOf(route);
       const ratio = Math.min(1, mean + DEVIATIONS_ADDED * deviation);
@@ -47,8 +57,10 @@
       ratio.deviation += WEIGHT * (Math.abs(sample - ratio.mean) - ratio.deviation);
       ratio.mean += WEIGHT * (sample - ratio.mean);
     },
-    learnHolding(cost, held) {
-      meanCost += WEIGHT * (cost - meanCost);
+    learnHolding(slot, outputTokens, held) {
+      meanCost += WEIGHT * (slot.promptTokens + outputTokens - meanCost);
+      meanPrompt += WEIGHT * (slot.promptTokens - meanPrompt);
+      meanReserved += WEIGHT * (slot.reservedTokens - meanReserved);
       meanHolding = meanHolding === undefined ? held : meanHolding + WEIGHT * (held - meanHolding);
     },
   };
--- a/packages/scheduling/src/decisions/estimateWait.ts
+++ b/packages/scheduling/src/decisions/estimateWait.ts
@@ -9,11 +9,13 @@
   cost: number,
   now: Milliseconds,
 ): Milliseconds {
-  const { meanHolding, meanCost } = state.work;
-  const { slots } = getPoolSpeed(state, now);
+  const { meanHolding, meanCost, promptShare } = state.work;
+  const { slots, prefillRate } = getPoolSpeed(state, now);
   if (meanHolding === undefined || slots === 0) {
     return 0;
   }
-  const requestsAhead = (state.queue.costThrough(band) + cost) / Math.max(1, meanCost);
-  return (requestsAhead * meanHolding) / slots;
+  const costAhead = state.queue.costThrough(band) + cost;
+  const slotWait = (costAhead / Math.max(1, meanCost)) * (meanHolding / slots);
+  const prefillWait = (costAhead * promptShare) / prefillRate;
+  return Math.max(slotWait, prefillWait);
 }
--- a/packages/scheduling/src/decisions/getPoolSpeed.ts
+++ b/packages/scheduling/src/decisions/getPoolSpeed.ts
@@ -4,30 +4,38 @@
 import type { PoolSpeed, SchedulerState } from './types';
 
 const KEPT_FOR_MILLISECONDS = 250;
+const SLOW_START_PROSPECT = 8;
+const SMALLEST_TIME = 1e-6;
+
+/** Streams that a backend server can soon run, by its bound and by its memory. */
+function prospectiveStreams(state: SchedulerState, server: BackendServer): number {
+  const { current, isSlowStart } = server.limit;
+  const bound = isSlowStart
+    ? Math.min(server.settings.maximumStreams, current * SLOW_START_PROSPECT)
+    : current;
+  return Math.min(bound, server.memoryTokens / state.work.meanReserved);
+}
 
 function measure(state: SchedulerState): PoolSpeed {
-  const usable: BackendServer[] = [];
+  const usable = [...state.servers.values()].filter((server) => isUsable(state, server));
   let slots = 0;
-  let largestMemoryTokens = 0;
+  let prefillRate = 0;
   let tokenTime = Number.POSITIVE_INFINITY;
+  let largestMemoryTokens = 0;
+  usable.forEach((server) => {
+    slots += prospectiveStreams(state, server);
+    prefillRate += 1 / Math.max(SMALLEST_TIME, server.speed.prefillTime(1));
+    tokenTime = Math.min(tokenTime, server.speed.tokenTime(1));
+  });
   state.servers.forEach((server) => {
-    largestMemoryTokens = Math.max(largestMemoryTokens, server.memoryTokens);
-    if (isUsable(server)) {
-      usable.push(server);
-      slots += server.limit.current;
-      tokenTime = Math.min(tokenTime, server.speed.tokenTime(1));
+    if (!server.settings.drained && !server.leaving) {
+      largestMemoryTokens = Math.max(largestMemoryTokens, server.memoryTokens);
     }
   });
   return {
     slots,
+    prefillRate,
     largestMemoryTokens,
-    usableServers: usable.length,
-    isLearnt: usable.length > 0 && usable.every((server) => server.speed.isLearnt),
-    firstTokenAfter: (tokens) =>
-      usable.reduce(
-        (best, server) => Math.min(best, server.speed.firstTokenAfter(tokens, 1)),
-        Number.POSITIVE_INFINITY,
-      ),
     tokenTime,
   };
 }
--- /dev/null
+++ b/packages/scheduling/src/decisions/giveUp.ts
@@ -0,0 +1,25 @@
+import type { Milliseconds } from '@rattanreel/core';
+import type { QueuedRequest } from '../queue/types';
+import getLowestTier from './getLowestTier';
+import refuse from './refuse';
+import trySpill from './trySpill';
+import type { SchedulerState } from './types';
+
+/**
+ * Passes on a request that is not queued and cannot be answered in time here, or refuses it; while a lower
+ * tier waits, the refusal is deferred.
+ */
+export default function giveUp(
+  state: SchedulerState,
+  request: QueuedRequest,
+  now: Milliseconds,
+): void {
+  if (trySpill(state, request, now)) {
+    return;
+  }
+  if (getLowestTier(state) > request.asked.tier) {
+    state.deferred.add(request);
+  } else {
+    refuse(state, request, 'deadlineCannotBeMet', now);
+  }
+}
--- a/packages/scheduling/src/decisions/grantQueued.ts
+++ b/packages/scheduling/src/decisions/grantQueued.ts
@@ -1,14 +1,14 @@
 import type { Milliseconds } from '@rattanreel/core';
 import { Debug } from '@rattanreel/core';
 import type { QueuedRequest } from '../queue/types';
-import type { BackendServer, InFlight } from '../servers/types';
+import type { BackendServer } from '../servers/types';
 import type { Grant } from '../types';
 import chooseBackendServer from './chooseBackendServer';
-import type { Choice, SchedulerState } from './types';
+import createSlot from './createSlot';
+import surveyServers from './surveyServers';
+import type { Chosen, SchedulerState } from './types';
 
-const MOST_SET_ASIDE = 8;
-
-type Chosen = Extract<Choice, { readonly kind: 'chosen' }>;
+const MOST_SET_ASIDE = 16;
 
 function toGrant(
   state: SchedulerState,
@@ -31,37 +31,6 @@
   };
 }
 
-function toSlot(
-  request: QueuedRequest,
-  choice: Chosen,
-  granted: Grant,
-  now: Milliseconds,
-): InFlight {
-  const { asked } = request;
-  const { server, expectation } = choice;
-  return {
-    request: request.id,
-    from: asked.from,
-    backendServer: granted.backendServer,
-    version: granted.version,
-    route: asked.route,
-    tier: asked.tier,
-    promptTokens: asked.promptTokens,
-    maximumOutputTokens: asked.maximumOutputTokens,
-    reservedTokens: asked.promptTokens + asked.maximumOutputTokens,
-    prefixHashes: asked.prefixHashes,
-    grantedAt: now,
-    prefillTokens: expectation.prefillTokens,
-    prefillAhead: server.prefillTokens + expectation.prefillTokens,
-    streamsAtGrant: server.inFlight.size + 1,
-    expectedCachedTokens: expectation.cachedTokens,
-    expectedFirstTokenAfter: expectation.firstTokenAfter,
-    streamTimeAtFirstToken: server.streamTime,
-    firstTokenAt: undefined,
-    grant: granted,
-  };
-}
-
 function assertMayTakeWork(server: BackendServer): void {
   const id = () => server.settings.id;
   const streams = server.inFlight.size;
@@ -86,7 +55,7 @@
   const { server } = choice;
   assertMayTakeWork(server);
   const effect = toGrant(state, request, choice, now);
-  const slot = toSlot(request, choice, effect, now);
+  const slot = createSlot(state, request, choice, effect, now);
   state.queue.serve(request);
   state.ledger.hold(server, slot, now);
   state.shares.granted(server.version, request.cost);
@@ -100,7 +69,11 @@
 
 /** Grants queued requests in order of service for as long as a backend server has room for one. */
 export default function grantQueued(state: SchedulerState, now: Milliseconds): void {
-  if (state.domainDrained || !state.handover.isOver(now)) {
+  if (state.queue.size === 0 || state.domainDrained || !state.handover.isOver(now)) {
+    return;
+  }
+  const survey = surveyServers(state, now);
+  if (survey.open.length === 0) {
     return;
   }
   const setAside: QueuedRequest[] = [];
@@ -110,7 +83,7 @@
     if (state.barrier.blockedUntil(request.asked.tier) > now) {
       break;
     }
-    const choice = chooseBackendServer(state, request, reserved, now);
+    const choice = chooseBackendServer(state, request, survey, reserved, now);
     if (choice.kind === 'chosen') {
       grant(state, request, choice, now);
     } else {
--- a/packages/scheduling/src/decisions/isUsable.ts
+++ b/packages/scheduling/src/decisions/isUsable.ts
@@ -1,8 +1,13 @@
 import type { BackendServer } from '../servers/types';
+import type { SchedulerState } from './types';
 
 /** Whether a backend server may get new work at all, room aside. */
-export default function isUsable(server: BackendServer): boolean {
+export default function isUsable(state: SchedulerState, server: BackendServer): boolean {
   return (
-    !server.settings.drained && !server.leaving && server.ready && server.standing !== 'ejected'
+    !server.settings.drained &&
+    !server.leaving &&
+    server.ready &&
+    server.standing !== 'ejected' &&
+    state.shares.hasShare(server.version)
   );
 }
--- a/packages/scheduling/src/decisions/refuse.ts
+++ b/packages/scheduling/src/decisions/refuse.ts
@@ -3,48 +3,45 @@
 import type { QueuedRequest } from '../queue/types';
 import type { RefusalReason } from '../types';
 import estimateWait from './estimateWait';
-import getBand from './getBand';
+import getLowestTier from './getLowestTier';
 import type { SchedulerState } from './types';
 
 const SHORTEST_RETRY_MILLISECONDS = 250;
 const LONGEST_RETRY_MILLISECONDS = 60_000;
 const RETRY_JITTER = 0.25;
 
-/** Whether the refusal depends on load, so that a lower tier must not profit from it. */
-function isLoadDependent(reason: RefusalReason): boolean {
-  return reason === 'queueFull' || reason === 'evictedByHigherTier';
-}
+/** Refusals that state a fact about the request alone, so that no lower tier can profit from them. */
+const FACTS: ReadonlySet<RefusalReason> = new Set<RefusalReason>([
+  'deadlinePassed',
+  'tooLargeForAnyBackendServer',
+]);
 
-function retryAfter(state: SchedulerState, request: QueuedRequest, now: Milliseconds): number {
-  const wait = estimateWait(state, request.band, request.cost, now);
+function jitteredRetry(state: SchedulerState, wait: Milliseconds): Milliseconds {
   const bounded = Math.min(LONGEST_RETRY_MILLISECONDS, Math.max(SHORTEST_RETRY_MILLISECONDS, wait));
   return Math.ceil(bounded * (1 + RETRY_JITTER * state.random.next()));
 }
 
-/** Whether a request of a lower tier than `request` is queued. */
-function hasLowerQueued(state: SchedulerState, request: QueuedRequest): boolean {
-  const lowest = state.queue.tryGetNewestOfLowest();
-  return lowest !== undefined && lowest.asked.tier > request.asked.tier;
+function assertLowest(state: SchedulerState, request: QueuedRequest, reason: RefusalReason): void {
+  Debug.invariant(
+    FACTS.has(reason) || getLowestTier(state) <= request.asked.tier,
+    'higher-tier-refused-first',
+    () => `${request.id} of tier ${request.asked.tier}: ${reason} while a lower tier waits`,
+  );
 }
 
 /**
- * Refuses a request that is no longer queued. With `byLoad` the ground is the work ahead of it, and no lower
- * tier may be queued nor served before the refused request could have been.
+ * Refuses a request that is no longer queued. No lower tier may wait, unless the ground is a fact; until the
+ * refused request could have been served, none is served either.
  */
 export default function refuse(
   state: SchedulerState,
   request: QueuedRequest,
   reason: RefusalReason,
   now: Milliseconds,
-  byLoad = isLoadDependent(reason),
 ): void {
-  if (byLoad) {
-    Debug.invariant(
-      !hasLowerQueued(state, request),
-      'higher-tier-refused-first',
-      () => `${request.id} of tier ${request.asked.tier} refused before a lower tier`,
-    );
-    const wait = estimateWait(state, getBand(request.asked.tier, false), request.cost, now);
+  assertLowest(state, request, reason);
+  const wait = estimateWait(state, request.band, request.cost, now);
+  if (!FACTS.has(reason)) {
     state.barrier.refused(request.asked.tier, Math.min(request.latestStart, now + wait));
   }
   state.effects.push({
@@ -52,7 +49,7 @@
     request: request.id,
     to: request.asked.from,
     reason,
-    retryAfter: retryAfter(state, request, now),
+    retryAfter: jitteredRetry(state, wait),
     queuedFor: now - request.enqueuedAt,
   });
 }
--- a/packages/scheduling/src/decisions/spillOrRefuse.ts
+++ b/packages/scheduling/src/decisions/spillOrRefuse.ts
@@ -11,9 +11,8 @@
   request: QueuedRequest,
   reason: RefusalReason,
   now: Milliseconds,
-  byLoad?: boolean,
 ): void {
   if (!trySpill(state, request, now)) {
-    refuse(state, request, reason, now, byLoad);
+    refuse(state, request, reason, now);
   }
 }
--- a/packages/scheduling/src/decisions/summarise.ts
+++ b/packages/scheduling/src/decisions/summarise.ts
@@ -5,7 +5,7 @@
 
 /** Memory that a backend server could still give to new requests within its limit of streams. */
 function spareTokens(state: SchedulerState, server: BackendServer): number {
-  if (!isUsable(server) || state.domainDrained) {
+  if (!isUsable(state, server) || state.domainDrained) {
     return 0;
   }
   const streams = Math.max(0, server.limit.current - server.inFlight.size - server.unknownStreams);
@@ -16,8 +16,9 @@
 /** What other failure domains and the metrics are told. */
 export default function summarise(state: SchedulerState): PoolSummary {
   const servers = [...state.servers.values()];
-  const queuedByTier = Array.from({ length: state.tiers }, (_, tier) =>
-    state.queue.countOfTier(tier),
+  const queuedByTier = Array.from(
+    { length: state.tiers },
+    (_, tier) => state.queue.countOfTier(tier) + state.deferred.countOfTier(tier),
   );
   return {
     spareTokens: servers.reduce((sum, server) => sum + spareTokens(state, server), 0),
--- a/packages/scheduling/src/decisions/trySpill.ts
+++ b/packages/scheduling/src/decisions/trySpill.ts
@@ -11,7 +11,7 @@
   if (request.asked.homeDomain !== state.options.failureDomain) {
     return false;
   }
-  const failureDomain = state.spill.tryTake(request.asked.tier, request.cost);
+  const failureDomain = state.spill.tryTake(request.asked.tier, request.cost, now);
   if (failureDomain === undefined) {
     return false;
   }
--- a/packages/scheduling/src/decisions/types.ts
+++ b/packages/scheduling/src/decisions/types.ts
@@ -9,9 +9,10 @@
   VersionId,
 } from '@rattanreel/core';
 import type createLedger from '../servers/createLedger';
-import type { RequestQueue } from '../queue/types';
-import type { BackendServer } from '../servers/types';
+import type { DeferredRefusals, RequestQueue } from '../queue/types';
+import type { BackendServer, InFlight } from '../servers/types';
 import type {
+  GrantRequested,
   EntryHostIncarnation,
   NeighbourPool,
   PoolSchedulerOptions,
@@ -25,8 +26,8 @@
 export interface VersionShares {
   /** Whether `version` may get a new request now. */
   isAllowed(version: VersionId): boolean;
-  /** Whether every version in use may take any amount. */
-  readonly isSingle: boolean;
+  /** Whether `version` has any share. */
+  hasShare(version: VersionId): boolean;
   /** Credit of a version relative to its share; the version with most credit comes first. */
   creditOf(version: VersionId): number;
   offered(tokens: number): void;
@@ -38,8 +39,8 @@
 /** Bounds what is passed on to other failure domains. */
 export interface SpillBudget {
   /** Takes `tokens` of a neighbour's room; undefined when none has enough. */
-  tryTake(tier: TierRank, tokens: number): FailureDomainId | undefined;
-  configure(neighbours: readonly NeighbourPool[]): void;
+  tryTake(tier: TierRank, tokens: number, now: Milliseconds): FailureDomainId | undefined;
+  configure(neighbours: readonly NeighbourPool[], now: Milliseconds): void;
 }
 
 /** Keeps capacity that a refused request could have used from lower tiers. */
@@ -62,19 +63,25 @@
 export interface WorkEstimates {
   readonly meanHolding: Milliseconds | undefined;
   readonly meanCost: number;
+  /** Mean memory reserved by a granted request. */
+  readonly meanReserved: number;
+  /** Share of prompt tokens in the cost. */
+  readonly promptShare: number;
+  /** Memory to set aside for a request. */
+  reservedTokens(asked: GrantRequested): number;
   expectedOutputTokens(route: string, maximumOutputTokens: number): number;
   learnOutput(route: string, maximumOutputTokens: number, outputTokens: number): void;
-  learnHolding(cost: number, held: Milliseconds): void;
+  learnHolding(slot: InFlight, outputTokens: number, held: Milliseconds): void;
 }
 
 /** The fastest times of an idle backend server of the pool. */
 export interface PoolSpeed {
+  /** Streams that the pool can soon run at once. */
   readonly slots: number;
+  /** Prompt tokens that the pool computes in a millisecond. */
+  readonly prefillRate: number;
   readonly largestMemoryTokens: number;
-  readonly usableServers: number;
-  /** Whether the speed of every usable backend server has been learnt. */
-  readonly isLearnt: boolean;
-  firstTokenAfter(prefillTokens: number): Milliseconds;
+  /** Time between tokens of the fastest backend server when idle. */
   readonly tokenTime: Milliseconds;
 }
 
@@ -83,6 +90,7 @@
   readonly policy: SchedulerPolicy;
   readonly random: Random;
   readonly queue: RequestQueue;
+  readonly deferred: DeferredRefusals;
   readonly ledger: ReturnType<typeof createLedger>;
   readonly servers: Map<BackendServerId, BackendServer>;
   readonly shares: VersionShares;
@@ -112,6 +120,15 @@
   readonly finishAfter: Milliseconds;
 }
 
+/** The backend servers with room for a stream, and why the others have none. */
+export interface Survey {
+  readonly open: readonly BackendServer[];
+  readonly closed: readonly RejectedAlternative[];
+}
+
+/** A backend server chosen for a request. */
+export type Chosen = Extract<Choice, { readonly kind: 'chosen' }>;
+
 /** Result of choosing a backend server for one request. */
 export type Choice =
   | {
--- a/packages/scheduling/src/getNextWakeUp.ts
+++ b/packages/scheduling/src/getNextWakeUp.ts
@@ -18,6 +18,8 @@
 
   const expiring = state.queue.tryGetNextExpiring();
   consider(expiring && expiring.latestStart + AFTER_EXPIRY_MILLISECONDS);
+  const due = state.deferred.tryGetNextDue();
+  consider(due && Math.min(due.firstTokenDueAt, due.dueAt) + AFTER_EXPIRY_MILLISECONDS);
   consider(state.handover.endsAt(now));
   state.orphans.forEach(consider);
   state.servers.forEach((server) => consider(server.probeAt));
--- a/packages/scheduling/src/handlers/changeMembers.ts
+++ b/packages/scheduling/src/handlers/changeMembers.ts
@@ -21,13 +21,15 @@
 }
 
 function dropQueuedOfDead(state: SchedulerState): void {
-  const dropped: QueuedRequest[] = [];
-  state.queue.forEach((request) => {
-    if (state.dead.has(getIncarnationKey(request.asked.from))) {
-      dropped.push(request);
-    }
+  [state.queue, state.deferred].forEach((waiting) => {
+    const dropped: QueuedRequest[] = [];
+    waiting.forEach((request) => {
+      if (state.dead.has(getIncarnationKey(request.asked.from))) {
+        dropped.push(request);
+      }
+    });
+    dropped.forEach((request) => waiting.remove(request));
   });
-  dropped.forEach((request) => state.queue.remove(request));
 }
 
 /** Takes the entry hosts seen alive; what dead ones had queued is dropped and their slots are freed later. */
--- a/packages/scheduling/src/handlers/passTime.ts
+++ b/packages/scheduling/src/handlers/passTime.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '@rattanreel/core';
 import grantQueued from '../decisions/grantQueued';
-import spillOrRefuse from '../decisions/spillOrRefuse';
+import giveUp from '../decisions/giveUp';
 import type { SchedulerState } from '../decisions/types';
 import setStanding from '../servers/setStanding';
 
@@ -35,7 +35,7 @@
   let request = state.queue.tryGetNextExpiring();
   while (request !== undefined && request.latestStart < now) {
     state.queue.remove(request);
-    spillOrRefuse(state, request, 'deadlinePassed', now);
+    giveUp(state, request, now);
     request = state.queue.tryGetNextExpiring();
   }
 }
--- a/packages/scheduling/src/handlers/releaseGrant.ts
+++ b/packages/scheduling/src/handlers/releaseGrant.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@rattanreel/core';
 import grantQueued from '../decisions/grantQueued';
 import type { SchedulerState } from '../decisions/types';
+import getIncarnationKey from '../getIncarnationKey';
 import type { BackendServer, InFlight } from '../servers/types';
 import judgeHealth from '../servers/judgeHealth';
 import type { GrantReleased } from '../types';
@@ -33,15 +34,11 @@
   const tokenTime = betweenTokens(released);
   if (tokenTime !== undefined && released.outputTokens >= FEWEST_TOKENS_TO_LEARN) {
     const streams = meanStreams(server, slot, now);
-    const ratio = server.speed.learnTokenTime(streams, released.outputTokens, tokenTime);
-    if (server.speed.isLearnt) {
-      judgeHealth(state, server, server.health.measured(ratio), 'token time', now);
-    }
+    server.speed.learnTokenTime(streams, released.outputTokens, tokenTime);
   }
   if (released.outcome === 'completed') {
     state.work.learnOutput(slot.route, slot.maximumOutputTokens, released.outputTokens);
-    state.work.learnHolding(slot.promptTokens + released.outputTokens, now - slot.grantedAt);
-    server.prefixes.verified(slot.expectedCachedTokens, released.cachedTokens);
+    state.work.learnHolding(slot, released.outputTokens, now - slot.grantedAt);
   }
 }
 
@@ -62,6 +59,17 @@
   });
 }
 
+/** Whether a release gives back this slot, and not an older grant of the same request. */
+function isReleaseOf(slot: InFlight, released: GrantReleased): boolean {
+  const isSameHost = getIncarnationKey(slot.from) === getIncarnationKey(released.from);
+  const isOlder =
+    released.outcome === 'notDispatched' &&
+    released.echo !== undefined &&
+    slot.grant !== undefined &&
+    released.echo < slot.grant.echo;
+  return isSameHost && slot.backendServer === released.backendServer && !isOlder;
+}
+
 /** Frees a slot and learns from what was measured while it was held. */
 export default function releaseGrant(
   state: SchedulerState,
@@ -69,21 +77,19 @@
   now: Milliseconds,
 ): void {
   const slot = state.ledger.tryGet(released.request);
-  if (slot === undefined || slot.backendServer !== released.backendServer) {
+  if (released.outcome !== 'notDispatched') {
+    rememberFinished(state, released.request);
+  }
+  if (slot === undefined || !isReleaseOf(slot, released)) {
     return;
   }
   const server = state.servers.get(slot.backendServer)!;
-  const streams = server.inFlight.size;
   state.ledger.free(server, slot, now);
   state.orphans.delete(slot.request);
   if (released.outcome !== 'notDispatched') {
-    rememberFinished(state, slot.request);
     learn(state, server, slot, released, now);
     tellEvidence(state, slot, released);
   }
-  if (released.outcome === 'completed') {
-    server.limit.succeeded(streams);
-  }
   judgeHealth(state, server, server.health.finished(released.outcome), released.outcome, now);
   grantQueued(state, now);
 }
--- a/packages/scheduling/src/handlers/reportInFlight.ts
+++ b/packages/scheduling/src/handlers/reportInFlight.ts
@@ -31,6 +31,8 @@
     streamsAtGrant: server.inFlight.size + 1,
     expectedCachedTokens: 0,
     expectedFirstTokenAfter: 0,
+    lateAt: Number.POSITIVE_INFINITY,
+    overdueAt: Number.POSITIVE_INFINITY,
     streamTimeAtFirstToken: server.streamTime,
     firstTokenAt: told.prefillDone ? now : undefined,
     grant: undefined,
@@ -44,14 +46,23 @@
   now: Milliseconds,
 ): void {
   const server = state.servers.get(told.backendServer);
-  if (server === undefined || state.ledger.tryGet(told.request) !== undefined) {
+  const isKnown =
+    state.ledger.tryGet(told.request) !== undefined || state.finished.has(told.request);
+  if (server === undefined || isKnown) {
     return;
   }
   const queued = state.queue.tryGet(told.request);
   if (queued !== undefined) {
     state.queue.remove(queued);
   }
+  const deferred = state.deferred.tryGet(told.request);
+  if (deferred !== undefined) {
+    state.deferred.remove(deferred);
+  }
   state.ledger.hold(server, toSlot(server, told, report, now), now);
+  if (!state.handover.isOver(now)) {
+    server.limit.admitKnown(server.inFlight.size - server.pending.size);
+  }
 }
 
 /** Frees slots that the entry host no longer has, once no grant for them can still be under way. */
--- a/packages/scheduling/src/handlers/reportLoad.ts
+++ b/packages/scheduling/src/handlers/reportLoad.ts
@@ -1,18 +1,25 @@
 import type { Milliseconds } from '@rattanreel/core';
+import abandonQueue from '../decisions/abandonQueue';
 import grantQueued from '../decisions/grantQueued';
 import type { SchedulerState } from '../decisions/types';
 import setStanding from '../servers/setStanding';
+import getReturnStanding from '../servers/getReturnStanding';
+import turnCold from '../servers/turnCold';
 import type { BackendServer } from '../servers/types';
 import type { LoadReported } from '../types';
 
 const STREAMS_OF_SKEW = 1;
 
-function restart(state: SchedulerState, server: BackendServer, reason: string): void {
-  server.limit.restart();
-  server.health.reset();
-  server.prefixes.clear();
-  server.speed.forget();
-  if (server.standing === 'serving') {
+/** A process that has started anew is cold, and no longer ejected for what the last one did. */
+function startAnew(
+  state: SchedulerState,
+  server: BackendServer,
+  reason: string,
+  now: Milliseconds,
+): void {
+  turnCold(state, server, reason, now);
+  if (server.standing === 'ejected' || server.standing === 'probing') {
+    server.probeAt = undefined;
     setStanding(state, server, 'slowStart', reason);
   }
 }
@@ -29,18 +36,24 @@
   return Math.max(0, shown - known - STREAMS_OF_SKEW);
 }
 
-function updateReadiness(state: SchedulerState, server: BackendServer, report: LoadReported): void {
+function updateReadiness(
+  state: SchedulerState,
+  server: BackendServer,
+  report: LoadReported,
+  now: Milliseconds,
+): void {
   if (report.ready && !server.ready) {
-    restart(state, server, 'ready again');
+    startAnew(state, server, 'ready again', now);
   }
   if (report.version !== server.version) {
-    restart(state, server, 'other version');
+    startAnew(state, server, 'other version', now);
   }
   server.ready = report.ready;
   server.version = report.version;
   if (report.leaving !== server.leaving) {
     server.leaving = report.leaving;
-    setStanding(state, server, report.leaving ? 'leaving' : 'slowStart', 'announced');
+    server.limit.restart(now);
+    setStanding(state, server, report.leaving ? 'leaving' : getReturnStanding(server), 'announced');
   }
   state.poolSpeed = undefined;
 }
@@ -59,15 +72,16 @@
     server.incarnation !== undefined && server.incarnation !== report.backendServerIncarnation;
   server.incarnation = report.backendServerIncarnation;
   if (isNew) {
-    restart(state, server, 'new incarnation');
+    startAnew(state, server, 'new incarnation', now);
   }
   if (report.memoryTokensTotal > 0) {
     server.memoryTokens = report.memoryTokensTotal;
   }
-  updateReadiness(state, server, report);
+  updateReadiness(state, server, report, now);
   server.unknownStreams = unknownStreams(server, report, now);
   if (report.waitingRequests > 0 && !server.limit.isSlowStart) {
     server.limit.congested(now);
   }
+  abandonQueue(state, now);
   grantQueued(state, now);
 }
--- a/packages/scheduling/src/handlers/requestGrant.ts
+++ b/packages/scheduling/src/handlers/requestGrant.ts
@@ -1,10 +1,16 @@
 import type { Milliseconds } from '@rattanreel/core';
+import estimateBest from '../decisions/estimateBest';
 import estimateWait from '../decisions/estimateWait';
 import getBand from '../decisions/getBand';
 import getPoolSpeed from '../decisions/getPoolSpeed';
+import getLowestTier from '../decisions/getLowestTier';
+import giveUp from '../decisions/giveUp';
 import grantQueued from '../decisions/grantQueued';
+import hasProspect from '../decisions/hasProspect';
+import refuse from '../decisions/refuse';
 import spillOrRefuse from '../decisions/spillOrRefuse';
 import trySpill from '../decisions/trySpill';
+import tryTakeLowest from '../decisions/tryTakeLowest';
 import type { SchedulerState } from '../decisions/types';
 import getIncarnationKey from '../getIncarnationKey';
 import type { QueuedRequest } from '../queue/types';
@@ -14,9 +20,7 @@
 
 function toQueued(state: SchedulerState, asked: GrantRequested, now: Milliseconds): QueuedRequest {
   const output = state.work.expectedOutputTokens(asked.route, asked.maximumOutputTokens);
-  const speed = getPoolSpeed(state, now);
-  const firstToken = speed.isLearnt ? speed.firstTokenAfter(1) : 0;
-  const answer = speed.isLearnt ? firstToken + (output - 1) * speed.tokenTime : 0;
+  const best = estimateBest(state, asked, now);
   const firstTokenDueAt = now + asked.firstTokenDue;
   const dueAt = now + asked.due;
   state.sequence += 1;
@@ -31,15 +35,18 @@
     arrivedAt: now - asked.age,
     firstTokenDueAt,
     dueAt,
-    latestStart: Math.min(firstTokenDueAt - firstToken, dueAt - answer),
+    latestStart: Math.min(firstTokenDueAt - best.firstTokenAfter, dueAt - best.finishAfter),
   };
 }
 
 /** Sends the grant of a request that is asked for again, under its new stamp. */
 function repeatGrant(state: SchedulerState, asked: GrantRequested): void {
   const slot = state.ledger.tryGet(asked.request);
-  if (slot?.grant !== undefined && slot.firstTokenAt === undefined) {
-    state.effects.push({ ...slot.grant, to: asked.from, echo: asked.stamp });
+  const isSameHost =
+    slot !== undefined && getIncarnationKey(slot.from) === getIncarnationKey(asked.from);
+  if (isSameHost && slot.grant !== undefined && slot.firstTokenAt === undefined) {
+    slot.grant = { ...slot.grant, echo: asked.stamp };
+    state.effects.push(slot.grant);
   }
 }
 
@@ -51,26 +58,27 @@
   if (state.domainDrained) {
     return 'domainDrained';
   }
-  const speed = getPoolSpeed(state, now);
-  if (speed.usableServers === 0) {
+  if (!hasProspect(state)) {
     return 'noBackendServer';
   }
   const { promptTokens, maximumOutputTokens } = request.asked;
-  if (promptTokens + maximumOutputTokens > speed.largestMemoryTokens) {
+  if (promptTokens + maximumOutputTokens > getPoolSpeed(state, now).largestMemoryTokens) {
     return 'tooLargeForAnyBackendServer';
   }
-  return request.latestStart < now ? 'deadlineCannotBeMet' : undefined;
+  const isPassed = request.firstTokenDueAt <= now || request.dueAt <= now;
+  return isPassed ? 'deadlinePassed' : undefined;
 }
 
 /** Evicts the newest of the lowest tier when the queue has outgrown its capacity. */
 function evictOverflow(state: SchedulerState, arrived: QueuedRequest, now: Milliseconds): void {
-  const evicted = state.queue.tryGetNewestOfLowest();
-  if (evicted === undefined || state.queue.size <= state.policy.queueCapacity) {
+  if (state.queue.size + state.deferred.size <= state.policy.queueCapacity) {
     return;
   }
-  state.queue.remove(evicted);
-  const isLower = evicted.asked.tier > arrived.asked.tier;
-  spillOrRefuse(state, evicted, isLower ? 'evictedByHigherTier' : 'queueFull', now);
+  const evicted = tryTakeLowest(state);
+  if (evicted !== undefined) {
+    const isLower = evicted.asked.tier > arrived.asked.tier;
+    spillOrRefuse(state, evicted, isLower ? 'evictedByHigherTier' : 'queueFull', now);
+  }
 }
 
 /** Refuses a request that the work ahead of it would make late, unless a lower tier is still queued. */
@@ -80,12 +88,9 @@
   }
   if (trySpill(state, request, now)) {
     state.queue.remove(request);
-    return;
-  }
-  const lowest = state.queue.tryGetNewestOfLowest();
-  if (lowest !== undefined && lowest.asked.tier === request.asked.tier) {
+  } else if (getLowestTier(state) === request.asked.tier) {
     state.queue.remove(request);
-    spillOrRefuse(state, request, 'deadlineCannotBeMet', now, true);
+    refuse(state, request, 'deadlineCannotBeMet', now);
   }
 }
 
@@ -97,6 +102,10 @@
     spillOrRefuse(state, request, reason, now);
     return;
   }
+  if (request.latestStart < now) {
+    giveUp(state, request, now);
+    return;
+  }
   state.queue.add(request);
   grantQueued(state, now);
   if (state.queue.tryGet(request.id) !== undefined && state.handover.isOver(now)) {
@@ -114,7 +123,7 @@
   if (state.dead.has(getIncarnationKey(asked.from)) || state.finished.has(asked.request)) {
     return;
   }
-  const queued = state.queue.tryGet(asked.request);
+  const queued = state.queue.tryGet(asked.request) ?? state.deferred.tryGet(asked.request);
   if (queued !== undefined) {
     queued.asked = { ...queued.asked, from: asked.from, stamp: asked.stamp };
     return;
--- a/packages/scheduling/src/handlers/seeFirstToken.ts
+++ b/packages/scheduling/src/handlers/seeFirstToken.ts
@@ -5,8 +5,6 @@
 import type { BackendServer, InFlight } from '../servers/types';
 import type { FirstTokenSeen } from '../types';
 
-const CONGESTED_RATIO = 2;
-
 function learn(
   state: SchedulerState,
   server: BackendServer,
@@ -14,21 +12,11 @@
   seen: FirstTokenSeen,
   now: Milliseconds,
 ): void {
-  const computed = slot.prefillAhead - Math.max(0, seen.cachedTokens - slot.expectedCachedTokens);
-  const wasLearnt = server.speed.isLearnt;
-  const ratio = server.speed.learnFirstToken(
-    Math.max(1, computed),
-    slot.streamsAtGrant,
-    seen.firstTokenAfter,
-  );
-  if (!wasLearnt || ratio < CONGESTED_RATIO) {
-    server.limit.succeeded(server.inFlight.size);
-  } else {
-    server.limit.congested(now);
-  }
-  if (wasLearnt) {
-    judgeHealth(state, server, server.health.measured(ratio), 'first token late', now);
-  }
+  const computed = Math.max(1, slot.prefillAhead + slot.expectedCachedTokens - seen.cachedTokens);
+  const { speed, limit, health } = server;
+  const slowness = speed.learnFirstToken(computed, seen.firstTokenAfter, now);
+  limit.firstToken({ grantedAt: slot.grantedAt, streams: server.inFlight.size, slowness }, now);
+  judgeHealth(state, server, health.measured(slowness), 'first tokens late', now);
 }
 
 /** Notes that a slot's prompt has been computed, which makes room for the next prompt. */
@@ -44,6 +32,7 @@
   const server = state.servers.get(slot.backendServer)!;
   state.ledger.prefillDone(server, slot, now);
   server.prefixes.computed(slot.prefixHashes);
+  server.prefixes.verified(slot.expectedCachedTokens, seen.cachedTokens);
   learn(state, server, slot, seen, now);
   grantQueued(state, now);
 }
--- a/packages/scheduling/src/handlers/withdrawGrant.ts
+++ b/packages/scheduling/src/handlers/withdrawGrant.ts
@@ -1,17 +1,30 @@
+import type { Milliseconds } from '@rattanreel/core';
+import grantQueued from '../decisions/grantQueued';
 import type { SchedulerState } from '../decisions/types';
 import getIncarnationKey from '../getIncarnationKey';
 import type { GrantWithdrawn } from '../types';
 
 /**
- * Drops a queued request whose caller has gone. A slot granted already comes back by its release, since the
- * entry host alone knows whether it was dispatched.
+ * Drops a queued request whose caller has gone. A slot granted but not yet in use is free at once: an entry
+ * host that has withdrawn a request refuses its grant.
  */
-export default function withdrawGrant(state: SchedulerState, withdrawn: GrantWithdrawn): void {
+export default function withdrawGrant(
+  state: SchedulerState,
+  withdrawn: GrantWithdrawn,
+  now: Milliseconds,
+): void {
+  const from = getIncarnationKey(withdrawn.from);
   const queued = state.queue.tryGet(withdrawn.request);
-  if (
-    queued !== undefined &&
-    getIncarnationKey(queued.asked.from) === getIncarnationKey(withdrawn.from)
-  ) {
+  if (queued !== undefined && getIncarnationKey(queued.asked.from) === from) {
     state.queue.remove(queued);
   }
+  const deferred = state.deferred.tryGet(withdrawn.request);
+  if (deferred !== undefined && getIncarnationKey(deferred.asked.from) === from) {
+    state.deferred.remove(deferred);
+  }
+  const slot = state.ledger.tryGet(withdrawn.request);
+  if (slot?.grant !== undefined && getIncarnationKey(slot.from) === from) {
+    state.ledger.free(state.servers.get(slot.backendServer)!, slot, now);
+    grantQueued(state, now);
+  }
 }
--- a/packages/scheduling/src/queue/types.ts
+++ b/packages/scheduling/src/queue/types.ts
@@ -1,5 +1,5 @@
 /** Records of the request queue. */
-import type { Milliseconds, RequestId } from '@rattanreel/core';
+import type { Milliseconds, RequestId, TierRank } from '@rattanreel/core';
 import type { GrantRequested } from '../types';
 
 /** An element that knows its index in each heap that holds it. */
@@ -60,3 +60,18 @@
   countOfTier(tier: number): number;
   forEach(visit: (request: QueuedRequest) => void): void;
 }
+
+/** Requests that cannot be answered in time, kept until no lower tier is queued or their deadline has passed. */
+export interface DeferredRefusals {
+  readonly size: number;
+  /** Rank of the lowest tier held; -1 when nothing is. */
+  readonly lowestTier: TierRank;
+  add(request: QueuedRequest): void;
+  remove(request: QueuedRequest): void;
+  tryGet(id: RequestId): QueuedRequest | undefined;
+  tryGetLowest(): QueuedRequest | undefined;
+  /** The request whose deadline passes first. */
+  tryGetNextDue(): QueuedRequest | undefined;
+  countOfTier(tier: TierRank): number;
+  forEach(visit: (request: QueuedRequest) => void): void;
+}
--- a/packages/scheduling/src/servers/createHealthMonitor.ts
+++ b/packages/scheduling/src/servers/createHealthMonitor.ts
@@ -4,16 +4,15 @@
 const FAILURES_IN_A_ROW = 3;
 const BAD_FAILURE_SHARE = 0.5;
 const SILENCES_IN_A_ROW = 3;
-const LATENCY_WEIGHT = 0.3;
-const LATENCY_STEP_RATIO = 2.5;
-const SMALLEST_RATIO = 0.01;
+const LATE_SLOWNESS = 3;
+const LATE_IN_A_ROW = 5;
 
 /** Watches one backend server for errors, silence and steps of latency. */
 export default function createHealthMonitor(): HealthMonitor {
   let failureShare = 0;
   let failuresInARow = 0;
   let silencesInARow = 0;
-  let logarithmicRatio = 0;
+  let lateInARow = 0;
 
   function failed(): HealthVerdict {
     failureShare += FAILURE_WEIGHT * (1 - failureShare);
@@ -24,7 +23,7 @@
 
   function silent(): HealthVerdict {
     silencesInARow += 1;
-    return silencesInARow >= SILENCES_IN_A_ROW ? 'bad' : 'cold';
+    return silencesInARow >= SILENCES_IN_A_ROW ? 'bad' : 'suspect';
   }
 
   function succeeded(): HealthVerdict {
@@ -54,16 +53,15 @@
           return outcome satisfies never;
       }
     },
-    measured(ratio) {
-      const logarithm = Math.log(Math.max(SMALLEST_RATIO, ratio));
-      logarithmicRatio += LATENCY_WEIGHT * (logarithm - logarithmicRatio);
-      return logarithmicRatio > Math.log(LATENCY_STEP_RATIO) ? 'bad' : 'good';
+    measured(slowness) {
+      lateInARow = slowness > LATE_SLOWNESS ? lateInARow + 1 : 0;
+      return lateInARow >= LATE_IN_A_ROW ? 'cold' : 'good';
     },
     reset() {
       failureShare = 0;
       failuresInARow = 0;
       silencesInARow = 0;
-      logarithmicRatio = 0;
+      lateInARow = 0;
     },
   };
 }
--- a/packages/scheduling/src/servers/createLedger.ts
+++ b/packages/scheduling/src/servers/createLedger.ts
@@ -22,6 +22,12 @@
   server.streamTimeAt = now;
 }
 
+function watchOldest(server: BackendServer): void {
+  const oldest = server.pending.values().next().value;
+  server.lateAt = oldest?.lateAt ?? Number.POSITIVE_INFINITY;
+  server.overdueAt = oldest?.overdueAt ?? Number.POSITIVE_INFINITY;
+}
+
 /** Creates an empty ledger. */
 export default function createLedger(): Ledger {
   const slots = new Map<RequestId, InFlight>();
@@ -57,6 +63,10 @@
       slots.set(slot.request, slot);
       hostSlots(slot.from).set(slot.request, slot);
       server.inFlight.set(slot.request, slot);
+      if (slot.firstTokenAt === undefined) {
+        server.pending.add(slot);
+        watchOldest(server);
+      }
       server.reservedTokens += slot.reservedTokens;
       server.prefillTokens += slot.prefillTokens;
     },
@@ -64,6 +74,8 @@
       advanceStreamTime(server, now);
       server.prefillTokens -= slot.prefillTokens;
       slot.prefillTokens = 0;
+      server.pending.delete(slot);
+      watchOldest(server);
       slot.firstTokenAt = now;
       slot.streamTimeAtFirstToken = server.streamTime;
     },
@@ -72,6 +84,8 @@
       slots.delete(slot.request);
       forgetHostSlot(slot);
       server.inFlight.delete(slot.request);
+      server.pending.delete(slot);
+      watchOldest(server);
       server.reservedTokens -= slot.reservedTokens;
       server.prefillTokens -= slot.prefillTokens;
       server.recentReleases.push(now);
--- a/packages/scheduling/src/servers/createPrefixIndex.ts
+++ b/packages/scheduling/src/servers/createPrefixIndex.ts
@@ -3,6 +3,8 @@
 const BLOCK_TOKENS = 64;
 const TRUST_WEIGHT = 0.2;
 const TRUST_KEPT_AT_GAP = 0.5;
+const LOST_SHARE = 0.8;
+const FEWEST_BLOCKS_LOST = 16;
 
 /** Tracks cached prefixes from late and gappy events; the least recently seen leave first. */
 export default function createPrefixIndex(capacityTokens: number): PrefixIndex {
@@ -33,14 +35,17 @@
     },
     changed(sequence, added, removed) {
       if (lastSequence !== undefined && sequence <= lastSequence) {
-        return;
+        return false;
       }
       if (isGap(sequence)) {
         trust *= TRUST_KEPT_AT_GAP;
       }
       lastSequence = sequence;
+      const before = held.size;
       removed.forEach((hash) => held.delete(hash));
+      const lost = before - held.size;
       added.forEach(hold);
+      return lost >= FEWEST_BLOCKS_LOST && lost >= before * LOST_SHARE;
     },
     computed(hashes) {
       hashes.forEach(hold);
--- a/packages/scheduling/src/servers/createStreamLimit.ts
+++ b/packages/scheduling/src/servers/createStreamLimit.ts
@@ -1,11 +1,12 @@
 import type { Milliseconds } from '@rattanreel/core';
-import type { StreamLimit } from './types';
+import type { FirstTokenSample, StreamLimit } from './types';
 
-const SLOW_START_GROWTH = 1;
-const ADDITIVE_GROWTH = 1;
 const CONGESTION_FACTOR = 0.85;
 const CONGESTION_INTERVAL_MILLISECONDS = 500;
 const USED_SHARE_TO_GROW = 0.7;
+const SLOWNESS_TO_HOLD = 1.5;
+const SLOW_START_GROWTH = 1.5;
+const ROUND_SHARE = 0.5;
 
 interface StreamLimitOptions {
   readonly maximumStreams: number;
@@ -13,14 +14,35 @@
 }
 
 /**
- * Bounds the streams of one backend server: exponential growth by success while cold, then additive
- * growth and multiplicative decrease.
+ * Bounds the streams of one backend server. It grows by rounds: when enough first tokens of requests granted
+ * under the bound of now have come about as fast as at their best, by half while cold and by one after that.
  */
 export default function createStreamLimit(options: StreamLimitOptions): StreamLimit {
   let maximum = options.maximumStreams;
-  let bound = Math.min(maximum, options.slowStartStreams);
+  let bound = smallest();
   let slowStart = bound < maximum;
   let lastDecrease: Milliseconds = Number.NEGATIVE_INFINITY;
+  let roundSince: Milliseconds = Number.NEGATIVE_INFINITY;
+  let roundSamples = 0;
+  let roundSlowness = 0;
+  let roundUsed = false;
+
+  function smallest(): number {
+    return Math.min(maximum, options.slowStartStreams);
+  }
+
+  function startRound(now: Milliseconds): void {
+    roundSince = now;
+    roundSamples = 0;
+    roundSlowness = 0;
+    roundUsed = false;
+  }
+
+  function grow(): void {
+    const next = slowStart ? Math.max(bound + 1, bound * SLOW_START_GROWTH) : bound + 1;
+    bound = Math.min(maximum, next);
+    slowStart = slowStart && bound < maximum;
+  }
 
   return {
     get current() {
@@ -29,24 +51,33 @@
     get isSlowStart() {
       return slowStart;
     },
-    succeeded(streams) {
-      if (streams < bound * USED_SHARE_TO_GROW) {
+    firstToken(sample: FirstTokenSample, now) {
+      if (sample.grantedAt < roundSince || bound >= maximum || sample.streams > bound) {
         return;
       }
-      bound = Math.min(maximum, bound + (slowStart ? SLOW_START_GROWTH : ADDITIVE_GROWTH / bound));
-      slowStart = slowStart && bound < maximum;
+      roundSamples += 1;
+      roundSlowness += Math.log(sample.slowness);
+      roundUsed = roundUsed || sample.streams >= bound * USED_SHARE_TO_GROW;
+      if (roundSamples < bound * ROUND_SHARE || !roundUsed) {
+        return;
+      }
+      const meanSlowness = Math.exp(roundSlowness / roundSamples);
+      if (meanSlowness <= SLOWNESS_TO_HOLD) {
+        grow();
+      }
+      startRound(now);
     },
     congested(now) {
-      if (now - lastDecrease < CONGESTION_INTERVAL_MILLISECONDS) {
-        return;
+      if (now - lastDecrease >= CONGESTION_INTERVAL_MILLISECONDS) {
+        lastDecrease = now;
+        bound = Math.max(smallest(), bound * CONGESTION_FACTOR);
+        startRound(now);
       }
-      lastDecrease = now;
-      bound = Math.max(Math.min(options.slowStartStreams, maximum), bound * CONGESTION_FACTOR);
-      slowStart = false;
     },
-    restart() {
-      bound = Math.min(maximum, options.slowStartStreams);
+    restart(now) {
+      bound = smallest();
       slowStart = bound < maximum;
+      startRound(now);
     },
     admitKnown(streams) {
       bound = Math.min(maximum, Math.max(bound, streams));
--- a/packages/scheduling/src/servers/judgeHealth.ts
+++ b/packages/scheduling/src/servers/judgeHealth.ts
@@ -2,6 +2,7 @@
 import type { SchedulerState } from '../decisions/types';
 import type { ReleaseOutcome } from '../types';
 import setStanding from './setStanding';
+import turnCold from './turnCold';
 import type { BackendServer, HealthVerdict } from './types';
 
 const EJECTION_MILLISECONDS: Milliseconds = 2_000;
@@ -22,13 +23,6 @@
   return ejected + 1 <= state.servers.size * MOST_EJECTED_SHARE;
 }
 
-function turnCold(state: SchedulerState, server: BackendServer, reason: string): void {
-  server.limit.restart();
-  server.health.reset();
-  server.speed.forget();
-  setStanding(state, server, 'slowStart', reason);
-}
-
 function eject(
   state: SchedulerState,
   server: BackendServer,
@@ -39,7 +33,7 @@
     return;
   }
   if (server.standing !== 'probing' && !mayEject(state)) {
-    turnCold(state, server, `${reason}; too many ejected`);
+    turnCold(state, server, `${reason}; too many ejected`, now);
     return;
   }
   const span = Math.min(
@@ -48,9 +42,7 @@
   );
   server.ejections += 1;
   server.probeAt = now + span * (1 + EJECTION_JITTER * state.random.next());
-  server.limit.restart();
-  server.health.reset();
-  server.speed.forget();
+  turnCold(state, server, reason, now);
   setStanding(state, server, 'ejected', reason);
 }
 
@@ -66,9 +58,9 @@
   if (verdict === 'bad' || isFailedProbe) {
     eject(state, server, reason, now);
   } else if (verdict === 'cold') {
-    if (server.standing === 'serving') {
-      turnCold(state, server, reason);
-    }
+    turnCold(state, server, reason, now);
+  } else if (verdict === 'suspect') {
+    server.limit.congested(now);
   } else if (reason === 'completed') {
     if (server.standing === 'probing') {
       setStanding(state, server, 'slowStart', 'probe answered');
--- a/packages/scheduling/src/servers/types.ts
+++ b/packages/scheduling/src/servers/types.ts
@@ -35,11 +35,15 @@
   readonly streamsAtGrant: number;
   readonly expectedCachedTokens: number;
   readonly expectedFirstTokenAfter: Milliseconds;
+  /** When a first token that has not come keeps further grants back. */
+  readonly lateAt: Milliseconds;
+  /** When a first token that has not come means that the backend server has turned cold. */
+  overdueAt: Milliseconds;
   /** Integral of the streams at the backend server when the first token came. */
   streamTimeAtFirstToken: number;
   firstTokenAt: Milliseconds | undefined;
-  /** The grant as sent; undefined for a slot learnt from an entry host's report. */
-  readonly grant: Grant | undefined;
+  /** The grant as last sent; undefined for a slot learnt from an entry host's report. */
+  grant: Grant | undefined;
 }
 
 /** What one finished request says about its backend server. */
@@ -55,43 +59,54 @@
 export interface SpeedModel {
   /** Whether enough has been seen to refuse on its word. */
   readonly isLearnt: boolean;
-  /** Expected time to the first token with `prefillTokens` to compute and `streams` running. */
-  firstTokenAfter(prefillTokens: number, streams: number): Milliseconds;
+  readonly lastSampleAt: Milliseconds;
+  /** Expected time to the first token with `prefillTokens` to compute. */
+  firstTokenAfter(prefillTokens: number): Milliseconds;
+  /** Expected time to compute `tokens` more of prompts. */
+  prefillTime(tokens: number): Milliseconds;
   /** Expected time between tokens with `streams` running. */
   tokenTime(streams: number): Milliseconds;
-  /** Takes a measured first token; returns measured over expected. */
-  learnFirstToken(prefillTokens: number, streams: number, measured: Milliseconds): number;
-  /** Takes a measured mean time between tokens; returns measured over expected. */
-  learnTokenTime(streams: number, tokens: number, measured: Milliseconds): number;
-  /** Lets new samples outweigh old ones after a step in speed. */
-  forget(): void;
+  /** Takes a measured time to the first token; returns it over the best of late, like for like. */
+  learnFirstToken(prefillTokens: number, measured: Milliseconds, now: Milliseconds): number;
+  /** Takes the mean time between `tokens` tokens. */
+  learnTokenTime(streams: number, tokens: number, measured: Milliseconds): void;
+  /** Lets the next samples outweigh old ones after a step in speed. */
+  restart(): void;
+}
+
+/** One first token as the bound on streams sees it. */
+export interface FirstTokenSample {
+  readonly grantedAt: Milliseconds;
+  /** Streams running when it came. */
+  readonly streams: number;
+  /** Time to the first token over the best of late, like for like. */
+  readonly slowness: number;
 }
 
 /** Bound on the streams of one backend server. */
 export interface StreamLimit {
   readonly current: number;
   readonly isSlowStart: boolean;
-  /** A request went well while `streams` were running. */
-  succeeded(streams: number): void;
+  firstToken(sample: FirstTokenSample, now: Milliseconds): void;
   /** The engine queues or slows down beyond what its speed explains. */
   congested(now: Milliseconds): void;
   /** Falls back to the bound of a cold backend server. */
-  restart(): void;
+  restart(now: Milliseconds): void;
   /** Raises the bound of slow start to what is known to be running already. */
   admitKnown(streams: number): void;
   setMaximum(maximumStreams: number): void;
 }
 
 /** Verdict of the health monitor after a sample. */
-export type HealthVerdict = 'good' | 'cold' | 'bad';
+export type HealthVerdict = 'good' | 'suspect' | 'cold' | 'bad';
 
 /** Errors, silence and steps of latency of one backend server. */
 export interface HealthMonitor {
   /** Share of recent requests that failed. */
   readonly failureShare: number;
   finished(outcome: ReleaseOutcome): HealthVerdict;
-  /** Takes measured over expected latency. */
-  measured(ratio: number): HealthVerdict;
+  /** Takes the slowness of one first token. */
+  measured(slowness: number): HealthVerdict;
   reset(): void;
 }
 
@@ -99,7 +114,8 @@
 export interface PrefixIndex {
   /** Tokens of the prompt expected to be found, discounted by how far the index is trusted. */
   expectedTokens(hashes: readonly string[], promptTokens: number): number;
-  changed(sequence: number, added: readonly string[], removed: readonly string[]): void;
+  /** Takes a change of the cache; true when it shows that the cache was lost. */
+  changed(sequence: number, added: readonly string[], removed: readonly string[]): boolean;
   /** The prefixes of a prompt that has just been computed. */
   computed(hashes: readonly string[]): void;
   /** Compares what was expected with what the engine reported. */
@@ -121,6 +137,12 @@
   ejections: number;
   memoryTokens: number;
   readonly inFlight: Map<RequestId, InFlight>;
+  /** Slots whose first token has not come, oldest first. */
+  readonly pending: Set<InFlight>;
+  /** When the oldest pending first token is late. */
+  lateAt: Milliseconds;
+  /** When the oldest pending first token is overdue. */
+  overdueAt: Milliseconds;
   reservedTokens: number;
   prefillTokens: number;
   /** Streams that the last load report shows beyond those known here. */
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -68,6 +68,8 @@
   readonly request: RequestId;
   readonly from: EntryHostIncarnation;
   readonly backendServer: BackendServerId;
+  /** Echo of the grant that is given back; a release of an older grant than the last one frees nothing. */
+  readonly echo?: Milliseconds;
   readonly outcome: ReleaseOutcome;
   /** Prompt tokens that the engine reported as found in its prefix cache. */
   readonly cachedTokens: number;
