--- a/packages/placement/src/placementRuns.test.ts
+++ b/packages/placement/src/placementRuns.test.ts
@@ -11,12 +11,12 @@
 const QUIET: Milliseconds = 240 * SECOND;
 const LEASE = 15 * SECOND;
 /** A holder's own clock ends its lease earlier than the store does. */
-const HELD = 10 * SECOND;
+const HELD = 14 * SECOND;
 const LONGEST_ORDER = 5 * SECOND;
 const REPORT_LAG = 2 * SECOND;
 const LOAD_TIME = 8 * SECOND;
-const BUDGET = { loadsPerMinute: 6, burst: 2 };
-const RANDOM_RUNS = 60;
+const BUDGET = { loadsPerMinute: 60, burst: 2 };
+const RANDOM_RUNS = 100;
 const RANDOM_SEED = 4417;
 
 interface Engine {
@@ -152,9 +152,9 @@
       startHolder();
     }
     // The demand for the new version grows, as in a move.
-    const second = Math.min(40, now / (10 * SECOND));
+    const second = Math.min(40, now / (5 * SECOND));
     const versions = [
-      { pool: 'drafts', version: '1', work: Math.max(1, 40 - second), carriesTraffic: true },
+      { pool: 'drafts', version: '1', work: Math.max(0, 40 - second), carriesTraffic: true },
       { pool: 'drafts', version: '2', work: second, carriesTraffic: second > 0 },
     ];
     const servers = makeReport();
