--- a/packages/placement/src/createPlacementController.test.ts
+++ b/packages/placement/src/createPlacementController.test.ts
@@ -13,10 +13,8 @@
 } from './types';
 
 const SECOND = 1000;
-/** When a new holder may order: the longest order and the lag of reports have passed. */
-const OPEN = 8 * SECOND;
-/** Lease and longest order of the default policy together. */
-const UNFENCED_WAIT = 20 * SECOND;
+/** When a new holder may order: the lease, the longest order and the lag of reports have passed. */
+const OPEN = 23 * SECOND;
 const AMPLE = { loadsPerMinute: 6000, burst: 10 };
 
 function makeServer(id: string, fields: Partial<PlacedServer> = {}): PlacedServer {
@@ -285,22 +283,22 @@
     const roles = [{ pool: 'drafts', role: 'decode', servers: 1 }];
     const demand = { ...makeDemand(5, 10), roles };
     fixture.at(0, lease(1), report(...servers), want(demand));
-    expect(fixture.at(UNFENCED_WAIT - 1, tick)).toEqual([]);
-    expect(fixture.at(UNFENCED_WAIT, tick).length).toEqual(1);
-    expect(fixture.at(UNFENCED_WAIT + 1, tick)).toEqual([]);
+    expect(fixture.at(OPEN - 1, tick)).toEqual([]);
+    expect(fixture.at(OPEN, tick).length).toEqual(1);
+    expect(fixture.at(OPEN + 1, tick)).toEqual([]);
     const sent = fixture.effects.find((effect) => effect.kind === 'sendOrder')!;
     const outcome = ok(undefined);
     const { backendServer } = sent;
-    fixture.at(UNFENCED_WAIT + 2, { kind: 'orderAnswered', backendServer, outcome });
-    expect(fixture.at(UNFENCED_WAIT + 3, tick).length).toEqual(1);
+    fixture.at(OPEN + 2, { kind: 'orderAnswered', backendServer, outcome });
+    expect(fixture.at(OPEN + 3, tick).length).toEqual(1);
   });
 
   it('orders again when an old holder’s order lands late, and stops reading once none can', () => {
     const fixture = createFixture();
     const servers = [makeServer('a', unfenced), makeServer('b', { ...unfenced, running: 1 })];
     fixture.at(0, lease(2), report(...servers), want(makeDemand(5, 1)));
-    fixture.at(UNFENCED_WAIT, tick);
-    const sentAt = UNFENCED_WAIT;
+    fixture.at(OPEN, tick);
+    const sentAt = OPEN;
     const answered = { kind: 'orderAnswered', backendServer: 'a', outcome: ok(undefined) } as const;
     fixture.at(sentAt + 10, answered);
     fixture.at(sentAt + 2 * SECOND, tick);
--- a/packages/placement/src/createPlacementController.ts
+++ b/packages/placement/src/createPlacementController.ts
@@ -49,8 +49,8 @@
     orders.clear();
     holding = {
       generation: lease.generation,
-      opensAt: now + policy.longestOrder + policy.reportLag,
-      gate: createUnfencedGate(policy, now),
+      opensAt: now + policy.leaseDuration + policy.longestOrder + policy.reportLag,
+      gate: createUnfencedGate(policy),
       pacer: createLoadPacer(options.loadBudget, now),
     };
   }
--- a/packages/placement/src/createUnfencedGate.ts
+++ b/packages/placement/src/createUnfencedGate.ts
@@ -16,8 +16,8 @@
 
 /** Rules for servers that take orders from anyone. */
 interface UnfencedGate {
-  /** Whether an order may be sent: the predecessor's are over and no own one is on its way. */
-  canSend(now: Milliseconds): boolean;
+  /** Whether an order may be sent: none is on its way. */
+  canSend(): boolean;
   sent(backendServer: BackendServerId, order: EngineOrder, now: Milliseconds): void;
   answered(backendServer: BackendServerId): void;
   /** Servers whose state is to be read now. */
@@ -41,19 +41,15 @@
 }
 
 /**
- * Orders to servers that ignore fencing numbers. After `heldSince` the lease and the longest order of a predecessor
- * are waited out; orders go one at a time; what a server then holds is read back until no older order can land.
+ * Orders to servers that ignore fencing numbers go one at a time. What a server then holds is read back until no
+ * order of an earlier holder can land any more.
  */
-export default function createUnfencedGate(
-  policy: PlacementPolicy,
-  heldSince: Milliseconds,
-): UnfencedGate {
+export default function createUnfencedGate(policy: PlacementPolicy): UnfencedGate {
   const asserted = new Map<BackendServerId, AssertedOrder>();
-  const opensAt = heldSince + policy.leaseDuration + policy.longestOrder;
   let onItsWay: BackendServerId | undefined;
 
   return {
-    canSend: (now) => now >= opensAt && onItsWay === undefined,
+    canSend: () => onItsWay === undefined,
     sent(backendServer, order, now) {
       onItsWay = backendServer;
       asserted.set(backendServer, { order, sentAt: now, readAt: now + policy.readBackAfter });
--- a/packages/placement/src/placementRuns.test.ts
+++ b/packages/placement/src/placementRuns.test.ts
@@ -12,10 +12,14 @@
 const LEASE = 15 * SECOND;
 /** A holder's own clock ends its lease earlier than the store does. */
 const HELD = 14 * SECOND;
+/** How much longer an order may take when its sender stands still between the check of the lease and the write. */
+const STALL = 14 * SECOND;
+const ENDLESS_STALL = 60 * SECOND;
 const LONGEST_ORDER = 5 * SECOND;
 const REPORT_LAG = 2 * SECOND;
 const LOAD_TIME = 8 * SECOND;
-const BUDGET = { loadsPerMinute: 60, burst: 2 };
+const WAVE = 200 * SECOND;
+const BUDGET = { loadsPerMinute: 12, burst: 2 };
 const RANDOM_RUNS = 100;
 const RANDOM_SEED = 4417;
 
@@ -30,6 +34,8 @@
 interface Faults {
   readonly seed: number;
   readonly unfenced: number;
+  /** The holder gives the lease up. */
+  readonly resignations: readonly Milliseconds[];
   /** The holder stands still for a time. */
   readonly pauses: readonly { readonly at: Milliseconds; readonly duration: Milliseconds }[];
   readonly deaths: readonly Milliseconds[];
@@ -53,11 +59,22 @@
   });
   const holders: Holder[] = [];
   let loads = 0;
+  let hasSecond = false;
+  /** After an order without bound to a server without fences only the end state is checked. */
+  let hadEndless = false;
 
   function isHeld(holder: Holder): boolean {
     return holder.alive && clock.now() < holder.renewedAt + HELD;
   }
 
+  /** Every version that carries traffic keeps a server. */
+  function checkVersions(): void {
+    const first = engines.filter(({ version }) => version === '1').length;
+    expect(first).toBeGreaterThan(0);
+    expect(first).toBeLessThanOrEqual(hasSecond ? engines.length - 1 : engines.length);
+    hasSecond ||= first < engines.length;
+  }
+
   function land(engine: Engine, order: EngineOrder, fence: number): boolean {
     if (engine.checksFencing && fence < engine.fence) {
       return false;
@@ -67,8 +84,6 @@
       engine.version = order.version;
       engine.readyAt = clock.now() + LOAD_TIME;
     }
-    const serving = engines.filter(({ version }) => version === '1').length;
-    expect(serving).toBeGreaterThan(0);
     return true;
   }
 
@@ -83,8 +98,16 @@
     loads += 1;
     expect(loads).toBeLessThanOrEqual((clock.now() / 60_000) * BUDGET.loadsPerMinute);
     const engine = engines.find(({ id }) => id === backendServer)!;
-    clock.after(random.next() * LONGEST_ORDER, () => {
+    const draw = random.next();
+    const isEndless = draw < 0.05 && !engine.checksFencing;
+    hadEndless ||= isEndless;
+    const stall = draw < 0.2 ? STALL * random.next() : 0;
+    const delay = random.next() * LONGEST_ORDER + (isEndless ? ENDLESS_STALL : stall);
+    clock.after(delay, () => {
       const isTaken = land(engine, order, fence);
+      if (!hadEndless) {
+        checkVersions();
+      }
       if (random.next() < 0.3) {
         const outcome = fail({ kind: 'outcomeUnknown' as const, detail: '' });
         deliver(holder, { kind: 'orderAnswered', backendServer, outcome });
@@ -135,7 +158,8 @@
 
   function startHolder(): void {
     const generation = holders.length + 1;
-    const options = { failureDomain: 'rennes', loadBudget: BUDGET };
+    const policy = { settleTime: 30 * SECOND };
+    const options = { failureDomain: 'rennes', loadBudget: BUDGET, policy };
     const controller = createPlacementController(options);
     const renewedAt = clock.now();
     const holder = { generation, controller, renewedAt, pausedUntil: 0, alive: true };
@@ -151,11 +175,12 @@
     } else if (holder === undefined || now > holder.renewedAt + LEASE) {
       startHolder();
     }
-    // The demand for the new version grows, as in a move.
-    const second = Math.min(40, now / (5 * SECOND));
+    // The demand goes to and fro, and then stays with the new version.
+    const wave = Math.abs((now % WAVE) - WAVE / 2) / (WAVE / 2);
+    const second = now < RUN ? 40 * (1 - wave) : 40;
     const versions = [
-      { pool: 'drafts', version: '1', work: Math.max(0, 40 - second), carriesTraffic: true },
-      { pool: 'drafts', version: '2', work: second, carriesTraffic: second > 0 },
+      { pool: 'drafts', version: '1', work: 40 - second, carriesTraffic: true },
+      { pool: 'drafts', version: '2', work: second, carriesTraffic: true },
     ];
     const servers = makeReport();
     clock.after(REPORT_LAG * random.next(), () =>
@@ -175,6 +200,15 @@
       }
     }),
   );
+  faults.resignations.forEach((at) =>
+    clock.after(at, () => {
+      const holder = holders.at(-1);
+      if (holder !== undefined) {
+        holder.renewedAt = Number.NEGATIVE_INFINITY;
+        holder.alive = false;
+      }
+    }),
+  );
   faults.deaths.forEach((at) =>
     clock.after(at, () => {
       const holder = holders.at(-1);
@@ -199,6 +233,7 @@
       unfenced: fastCheck.integer({ min: 0, max: 6 }),
       pauses: fastCheck.array(fastCheck.record({ at: instant, duration }), { maxLength: 6 }),
       deaths: fastCheck.array(instant, { maxLength: 4 }),
+      resignations: fastCheck.array(instant, { maxLength: 12 }),
     });
     fastCheck.assert(
       fastCheck.property(faults, (drawn) => {
--- a/packages/placement/src/tryGetWait.ts
+++ b/packages/placement/src/tryGetWait.ts
@@ -19,12 +19,12 @@
   { gate, pacer, opensAt }: Holding,
   now: Milliseconds,
 ): string | undefined {
-  // A fence guards the backend server that has seen it; what the others hold has to be known, too.
+  // A fence guards the backend server that has seen it only; what the others hold has to be known, too.
   if (now < opensAt) {
     return 'orders of an earlier holder may be on their way';
   }
-  if (!server.checksFencing && !gate.canSend(now)) {
-    return 'orders of an earlier holder or an own one may be on their way';
+  if (!server.checksFencing && !gate.canSend()) {
+    return 'another order to a server that ignores fences is on its way';
   }
   const isLoad = planned.order.order !== 'setRole';
   return isLoad && !pacer.tryTake(now) ? 'the weight store budget is spent' : undefined;
