--- a/packages/placement/src/placementRuns.test.ts
+++ b/packages/placement/src/placementRuns.test.ts
@@ -19,7 +19,8 @@
 const REPORT_LAG = 2 * SECOND;
 const LOAD_TIME = 8 * SECOND;
 const WAVE = 200 * SECOND;
-const BUDGET = { loadsPerMinute: 12, burst: 2 };
+/** Together with the headroom more than all engines bear, so that the last of a version is asked for. */
+const WORK = 46;
 const RANDOM_RUNS = 100;
 const RANDOM_SEED = 4417;
 
@@ -34,6 +35,7 @@
 interface Faults {
   readonly seed: number;
   readonly unfenced: number;
+  readonly loadsPerMinute: number;
   /** The holder gives the lease up. */
   readonly resignations: readonly Milliseconds[];
   /** The holder stands still for a time. */
@@ -96,7 +98,7 @@
     const others = holders.filter((other) => other !== holder && isHeld(other));
     expect(others).toEqual([]);
     loads += 1;
-    expect(loads).toBeLessThanOrEqual((clock.now() / 60_000) * BUDGET.loadsPerMinute);
+    expect(loads).toBeLessThanOrEqual((clock.now() / 60_000) * faults.loadsPerMinute);
     const engine = engines.find(({ id }) => id === backendServer)!;
     const draw = random.next();
     const isEndless = draw < 0.05 && !engine.checksFencing;
@@ -159,7 +161,8 @@
   function startHolder(): void {
     const generation = holders.length + 1;
     const policy = { settleTime: 30 * SECOND };
-    const options = { failureDomain: 'rennes', loadBudget: BUDGET, policy };
+    const loadBudget = { loadsPerMinute: faults.loadsPerMinute, burst: 2 };
+    const options = { failureDomain: 'rennes', loadBudget, policy };
     const controller = createPlacementController(options);
     const renewedAt = clock.now();
     const holder = { generation, controller, renewedAt, pausedUntil: 0, alive: true };
@@ -177,9 +180,9 @@
     }
     // The demand goes to and fro, and then stays with the new version.
     const wave = Math.abs((now % WAVE) - WAVE / 2) / (WAVE / 2);
-    const second = now < RUN ? 40 * (1 - wave) : 40;
+    const second = now < RUN ? WORK * (1 - wave) : WORK;
     const versions = [
-      { pool: 'drafts', version: '1', work: 40 - second, carriesTraffic: true },
+      { pool: 'drafts', version: '1', work: WORK - second, carriesTraffic: true },
       { pool: 'drafts', version: '2', work: second, carriesTraffic: true },
     ];
     const servers = makeReport();
@@ -231,6 +234,7 @@
     const faults = fastCheck.record({
       seed: fastCheck.integer({ min: 1, max: 1_000_000 }),
       unfenced: fastCheck.integer({ min: 0, max: 6 }),
+      loadsPerMinute: fastCheck.constantFrom(4, 60),
       pauses: fastCheck.array(fastCheck.record({ at: instant, duration }), { maxLength: 6 }),
       deaths: fastCheck.array(instant, { maxLength: 4 }),
       resignations: fastCheck.array(instant, { maxLength: 12 }),
@@ -239,7 +243,7 @@
       fastCheck.property(faults, (drawn) => {
         const { engines } = runPlacement(drawn);
         const loaded = engines.filter(({ version }) => version === '2').length;
-        // Work of 40 with headroom needs five of six engines; the last stays with the old version.
+        // Five of six engines; the last stays with the old version, which carries traffic.
         expect(loaded).toEqual(5);
       }),
       { seed: RANDOM_SEED, numRuns: RANDOM_RUNS },
