--- a/packages/placement/src/placementRuns.test.ts
+++ b/packages/placement/src/placementRuns.test.ts
@@ -237,7 +237,7 @@
       loadsPerMinute: fastCheck.constantFrom(4, 60),
       pauses: fastCheck.array(fastCheck.record({ at: instant, duration }), { maxLength: 6 }),
       deaths: fastCheck.array(instant, { maxLength: 4 }),
-      resignations: fastCheck.array(instant, { maxLength: 12 }),
+      resignations: fastCheck.array(instant, { maxLength: 40, size: 'max' }),
     });
     fastCheck.assert(
       fastCheck.property(faults, (drawn) => {
