--- a/packages/placement/src/placementRuns.test.ts
+++ b/packages/placement/src/placementRuns.test.ts
@@ -154,7 +154,7 @@
       leaving: false,
       drained: false,
       role: 'both',
-      running: 0,
+      running: random.integer(0, 9),
     }));
   }
 
