--- /dev/null
+++ b/benchmarks/src/decisions/measureBytes.ts
@@ -0,0 +1,28 @@
+import { setFlagsFromString } from 'node:v8';
+import { runInNewContext } from 'node:vm';
+import createLoadedPool from './createLoadedPool';
+
+const QUEUED = 10_000;
+const ENGINES = 4;
+
+/** Collects garbage, so that what is left on the heap is in use. */
+function collectGarbage(): void {
+  setFlagsFromString('--expose-gc');
+  const collect = runInNewContext('gc') as () => void;
+  collect();
+}
+
+/** Heap bytes that one queued request takes, its message included. */
+export default function measureBytes(seed: number): number {
+  collectGarbage();
+  const before = process.memoryUsage().heapUsed;
+  const empty = createLoadedPool({ engines: ENGINES, queued: 0, seed });
+  collectGarbage();
+  const withEmpty = process.memoryUsage().heapUsed;
+  const full = createLoadedPool({ engines: ENGINES, queued: QUEUED, seed });
+  collectGarbage();
+  const withFull = process.memoryUsage().heapUsed;
+  const queued = full.scheduler.summary(0).queuedTokens - empty.scheduler.summary(0).queuedTokens;
+  const bytes = withFull - withEmpty - (withEmpty - before);
+  return queued > 0 ? bytes / QUEUED : 0;
+}
--- a/benchmarks/src/soak/createFakeHost.ts
+++ b/benchmarks/src/soak/createFakeHost.ts
@@ -64,8 +64,7 @@
   }
 
   function forgetWaiting(id: string, count: 'refused' | 'spilled'): void {
-    const request = requests.get(id);
-    if (request !== undefined && request.grant === undefined) {
+    if (requests.has(id) && requests.get(id)?.grant === undefined) {
       requests.delete(id);
       counts[count] += 1;
     }
@@ -76,13 +75,8 @@
     sequence += 1;
     const now = clock.now();
     const asked = drawRequest(random, member, sequence, now);
-    const request: HostRequest = {
-      asked,
-      arrivedAt: now,
-      askedAt: now,
-      grant: undefined,
-      firstTokenAfter: undefined,
-    };
+    const nothing = { grant: undefined, firstTokenAfter: undefined };
+    const request: HostRequest = { asked, arrivedAt: now, askedAt: now, ...nothing };
     requests.set(asked.request, request);
     ask(request);
     if (random.next() < CALLER_LEAVES_SHARE) {
--- a/packages/scheduling/src/decisions/estimateBest.ts
+++ b/packages/scheduling/src/decisions/estimateBest.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@rattanreel/core';
 import isTrusted from '../servers/isTrusted';
 import type { GrantRequested } from '../types';
-import isUsable from './isUsable';
+import getPoolSpeed from './getPoolSpeed';
 import type { SchedulerState } from './types';
 
 /** Shortest expected times of a request at any idle backend server of the pool. */
@@ -10,6 +10,8 @@
   readonly finishAfter: Milliseconds;
 }
 
+const UNKNOWN: BestCourse = { firstTokenAfter: 0, finishAfter: 0 };
+
 /** Estimates the best that the pool could do for a request if it were idle; nothing while speeds are not learnt. */
 export default function estimateBest(
   state: SchedulerState,
@@ -19,19 +21,14 @@
   const output = state.work.expectedOutputTokens(asked.route, asked.maximumOutputTokens);
   let firstTokenAfter = Number.POSITIVE_INFINITY;
   let finishAfter = Number.POSITIVE_INFINITY;
-  for (const server of state.servers.values()) {
-    if (isUsable(state, server)) {
-      if (!isTrusted(server, now)) {
-        return { firstTokenAfter: 0, finishAfter: 0 };
-      }
-      const cached = server.prefixes.expectedTokens(asked.prefixHashes, asked.promptTokens);
-      const tokenTime = server.speed.tokenTime(1);
-      const firstToken = server.speed.firstTokenAfter(asked.promptTokens - cached);
-      firstTokenAfter = Math.min(firstTokenAfter, firstToken);
-      finishAfter = Math.min(finishAfter, firstToken + (output - 1) * tokenTime);
+  for (const server of getPoolSpeed(state, now).fastest) {
+    if (!isTrusted(server, now)) {
+      return UNKNOWN;
     }
+    const cached = server.prefixes.expectedTokens(asked.prefixHashes, asked.promptTokens);
+    const firstToken = server.speed.firstTokenAfter(asked.promptTokens - cached);
+    firstTokenAfter = Math.min(firstTokenAfter, firstToken);
+    finishAfter = Math.min(finishAfter, firstToken + (output - 1) * server.speed.tokenTime(1));
   }
-  return Number.isFinite(finishAfter)
-    ? { firstTokenAfter, finishAfter }
-    : { firstTokenAfter: 0, finishAfter: 0 };
+  return Number.isFinite(finishAfter) ? { firstTokenAfter, finishAfter } : UNKNOWN;
 }
--- a/packages/scheduling/src/decisions/getPoolSpeed.ts
+++ b/packages/scheduling/src/decisions/getPoolSpeed.ts
@@ -5,6 +5,8 @@
 
 const KEPT_FOR_MILLISECONDS = 250;
 const SLOW_START_PROSPECT = 8;
+const FASTEST_KEPT = 16;
+const TYPICAL_TOKENS = 256;
 const SMALLEST_TIME = 1e-6;
 
 /** Streams that a backend server can soon run, by its bound and by its memory. */
@@ -16,6 +18,12 @@
   return Math.min(bound, server.memoryTokens / state.work.meanReserved);
 }
 
+/** Time that a typical request takes at an idle backend server. */
+function typicalTime(server: BackendServer): Milliseconds {
+  const { speed } = server;
+  return speed.firstTokenAfter(TYPICAL_TOKENS) + TYPICAL_TOKENS * speed.tokenTime(1);
+}
+
 function measure(state: SchedulerState): PoolSpeed {
   const usable = [...state.servers.values()].filter((server) => isUsable(state, server));
   let slots = 0;
@@ -32,7 +40,11 @@
       largestMemoryTokens = Math.max(largestMemoryTokens, server.memoryTokens);
     }
   });
+  const fastest = usable
+    .sort((left, right) => typicalTime(left) - typicalTime(right))
+    .slice(0, FASTEST_KEPT);
   return {
+    fastest,
     slots,
     prefillRate,
     largestMemoryTokens,
--- a/packages/scheduling/src/decisions/grantQueued.ts
+++ b/packages/scheduling/src/decisions/grantQueued.ts
@@ -6,7 +6,8 @@
 import chooseBackendServer from './chooseBackendServer';
 import createSlot from './createSlot';
 import surveyServers from './surveyServers';
-import type { Chosen, SchedulerState } from './types';
+import tryGetRoomReason from './tryGetRoomReason';
+import type { Chosen, SchedulerState, Survey } from './types';
 
 const MOST_SET_ASIDE = 16;
 
@@ -67,6 +68,10 @@
   state.effects.push(effect);
 }
 
+function hasRoom(survey: Survey, now: Milliseconds): boolean {
+  return survey.open.some((server) => tryGetRoomReason(server, now) === undefined);
+}
+
 /** Grants queued requests in order of service for as long as a backend server has room for one. */
 export default function grantQueued(state: SchedulerState, now: Milliseconds): void {
   if (state.queue.size === 0 || state.domainDrained || !state.handover.isOver(now)) {
@@ -79,7 +84,7 @@
   const setAside: QueuedRequest[] = [];
   const reserved = new Set<BackendServer>();
   let request = state.queue.peek();
-  while (request !== undefined && setAside.length < MOST_SET_ASIDE) {
+  while (request !== undefined && setAside.length < MOST_SET_ASIDE && hasRoom(survey, now)) {
     if (state.barrier.blockedUntil(request.asked.tier) > now) {
       break;
     }
--- a/packages/scheduling/src/decisions/types.ts
+++ b/packages/scheduling/src/decisions/types.ts
@@ -76,6 +76,8 @@
 
 /** The fastest times of an idle backend server of the pool. */
 export interface PoolSpeed {
+  /** The fastest usable backend servers, the fastest first. */
+  readonly fastest: readonly BackendServer[];
   /** Streams that the pool can soon run at once. */
   readonly slots: number;
   /** Prompt tokens that the pool computes in a millisecond. */
--- a/packages/scheduling/src/servers/createLevel.ts
+++ b/packages/scheduling/src/servers/createLevel.ts
@@ -20,11 +20,12 @@
   let logarithm = 0;
   let slowLogarithm = 0;
   let best = 0;
+  let factor = 1;
   let samples = 0;
 
   return {
     get factor() {
-      return Math.exp(logarithm);
+      return factor;
     },
     get best() {
       return Math.exp(best);
@@ -36,6 +37,7 @@
       samples += 1;
       const sample = Math.log(Math.max(SMALLEST_RATIO, ratio));
       logarithm += Math.max(WEIGHT, 1 / samples) * (sample - logarithm);
+      factor = Math.exp(logarithm);
       slowLogarithm += Math.max(BEST_WEIGHT, 1 / samples) * (sample - slowLogarithm);
       best = samples === 1 ? slowLogarithm : Math.min(best + BEST_DRIFT, slowLogarithm);
     },
--- a/packages/scheduling/src/servers/createLine.ts
+++ b/packages/scheduling/src/servers/createLine.ts
@@ -31,7 +31,7 @@
     sumXY += weight * x * y;
   }
 
-  function slope(): number {
+  function fitSlope(): number {
     const spread = weights * sumXX - sumX * sumX;
     const raw = spread > SMALLEST_SPREAD ? (weights * sumXY - sumX * sumY) / spread : 0;
     const steepest = sumX > 0 ? sumY / sumX : 0;
@@ -39,10 +39,12 @@
   }
 
   prior.forEach((point) => add(point.x, point.y, PRIOR_WEIGHT));
+  let slope = fitSlope();
+  let height = sumY / weights - (slope * sumX) / weights;
 
   return {
-    slope,
-    at: (x) => sumY / weights + slope() * (x - sumX / weights),
+    slope: () => slope,
+    at: (x) => height + slope * x,
     add(x, y, weight) {
       weights *= kept;
       sumX *= kept;
@@ -50,6 +52,8 @@
       sumXX *= kept;
       sumXY *= kept;
       add(x, y, weight);
+      slope = fitSlope();
+      height = sumY / weights - (slope * sumX) / weights;
     },
   };
 }
--- a/packages/scheduling/src/servers/setStanding.ts
+++ b/packages/scheduling/src/servers/setStanding.ts
@@ -2,6 +2,10 @@
 import type { BackendServerStanding } from '../types';
 import type { BackendServer } from './types';
 
+function isAtWork(standing: BackendServerStanding): boolean {
+  return standing === 'serving' || standing === 'slowStart' || standing === 'probing';
+}
+
 /** Changes a backend server's standing and says so, once for each change. */
 export default function setStanding(
   state: SchedulerState,
@@ -12,8 +16,10 @@
   if (server.standing === standing) {
     return;
   }
+  if (isAtWork(server.standing) !== isAtWork(standing)) {
+    state.poolSpeed = undefined;
+  }
   server.standing = standing;
-  state.poolSpeed = undefined;
   state.effects.push({
     kind: 'standingChanged',
     backendServer: server.settings.id,
