Pass requests on as soon as they would wait here and a neighbour has room

Cause: at 70 % load one failure domain of each deployment has more callers than engines (40 % of the callers on 22 % of the speed); requests waited there until their deadline was in doubt and then came too late elsewhere. Conclusion: passing on by expected wait replaces passing on by missed deadline.

--- a/packages/scheduling/src/decisions/estimateWait.ts
+++ b/packages/scheduling/src/decisions/estimateWait.ts
@@ -9,13 +9,14 @@
   cost: number,
   now: Milliseconds,
 ): Milliseconds {
+  const handoverWait = Math.max(0, (state.handover.endsAt(now) ?? now) - now);
   const { meanHolding, meanCost, promptShare } = state.work;
   const { slots, prefillRate } = getPoolSpeed(state, now);
   if (meanHolding === undefined || slots === 0) {
-    return 0;
+    return handoverWait;
   }
   const costAhead = state.queue.costThrough(band) + cost;
   const slotWait = (costAhead / Math.max(1, meanCost)) * (meanHolding / slots);
   const prefillWait = (costAhead * promptShare) / prefillRate;
-  return Math.max(slotWait, prefillWait);
+  return handoverWait + Math.max(slotWait, prefillWait);
 }
--- a/packages/scheduling/src/handlers/changePool.ts
+++ b/packages/scheduling/src/handlers/changePool.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@rattanreel/core';
 import abandonQueue from '../decisions/abandonQueue';
 import grantQueued from '../decisions/grantQueued';
+import spillQueued from '../decisions/spillQueued';
 import type { SchedulerState } from '../decisions/types';
 import createBackendServer from '../servers/createBackendServer';
 import getReturnStanding from '../servers/getReturnStanding';
@@ -67,4 +68,5 @@
   state.poolSpeed = undefined;
   abandonQueue(state, now);
   grantQueued(state, now);
+  spillQueued(state, now);
 }
--- a/packages/scheduling/src/handlers/requestGrant.ts
+++ b/packages/scheduling/src/handlers/requestGrant.ts
@@ -81,14 +81,22 @@
   }
 }
 
+/** Passes a request on that would wait here, when a neighbour has room. */
+function trySpillEarly(state: SchedulerState, request: QueuedRequest, now: Milliseconds): boolean {
+  const wait = estimateWait(state, request.band, 0, now);
+  if (wait <= state.policy.spillWait || !trySpill(state, request, now)) {
+    return false;
+  }
+  state.queue.remove(request);
+  return true;
+}
+
 /** Refuses a request that the work ahead of it would make late, unless a lower tier is still queued. */
 function refuseIfHopeless(state: SchedulerState, request: QueuedRequest, now: Milliseconds): void {
   if (now + estimateWait(state, request.band, 0, now) <= request.latestStart) {
     return;
   }
-  if (trySpill(state, request, now)) {
-    state.queue.remove(request);
-  } else if (getLowestTier(state) === request.asked.tier) {
+  if (getLowestTier(state) === request.asked.tier) {
     state.queue.remove(request);
     refuse(state, request, 'deadlineCannotBeMet', now);
   }
@@ -108,7 +116,8 @@
   }
   state.queue.add(request);
   grantQueued(state, now);
-  if (state.queue.tryGet(request.id) !== undefined && state.handover.isOver(now)) {
+  const isWaiting = state.queue.tryGet(request.id) !== undefined;
+  if (isWaiting && !trySpillEarly(state, request, now) && state.handover.isOver(now)) {
     refuseIfHopeless(state, request, now);
   }
   evictOverflow(state, request, now);
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -345,6 +345,8 @@
   readonly handoverWait: Milliseconds;
   /** Streams that a cold backend server may have at first. */
   readonly slowStartStreams: number;
+  /** Expected wait here from which a request is passed on to a failure domain with room. */
+  readonly spillWait: Milliseconds;
 }
 
 export interface PoolSchedulerOptions {
