Take part in moves: guards beside schedulers, controllers under the moves lease

Cause: version moves were decided by libraries that no process ran. Change: each pool's scheduler has a guard that puts shares and vetoes in force; the delegates of each failure domain watch the records and ask for the lease, whose holder runs the controllers.

--- a/packages/entry-host/src/createEntryHost.ts
+++ b/packages/entry-host/src/createEntryHost.ts
@@ -39,7 +39,7 @@
   tasks.start();
 
   async function close(): Promise<void> {
-    tasks.close();
+    await tasks.close();
     await context.store.close();
     await context.engines.close();
     await context.services.close();
--- a/packages/entry-host/src/createHostTasks.ts
+++ b/packages/entry-host/src/createHostTasks.ts
@@ -1,15 +1,14 @@
-import { createOrderDesk } from '@rattanreel/orders';
 import type { Timer } from '@rattanreel/core';
 import createConfigurationTask from './configuration/createConfigurationTask';
+import createMovesTask from './moves/createMovesTask';
 import createMembershipTask from './membership/createMembershipTask';
 import listNeighbours from './membership/listNeighbours';
-import createOrderDispatcher from './orders/createOrderDispatcher';
-import createOwnerQuestions from './orders/createOwnerQuestions';
+import createOrderTasks from './orders/createOrderTasks';
 import createGrantClient from './scheduling/createGrantClient';
 import createPeerRouter from './scheduling/createPeerRouter';
 import createSchedulerDirectory from './scheduling/createSchedulerDirectory';
 import type { CallerServices } from './callers/types';
-import type { HostContext, HostTasks, HostTransport, PeerAnswer } from './types';
+import type { HostContext, HostTasks, HostTransport, PeerAnswer, PeerMessage } from './types';
 
 const UPDATE_INTERVAL_MS = 500;
 const REPORT_INTERVAL_MS = 2_000;
@@ -50,6 +49,13 @@
     return tryGetSettings()?.tryFindEntryHost(name)?.peerAddress;
   }
 
+  function sendToPeer(name: string, message: PeerMessage): void {
+    const address = tryGetPeerAddress(name);
+    if (address !== undefined) {
+      transport.send(address, message);
+    }
+  }
+
   const schedulers = createSchedulerDirectory({
     failureDomain,
     membership,
@@ -58,7 +64,7 @@
     engines,
     decisions,
     tryGetSettings,
-    tryGetShares: () => undefined,
+    tryGetShares: (pool) => moves.tryGetShares(pool),
     getNeighbours: (pool) => listNeighbours(membership.view(), pool, failureDomain),
     sendToHost: (pool, message) => router.sendToHost(pool, message),
     cancelAtBackendServer({ backendServer, request }) {
@@ -67,7 +73,7 @@
         void engines.cancelStream(server.address, request);
       }
     },
-    takeEvidence: () => undefined,
+    takeEvidence: (pool, evidence) => moves.takeEvidence(pool, evidence),
     onSchedulerChanged(pool, domain) {
       router.sendToScheduler(pool, domain, grants.report(pool, domain));
       grants.askAgain(pool, domain);
@@ -78,14 +84,29 @@
     failureDomain,
     membership,
     tryGetTask: schedulers.tryGetTask,
-    sendToPeer(name, message) {
-      const address = tryGetPeerAddress(name);
-      if (address !== undefined) {
-        transport.send(address, message);
-      }
-    },
+    sendToPeer,
     receiveFromScheduler: (pool, domain, message) => grants.receive(pool, domain, message),
     receiveMembership: (message) => membership.handle({ kind: 'peerMessageReceived', message }),
+    receiveMove: (pool, message) => moves.receive(pool, message),
+  });
+
+  const moves = createMovesTask({
+    entryHost,
+    failureDomain,
+    clock,
+    random,
+    store,
+    decisions,
+    membership,
+    tryGetTask: schedulers.tryGetTask,
+    getFailureDomains(pool) {
+      const servers = tryGetSettings()?.settings.backendServers ?? [];
+      const serving = servers.filter((server) => server.pool === pool);
+      return [...new Set(serving.map((server) => server.failureDomain))];
+    },
+    getPools: () => tryGetSettings()?.settings.pools.map(({ id }) => id) ?? [],
+    sendToPeer: (name, pool, message) => sendToPeer(name, { kind: 'move', pool, message }),
+    onSharesChanged: schedulers.update,
   });
 
   const grants = createGrantClient({
@@ -95,21 +116,10 @@
     send: router.sendToScheduler,
   });
 
-  const orderDispatcher = createOrderDispatcher(() => services);
-  const ownerQuestions = createOwnerQuestions({
-    incarnation,
+  const { orders, orderDispatcher, answerOwner } = createOrderTasks(context, {
     transport,
-    tryGetAddress: tryGetPeerAddress,
-    getOrderDesk: () => orders,
-  });
-  const orders = createOrderDesk({
-    entryHost,
-    incarnation,
-    store,
-    clock,
-    random,
-    dispatch: orderDispatcher.dispatch,
-    askOwner: ownerQuestions.askOwner,
+    tryGetPeerAddress,
+    getServices: () => services,
   });
 
   const services: CallerServices = {
@@ -124,6 +134,7 @@
   function update(): void {
     schedulers.update();
     membership.handle({ kind: 'roomsChanged', rooms: schedulers.rooms() });
+    moves.update();
     updateTimer = clock.after(UPDATE_INTERVAL_MS, update);
   }
 
@@ -138,13 +149,14 @@
   return {
     membership,
     configuration,
+    moves,
     orders,
     services,
     receive: router.receive,
     async answer(question): Promise<PeerAnswer> {
       switch (question.kind) {
         case 'order':
-          return { kind: 'order', answer: await ownerQuestions.answer(question) };
+          return { kind: 'order', answer: await answerOwner(question) };
         case 'configuration':
           return { kind: 'configuration', configuration: configuration.tryGetAccepted() };
         default:
@@ -157,11 +169,12 @@
       update();
       report();
     },
-    close() {
+    async close() {
       updateTimer?.cancel();
       reportTimer?.cancel();
       configuration.close();
       schedulers.close();
+      await moves.close();
     },
   };
 }
--- /dev/null
+++ b/packages/entry-host/src/moves/createMoveDelegate.ts
@@ -0,0 +1,51 @@
+import type { PoolId } from '@rattanreel/core';
+import type { MoveRecord, StoredMove } from '@rattanreel/moves';
+import { createLease } from '@rattanreel/platform';
+import type { Lease, Watch, WatchEvent } from '@rattanreel/platform';
+import type { MoveDelegate, MoveDelegateOptions } from './types';
+import moveKind from './moveKind';
+
+const LEASE_NAME = 'moves';
+
+/** A delegate's part in moves: it watches the records in the store and asks for the moves lease. */
+export default function createMoveDelegate(options: MoveDelegateOptions): MoveDelegate {
+  const { store, clock, random, onRecord } = options;
+  let watch: Watch | undefined;
+  let lease: Lease | undefined;
+
+  function see(pool: PoolId, stored: StoredMove): void {
+    onRecord(pool, stored);
+  }
+
+  function onStoreEvent(event: WatchEvent<MoveRecord>): void {
+    if (event.kind === 'listed') {
+      event.list.items.forEach(({ name, value, version }) => see(name, { record: value, version }));
+    } else if (event.kind === 'changed') {
+      const { name, value, version } = event.object;
+      see(name, { record: value, version });
+    }
+  }
+
+  return {
+    isActive: () => watch !== undefined,
+    start(holder) {
+      watch = store.watch<MoveRecord>(moveKind, onStoreEvent);
+      lease = createLease({
+        store,
+        name: LEASE_NAME,
+        holder,
+        clock,
+        random,
+        onChange: options.onLease,
+      });
+    },
+    async stop() {
+      watch?.close();
+      watch = undefined;
+      const held = lease;
+      lease = undefined;
+      options.onLease({ kind: 'notHeld' });
+      await held?.stop();
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry-host/src/moves/createMovesTask.ts
@@ -0,0 +1,169 @@
+import type { PoolId } from '@rattanreel/core';
+import type { MoveDecisionLogged, StoredMove } from '@rattanreel/moves';
+import type { LeaseState } from '@rattanreel/platform';
+import createMoveControllerRole from './createMoveControllerRole';
+import createMoveDelegate from './createMoveDelegate';
+import createMoveGuardRole from './createMoveGuardRole';
+import createRecordStore from './createRecordStore';
+import listParticipants from './listParticipants';
+import type {
+  MoveControllerRole,
+  MoveGuardRole,
+  MoveParts,
+  MovePeerMessage,
+  MovesTask,
+  MovesTaskOptions,
+} from './types';
+
+/** Age beyond which a failure domain counts as out of reach. */
+const REACHABLE_AGE_MS = 5_000;
+
+/**
+ * Takes this entry host's part in moves: the delegates of each failure domain watch the records and ask for
+ * the moves lease, its holder runs the controllers, and each pool's scheduler has a guard beside it.
+ */
+export default function createMovesTask(options: MovesTaskOptions): MovesTask {
+  const { clock, random, store, membership, failureDomain, decisions } = options;
+  const guards = new Map<PoolId, MoveGuardRole>();
+  const controllers = new Map<PoolId, MoveControllerRole>();
+  const records = new Map<PoolId, StoredMove>();
+
+  function logDecision({ decision, move, reason, share }: MoveDecisionLogged): void {
+    decisions.record({
+      kind: 'placement',
+      decision: `move-${decision}`,
+      pool: move.pool,
+      failureDomain,
+      version: move.to,
+      reason: `${reason} (share ${share.toFixed(3)})`,
+    });
+  }
+
+  const parts: MoveParts = {
+    clock,
+    failureDomain,
+    announce(pool, message) {
+      for (const entryHost of listParticipants(membership, options.getFailureDomains(pool), pool)) {
+        if (entryHost === options.entryHost) {
+          receive(pool, message);
+        } else {
+          options.sendToPeer(entryHost, pool, message);
+        }
+      }
+    },
+    carryOutRecord: createRecordStore(store),
+    logDecision,
+  };
+
+  function seeRecord(pool: PoolId, stored: StoredMove): void {
+    if (stored.version > (records.get(pool)?.version ?? 0)) {
+      records.set(pool, stored);
+    }
+  }
+
+  function receive(pool: PoolId, message: MovePeerMessage): void {
+    if (message.kind === 'recordSeen') {
+      seeRecord(pool, message.stored);
+    }
+    guards.get(pool)?.handle(message);
+    controllers.get(pool)?.handle(message);
+  }
+
+  /** Passes a record on to the pool's scheduler in this failure domain, where its guard is. */
+  function relayRecord(pool: PoolId, stored: StoredMove): void {
+    receive(pool, { kind: 'recordSeen', stored });
+    const owner = membership.tryGetScheduler(pool, failureDomain)?.entryHost;
+    if (owner !== undefined && owner !== options.entryHost) {
+      options.sendToPeer(owner, pool, { kind: 'recordSeen', stored });
+    }
+  }
+
+  function changeLease(state: LeaseState): void {
+    const pools = state.kind === 'held' ? options.getPools() : [...controllers.keys()];
+    for (const pool of pools) {
+      const controller = controllers.get(pool) ?? createMoveControllerRole(parts, options, pool);
+      controllers.set(pool, controller);
+      controller.handle({ kind: 'leaseChanged', lease: state });
+      const stored = records.get(pool);
+      if (stored !== undefined) {
+        controller.handle({ kind: 'recordSeen', stored });
+      }
+    }
+    if (state.kind !== 'held') {
+      controllers.clear();
+    }
+  }
+
+  const delegate = createMoveDelegate({
+    store,
+    clock,
+    random,
+    onRecord: relayRecord,
+    onLease: changeLease,
+  });
+
+  function updateDelegate(): void {
+    const { isDelegate } = membership.view();
+    if (isDelegate && !delegate.isActive()) {
+      delegate.start(membership.self().incarnation);
+    } else if (!isDelegate && delegate.isActive()) {
+      void delegate.stop();
+    }
+  }
+
+  function updateGuards(): void {
+    for (const pool of options.getPools()) {
+      const scheduler = options.tryGetTask(pool);
+      if (scheduler === undefined) {
+        guards.delete(pool);
+      } else if (!guards.has(pool)) {
+        const guard = createMoveGuardRole(parts, options, pool, scheduler);
+        guards.set(pool, guard);
+        const stored = records.get(pool);
+        if (stored !== undefined) {
+          guard.handle({ kind: 'recordSeen', stored });
+        }
+      }
+    }
+  }
+
+  function countOldTraffic(pool: PoolId): number {
+    const from = records.get(pool)?.record.from;
+    const servers = options.tryGetTask(pool)?.summary().backendServers ?? [];
+    return servers
+      .filter(({ version }) => version === from)
+      .reduce((sum, { inFlight }) => sum + inFlight, 0);
+  }
+
+  function passTime(): void {
+    const reachable = membership
+      .view()
+      .domains.filter(({ age }) => age !== undefined && age <= REACHABLE_AGE_MS)
+      .map((domain) => domain.failureDomain);
+    guards.forEach((guard, pool) => {
+      guard.handle({ kind: 'oldTrafficCounted', inFlight: countOldTraffic(pool) });
+      guard.handle({ kind: 'timePassed' });
+    });
+    controllers.forEach((controller, pool) => {
+      const served = options.getFailureDomains(pool);
+      const failureDomains = served.filter(
+        (domain) => domain === failureDomain || reachable.includes(domain),
+      );
+      controller.handle({ kind: 'reachableChanged', failureDomains });
+      controller.handle({ kind: 'timePassed' });
+    });
+  }
+
+  return {
+    update() {
+      updateDelegate();
+      updateGuards();
+      passTime();
+    },
+    receive,
+    takeEvidence: (pool, evidence) => guards.get(pool)?.handle(evidence),
+    tryGetShares: (pool) => guards.get(pool)?.shares(),
+    tryGetRecord: (pool) => records.get(pool),
+    close: delegate.stop,
+  };
+}
--- a/packages/entry-host/src/scheduling/types.ts
+++ b/packages/entry-host/src/scheduling/types.ts
@@ -33,6 +33,7 @@
   VersionEvidence,
   VersionShare,
 } from '@rattanreel/scheduling';
+import type { MovePeerMessage } from '../moves/types';
 import type {
   FromScheduler,
   MembershipTask,
@@ -214,6 +215,7 @@
     message: FromScheduler,
   ) => void;
   readonly receiveMembership: (message: MembershipPeerMessage) => void;
+  readonly receiveMove: (pool: PoolId, message: MovePeerMessage) => void;
 }
 
 /** Carries the messages between grant clients and pool schedulers. */
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -49,7 +49,8 @@
   SpillOver,
 } from '@rattanreel/scheduling';
 import type { PeerTransport, TransportSettingsError } from '@rattanreel/transport';
-import type { CallerServices } from './callers/types';
+import type { CallerServices, OrderDispatcher } from './callers/types';
+import type { MovePeerMessage, MovesTask } from './moves/types';
 
 /** What an entry host tells the scheduler of a pool. */
 export type ToScheduler =
@@ -74,7 +75,8 @@
       readonly failureDomain: FailureDomainId;
       readonly message: FromScheduler;
     }
-  | { readonly kind: 'membership'; readonly message: MembershipPeerMessage };
+  | { readonly kind: 'membership'; readonly message: MembershipPeerMessage }
+  | { readonly kind: 'move'; readonly pool: PoolId; readonly message: MovePeerMessage };
 
 /** Questions between entry hosts. */
 export type PeerQuestion =
@@ -242,10 +244,26 @@
 export interface HostTasks {
   readonly membership: MembershipTask;
   readonly configuration: ConfigurationTask;
+  readonly moves: MovesTask;
   readonly orders: RecordingOrderDesk;
   readonly services: CallerServices;
   receive(message: PeerMessage): void;
   answer(question: PeerQuestion): Promise<PeerAnswer>;
   start(): void;
-  close(): void;
+  close(): Promise<void>;
+}
+
+/** What the order desk of an entry host needs of the tasks around it. */
+export interface OrderTasksOptions {
+  readonly transport: HostTransport;
+  readonly tryGetPeerAddress: (entryHost: EntryHostId) => string | undefined;
+  readonly getServices: () => CallerServices;
+}
+
+/** The order desk of an entry host with its dispatcher. */
+export interface OrderTasks {
+  readonly orders: RecordingOrderDesk;
+  readonly orderDispatcher: OrderDispatcher;
+  /** Answers another entry host's question about an order. */
+  readonly answerOwner: OwnerQuestions['answer'];
 }
