Keep the configuration by the keeper: delegates watch, peers relay, generations only grow

Cause: every host watched the store, and a starting host trusted the first answer. Change: the entry host runs the configuration library's keeper; membership tells it its peers and whether it is a delegate.

--- a/packages/entry-host/src/configuration/createConfigurationTask.ts
+++ b/packages/entry-host/src/configuration/createConfigurationTask.ts
@@ -1,55 +1,44 @@
-import type { AcceptedConfiguration } from '@rattanreel/configuration';
-import type { Watch, WatchEvent } from '@rattanreel/platform';
+import { createConfigurationTask as createKeeperTask } from '@rattanreel/configuration';
+import type { ConfigurationTask as KeeperTask } from '@rattanreel/configuration';
 import createSettingsView from '../createSettingsView';
 import type { ConfigurationTask, ConfigurationTaskOptions, SettingsView } from '../types';
 
-const CONFIGURATION_KIND = 'configuration';
-
-/** Keeps the configuration in force at this entry host: only a higher generation replaces it. */
+/** Keeps the configuration in force at this entry host, and the look-ups built from it. */
 export default function createConfigurationTask(
   options: ConfigurationTaskOptions,
 ): ConfigurationTask {
-  const { store, transport } = options;
-  let accepted: AcceptedConfiguration | undefined;
+  const { entryHost, address, store, clock, random, logger } = options;
   let view: SettingsView | undefined;
-  let watch: Watch | undefined;
-
-  function offer(offered: AcceptedConfiguration | undefined): void {
-    if (offered === undefined || offered.generation <= (accepted?.generation ?? 0)) {
-      return;
-    }
-    accepted = offered;
-    view = createSettingsView(offered.settings);
-    options.onChanged(offered);
-  }
-
-  async function fetchFromPeer(address: string): Promise<void> {
-    const answer = await transport.ask(address, { kind: 'configuration' });
-    if (answer.kind === 'ok' && answer.value.kind === 'configuration') {
-      offer(answer.value.configuration);
-    }
-  }
-
-  function askPeer(address: string): void {
-    void fetchFromPeer(address);
-  }
+  let keeper: KeeperTask | undefined;
 
-  function onStoreEvent(event: WatchEvent<AcceptedConfiguration>): void {
-    if (event.kind === 'listed') {
-      event.list.items.forEach(({ value }) => offer(value));
-    } else if (event.kind === 'changed') {
-      offer(event.object.value);
-    }
+  function start(): void {
+    keeper = createKeeperTask({
+      entryHost,
+      address,
+      seeds: options.seedPeers.map((peer) => ({ entryHost: peer, address: peer })),
+      store,
+      clock,
+      random,
+      listener: {
+        onSend: (effect) =>
+          options.send(effect.address, { kind: 'configuration', message: effect.message }),
+        onSettings({ generation, settings }) {
+          view = createSettingsView(settings);
+          logger.info({ generation }, 'configuration in force');
+          options.onChanged(generation, settings);
+        },
+        onRejected: (error) => logger.error({ error }, 'unusable configuration offered'),
+        onRecordFailed: (localDrain, error) =>
+          logger.warn({ localDrain, error: error.kind }, 'local drain not recorded yet'),
+      },
+    });
   }
 
   return {
-    start() {
-      watch = store.watch<AcceptedConfiguration>(CONFIGURATION_KIND, onStoreEvent);
-      options.seedPeers.forEach(askPeer);
-    },
+    start,
     tryGetSettings: () => view,
-    tryGetAccepted: () => accepted,
-    askPeer,
-    close: () => watch?.close(),
+    tryGetKeeper: () => keeper,
+    handle: (message) => keeper?.handle(message),
+    close: () => keeper?.close(),
   };
 }
--- a/packages/entry-host/src/createHostTasks.ts
+++ b/packages/entry-host/src/createHostTasks.ts
@@ -1,7 +1,9 @@
 import type { Timer } from '@rattanreel/core';
+import type { CancelAtBackendServer } from '@rattanreel/scheduling';
 import createConfigurationTask from './configuration/createConfigurationTask';
 import createMovesTask from './moves/createMovesTask';
 import createMembershipTask from './membership/createMembershipTask';
+import describePeers from './membership/describePeers';
 import listNeighbours from './membership/listNeighbours';
 import createOrderTasks from './orders/createOrderTasks';
 import createGrantClient from './scheduling/createGrantClient';
@@ -31,23 +33,28 @@
     onMembersChanged: (message) => schedulers.membersChanged(message),
     onIncarnationChanged: () => schedulers.update(),
     onReplaced: () => logger.error({ entryHost }, 'another process runs under this name'),
-    onLaterGeneration: (address) => configuration.askPeer(address),
+    onLaterGeneration: (effect) => configuration.handle(effect),
   });
 
   const configuration = createConfigurationTask({
+    entryHost,
+    address: transport.address,
     store,
-    transport,
+    clock,
+    random,
+    logger,
     seedPeers: settings.seedPeers,
-    onChanged({ generation, settings: { entryHosts } }) {
+    send: transport.send,
+    onChanged(generation, { entryHosts, drained }) {
+      const leaving = context.admission.isStopping() || drained.entryHosts.includes(entryHost);
       membership.handle({ kind: 'configurationChanged', generation, entryHosts });
+      membership.handle({ kind: 'leavingChanged', leaving });
       schedulers.update();
     },
   });
   const { tryGetSettings } = configuration;
 
-  function tryGetPeerAddress(name: string): string | undefined {
-    return tryGetSettings()?.tryFindEntryHost(name)?.peerAddress;
-  }
+  const tryGetPeerAddress = (name: string) => tryGetSettings()?.tryFindEntryHost(name)?.peerAddress;
 
   function sendToPeer(name: string, message: PeerMessage): void {
     const address = tryGetPeerAddress(name);
@@ -56,6 +63,13 @@
     }
   }
 
+  function cancelAtBackendServer({ backendServer, request }: CancelAtBackendServer): void {
+    const server = tryGetSettings()?.tryFindBackendServer(backendServer);
+    if (server !== undefined) {
+      void engines.cancelStream(server.address, request);
+    }
+  }
+
   const schedulers = createSchedulerDirectory({
     failureDomain,
     membership,
@@ -67,12 +81,7 @@
     tryGetShares: (pool) => moves.tryGetShares(pool),
     getNeighbours: (pool) => listNeighbours(membership.view(), pool, failureDomain),
     sendToHost: (pool, message) => router.sendToHost(pool, message),
-    cancelAtBackendServer({ backendServer, request }) {
-      const server = tryGetSettings()?.tryFindBackendServer(backendServer);
-      if (server !== undefined) {
-        void engines.cancelStream(server.address, request);
-      }
-    },
+    cancelAtBackendServer,
     takeEvidence: (pool, evidence) => moves.takeEvidence(pool, evidence),
     onSchedulerChanged(pool, domain) {
       router.sendToScheduler(pool, domain, grants.report(pool, domain));
@@ -87,6 +96,8 @@
     sendToPeer,
     receiveFromScheduler: (pool, domain, message) => grants.receive(pool, domain, message),
     receiveMembership: (message) => membership.handle({ kind: 'peerMessageReceived', message }),
+    receiveConfiguration: (message) =>
+      configuration.handle({ kind: 'peerMessageReceived', message }),
     receiveMove: (pool, message) => moves.receive(pool, message),
   });
 
@@ -99,11 +110,7 @@
     decisions,
     membership,
     tryGetTask: schedulers.tryGetTask,
-    getFailureDomains(pool) {
-      const servers = tryGetSettings()?.settings.backendServers ?? [];
-      const serving = servers.filter((server) => server.pool === pool);
-      return [...new Set(serving.map((server) => server.failureDomain))];
-    },
+    getFailureDomains: (pool) => tryGetSettings()?.failureDomainsOf(pool) ?? [],
     getPools: () => tryGetSettings()?.settings.pools.map(({ id }) => id) ?? [],
     sendToPeer: (name, pool, message) => sendToPeer(name, { kind: 'move', pool, message }),
     onSharesChanged: schedulers.update,
@@ -132,6 +139,7 @@
   };
 
   function update(): void {
+    configuration.handle(describePeers(entryHost, membership.view()));
     schedulers.update();
     membership.handle({ kind: 'roomsChanged', rooms: schedulers.rooms() });
     moves.update();
@@ -153,16 +161,10 @@
     orders,
     services,
     receive: router.receive,
-    async answer(question): Promise<PeerAnswer> {
-      switch (question.kind) {
-        case 'order':
-          return { kind: 'order', answer: await answerOwner(question) };
-        case 'configuration':
-          return { kind: 'configuration', configuration: configuration.tryGetAccepted() };
-        default:
-          return question satisfies never;
-      }
-    },
+    answer: async (question): Promise<PeerAnswer> => ({
+      kind: 'order',
+      answer: await answerOwner(question),
+    }),
     start() {
       membership.start();
       configuration.start();
--- a/packages/entry-host/src/createSettingsView.ts
+++ b/packages/entry-host/src/createSettingsView.ts
@@ -44,6 +44,10 @@
       settings.backendServers.filter(
         (server) => server.pool === pool && server.failureDomain === failureDomain,
       ),
+    failureDomainsOf(pool) {
+      const servers = settings.backendServers.filter((server) => server.pool === pool);
+      return [...new Set(servers.map((server) => server.failureDomain))];
+    },
     rankOf(tier) {
       const rank = settings.tiers.findIndex(({ id }) => id === tier);
       return rank < 0 ? lowestRank : rank;
--- a/packages/entry-host/src/membership/createMembershipTask.ts
+++ b/packages/entry-host/src/membership/createMembershipTask.ts
@@ -40,7 +40,7 @@
         options.onReplaced();
         break;
       case 'laterGenerationSeen':
-        options.onLaterGeneration(effect.address);
+        options.onLaterGeneration(effect);
         break;
       default:
         Debug.assertNever(effect);
--- /dev/null
+++ b/packages/entry-host/src/membership/describePeers.ts
@@ -0,0 +1,14 @@
+import type { ConfigurationMessage } from '@rattanreel/configuration';
+import type { EntryHostId } from '@rattanreel/core';
+import type { MembershipView } from '@rattanreel/membership';
+
+/** The live entry hosts of this failure domain as the configuration keeper takes them. */
+export default function describePeers(
+  self: EntryHostId,
+  { members, isDelegate }: MembershipView,
+): ConfigurationMessage {
+  const peers = members
+    .filter(({ entryHost, state }) => entryHost !== self && state === 'alive')
+    .map(({ entryHost, address }) => ({ entryHost, address }));
+  return { kind: 'peersChanged', peers, isDelegate };
+}
--- a/packages/entry-host/src/scheduling/createPeerRouter.ts
+++ b/packages/entry-host/src/scheduling/createPeerRouter.ts
@@ -49,6 +49,9 @@
         case 'membership':
           options.receiveMembership(message.message);
           break;
+        case 'configuration':
+          options.receiveConfiguration(message.message);
+          break;
         case 'move':
           options.receiveMove(message.pool, message.message);
           break;
--- a/packages/entry-host/src/scheduling/types.ts
+++ b/packages/entry-host/src/scheduling/types.ts
@@ -12,6 +12,7 @@
   TierRank,
   Timer,
 } from '@rattanreel/core';
+import type { ConfigurationPeerMessage } from '@rattanreel/configuration';
 import type { EngineClient, RequestLifecycle } from '@rattanreel/dispatch';
 import type { MembershipPeerMessage, PoolRoom } from '@rattanreel/membership';
 import type { DecisionLog } from '@rattanreel/observability';
@@ -215,6 +216,7 @@
     message: FromScheduler,
   ) => void;
   readonly receiveMembership: (message: MembershipPeerMessage) => void;
+  readonly receiveConfiguration: (message: ConfigurationPeerMessage) => void;
   readonly receiveMove: (pool: PoolId, message: MovePeerMessage) => void;
 }
 
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -1,8 +1,10 @@
 /** Messages between entry hosts, and the tasks of one entry host. */
 import type {
-  AcceptedConfiguration,
   AdministratorSettings,
   BackendServerSettings,
+  ConfigurationMessage,
+  ConfigurationPeerMessage,
+  ConfigurationTask as KeeperTask,
   CustomerSettings,
   DeploymentSettings,
   EntryHostAddress,
@@ -16,6 +18,7 @@
   Clock,
   EntryHostId,
   FailureDomainId,
+  Generation,
   Incarnation,
   PoolId,
   Random,
@@ -23,6 +26,7 @@
 } from '@rattanreel/core';
 import type { EngineClient, ServiceClient } from '@rattanreel/dispatch';
 import type {
+  LaterGenerationSeen,
   MembershipMessage,
   MembershipPeerMessage,
   MembershipView,
@@ -76,26 +80,21 @@
       readonly message: FromScheduler;
     }
   | { readonly kind: 'membership'; readonly message: MembershipPeerMessage }
+  | { readonly kind: 'configuration'; readonly message: ConfigurationPeerMessage }
   | { readonly kind: 'move'; readonly pool: PoolId; readonly message: MovePeerMessage };
 
-/** Questions between entry hosts. */
-export type PeerQuestion =
-  /** Asks the owner of a claim or a ticket how its order ended. */
-  | {
-      readonly kind: 'order';
-      readonly incarnation: Incarnation;
-      readonly nonce: string | undefined;
-      readonly order: OrderRequest;
-    }
-  /** Asks for the configuration in force. */
-  | { readonly kind: 'configuration' };
+/** Asks the owner of a claim or a ticket how its order ended. */
+export interface PeerQuestion {
+  readonly kind: 'order';
+  readonly incarnation: Incarnation;
+  readonly nonce: string | undefined;
+  readonly order: OrderRequest;
+}
 
-export type PeerAnswer =
-  | { readonly kind: 'order'; readonly answer: OwnerAnswer }
-  | {
-      readonly kind: 'configuration';
-      readonly configuration: AcceptedConfiguration | undefined;
-    };
+export interface PeerAnswer {
+  readonly kind: 'order';
+  readonly answer: OwnerAnswer;
+}
 
 /** Where an entry host of this deployment is reached. */
 export interface EntryHostPlace {
@@ -130,14 +129,14 @@
   readonly onMembersChanged: (message: MembersChanged) => void;
   readonly onIncarnationChanged: () => void;
   readonly onReplaced: () => void;
-  /** A peer at this address has a later configuration in force. */
-  readonly onLaterGeneration: (address: string) => void;
+  /** A peer has a later configuration in force. */
+  readonly onLaterGeneration: (effect: LaterGenerationSeen) => void;
 }
 
 /** Questions between entry hosts about orders. */
 export interface OwnerQuestions {
   readonly askOwner: AskOwner;
-  answer(question: Extract<PeerQuestion, { readonly kind: 'order' }>): Promise<OwnerAnswer>;
+  answer(question: PeerQuestion): Promise<OwnerAnswer>;
 }
 
 export interface OwnerQuestionsOptions {
@@ -163,6 +162,8 @@
   tryFindBackendServer(id: string): BackendServerSettings | undefined;
   tryFindEntryHost(id: string): EntryHostAddress | undefined;
   backendServersOf(pool: PoolId, failureDomain: string): readonly BackendServerSettings[];
+  /** Failure domains that have backend servers of a pool. */
+  failureDomainsOf(pool: PoolId): readonly FailureDomainId[];
   /** Rank of a tier by name; the lowest for an unknown name. */
   rankOf(tier: string): TierRank;
   tierAt(rank: TierRank): TierSettings;
@@ -207,20 +208,26 @@
 
 /** The configuration in force at one entry host, as a task. */
 export interface ConfigurationTask {
-  tryGetSettings(): SettingsView | undefined;
-  tryGetAccepted(): AcceptedConfiguration | undefined;
   start(): void;
-  /** Takes the configuration of a peer when it is later. */
-  askPeer(address: string): void;
+  tryGetSettings(): SettingsView | undefined;
+  /** The task that changes and reports the configuration; undefined before the start. */
+  tryGetKeeper(): KeeperTask | undefined;
+  handle(message: ConfigurationMessage): void;
   close(): void;
 }
 
 export interface ConfigurationTaskOptions {
+  readonly entryHost: EntryHostId;
+  /** Address of this host for other entry hosts. */
+  readonly address: string;
   readonly store: ObjectStore;
-  readonly transport: Pick<PeerTransport<PeerMessage, PeerQuestion, PeerAnswer>, 'ask'>;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
   /** Addresses of peers that are asked at the start. */
   readonly seedPeers: readonly string[];
-  readonly onChanged: (accepted: AcceptedConfiguration) => void;
+  readonly send: (address: string, message: PeerMessage) => void;
+  readonly onChanged: (generation: Generation, settings: DeploymentSettings) => void;
 }
 
 /** What all tasks of one entry host share. */
