--- /dev/null
+++ b/benchmarks/src/orders/createDisturbances.ts
@@ -0,0 +1,106 @@
+import type { Clock, Milliseconds, Random } from '@rattanreel/core';
+import type { OrderFleet } from '@rattanreel/orders/testing';
+import type { ObjectStoreModel, StoreFaults } from '@rattanreel/stand-in-platform';
+import type { SimulationOptions } from './types';
+
+const RESTART_DELAY: Milliseconds = 2_000;
+const LONGEST_PAUSE: Milliseconds = 8_000;
+const OUTAGE_PERIOD: Milliseconds = 20_000;
+const FEWEST_RUNNING = 3;
+const OUTAGES: readonly Partial<StoreFaults>[] = [
+  { outage: 'refusing' },
+  { outage: 'silent' },
+  { extraLatency: 3_000 },
+];
+const WELL: Partial<StoreFaults> = { outage: 'none', extraLatency: 0 };
+const FAULTS: Partial<StoreFaults> = {
+  lostAnswerShare: 0.01,
+  lateWriteShare: 0.01,
+  lateWriteDelay: 10_000,
+};
+
+interface DisturbancesOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly model: ObjectStoreModel;
+  readonly fleet: OrderFleet;
+  readonly hosts: readonly string[];
+  readonly simulation: SimulationOptions;
+}
+
+interface Disturbances {
+  isStoreDown(): boolean;
+  getCounts(): { readonly ends: number; readonly pauses: number };
+  /** Lets everything recover. */
+  stop(): void;
+}
+
+/** Ends, pauses and store faults at random times. */
+export default function createDisturbances(options: DisturbancesOptions): Disturbances {
+  const { clock, random, model, fleet, hosts, simulation } = options;
+  const counts = { ends: 0, pauses: 0 };
+  let outages = 0;
+  let isStoreDown = false;
+  let isStopped = false;
+
+  function tryPickRunning(): string | undefined {
+    const running = hosts.filter((host) => fleet.isRunning(host));
+    return running.length > FEWEST_RUNNING
+      ? running[random.integer(0, running.length - 1)]
+      : undefined;
+  }
+
+  function repeat(mean: Milliseconds, action: () => void): void {
+    clock.after(2 * mean * random.next(), () => {
+      if (!isStopped) {
+        action();
+        repeat(mean, action);
+      }
+    });
+  }
+
+  function endOne(): void {
+    const host = tryPickRunning();
+    if (host !== undefined) {
+      counts.ends += 1;
+      fleet.end(host);
+      clock.after(RESTART_DELAY, () => fleet.start(host));
+    }
+  }
+
+  function pauseOne(): void {
+    const host = tryPickRunning();
+    if (host !== undefined) {
+      counts.pauses += 1;
+      fleet.pause(host);
+      clock.after(random.next() * LONGEST_PAUSE, () => fleet.resume(host));
+    }
+  }
+
+  function switchStore(): void {
+    isStoreDown = !isStoreDown;
+    outages += isStoreDown ? 1 : 0;
+    model.setFaults(isStoreDown ? OUTAGES[outages % OUTAGES.length]! : WELL);
+    clock.after(OUTAGE_PERIOD, () => isStopped || switchStore());
+  }
+
+  model.setFaults(FAULTS);
+  if (simulation.store === 'outages') {
+    clock.after(OUTAGE_PERIOD, switchStore);
+  }
+  if (simulation.endInterval !== undefined) {
+    repeat(simulation.endInterval, endOne);
+  }
+  if (simulation.pauseInterval !== undefined) {
+    repeat(simulation.pauseInterval, pauseOne);
+  }
+  return {
+    isStoreDown: () => isStoreDown,
+    getCounts: () => counts,
+    stop() {
+      isStopped = true;
+      isStoreDown = false;
+      model.setFaults(WELL);
+    },
+  };
+}
--- /dev/null
+++ b/benchmarks/src/orders/simulateOrders.ts
@@ -0,0 +1,83 @@
+import { createRandom, createVirtualClock } from '@rattanreel/core';
+import type { Milliseconds } from '@rattanreel/core';
+import { createOrderFleet } from '@rattanreel/orders/testing';
+import { createObjectStoreModel, runInVirtualTime } from '@rattanreel/stand-in-platform';
+import createCallers from './createCallers';
+import createDisturbances from './createDisturbances';
+import type { KeyKind, OrderHistory, SimulationOptions, SimulationResult } from './types';
+
+const HOSTS = ['a', 'b', 'c', 'd', 'e', 'f', 'g', 'h'];
+const KEY_KINDS: readonly KeyKind[] = ['none', 'ticket', 'ticket', 'callerKey', 'callerKey'];
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Time after the last order in which everything has to come to its end. */
+const SETTLING_TIME: Milliseconds = 90_000;
+const FAULTS = { refusedShare: 0.03, brokenShare: 0.005, lostQuestionShare: 0.005 };
+
+/** Runs orders through real order desks under deaths, pauses and store faults, in virtual time. */
+export default async function simulateOrders(
+  options: SimulationOptions,
+): Promise<SimulationResult> {
+  const clock = createVirtualClock();
+  const random = createRandom(options.seed);
+  const model = createObjectStoreModel({ clock, random });
+  const histories = new Map<string, OrderHistory>();
+  const fleet = createOrderFleet({
+    clock,
+    random,
+    model,
+    hosts: HOSTS,
+    faults: FAULTS,
+    onDispatch: ({ body }) => histories.get(body)?.dispatchedAt.push(clock.now()),
+  });
+  const simulation = options;
+  const disturbances = createDisturbances({
+    clock,
+    random,
+    model,
+    fleet,
+    hosts: HOSTS,
+    simulation,
+  });
+  const runCaller = createCallers({ clock, random, fleet, hosts: HOSTS });
+  const interval = MILLISECONDS_PER_SECOND / options.ordersPerSecond;
+
+  function sleep(delay: Milliseconds): Promise<void> {
+    return new Promise((resolve) => {
+      clock.after(delay, resolve);
+    });
+  }
+
+  function createHistory(index: number): OrderHistory {
+    const history: OrderHistory = {
+      body: `order-${index}`,
+      keyKind: KEY_KINDS[index % KEY_KINDS.length]!,
+      isStoreDown: disturbances.isStoreDown(),
+      submissions: [],
+      dispatchedAt: [],
+      knowledge: undefined,
+    };
+    histories.set(history.body, history);
+    return history;
+  }
+
+  async function runAll(): Promise<void> {
+    const callers: Promise<void>[] = [];
+    for (let index = 0; index < options.orders; index += 1) {
+      await sleep(2 * interval * random.next());
+      callers.push(runCaller(createHistory(index)));
+    }
+    disturbances.stop();
+    await sleep(SETTLING_TIME);
+    await Promise.race([Promise.all(callers), sleep(SETTLING_TIME)]);
+  }
+
+  await runInVirtualTime(clock, runAll());
+  model.close();
+  return {
+    histories: [...histories.values()],
+    getBookings: fleet.getBookings,
+    storeWrites: model.getCounts().writes,
+    ...disturbances.getCounts(),
+    virtualSeconds: Math.round(clock.now() / MILLISECONDS_PER_SECOND),
+  };
+}
--- a/packages/orders/src/createClaimFollower.ts
+++ b/packages/orders/src/createClaimFollower.ts
@@ -50,7 +50,10 @@
     let decision = decide(entry, claim);
     if (decision.kind === 'askOwner') {
       options.onDecision?.({ kind: 'askedOwner', order: entry.name });
-      decision = decideOnOwnerAnswer(claim, await askOwner(decision.owner, order));
+      decision = decideOnOwnerAnswer(
+        claim,
+        await askOwner(decision.owner, { ...order, askedNonce: decision.nonce }),
+      );
     }
     switch (decision.kind) {
       case 'finish':
--- a/packages/orders/src/createClaimWriter.ts
+++ b/packages/orders/src/createClaimWriter.ts
@@ -1,31 +1,43 @@
-import type { Clock, Milliseconds, Random } from '@rattanreel/core';
+import type { Clock, Milliseconds, Random, Timer } from '@rattanreel/core';
 import { settleWrite } from '@rattanreel/platform';
 import type { ObjectStore, SettledWrite } from '@rattanreel/platform';
 import claimKind from './claimKind';
 import type { ClaimRecord, OrderEntry, OrderOwner } from './types';
 
+type SettledClaim = SettledWrite<ClaimRecord>;
+
+/** Longest wait for a claim while the store is in trouble. */
+const TROUBLED_DEADLINE: Milliseconds = 500;
+const LATE_ANSWER_GRACE: Milliseconds = 10;
+
 interface ClaimWriterOptions {
   readonly store: ObjectStore;
   readonly self: OrderOwner;
   readonly clock: Clock;
   readonly random: Random;
   readonly retention: Milliseconds;
+  /** Longest wait for a claim. */
+  readonly deadline: Milliseconds;
 }
 
 interface ClaimWrite {
   readonly entry: OrderEntry;
   /** Version of the claim to replace; undefined creates one. */
   readonly version: number | undefined;
-  readonly deadline: Milliseconds;
 }
 
 /** Writes a claim under a condition, and settles the write when its answer is lost. */
-type WriteClaim = (write: ClaimWrite) => Promise<SettledWrite<ClaimRecord>>;
+type WriteClaim = (write: ClaimWrite) => Promise<SettledClaim>;
 
-/** Makes the writer of this incarnation's claims. */
+/**
+ * Makes the writer of this incarnation's claims. It stops waiting at the deadline, which is short while the store is
+ * known to be in trouble; what lands after that is a claim under a nonce that has been given up.
+ */
 export default function createClaimWriter(options: ClaimWriterOptions): WriteClaim {
-  const { store, self, clock, random, retention } = options;
-  return ({ entry, version, deadline }) => {
+  const { store, self, clock, random } = options;
+  let isInTrouble = false;
+
+  function settle({ entry, version }: ClaimWrite, isOver: () => boolean): Promise<SettledClaim> {
     const { name, nonce, requestDigest } = entry;
     const record: ClaimRecord = {
       claimant: self.entryHost,
@@ -33,7 +45,7 @@
       nonce,
       requestDigest,
       outcome: undefined,
-      expiresAt: new Date(clock.wallTime().getTime() + retention).toISOString(),
+      expiresAt: new Date(clock.wallTime().getTime() + options.retention).toISOString(),
     };
     return settleWrite<ClaimRecord>({
       write: () =>
@@ -43,7 +55,38 @@
       isOwn: (current) => (current.value as ClaimRecord).nonce === nonce,
       clock,
       random,
-      deadline,
+      deadline: options.deadline,
+      shouldGoOn: () => !isOver(),
     });
+  }
+
+  /** After a pause of the process, an answer that came meanwhile is taken before the deadline is. */
+  function afterDeadline(deadline: Milliseconds, callback: () => void): Timer {
+    let timer = clock.after(deadline, () => {
+      timer = clock.after(LATE_ANSWER_GRACE, callback);
+    });
+    return { cancel: () => timer.cancel() };
+  }
+
+  return async (write) => {
+    let isOver = false;
+    let timer: Timer | undefined;
+    const timedOut = new Promise<SettledClaim>((resolve) => {
+      const longest = isInTrouble ? TROUBLED_DEADLINE : options.deadline;
+      timer = afterDeadline(Math.min(longest, options.deadline), () => {
+        isOver = true;
+        resolve({ kind: 'inDoubt' });
+      });
+    });
+    const settling = settle(write, () => isOver);
+    settling.then(noteSettled, () => undefined);
+    const settled = await Promise.race([settling, timedOut]);
+    timer?.cancel();
+    isInTrouble ||= settled.kind === 'inDoubt';
+    return settled;
   };
+
+  function noteSettled(settled: SettledClaim): void {
+    isInTrouble = settled.kind === 'notWritten' || settled.kind === 'inDoubt';
+  }
 }
--- a/packages/orders/src/createClaimedRuns.ts
+++ b/packages/orders/src/createClaimedRuns.ts
@@ -36,7 +36,6 @@
 /** Runs orders that are claimed in the store before they are dispatched. */
 export default function createClaimedRuns(options: ClaimedRunsOptions): ClaimedRuns {
   const { entryHost, incarnation, store, clock, random, attempts, askOwner } = options;
-  const deadline = options.claimDeadline ?? DEFAULT_CLAIM_DEADLINE;
   const dispatchWindow = options.dispatchWindow ?? DEFAULT_DISPATCH_WINDOW;
   const recorder = createOutcomeRecorder({ store, clock, random });
   const followClaim = createClaimFollower(options);
@@ -46,6 +45,7 @@
     clock,
     random,
     retention: options.retention ?? DEFAULT_RETENTION,
+    deadline: options.claimDeadline ?? DEFAULT_CLAIM_DEADLINE,
   });
 
   function note(kind: OrderDecision['kind'], entry: OrderEntry): void {
@@ -94,8 +94,8 @@
     giveUp(entry);
     note('surveyed', entry);
     const view = options.listPeers?.() ?? { peers: [], isComplete: false };
-    const hasForgotten = attempts.hasForgotten();
-    const result = await surveyPeers({ order, view, askOwner, hasForgotten });
+    const { hasForgotten } = attempts;
+    const result = await surveyPeers({ order, view, askOwner, hasForgotten, clock });
     const latest = attempts.tryGet(entry.name);
     // Meanwhile a later attempt here, or a peer that was told of the giving up, may have run the order.
     if (latest !== undefined && latest !== entry) {
@@ -108,7 +108,7 @@
     const startedAt = clock.now();
     let version: number | undefined;
     for (let round = 0; round < ROUND_LIMIT; round += 1) {
-      const settled = await writeClaim({ entry, version, deadline });
+      const settled = await writeClaim({ entry, version });
       switch (settled.kind) {
         case 'written':
           return clock.now() - startedAt > dispatchWindow
--- a/packages/orders/src/createKeyedOrders.ts
+++ b/packages/orders/src/createKeyedOrders.ts
@@ -2,6 +2,7 @@
 import type { Milliseconds } from '@rattanreel/core';
 import type createAttempts from './createAttempts';
 import createClaimedRuns from './createClaimedRuns';
+import createHolds from './createHolds';
 import getRequestDigest from './getRequestDigest';
 import hashText from './hashText';
 import toResult from './toResult';
@@ -24,21 +25,31 @@
 interface KeyedOrders {
   submit(order: OrderRequest, key: string): Promise<OrderResult>;
   /** Answers a peer that met a claim of this incarnation, or that asks everybody. */
-  answerPeer(order: OrderRequest, key: string, nonce: string | undefined): Promise<OwnerAnswer>;
+  answerPeer(order: OrderRequest, key: string): Promise<OwnerAnswer>;
   flush(deadline: Milliseconds): Promise<void>;
 }
 
-/** Lets a peer take over what this incarnation has forbidden itself. */
-function release(entry: OrderEntry): OwnerAnswer {
-  entry.wasReleased = true;
-  return { kind: 'givenUp', nonces: [...entry.givenUpNonces] };
-}
-
 /** Orders under keys of the callers' own. */
 export default function createKeyedOrders(options: KeyedOrdersOptions): KeyedOrders {
   const { random, attempts } = options;
   const peerWait = options.peerWait ?? DEFAULT_PEER_WAIT;
   const runs = createClaimedRuns(options);
+  const holds = createHolds(options.clock);
+
+  /** Lets a peer take a claim over, or tells a survey that the order has not run here. */
+  function deny(entry: OrderEntry, askedNonce: string | undefined): OwnerAnswer {
+    if (askedNonce === undefined) {
+      holds.hold(entry.name);
+    } else {
+      entry.wasReleased = true;
+    }
+    return { kind: 'givenUp', nonces: [...entry.givenUpNonces] };
+  }
+
+  async function run(entry: OrderEntry, order: OrderRequest): Promise<OrderResult> {
+    await holds.wait(entry.name);
+    return runs.run(entry, order);
+  }
 
   return {
     async submit(order, key) {
@@ -53,27 +64,29 @@
         name,
         requestDigest,
         nonce,
-        run: (entry) => runs.run(entry, order),
+        run: (entry) => run(entry, order),
       });
     },
-    async answerPeer(order, key, nonce) {
-      const entry = attempts.tryGet(hashText(order.customer, key));
+    async answerPeer(order, key) {
+      const name = hashText(order.customer, key);
+      const entry = attempts.tryGet(name);
       if (entry === undefined) {
+        holds.hold(name);
         return { kind: 'unknown', hasForgotten: attempts.hasForgotten() };
       }
       if (entry.requestDigest !== getRequestDigest(order)) {
         return { kind: 'result', result: KEY_REUSED };
       }
-      const { givenUpNonces } = entry;
-      if (nonce !== undefined && givenUpNonces.includes(nonce)) {
-        return release(entry);
+      const { askedNonce } = order;
+      if (askedNonce !== undefined && entry.givenUpNonces.includes(askedNonce)) {
+        return deny(entry, askedNonce);
       }
       if (!(await attempts.waitForEnd(entry, peerWait))) {
         return { kind: 'result', result: STILL_RUNNING };
       }
       return entry.state.kind === 'ended' && entry.state.outcome.kind !== 'notRun'
         ? { kind: 'result', result: toResult(entry.state.outcome) }
-        : release(entry);
+        : deny(entry, askedNonce);
     },
     flush: runs.flush,
   };
