--- a/packages/orders/src/createAttempts.ts
+++ b/packages/orders/src/createAttempts.ts
@@ -112,7 +112,7 @@
         requestDigest,
         nonce,
         givenUpNonces: earlier?.givenUpNonces ?? [],
-        wasReleased: false,
+        releasedNonces: earlier?.releasedNonces ?? [],
         state: { kind: 'unclaimed' },
         result: Promise.resolve(toResult({ kind: 'mayHaveRun' })),
       };
--- a/packages/orders/src/createClaimedRuns.ts
+++ b/packages/orders/src/createClaimedRuns.ts
@@ -95,13 +95,14 @@
     note('surveyed', entry);
     const view = options.listPeers?.() ?? { peers: [], isComplete: false };
     const { hasForgotten } = attempts;
+    const released = entry.releasedNonces.length;
     const result = await surveyPeers({ order, view, askOwner, hasForgotten, clock });
-    const latest = attempts.tryGet(entry.name);
     // Meanwhile a later attempt here, or a peer that was told of the giving up, may have run the order.
-    if (latest !== undefined && latest !== entry) {
-      return latest.result;
+    const joined = attempts.tryJoin(entry.name, entry.requestDigest);
+    if (joined !== undefined) {
+      return joined;
     }
-    return entry.wasReleased ? toResult({ kind: 'mayHaveRun' }) : result;
+    return entry.releasedNonces.length > released ? toResult({ kind: 'mayHaveRun' }) : result;
   }
 
   async function run(entry: OrderEntry, order: OrderRequest): Promise<OrderResult> {
--- a/packages/orders/src/createKeyedOrders.ts
+++ b/packages/orders/src/createKeyedOrders.ts
@@ -41,7 +41,7 @@
     if (askedNonce === undefined) {
       holds.hold(entry.name);
     } else {
-      entry.wasReleased = true;
+      entry.releasedNonces.push(askedNonce);
     }
     return { kind: 'givenUp', nonces: [...entry.givenUpNonces] };
   }
--- a/packages/orders/src/types.ts
+++ b/packages/orders/src/types.ts
@@ -190,8 +190,8 @@
   nonce: string;
   /** Nonces of attempts under which nothing will be dispatched. */
   readonly givenUpNonces: string[];
-  /** Whether a peer was told that it may run the order instead. */
-  wasReleased: boolean;
+  /** Given-up nonces of which a peer was told that it may take their claim over. */
+  readonly releasedNonces: string[];
   state: OrderState;
   /** Result of the attempt at hand. */
   result: Promise<OrderResult>;
