--- a/packages/orders/src/createClaimFollower.ts
+++ b/packages/orders/src/createClaimFollower.ts
@@ -50,10 +50,7 @@
     let decision = decide(entry, claim);
     if (decision.kind === 'askOwner') {
       options.onDecision?.({ kind: 'askedOwner', order: entry.name });
-      decision = decideOnOwnerAnswer(
-        claim,
-        await askOwner(decision.owner, { ...order, askedNonce: decision.nonce }),
-      );
+      decision = decideOnOwnerAnswer(claim, await askOwner(decision.owner, order));
     }
     switch (decision.kind) {
       case 'finish':
--- a/packages/orders/src/createKeyedOrders.ts
+++ b/packages/orders/src/createKeyedOrders.ts
@@ -8,7 +8,7 @@
 import toResult from './toResult';
 import type { OrderDeskOptions, OrderEntry, OrderRequest, OrderResult, OwnerAnswer } from './types';
 
-const DEFAULT_PEER_WAIT: Milliseconds = 10_000;
+const DEFAULT_PEER_WAIT: Milliseconds = 8_000;
 const RETRY_AFTER: Milliseconds = 2_000;
 const KEY_REUSED = fail({ kind: 'keyReusedForAnotherRequest', execution: 'not-run' } as const);
 const STILL_RUNNING = fail({
@@ -25,7 +25,11 @@
 interface KeyedOrders {
   submit(order: OrderRequest, key: string): Promise<OrderResult>;
   /** Answers a peer that met a claim of this incarnation, or that asks everybody. */
-  answerPeer(order: OrderRequest, key: string): Promise<OwnerAnswer>;
+  answerPeer(
+    order: OrderRequest,
+    key: string,
+    askedNonce: string | undefined,
+  ): Promise<OwnerAnswer>;
   flush(deadline: Milliseconds): Promise<void>;
 }
 
@@ -67,7 +71,7 @@
         run: (entry) => run(entry, order),
       });
     },
-    async answerPeer(order, key) {
+    async answerPeer(order, key, askedNonce) {
       const name = hashText(order.customer, key);
       const entry = attempts.tryGet(name);
       if (entry === undefined) {
@@ -77,7 +81,6 @@
       if (entry.requestDigest !== getRequestDigest(order)) {
         return { kind: 'result', result: KEY_REUSED };
       }
-      const { askedNonce } = order;
       if (askedNonce !== undefined && entry.givenUpNonces.includes(askedNonce)) {
         return deny(entry, askedNonce);
       }
--- a/packages/orders/src/createOrderDesk.ts
+++ b/packages/orders/src/createOrderDesk.ts
@@ -26,7 +26,7 @@
           return Debug.assertNever(key);
       }
     },
-    async answerPeer(order) {
+    async answerPeer(order, nonce) {
       const { key } = order;
       switch (key.kind) {
         case 'none':
@@ -34,7 +34,7 @@
         case 'ticket':
           return tickets.answerPeer(order, key.ticket);
         case 'callerKey':
-          return keyed.answerPeer(order, key.key);
+          return keyed.answerPeer(order, key.key, nonce);
         default:
           return Debug.assertNever(key);
       }
--- a/packages/orders/src/decideOnClaim.ts
+++ b/packages/orders/src/decideOnClaim.ts
@@ -33,7 +33,7 @@
       return Debug.assertNever(outcome);
   }
   if (claimant !== found.entryHost || incarnation !== found.incarnation) {
-    return { kind: 'askOwner', owner: { entryHost: claimant, incarnation }, nonce };
+    return { kind: 'askOwner', owner: { entryHost: claimant, incarnation, nonce } };
   }
   return found.givenUpNonces.includes(nonce)
     ? { kind: 'takeOver', version: claim.version }
--- a/packages/orders/src/testing/createOrderFleet.ts
+++ b/packages/orders/src/testing/createOrderFleet.ts
@@ -72,7 +72,7 @@
     }
     const isLost = random.next() < faults.lostQuestionShare;
     const arrived = process.clock.enter(Promise.resolve());
-    const answer = arrived.then(() => process.desk.answerPeer(order));
+    const answer = arrived.then(() => process.desk.answerPeer(order, owner.nonce));
     const timedOut = sleep(times.question).then((): OwnerAnswer => ({ kind: 'unreachable' }));
     const first = await Promise.race(isLost ? [timedOut] : [answer, timedOut]);
     await sleep(times.network);
--- a/packages/orders/src/types.ts
+++ b/packages/orders/src/types.ts
@@ -72,8 +72,6 @@
   readonly path: string;
   readonly body: string;
   readonly key: OrderKey;
-  /** Set in a question between entry hosts: the nonce of the claim that is asked about. */
-  readonly askedNonce?: string;
 }
 
 export type OrderKey =
@@ -91,11 +89,13 @@
 export interface OrderOwner {
   readonly entryHost: EntryHostId;
   readonly incarnation: Incarnation;
+  /** Nonce of the claim that is asked about; to be handed on to the owner's `answerPeer`. */
+  readonly nonce?: string;
 }
 
 /**
- * Asks another entry host about an order that it claimed or issued the ticket of. The order is handed on whole to
- * `answerPeer` there. Bounded in time.
+ * Asks another entry host about an order that it claimed or issued the ticket of. The order and
+ * the nonce are handed on to `answerPeer` there. Bounded in time.
  */
 export type AskOwner = (owner: OrderOwner, order: OrderRequest) => Promise<OwnerAnswer>;
 
@@ -201,7 +201,7 @@
 export type ClaimDecision =
   | { readonly kind: 'finish'; readonly result: OrderResult; readonly outcome?: OrderOutcome }
   | { readonly kind: 'takeOver'; readonly version: number }
-  | { readonly kind: 'askOwner'; readonly owner: OrderOwner; readonly nonce: string }
+  | { readonly kind: 'askOwner'; readonly owner: OrderOwner }
   /** The claim's record may have changed since it was read. */
   | { readonly kind: 'readAgain'; readonly otherwise: OrderResult };
 
@@ -212,7 +212,7 @@
   /** Runs an order, or finds how it ended. */
   submit(order: OrderRequest): Promise<OrderResult>;
   /** Answers another entry host that asks about an order owned here. */
-  answerPeer(order: OrderRequest): Promise<OwnerAnswer>;
+  answerPeer(order: OrderRequest, nonce?: string): Promise<OwnerAnswer>;
 }
 
 /** An order desk that records outcomes in the background. */
