--- a/packages/orders/src/types.ts
+++ b/packages/orders/src/types.ts
@@ -89,16 +89,22 @@
 export interface OrderOwner {
   readonly entryHost: EntryHostId;
   readonly incarnation: Incarnation;
-  /** Nonce of the claim that is asked about; to be passed on to the owner's `answerPeer`. */
+  /** Nonce of the claim that is asked about; to be handed on to the owner's `answerPeer`. */
   readonly nonce?: string;
 }
 
-/** Asks another entry host about an order that it claimed or issued the ticket of. Bounded in time. */
+/**
+ * Asks another entry host about an order that it claimed or issued the ticket of. The order and
+ * the nonce are handed on to `answerPeer` there. Bounded in time.
+ */
 export type AskOwner = (owner: OrderOwner, order: OrderRequest) => Promise<OwnerAnswer>;
 
 export type OwnerAnswer =
   | { readonly kind: 'result'; readonly result: OrderResult }
-  /** The owner did not dispatch under these nonces and never will; a claim with one may be taken over. */
+  /**
+   * The owner did not dispatch under these nonces and never will; a claim with one may be taken over. Asked without
+   * a nonce, the owner also holds the order back for `DENIAL_HOLD` from now on.
+   */
   | { readonly kind: 'givenUp'; readonly nonces: readonly string[] }
   /** The owner does not know the order. `hasForgotten`: it may have known it once. */
   | { readonly kind: 'unknown'; readonly hasForgotten: boolean }
@@ -184,8 +190,8 @@
   nonce: string;
   /** Nonces of attempts under which nothing will be dispatched. */
   readonly givenUpNonces: string[];
-  /** Whether a peer was told that it may run the order instead. */
-  wasReleased: boolean;
+  /** Given-up nonces of which a peer was told that it may take their claim over. */
+  readonly releasedNonces: string[];
   state: OrderState;
   /** Result of the attempt at hand. */
   result: Promise<OrderResult>;
