--- a/packages/entry-host/src/createHostTasks.ts
+++ b/packages/entry-host/src/createHostTasks.ts
@@ -1,15 +1,16 @@
-import { createOrderDesk } from '@rattanreel/orders';
 import type { Timer } from '@rattanreel/core';
+import type { CancelAtBackendServer } from '@rattanreel/scheduling';
 import createConfigurationTask from './configuration/createConfigurationTask';
+import createMovesTask from './moves/createMovesTask';
 import createMembershipTask from './membership/createMembershipTask';
+import describePeers from './membership/describePeers';
 import listNeighbours from './membership/listNeighbours';
-import createOrderDispatcher from './orders/createOrderDispatcher';
-import createOwnerQuestions from './orders/createOwnerQuestions';
+import createOrderTasks from './orders/createOrderTasks';
 import createGrantClient from './scheduling/createGrantClient';
 import createPeerRouter from './scheduling/createPeerRouter';
 import createSchedulerDirectory from './scheduling/createSchedulerDirectory';
 import type { CallerServices } from './callers/types';
-import type { HostContext, HostTasks, HostTransport, PeerAnswer } from './types';
+import type { HostContext, HostTasks, HostTransport, PeerAnswer, PeerMessage } from './types';
 
 const UPDATE_INTERVAL_MS = 500;
 const REPORT_INTERVAL_MS = 2_000;
@@ -32,22 +33,41 @@
     onMembersChanged: (message) => schedulers.membersChanged(message),
     onIncarnationChanged: () => schedulers.update(),
     onReplaced: () => logger.error({ entryHost }, 'another process runs under this name'),
-    onLaterGeneration: (address) => configuration.askPeer(address),
+    onLaterGeneration: (effect) => configuration.handle(effect),
   });
 
   const configuration = createConfigurationTask({
+    entryHost,
+    address: transport.address,
     store,
-    transport,
+    clock,
+    random,
+    logger,
     seedPeers: settings.seedPeers,
-    onChanged({ generation, settings: { entryHosts } }) {
+    send: transport.send,
+    onChanged(generation, { entryHosts, drained }) {
+      const leaving = context.admission.isStopping() || drained.entryHosts.includes(entryHost);
       membership.handle({ kind: 'configurationChanged', generation, entryHosts });
+      membership.handle({ kind: 'leavingChanged', leaving });
       schedulers.update();
     },
   });
   const { tryGetSettings } = configuration;
 
-  function tryGetPeerAddress(name: string): string | undefined {
-    return tryGetSettings()?.tryFindEntryHost(name)?.peerAddress;
+  const tryGetPeerAddress = (name: string) => tryGetSettings()?.tryFindEntryHost(name)?.peerAddress;
+
+  function sendToPeer(name: string, message: PeerMessage): void {
+    const address = tryGetPeerAddress(name);
+    if (address !== undefined) {
+      transport.send(address, message);
+    }
+  }
+
+  function cancelAtBackendServer({ backendServer, request }: CancelAtBackendServer): void {
+    const server = tryGetSettings()?.tryFindBackendServer(backendServer);
+    if (server !== undefined) {
+      void engines.cancelStream(server.address, request);
+    }
   }
 
   const schedulers = createSchedulerDirectory({
@@ -58,16 +78,11 @@
     engines,
     decisions,
     tryGetSettings,
-    tryGetShares: () => undefined,
+    tryGetShares: (pool) => moves.tryGetShares(pool),
     getNeighbours: (pool) => listNeighbours(membership.view(), pool, failureDomain),
     sendToHost: (pool, message) => router.sendToHost(pool, message),
-    cancelAtBackendServer({ backendServer, request }) {
-      const server = tryGetSettings()?.tryFindBackendServer(backendServer);
-      if (server !== undefined) {
-        void engines.cancelStream(server.address, request);
-      }
-    },
-    takeEvidence: () => undefined,
+    cancelAtBackendServer,
+    takeEvidence: (pool, evidence) => moves.takeEvidence(pool, evidence),
     onSchedulerChanged(pool, domain) {
       router.sendToScheduler(pool, domain, grants.report(pool, domain));
       grants.askAgain(pool, domain);
@@ -78,14 +93,27 @@
     failureDomain,
     membership,
     tryGetTask: schedulers.tryGetTask,
-    sendToPeer(name, message) {
-      const address = tryGetPeerAddress(name);
-      if (address !== undefined) {
-        transport.send(address, message);
-      }
-    },
+    sendToPeer,
     receiveFromScheduler: (pool, domain, message) => grants.receive(pool, domain, message),
     receiveMembership: (message) => membership.handle({ kind: 'peerMessageReceived', message }),
+    receiveConfiguration: (message) =>
+      configuration.handle({ kind: 'peerMessageReceived', message }),
+    receiveMove: (pool, message) => moves.receive(pool, message),
+  });
+
+  const moves = createMovesTask({
+    entryHost,
+    failureDomain,
+    clock,
+    random,
+    store,
+    decisions,
+    membership,
+    tryGetTask: schedulers.tryGetTask,
+    getFailureDomains: (pool) => tryGetSettings()?.failureDomainsOf(pool) ?? [],
+    getPools: () => tryGetSettings()?.settings.pools.map(({ id }) => id) ?? [],
+    sendToPeer: (name, pool, message) => sendToPeer(name, { kind: 'move', pool, message }),
+    onSharesChanged: schedulers.update,
   });
 
   const grants = createGrantClient({
@@ -95,21 +123,10 @@
     send: router.sendToScheduler,
   });
 
-  const orderDispatcher = createOrderDispatcher(() => services);
-  const ownerQuestions = createOwnerQuestions({
-    incarnation,
+  const { orders, orderDispatcher, answerOwner } = createOrderTasks(context, {
     transport,
-    tryGetAddress: tryGetPeerAddress,
-    getOrderDesk: () => orders,
-  });
-  const orders = createOrderDesk({
-    entryHost,
-    incarnation,
-    store,
-    clock,
-    random,
-    dispatch: orderDispatcher.dispatch,
-    askOwner: ownerQuestions.askOwner,
+    tryGetPeerAddress,
+    getServices: () => services,
   });
 
   const services: CallerServices = {
@@ -122,8 +139,10 @@
   };
 
   function update(): void {
+    configuration.handle(describePeers(entryHost, membership.view()));
     schedulers.update();
     membership.handle({ kind: 'roomsChanged', rooms: schedulers.rooms() });
+    moves.update();
     updateTimer = clock.after(UPDATE_INTERVAL_MS, update);
   }
 
@@ -138,30 +157,26 @@
   return {
     membership,
     configuration,
+    moves,
     orders,
     services,
     receive: router.receive,
-    async answer(question): Promise<PeerAnswer> {
-      switch (question.kind) {
-        case 'order':
-          return { kind: 'order', answer: await ownerQuestions.answer(question) };
-        case 'configuration':
-          return { kind: 'configuration', configuration: configuration.tryGetAccepted() };
-        default:
-          return question satisfies never;
-      }
-    },
+    answer: async (question): Promise<PeerAnswer> => ({
+      kind: 'order',
+      answer: await answerOwner(question),
+    }),
     start() {
       membership.start();
       configuration.start();
       update();
       report();
     },
-    close() {
+    async close() {
       updateTimer?.cancel();
       reportTimer?.cancel();
       configuration.close();
       schedulers.close();
+      await moves.close();
     },
   };
 }
--- a/packages/entry-host/src/scheduling/types.ts
+++ b/packages/entry-host/src/scheduling/types.ts
@@ -12,6 +12,7 @@
   TierRank,
   Timer,
 } from '@rattanreel/core';
+import type { ConfigurationPeerMessage } from '@rattanreel/configuration';
 import type { EngineClient, RequestLifecycle } from '@rattanreel/dispatch';
 import type { MembershipPeerMessage, PoolRoom } from '@rattanreel/membership';
 import type { DecisionLog } from '@rattanreel/observability';
@@ -33,6 +34,7 @@
   VersionEvidence,
   VersionShare,
 } from '@rattanreel/scheduling';
+import type { MovePeerMessage } from '../moves/types';
 import type {
   FromScheduler,
   MembershipTask,
@@ -214,6 +216,8 @@
     message: FromScheduler,
   ) => void;
   readonly receiveMembership: (message: MembershipPeerMessage) => void;
+  readonly receiveConfiguration: (message: ConfigurationPeerMessage) => void;
+  readonly receiveMove: (pool: PoolId, message: MovePeerMessage) => void;
 }
 
 /** Carries the messages between grant clients and pool schedulers. */
