--- a/packages/moves/src/canStepLocally.ts
+++ b/packages/moves/src/canStepLocally.ts
@@ -7,25 +7,18 @@
   readonly own: DomainReport;
   /** Fresh reports of every other failure domain. */
   readonly heard: readonly DomainReport[];
-  readonly now: number;
   readonly policy: MovePolicy;
 }
 
 /**
- * Whether a failure domain may take its next step without the controller: the step is pre-authorised and overdue,
- * every other failure domain is heard at this step or beyond, none leans against the version, and there is enough
+ * Whether a failure domain may take its next step, pre-authorised and overdue, without the controller: every other failure domain is heard at this step or beyond, none leans against the version, and there is enough
  * evidence.
  */
 export default function canStepLocally(options: LocalStepOptions): boolean {
-  const { record, own, heard, now, policy } = options;
+  const { record, own, heard, policy } = options;
   const { step } = own;
   const next = record.steps[step + 1];
-  const isDue =
-    next !== undefined &&
-    step + 1 <= record.preAuthorisedThrough &&
-    now >= next.notBefore + policy.localStepGrace &&
-    now >= own.stepSince + policy.minimumStepTime;
-  if (!isDue || record.verdict !== 'underWay') {
+  if (next === undefined || record.verdict !== 'underWay') {
     return false;
   }
   const all = [...heard, own];
--- a/packages/moves/src/createFollowedMove.ts
+++ b/packages/moves/src/createFollowedMove.ts
@@ -5,6 +5,7 @@
 import decideRestriction from './decideRestriction';
 import describeVeto from './describeVeto';
 import identifyMove from './identifyMove';
+import isLocalStepDue from './isLocalStepDue';
 import logRecordChange from './logRecordChange';
 import makeOperatorVeto from './makeOperatorVeto';
 import sharesInForce from './sharesInForce';
@@ -165,11 +166,15 @@
       return applyVeto(makeOperatorVeto(request, failureDomain), now);
     },
     stepLocally(heard, now) {
-      const own = makeReport();
-      if (now < settledAt || !canStepLocally({ record, own, heard, now, policy })) {
+      const step = getStep();
+      const isDue = isLocalStepDue({ record, step, stepSince, now, policy });
+      if (!isDue || now < settledAt) {
         return [];
       }
-      localStep = own.step + 1;
+      if (!canStepLocally({ record, own: makeReport(), heard, policy })) {
+        return [];
+      }
+      localStep = step + 1;
       beginStep(now);
       const effects = refreshShares(now);
       const reason = 'pre-authorised, and the controller has not spoken in time';
--- a/packages/moves/src/createVersionJudge.ts
+++ b/packages/moves/src/createVersionJudge.ts
@@ -90,7 +90,9 @@
   }
 
   function toEvidence(judge: UnitJudge): UnitEvidence {
-    return { ...judge.unit, ...judge.wealth() };
+    const { route, tier } = judge.unit;
+    const { failureRate, failureRatio, firstToken, betweenTokens } = judge.wealth();
+    return { route, tier, failureRate, failureRatio, firstToken, betweenTokens };
   }
 
   function observe(evidence: VersionEvidence, now: Milliseconds): JudgedBadness | undefined {
