--- a/benchmarks/src/moves/drawScenario.ts
+++ b/benchmarks/src/moves/drawScenario.ts
@@ -7,6 +7,8 @@
 const OUTAGES_MILLISECONDS: readonly Milliseconds[] = [0, 30_000, 300_000];
 const CONTROLLER_DEATHS: readonly number[] = [0, 1, 3];
 const BAKE_TIME_MILLISECONDS: Milliseconds = 120_000;
+/** Part of the time until the deadline at which plans take their last step. */
+const LAST_STEP_PART = 0.75;
 const PAUSE_MILLISECONDS: Milliseconds = 40_000;
 const PARTITION_MILLISECONDS: Milliseconds = 30_000;
 const FEWEST_DOMAINS = 3;
@@ -26,6 +28,18 @@
   return Math.floor(random.next() * span);
 }
 
+/** Every other outage lies over the last steps of the plan, where it hurts most. */
+function drawOutageStart(
+  random: Random,
+  span: Milliseconds,
+  duration: Milliseconds,
+  index: number,
+): Milliseconds {
+  const overLastSteps = span * LAST_STEP_PART - random.next() * duration;
+  const anywhere = drawInstant(random, span);
+  return Math.floor(index % 2 === 0 ? overLastSteps : anywhere);
+}
+
 function cycle<Element>(elements: readonly Element[], position: number): Element {
   return elements[position % elements.length]!;
 }
@@ -38,7 +52,7 @@
   const outage = cycle(OUTAGES_MILLISECONDS, index);
   const deaths = cycle(CONTROLLER_DEATHS, Math.floor(index / OUTAGES_MILLISECONDS.length));
   const outages: Interval[] =
-    outage === 0 ? [] : [{ at: drawInstant(random, span), duration: outage }];
+    outage === 0 ? [] : [{ at: drawOutageStart(random, span, outage, index), duration: outage }];
   const controllerDeaths = Array.from({ length: deaths }, () => drawInstant(random, span));
   const pause = { at: drawInstant(random, span), duration: PAUSE_MILLISECONDS };
   const partition: DomainInterval = {
--- a/benchmarks/src/moves/simulateMove.test.ts
+++ b/benchmarks/src/moves/simulateMove.test.ts
@@ -55,6 +55,11 @@
       scenario: { outages: [{ at: 60_000, duration: 150_000 }] },
       verdict: 'done',
     },
+    {
+      name: 'store is down over the last steps and the deadline',
+      scenario: { outages: [{ at: 200_000, duration: 150_000 }] },
+      verdict: 'done',
+    },
     {
       name: 'bad version while the store is down',
       scenario: {
--- a/packages/moves/src/cannotMeetDeadline.ts
+++ b/packages/moves/src/cannotMeetDeadline.ts
@@ -11,7 +11,8 @@
     return record.fullShareAt > record.deadline;
   }
   if (heard === undefined) {
-    return now > record.deadline + policy.reportLifetime;
+    // A controller that has just started is given the time to hear that the deadline was met.
+    return now > Math.max(record.deadline, situation.stepSince) + policy.reportLifetime;
   }
   const last = record.steps.length - 1;
   const remaining = last - getReachedStep(record.step, heard);
--- a/packages/moves/src/createMoveController.test.ts
+++ b/packages/moves/src/createMoveController.test.ts
@@ -250,6 +250,29 @@
     });
   }
 
+  it('hears the failure domains before it says late when it starts after the deadline', () => {
+    const controller = createController();
+    const start = 12 * MINUTE;
+    controller.handle(lease(3), start);
+    controller.handle(seen(makeRecord({ step: 5 }), 5), start);
+    expect(tryGetWrite(controller, tick, start + 1_000)).toEqual(undefined);
+    ['rennes', 'brest'].forEach((domain) => {
+      const report = makeReport(domain, { ...full, stepSince: 9 * MINUTE });
+      controller.handle({ kind: 'reportHeard', report }, start + 1_500);
+    });
+    const write = tryGetWrite(controller, tick, start + 2_000);
+    expect(write?.record.late).toEqual(false);
+    expect(write?.record.step).toEqual(LAST);
+  });
+
+  it('says late in the end when a reachable failure domain does not report', () => {
+    const controller = createController();
+    controller.handle(lease(3), 0);
+    controller.handle(seen(makeRecord({ step: 5 }), 5), 0);
+    expect(tryGetWrite(controller, tick, 10 * MINUTE + 5_000)).toEqual(undefined);
+    expect(tryGetWrite(controller, tick, 10 * MINUTE + 5_001)?.record.late).toEqual(true);
+  });
+
   it('writes nothing without the lease', () => {
     const controller = createController();
     controller.handle(seen(RECORD, 1), 0);
