Report the evidence of a move less often while it leans no way

With 12 failure domains, a report with all units each second to each other domain would be a large part of what control may send; the last value of a unit stays valid evidence however old it is.

--- a/packages/moves/src/createMoveGuard.ts
+++ b/packages/moves/src/createMoveGuard.ts
@@ -3,6 +3,7 @@
 import createFollowedMove from './createFollowedMove';
 import createRecordWriter from './createRecordWriter';
 import createReportBook from './createReportBook';
+import createReporter from './createReporter';
 import getMovePolicy from './getMovePolicy';
 import identifyMove from './identifyMove';
 import isSameMove from './isSameMove';
@@ -30,9 +31,9 @@
   );
   const writer = createRecordWriter();
   const reports = createReportBook(policy.reportLifetime);
+  const reporter = createReporter(policy);
   let earlyVetoes: readonly MoveVeto[] = [];
   let followed: FollowedMove | undefined;
-  let reportedAt = Number.NEGATIVE_INFINITY;
   let settledAt: number | undefined;
 
   function decide(record: MoveRecord): MoveChange | undefined {
@@ -71,13 +72,12 @@
   }
 
   function announce(move: FollowedMove, now: number): readonly MoveGuardEffect[] {
-    if (now - reportedAt < policy.reportInterval || move.record().verdict !== 'underWay') {
+    if (!reporter.isDue(now) || move.record().verdict !== 'underWay') {
       return [];
     }
-    reportedAt = now;
     const veto = move.veto();
     return [
-      { kind: 'announceReport', report: move.makeReport() },
+      { kind: 'announceReport', report: reporter.send(move.makeReport(), now) },
       ...(veto === undefined ? [] : [{ kind: 'announceVeto' as const, veto }]),
     ];
   }
--- a/packages/moves/src/createReportBook.ts
+++ b/packages/moves/src/createReportBook.ts
@@ -9,6 +9,7 @@
 
 /** The last report of each failure domain. */
 interface ReportBook {
+  /** Keeps the evidence of the report before where this one leaves it out. */
   add(report: DomainReport, now: number): void;
   clear(): void;
   /** The last report of each failure domain about the move, however old. */
@@ -27,7 +28,12 @@
 
   return {
     add(report, now) {
-      reports.set(report.failureDomain, { report, heardAt: now });
+      const before = reports.get(report.failureDomain)?.report;
+      const units =
+        report.units.length === 0 && before !== undefined && isSameMove(before.move, report.move)
+          ? before.units
+          : report.units;
+      reports.set(report.failureDomain, { report: { ...report, units }, heardAt: now });
     },
     clear() {
       reports.clear();
--- a/packages/moves/src/getMovePolicy.ts
+++ b/packages/moves/src/getMovePolicy.ts
@@ -5,6 +5,7 @@
   localStepGrace: 15_000,
   reportLifetime: 5_000,
   reportInterval: 1_000,
+  evidenceInterval: 10_000,
   settleTime: 3_000,
   evidence: { minimumRequests: 20, minimumCellRequests: 3 },
   judge: {},
--- a/packages/moves/src/types.ts
+++ b/packages/moves/src/types.ts
@@ -155,6 +155,7 @@
   /** Share of the traffic there that the new version's backend servers can bear now. */
   readonly bearableShare: number;
   readonly cells: readonly CellEvidence[];
+  /** Empty where the evidence was reported a short time ago and leans no way. */
   readonly units: readonly UnitEvidence[];
 }
 
@@ -483,6 +484,8 @@
   /** Age beyond which another failure domain's report no longer counts. */
   readonly reportLifetime: Milliseconds;
   readonly reportInterval: Milliseconds;
+  /** Interval of the evidence in the reports while it leans no way. */
+  readonly evidenceInterval: Milliseconds;
   /** After a start, how long a failure domain gives the new version nothing, to hear of earlier vetoes. */
   readonly settleTime: Milliseconds;
   readonly evidence: EvidencePolicy;
