Estimate waits against the demand of higher tiers and keep a margin for the first token

Cause: in overload requests were held until their deadline behind tiers that went on arriving, and dispatched with no margin, so that some prefill was wasted. Change: the expected wait takes the capacity left by higher tiers of late; a request is refused when it would take more than 0.8 of the time left; an expected first token is taken with a margin of 1.3.

--- a/packages/scheduling/src/createPoolScheduler.ts
+++ b/packages/scheduling/src/createPoolScheduler.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@rattanreel/core';
 import { createRandom } from '@rattanreel/core';
 import { match } from 'ts-pattern';
+import createDemand from './decisions/createDemand';
 import createHandover from './decisions/createHandover';
 import createRefusalBarrier from './decisions/createRefusalBarrier';
 import createSpillBudget from './decisions/createSpillBudget';
@@ -42,6 +43,7 @@
     barrier: createRefusalBarrier(),
     handover: createHandover(options, policy),
     work: createWorkEstimates(),
+    demand: createDemand(),
     finished: new Set(),
     dead: new Set(),
     orphans: new Map(),
--- a/packages/scheduling/src/decisions/chooseBackendServer.ts
+++ b/packages/scheduling/src/decisions/chooseBackendServer.ts
@@ -10,6 +10,7 @@
 
 const ALTERNATIVES_TOLD = 8;
 const FAILURE_PENALTY = 4;
+const FIRST_TOKEN_MARGIN = 1.3;
 const NO_CREDIT_PENALTY = 2;
 
 interface Candidate {
@@ -26,7 +27,7 @@
 ): boolean {
   return (
     isTrusted(server, now) &&
-    (now + expectation.firstTokenAfter > request.firstTokenDueAt ||
+    (now + expectation.firstTokenAfter * FIRST_TOKEN_MARGIN > request.firstTokenDueAt ||
       now + expectation.finishAfter > request.dueAt)
   );
 }
--- a/packages/scheduling/src/decisions/refuse.ts
+++ b/packages/scheduling/src/decisions/refuse.ts
@@ -40,7 +40,8 @@
   now: Milliseconds,
 ): void {
   assertLowest(state, request, reason);
-  const wait = estimateWait(state, request.band, request.cost, now);
+  const { band, cost, asked } = request;
+  const wait = estimateWait(state, { band, cost, tier: asked.tier }, now);
   if (!FACTS.has(reason)) {
     state.barrier.refused(request.asked.tier, Math.min(request.latestStart, now + wait));
   }
--- a/packages/scheduling/src/decisions/types.ts
+++ b/packages/scheduling/src/decisions/types.ts
@@ -74,6 +74,15 @@
   learnHolding(slot: InFlight, outputTokens: number, held: Milliseconds): void;
 }
 
+/** Tokens asked for of late, by tier. */
+export interface Demand {
+  /** Tokens a millisecond. */
+  rateOf(tier: TierRank, now: Milliseconds): number;
+  /** Tokens a millisecond of all tiers above `tier`. */
+  rateAbove(tier: TierRank, now: Milliseconds): number;
+  arrived(tier: TierRank, tokens: number, now: Milliseconds): void;
+}
+
 /** The fastest times of an idle backend server of the pool. */
 export interface PoolSpeed {
   /** The fastest usable backend servers, the fastest first. */
@@ -100,6 +109,7 @@
   readonly barrier: RefusalBarrier;
   readonly handover: Handover;
   readonly work: WorkEstimates;
+  readonly demand: Demand;
   /** Requests that ended lately, so that a late repetition is not served again. */
   readonly finished: Set<RequestId>;
   /** Incarnations declared dead. */
--- a/packages/scheduling/src/handlers/requestGrant.ts
+++ b/packages/scheduling/src/handlers/requestGrant.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '@rattanreel/core';
 import estimateBest from '../decisions/estimateBest';
-import estimateWait from '../decisions/estimateWait';
+import expectedWait from '../decisions/expectedWait';
 import getBand from '../decisions/getBand';
 import getPoolSpeed from '../decisions/getPoolSpeed';
 import getLowestTier from '../decisions/getLowestTier';
@@ -17,6 +17,8 @@
 import type { GrantRequested, RefusalReason } from '../types';
 
 const NOT_HELD = -1;
+/** Share of the time left that the expected wait may take; the rest covers its error. */
+const SLACK_SHARE_TO_WAIT = 0.8;
 
 function toQueued(state: SchedulerState, asked: GrantRequested, now: Milliseconds): QueuedRequest {
   const output = state.work.expectedOutputTokens(asked.route, asked.maximumOutputTokens);
@@ -83,7 +85,7 @@
 
 /** Passes a request on that would wait here, when a neighbour has room. */
 function trySpillEarly(state: SchedulerState, request: QueuedRequest, now: Milliseconds): boolean {
-  const wait = estimateWait(state, request.band, 0, now);
+  const wait = expectedWait(state, request, now);
   if (wait <= state.policy.spillWait || !trySpill(state, request, now)) {
     return false;
   }
@@ -93,7 +95,8 @@
 
 /** Refuses a request that the work ahead of it would make late, unless a lower tier is still queued. */
 function refuseIfHopeless(state: SchedulerState, request: QueuedRequest, now: Milliseconds): void {
-  if (now + estimateWait(state, request.band, 0, now) <= request.latestStart) {
+  const slack = request.latestStart - now;
+  if (expectedWait(state, request, now) <= slack * SLACK_SHARE_TO_WAIT) {
     return;
   }
   if (getLowestTier(state) === request.asked.tier) {
@@ -105,6 +108,7 @@
 function enqueue(state: SchedulerState, asked: GrantRequested, now: Milliseconds): void {
   const request = toQueued(state, asked, now);
   state.shares.offered(request.cost);
+  state.demand.arrived(asked.tier, request.cost, now);
   const reason = tryGetImmediateRefusal(state, request, now);
   if (reason !== undefined) {
     spillOrRefuse(state, request, reason, now);
