Let requests in danger displace lower tiers of neighbours

Cause: at twice the capacity the top tier missed its target where callers outnumber engines, while neighbours without spare room served lower tiers.

--- a/packages/scheduling/src/createPoolScheduler.ts
+++ b/packages/scheduling/src/createPoolScheduler.ts
@@ -2,6 +2,7 @@
 import { createRandom } from '@rattanreel/core';
 import { match } from 'ts-pattern';
 import createDemand from './decisions/createDemand';
+import createDisplacement from './decisions/createDisplacement';
 import createHandover from './decisions/createHandover';
 import createRefusalBarrier from './decisions/createRefusalBarrier';
 import createSpillBudget from './decisions/createSpillBudget';
@@ -40,6 +41,7 @@
     servers: new Map(),
     shares: createVersionShares(),
     spill: createSpillBudget(),
+    displacement: createDisplacement(),
     barrier: createRefusalBarrier(),
     handover: createHandover(options, policy),
     work: createWorkEstimates(),
--- a/packages/scheduling/src/decisions/trySpill.ts
+++ b/packages/scheduling/src/decisions/trySpill.ts
@@ -1,8 +1,35 @@
-import type { Milliseconds } from '@rattanreel/core';
+import type { FailureDomainId, Milliseconds } from '@rattanreel/core';
 import type { QueuedRequest } from '../queue/types';
+import expectedWait from './expectedWait';
 import type { SchedulerState } from './types';
 
-/** Passes a request on to a neighbour with room; a request that was passed on before stays. */
+/** Share of the time left that the expected wait takes when a request is in danger. */
+const DANGER_SHARE = 0.25;
+
+/** Takes room that a neighbour has announced. */
+function tryTakeRoom(
+  state: SchedulerState,
+  { asked, cost }: QueuedRequest,
+  now: Milliseconds,
+): FailureDomainId | undefined {
+  return state.spill.tryTake(asked.tier, cost, now);
+}
+
+/** Finds a neighbour where a request in danger comes before lower tiers. */
+function tryDisplace(
+  state: SchedulerState,
+  request: QueuedRequest,
+  now: Milliseconds,
+): FailureDomainId | undefined {
+  const { asked, cost, latestStart } = request;
+  const hasLowerTier = asked.tier < state.tiers - 1;
+  if (!hasLowerTier || expectedWait(state, request, now) <= (latestStart - now) * DANGER_SHARE) {
+    return undefined;
+  }
+  return state.displacement.tryTake(state.demand.rateOf(asked.tier, now), cost, now);
+}
+
+/** Passes a request on to a neighbour that can serve it; a request that was passed on before stays. */
 export default function trySpill(
   state: SchedulerState,
   request: QueuedRequest,
@@ -11,7 +38,7 @@
   if (request.asked.homeDomain !== state.options.failureDomain) {
     return false;
   }
-  const failureDomain = state.spill.tryTake(request.asked.tier, request.cost, now);
+  const failureDomain = tryTakeRoom(state, request, now) ?? tryDisplace(state, request, now);
   if (failureDomain === undefined) {
     return false;
   }
--- a/packages/scheduling/src/decisions/types.ts
+++ b/packages/scheduling/src/decisions/types.ts
@@ -43,6 +43,13 @@
   configure(neighbours: readonly NeighbourPool[], now: Milliseconds): void;
 }
 
+/** Lets requests in danger go where they come before lower tiers. */
+export interface Displacement {
+  /** Takes `tokens` of a neighbour's allowance, which fills by a share of `rate` tokens a millisecond. */
+  tryTake(rate: number, tokens: number, now: Milliseconds): FailureDomainId | undefined;
+  configure(neighbours: readonly NeighbourPool[], now: Milliseconds): void;
+}
+
 /** Keeps capacity that a refused request could have used from lower tiers. */
 export interface RefusalBarrier {
   refused(tier: TierRank, until: Milliseconds): void;
@@ -106,6 +113,7 @@
   readonly servers: Map<BackendServerId, BackendServer>;
   readonly shares: VersionShares;
   readonly spill: SpillBudget;
+  readonly displacement: Displacement;
   readonly barrier: RefusalBarrier;
   readonly handover: Handover;
   readonly work: WorkEstimates;
--- a/packages/scheduling/src/handlers/changePool.ts
+++ b/packages/scheduling/src/handlers/changePool.ts
@@ -63,6 +63,7 @@
   removeAbsent(state, changed, now);
   state.shares.configure(changed.shares);
   state.spill.configure(changed.neighbours, now);
+  state.displacement.configure(changed.neighbours, now);
   state.domainDrained = changed.domainDrained;
   state.tiers = changed.tiers;
   state.poolSpeed = undefined;
