--- /dev/null
+++ b/packages/orders/src/surveyPeers.test.ts
@@ -0,0 +1,99 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createVirtualClock } from '@rattanreel/core';
+import { runInVirtualTime } from '@rattanreel/stand-in-platform';
+import surveyPeers from './surveyPeers';
+import type { OrderRequest, OwnerAnswer } from './types';
+
+const ORDER: OrderRequest = {
+  customer: 'cushions',
+  method: 'POST',
+  path: '/orders',
+  body: 'hulls',
+  key: { kind: 'callerKey', key: 'k-1' },
+};
+const UNKNOWN: OwnerAnswer = { kind: 'unknown', hasForgotten: false };
+const FORGOTTEN: OwnerAnswer = { kind: 'unknown', hasForgotten: true };
+const GIVEN_UP: OwnerAnswer = { kind: 'givenUp', nonces: ['n'] };
+const SOON = 5;
+const LATE = 2_500;
+
+describe(surveyPeers.name, () => {
+  const cases = [
+    { name: 'all deny in time', answers: [UNKNOWN, GIVEN_UP], delays: [SOON], says: 'not-run' },
+    { name: 'nobody else is there', answers: [], delays: [SOON], says: 'not-run' },
+    {
+      name: 'one has forgotten',
+      answers: [UNKNOWN, FORGOTTEN],
+      delays: [SOON],
+      says: 'may-have-run',
+    },
+    { name: 'one is gone', answers: [{ kind: 'gone' }], delays: [SOON], says: 'may-have-run' },
+    {
+      name: 'one cannot be reached',
+      answers: [UNKNOWN, { kind: 'unreachable' }],
+      delays: [SOON],
+      says: 'may-have-run',
+    },
+    {
+      name: 'they deny late, and soon when asked again',
+      answers: [UNKNOWN],
+      delays: [LATE, SOON],
+      says: 'not-run',
+    },
+    {
+      name: 'they deny late each time',
+      answers: [UNKNOWN],
+      delays: [LATE, LATE],
+      says: 'may-have-run',
+    },
+    {
+      name: 'the view is not complete',
+      answers: [UNKNOWN],
+      delays: [SOON],
+      says: 'may-have-run',
+      isComplete: false,
+    },
+    {
+      name: 'this host has forgotten orders',
+      answers: [UNKNOWN],
+      delays: [SOON],
+      says: 'may-have-run',
+      hasForgotten: true,
+    },
+    {
+      name: 'there are too many peers',
+      answers: Array<OwnerAnswer>(17).fill(UNKNOWN),
+      delays: [SOON],
+      says: 'may-have-run',
+    },
+  ] as const;
+  for (const each of cases) {
+    const { name, delays, says } = each;
+    const answers: readonly OwnerAnswer[] = each.answers;
+    it(`says ${says} when ${name}`, async () => {
+      const clock = createVirtualClock();
+      const asked = new Map<string, number>();
+      const result = await runInVirtualTime(
+        clock,
+        surveyPeers({
+          order: ORDER,
+          clock,
+          hasForgotten: () => 'hasForgotten' in each,
+          view: {
+            peers: answers.map((_, index) => ({ entryHost: String(index), incarnation: '' })),
+            isComplete: !('isComplete' in each),
+          },
+          askOwner: (owner) => {
+            const round = asked.get(owner.entryHost) ?? 0;
+            asked.set(owner.entryHost, round + 1);
+            return new Promise((resolve) => {
+              clock.after(delays[round] ?? 0, () => resolve(answers[Number(owner.entryHost)]!));
+            });
+          },
+        }),
+      );
+      expect(result.kind === 'error' && result.error.execution).toEqual(says);
+    });
+  }
+});
--- a/packages/platform/src/createCaller.ts
+++ b/packages/platform/src/createCaller.ts
@@ -68,12 +68,9 @@
     return true;
   }
 
-  function getPause(attempt: number, reply: StoreReply): Milliseconds {
+  function getPause(attempt: number): Milliseconds {
     const ceiling = Math.min(LONGEST_BACKOFF, backoff * BACKOFF_FACTOR ** attempt);
-    const jittered = ceiling * (0.5 + random.next() / 2);
-    return reply.kind === 'refused'
-      ? Math.max(jittered, Math.min(reply.retryAfter, ceiling))
-      : jittered;
+    return ceiling * (0.5 + random.next() / 2);
   }
 
   return {
@@ -85,7 +82,7 @@
           return fail({ kind: 'callBudgetSpent', retryAfterMilliseconds: budget.getWait() });
         }
         const reply = await transport.call(call, Math.min(callTimeout, end - clock.now()));
-        const pause = getPause(attempt, reply);
+        const pause = getPause(attempt);
         const isLast = clock.now() + pause + SHORTEST_ATTEMPT >= end;
         if (!isRepeatable(call, reply) || isLast) {
           return ok(reply);
--- a/stand-ins/platform/src/createObjectStoreModel.ts
+++ b/stand-ins/platform/src/createObjectStoreModel.ts
@@ -131,7 +131,14 @@
       }
       return hub.open(request, past, listener);
     },
-    setFaults: plan.setFaults,
+    setFaults(changed) {
+      plan.setFaults(changed);
+      if (changed.outage === 'silent') {
+        hub.silence();
+      } else if (changed.outage === 'refusing') {
+        hub.breakAll();
+      }
+    },
     failNextWrite: plan.failNextWrite,
     silenceWatches: hub.silence,
     breakWatches: hub.breakAll,
--- a/stand-ins/platform/src/types.ts
+++ b/stand-ins/platform/src/types.ts
@@ -12,7 +12,10 @@
 
 /** How the store misbehaves; all of it off by default. */
 export interface StoreFaults {
-  /** `refusing` answers that the call was not taken; `silent` swallows calls without effect. */
+  /**
+   * `refusing` ends the watches and answers that calls were not taken; `silent` swallows calls without effect, and
+   * open watches go silent.
+   */
   readonly outage: 'none' | 'refusing' | 'silent';
   /** Added to every call's time. */
   readonly extraLatency: Milliseconds;
