--- /dev/null
+++ b/packages/moves/src/callRecordStore.test.ts
@@ -0,0 +1,78 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createRandom, createVirtualClock } from '@rattanreel/core';
+import {
+  createModelObjectStore,
+  createObjectStoreModel,
+  runInVirtualTime,
+} from '@rattanreel/stand-in-platform';
+import type { ObjectStoreModel } from '@rattanreel/stand-in-platform';
+import callRecordStore from './callRecordStore';
+import changeMoveRecord from './changeMoveRecord';
+import createMoveRecord from './createMoveRecord';
+import type { MoveRecord, RecordAnswer } from './types';
+
+const PLAN = { pool: 'drafts', from: '1', to: '2', startedAt: 0, deadline: 600_000, bakeTime: 0 };
+
+function unwrap<Value>(outcome: { readonly kind: string; readonly value?: Value }): Value {
+  if (outcome.value === undefined) {
+    throw new RangeError(outcome.kind);
+  }
+  return outcome.value;
+}
+
+describe(callRecordStore.name, () => {
+  const cases: readonly {
+    readonly name: string;
+    readonly trouble: (model: ObjectStoreModel) => void;
+    readonly versionOffset: number;
+    readonly kind: RecordAnswer['kind'];
+  }[] = [
+    {
+      name: 'takes a write on the version seen',
+      trouble: () => {},
+      versionOffset: 0,
+      kind: 'stands',
+    },
+    {
+      name: 'refuses a write on another version',
+      trouble: () => {},
+      versionOffset: -1,
+      kind: 'conflict',
+    },
+    {
+      name: 'tells an outage',
+      trouble: (model) => model.setFaults({ outage: 'refusing' }),
+      versionOffset: 0,
+      kind: 'unavailable',
+    },
+    {
+      name: 'tells a lost answer',
+      trouble: (model) => model.setFaults({ lostAnswerShare: 1 }),
+      versionOffset: 0,
+      kind: 'outcomeUnknown',
+    },
+  ];
+  for (const { name, trouble, versionOffset, kind } of cases) {
+    it(name, async () => {
+      const clock = createVirtualClock();
+      const random = createRandom(4);
+      const model = createObjectStoreModel({ clock, random });
+      const store = createModelObjectStore({ model, clock, random });
+      const record = unwrap(createMoveRecord(PLAN));
+      const created = unwrap(
+        await runInVirtualTime(clock, store.create<MoveRecord>('move', 'drafts', record)),
+      );
+      trouble(model);
+      const changed = unwrap(
+        changeMoveRecord(record, { kind: 'step', step: 0, controllerGeneration: 1 }),
+      );
+      const version = created.version + versionOffset;
+      const effect = { kind: 'writeRecord', record: changed, version } as const;
+      const answer = await runInVirtualTime(clock, callRecordStore(store, effect));
+      expect(answer.kind).toEqual(kind);
+      await store.close();
+      model.close();
+    });
+  }
+});
