--- a/packages/moves/src/createMoveController.ts
+++ b/packages/moves/src/createMoveController.ts
@@ -109,11 +109,13 @@
     const before = writer.stored();
     const isNewer = writer.answer(answer, now);
     const stored = writer.stored();
-    if (!isNewer || stored === undefined) {
+    const isCurrent = 'stored' in answer && answer.stored?.version === stored?.version;
+    if (stored === undefined || !isCurrent) {
       return advance(now);
     }
+    // The watch here may have been quicker than the answer; watches elsewhere may be dead.
     return [
-      ...takeRecord(before, stored, now),
+      ...(isNewer ? takeRecord(before, stored, now) : []),
       { kind: 'announceRecord', stored },
       ...advance(now),
     ];
--- a/packages/moves/src/index.ts
+++ b/packages/moves/src/index.ts
@@ -9,4 +9,5 @@
 export { default as planMove } from './planMove';
 export { default as sharesInForce } from './sharesInForce';
 export { default as createMoveController } from './createMoveController';
+export { default as createMoveControllerTask } from './createMoveControllerTask';
 export { default as createMoveGuard } from './createMoveGuard';
