Order requests of a customer by the time at which they must be served

Cause: at overload waits come near the deadline, and long prompts then failed the test for their first token. Change: the order within a customer follows the deadline less the request's own time with a margin; a neighbour's allowance may be overdrawn by one request, so that long ones are not passed on less.

--- a/packages/scheduling/src/decisions/createSpillBudget.ts
+++ b/packages/scheduling/src/decisions/createSpillBudget.ts
@@ -55,10 +55,10 @@
   return {
     tryTake(tier, tokens, now) {
       let best: FailureDomainId | undefined;
-      let most = tokens;
+      let most = 0;
       allowances.forEach((allowance, failureDomain) => {
         const room = usable(allowance, tier, now);
-        if (room >= most) {
+        if (room > most) {
           best = failureDomain;
           most = room;
         }
--- a/packages/scheduling/src/handlers/requestGrant.ts
+++ b/packages/scheduling/src/handlers/requestGrant.ts
@@ -17,6 +17,9 @@
 import type { GrantRequested, RefusalReason } from '../types';
 
 const NOT_HELD = -1;
+/** Times that the best first token and answer are taken in the order of service. */
+const FIRST_TOKEN_MARGIN = 3;
+const ANSWER_MARGIN = 1.5;
 /** Share of the time left that the expected wait may take; the rest covers its error. */
 const SLACK_SHARE_TO_WAIT = 0.8;
 
@@ -37,6 +40,10 @@
     arrivedAt: now - asked.age,
     firstTokenDueAt,
     dueAt,
+    serveBy: Math.min(
+      firstTokenDueAt - FIRST_TOKEN_MARGIN * best.firstTokenAfter,
+      dueAt - ANSWER_MARGIN * best.finishAfter,
+    ),
     latestStart: Math.min(firstTokenDueAt - best.firstTokenAfter, dueAt - best.finishAfter),
   };
 }
--- a/packages/scheduling/src/queue/createBand.ts
+++ b/packages/scheduling/src/queue/createBand.ts
@@ -27,12 +27,8 @@
   newest(): QueuedRequest | undefined;
 }
 
-function deadlineOf(request: QueuedRequest): number {
-  return Math.min(request.firstTokenDueAt, request.dueAt);
-}
-
-function byDeadline(left: QueuedRequest, right: QueuedRequest): number {
-  return deadlineOf(left) - deadlineOf(right) || left.sequence - right.sequence;
+function byServeBy(left: QueuedRequest, right: QueuedRequest): number {
+  return left.serveBy - right.serveBy || left.sequence - right.sequence;
 }
 
 function byNewest(left: QueuedRequest, right: QueuedRequest): number {
@@ -70,7 +66,7 @@
         positions: [-1],
         customer,
         startTag: virtualTime,
-        requests: createIndexedHeap<QueuedRequest>(LANE_SLOT, byDeadline),
+        requests: createIndexedHeap<QueuedRequest>(LANE_SLOT, byServeBy),
       };
       lanes.set(customer, lane);
     }
--- a/packages/scheduling/src/queue/types.ts
+++ b/packages/scheduling/src/queue/types.ts
@@ -35,6 +35,8 @@
   readonly arrivedAt: Milliseconds;
   readonly firstTokenDueAt: Milliseconds;
   readonly dueAt: Milliseconds;
+  /** Deadline less the time that serving it takes with a margin: what the order within a customer follows. */
+  readonly serveBy: Milliseconds;
   /** After this instant not even an idle backend server could answer in time. */
   readonly latestStart: Milliseconds;
 }
