--- a/packages/scheduling/src/handlers/requestGrant.ts
+++ b/packages/scheduling/src/handlers/requestGrant.ts
@@ -20,8 +20,8 @@
 /** Times that the best first token and answer are taken in the order of service. */
 const FIRST_TOKEN_MARGIN = 3;
 const ANSWER_MARGIN = 1.5;
-/** Share of the time left that the expected wait may take; the rest covers its error. */
-const SLACK_SHARE_TO_WAIT = 0.8;
+/** Share of the time left that the expected wait may take, whatever the request's length. */
+const SLACK_SHARE_TO_WAIT = 0.7;
 
 function toQueued(state: SchedulerState, asked: GrantRequested, now: Milliseconds): QueuedRequest {
   const output = state.work.expectedOutputTokens(asked.route, asked.maximumOutputTokens);
@@ -102,7 +102,7 @@
 
 /** Refuses a request that the work ahead of it would make late, unless a lower tier is still queued. */
 function refuseIfHopeless(state: SchedulerState, request: QueuedRequest, now: Milliseconds): void {
-  const slack = request.latestStart - now;
+  const slack = Math.min(request.firstTokenDueAt, request.dueAt) - now;
   if (expectedWait(state, request, now) <= slack * SLACK_SHARE_TO_WAIT) {
     return;
   }
