Leave a request's own length out of its expected wait

Cause: near the threshold of admission long requests were refused for the work that they bring themselves.

--- a/packages/scheduling/src/decisions/expectedWait.ts
+++ b/packages/scheduling/src/decisions/expectedWait.ts
@@ -3,11 +3,12 @@
 import estimateWait from './estimateWait';
 import type { SchedulerState } from './types';
 
-/** Expected wait of a request that is queued. */
+/** Expected wait of a queued request behind the others; its own length does not count. */
 export default function expectedWait(
   state: SchedulerState,
   request: QueuedRequest,
   now: Milliseconds,
 ): Milliseconds {
-  return estimateWait(state, { band: request.band, tier: request.asked.tier, cost: 0 }, now);
+  const { band, asked, cost } = request;
+  return estimateWait(state, { band, tier: asked.tier, cost: -cost }, now);
 }
