Test the failure cases of the scheduler as a table

Adds cases for repeated, late and reordered messages, handover, deaths, drains, memory, slow start, fairness, shares and spill-over.

--- a/packages/scheduling/src/createPoolScheduler.test.ts
+++ b/packages/scheduling/src/createPoolScheduler.test.ts
@@ -4,6 +4,8 @@
 import type {
   GrantReleased,
   GrantRequested,
+  LoadReported,
+  NeighbourPool,
   PoolBackendServer,
   PoolChanged,
   PoolScheduler,
@@ -74,6 +76,37 @@
   };
 }
 
+function inFlight(request: string): SchedulerMessage {
+  const told = { request, backendServer: 'e1', tier: 1, customer: 'c1', prefillDone: true };
+  const size = { promptTokens: 100, maximumOutputTokens: 100 };
+  return { kind: 'inFlightReported', from: HOST, inFlight: [{ ...told, ...size }] };
+}
+
+function firstToken(request: string): SchedulerMessage {
+  return { kind: 'firstTokenSeen', request, from: HOST, firstTokenAfter: 20, cachedTokens: 0 };
+}
+
+function load(backendServerId: string, changes: Partial<LoadReported> = {}): LoadReported {
+  return {
+    kind: 'loadReported',
+    backendServer: backendServerId,
+    backendServerIncarnation: 'old',
+    reportAge: 0,
+    runningRequests: 0,
+    waitingRequests: 0,
+    memoryTokensUsed: 0,
+    memoryTokensTotal: 10_000,
+    version: 'v1',
+    ready: true,
+    leaving: false,
+    ...changes,
+  };
+}
+
+function neighbour(failureDomain: string, spareTokens: number): NeighbourPool {
+  return { failureDomain, summaryAge: 0, spareTokens, queuedTokens: 0, drained: false };
+}
+
 function create(changes: Partial<PoolSchedulerOptions> = {}): PoolScheduler {
   return createPoolScheduler({
     pool: 'p',
@@ -241,6 +274,196 @@
       ],
       effects: ['grant a e1', 'refuse c domainDrained', 'refuse b domainDrained'],
     },
+    {
+      name: 'keeps the slot when an older grant of the same request is given back',
+      steps: [
+        [0, pool()],
+        [0, asked('a')],
+        [400, asked('a', { age: 400, stamp: 407 })],
+        [401, released('a', { outcome: 'notDispatched', echo: 7 })],
+        [402, asked('b')],
+        [403, released('a', { outcome: 'notDispatched', echo: 407 })],
+      ],
+      effects: ['grant a e1', 'grant a e1', 'grant b e1'],
+    },
+    {
+      name: 'frees the slot of a grant whose request is withdrawn',
+      steps: [
+        [0, pool()],
+        [0, asked('a')],
+        [1, asked('b')],
+        [2, { kind: 'grantWithdrawn', request: 'a', from: HOST }],
+      ],
+      effects: ['grant a e1', 'grant b e1'],
+    },
+    {
+      name: 'ignores requests of a dead incarnation',
+      steps: [
+        [0, pool()],
+        [0, { kind: 'membersChanged', alive: [], dead: [HOST] }],
+        [1, asked('a')],
+      ],
+      effects: [],
+    },
+    {
+      name: 'does not adopt a slot whose release came before the report',
+      steps: [
+        [0, pool()],
+        [1, released('old')],
+        [2, inFlight('old')],
+        [3, asked('a')],
+      ],
+      effects: ['grant a e1'],
+    },
+    {
+      name: 'counts what an entry host has in hand before it grants after a handover',
+      options: { handover: true },
+      steps: [
+        [0, pool()],
+        [0, { kind: 'membersChanged', alive: [HOST], dead: [] }],
+        [1, inFlight('old')],
+        [2, asked('a')],
+        [1_000, { kind: 'timePassed' }],
+        [1_500, released('old')],
+      ],
+      effects: ['grant a e1'],
+    },
+    {
+      name: 'does not wait for a silent entry host longer than twice the handover wait',
+      options: { handover: true },
+      steps: [
+        [0, pool()],
+        [0, { kind: 'membersChanged', alive: [HOST], dead: [] }],
+        [2, asked('a')],
+        [1_999, { kind: 'timePassed' }],
+        [2_000, { kind: 'timePassed' }],
+      ],
+      effects: ['grant a e1'],
+    },
+    {
+      name: 'defers the refusal of a late request until no lower tier waits',
+      steps: [
+        [0, pool()],
+        [0, asked('a')],
+        [1, asked('low', { tier: 2 })],
+        [2, asked('high', { tier: 0, firstTokenDue: 10 })],
+        [12, { kind: 'timePassed' }],
+        [13, { kind: 'timePassed' }],
+      ],
+      effects: ['grant a e1', 'refuse high deadlinePassed'],
+    },
+    {
+      name: 'refuses a late request at once when no lower tier waits',
+      steps: [
+        [0, pool()],
+        [0, asked('a')],
+        [2, asked('low', { tier: 2, firstTokenDue: 10 })],
+        [13, { kind: 'timePassed' }],
+      ],
+      effects: ['grant a e1', 'refuse low deadlineCannotBeMet'],
+    },
+    {
+      name: 'refuses what no backend server can hold',
+      steps: [
+        [0, pool()],
+        [0, asked('a', { promptTokens: 20_000 })],
+      ],
+      effects: ['refuse a tooLargeForAnyBackendServer'],
+    },
+    {
+      name: 'never reserves more memory than a backend server has',
+      steps: [
+        [0, pool({ backendServers: [backendServer('e1', { maximumStreams: 8 })] })],
+        [0, asked('a', { promptTokens: 6_000 })],
+        [1, firstToken('a')],
+        [2, asked('b', { promptTokens: 6_000 })],
+        [3, released('a')],
+      ],
+      effects: ['grant a e1', 'grant b e1'],
+    },
+    {
+      name: 'gives nothing to a drained or leaving backend server',
+      steps: [
+        [
+          0,
+          pool({ backendServers: [backendServer('e1', { drained: true }), backendServer('e2')] }),
+        ],
+        [0, asked('a')],
+        [1, load('e2', { leaving: true })],
+        [2, asked('b')],
+      ],
+      effects: ['grant a e2', 'refuse b noBackendServer'],
+    },
+    {
+      name: 'starts a backend server slowly and again after a new incarnation',
+      steps: [
+        [0, pool({ backendServers: [backendServer('e1', { maximumStreams: 3 })] })],
+        [0, asked('a')],
+        [1, asked('b')],
+        [20, firstToken('a')],
+        [30, load('e1', { backendServerIncarnation: 'new' })],
+        [40, released('a')],
+        [50, asked('c')],
+        [60, released('b')],
+      ],
+      effects: ['grant a e1', 'grant b e1', 'grant c e1'],
+    },
+    {
+      name: 'serves customers of a tier in turn by cost',
+      steps: [
+        [0, pool()],
+        [0, asked('a')],
+        [1, asked('b1')],
+        [2, asked('b2')],
+        [3, asked('c1', { customer: 'c2' })],
+        [10, released('a')],
+        [20, released('c1')],
+        [30, released('b1')],
+      ],
+      effects: ['grant a e1', 'grant c1 e1', 'grant b1 e1', 'grant b2 e1'],
+    },
+    {
+      name: 'does not pass a request on twice',
+      steps: [
+        [0, pool({ backendServers: [], neighbours: [neighbour('d2', 50_000)] })],
+        [0, asked('a', { homeDomain: 'd3' })],
+      ],
+      effects: ['refuse a noBackendServer'],
+    },
+    {
+      name: 'passes on no more than a part of what a neighbour announced, and less of it for lower tiers',
+      steps: [
+        [0, pool({ backendServers: [], neighbours: [neighbour('d2', 800)] })],
+        [0, asked('a', { tier: 2 })],
+        [0, asked('b', { tier: 2 })],
+        [0, asked('c', { tier: 2 })],
+      ],
+      effects: ['spill a d2', 'spill b d2', 'refuse c noBackendServer'],
+    },
+    {
+      name: 'holds a version to its share',
+      steps: [
+        [
+          0,
+          pool({
+            backendServers: [
+              backendServer('old', { maximumStreams: 1 }),
+              backendServer('new', { version: 'v2', maximumStreams: 8 }),
+            ],
+            shares: [
+              { version: 'v1', share: 0.9 },
+              { version: 'v2', share: 0.1 },
+            ],
+          }),
+        ],
+        [0, asked('a')],
+        [1, asked('b')],
+        [2, firstToken('a')],
+        [3, firstToken('b')],
+        [4, asked('c')],
+      ],
+      effects: ['grant a old', 'grant b new'],
+    },
     {
       name: 'gives a vetoed version nothing',
       steps: [
--- a/packages/scheduling/src/decisions/trySpill.ts
+++ b/packages/scheduling/src/decisions/trySpill.ts
@@ -4,7 +4,7 @@
 import type { SchedulerState } from './types';
 
 /** Share of the time left that the expected wait takes when a request is in danger. */
-const DANGER_SHARE = 0.25;
+const DANGER_SHARE = 0.15;
 
 /** Takes room that a neighbour has announced. */
 function tryTakeRoom(
