Leave all pooled connections to the store once one has gone silent

Cause: after something on the path loses track of the connections, each of the pool's sockets costs a write its answer. Change: the first call that times out retires the whole pool; sleeping and the attempts' interface stand once. Checked: without the retirement, writes after the first timeout are lost and the test fails.

--- a/packages/orders/src/createAttempts.ts
+++ b/packages/orders/src/createAttempts.ts
@@ -1,9 +1,10 @@
 import { Debug, fail } from '@rattanreel/core';
-import type { Clock, Milliseconds } from '@rattanreel/core';
+import type { Clock } from '@rattanreel/core';
 import advanceOrder from './advanceOrder';
 import createOrderMemory from './createOrderMemory';
 import toResult from './toResult';
 import type {
+  Attempts,
   DispatchOrder,
   OrderDecision,
   OrderEntry,
@@ -23,30 +24,6 @@
   readonly onDecision?: (decision: OrderDecision) => void;
 }
 
-interface NewAttempt {
-  readonly name: string;
-  readonly requestDigest: string;
-  readonly nonce: string;
-  /** Finds the result; called once. */
-  readonly run: (entry: OrderEntry) => Promise<OrderResult>;
-}
-
-interface Attempts {
-  tryGet(name: string): OrderEntry | undefined;
-  hasForgotten(): boolean;
-  /** The result of an order known here; undefined when a new attempt may run it. */
-  tryJoin(name: string, requestDigest: string): Promise<OrderResult> | undefined;
-  /** Begins an attempt for an order that has none running. */
-  begin(attempt: NewAttempt): Promise<OrderResult>;
-  advance(entry: OrderEntry, message: OrderStateMessage): void;
-  /** Dispatches a claimed order; the only place that does. */
-  dispatch(entry: OrderEntry, order: OrderRequest): Promise<OrderOutcome>;
-  /** Dispatches an order that nobody can ask for again. */
-  dispatchUnkeyed(order: OrderRequest): Promise<OrderOutcome>;
-  /** Waits for a running order to end; false when it still runs after `longest`. */
-  waitForEnd(entry: OrderEntry, longest: Milliseconds): Promise<boolean>;
-}
-
 /** The attempts of one incarnation to run orders, one at a time for each order. */
 export default function createAttempts(options: AttemptsOptions): Attempts {
   const { clock } = options;
--- a/packages/orders/src/createClaimSweeper.ts
+++ b/packages/orders/src/createClaimSweeper.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds, Random, Timer } from '@rattanreel/core';
+import { sleep } from '@rattanreel/platform';
 import type { ObjectStore, StoredObject } from '@rattanreel/platform';
 import claimKind from './claimKind';
 import isClaimRemovable from './isClaimRemovable';
@@ -50,9 +51,7 @@
       }
       // A claim that has changed stays; one whose removal failed is met again in the next round.
       await store.remove(claimKind, claim.name, claim.version);
-      await new Promise<void>((resolve) => {
-        clock.after(removalPause, resolve);
-      });
+      await sleep(clock, removalPause);
     }
   }
 
--- a/packages/orders/src/createClaimedRuns.ts
+++ b/packages/orders/src/createClaimedRuns.ts
@@ -1,13 +1,13 @@
 import { Debug } from '@rattanreel/core';
 import type { Milliseconds } from '@rattanreel/core';
 import type { StoredObject } from '@rattanreel/platform';
-import type createAttempts from './createAttempts';
 import createClaimFollower from './createClaimFollower';
 import createClaimWriter from './createClaimWriter';
 import createOutcomeRecorder from './createOutcomeRecorder';
 import surveyPeers from './surveyPeers';
 import toResult from './toResult';
 import type {
+  Attempts,
   ClaimDecision,
   ClaimRecord,
   OrderDecision,
@@ -24,7 +24,7 @@
 const ROUND_LIMIT = 6;
 
 interface ClaimedRunsOptions extends OrderDeskOptions {
-  readonly attempts: ReturnType<typeof createAttempts>;
+  readonly attempts: Attempts;
 }
 
 interface ClaimedRuns {
--- a/packages/orders/src/createHolds.ts
+++ b/packages/orders/src/createHolds.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from '@rattanreel/core';
+import { sleep } from '@rattanreel/platform';
 import DENIAL_HOLD from './denialHold';
 
 interface Holds {
@@ -23,10 +24,7 @@
     },
     async wait(name) {
       for (let until = heldUntil.get(name); until !== undefined; until = heldUntil.get(name)) {
-        const delay = until - clock.now();
-        await new Promise<void>((resolve) => {
-          clock.after(delay, resolve);
-        });
+        await sleep(clock, until - clock.now());
       }
     },
   };
--- a/packages/orders/src/createKeyedOrders.ts
+++ b/packages/orders/src/createKeyedOrders.ts
@@ -1,12 +1,18 @@
 import { fail } from '@rattanreel/core';
 import type { Milliseconds } from '@rattanreel/core';
-import type createAttempts from './createAttempts';
 import createClaimedRuns from './createClaimedRuns';
 import createHolds from './createHolds';
 import getRequestDigest from './getRequestDigest';
 import hashText from './hashText';
 import toResult from './toResult';
-import type { OrderDeskOptions, OrderEntry, OrderRequest, OrderResult, OwnerAnswer } from './types';
+import type {
+  Attempts,
+  OrderDeskOptions,
+  OrderEntry,
+  OrderRequest,
+  OrderResult,
+  OwnerAnswer,
+} from './types';
 
 const DEFAULT_PEER_WAIT: Milliseconds = 8_000;
 const RETRY_AFTER: Milliseconds = 2_000;
@@ -19,7 +25,7 @@
 } as const);
 
 interface KeyedOrdersOptions extends OrderDeskOptions {
-  readonly attempts: ReturnType<typeof createAttempts>;
+  readonly attempts: Attempts;
 }
 
 interface KeyedOrders {
--- a/packages/orders/src/createTicketOrders.ts
+++ b/packages/orders/src/createTicketOrders.ts
@@ -1,10 +1,16 @@
 import { Debug, fail } from '@rattanreel/core';
 import type { Milliseconds } from '@rattanreel/core';
-import type createAttempts from './createAttempts';
 import createTicketBook from './createTicketBook';
 import getRequestDigest from './getRequestDigest';
 import toResult from './toResult';
-import type { OrderDeskOptions, OrderOwner, OrderRequest, OrderResult, OwnerAnswer } from './types';
+import type {
+  Attempts,
+  OrderDeskOptions,
+  OrderOwner,
+  OrderRequest,
+  OrderResult,
+  OwnerAnswer,
+} from './types';
 
 const RETRY_AFTER: Milliseconds = 2_000;
 const TICKET_UNKNOWN = fail({ kind: 'ticketUnknown', execution: 'not-run' } as const);
@@ -18,7 +24,7 @@
 } as const);
 
 interface TicketOrdersOptions extends OrderDeskOptions {
-  readonly attempts: ReturnType<typeof createAttempts>;
+  readonly attempts: Attempts;
 }
 
 interface TicketOrders {
--- a/packages/orders/src/testing/createOrderBook.ts
+++ b/packages/orders/src/testing/createOrderBook.ts
@@ -1,4 +1,5 @@
-import type { Clock, Milliseconds, Random } from '@rattanreel/core';
+import type { Clock, Random } from '@rattanreel/core';
+import { sleep } from '@rattanreel/platform';
 import type { OrderOutcome, OrderRequest } from '../types';
 import type { FleetFaults, FleetTimes, ProcessClock } from './types';
 
@@ -23,12 +24,6 @@
   const { clock, random, faults, times } = options;
   const bookings = new Map<string, number>();
 
-  function sleep(source: Clock, delay: Milliseconds): Promise<void> {
-    return new Promise((resolve) => {
-      source.after(delay, resolve);
-    });
-  }
-
   function book(order: OrderRequest): OrderOutcome {
     const count = (bookings.get(order.body) ?? 0) + 1;
     bookings.set(order.body, count);
--- a/packages/orders/src/testing/createOrderFleet.ts
+++ b/packages/orders/src/testing/createOrderFleet.ts
@@ -1,6 +1,6 @@
 import { Debug } from '@rattanreel/core';
 import type { EntryHostId, Incarnation, Milliseconds } from '@rattanreel/core';
-import { createObjectStore } from '@rattanreel/platform';
+import { createObjectStore, sleep } from '@rattanreel/platform';
 import type { ObjectStore } from '@rattanreel/platform';
 import { createModelTransport } from '@rattanreel/stand-in-platform';
 import createOrderDesk from '../createOrderDesk';
@@ -48,12 +48,6 @@
   let incarnations = 0;
   let ended = 0;
 
-  function sleep(delay: Milliseconds): Promise<void> {
-    return new Promise((resolve) => {
-      clock.after(delay, resolve);
-    });
-  }
-
   function getProcess(host: EntryHostId): Process {
     return Debug.checkDefined(processes.get(host), host);
   }
@@ -65,7 +59,7 @@
   }
 
   async function carryQuestion(...[owner, order]: Parameters<AskOwner>): Promise<OwnerAnswer> {
-    await sleep(times.network);
+    await sleep(clock, times.network);
     const process = getProcess(owner.entryHost);
     if (isGone(process, owner.incarnation)) {
       return { kind: 'gone' };
@@ -73,9 +67,11 @@
     const isLost = random.next() < faults.lostQuestionShare;
     const arrived = process.clock.enter(Promise.resolve());
     const answer = arrived.then(() => process.desk.answerPeer(order, owner.nonce));
-    const timedOut = sleep(times.question).then((): OwnerAnswer => ({ kind: 'unreachable' }));
+    const timedOut = sleep(clock, times.question).then((): OwnerAnswer => ({
+      kind: 'unreachable',
+    }));
     const first = await Promise.race(isLost ? [timedOut] : [answer, timedOut]);
-    await sleep(times.network);
+    await sleep(clock, times.network);
     return first;
   }
 
--- a/packages/orders/src/types.ts
+++ b/packages/orders/src/types.ts
@@ -220,3 +220,29 @@
   /** Waits, for a bounded time, until the outcomes of ended orders are recorded; for a graceful shutdown. */
   flush(deadline: Milliseconds): Promise<void>;
 }
+
+/** An attempt about to begin. */
+export interface NewAttempt {
+  readonly name: string;
+  readonly requestDigest: string;
+  readonly nonce: string;
+  /** Finds the result; called once. */
+  readonly run: (entry: OrderEntry) => Promise<OrderResult>;
+}
+
+/** The attempts of one incarnation to run orders. */
+export interface Attempts {
+  tryGet(name: string): OrderEntry | undefined;
+  hasForgotten(): boolean;
+  /** The result of an order known here; undefined when a new attempt may run it. */
+  tryJoin(name: string, requestDigest: string): Promise<OrderResult> | undefined;
+  /** Begins an attempt for an order that has none running. */
+  begin(attempt: NewAttempt): Promise<OrderResult>;
+  advance(entry: OrderEntry, message: OrderStateMessage): void;
+  /** Dispatches a claimed order; the only place that does. */
+  dispatch(entry: OrderEntry, order: OrderRequest): Promise<OrderOutcome>;
+  /** Dispatches an order that nobody can ask for again. */
+  dispatchUnkeyed(order: OrderRequest): Promise<OrderOutcome>;
+  /** Waits for a running order to end; false when it still runs after `longest`. */
+  waitForEnd(entry: OrderEntry, longest: Milliseconds): Promise<boolean>;
+}
--- a/packages/platform/src/createCaller.ts
+++ b/packages/platform/src/createCaller.ts
@@ -1,5 +1,6 @@
 import { fail, ok } from '@rattanreel/core';
-import type { Clock, Milliseconds, Outcome } from '@rattanreel/core';
+import type { Milliseconds, Outcome } from '@rattanreel/core';
+import sleep from './sleep';
 import createTokenBucket from './createTokenBucket';
 import type {
   ObjectStoreOptions,
@@ -29,12 +30,6 @@
   takeCall(): boolean;
 }
 
-function sleep(clock: Clock, delay: Milliseconds): Promise<void> {
-  return new Promise((resolve) => {
-    clock.after(delay, resolve);
-  });
-}
-
 /** A write is repeated only when the store said that it did not take it; a read also when its answer was lost. */
 function isRepeatable(call: StoreCall, reply: StoreReply): boolean {
   if (reply.kind === 'refused') {
--- a/packages/platform/src/createHttpTransport.ts
+++ b/packages/platform/src/createHttpTransport.ts
@@ -80,18 +80,36 @@
 /** Carries calls over HTTP/1.1 connections, one call at a time on each, none ever sent twice. */
 export default function createHttpTransport(options: HttpTransportOptions): StoreTransport {
   const { url, clock } = options;
-  const pool = new Pool(url, {
-    connections: CONNECTIONS,
-    pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT },
-    keepAliveTimeout: IDLE_TIMEOUT,
-  });
+  let pool = openPool();
+  const retired = new Set<Pool>();
   const watches = new Set<Watch>();
 
-  async function send(call: StoreCall, signal: AbortSignal): Promise<StoreReply> {
+  function openPool(): Pool {
+    return new Pool(url, {
+      connections: CONNECTIONS,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT },
+      keepAliveTimeout: IDLE_TIMEOUT,
+    });
+  }
+
+  /** Leaves connections that may all have gone silent; calls still waiting on them run out by themselves. */
+  function retire(used: Pool): void {
+    if (used !== pool) {
+      return;
+    }
+    pool = openPool();
+    retired.add(used);
+    used
+      .close()
+      .catch(() => undefined)
+      .finally(() => retired.delete(used));
+  }
+
+  async function send(used: Pool, call: StoreCall, signal: AbortSignal): Promise<StoreReply> {
     const request = toHttpCall(call);
     try {
-      const response = await pool.request({ ...request, signal });
+      const response = await used.request({ ...request, signal });
       const text = await response.body.text();
       return parseReply({ call, status: response.statusCode, headers: response.headers, text });
     } catch (error) {
@@ -104,8 +122,12 @@
   return {
     async call(call, timeout) {
       const abort = new AbortController();
-      const timer = clock.after(timeout, () => abort.abort());
-      const reply = await send(call, abort.signal);
+      const used = pool;
+      const timer = clock.after(timeout, () => {
+        abort.abort();
+        retire(used);
+      });
+      const reply = await send(used, call, abort.signal);
       timer.cancel();
       return reply;
     },
@@ -122,7 +144,7 @@
     async close() {
       watches.forEach((watch) => watch.close());
       watches.clear();
-      await pool.destroy();
+      await Promise.all([pool, ...retired].map((each) => each.destroy()));
     },
   };
 }
--- /dev/null
+++ b/packages/platform/src/createObjectStoreClient.test.ts
@@ -0,0 +1,122 @@
+import { once } from 'node:events';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
+import { describe, it } from 'node:test';
+import { setTimeout } from 'node:timers/promises';
+import { expect } from 'earl';
+import { createRandom, createSystemClock } from '@rattanreel/core';
+import { createPlatformStandIn } from '@rattanreel/stand-in-platform';
+import createObjectStoreClient from './createObjectStoreClient';
+import type { PlatformClient, WatchEvent } from './types';
+
+/** Time in which a loopback connection is open and idle. */
+const SETTLED = 50;
+
+interface Path {
+  readonly url: string;
+  /** Connections that are open now carry nothing any more, and don't end; new ones work. */
+  silence(): void;
+  close(): void;
+}
+
+/** A path to the platform whose open connections can go silent. */
+async function createPath(target: string): Promise<Path> {
+  const { hostname, port } = new URL(target);
+  const sockets = new Set<Socket>();
+  const server = createServer((incoming) => {
+    const outgoing = connect(Number(port), hostname);
+    for (const socket of [incoming, outgoing]) {
+      sockets.add(socket);
+      socket.on('error', () => undefined);
+    }
+    incoming.pipe(outgoing);
+    outgoing.pipe(incoming);
+  });
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  return {
+    url: `http://127.0.0.1:${(server.address() as AddressInfo).port}`,
+    silence() {
+      for (const socket of sockets) {
+        socket.unpipe();
+        socket.removeAllListeners('data');
+        socket.pause();
+      }
+    },
+    close() {
+      sockets.forEach((socket) => socket.destroy());
+      server.close();
+    },
+  };
+}
+
+async function withPath(
+  test: (client: PlatformClient, path: Path) => Promise<void>,
+): Promise<void> {
+  const platform = await createPlatformStandIn({ latency: 1, bookmarkInterval: 50 });
+  const path = await createPath(platform.url);
+  const client = createObjectStoreClient({
+    url: path.url,
+    clock: createSystemClock(),
+    random: createRandom(1),
+    callTimeout: 400,
+    deadline: 3_000,
+    watchSilence: 800,
+  });
+  try {
+    await test(client, path);
+  } finally {
+    await client.close();
+    path.close();
+    await platform.close();
+  }
+}
+
+function describeChange(event: WatchEvent): string {
+  return event.kind === 'changed' ? `changed to ${String(event.object.value)}` : event.kind;
+}
+
+describe(createObjectStoreClient.name, () => {
+  it('leaves all open connections once one of them has gone silent', () =>
+    withPath(async (client, path) => {
+      const names = Array.from({ length: 12 }, (_, index) => `n${index}`);
+      await Promise.all(names.map(() => client.list('thing')));
+      path.silence();
+      const list: unknown = await client.list('thing');
+      expect(list).toEqual({ kind: 'ok', value: { items: [], version: 0 } });
+      const writes = await Promise.all(names.map((name) => client.create('thing', name, 1)));
+      expect(writes.map(({ kind }) => kind)).toEqual(names.map(() => 'ok'));
+    }));
+
+  it('says that the outcome of a write on a silent connection is unknown, and writes anew on another', () =>
+    withPath(async (client, path) => {
+      await client.create('thing', 'a', 1);
+      await setTimeout(SETTLED);
+      path.silence();
+      const first: unknown = await client.update('thing', 'a', 2, 1);
+      const second = await client.update('thing', 'a', 3, 1);
+      expect([first, second.kind]).toEqual([
+        { kind: 'error', error: { kind: 'outcomeUnknown' } },
+        'ok',
+      ]);
+    }));
+
+  it('lists anew and goes on watching when the watch has gone silent', () =>
+    withPath(async (client, path) => {
+      await client.create('thing', 'a', 1);
+      const seen: string[] = [];
+      await new Promise<void>((resolve) => {
+        client.watch('thing', (event) => {
+          seen.push(describeChange(event));
+          if (seen.length === 1) {
+            setTimeout(SETTLED).then(path.silence, resolve);
+          } else if (event.kind === 'listed') {
+            client.update('thing', 'a', 2, 1).catch(() => undefined);
+          } else if (event.kind === 'changed') {
+            resolve();
+          }
+        });
+      });
+      expect(seen).toEqual(['listed', 'listed', 'changed to 2']);
+    }));
+});
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -5,3 +5,4 @@
 export { default as createObjectStoreClient } from './createObjectStoreClient';
 export { default as createTokenBucket } from './createTokenBucket';
 export { default as settleWrite } from './settleWrite';
+export { default as sleep } from './sleep';
--- a/packages/platform/src/settleWrite.ts
+++ b/packages/platform/src/settleWrite.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds, Outcome, Random } from '@rattanreel/core';
+import sleep from './sleep';
 import type { SettledWrite, StoredObject, StoreError } from './types';
 
 const DEFAULT_DEADLINE: Milliseconds = 3_000;
@@ -22,12 +23,6 @@
   readonly shouldGoOn?: () => boolean;
 }
 
-function sleep(clock: Clock, delay: Milliseconds): Promise<void> {
-  return new Promise((resolve) => {
-    clock.after(delay, resolve);
-  });
-}
-
 /** Makes a conditional write and settles it by further attempts until its effect is known. */
 export default async function settleWrite<Value>(
   options: SettleWriteOptions<Value>,
--- /dev/null
+++ b/packages/platform/src/sleep.ts
@@ -0,0 +1,8 @@
+import type { Clock, Milliseconds } from '@rattanreel/core';
+
+/** Resolves after `delay` by that clock. */
+export default function sleep(clock: Clock, delay: Milliseconds): Promise<void> {
+  return new Promise((resolve) => {
+    clock.after(delay, resolve);
+  });
+}
