Measure configuration and membership, and bring domains together quickly

A summary sent to a host that is no delegate stopped there, so delegates found each other one host a round, and lists were also asked of domains that they do not describe. Change: a host that is no delegate passes a summary on; lists are asked of the domain itself or of the own delegate, and one that the status does not tell is passed over; reports go to the two delegates in turn. Simulated entry hosts run the real membership, keeper and store client over an encoded, lossy network and a faulty store on virtual time, for the benchmark and for a randomised test. Taking out a guard on a scratch copy failed it: lower generations taken, an update on whatever stands.

--- /dev/null
+++ b/benchmarks/src/configuration/createDeployment.test.ts
@@ -0,0 +1,177 @@
+import { describe, it } from 'node:test';
+import { createRandom } from '@rattanreel/core';
+import type { Random } from '@rattanreel/core';
+import { storedConfiguration } from '@rattanreel/configuration';
+import type { AcceptedConfiguration, DrainTarget, SettingsChange } from '@rattanreel/configuration';
+import { expect } from 'earl';
+import fc from 'fast-check';
+import createDeployment from './createDeployment';
+import createSettings from './createSettings';
+import type { Deployment, SimulatedHost } from './types';
+
+const settings = createSettings({
+  domains: 2,
+  hostsPerDomain: 3,
+  models: 2,
+  engines: 4,
+  customers: 2,
+});
+const HEALING = 40_000;
+const STEPS = 30;
+const RANDOM_RUNS = 6;
+const [east, west] = settings.failureDomains.map(({ id }) => id);
+
+async function createConfigured(seed: number, loss: number): Promise<Deployment> {
+  const deployment = createDeployment({ settings, seed, loss });
+  const change: SettingsChange = { kind: 'replaceSettings', settings };
+  const first = deployment.hosts()[0]!;
+  await deployment.advance(2_000);
+  await deployment.settle(first.apply({ change, author: 'first', changeId: 'first' }));
+  await deployment.advance(6_000);
+  return deployment;
+}
+
+async function standing({ model, settle }: Deployment): Promise<AcceptedConfiguration> {
+  const { objectKind, name } = storedConfiguration;
+  const reply = await settle(model.call({ kind: 'get', objectKind, name }));
+  return (reply.kind === 'object' ? reply.object.value : undefined) as AcceptedConfiguration;
+}
+
+function generationsOf(deployment: Deployment): ReadonlySet<number> {
+  return new Set(deployment.hosts().map((host) => host.status().inForce?.generation ?? 0));
+}
+
+/** Every process went forward only, and no generation stands for two changes. */
+function expectNoReversal({ inForce }: Deployment): void {
+  const changes = new Map<number, string>();
+  const latest = new Map<string, number>();
+  inForce.forEach(({ entryHost, run, generation, changeId }) => {
+    expect(changes.get(generation) ?? changeId).toEqual(changeId);
+    changes.set(generation, changeId);
+    const key = `${entryHost} ${run}`;
+    expect(generation).toBeGreaterThanOrEqual(latest.get(key) ?? 0);
+    latest.set(key, generation);
+  });
+}
+
+function drawChange(random: Random): SettingsChange {
+  const target: DrainTarget =
+    random.integer(0, 1) === 0
+      ? { kind: 'backendServer', id: settings.backendServers[random.integer(0, 3)]!.id }
+      : { kind: 'entryHost', id: settings.entryHosts[random.integer(0, 5)]!.id };
+  const customers = settings.customers.map((customer) => ({
+    ...customer,
+    weight: random.integer(1, 99),
+  }));
+  switch (random.integer(0, 2)) {
+    case 0:
+      return { kind: 'replaceSettings', settings: { ...settings, customers } };
+    case 1:
+      return { kind: 'drain', target };
+    default:
+      return { kind: 'restore', target };
+  }
+}
+
+function disturb(deployment: Deployment, random: Random, host: SimulatedHost): void {
+  const other = deployment.hosts()[random.integer(0, 5)]!;
+  const kinds = [
+    () => deployment.setCut(host.id, other.id, true),
+    () => deployment.setCut(host.id, other.id, false),
+    () => deployment.setCut(east!, west!, random.integer(0, 1) === 0),
+    () => deployment.setCut(host.failureDomain, 'store', random.integer(0, 1) === 0),
+    () => deployment.setCut(host.id, 'store', random.integer(0, 1) === 0),
+    () => deployment.model.setFaults({ outage: random.integer(0, 1) ? 'none' : 'silent' }),
+    () => deployment.model.setFaults({ extraLatency: random.integer(0, 1) * 700 }),
+    () => deployment.model.setFaults({ lostAnswerShare: 0.2, lateWriteShare: 0.2 }),
+    () => deployment.model.silenceWatches(),
+    () => deployment.model.breakWatches(),
+    () => deployment.stop(host.id),
+    () => (host.running ? undefined : deployment.start(host.id)),
+  ];
+  kinds[random.integer(0, kinds.length - 1)]!();
+}
+
+async function heal(deployment: Deployment): Promise<void> {
+  const { model } = deployment;
+  deployment.mendAll();
+  model.setFaults({ outage: 'none', extraLatency: 0, lostAnswerShare: 0, lateWriteShare: 0 });
+  deployment
+    .hosts()
+    .filter(({ running }) => !running)
+    .forEach(({ id }) => deployment.start(id));
+  await deployment.advance(HEALING);
+}
+
+/** Changes, cuts, outages, restarts and lost messages, then an end to all of them. */
+async function runRandomly(seed: number): Promise<void> {
+  const random = createRandom(seed);
+  const deployment = await createConfigured(seed, 0.05);
+  const outcomes: Promise<string>[] = [];
+  for (let step = 0; step < STEPS; step += 1) {
+    const host = deployment.hosts()[random.integer(0, 5)]!;
+    if (random.integer(0, 2) > 0) {
+      disturb(deployment, random, host);
+    } else if (host.running) {
+      const changeId = `change-${step}`;
+      outcomes.push(host.apply({ change: drawChange(random), author: host.id, changeId }));
+    }
+    await deployment.advance(random.integer(0, 2_500));
+  }
+  await heal(deployment);
+  const results = await deployment.settle(Promise.all(outcomes));
+  const { generation, recentChanges = [] } = await standing(deployment);
+  expect([...generationsOf(deployment)]).toEqual([generation]);
+  expect(recentChanges.length).toEqual(generation);
+  const accepted = results.filter((result) => result === 'accepted').length;
+  expect(generation).toBeGreaterThanOrEqual(accepted + 1);
+  expectNoReversal(deployment);
+  deployment.close();
+}
+
+describe(createDeployment.name, () => {
+  it('never goes back, has one winner a generation and converges, at any seed', async () => {
+    await fc.assert(fc.asyncProperty(fc.integer({ min: 1, max: 1_000_000 }), runRandomly), {
+      seed: 11,
+      numRuns: RANDOM_RUNS,
+    });
+  });
+
+  it('drains a cut-off domain at once, records it when the store is back, and restores it', async () => {
+    const deployment = await createConfigured(5, 0);
+    const [host] = deployment.hosts();
+    const target: DrainTarget = { kind: 'failureDomain', id: east! };
+    const drainedAt = () =>
+      deployment
+        .hosts()
+        .filter((each) => each.status().settings?.drained.failureDomains.includes(east!))
+        .map(({ failureDomain }) => failureDomain);
+    deployment.setCut(east!, 'store', true);
+    deployment.setCut(east!, west!, true);
+    host!.drainLocally({ id: 'local-1', target, author: 'desk' });
+    await deployment.advance(100);
+    expect(drainedAt()).toEqual([east!, east!, east!]);
+    deployment.mendAll();
+    await deployment.advance(HEALING);
+    expect(drainedAt().length).toEqual(6);
+    expect(host!.status().localDrains).toEqual([]);
+    const change: SettingsChange = { kind: 'restore', target };
+    await deployment.settle(host!.apply({ change, author: 'desk', changeId: 'restore-1' }));
+    await deployment.advance(5_000);
+    expect(drainedAt()).toEqual([]);
+    deployment.close();
+  });
+
+  it('brings a restarted host to the configuration of its peers while the store is down', async () => {
+    const deployment = await createConfigured(6, 0);
+    const { id } = deployment.hosts()[4]!;
+    deployment.stop(id);
+    deployment.model.setFaults({ outage: 'silent' });
+    await deployment.advance(5_000);
+    deployment.start(id);
+    expect(deployment.host(id).status().ready).toEqual(false);
+    await deployment.advance(5_000);
+    expect([...generationsOf(deployment)]).toEqual([1]);
+    deployment.close();
+  });
+});
--- /dev/null
+++ b/benchmarks/src/configuration/createDeployment.ts
@@ -0,0 +1,88 @@
+import { setImmediate } from 'node:timers/promises';
+import { createRandom, createVirtualClock } from '@rattanreel/core';
+import type { EntryHostId } from '@rattanreel/core';
+import { createObjectStoreModel } from '@rattanreel/stand-in-platform';
+import createGatedTransport from './createGatedTransport';
+import createNetwork from './createNetwork';
+import createSimulatedHost from './createSimulatedHost';
+import type { Deployment, DeploymentOptions, InForceEvent } from './types';
+
+type RunningHost = ReturnType<typeof createSimulatedHost>;
+
+const FIRST_INSTANT = 1_000;
+
+/** Starts every entry host of the settings over one store; nothing is configured yet. */
+export default function createDeployment(options: DeploymentOptions): Deployment {
+  const { settings, seed, loss = 0 } = options;
+  const clock = createVirtualClock(FIRST_INSTANT);
+  const random = createRandom(seed);
+  const model = createObjectStoreModel({ clock, random });
+  const hosts = new Map<EntryHostId, RunningHost>();
+  const domains = new Map(settings.entryHosts.map((host) => [host.id, host.failureDomain]));
+  const inForce: InForceEvent[] = [];
+  const domainOf = (entryHost: EntryHostId) => domains.get(entryHost) ?? '';
+  const tryGetRunning = (entryHost: EntryHostId) => {
+    const host = hosts.get(entryHost);
+    return host?.running ? host : undefined;
+  };
+  const network = createNetwork({
+    clock,
+    random,
+    loss,
+    domainOf,
+    trafficOf: (entryHost) => tryGetRunning(entryHost)?.traffic,
+    deliver: (to, message) => tryGetRunning(to)?.deliver(message),
+  });
+
+  function start(id: EntryHostId): void {
+    const isCut = () => network.isCut(id, 'store') || network.isCut(domainOf(id), 'store');
+    const host = createSimulatedHost({
+      id,
+      run: (hosts.get(id)?.run ?? 0) + 1,
+      settings,
+      clock,
+      random,
+      transport: createGatedTransport({ model, clock, isCut }),
+      send: (to, message) => network.send(id, to, message),
+      onInForce: (event) => inForce.push(event),
+    });
+    hosts.set(id, host);
+  }
+
+  async function advance(span: number): Promise<void> {
+    // Promises of the store run between two milliseconds.
+    for (let passed = 0; passed < span; passed += 1) {
+      clock.advance(1);
+      await setImmediate();
+    }
+  }
+
+  settings.entryHosts.forEach(({ id }) => start(id));
+  return {
+    clock,
+    model,
+    inForce,
+    start,
+    advance,
+    host: (id) => hosts.get(id)!,
+    hosts: () => [...hosts.values()],
+    stop: (id) => hosts.get(id)!.stop(),
+    setCut: network.setCut,
+    mendAll: network.mendAll,
+    async settle(work) {
+      let done = false;
+      const finish = () => {
+        done = true;
+      };
+      work.then(finish, finish);
+      while (!done) {
+        await advance(1);
+      }
+      return work;
+    },
+    close() {
+      hosts.forEach((host) => host.stop());
+      model.close();
+    },
+  };
+}
--- /dev/null
+++ b/benchmarks/src/configuration/createGatedTransport.ts
@@ -0,0 +1,33 @@
+import type { Clock } from '@rattanreel/core';
+import type { StoreTransport } from '@rattanreel/platform';
+import { createModelTransport } from '@rattanreel/stand-in-platform';
+import type { ObjectStoreModel } from '@rattanreel/stand-in-platform';
+
+interface GatedTransportOptions {
+  readonly model: ObjectStoreModel;
+  readonly clock: Clock;
+  readonly isCut: () => boolean;
+}
+
+/** The way to the store of one host, which can be cut: calls are lost and open watches go silent. */
+export default function createGatedTransport(options: GatedTransportOptions): StoreTransport {
+  const { model, clock, isCut } = options;
+  const transport = createModelTransport({ model, clock });
+  return {
+    call(call, timeout) {
+      if (!isCut()) {
+        return transport.call(call, timeout);
+      }
+      return new Promise((resolve) => {
+        clock.after(timeout, () => resolve({ kind: 'lost' }));
+      });
+    },
+    openWatch: (request, listener) =>
+      transport.openWatch(request, (line) => {
+        if (!isCut()) {
+          listener(line);
+        }
+      }),
+    close: () => transport.close(),
+  };
+}
--- /dev/null
+++ b/benchmarks/src/configuration/createSimulatedHost.ts
@@ -0,0 +1,151 @@
+import { createConfigurationTask } from '@rattanreel/configuration';
+import type { ConfigurationPeer, DeploymentSettings } from '@rattanreel/configuration';
+import type { Clock, EntryHostId, Random, Timer } from '@rattanreel/core';
+import { createIncarnation, createMembership } from '@rattanreel/membership';
+import type { MembershipEffect, MembershipMessage } from '@rattanreel/membership';
+import { createObjectStore } from '@rattanreel/platform';
+import type { StoreTransport } from '@rattanreel/platform';
+import type { CarriedMessage, InForceEvent, SimulatedHost, Traffic } from './types';
+
+interface SimulatedHostOptions {
+  readonly id: EntryHostId;
+  readonly run: number;
+  readonly settings: DeploymentSettings;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly transport: StoreTransport;
+  readonly send: (to: EntryHostId, message: CarriedMessage) => void;
+  readonly onInForce: (event: InForceEvent) => void;
+}
+
+interface RunningHost extends SimulatedHost {
+  deliver(message: CarriedMessage): void;
+  stop(): void;
+}
+
+const SEEDS_OF_OTHER_DOMAINS = 2;
+const ROOMS_INTERVAL = 1_000;
+const START_SPREAD = 250;
+
+/** One entry host: its membership and its configuration, wired as a serving process wires them. */
+export default function createSimulatedHost(options: SimulatedHostOptions): RunningHost {
+  const { id, run, settings, clock, random, transport, send, onInForce } = options;
+  const self = settings.entryHosts.find((host) => host.id === id)!;
+  const traffic: Traffic = { membershipBytes: 0, configurationBytes: 0, messages: 0 };
+  const store = createObjectStore({ clock, random, transport });
+  let running = true;
+  let timer: Timer | undefined;
+  const membership = createMembership({
+    entryHost: id,
+    failureDomain: self.failureDomain,
+    address: self.peerAddress,
+    incarnation: createIncarnation(clock.wallTime().getTime(), random),
+    entryHosts: settings.entryHosts,
+    startedAt: clock.now(),
+    random,
+  });
+  const configuration = createConfigurationTask({
+    entryHost: id,
+    address: self.peerAddress,
+    seeds: chooseSeeds(settings, id, self.failureDomain),
+    store,
+    clock,
+    random,
+    listener: {
+      onSend: ({ entryHost, message }) => send(entryHost, { kind: 'configuration', message }),
+      onSettings({ generation, settings: { entryHosts } }) {
+        const changeId = configuration.status().inForce?.changeId ?? '';
+        onInForce({ entryHost: id, run, generation, changeId, at: clock.now() });
+        tell({ kind: 'configurationChanged', generation, entryHosts });
+      },
+    },
+  });
+
+  function tell(message: MembershipMessage): void {
+    if (running) {
+      membership.handle(message, clock.now()).forEach(perform);
+    }
+  }
+
+  function perform(effect: MembershipEffect): void {
+    if (effect.kind === 'sendToPeer') {
+      send(effect.entryHost, { kind: 'membership', message: effect.message });
+    } else if (effect.kind === 'laterGenerationSeen') {
+      configuration.handle(effect);
+    } else if (effect.kind === 'membersChanged') {
+      const { members, isDelegate } = membership.view(clock.now());
+      const peers = members
+        .filter(({ entryHost }) => entryHost !== id)
+        .map(({ entryHost, address }) => ({ entryHost, address }));
+      configuration.handle({ kind: 'peersChanged', peers, isDelegate });
+    }
+  }
+
+  function tick(): void {
+    tell({ kind: 'timePassed' });
+    const wait = membership.nextWakeUp(clock.now()) - clock.now();
+    timer = clock.after(Math.max(1, wait), tick);
+  }
+
+  /** Reports rooms that change all the time, as under load. */
+  function reportRooms(): void {
+    if (!running) {
+      return;
+    }
+    const rooms = settings.pools
+      .filter((pool) => membership.tryGetOwner(pool.id, self.failureDomain)?.entryHost === id)
+      .map((pool) => ({
+        pool: pool.id,
+        spareTokens: random.integer(0, 400_000),
+        queuedTokens: random.integer(0, 90_000),
+        drained: false,
+      }));
+    tell({ kind: 'roomsChanged', rooms });
+    clock.after(ROOMS_INTERVAL, reportRooms);
+  }
+
+  clock.after(random.integer(0, START_SPREAD), tick);
+  clock.after(ROOMS_INTERVAL, reportRooms);
+  return {
+    id,
+    failureDomain: self.failureDomain,
+    run,
+    membership,
+    traffic,
+    get running() {
+      return running;
+    },
+    status: () => configuration.status(),
+    async apply(request) {
+      const applied = await configuration.apply(request);
+      return applied.kind === 'ok' ? applied.value.kind : applied.error.kind;
+    },
+    drainLocally: (drain) => configuration.handle({ kind: 'localDrainRequested', drain }),
+    deliver(message) {
+      if (message.kind === 'membership') {
+        tell({ kind: 'peerMessageReceived', message: message.message });
+      } else {
+        configuration.handle({ kind: 'peerMessageReceived', message: message.message });
+      }
+    },
+    stop() {
+      running = false;
+      timer?.cancel();
+      configuration.close();
+    },
+  };
+}
+
+function chooseSeeds(
+  settings: DeploymentSettings,
+  self: EntryHostId,
+  failureDomain: string,
+): readonly ConfigurationPeer[] {
+  return settings.failureDomains.flatMap(({ id }) => {
+    const peers = settings.entryHosts.filter(
+      (host) => host.failureDomain === id && host.id !== self,
+    );
+    const taken = id === failureDomain ? peers : peers.slice(0, SEEDS_OF_OTHER_DOMAINS);
+    return taken.map((host) => ({ entryHost: host.id, address: host.peerAddress }));
+  });
+}
--- a/benchmarks/src/configuration/index.ts
+++ b/benchmarks/src/configuration/index.ts
@@ -1,6 +1,42 @@
 import type { BenchmarkArguments } from '../types';
+import measureMemberTable from './measureMemberTable';
+import measureSpread from './measureSpread';
+import type { ConfigurationBenchmarkResult, DeploymentSize, SpreadResult } from './types';
 
-/** Not built yet. */
-export default async function run(options: BenchmarkArguments): Promise<unknown> {
-  return { notBuilt: true, seed: options.seed };
+const TARGET_TODAY_SECONDS = 5;
+const TARGET_LATER_SECONDS = 7;
+
+interface SpreadCase {
+  readonly size: DeploymentSize;
+  readonly targetSeconds: number;
+  readonly changes: number;
+}
+
+const CASES: readonly SpreadCase[] = [
+  {
+    size: { domains: 4, hostsPerDomain: 2, models: 3, engines: 16, customers: 5 },
+    targetSeconds: TARGET_TODAY_SECONDS,
+    changes: 20,
+  },
+  {
+    size: { domains: 6, hostsPerDomain: 15, models: 12, engines: 150, customers: 185 },
+    targetSeconds: TARGET_TODAY_SECONDS,
+    changes: 10,
+  },
+  {
+    size: { domains: 12, hostsPerDomain: 30, models: 37, engines: 600, customers: 740 },
+    targetSeconds: TARGET_LATER_SECONDS,
+    changes: 10,
+  },
+];
+
+/** Spread of configurations, cost of the store, of membership and of its table. */
+export default async function run(
+  options: BenchmarkArguments,
+): Promise<ConfigurationBenchmarkResult> {
+  const spread: SpreadResult[] = [];
+  for (const { size, targetSeconds, changes } of options.quick ? CASES.slice(0, 1) : CASES) {
+    spread.push(await measureSpread({ size, targetSeconds, changes, seed: options.seed }));
+  }
+  return { seed: options.seed, spread, memberTableBytes: measureMemberTable() };
 }
--- a/packages/membership/src/createDomainDirectory.ts
+++ b/packages/membership/src/createDomainDirectory.ts
@@ -118,6 +118,9 @@
     },
     membersSent(message) {
       const domain = domainOf(message.failureDomain);
+      if (message.digest !== domain.status?.membersDigest) {
+        return NO_MEMBERS;
+      }
       const previous = domain.members;
       domain.members = message.members;
       domain.membersDigest = message.digest;
--- a/packages/membership/src/createDomainReporter.ts
+++ b/packages/membership/src/createDomainReporter.ts
@@ -1,4 +1,4 @@
-import type { EntryHostId, FailureDomainId, Milliseconds } from '@rattanreel/core';
+import type { EntryHostId, FailureDomainId, Generation, Milliseconds } from '@rattanreel/core';
 import getRoundInterval from './getRoundInterval';
 import listOtherDomains from './listOtherDomains';
 import roomsToColumns from './roomsToColumns';
@@ -6,6 +6,7 @@
 
 /** A domain silent for this many rounds is looked for at every host that the settings name. */
 const SILENT_ROUNDS = 4;
+const DELEGATES = 2;
 
 /**
  * Reports to the own delegates, and as a delegate sums up the domain for the others. Each delegate
@@ -14,6 +15,8 @@
 export default function createDomainReporter(context: MembershipContext): PeriodicPart {
   const { directory, failureDomain, known, periodic, policy } = context;
   let round = 0;
+  let reports = 0;
+  const toldGenerations = new Map<EntryHostId, Generation>();
 
   function report(now: Milliseconds): void {
     const self = context.self().entryHost;
@@ -24,10 +27,15 @@
       rooms: roomsToColumns(known.rooms),
     };
     directory.reported(message, now);
-    context
-      .delegatesOf(failureDomain)
-      .filter(({ entryHost }) => entryHost !== self)
-      .forEach(({ entryHost }) => context.send(entryHost, message));
+    reports += 1;
+    context.delegatesOf(failureDomain).forEach(({ entryHost }, index) => {
+      // In turn, which halves what a delegate receives; a new generation is told to both at once.
+      const isTurn = (reports + index) % DELEGATES === 0;
+      if (isTurn || toldGenerations.get(entryHost) !== known.generation) {
+        toldGenerations.set(entryHost, known.generation);
+        context.send(entryHost, message);
+      }
+    });
   }
 
   /** The next host to address in another domain: its delegates, or anyone when it has gone silent. */
@@ -53,7 +61,8 @@
     listOtherDomains(context).forEach((domain) => {
       const target = chooseTarget(domain, interval, now);
       if (target !== undefined) {
-        context.send(target, { kind: 'domainSummarised', from, fromAddress, ...summary });
+        const message = { from, fromAddress, ...summary, passedOn: false };
+        context.send(target, { kind: 'domainSummarised', ...message });
       }
     });
   }
--- a/packages/membership/src/createMembership.test.ts
+++ b/packages/membership/src/createMembership.test.ts
@@ -274,6 +274,41 @@
     });
   });
 
+  it('passes a summary that comes to another host on to the delegates', () => {
+    const members = simulateMembers({ domains: 2, hostsPerDomain: 4, seed: 5 });
+    members.clock.advance(SETTLED);
+    const { delegates } = members.host('d0-h0').membership.view(0);
+    const other = members.hosts().find(({ id }) => id < 'd1' && !delegates.includes(id))!;
+    const message = {
+      kind: 'domainSummarised' as const,
+      from: 'd1-h0',
+      fromAddress: 'd1-h0:1',
+      status: { failureDomain: 'd1', age: 0, membersDigest: 1, generations: [] },
+      rooms: { pools: [], spareTokens: [], queuedTokens: [], drained: [] },
+    };
+    const passedTo = (passedOn: boolean) =>
+      other.membership
+        .handle(
+          { kind: 'peerMessageReceived', message: { ...message, passedOn } },
+          members.clock.now(),
+        )
+        .flatMap((effect) =>
+          effect.kind === 'sendToPeer' && effect.message.kind === 'domainSummarised'
+            ? [effect.entryHost]
+            : [],
+        );
+    expect(passedTo(false)).toEqual([...delegates]);
+    expect(passedTo(true)).toEqual([]);
+  });
+
+  it('asks for no list of members while none changes', () => {
+    const members = simulateMembers({ domains: 5, hostsPerDomain: 4, seed: 5 });
+    members.clock.advance(20_000);
+    const asked = members.sent.get('domainMembersRequested');
+    members.clock.advance(20_000);
+    expect(members.sent.get('domainMembersRequested')).toEqual(asked);
+  });
+
   it('moves ownership off a leaving host', () => {
     const members = simulateMembers({ domains: 1, hostsPerDomain: 3, seed: 5 });
     members.clock.advance(SETTLED);
--- a/packages/membership/src/createPeerReceiver.ts
+++ b/packages/membership/src/createPeerReceiver.ts
@@ -40,13 +40,11 @@
         })
         .with({ kind: 'probeAnswered' }, ({ from }) => exchange.tellAccusation(from))
         .with({ kind: 'hostReported' }, (report) => directory.reported(report, now))
-        .with({ kind: 'domainSummarised' }, (summary) => {
-          directory.summarised(summary, now);
-          lists.request(summary.from, summary.fromAddress, now);
-        })
+        .with({ kind: 'domainSummarised' }, (summary) => lists.takeSummary(summary, now))
         .with({ kind: 'domainsRelayed' }, (relayed) => {
           directory.relayed(relayed, now);
-          lists.request(relayed.from, undefined, now);
+          const domains = relayed.domains.map(({ failureDomain }) => failureDomain);
+          lists.request(relayed.from, domains, undefined, now);
         })
         .with({ kind: 'roomsRelayed' }, (relayed) => directory.roomsRelayed(relayed, now))
         .with({ kind: 'domainMembersRequested' }, (request) => lists.answer(request))
--- a/packages/membership/src/simulateMembers.ts
+++ b/packages/membership/src/simulateMembers.ts
@@ -22,6 +22,7 @@
   const random = createRandom(seed);
   const hosts = new Map<EntryHostId, SimulatedMember>();
   const cuts = new Set<string>();
+  const sent: SimulatedMembers['sent'] = new Map();
   const entryHosts = Array.from({ length: domains * hostsPerDomain }, (_, index) => {
     const failureDomain = `d${Math.floor(index / hostsPerDomain)}`;
     const id = `${failureDomain}-h${index % hostsPerDomain}`;
@@ -43,12 +44,15 @@
     for (const effect of host.membership.handle(message, clock.now())) {
       if (effect.kind !== 'sendToPeer') {
         host.effects.push(effect);
-      } else if (!isCut(host.id, effect.entryHost) && random.next() >= loss) {
-        const { message: sent } = effect;
+        continue;
+      }
+      const { message: carried } = effect;
+      sent.set(carried.kind, (sent.get(carried.kind) ?? 0) + 1);
+      if (!isCut(host.id, effect.entryHost) && random.next() >= loss) {
         clock.after(random.integer(LATENCY_LOW, LATENCY_HIGH), () => {
           const target = hosts.get(effect.entryHost);
           if (target !== undefined) {
-            handle(target, { kind: 'peerMessageReceived', message: sent });
+            handle(target, { kind: 'peerMessageReceived', message: carried });
           }
         });
       }
@@ -90,6 +94,7 @@
   return {
     clock,
     cuts,
+    sent,
     host: (id) => hosts.get(id)!,
     hosts: () => [...hosts.values()],
     start,
--- a/packages/membership/src/types.ts
+++ b/packages/membership/src/types.ts
@@ -133,6 +133,8 @@
   readonly fromAddress: string;
   readonly status: DomainStatus;
   readonly rooms: PoolRoomColumns;
+  /** Set by a host that is no delegate when it passes the summary on to those that are. */
+  readonly passedOn: boolean;
 }
 
 /** All failure domains, from a delegate to an entry host of its own domain. */
@@ -416,7 +418,10 @@
   summarised(message: DomainSummarised, now: Milliseconds): void;
   relayed(message: DomainsRelayed, now: Milliseconds): void;
   roomsRelayed(message: RoomsRelayed, now: Milliseconds): void;
-  /** Takes a member list; returns the incarnations that are gone from it. */
+  /**
+   * Takes a member list and returns the incarnations that are gone from it. A list that is not the
+   * one that the domain's status tells is passed over.
+   */
   membersSent(message: DomainMembersSent): readonly DomainMember[];
   membersOf(failureDomain: FailureDomainId): readonly DomainMember[];
   /** Domains whose member list is not the one that their status tells. */
@@ -501,8 +506,15 @@
 
 /** Asks for and gives lists of members; internal to the library. */
 export interface MemberLists {
-  /** Asks for the lists that are out of date. */
-  request(from: EntryHostId, address: string | undefined, now: Milliseconds): void;
+  /** Takes another domain's summary; passes it on when this host is no delegate. */
+  takeSummary(message: DomainSummarised, now: Milliseconds): void;
+  /** Asks a host for the lists of those domains whose list here is out of date. */
+  request(
+    from: EntryHostId,
+    domains: readonly FailureDomainId[],
+    address: string | undefined,
+    now: Milliseconds,
+  ): void;
   answer(message: DomainMembersRequested): void;
 }
 
@@ -545,6 +557,8 @@
   readonly clock: VirtualClock;
   /** Cut links as `from to`; `*` stands for every host. */
   readonly cuts: Set<string>;
+  /** Messages sent so far by kind. */
+  readonly sent: Map<MembershipPeerMessage['kind'], number>;
   host(id: EntryHostId): SimulatedMember;
   hosts(): readonly SimulatedMember[];
   /** Starts a new process under a name. */
