--- a/packages/administration/src/index.ts
+++ b/packages/administration/src/index.ts
@@ -1,1 +1,13 @@
-export {};
+/** The administration API: versioned, typed errors, an OpenAPI document. */
+export type {
+  AdministrationServices,
+  DeploymentStatus,
+  DomainStatus,
+  ExplainedDecision,
+  HostStatus,
+  MoveError,
+  MoveRequest,
+  MoveStatus,
+  SettingsInForce,
+} from './types';
+export { default as createAdministrationApplication } from './createAdministrationApplication';
--- /dev/null
+++ b/packages/administration/src/pageOf.ts
@@ -0,0 +1,14 @@
+import type { Page } from './types';
+
+/** Cuts one page out of a list, after the item with the id `after`. */
+export default function pageOf<Item extends { readonly id: string }>(
+  items: readonly Item[],
+  limit: number,
+  after: string | undefined,
+): Page<Item> {
+  const sorted = [...items].sort((left, right) => (left.id < right.id ? -1 : 1));
+  const first = after === undefined ? 0 : sorted.findIndex(({ id }) => id > after);
+  const page = first < 0 ? [] : sorted.slice(first, first + limit);
+  const isLast = first < 0 || first + limit >= sorted.length;
+  return { items: page, next: isLast ? undefined : page.at(-1)?.id };
+}
--- /dev/null
+++ b/packages/administration/src/routes/addDecisionRoutes.ts
@@ -0,0 +1,39 @@
+import { createRoute } from '@hono/zod-openapi';
+import type { OpenAPIHono } from '@hono/zod-openapi';
+import answers from '../answers';
+import schemas from '../schemas';
+import type { AdministrationEnvironment, AdministrationServices } from '../types';
+
+/** Adds the routes that tell why something was decided. */
+export default function addDecisionRoutes(
+  application: OpenAPIHono<AdministrationEnvironment>,
+  services: AdministrationServices,
+): void {
+  application.openapi(
+    createRoute({
+      method: 'get',
+      path: '/requests/{request}/decisions',
+      summary: 'Every decision kept about one request, from all entry hosts that answer',
+      request: { params: schemas.request },
+      responses: answers('Decisions, oldest first'),
+    }),
+    async (context) => {
+      const { request } = context.req.valid('param');
+      return context.json({ items: await services.explain(request) }, 200);
+    },
+  );
+
+  application.openapi(
+    createRoute({
+      method: 'get',
+      path: '/decisions',
+      summary: 'The latest decisions of this entry host',
+      request: { query: schemas.limit },
+      responses: answers('Decisions, newest first'),
+    }),
+    (context) => {
+      const { limit } = context.req.valid('query');
+      return context.json({ items: services.recentDecisions(limit) }, 200);
+    },
+  );
+}
--- /dev/null
+++ b/packages/administration/src/routes/addDrainRoutes.ts
@@ -0,0 +1,68 @@
+import { createRoute } from '@hono/zod-openapi';
+import type { OpenAPIHono } from '@hono/zod-openapi';
+import answers from '../answers';
+import schemas from '../schemas';
+import sendChangeError from '../sendChangeError';
+import type { AdministrationEnvironment, AdministrationServices } from '../types';
+
+/**
+ * Adds the routes that take failure domains, entry hosts and backend servers out and bring them back.
+ * Taking out works without the store: it is in force in this failure domain at once and recorded later.
+ */
+export default function addDrainRoutes(
+  application: OpenAPIHono<AdministrationEnvironment>,
+  services: AdministrationServices,
+): void {
+  application.openapi(
+    createRoute({
+      method: 'post',
+      path: '/drains',
+      summary: 'Take a failure domain, entry host or backend server out',
+      request: { body: { content: { 'application/json': { schema: schemas.drainTarget } } } },
+      responses: answers('Whether it is recorded, or in force here only until the store is back'),
+    }),
+    async (context) => {
+      const target = context.req.valid('json');
+      const changeId = crypto.randomUUID();
+      const author = context.get('administrator').name;
+      // What restricts needs nobody: in force here before the store is asked.
+      services.drainLocally(target, author, changeId);
+      const applied = await services.change(
+        { kind: 'drain', target, localDrain: changeId },
+        author,
+        changeId,
+        undefined,
+      );
+      if (applied.kind === 'ok') {
+        const { generation } = applied.value.configuration;
+        return context.json({ result: 'recorded', generation }, 200);
+      }
+      if (applied.error.kind === 'unknownDrainTarget') {
+        return sendChangeError(context, applied.error);
+      }
+      return context.json({ result: 'inForceHereOnly', reason: applied.error.kind }, 200);
+    },
+  );
+
+  application.openapi(
+    createRoute({
+      method: 'delete',
+      path: '/drains/{kind}/{id}',
+      summary: 'Bring a failure domain, entry host or backend server back',
+      request: { params: schemas.drainTarget },
+      responses: answers('The generation accepted'),
+    }),
+    async (context) => {
+      const target = context.req.valid('param');
+      const applied = await services.change(
+        { kind: 'restore', target },
+        context.get('administrator').name,
+        crypto.randomUUID(),
+        undefined,
+      );
+      return applied.kind === 'ok'
+        ? context.json({ generation: applied.value.configuration.generation }, 200)
+        : sendChangeError(context, applied.error);
+    },
+  );
+}
--- /dev/null
+++ b/packages/administration/src/routes/addSettingsRoutes.ts
@@ -0,0 +1,71 @@
+import { createRoute, z } from '@hono/zod-openapi';
+import type { OpenAPIHono } from '@hono/zod-openapi';
+import { parseDeploymentSettings } from '@rattanreel/configuration';
+import administrationProblems from '../administrationProblems';
+import answers from '../answers';
+import schemas from '../schemas';
+import sendAdministrationProblem from '../sendAdministrationProblem';
+import sendChangeError from '../sendChangeError';
+import type { AdministrationEnvironment, AdministrationServices } from '../types';
+
+const ENTITY_TAG = /^"(\d+)"$/;
+
+/** Adds the routes of the settings; a change names the generation that it is based on by `If-Match`. */
+export default function addSettingsRoutes(
+  application: OpenAPIHono<AdministrationEnvironment>,
+  services: AdministrationServices,
+): void {
+  application.openapi(
+    createRoute({
+      method: 'get',
+      path: '/settings',
+      summary: 'The settings in force; the ETag is their generation',
+      responses: answers('Generation and settings'),
+    }),
+    (context) => {
+      const inForce = services.tryGetSettings();
+      if (inForce === undefined) {
+        return sendAdministrationProblem(context, administrationProblems.noConfiguration);
+      }
+      context.header('etag', `"${inForce.generation}"`);
+      return context.json({ ...inForce }, 200);
+    },
+  );
+
+  application.openapi(
+    createRoute({
+      method: 'put',
+      path: '/settings',
+      summary: 'Replace the settings if nobody else has since the generation in If-Match',
+      request: {
+        headers: z.object({
+          'if-match': z.string().regex(ENTITY_TAG),
+          'x-change-id': z.string().min(16).optional(),
+        }),
+        body: { content: { 'application/json': { schema: schemas.settings } } },
+      },
+      responses: answers('The generation accepted'),
+    }),
+    async (context) => {
+      const headers = context.req.valid('header');
+      const parsed = parseDeploymentSettings(context.req.valid('json'));
+      if (parsed.kind === 'error') {
+        return sendAdministrationProblem(context, administrationProblems.malformed, {
+          detail: parsed.error,
+        });
+      }
+      const applied = await services.change(
+        { kind: 'replaceSettings', settings: parsed.value },
+        context.get('administrator').name,
+        headers['x-change-id'] ?? crypto.randomUUID(),
+        Number(ENTITY_TAG.exec(headers['if-match'])?.[1]),
+      );
+      if (applied.kind === 'error') {
+        return sendChangeError(context, applied.error);
+      }
+      const { kind, configuration } = applied.value;
+      context.header('etag', `"${configuration.generation}"`);
+      return context.json({ result: kind, generation: configuration.generation }, 200);
+    },
+  );
+}
--- /dev/null
+++ b/packages/administration/src/schemas.ts
@@ -0,0 +1,32 @@
+import { z } from '@hono/zod-openapi';
+
+const DEFAULT_PAGE_ITEMS = 100;
+const MOST_PAGE_ITEMS = 1_000;
+
+/** Shapes of the calls; the answers are described by name and checked by the compiler. */
+const schemas = {
+  page: z.object({
+    limit: z.coerce.number().int().min(1).max(MOST_PAGE_ITEMS).default(DEFAULT_PAGE_ITEMS),
+    after: z.string().optional(),
+  }),
+  drainTarget: z.object({
+    kind: z.enum(['failureDomain', 'entryHost', 'backendServer']),
+    id: z.string().min(1),
+  }),
+  moveRequest: z.object({
+    pool: z.string().min(1),
+    to: z.string().min(1),
+    deadline: z.number().int().openapi({ description: 'Milliseconds since 1970' }),
+    bakeTime: z.number().int().min(0).openapi({ description: 'Milliseconds' }),
+  }),
+  pool: z.object({ pool: z.string() }),
+  request: z.object({ request: z.string() }),
+  limit: z.object({
+    limit: z.coerce.number().int().min(1).max(MOST_PAGE_ITEMS).default(DEFAULT_PAGE_ITEMS),
+  }),
+  settings: z.looseObject({}),
+  /** An answer's shape is the compiler's business; the document calls it an object. */
+  answer: z.any().openapi({ type: 'object' }),
+} as const;
+
+export default schemas;
