--- a/packages/administration/src/index.ts
+++ b/packages/administration/src/index.ts
@@ -8,6 +8,7 @@
   MoveError,
   MoveRequest,
   MoveStatus,
+  ScheduledPoolStatus,
   SettingsInForce,
 } from './types';
 export { default as createAdministrationApplication } from './createAdministrationApplication';
--- /dev/null
+++ b/packages/command-line/src/client/callAdministration.ts
@@ -0,0 +1,38 @@
+import { Agent, request } from 'undici';
+import type { Dispatcher } from 'undici';
+import type { CommandContext } from '../types';
+import type { AdministrationAnswer, AdministrationCall } from './types';
+
+const ADMINISTRATION_PATH = '/administration/v1';
+const TIMEOUT_MS = 15_000;
+
+/** Sends one call to the administration API; undefined when the entry host cannot be reached. */
+export default async function callAdministration(
+  context: CommandContext,
+  call: AdministrationCall,
+): Promise<AdministrationAnswer | undefined> {
+  const { host, token } = context.flags;
+  const dispatcher: Dispatcher = new Agent({ headersTimeout: TIMEOUT_MS, bodyTimeout: TIMEOUT_MS });
+  try {
+    const response = await request(`${host}${ADMINISTRATION_PATH}${call.path}`, {
+      method: call.method,
+      dispatcher,
+      headers: {
+        authorization: `Bearer ${token}`,
+        ...(call.body === undefined ? {} : { 'content-type': 'application/json' }),
+        ...call.headers,
+      },
+      body: call.body === undefined ? undefined : JSON.stringify(call.body),
+    });
+    const text = await response.body.text();
+    return {
+      status: response.statusCode,
+      entityTag: String(response.headers.etag ?? ''),
+      body: JSON.parse(text) as unknown,
+    };
+  } catch {
+    return undefined;
+  } finally {
+    await dispatcher.close();
+  }
+}
--- a/packages/command-line/src/commandTable.ts
+++ b/packages/command-line/src/commandTable.ts
@@ -1,11 +1,29 @@
+import apply from './commands/apply';
 import check from './commands/check';
 import configure from './commands/configure';
 import demo from './commands/demo';
+import drain from './commands/drain';
+import explain from './commands/explain';
 import load from './commands/load';
+import move from './commands/move';
+import restore from './commands/restore';
 import serve from './commands/serve';
+import status from './commands/status';
 import type { Command } from './types';
 
 /** Every command, in the order of the help text. */
-const commandTable: readonly Command[] = [serve, configure, check, load, demo];
+const commandTable: readonly Command[] = [
+  serve,
+  check,
+  configure,
+  apply,
+  status,
+  drain,
+  restore,
+  move,
+  explain,
+  load,
+  demo,
+];
 
 export default commandTable;
--- /dev/null
+++ b/packages/command-line/src/commands/explain.ts
@@ -0,0 +1,31 @@
+import type { ExplainedDecision } from '@rattanreel/administration';
+import runCall from '../client/runCall';
+import exitCodes from '../exitCodes';
+import type { Command } from '../types';
+
+function formatDecisions(body: unknown): string {
+  const { items } = body as { readonly items: readonly ExplainedDecision[] };
+  const lines = items.map(({ at, entryHost, decision }) => {
+    const { kind, decision: name, ...fields } = decision;
+    return `${at} ${entryHost} ${kind} ${name} ${JSON.stringify(fields)}`;
+  });
+  return lines.length === 0 ? 'no decision is kept about this request' : lines.join('\n');
+}
+
+/** `explain`: why a request was answered, refused or sent where it was. */
+const explain: Command = {
+  name: 'explain',
+  usage: 'explain REQUEST --host URL --token TOKEN [--json]',
+  summary: 'Tell what was decided about a request, and why',
+  async run(context) {
+    const request = context.input[0];
+    if (request === undefined) {
+      context.complain('name a request');
+      return exitCodes.usage;
+    }
+    const path = `/requests/${encodeURIComponent(request)}/decisions`;
+    return runCall(context, { method: 'GET', path }, formatDecisions);
+  },
+};
+
+export default explain;
--- a/packages/command-line/src/main.ts
+++ b/packages/command-line/src/main.ts
@@ -36,7 +36,7 @@
       token: { type: 'string' },
       deadline: { type: 'string' },
       bake: { type: 'string' },
-      from: { type: 'string' },
+      platform: { type: 'string' },
       to: { type: 'string' },
     },
   },
--- /dev/null
+++ b/packages/entry-host/src/administration/createAdministrationServices.ts
@@ -0,0 +1,83 @@
+import type { AdministrationServices, ExplainedDecision } from '@rattanreel/administration';
+import { fail } from '@rattanreel/core';
+import type { RequestId } from '@rattanreel/core';
+import type { HostContext, HostTasks, HostTransport } from '../types';
+import createMoveCommands from './createMoveCommands';
+import describeDeployment from './describeDeployment';
+
+const EXPLAIN_TIMEOUT_MS = 1_000;
+
+/** Binds the administration API to the tasks of this entry host. */
+export default function createAdministrationServices(
+  context: HostContext,
+  tasks: HostTasks,
+  transport: HostTransport,
+): AdministrationServices {
+  const { configuration, moves } = tasks;
+  const { settings: own, store, clock, decisions } = context;
+  const moveCommands = createMoveCommands(store, configuration.tryGetSettings, () =>
+    clock.wallTime().getTime(),
+  );
+
+  function ownDecisions(request: RequestId): readonly ExplainedDecision[] {
+    return decisions
+      .decisionsOf(request)
+      .map((recorded) => ({ ...recorded, entryHost: own.entryHost }));
+  }
+
+  async function askForDecisions(
+    address: string,
+    entryHost: string,
+    request: RequestId,
+  ): Promise<readonly ExplainedDecision[]> {
+    const answer = await transport.ask(address, { kind: 'decisions', request }, EXPLAIN_TIMEOUT_MS);
+    return answer.kind === 'ok' && answer.value.kind === 'decisions'
+      ? answer.value.decisions.map((recorded) => ({ ...recorded, entryHost }))
+      : [];
+  }
+
+  return {
+    tryFindAdministrator: (token) => configuration.tryGetSettings()?.tryFindAdministrator(token),
+    tryGetSettings() {
+      const status = configuration.tryGetKeeper()?.status();
+      return status?.inForce === undefined || status.settings === undefined
+        ? undefined
+        : { generation: status.inForce.generation, settings: status.settings };
+    },
+    status: () => describeDeployment(tasks),
+    async change(change, author, changeId, basedOn) {
+      const keeper = configuration.tryGetKeeper();
+      const current = keeper?.status().inForce;
+      if (keeper === undefined || current === undefined) {
+        return fail({ kind: 'noConfiguration' });
+      }
+      if (basedOn !== undefined && basedOn !== current.generation) {
+        return fail({ kind: 'changeConflict', basedOn, current, differences: [] });
+      }
+      return keeper.apply({ change, author, changeId });
+    },
+    drainLocally: (target, author, id) =>
+      configuration.handle({ kind: 'localDrainRequested', drain: { id, target, author } }),
+    startMove: moveCommands.start,
+    async cancelMove(pool, operator) {
+      const stored = moves.tryGetRecord(pool);
+      if (stored !== undefined) {
+        // What restricts takes effect at once, also while the store is away.
+        moves.cancel(pool, stored, operator);
+      }
+      return moveCommands.cancel(pool);
+    },
+    async explain(request) {
+      const others = configuration
+        .tryGetSettings()
+        ?.settings.entryHosts.filter(({ id }) => id !== own.entryHost);
+      const told = await Promise.all(
+        (others ?? []).map(({ id, peerAddress }) => askForDecisions(peerAddress, id, request)),
+      );
+      return [...ownDecisions(request), ...told.flat()].sort((left, right) =>
+        left.at < right.at ? -1 : 1,
+      );
+    },
+    recentDecisions: decisions.recent,
+  };
+}
--- a/packages/entry-host/src/callers/createCallerApplication.ts
+++ b/packages/entry-host/src/callers/createCallerApplication.ts
@@ -1,6 +1,8 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
+import { createAdministrationApplication } from '@rattanreel/administration';
+import type { AdministrationServices } from '@rattanreel/administration';
 import type { CallerServices } from './types';
 import authenticateCaller from './authenticateCaller';
 import createProblem from './createProblem';
@@ -11,6 +13,8 @@
 
 const LARGEST_BODY_BYTES = 4 * 1024 * 1024;
 
+const ADMINISTRATION_PATH = '/administration/v1';
+
 const OVERLOAD_RETRY_AFTER_MS = 1_000;
 
 type Handler = (services: CallerServices, context: Context) => Promise<Response>;
@@ -28,7 +32,10 @@
 }
 
 /** The HTTP application that callers, the balancer and the metrics scraper talk to. */
-export default function createCallerApplication(services: CallerServices): Hono {
+export default function createCallerApplication(
+  services: CallerServices,
+  administration: AdministrationServices,
+): Hono {
   const application = new Hono();
   const { admission, metrics } = services;
 
@@ -75,6 +82,7 @@
     const { contentType, body } = await metrics.scrape();
     return context.body(body, 200, { 'content-type': contentType });
   });
+  application.route(ADMINISTRATION_PATH, createAdministrationApplication(administration));
   application.notFound((context) =>
     sendProblem(context, createProblem(problemTypes.unknownRoute, 'not-run')),
   );
--- a/packages/entry-host/src/createEntryHost.ts
+++ b/packages/entry-host/src/createEntryHost.ts
@@ -1,6 +1,7 @@
 import { fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import { createPeerTransport } from '@rattanreel/transport';
+import createAdministrationServices from './administration/createAdministrationServices';
 import createCallerApplication from './callers/createCallerApplication';
 import createHostContext from './createHostContext';
 import createHostTasks from './createHostTasks';
@@ -46,7 +47,10 @@
   }
 
   const listener = await listenForCallers(
-    createCallerApplication(tasks.services),
+    createCallerApplication(
+      tasks.services,
+      createAdministrationServices(context, tasks, transport.value),
+    ),
     settings.callerAddress,
   );
   if (listener.kind === 'error') {
--- a/packages/entry-host/src/createHostTasks.ts
+++ b/packages/entry-host/src/createHostTasks.ts
@@ -158,13 +158,14 @@
     membership,
     configuration,
     moves,
+    schedulers,
     orders,
     services,
     receive: router.receive,
-    answer: async (question): Promise<PeerAnswer> => ({
-      kind: 'order',
-      answer: await answerOwner(question),
-    }),
+    answer: async (question): Promise<PeerAnswer> =>
+      question.kind === 'order'
+        ? { kind: 'order', answer: await answerOwner(question) }
+        : { kind: 'decisions', decisions: decisions.decisionsOf(question.request) },
     start() {
       membership.start();
       configuration.start();
--- a/packages/entry-host/src/moves/createMovesTask.ts
+++ b/packages/entry-host/src/moves/createMovesTask.ts
@@ -1,4 +1,5 @@
 import type { PoolId } from '@rattanreel/core';
+import { identifyMove } from '@rattanreel/moves';
 import type { MoveDecisionLogged, StoredMove } from '@rattanreel/moves';
 import type { LeaseState } from '@rattanreel/platform';
 import createMoveControllerRole from './createMoveControllerRole';
@@ -164,6 +165,9 @@
     takeEvidence: (pool, evidence) => guards.get(pool)?.handle(evidence),
     tryGetShares: (pool) => guards.get(pool)?.shares(),
     tryGetRecord: (pool) => records.get(pool),
+    records: () => [...records.values()],
+    cancel: (pool, { record }, operator) =>
+      parts.announce(pool, { kind: 'cancelRequested', move: identifyMove(record), operator }),
     close: delegate.stop,
   };
 }
--- a/packages/entry-host/src/moves/types.ts
+++ b/packages/entry-host/src/moves/types.ts
@@ -75,6 +75,9 @@
   tryGetShares(pool: PoolId): readonly VersionShare[] | undefined;
   /** The latest record known here of a pool's move. */
   tryGetRecord(pool: PoolId): StoredMove | undefined;
+  records(): readonly StoredMove[];
+  /** Tells every participant that an operator has cancelled a move. */
+  cancel(pool: PoolId, stored: StoredMove, operator: string): void;
   close(): Promise<void>;
 }
 
--- a/packages/entry-host/src/orders/createOwnerQuestions.ts
+++ b/packages/entry-host/src/orders/createOwnerQuestions.ts
@@ -17,7 +17,9 @@
       { kind: 'order', incarnation: owner.incarnation, nonce: owner.nonce, order },
       ANSWER_TIMEOUT_MS,
     );
-    return answer.kind === 'ok' ? answer.value.answer : { kind: 'unreachable' };
+    return answer.kind === 'ok' && answer.value.kind === 'order'
+      ? answer.value.answer
+      : { kind: 'unreachable' };
   };
 
   return {
--- a/packages/entry-host/src/scheduling/createSchedulerDirectory.ts
+++ b/packages/entry-host/src/scheduling/createSchedulerDirectory.ts
@@ -135,6 +135,8 @@
       this.update();
     },
     tryGetTask: (pool) => scheduled.get(pool)?.task,
+    summaries: () =>
+      [...scheduled].map(([pool, { task }]) => ({ pool, failureDomain, summary: task.summary() })),
     rooms() {
       const drained = options.tryGetSettings()?.settings.drained.failureDomains ?? [];
       return [...scheduled].map(([pool, { task }]) => {
--- a/packages/entry-host/src/scheduling/types.ts
+++ b/packages/entry-host/src/scheduling/types.ts
@@ -12,6 +12,7 @@
   TierRank,
   Timer,
 } from '@rattanreel/core';
+import type { ScheduledPoolStatus } from '@rattanreel/administration';
 import type { ConfigurationPeerMessage } from '@rattanreel/configuration';
 import type { EngineClient, RequestLifecycle } from '@rattanreel/dispatch';
 import type { MembershipPeerMessage, PoolRoom } from '@rattanreel/membership';
@@ -200,6 +201,8 @@
   update(): void;
   membersChanged(message: MembersChanged): void;
   tryGetTask(pool: PoolId): SchedulerTask | undefined;
+  /** The pools scheduled here. */
+  summaries(): readonly ScheduledPoolStatus[];
   /** What the schedulers here say of their room, for other failure domains. */
   rooms(): readonly PoolRoom[];
   close(): void;
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -1,4 +1,5 @@
 /** Messages between entry hosts, and the tasks of one entry host. */
+import type { MoveError, MoveRequest } from '@rattanreel/administration';
 import type {
   AdministratorSettings,
   BackendServerSettings,
@@ -20,8 +21,10 @@
   FailureDomainId,
   Generation,
   Incarnation,
+  Outcome,
   PoolId,
   Random,
+  RequestId,
   TierRank,
 } from '@rattanreel/core';
 import type { EngineClient, ServiceClient } from '@rattanreel/dispatch';
@@ -31,7 +34,8 @@
   MembershipPeerMessage,
   MembershipView,
 } from '@rattanreel/membership';
-import type { DecisionLog, Logger, Metrics } from '@rattanreel/observability';
+import type { MoveRecord } from '@rattanreel/moves';
+import type { DecisionLog, Logger, Metrics, RecordedDecision } from '@rattanreel/observability';
 import type {
   AskOwner,
   OrderDesk,
@@ -55,6 +59,7 @@
 import type { PeerTransport, TransportSettingsError } from '@rattanreel/transport';
 import type { CallerServices, OrderDispatcher } from './callers/types';
 import type { MovePeerMessage, MovesTask } from './moves/types';
+import type { SchedulerDirectory } from './scheduling/types';
 
 /** What an entry host tells the scheduler of a pool. */
 export type ToScheduler =
@@ -83,25 +88,23 @@
   | { readonly kind: 'configuration'; readonly message: ConfigurationPeerMessage }
   | { readonly kind: 'move'; readonly pool: PoolId; readonly message: MovePeerMessage };
 
-/** Asks the owner of a claim or a ticket how its order ended. */
-export interface PeerQuestion {
+/** A question about an order that the receiver claimed or issued the ticket of. */
+export interface OrderQuestion {
   readonly kind: 'order';
   readonly incarnation: Incarnation;
   readonly nonce: string | undefined;
   readonly order: OrderRequest;
 }
 
-export interface PeerAnswer {
-  readonly kind: 'order';
-  readonly answer: OwnerAnswer;
-}
+/** Questions between entry hosts. */
+export type PeerQuestion =
+  | OrderQuestion
+  /** Asks for the decisions kept about a request. */
+  | { readonly kind: 'decisions'; readonly request: RequestId };
 
-/** Where an entry host of this deployment is reached. */
-export interface EntryHostPlace {
-  readonly id: string;
-  readonly failureDomain: FailureDomainId;
-  readonly peerAddress: string;
-}
+export type PeerAnswer =
+  | { readonly kind: 'order'; readonly answer: OwnerAnswer }
+  | { readonly kind: 'decisions'; readonly decisions: readonly RecordedDecision[] };
 
 /** The membership of this entry host, as a task. */
 export interface MembershipTask {
@@ -136,7 +139,7 @@
 /** Questions between entry hosts about orders. */
 export interface OwnerQuestions {
   readonly askOwner: AskOwner;
-  answer(question: PeerQuestion): Promise<OwnerAnswer>;
+  answer(question: OrderQuestion): Promise<OwnerAnswer>;
 }
 
 export interface OwnerQuestionsOptions {
@@ -252,6 +255,7 @@
   readonly membership: MembershipTask;
   readonly configuration: ConfigurationTask;
   readonly moves: MovesTask;
+  readonly schedulers: SchedulerDirectory;
   readonly orders: RecordingOrderDesk;
   readonly services: CallerServices;
   receive(message: PeerMessage): void;
@@ -274,3 +278,9 @@
   /** Answers another entry host's question about an order. */
   readonly answerOwner: OwnerQuestions['answer'];
 }
+
+/** Starts and cancels moves for operators. */
+export interface MoveCommands {
+  start(request: MoveRequest): Promise<Outcome<MoveRecord, MoveError>>;
+  cancel(pool: PoolId): Promise<Outcome<MoveRecord, MoveError>>;
+}
