--- a/packages/entry-host/src/callers/createCallerApplication.ts
+++ b/packages/entry-host/src/callers/createCallerApplication.ts
@@ -57,7 +57,12 @@
 
   const limitBody = bodyLimit({
     maxSize: LARGEST_BODY_BYTES,
-    onError: (context) => sendProblem(context, createProblem(problemTypes.bodyTooLarge, 'not-run')),
+    onError(context) {
+      const response = sendProblem(context, createProblem(problemTypes.bodyTooLarge, 'not-run'));
+      // The rest of the body is not read, so the connection cannot carry another request.
+      response.headers.set('connection', 'close');
+      return response;
+    },
   });
 
   application.post('/v1/chat/completions', limitBody, admitted(handleChatCompletion));
