Be ready only once the pools scheduled here are handed over

Cause: the first request of the end-to-end tests was refused (503 after 1.9 s) when the machine was busy: the schedulers were still waiting out their handover, which a balancer could not see. Change: the pool summary tells a handover, and readiness waits for its end. Conclusion: a balancer that follows /readyz sends nothing to a host that cannot grant yet.

--- a/packages/entry-host/src/callers/createCallerApplication.ts
+++ b/packages/entry-host/src/callers/createCallerApplication.ts
@@ -2,8 +2,7 @@
 import type { Context } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
 import { createAdministrationApplication } from '@rattanreel/administration';
-import type { AdministrationServices } from '@rattanreel/administration';
-import type { CallerServices } from './types';
+import type { CallerApplicationOptions, CallerServices } from './types';
 import authenticateCaller from './authenticateCaller';
 import createProblem from './createProblem';
 import handleChatCompletion from './handleChatCompletion';
@@ -32,10 +31,8 @@
 }
 
 /** The HTTP application that callers, the balancer and the metrics scraper talk to. */
-export default function createCallerApplication(
-  services: CallerServices,
-  administration: AdministrationServices,
-): Hono {
+export default function createCallerApplication(options: CallerApplicationOptions): Hono {
+  const { services, administration, isReady } = options;
   const application = new Hono();
   const { admission, metrics } = services;
 
@@ -80,7 +77,7 @@
   });
   application.get('/healthz', (context) => context.text('ok'));
   application.get('/readyz', (context) => {
-    const ready = services.tryGetSettings() !== undefined && !admission.isStopping();
+    const ready = isReady();
     return context.text(ready ? 'ready' : 'not ready', ready ? 200 : 503);
   });
   application.get('/metrics', async (context) => {
--- a/packages/entry-host/src/callers/types.ts
+++ b/packages/entry-host/src/callers/types.ts
@@ -1,4 +1,5 @@
 /** Callers' requests on their way through one entry host. */
+import type { AdministrationServices } from '@rattanreel/administration';
 import type {
   CustomerSettings,
   ServicePoolSettings,
@@ -180,3 +181,11 @@
   /** Stops listening and breaks every connection. */
   cut(): void;
 }
+
+/** What the callers' application serves. */
+export interface CallerApplicationOptions {
+  readonly services: CallerServices;
+  readonly administration: AdministrationServices;
+  /** Whether the balancer may send requests here. */
+  readonly isReady: () => boolean;
+}
--- a/packages/entry-host/src/createEntryHost.ts
+++ b/packages/entry-host/src/createEntryHost.ts
@@ -39,6 +39,15 @@
   const tasks: HostTasks = createHostTasks(context, transport.value);
   tasks.start();
 
+  function isReady(): boolean {
+    return (
+      tasks.configuration.tryGetSettings() !== undefined &&
+      tasks.membership.view().joined &&
+      tasks.schedulers.summaries().every(({ summary }) => !summary.isHandingOver) &&
+      !admission.isStopping()
+    );
+  }
+
   async function close(): Promise<void> {
     await tasks.close();
     await context.store.close();
@@ -47,10 +56,11 @@
   }
 
   const listener = await listenForCallers(
-    createCallerApplication(
-      tasks.services,
-      createAdministrationServices(context, tasks, transport.value),
-    ),
+    createCallerApplication({
+      services: tasks.services,
+      administration: createAdministrationServices(context, tasks, transport.value),
+      isReady,
+    }),
     settings.callerAddress,
   );
   if (listener.kind === 'error') {
@@ -64,10 +74,7 @@
     callerAddress: listener.value.address,
     peerAddress: transport.value.address,
     incarnation,
-    isReady: () =>
-      tasks.configuration.tryGetSettings() !== undefined &&
-      tasks.membership.view().joined &&
-      !admission.isStopping(),
+    isReady,
     async stop() {
       tasks.membership.handle({ kind: 'leavingChanged', leaving: true });
       admission.stop();
--- a/packages/scheduling/src/createPoolScheduler.ts
+++ b/packages/scheduling/src/createPoolScheduler.ts
@@ -82,6 +82,6 @@
       return state.effects;
     },
     nextWakeUp: (now) => getNextWakeUp(state, now),
-    summary: () => summarise(state),
+    summary: (now) => summarise(state, now),
   };
 }
--- a/packages/scheduling/src/decisions/summarise.ts
+++ b/packages/scheduling/src/decisions/summarise.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from '@rattanreel/core';
 import type { BackendServer } from '../servers/types';
 import type { PoolSummary } from '../types';
 import isUsable from './isUsable';
@@ -14,7 +15,7 @@
 }
 
 /** What other failure domains and the metrics are told. */
-export default function summarise(state: SchedulerState): PoolSummary {
+export default function summarise(state: SchedulerState, now: Milliseconds): PoolSummary {
   const servers = [...state.servers.values()];
   const queuedByTier = Array.from(
     { length: state.tiers },
@@ -25,6 +26,7 @@
     queuedTokens: state.queue.costThrough(Number.POSITIVE_INFINITY),
     queuedByTier,
     inFlight: state.ledger.size,
+    isHandingOver: !state.handover.isOver(now),
     backendServers: servers.map((server) => ({
       id: server.settings.id,
       standing: server.standing,
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -314,6 +314,8 @@
   readonly queuedTokens: number;
   readonly queuedByTier: readonly number[];
   readonly inFlight: number;
+  /** It has just started and does not grant yet. */
+  readonly isHandingOver: boolean;
   readonly backendServers: readonly BackendServerSummary[];
 }
 
