Tighten the capacity bound and test the engine model

Cause: the bound left out that an iteration prefills at most one chunk, so even an engine with an endless queue reached only 0.87 of it; a cold engine fell over under streams that it had taken while warm; a stream that failed within its own submission never ended at the HTTP stand-in.

Change: the bound attributes an iteration's fixed cost to streams, memory or prefill, whichever bounds the mix most tightly; the benchmark reports what saturated engines reach of it; streams taken warm do not count for falling over; the end of such a stream is kept until it can be told; tests of the engine model as small cases.

--- a/benchmarks/src/goodput/index.ts
+++ b/benchmarks/src/goodput/index.ts
@@ -1,6 +1,7 @@
 import type { BenchmarkArguments } from '../types';
 import getDeployments from './deployment/getDeployments';
 import getMeasuredWindow from './getMeasuredWindow';
+import getSaturationShare from './getSaturationShare';
 import runScenario from './runScenario';
 import getScenarios from './scenarios/getScenarios';
 import createWorkModel from './workload/createWorkModel';
@@ -15,5 +16,9 @@
       runScenario({ deployment, scenario, window, seed, work }),
     ),
   );
-  return { seed, quick, scenarios };
+  const saturation = deployments.map((deployment) => ({
+    deployment: deployment.name,
+    shareOfCapacityBound: getSaturationShare(deployment, work, seed),
+  }));
+  return { seed, quick, saturation, scenarios };
 }
--- a/benchmarks/src/goodput/policies/rattanreel/createPoolPublisher.ts
+++ b/benchmarks/src/goodput/policies/rattanreel/createPoolPublisher.ts
@@ -33,10 +33,9 @@
     }
     return [
       {
+        ...last.summary,
         failureDomain,
         summaryAge: clock.now() - last.takenAt + deployment.betweenDomainsMilliseconds,
-        spareTokens: last.summary.spareTokens,
-        queuedTokens: last.summary.queuedTokens,
         drained: drainedDomains.has(failureDomain),
       },
     ];
--- a/benchmarks/src/goodput/results/getLeastWork.ts
+++ b/benchmarks/src/goodput/results/getLeastWork.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds } from '@rattanreel/core';
 import type { EngineHardware } from '@rattanreel/stand-in-engine-model';
+import type { BatchAttribution } from './types';
 
 interface RequestSize {
   /** Prompt tokens that no cache can hold. */
@@ -8,32 +9,26 @@
   readonly outputTokens: number;
 }
 
-/** Where between the two bounds on the batch the cost of an iteration is attributed. */
-interface BatchAttribution {
-  /** Share attributed by streams; the rest is attributed by tokens in memory. */
-  readonly byStreams: number;
-}
-
 /**
- * Least time that an engine of this hardware needs for a request, however it is batched. Each iteration costs its
- * fixed part at least `streams / maximumStreams` and `tokens / memoryTokens` times, so any mean of the two is a bound.
+ * Least time that an engine of this hardware needs for a request, however it is batched. An iteration generates at
+ * most one token a stream, holds at most its memory and prefills at most its chunk, so requests need at least as
+ * many iterations as each of the three says, and so at least any weighted mean of them.
  */
 export default function getLeastWork(
   hardware: EngineHardware,
   { prefillTokens, promptTokens, outputTokens }: RequestSize,
-  { byStreams }: BatchAttribution,
+  attribution: BatchAttribution,
 ): Milliseconds {
-  const iterations = outputTokens - 1;
-  const tokenIterations = iterations * (promptTokens + iterations / 2);
-  const prefillIterations = prefillTokens / hardware.prefillTokensPerIteration;
-  const fixed =
-    hardware.iterationMilliseconds *
-    ((byStreams * iterations) / hardware.maximumStreams +
-      ((1 - byStreams) * tokenIterations) / hardware.memoryTokens);
+  const decoded = outputTokens - 1;
+  const heldTokens = decoded * (promptTokens + decoded / 2);
+  const iterations =
+    (attribution.byStreams * decoded) / hardware.maximumStreams +
+    (attribution.byMemory * heldTokens) / hardware.memoryTokens +
+    (attribution.byPrefill * prefillTokens) / hardware.prefillTokensPerIteration;
   return (
-    fixed +
-    iterations * hardware.decodeMillisecondsPerStream +
-    tokenIterations * hardware.contextMillisecondsPerToken +
-    prefillIterations * hardware.prefillTokensPerIteration * hardware.prefillMillisecondsPerToken
+    iterations * hardware.iterationMilliseconds +
+    decoded * hardware.decodeMillisecondsPerStream +
+    heldTokens * hardware.contextMillisecondsPerToken +
+    prefillTokens * hardware.prefillMillisecondsPerToken
   );
 }
--- a/benchmarks/src/goodput/workload/createWorkModel.ts
+++ b/benchmarks/src/goodput/workload/createWorkModel.ts
@@ -2,65 +2,75 @@
 import { getHardware } from '@rattanreel/stand-in-engine-model';
 import type { HardwareGeneration } from '@rattanreel/stand-in-engine-model';
 import getLeastWork from '../results/getLeastWork';
+import type { BatchAttribution } from '../results/types';
 import drawRequestSize from './drawRequestSize';
 import type { RequestSize, WorkModel } from './types';
 
 const GENERATIONS: readonly HardwareGeneration[] = ['first', 'second', 'third', 'fourth', 'fifth'];
 const REFERENCE: HardwareGeneration = 'third';
-const SAMPLE_SIZE = 4_000;
+const SAMPLE_SIZE = 1_000;
 const SAMPLE_SEED = 1;
 const ATTRIBUTION_STEPS = 10;
 
-interface GenerationCosts {
-  readonly generation: HardwareGeneration;
-  readonly meanCost: number;
-  costOf(size: RequestSize): number;
+interface Prices extends WorkModel {
+  /** Requests of the mix that one engine of each generation can answer in a millisecond at most. */
+  readonly rate: number;
 }
 
-function mean(sizes: readonly RequestSize[], costOf: (size: RequestSize) => number): number {
-  return sizes.reduce((sum, size) => sum + costOf(size), 0) / sizes.length;
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
 }
 
-/** Costs of one generation under the attribution that bounds them most tightly. */
-function createCosts(
+function listAttributions(): BatchAttribution[] {
+  const steps = Array.from({ length: ATTRIBUTION_STEPS + 1 }, (_, step) => step);
+  return steps.flatMap((streams) =>
+    steps.slice(0, ATTRIBUTION_STEPS + 1 - streams).map((memory) => ({
+      byStreams: streams / ATTRIBUTION_STEPS,
+      byMemory: memory / ATTRIBUTION_STEPS,
+      byPrefill: (ATTRIBUTION_STEPS - streams - memory) / ATTRIBUTION_STEPS,
+    })),
+  );
+}
+
+function createCost(
   generation: HardwareGeneration,
-  sample: readonly RequestSize[],
-): GenerationCosts {
+  attribution: BatchAttribution,
+): (size: RequestSize) => number {
   const hardware = getHardware(generation);
-  let best: GenerationCosts | undefined;
-  for (let step = 0; step <= ATTRIBUTION_STEPS; step += 1) {
-    const attribution = { byStreams: step / ATTRIBUTION_STEPS };
-    const costOf = (size: RequestSize) =>
-      getLeastWork(
-        hardware,
-        { ...size, prefillTokens: size.promptTokens - size.sharedTokens },
-        attribution,
-      );
-    const meanCost = mean(sample, costOf);
-    if (best === undefined || meanCost > best.meanCost) {
-      best = { generation, meanCost, costOf };
-    }
-  }
-  return best!;
+  return (size) => {
+    const prefillTokens = size.promptTokens - size.sharedTokens;
+    return getLeastWork(hardware, { ...size, prefillTokens }, attribution);
+  };
+}
+
+/** Prices under which the sample costs the same on each generation. */
+function price(attribution: BatchAttribution, sample: readonly RequestSize[]): Prices {
+  const reference = sum(sample.map(createCost(REFERENCE, attribution)));
+  const priced = GENERATIONS.map((generation) => {
+    const costOf = createCost(generation, attribution);
+    return { generation, costOf, speed: reference / sum(sample.map(costOf)) };
+  });
+  const speeds = new Map(priced.map(({ generation, speed }) => [generation, speed]));
+  const workOf = (size: RequestSize): number =>
+    Math.min(...priced.map(({ costOf, speed }) => costOf(size) * speed));
+  const meanWork = sum(sample.map(workOf)) / sample.length;
+  return {
+    workOf,
+    speedOf: (generation) => speeds.get(generation)!,
+    meanWork,
+    rate: sum([...speeds.values()]) / meanWork,
+  };
 }
 
 /**
  * Prices an engine's time so that no engine does more work in a millisecond than its speed says: the work of a
- * request is its lowest cost over all generations, each cost multiplied by that generation's speed.
+ * request is its lowest cost over all generations, each cost multiplied by that generation's speed. Of the possible
+ * attributions it takes the one that bounds the rate of requests most tightly.
  */
 export default function createWorkModel(): WorkModel {
   const random = createRandom(SAMPLE_SEED);
   const sample = Array.from({ length: SAMPLE_SIZE }, () => drawRequestSize(random));
-  const costs = GENERATIONS.map((generation) => createCosts(generation, sample));
-  const reference = costs.find(({ generation }) => generation === REFERENCE)!;
-  const speeds = new Map(
-    costs.map(({ generation, meanCost }) => [generation, reference.meanCost / meanCost]),
-  );
-  const workOf = (size: RequestSize): number =>
-    Math.min(...costs.map((cost) => cost.costOf(size) * speeds.get(cost.generation)!));
-  return {
-    workOf,
-    speedOf: (generation) => speeds.get(generation)!,
-    meanWork: mean(sample, workOf),
-  };
+  return listAttributions()
+    .map((attribution) => price(attribution, sample))
+    .reduce((best, prices) => (prices.rate < best.rate ? prices : best));
 }
--- a/stand-ins/engine-model/src/createEngineBatch.ts
+++ b/stand-ins/engine-model/src/createEngineBatch.ts
@@ -24,6 +24,7 @@
     stream.state = 'ended';
     streams.delete(stream.request.request);
     stream.audit.state = end.kind;
+    stream.audit.prefilledTokens = Math.round(stream.audit.prefilledTokens);
     if (end.kind !== 'completed') {
       stream.audit.wastedPrefillTokens = stream.audit.prefilledTokens;
     }
@@ -99,8 +100,13 @@
   }
 
   return {
-    get size() {
-      return streams.size;
+    requests: () => new Set(streams.keys()),
+    countOthers(requests) {
+      let others = 0;
+      streams.forEach((_, request) => {
+        others += requests.has(request) ? 0 : 1;
+      });
+      return others;
     },
     add(request, audit) {
       const stream = createStream(request, audit);
--- /dev/null
+++ b/stand-ins/engine-model/src/createEngineModel.test.ts
@@ -0,0 +1,137 @@
+import { describe, it } from 'node:test';
+import { createRandom, createVirtualClock } from '@rattanreel/core';
+import { expect } from 'earl';
+import createEngineModel from './createEngineModel';
+import getHardware from './getHardware';
+import type { EngineModelOptions, EngineRequest, StreamEnd } from './types';
+
+interface Run {
+  readonly engine: ReturnType<typeof createEngineModel>;
+  readonly clock: ReturnType<typeof createVirtualClock>;
+  readonly ends: Map<string, StreamEnd['kind']>;
+  readonly firstTokens: Map<string, number>;
+  submit(request: string, sizes?: Partial<EngineRequest>): string;
+}
+
+function start(options: Partial<EngineModelOptions> = {}): Run {
+  const clock = createVirtualClock();
+  const ends: Run['ends'] = new Map();
+  const firstTokens: Run['firstTokens'] = new Map();
+  const engine = createEngineModel({
+    id: 'engine',
+    clock,
+    random: createRandom(3),
+    hardware: getHardware('third'),
+    ...options,
+  });
+  return {
+    engine,
+    clock,
+    ends,
+    firstTokens,
+    submit(request, sizes) {
+      const outcome = engine.submit({
+        request,
+        promptTokens: 512,
+        outputTokens: 100,
+        prefixHashes: [],
+        listener: {
+          onTokens: (tokens) => tokens === 1 && firstTokens.set(request, clock.now()),
+          onEnd: (end) => ends.set(request, end.kind),
+        },
+        ...sizes,
+      });
+      return outcome.kind === 'ok' ? 'taken' : outcome.error.kind;
+    },
+  };
+}
+
+function auditOf({ engine }: Run, request: string) {
+  return engine.audit().find((audit) => audit.request === request)!;
+}
+
+describe(createEngineModel.name, () => {
+  it('takes as long as its iterations cost', () => {
+    const run = start({ hardware: { ...getHardware('third'), contextMillisecondsPerToken: 0 } });
+    run.submit('a');
+    run.clock.advance(60_000);
+    const oneChunk = 14 + 512 * 0.06;
+    expect(run.firstTokens.get('a')?.toFixed(6)).toEqual(oneChunk.toFixed(6));
+    expect(run.ends.get('a')).toEqual('completed');
+    expect(auditOf(run, 'a').prefilledTokens).toEqual(512);
+    expect(auditOf(run, 'a').wastedPrefillTokens).toEqual(0);
+  });
+
+  it('refuses an id that it has seen, and what it can never hold', () => {
+    const run = start();
+    expect(run.submit('a')).toEqual('taken');
+    expect(run.submit('a')).toEqual('requestSeenBefore');
+    expect(run.submit('b', { promptTokens: 1_000_000 })).toEqual('memoryTooSmall');
+    run.engine.failNext(1);
+    expect(run.submit('c')).toEqual('injectedFailure');
+  });
+
+  it('evicts the stream admitted last when memory is full, and prefills it again', () => {
+    const run = start({ hardware: { ...getHardware('third'), memoryTokens: 1_200 } });
+    run.submit('a', { promptTokens: 500, outputTokens: 400 });
+    run.submit('b', { promptTokens: 500, outputTokens: 400 });
+    run.clock.advance(120_000);
+    expect([...run.ends.values()]).toEqual(['completed', 'completed']);
+    expect(auditOf(run, 'a').evictions).toEqual(0);
+    expect(auditOf(run, 'b').evictions).toBeGreaterThan(0);
+    expect(auditOf(run, 'b').wastedPrefillTokens).toBeGreaterThan(0);
+  });
+
+  it('prefills only what its cache does not hold', () => {
+    const run = start();
+    const prefixHashes = ['p:0', 'p:1', 'p:2', 'p:3'];
+    run.submit('a', { prefixHashes });
+    run.clock.advance(10_000);
+    run.submit('b', { prefixHashes });
+    run.clock.advance(10_000);
+    expect(auditOf(run, 'b').prefilledTokens).toEqual(512 - 4 * 64);
+    run.engine.turnCold();
+    run.submit('c', { prefixHashes });
+    run.clock.advance(100_000);
+    expect(auditOf(run, 'c').prefilledTokens).toEqual(512);
+  });
+
+  const cold = [
+    { name: 'bears a few streams when cold', streams: 2, ends: 'completed' },
+    { name: 'falls over when cold and given too many', streams: 40, ends: 'failed' },
+  ] as const;
+  for (const { name, streams, ends } of cold) {
+    it(name, () => {
+      const run = start({ cold: true });
+      const before = run.engine.load().incarnation;
+      for (let index = 0; index < streams; index += 1) {
+        run.submit(`r${index}`);
+      }
+      run.clock.advance(120_000);
+      expect(run.ends.get('r0')).toEqual(ends);
+      expect(run.engine.load().incarnation === before).toEqual(ends === 'completed');
+    });
+  }
+
+  it('counts the prefill of a cancelled stream as wasted', () => {
+    const run = start();
+    run.submit('a');
+    run.clock.advance(1_000);
+    run.engine.cancel('a');
+    expect(run.ends.get('a')).toEqual('cancelled');
+    expect(auditOf(run, 'a').wastedPrefillTokens).toEqual(512);
+    run.clock.advance(10_000);
+    expect(run.engine.load().running).toEqual(0);
+    expect(run.engine.load().memoryTokensUsed).toEqual(0);
+  });
+
+  it('reports its load as it was before the lag', () => {
+    const run = start({ reportLag: 1_000 });
+    run.clock.advance(5_000);
+    run.submit('a', { outputTokens: 1_000 });
+    run.clock.advance(500);
+    expect(run.engine.load().running).toEqual(0);
+    run.clock.advance(600);
+    expect(run.engine.load().running).toEqual(1);
+  });
+});
--- a/stand-ins/engine-model/src/createEngineModel.ts
+++ b/stand-ins/engine-model/src/createEngineModel.ts
@@ -49,6 +49,8 @@
     failuresLeft: 0,
   };
   let restartTimer: Timer | undefined;
+  /** Streams that were in hand when the engine turned cold; it slows down under them but does not fall over. */
+  let submittedWarm: ReadonlySet<RequestId> = new Set();
 
   const snapshot = () => takeSnapshot(state, status);
   const history = createLoadHistory(clock, options.reportLag, snapshot());
@@ -65,6 +67,7 @@
     cacheLog.record({ added: [], removed: cache.clear() });
     warmth.reset();
     batch.replan();
+    submittedWarm = batch.requests();
   }
 
   function restart(duration: number): void {
@@ -90,7 +93,7 @@
     }
     audit.state = 'running';
     batch.add(request, audit);
-    if (warmth.fallsOver(batch.size)) {
+    if (warmth.fallsOver(batch.countOthers(submittedWarm))) {
       restart(restartMilliseconds);
     }
     return ok(undefined);
--- a/stand-ins/engine-model/src/startDecoding.ts
+++ b/stand-ins/engine-model/src/startDecoding.ts
@@ -4,6 +4,7 @@
 export default function startDecoding(state: EngineState, stream: EngineStream): void {
   state.prefilling.shift();
   stream.state = 'decoding';
+  stream.audit.prefilledTokens = Math.round(stream.audit.prefilledTokens + stream.prefillLeft);
   stream.prefillLeft = 0;
   stream.heldBefore = stream.generatedBefore;
   stream.decodeStart = state.iteration;
--- a/stand-ins/engine-model/src/types.ts
+++ b/stand-ins/engine-model/src/types.ts
@@ -251,7 +251,9 @@
 
 /** The streams of an engine and the timer that moves them on. */
 export interface EngineBatch {
-  readonly size: number;
+  requests(): ReadonlySet<RequestId>;
+  /** Streams that are not among `requests`. */
+  countOthers(requests: ReadonlySet<RequestId>): number;
   add(request: EngineRequest, audit: RequestAudit): void;
   end(request: RequestId, kind: 'cancelled' | 'failed'): void;
   failAll(): void;
--- a/stand-ins/engine/src/createEngineService.ts
+++ b/stand-ins/engine/src/createEngineService.ts
@@ -29,10 +29,15 @@
   let fence = 0;
   let cutAfter: number | undefined;
   let slowDownFactor = 1;
+  let appliedFactor = 1;
   let inHand = 0;
 
   function applySpeed(): void {
-    model.slowDown(slowDownFactor * badness.slowDownFactor(version, inHand));
+    const factor = slowDownFactor * badness.slowDownFactor(version, inHand);
+    if (factor !== appliedFactor) {
+      appliedFactor = factor;
+      model.slowDown(factor);
+    }
   }
 
   function apply(order: EngineOrder): void {
@@ -56,7 +61,11 @@
       const promptTokens = Math.max(1, body.promptWords.length);
       const spoiled = badness.spoils(version, inHand);
       let onTokens = (_tokens: number, _cached: number): void => {};
-      let onEnd = (_kind: 'completed' | 'failed' | 'cancelled'): void => {};
+      let endedAtOnce: 'completed' | 'failed' | 'cancelled' | undefined;
+      let onEnd = (kind: 'completed' | 'failed' | 'cancelled'): void => {
+        // A cold engine may fall over under the very request that it takes in.
+        endedAtOnce = kind;
+      };
       const outcome = model.submit({
         request,
         promptTokens,
@@ -88,6 +97,9 @@
         streams.end(stream, kind);
         applySpeed();
       };
+      if (endedAtOnce !== undefined) {
+        onEnd(endedAtOnce);
+      }
       return ok(stream);
     },
     tryGetStream: streams.tryGet,
