--- /dev/null
+++ b/packages/entry-host/src/configuration/createConfigurationTask.ts
@@ -0,0 +1,44 @@
+import { createConfigurationTask as createKeeperTask } from '@rattanreel/configuration';
+import type { ConfigurationTask as KeeperTask } from '@rattanreel/configuration';
+import createSettingsView from '../createSettingsView';
+import type { ConfigurationTask, ConfigurationTaskOptions, SettingsView } from '../types';
+
+/** Keeps the configuration in force at this entry host, and the look-ups built from it. */
+export default function createConfigurationTask(
+  options: ConfigurationTaskOptions,
+): ConfigurationTask {
+  const { entryHost, address, store, clock, random, logger } = options;
+  let view: SettingsView | undefined;
+  let keeper: KeeperTask | undefined;
+
+  function start(): void {
+    keeper = createKeeperTask({
+      entryHost,
+      address,
+      seeds: options.seedPeers.map((peer) => ({ entryHost: peer, address: peer })),
+      store,
+      clock,
+      random,
+      listener: {
+        onSend: (effect) =>
+          options.send(effect.address, { kind: 'configuration', message: effect.message }),
+        onSettings({ generation, settings }) {
+          view = createSettingsView(settings);
+          logger.info({ generation }, 'configuration in force');
+          options.onChanged(generation, settings);
+        },
+        onRejected: (error) => logger.error({ error }, 'unusable configuration offered'),
+        onRecordFailed: (localDrain, error) =>
+          logger.warn({ localDrain, error: error.kind }, 'local drain not recorded yet'),
+      },
+    });
+  }
+
+  return {
+    start,
+    tryGetSettings: () => view,
+    tryGetKeeper: () => keeper,
+    handle: (message) => keeper?.handle(message),
+    close: () => keeper?.close(),
+  };
+}
--- /dev/null
+++ b/packages/entry-host/src/createHostTasks.ts
@@ -0,0 +1,182 @@
+import type { Timer } from '@rattanreel/core';
+import type { CancelAtBackendServer } from '@rattanreel/scheduling';
+import createConfigurationTask from './configuration/createConfigurationTask';
+import createMovesTask from './moves/createMovesTask';
+import createMembershipTask from './membership/createMembershipTask';
+import describePeers from './membership/describePeers';
+import listNeighbours from './membership/listNeighbours';
+import createOrderTasks from './orders/createOrderTasks';
+import createGrantClient from './scheduling/createGrantClient';
+import createPeerRouter from './scheduling/createPeerRouter';
+import createSchedulerDirectory from './scheduling/createSchedulerDirectory';
+import type { CallerServices } from './callers/types';
+import type { HostContext, HostTasks, HostTransport, PeerAnswer, PeerMessage } from './types';
+
+const UPDATE_INTERVAL_MS = 500;
+const REPORT_INTERVAL_MS = 2_000;
+
+/** Makes the tasks of one entry host and binds each to the messages of the others. */
+export default function createHostTasks(context: HostContext, transport: HostTransport): HostTasks {
+  const { settings, clock, random, incarnation, logger, engines, decisions, store } = context;
+  const { entryHost, failureDomain } = settings;
+  let updateTimer: Timer | undefined;
+  let reportTimer: Timer | undefined;
+
+  const membership = createMembershipTask({
+    entryHost,
+    failureDomain,
+    address: transport.address,
+    incarnation,
+    clock,
+    random,
+    send: transport.send,
+    onMembersChanged: (message) => schedulers.membersChanged(message),
+    onIncarnationChanged: () => schedulers.update(),
+    onReplaced: () => logger.error({ entryHost }, 'another process runs under this name'),
+    onLaterGeneration: (effect) => configuration.handle(effect),
+  });
+
+  const configuration = createConfigurationTask({
+    entryHost,
+    address: transport.address,
+    store,
+    clock,
+    random,
+    logger,
+    seedPeers: settings.seedPeers,
+    send: transport.send,
+    onChanged(generation, { entryHosts, drained }) {
+      const leaving = context.admission.isStopping() || drained.entryHosts.includes(entryHost);
+      membership.handle({ kind: 'configurationChanged', generation, entryHosts });
+      membership.handle({ kind: 'leavingChanged', leaving });
+      schedulers.update();
+    },
+  });
+  const { tryGetSettings } = configuration;
+
+  const tryGetPeerAddress = (name: string) => tryGetSettings()?.tryFindEntryHost(name)?.peerAddress;
+
+  function sendToPeer(name: string, message: PeerMessage): void {
+    const address = tryGetPeerAddress(name);
+    if (address !== undefined) {
+      transport.send(address, message);
+    }
+  }
+
+  function cancelAtBackendServer({ backendServer, request }: CancelAtBackendServer): void {
+    const server = tryGetSettings()?.tryFindBackendServer(backendServer);
+    if (server !== undefined) {
+      void engines.cancelStream(server.address, request);
+    }
+  }
+
+  const schedulers = createSchedulerDirectory({
+    failureDomain,
+    membership,
+    clock,
+    random,
+    engines,
+    decisions,
+    tryGetSettings,
+    tryGetShares: (pool) => moves.tryGetShares(pool),
+    getNeighbours: (pool) => listNeighbours(membership.view(), pool, failureDomain),
+    sendToHost: (pool, message) => router.sendToHost(pool, message),
+    cancelAtBackendServer,
+    takeEvidence: (pool, evidence) => moves.takeEvidence(pool, evidence),
+    onSchedulerChanged(pool, domain) {
+      router.sendToScheduler(pool, domain, grants.report(pool, domain));
+      grants.askAgain(pool, domain);
+    },
+  });
+
+  const router = createPeerRouter({
+    failureDomain,
+    membership,
+    tryGetTask: schedulers.tryGetTask,
+    sendToPeer,
+    receiveFromScheduler: (pool, domain, message) => grants.receive(pool, domain, message),
+    receiveMembership: (message) => membership.handle({ kind: 'peerMessageReceived', message }),
+    receiveConfiguration: (message) =>
+      configuration.handle({ kind: 'peerMessageReceived', message }),
+    receiveMove: (pool, message) => moves.receive(pool, message),
+  });
+
+  const moves = createMovesTask({
+    entryHost,
+    failureDomain,
+    clock,
+    random,
+    store,
+    decisions,
+    membership,
+    tryGetTask: schedulers.tryGetTask,
+    getFailureDomains: (pool) => tryGetSettings()?.failureDomainsOf(pool) ?? [],
+    getPools: () => tryGetSettings()?.settings.pools.map(({ id }) => id) ?? [],
+    sendToPeer: (name, pool, message) => sendToPeer(name, { kind: 'move', pool, message }),
+    onSharesChanged: schedulers.update,
+  });
+
+  const grants = createGrantClient({
+    getSelf: membership.self,
+    homeDomain: failureDomain,
+    clock,
+    send: router.sendToScheduler,
+  });
+
+  const { orders, orderDispatcher, answerOwner } = createOrderTasks(context, {
+    transport,
+    tryGetPeerAddress,
+    getServices: () => services,
+  });
+
+  const services: CallerServices = {
+    ...context,
+    failureDomain,
+    grants,
+    orders,
+    orderDispatcher,
+    tryGetSettings,
+  };
+
+  function update(): void {
+    configuration.handle(describePeers(entryHost, membership.view()));
+    schedulers.update();
+    membership.handle({ kind: 'roomsChanged', rooms: schedulers.rooms() });
+    moves.update();
+    updateTimer = clock.after(UPDATE_INTERVAL_MS, update);
+  }
+
+  /** Repeats what is in flight, so that a scheduler that missed a release learns of it. */
+  function report(): void {
+    grants.forEachPlace((pool, domain) =>
+      router.sendToScheduler(pool, domain, grants.report(pool, domain)),
+    );
+    reportTimer = clock.after(REPORT_INTERVAL_MS, report);
+  }
+
+  return {
+    membership,
+    configuration,
+    moves,
+    orders,
+    services,
+    receive: router.receive,
+    answer: async (question): Promise<PeerAnswer> => ({
+      kind: 'order',
+      answer: await answerOwner(question),
+    }),
+    start() {
+      membership.start();
+      configuration.start();
+      update();
+      report();
+    },
+    async close() {
+      updateTimer?.cancel();
+      reportTimer?.cancel();
+      configuration.close();
+      schedulers.close();
+      await moves.close();
+    },
+  };
+}
