--- a/packages/entry-host/src/scheduling/types.ts
+++ b/packages/entry-host/src/scheduling/types.ts
@@ -12,6 +12,8 @@
   TierRank,
   Timer,
 } from '@rattanreel/core';
+import type { ScheduledPoolStatus } from '@rattanreel/administration';
+import type { ConfigurationPeerMessage } from '@rattanreel/configuration';
 import type { EngineClient, RequestLifecycle } from '@rattanreel/dispatch';
 import type { MembershipPeerMessage, PoolRoom } from '@rattanreel/membership';
 import type { DecisionLog } from '@rattanreel/observability';
@@ -33,6 +35,7 @@
   VersionEvidence,
   VersionShare,
 } from '@rattanreel/scheduling';
+import type { MovePeerMessage } from '../moves/types';
 import type {
   FromScheduler,
   MembershipTask,
@@ -198,6 +201,8 @@
   update(): void;
   membersChanged(message: MembersChanged): void;
   tryGetTask(pool: PoolId): SchedulerTask | undefined;
+  /** The pools scheduled here. */
+  summaries(): readonly ScheduledPoolStatus[];
   /** What the schedulers here say of their room, for other failure domains. */
   rooms(): readonly PoolRoom[];
   close(): void;
@@ -214,6 +219,8 @@
     message: FromScheduler,
   ) => void;
   readonly receiveMembership: (message: MembershipPeerMessage) => void;
+  readonly receiveConfiguration: (message: ConfigurationPeerMessage) => void;
+  readonly receiveMove: (pool: PoolId, message: MovePeerMessage) => void;
 }
 
 /** Carries the messages between grant clients and pool schedulers. */
--- a/packages/moves/src/createMoveGuard.ts
+++ b/packages/moves/src/createMoveGuard.ts
@@ -3,6 +3,7 @@
 import createFollowedMove from './createFollowedMove';
 import createRecordWriter from './createRecordWriter';
 import createReportBook from './createReportBook';
+import createReporter from './createReporter';
 import getMovePolicy from './getMovePolicy';
 import identifyMove from './identifyMove';
 import isSameMove from './isSameMove';
@@ -30,10 +31,9 @@
   );
   const writer = createRecordWriter();
   const reports = createReportBook(policy.reportLifetime);
+  const reporter = createReporter(policy);
   let earlyVetoes: readonly MoveVeto[] = [];
   let followed: FollowedMove | undefined;
-  let oldInFlight = 0;
-  let reportedAt = Number.NEGATIVE_INFINITY;
   let settledAt: number | undefined;
 
   function decide(record: MoveRecord): MoveChange | undefined {
@@ -72,13 +72,12 @@
   }
 
   function announce(move: FollowedMove, now: number): readonly MoveGuardEffect[] {
-    if (now - reportedAt < policy.reportInterval || move.record().verdict !== 'underWay') {
+    if (!reporter.isDue(now) || move.record().verdict !== 'underWay') {
       return [];
     }
-    reportedAt = now;
     const veto = move.veto();
     return [
-      { kind: 'announceReport', report: { ...move.makeReport(), oldInFlight } },
+      { kind: 'announceReport', report: reporter.send(move.makeReport(), now) },
       ...(veto === undefined ? [] : [{ kind: 'announceVeto' as const, veto }]),
     ];
   }
@@ -110,8 +109,8 @@
           ? followed.cancel(request, now)
           : [],
       )
-      .with({ kind: 'oldTrafficCounted' }, ({ inFlight }) => {
-        oldInFlight = inFlight;
+      .with({ kind: 'oldTrafficCounted' }, { kind: 'capacityCounted' }, (counted) => {
+        followed?.count(counted);
         return [];
       })
       .exhaustive();
--- a/packages/moves/src/createReportBook.ts
+++ b/packages/moves/src/createReportBook.ts
@@ -9,8 +9,11 @@
 
 /** The last report of each failure domain. */
 interface ReportBook {
+  /** Keeps the evidence of the report before where this one leaves it out. */
   add(report: DomainReport, now: number): void;
   clear(): void;
+  /** The last report of each failure domain about the move, however old. */
+  lastOf(move: MoveIdentity): readonly DomainReport[];
   /** The fresh reports about the move, when each of the failure domains has one. */
   tryGetAll(
     move: MoveIdentity,
@@ -25,11 +28,20 @@
 
   return {
     add(report, now) {
-      reports.set(report.failureDomain, { report, heardAt: now });
+      const before = reports.get(report.failureDomain)?.report;
+      const units =
+        report.units.length === 0 && before !== undefined && isSameMove(before.move, report.move)
+          ? before.units
+          : report.units;
+      reports.set(report.failureDomain, { report: { ...report, units }, heardAt: now });
     },
     clear() {
       reports.clear();
     },
+    lastOf: (move) =>
+      [...reports.values()]
+        .map(({ report }) => report)
+        .filter((report) => isSameMove(report.move, move)),
     tryGetAll(move, failureDomains, now) {
       const found = failureDomains.flatMap((failureDomain) => {
         const timed = reports.get(failureDomain);
--- a/packages/placement/src/createPlacementController.ts
+++ b/packages/placement/src/createPlacementController.ts
@@ -49,7 +49,8 @@
     orders.clear();
     holding = {
       generation: lease.generation,
-      gate: createUnfencedGate(policy, now),
+      opensAt: now + policy.leaseDuration + policy.longestOrder + policy.reportLag,
+      gate: createUnfencedGate(policy),
       pacer: createLoadPacer(options.loadBudget, now),
     };
   }
--- a/packages/scheduling/src/decisions/types.ts
+++ b/packages/scheduling/src/decisions/types.ts
@@ -43,6 +43,13 @@
   configure(neighbours: readonly NeighbourPool[], now: Milliseconds): void;
 }
 
+/** Lets requests in danger go where they come before lower tiers. */
+export interface Displacement {
+  /** Takes `tokens` of a neighbour's allowance, which fills by a share of `rate` tokens a millisecond. */
+  tryTake(rate: number, tokens: number, now: Milliseconds): FailureDomainId | undefined;
+  configure(neighbours: readonly NeighbourPool[], now: Milliseconds): void;
+}
+
 /** Keeps capacity that a refused request could have used from lower tiers. */
 export interface RefusalBarrier {
   refused(tier: TierRank, until: Milliseconds): void;
@@ -74,8 +81,19 @@
   learnHolding(slot: InFlight, outputTokens: number, held: Milliseconds): void;
 }
 
+/** Tokens asked for of late, by tier. */
+export interface Demand {
+  /** Tokens a millisecond. */
+  rateOf(tier: TierRank, now: Milliseconds): number;
+  /** Tokens a millisecond of all tiers above `tier`. */
+  rateAbove(tier: TierRank, now: Milliseconds): number;
+  arrived(tier: TierRank, tokens: number, now: Milliseconds): void;
+}
+
 /** The fastest times of an idle backend server of the pool. */
 export interface PoolSpeed {
+  /** The fastest usable backend servers, the fastest first. */
+  readonly fastest: readonly BackendServer[];
   /** Streams that the pool can soon run at once. */
   readonly slots: number;
   /** Prompt tokens that the pool computes in a millisecond. */
@@ -95,9 +113,11 @@
   readonly servers: Map<BackendServerId, BackendServer>;
   readonly shares: VersionShares;
   readonly spill: SpillBudget;
+  readonly displacement: Displacement;
   readonly barrier: RefusalBarrier;
   readonly handover: Handover;
   readonly work: WorkEstimates;
+  readonly demand: Demand;
   /** Requests that ended lately, so that a late repetition is not served again. */
   readonly finished: Set<RequestId>;
   /** Incarnations declared dead. */
--- a/packages/scheduling/src/handlers/changePool.ts
+++ b/packages/scheduling/src/handlers/changePool.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@rattanreel/core';
 import abandonQueue from '../decisions/abandonQueue';
 import grantQueued from '../decisions/grantQueued';
+import spillQueued from '../decisions/spillQueued';
 import type { SchedulerState } from '../decisions/types';
 import createBackendServer from '../servers/createBackendServer';
 import getReturnStanding from '../servers/getReturnStanding';
@@ -62,9 +63,11 @@
   removeAbsent(state, changed, now);
   state.shares.configure(changed.shares);
   state.spill.configure(changed.neighbours, now);
+  state.displacement.configure(changed.neighbours, now);
   state.domainDrained = changed.domainDrained;
   state.tiers = changed.tiers;
   state.poolSpeed = undefined;
   abandonQueue(state, now);
   grantQueued(state, now);
+  spillQueued(state, now);
 }
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -314,6 +314,8 @@
   readonly queuedTokens: number;
   readonly queuedByTier: readonly number[];
   readonly inFlight: number;
+  /** It has just started and does not grant yet. */
+  readonly isHandingOver: boolean;
   readonly backendServers: readonly BackendServerSummary[];
 }
 
@@ -345,6 +347,8 @@
   readonly handoverWait: Milliseconds;
   /** Streams that a cold backend server may have at first. */
   readonly slowStartStreams: number;
+  /** Expected wait here from which a request is passed on to a failure domain with room. */
+  readonly spillWait: Milliseconds;
 }
 
 export interface PoolSchedulerOptions {
