Measure what an entry host adds, and relay streams without web streams

Cause: no figure for the entry host's own cost; the first trial, with callers, engine and entry host on one thread, showed 18 ms added at the median, which was the thread's own queue: grants waited 0 ms. Change: the overhead benchmark gives callers and stand-ins threads of their own. Streams are written to the caller's response directly; one abort signal a request in place of three.

--- a/benchmarks/src/overhead/index.ts
+++ b/benchmarks/src/overhead/index.ts
@@ -1,6 +1,109 @@
+import { build } from 'hdr-histogram-js';
+import { Debug } from '@rattanreel/core';
 import type { BenchmarkArguments } from '../types';
+import startOverheadDeployment from './startOverheadDeployment';
+import type { CostedBatch, LatencyFigures, OverheadDeployment, Route } from './types';
 
-/** Not built yet. */
+const REQUESTS_PER_SECOND = 200;
+const SECONDS_PER_ROUND = 3;
+const ROUNDS = 4;
+const OUTPUT_TOKENS = 8;
+const LONG_OUTPUT_TOKENS = 208;
+const COST_REQUESTS = 400;
+const COST_CALLERS = 32;
+const MICROSECONDS_PER_MILLISECOND = 1_000;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** 1.1 M tokens a second over 360 nodes, as the users' target states. */
+const TOKENS_PER_NODE_AT_TARGET = 3_100;
+const TARGET_ADDED_P50_MS = 2;
+const TARGET_ADDED_P99_MS = 10;
+
+function figuresOf(values: readonly number[]): LatencyFigures {
+  const histogram = build({ numberOfSignificantValueDigits: 3, lowestDiscernibleValue: 1 });
+  values.forEach((value) => histogram.recordValue(value * MICROSECONDS_PER_MILLISECOND));
+  return {
+    p50: histogram.getValueAtPercentile(50) / MICROSECONDS_PER_MILLISECOND,
+    p99: histogram.getValueAtPercentile(99) / MICROSECONDS_PER_MILLISECOND,
+  };
+}
+
+/** First-token times of both routes; they take turns, so that a slow spell of the machine meets both. */
+async function measureLatencies(
+  { direct, throughEntryHost, measure }: OverheadDeployment,
+  rounds: number,
+): Promise<{ readonly direct: LatencyFigures; readonly throughEntryHost: LatencyFigures }> {
+  const timed: Record<Route['name'], number[]> = { direct: [], throughEntryHost: [] };
+  for (let round = 0; round < rounds; round += 1) {
+    for (const route of [direct, throughEntryHost]) {
+      const batch = await measure({
+        route,
+        label: `latency-${round}`,
+        requests: REQUESTS_PER_SECOND * SECONDS_PER_ROUND,
+        requestsPerSecond: REQUESTS_PER_SECOND,
+        outputTokens: OUTPUT_TOKENS,
+      });
+      const whole = batch.requests.every((request) => request.whole);
+      Debug.invariant(whole, 'overhead-answer-not-whole', () => route.name);
+      timed[route.name].push(...batch.requests.map(({ firstToken }) => firstToken));
+    }
+  }
+  return {
+    direct: figuresOf(timed.direct),
+    throughEntryHost: figuresOf(timed.throughEntryHost),
+  };
+}
+
+/** Sends as fast as the entry host answers, with answers of one length. */
+function measureCost(
+  { throughEntryHost, measure }: OverheadDeployment,
+  outputTokens: number,
+): Promise<CostedBatch> {
+  return measure({
+    route: throughEntryHost,
+    label: `cost-${outputTokens}`,
+    requests: COST_REQUESTS,
+    callers: COST_CALLERS,
+    outputTokens,
+  });
+}
+
+function perRequest({ busyMilliseconds, requests }: CostedBatch): number {
+  return busyMilliseconds / requests.length;
+}
+
+/** Measures what an entry host adds to a call of a stand-in engine, both routes in one run. */
 export default async function run(options: BenchmarkArguments): Promise<unknown> {
-  return { notBuilt: true, seed: options.seed };
+  const deployment = await startOverheadDeployment(options.seed);
+  // Warms the compiler and the learnt limit of the engine up.
+  await measureCost(deployment, OUTPUT_TOKENS + 1);
+  await measureCost(deployment, OUTPUT_TOKENS + 2);
+  const latencies = await measureLatencies(deployment, options.quick ? 1 : ROUNDS);
+  const short = await measureCost(deployment, OUTPUT_TOKENS);
+  const long = await measureCost(deployment, LONG_OUTPUT_TOKENS);
+  await deployment.stop();
+
+  const millisecondsPerToken =
+    (perRequest(long) - perRequest(short)) / (LONG_OUTPUT_TOKENS - OUTPUT_TOKENS);
+  const addedMillisecondsP50 = latencies.throughEntryHost.p50 - latencies.direct.p50;
+  const addedMillisecondsP99 = latencies.throughEntryHost.p99 - latencies.direct.p99;
+  return {
+    seed: options.seed,
+    requestsPerSecond: REQUESTS_PER_SECOND,
+    firstTokenMilliseconds: latencies,
+    addedMillisecondsP50,
+    addedMillisecondsP99,
+    targets: {
+      addedMillisecondsP50: TARGET_ADDED_P50_MS,
+      addedMillisecondsP99: TARGET_ADDED_P99_MS,
+      met:
+        addedMillisecondsP50 <= TARGET_ADDED_P50_MS && addedMillisecondsP99 <= TARGET_ADDED_P99_MS,
+    },
+    requestsPerSecondBorne:
+      (short.requests.length * MILLISECONDS_PER_SECOND) / short.elapsedMilliseconds,
+    outputTokensPerRequest: OUTPUT_TOKENS,
+    busyMillisecondsPerRequest: perRequest(short) - millisecondsPerToken * OUTPUT_TOKENS,
+    busyMicrosecondsPerToken: millisecondsPerToken * MICROSECONDS_PER_MILLISECOND,
+    tokensRelayedPerCoreSecond: MILLISECONDS_PER_SECOND / millisecondsPerToken,
+    tokensPerNodeAtTarget: TOKENS_PER_NODE_AT_TARGET,
+  };
 }
--- /dev/null
+++ b/benchmarks/src/overhead/types.ts
@@ -0,0 +1,65 @@
+/** Figures of the overhead benchmark, and what passes between its threads. */
+import type { EntryHost } from '@rattanreel/entry-host';
+
+/** Milliseconds. */
+export interface LatencyFigures {
+  readonly p50: number;
+  readonly p99: number;
+}
+
+/** One timed request, in milliseconds. */
+export interface TimedRequest {
+  readonly firstToken: number;
+  readonly total: number;
+  readonly whole: boolean;
+}
+
+/** Where a request is sent: straight to the engine, or through the entry host. */
+export interface Route {
+  readonly name: 'direct' | 'throughEntryHost';
+  readonly address: string;
+  readonly authorization: string;
+}
+
+/** What the callers' thread is told to send. */
+export interface BatchOptions {
+  readonly route: Route;
+  /** Makes the requests' identifiers unique. */
+  readonly label: string;
+  readonly requests: number;
+  readonly outputTokens: number;
+  /** Evenly spaced arrivals; without it `callers` requests are kept in hand. */
+  readonly requestsPerSecond?: number;
+  readonly callers?: number;
+}
+
+export interface MeasuredBatch {
+  readonly requests: readonly TimedRequest[];
+  readonly elapsedMilliseconds: number;
+}
+
+/** A batch with the time that the entry host's thread was busy. */
+export interface CostedBatch extends MeasuredBatch {
+  readonly busyMilliseconds: number;
+}
+
+export interface StandInOptions {
+  readonly seed: number;
+  readonly memoryTokens: number;
+  readonly maximumStreams: number;
+}
+
+export interface StandInAddresses {
+  readonly platform: string;
+  readonly engine: string;
+}
+
+/** One entry host on this thread; its stand-ins and its callers each have a thread of their own. */
+export interface OverheadDeployment {
+  readonly entryHost: EntryHost;
+  readonly direct: Route;
+  readonly throughEntryHost: Route;
+  /** Runs a batch and measures how busy this thread was meanwhile. */
+  measure(options: BatchOptions): Promise<CostedBatch>;
+  stop(): Promise<void>;
+}
--- a/packages/entry-host/src/callers/answerStreamed.ts
+++ b/packages/entry-host/src/callers/answerStreamed.ts
@@ -1,16 +1,14 @@
+import { RESPONSE_ALREADY_SENT } from '@hono/node-server/utils/response';
+import { once } from 'node:events';
+import type { ServerResponse } from 'node:http';
 import type { Context } from 'hono';
 import type { StreamEvent } from '@rattanreel/dispatch';
-import type { CallerServices, ChatJob, ChatOutcome, ProblemDocument } from './types';
+import type { CallerEnvironment, CallerServices, ChatJob, ProblemDocument } from './types';
 import chatProblem from './chatProblem';
 import recordEnd from './recordEnd';
 import runChat from './runChat';
 import sendProblem from './sendProblem';
 
-/** Bytes held for a slow caller before the engine's stream is read no further. */
-const BUFFERED_BYTES = 262_144;
-
-type Start = { readonly kind: 'streaming' } | { readonly kind: 'ended'; outcome: ChatOutcome };
-
 function formatEvents(events: readonly StreamEvent[], includeUsage: boolean): string {
   let text = '';
   for (const event of events) {
@@ -30,66 +28,44 @@
   return `event: error\ndata: ${JSON.stringify({ error })}\n\n`;
 }
 
+/** Writes to the caller; waits while its connection is full. */
+async function write(outgoing: ServerResponse, text: string): Promise<void> {
+  if (text === '' || outgoing.destroyed || outgoing.write(text)) {
+    return;
+  }
+  await Promise.race([once(outgoing, 'drain'), once(outgoing, 'close')]);
+}
+
 /**
  * Relays the engine's stream. The head is sent with the first token, so that a refusal keeps its own
  * status; a stream that breaks later ends in an explicit error event and never in silence.
  */
 export default async function answerStreamed(
   services: CallerServices,
-  context: Context,
+  context: Context<CallerEnvironment>,
   job: ChatJob,
 ): Promise<Response> {
-  const encoder = new TextEncoder();
-  const pipe = new TransformStream<Uint8Array, Uint8Array>(
-    undefined,
-    new ByteLengthQueuingStrategy({ highWaterMark: BUFFERED_BYTES }),
-  );
-  const writer = pipe.writable.getWriter();
-  // A caller that goes away fails the writes; its request's signal ends the stream.
-  writer.closed.catch(() => undefined);
-  let streaming = false;
+  const { outgoing } = context.env;
+  const { request } = job.ask;
 
-  async function write(text: string): Promise<void> {
-    if (text !== '') {
-      await writer.write(encoder.encode(text)).catch(() => undefined);
+  const outcome = await runChat(services, job, async (events) => {
+    if (events.length > 0 && !outgoing.headersSent) {
+      outgoing.writeHead(200, {
+        'content-type': 'text/event-stream',
+        'cache-control': 'no-cache',
+        'x-request-id': request,
+      });
     }
-  }
-
-  async function finish(outcome: ChatOutcome): Promise<void> {
-    recordEnd(services, job, outcome);
-    const whole = outcome.kind === 'ended' && outcome.stream.kind === 'completed';
-    if (streaming && !whole) {
-      await write(formatProblem(chatProblem(job.ask.request, outcome)));
-    }
-    await writer.close().catch(() => undefined);
-  }
-
-  const start = await new Promise<Start>((resolve) => {
-    async function relay(events: readonly StreamEvent[]): Promise<void> {
-      if (events.length > 0 && !streaming) {
-        streaming = true;
-        resolve({ kind: 'streaming' });
-      }
-      await write(formatEvents(events, job.includeUsage));
-    }
-
-    async function run(): Promise<void> {
-      services.admission.enter();
-      const outcome = await runChat(services, job, relay);
-      await finish(outcome);
-      services.admission.leave();
-      resolve({ kind: 'ended', outcome });
-    }
-
-    run().catch((error: unknown) => services.logger.error({ error }, 'chat stream failed'));
+    await write(outgoing, formatEvents(events, job.includeUsage));
   });
-
-  if (start.kind === 'ended' && !streaming) {
-    return sendProblem(context, chatProblem(job.ask.request, start.outcome));
+  recordEnd(services, job, outcome);
+  const whole = outcome.kind === 'ended' && outcome.stream.kind === 'completed';
+  if (!outgoing.headersSent) {
+    return sendProblem(context, chatProblem(request, outcome));
   }
-  return context.body(pipe.readable, 200, {
-    'content-type': 'text/event-stream',
-    'cache-control': 'no-cache',
-    'x-request-id': job.ask.request,
-  });
+  if (!whole) {
+    await write(outgoing, formatProblem(chatProblem(request, outcome)));
+  }
+  outgoing.end();
+  return RESPONSE_ALREADY_SENT;
 }
--- a/packages/entry-host/src/callers/createCallerApplication.ts
+++ b/packages/entry-host/src/callers/createCallerApplication.ts
@@ -2,7 +2,7 @@
 import type { Context } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
 import { createAdministrationApplication } from '@rattanreel/administration';
-import type { CallerApplicationOptions, CallerServices } from './types';
+import type { CallerApplicationOptions, CallerEnvironment, CallerServices } from './types';
 import authenticateCaller from './authenticateCaller';
 import createProblem from './createProblem';
 import handleChatCompletion from './handleChatCompletion';
@@ -16,9 +16,11 @@
 
 const OVERLOAD_RETRY_AFTER_MS = 1_000;
 
-type Handler = (services: CallerServices, context: Context) => Promise<Response>;
+type CallerContext = Context<CallerEnvironment>;
 
-function issueTicket(services: CallerServices, context: Context): Response {
+type Handler = (services: CallerServices, context: CallerContext) => Promise<Response>;
+
+function issueTicket(services: CallerServices, context: CallerContext): Response {
   const settings = services.tryGetSettings();
   if (settings === undefined) {
     return sendProblem(context, createProblem(problemTypes.notReady, 'not-run'));
@@ -31,13 +33,15 @@
 }
 
 /** The HTTP application that callers, the balancer and the metrics scraper talk to. */
-export default function createCallerApplication(options: CallerApplicationOptions): Hono {
+export default function createCallerApplication(
+  options: CallerApplicationOptions,
+): Hono<CallerEnvironment> {
   const { services, administration, isReady } = options;
-  const application = new Hono();
+  const application = new Hono<CallerEnvironment>();
   const { admission, metrics } = services;
 
   /** Counts the request as in hand until its handler has answered. */
-  function admitted(handler: Handler): (context: Context) => Promise<Response> {
+  function admitted(handler: Handler): (context: CallerContext) => Promise<Response> {
     return async (context) => {
       if (!admission.tryEnter()) {
         const type = admission.isStopping() ? problemTypes.shuttingDown : problemTypes.overloaded;
--- a/packages/entry-host/src/callers/handleChatCompletion.ts
+++ b/packages/entry-host/src/callers/handleChatCompletion.ts
@@ -2,11 +2,19 @@
 import { createRequestLifecycle, hashPromptPrefixes } from '@rattanreel/dispatch';
 import type { ModelPoolSettings } from '@rattanreel/configuration';
 import { Debug } from '@rattanreel/core';
-import type { AuthenticatedCaller, CallerServices, ChatJob, ChatRequest } from './types';
+import type {
+  AuthenticatedCaller,
+  CallerEnvironment,
+  CallerPresence,
+  CallerServices,
+  ChatJob,
+  ChatRequest,
+} from './types';
 import type { SettingsView } from '../types';
 import answerStreamed from './answerStreamed';
 import answerWhole from './answerWhole';
 import authenticateCaller from './authenticateCaller';
+import createCallerPresence from './createCallerPresence';
 import createProblem from './createProblem';
 import problemTypes from './problemTypes';
 import readChatRequest from './readChatRequest';
@@ -21,11 +29,11 @@
   readonly chat: ChatRequest;
   readonly pool: ModelPoolSettings;
   readonly deadline: number;
-  readonly signal: AbortSignal;
+  readonly presence: CallerPresence;
 }
 
 function createJob(services: CallerServices, checked: CheckedChat): ChatJob {
-  const { settings, caller, chat, pool, deadline, signal } = checked;
+  const { settings, caller, chat, pool, deadline, presence } = checked;
   const now = services.clock.now();
   const request = services.random.identifier();
   return {
@@ -43,8 +51,9 @@
       firstTokenDueAt: now + Math.min(deadline, caller.tier.firstTokenMilliseconds),
       dueAt: now + deadline,
       lifecycle: createRequestLifecycle(),
-      signal,
+      signal: presence.signal,
     },
+    caller: presence,
     tier: caller.tier.id,
     model: chat.model,
     includeUsage: chat.includeUsage,
@@ -58,7 +67,7 @@
 /** Answers an OpenAI-style chat completion, streamed or whole. */
 export default async function handleChatCompletion(
   services: CallerServices,
-  context: Context,
+  context: Context<CallerEnvironment>,
 ): Promise<Response> {
   const settings = services.tryGetSettings();
   if (settings === undefined) {
@@ -95,7 +104,7 @@
     chat: chat.value,
     pool,
     deadline,
-    signal: context.req.raw.signal,
+    presence: createCallerPresence(context.env.outgoing),
   });
   return chat.value.stream
     ? answerStreamed(services, context, job)
--- a/packages/entry-host/src/callers/handleServiceCall.ts
+++ b/packages/entry-host/src/callers/handleServiceCall.ts
@@ -2,9 +2,16 @@
 import { Debug, fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import type { RecordedAnswer } from '@rattanreel/orders';
-import type { CallerServices, ProblemDocument, ProblemType, ServiceJob } from './types';
+import type {
+  CallerEnvironment,
+  CallerServices,
+  ProblemDocument,
+  ProblemType,
+  ServiceJob,
+} from './types';
 import type { SettingsView } from '../types';
 import authenticateCaller from './authenticateCaller';
+import createCallerPresence from './createCallerPresence';
 import createProblem from './createProblem';
 import orderProblem from './orderProblem';
 import problemTypes from './problemTypes';
@@ -24,7 +31,7 @@
 async function readJob(
   services: CallerServices,
   settings: SettingsView,
-  context: Context,
+  context: Context<CallerEnvironment>,
 ): Promise<Outcome<ServiceJob, ProblemDocument>> {
   const { method, path: fullPath } = context.req;
   const [, service = '', path = '/'] = SERVICE_PREFIX.exec(fullPath) ?? [];
@@ -68,7 +75,7 @@
     },
     body: await context.req.text(),
     dueAt: services.clock.now() + deadline,
-    signal: context.req.raw.signal,
+    signal: createCallerPresence(context.env.outgoing).signal,
     addressOf: (backendServer) =>
       Debug.checkDefined(settings.tryFindBackendServer(backendServer), backendServer).address,
   });
@@ -77,7 +84,7 @@
 async function submitOrder(
   services: CallerServices,
   job: ServiceJob,
-  context: Context,
+  context: Context<CallerEnvironment>,
 ): Promise<Outcome<RecordedAnswer, ProblemDocument>> {
   const key = readOrderKey(context.req.header('x-ticket'), context.req.header('idempotency-key'));
   if (key === undefined) {
@@ -111,7 +118,7 @@
 /** Passes a call on to a plain service; one that may not be repeated runs at most once. */
 export default async function handleServiceCall(
   services: CallerServices,
-  context: Context,
+  context: Context<CallerEnvironment>,
 ): Promise<Response> {
   const settings = services.tryGetSettings();
   if (settings === undefined) {
--- a/packages/entry-host/src/callers/recordEnd.ts
+++ b/packages/entry-host/src/callers/recordEnd.ts
@@ -14,7 +14,7 @@
   if (outcome.kind === 'refused') {
     return 'refused';
   }
-  if (outcome.kind === 'callerGone' || job.ask.signal.aborted) {
+  if (outcome.kind === 'callerGone' || job.caller.isGone()) {
     return 'callerGone';
   }
   if (outcome.stream.kind === 'completed') {
--- a/packages/entry-host/src/callers/runChat.ts
+++ b/packages/entry-host/src/callers/runChat.ts
@@ -52,8 +52,7 @@
   const { clock, engines } = services;
   const { ask } = job;
   const address = job.addressOf(held.grant.backendServer);
-  const deadline = new AbortController();
-  const timer = clock.after(ask.dueAt - clock.now(), () => deadline.abort());
+  const timer = clock.after(ask.dueAt - clock.now(), job.caller.abort);
   const dispatched = ask.lifecycle.tryDispatch();
   Debug.invariant(dispatched, 'request-dispatched-twice', () => ask.request);
   const result = await runEngineStream({
@@ -64,7 +63,7 @@
     body: job.engineBody,
     firstTokenTimeout: Math.max(1, ask.dueAt - clock.now()),
     silenceTimeout: Math.max(SHORTEST_SILENCE_MS, job.betweenTokens * SILENCE_FACTOR),
-    signal: AbortSignal.any([ask.signal, deadline.signal]),
+    signal: ask.signal,
     onEvents,
     onFirstToken: (after) => held.firstToken(after, 0),
   });
@@ -93,7 +92,7 @@
     }
     const { held } = result;
     const stream = await dispatch(services, job, held, onEvents);
-    releaseGrant(held, stream, ask.signal.aborted);
+    releaseGrant(held, stream, job.caller.isGone());
     const unsent = stream.error?.kind === 'notConnected' && ask.lifecycle.tryRequeueUnsent();
     if (!unsent || attempts >= MAXIMUM_ATTEMPTS || ask.signal.aborted) {
       ask.lifecycle.tryEnd();
--- a/packages/entry-host/src/callers/types.ts
+++ b/packages/entry-host/src/callers/types.ts
@@ -1,4 +1,5 @@
 /** Callers' requests on their way through one entry host. */
+import type { HttpBindings } from '@hono/node-server';
 import type { AdministrationServices } from '@rattanreel/administration';
 import type {
   CustomerSettings,
@@ -127,6 +128,7 @@
 /** A chat request on its way through this entry host. */
 export interface ChatJob {
   readonly ask: GrantAsk;
+  readonly caller: CallerPresence;
   readonly tier: string;
   readonly model: string;
   readonly includeUsage: boolean;
@@ -189,3 +191,16 @@
   /** Whether the balancer may send requests here. */
   readonly isReady: () => boolean;
 }
+
+/** Whether the caller of a request is still there, and the signal that ends the request. */
+export interface CallerPresence {
+  readonly signal: AbortSignal;
+  isGone(): boolean;
+  /** Ends the request for another reason, such as its deadline. */
+  abort(): void;
+}
+
+/** The environment of the callers' HTTP application. */
+export interface CallerEnvironment {
+  Bindings: HttpBindings;
+}
--- a/packages/entry-host/src/listenForCallers.ts
+++ b/packages/entry-host/src/listenForCallers.ts
@@ -5,7 +5,7 @@
 import type { Hono } from 'hono';
 import { fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
-import type { CallerListener } from './callers/types';
+import type { CallerEnvironment, CallerListener } from './callers/types';
 import type { EntryHostError } from './types';
 
 const LARGEST_HEADERS_BYTES = 16_384;
@@ -19,7 +19,7 @@
 
 /** Listens for callers; fails when the address is in use. */
 export default function listenForCallers(
-  application: Hono,
+  application: Hono<CallerEnvironment>,
   address: string,
 ): Promise<Outcome<CallerListener, EntryHostError>> {
   const { hostname, port } = splitAddress(address);
