Assert that 'not run' is said only of orders whose dispatch is forbidden

Checked: when giving up does nothing, seven of the desk's tests fail, two of them by this assertion.

--- a/packages/orders/src/createAttempts.ts
+++ b/packages/orders/src/createAttempts.ts
@@ -24,6 +24,15 @@
   readonly onDecision?: (decision: OrderDecision) => void;
 }
 
+/** Asserts that "not run" is said only of an order whose dispatch is forbidden here. */
+function checkRefusal(entry: OrderEntry, result: OrderResult): OrderResult {
+  const { state } = entry;
+  const isForbidden = state.kind === 'ended' && state.outcome.kind === 'notRun';
+  const isRefusal = result.kind === 'error' && result.error.execution === 'not-run';
+  Debug.invariant(isForbidden || !isRefusal, 'order-refused-while-dispatchable', () => entry.name);
+  return result;
+}
+
 /** The attempts of one incarnation to run orders, one at a time for each order. */
 export default function createAttempts(options: AttemptsOptions): Attempts {
   const { clock } = options;
@@ -94,7 +103,7 @@
         result: Promise.resolve(toResult({ kind: 'mayHaveRun' })),
       };
       memory.add(entry);
-      entry.result = run(entry);
+      entry.result = run(entry).then((result) => checkRefusal(entry, result));
       return entry.result;
     },
     advance,
