--- a/benchmarks/src/goodput/policies/createBaselinePolicy.ts
+++ b/benchmarks/src/goodput/policies/createBaselinePolicy.ts
@@ -1,10 +1,11 @@
 import { createRandom, Debug } from '@rattanreel/core';
-import type { BackendServerId } from '@rattanreel/core';
+import type { BackendServerId, EntryHostId } from '@rattanreel/core';
 import type { DispatchEnd, Policy, RequestTask, SimulatedEngine, World } from '../types';
 import startPolling from './startPolling';
 import type { BaselineChoice, BaselineView, ReportedLoads } from './types';
 
 const MOST_ATTEMPTS = 3;
+const POLL_INTERVAL_MILLISECONDS = 500;
 
 interface BaselineOptions {
   readonly world: World;
@@ -25,7 +26,7 @@
   const ledgers = new Map<string, HostLedger>();
   const turns = new Map<string, number>();
   const engineOf = new Map<string, SimulatedEngine>();
-  let loads: ReportedLoads = new Map();
+  const loadsByHost = new Map<EntryHostId, ReportedLoads>();
 
   function ledgerOf({ incarnation }: RequestTask): HostLedger {
     const ledger = ledgers.get(incarnation) ?? new Map<BackendServerId, number>();
@@ -40,6 +41,7 @@
 
   function viewsFor(task: RequestTask, tried: ReadonlySet<BackendServerId>): BaselineView[] {
     const ledger = ledgerOf(task);
+    const loads = loadsByHost.get(task.host.id)!;
     return world.engines
       .filter(
         ({ id, pool, failureDomain }) =>
@@ -100,7 +102,10 @@
 
   return {
     start() {
-      loads = startPolling(world);
+      world.hosts.forEach(({ id }, index) => {
+        const delay = (POLL_INTERVAL_MILLISECONDS * index) / world.hosts.length;
+        loadsByHost.set(id, startPolling(world, delay));
+      });
     },
     arrive: (task) => send(task, new Set()),
     callerLeft(task) {
--- a/benchmarks/src/goodput/policies/startPolling.ts
+++ b/benchmarks/src/goodput/policies/startPolling.ts
@@ -1,11 +1,14 @@
-import type { BackendServerId } from '@rattanreel/core';
+import type { BackendServerId, Milliseconds } from '@rattanreel/core';
 import type { World } from '../types';
 import type { ReportedLoad, ReportedLoads } from './types';
 
 const POLL_INTERVAL_MILLISECONDS = 500;
 
-/** Asks every engine for its load at fixed intervals; an engine that does not answer is not usable. */
-export default function startPolling(world: World): ReportedLoads {
+/**
+ * Asks every engine for its load at fixed intervals, first after `delay`; an engine that does not answer is not
+ * usable, and one that was not asked yet counts as idle.
+ */
+export default function startPolling(world: World, delay: Milliseconds): ReportedLoads {
   const loads = new Map<BackendServerId, ReportedLoad>();
 
   function poll(): void {
@@ -17,6 +20,7 @@
     world.clock.after(POLL_INTERVAL_MILLISECONDS, poll);
   }
 
-  poll();
+  world.engines.forEach(({ id }) => loads.set(id, { requests: 0, usable: true }));
+  world.clock.after(delay, poll);
   return loads;
 }
