--- a/packages/entry-host/src/callers/createCallerApplication.ts
+++ b/packages/entry-host/src/callers/createCallerApplication.ts
@@ -1,7 +1,8 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
-import type { CallerServices } from './types';
+import { createAdministrationApplication } from '@rattanreel/administration';
+import type { CallerApplicationOptions, CallerServices } from './types';
 import authenticateCaller from './authenticateCaller';
 import createProblem from './createProblem';
 import handleChatCompletion from './handleChatCompletion';
@@ -11,6 +12,8 @@
 
 const LARGEST_BODY_BYTES = 4 * 1024 * 1024;
 
+const ADMINISTRATION_PATH = '/administration/v1';
+
 const OVERLOAD_RETRY_AFTER_MS = 1_000;
 
 type Handler = (services: CallerServices, context: Context) => Promise<Response>;
@@ -28,7 +31,8 @@
 }
 
 /** The HTTP application that callers, the balancer and the metrics scraper talk to. */
-export default function createCallerApplication(services: CallerServices): Hono {
+export default function createCallerApplication(options: CallerApplicationOptions): Hono {
+  const { services, administration, isReady } = options;
   const application = new Hono();
   const { admission, metrics } = services;
 
@@ -50,7 +54,12 @@
 
   const limitBody = bodyLimit({
     maxSize: LARGEST_BODY_BYTES,
-    onError: (context) => sendProblem(context, createProblem(problemTypes.bodyTooLarge, 'not-run')),
+    onError(context) {
+      const response = sendProblem(context, createProblem(problemTypes.bodyTooLarge, 'not-run'));
+      // The rest of the body is not read, so the connection cannot carry another request.
+      response.headers.set('connection', 'close');
+      return response;
+    },
   });
 
   application.post('/v1/chat/completions', limitBody, admitted(handleChatCompletion));
@@ -68,13 +77,14 @@
   });
   application.get('/healthz', (context) => context.text('ok'));
   application.get('/readyz', (context) => {
-    const ready = services.tryGetSettings() !== undefined && !admission.isStopping();
+    const ready = isReady();
     return context.text(ready ? 'ready' : 'not ready', ready ? 200 : 503);
   });
   application.get('/metrics', async (context) => {
     const { contentType, body } = await metrics.scrape();
     return context.body(body, 200, { 'content-type': contentType });
   });
+  application.route(ADMINISTRATION_PATH, createAdministrationApplication(administration));
   application.notFound((context) =>
     sendProblem(context, createProblem(problemTypes.unknownRoute, 'not-run')),
   );
