--- a/packages/dispatch/src/types.ts
+++ b/packages/dispatch/src/types.ts
@@ -64,6 +64,8 @@
   readonly version: string;
   readonly ready: boolean;
   readonly leaving: boolean;
+  /** Of a model engine only. */
+  readonly role?: string;
 }
 
 export interface CacheEventAnswer {
--- a/packages/entry-host/src/createHostTasks.ts
+++ b/packages/entry-host/src/createHostTasks.ts
@@ -1,36 +1,34 @@
-import type { Timer } from '@rattanreel/core';
 import type { CancelAtBackendServer } from '@rattanreel/scheduling';
 import createConfigurationTask from './configuration/createConfigurationTask';
 import createMovesTask from './moves/createMovesTask';
 import createMembershipTask from './membership/createMembershipTask';
 import describePeers from './membership/describePeers';
+import listOthers from './membership/listOthers';
 import listNeighbours from './membership/listNeighbours';
 import createOrderTasks from './orders/createOrderTasks';
 import createGrantClient from './scheduling/createGrantClient';
+import createRegularWork from './createRegularWork';
+import createPlacementTask from './placement/createPlacementTask';
 import createPeerRouter from './scheduling/createPeerRouter';
 import createSchedulerDirectory from './scheduling/createSchedulerDirectory';
 import type { CallerServices } from './callers/types';
 import type { HostContext, HostTasks, HostTransport, PeerAnswer, PeerMessage } from './types';
 
-const UPDATE_INTERVAL_MS = 500;
-const REPORT_INTERVAL_MS = 2_000;
-
 /** Makes the tasks of one entry host and binds each to the messages of the others. */
 export default function createHostTasks(context: HostContext, transport: HostTransport): HostTasks {
   const { settings, clock, random, incarnation, logger, engines, decisions, store } = context;
   const { entryHost, failureDomain } = settings;
-  let updateTimer: Timer | undefined;
-  let reportTimer: Timer | undefined;
 
   const membership = createMembershipTask({
     entryHost,
     failureDomain,
+    ...context,
     address: transport.address,
-    incarnation,
-    clock,
-    random,
     send: transport.send,
-    onMembersChanged: (message) => schedulers.membersChanged(message),
+    onMembersChanged(message) {
+      orderTasks.membersChanged(message);
+      schedulers.membersChanged(message);
+    },
     onIncarnationChanged: () => schedulers.update(),
     onReplaced: () => logger.error({ entryHost }, 'another process runs under this name'),
     onLaterGeneration: (effect) => configuration.handle(effect),
@@ -38,11 +36,8 @@
 
   const configuration = createConfigurationTask({
     entryHost,
+    ...context,
     address: transport.address,
-    store,
-    clock,
-    random,
-    logger,
     seedPeers: settings.seedPeers,
     send: transport.send,
     onChanged(generation, { entryHosts, drained }) {
@@ -71,12 +66,9 @@
   }
 
   const schedulers = createSchedulerDirectory({
+    ...context,
     failureDomain,
     membership,
-    clock,
-    random,
-    engines,
-    decisions,
     tryGetSettings,
     tryGetShares: (pool) => moves.tryGetShares(pool),
     getNeighbours: (pool) => listNeighbours(membership.view(), pool, failureDomain),
@@ -102,12 +94,9 @@
   });
 
   const moves = createMovesTask({
+    ...context,
     entryHost,
     failureDomain,
-    clock,
-    random,
-    store,
-    decisions,
     membership,
     tryGetTask: schedulers.tryGetTask,
     getFailureDomains: (pool) => tryGetSettings()?.failureDomainsOf(pool) ?? [],
@@ -123,11 +112,21 @@
     send: router.sendToScheduler,
   });
 
-  const { orders, orderDispatcher, answerOwner } = createOrderTasks(context, {
+  const placement = createPlacementTask({
+    ...context,
+    failureDomain,
+    tryGetSettings,
+    tryGetMove: moves.tryGetRecord,
+  });
+
+  const orderTasks = createOrderTasks(context, {
     transport,
     tryGetPeerAddress,
     getServices: () => services,
+    listOthers: () => listOthers(membership.view()),
+    isFirstDelegate: () => membership.view().delegates[0] === entryHost,
   });
+  const { orders, orderDispatcher } = orderTasks;
 
   const services: CallerServices = {
     ...context,
@@ -138,21 +137,20 @@
     tryGetSettings,
   };
 
-  function update(): void {
-    configuration.handle(describePeers(entryHost, membership.view()));
-    schedulers.update();
-    membership.handle({ kind: 'roomsChanged', rooms: schedulers.rooms() });
-    moves.update();
-    updateTimer = clock.after(UPDATE_INTERVAL_MS, update);
-  }
-
-  /** Repeats what is in flight, so that a scheduler that missed a release learns of it. */
-  function report(): void {
-    grants.forEachPlace((pool, domain) =>
-      router.sendToScheduler(pool, domain, grants.report(pool, domain)),
-    );
-    reportTimer = clock.after(REPORT_INTERVAL_MS, report);
-  }
+  const regularWork = createRegularWork({
+    clock,
+    update() {
+      configuration.handle(describePeers(entryHost, membership.view()));
+      schedulers.update();
+      membership.handle({ kind: 'roomsChanged', rooms: schedulers.rooms() });
+      moves.update();
+      placement.update(membership.view().isDelegate, membership.self().incarnation);
+    },
+    report: () =>
+      grants.forEachPlace((pool, domain) =>
+        router.sendToScheduler(pool, domain, grants.report(pool, domain)),
+      ),
+  });
 
   return {
     membership,
@@ -164,20 +162,19 @@
     receive: router.receive,
     answer: async (question): Promise<PeerAnswer> =>
       question.kind === 'order'
-        ? { kind: 'order', answer: await answerOwner(question) }
+        ? { kind: 'order', answer: await orderTasks.answerOwner(question) }
         : { kind: 'decisions', decisions: decisions.decisionsOf(question.request) },
     start() {
       membership.start();
       configuration.start();
-      update();
-      report();
+      regularWork.start();
     },
     async close() {
-      updateTimer?.cancel();
-      reportTimer?.cancel();
+      regularWork.stop();
       configuration.close();
       schedulers.close();
-      await moves.close();
+      orderTasks.close();
+      await Promise.all([moves.close(), placement.close()]);
     },
   };
 }
--- a/packages/entry-host/src/moves/createMovesTask.ts
+++ b/packages/entry-host/src/moves/createMovesTask.ts
@@ -1,6 +1,6 @@
 import type { PoolId } from '@rattanreel/core';
 import { identifyMove } from '@rattanreel/moves';
-import type { MoveDecisionLogged, StoredMove } from '@rattanreel/moves';
+import type { MoveDecisionLogged, StoredMove, VetoHeard } from '@rattanreel/moves';
 import type { LeaseState } from '@rattanreel/platform';
 import createMoveControllerRole from './createMoveControllerRole';
 import createMoveDelegate from './createMoveDelegate';
@@ -28,6 +28,8 @@
   const guards = new Map<PoolId, MoveGuardRole>();
   const controllers = new Map<PoolId, MoveControllerRole>();
   const records = new Map<PoolId, StoredMove>();
+  /** The latest veto of each pool's moves, for a guard that starts later. */
+  const vetoes = new Map<PoolId, VetoHeard>();
 
   function logDecision({ decision, move, reason, share }: MoveDecisionLogged): void {
     decisions.record({
@@ -65,6 +67,8 @@
   function receive(pool: PoolId, message: MovePeerMessage): void {
     if (message.kind === 'recordSeen') {
       seeRecord(pool, message.stored);
+    } else if (message.kind === 'vetoHeard') {
+      vetoes.set(pool, message);
     }
     guards.get(pool)?.handle(message);
     controllers.get(pool)?.handle(message);
@@ -112,6 +116,17 @@
     }
   }
 
+  function tellNewGuard(pool: PoolId, guard: MoveGuardRole): void {
+    const stored = records.get(pool);
+    const veto = vetoes.get(pool);
+    if (stored !== undefined) {
+      guard.handle({ kind: 'recordSeen', stored });
+    }
+    if (veto !== undefined) {
+      guard.handle(veto);
+    }
+  }
+
   function updateGuards(): void {
     for (const pool of options.getPools()) {
       const scheduler = options.tryGetTask(pool);
@@ -120,10 +135,7 @@
       } else if (!guards.has(pool)) {
         const guard = createMoveGuardRole(parts, options, pool, scheduler);
         guards.set(pool, guard);
-        const stored = records.get(pool);
-        if (stored !== undefined) {
-          guard.handle({ kind: 'recordSeen', stored });
-        }
+        tellNewGuard(pool, guard);
       }
     }
   }
@@ -136,12 +148,24 @@
       .reduce((sum, { inFlight }) => sum + inFlight, 0);
   }
 
+  /** Share of the pool's work here that the new version's backend servers can bear. */
+  function countBearableShare(pool: PoolId): number {
+    const to = records.get(pool)?.record.to;
+    const servers = options.tryGetTask(pool)?.summary().backendServers ?? [];
+    const streams = servers
+      .filter(({ version }) => version === to)
+      .reduce((sum, { streamLimit }) => sum + streamLimit, 0);
+    const inFlight = servers.reduce((sum, server) => sum + server.inFlight, 0);
+    return Math.min(1, streams / Math.max(1, inFlight));
+  }
+
   function passTime(): void {
     const reachable = membership
       .view()
       .domains.filter(({ age }) => age !== undefined && age <= REACHABLE_AGE_MS)
       .map((domain) => domain.failureDomain);
     guards.forEach((guard, pool) => {
+      guard.handle({ kind: 'capacityCounted', bearableShare: countBearableShare(pool) });
       guard.handle({ kind: 'oldTrafficCounted', inFlight: countOldTraffic(pool) });
       guard.handle({ kind: 'timePassed' });
     });
--- a/packages/entry-host/src/orders/createOrderTasks.ts
+++ b/packages/entry-host/src/orders/createOrderTasks.ts
@@ -1,14 +1,15 @@
-import { createOrderDesk } from '@rattanreel/orders';
+import { createClaimSweeper, createOrderDesk } from '@rattanreel/orders';
 import type { HostContext, OrderTasks, OrderTasksOptions } from '../types';
 import createOrderDispatcher from './createOrderDispatcher';
 import createOwnerQuestions from './createOwnerQuestions';
+import createPeerHistory from './createPeerHistory';
 
 /** Makes the order desk of this process and binds it to its dispatcher and to the other entry hosts. */
 export default function createOrderTasks(
   context: HostContext,
   options: OrderTasksOptions,
 ): OrderTasks {
-  const { settings, incarnation, store, clock, random } = context;
+  const { settings, incarnation, store, clock, random, logger } = context;
   const orderDispatcher = createOrderDispatcher(options.getServices);
   const ownerQuestions = createOwnerQuestions({
     incarnation,
@@ -16,6 +17,7 @@
     tryGetAddress: options.tryGetPeerAddress,
     getOrderDesk: () => orders,
   });
+  const peerHistory = createPeerHistory(clock);
   const orders = createOrderDesk({
     entryHost: settings.entryHost,
     incarnation,
@@ -24,6 +26,16 @@
     random,
     dispatch: orderDispatcher.dispatch,
     askOwner: ownerQuestions.askOwner,
+    listPeers: () => peerHistory.view(options.listOthers()),
+    onDecision: ({ kind, order }) => logger.info({ decision: kind, order }, 'order decision'),
   });
-  return { orders, orderDispatcher, answerOwner: ownerQuestions.answer };
+  // The first delegate of each failure domain cleans up; two at once only cost calls.
+  const sweeper = createClaimSweeper({ store, clock, random, isActive: options.isFirstDelegate });
+  return {
+    orders,
+    orderDispatcher,
+    answerOwner: ownerQuestions.answer,
+    membersChanged: peerHistory.membersChanged,
+    close: sweeper.stop,
+  };
 }
--- /dev/null
+++ b/packages/entry-host/src/placement/createPlacementTask.ts
@@ -0,0 +1,131 @@
+import { Debug } from '@rattanreel/core';
+import type { Timer } from '@rattanreel/core';
+import {
+  createEngineOrderSender,
+  createPlacementController,
+  shareLoadBudget,
+} from '@rattanreel/placement';
+import type { EngineOrderSender, PlacementEffect, PlacementMessage } from '@rattanreel/placement';
+import { createLease } from '@rattanreel/platform';
+import type { Lease } from '@rattanreel/platform';
+import type { SettingsView } from '../types';
+import createServerSurvey from './createServerSurvey';
+import describeDemand from './describeDemand';
+import type { PlacementTask, PlacementTaskOptions } from './types';
+
+const SURVEY_INTERVAL_MS = 2_000;
+/** Rate of the weight store, shared out to failure domains by their backend servers. */
+const WEIGHT_STORE_BUDGET = { loadsPerMinute: 12, burst: 4 };
+const SMALLEST_BUDGET = { loadsPerMinute: 1, burst: 1 };
+
+/** Runs the placement controller of this failure domain for as long as the placement lease is held here. */
+export default function createPlacementTask(options: PlacementTaskOptions): PlacementTask {
+  const { failureDomain, clock, random, store, engines } = options;
+  const survey = createServerSurvey(failureDomain, engines);
+  let controller: ReturnType<typeof createPlacementController> | undefined;
+  let sender: EngineOrderSender | undefined;
+  let lease: Lease | undefined;
+  let timer: Timer | undefined;
+
+  function budgetOf(view: SettingsView) {
+    const sizes = view.settings.failureDomains.map(({ id }) => ({
+      failureDomain: id,
+      backendServers: view.settings.backendServers.filter((server) => server.failureDomain === id)
+        .length,
+    }));
+    const shared = shareLoadBudget(WEIGHT_STORE_BUDGET, sizes);
+    return shared.find((part) => part.failureDomain === failureDomain)?.budget ?? SMALLEST_BUDGET;
+  }
+
+  async function sendOrder(effect: Extract<PlacementEffect, { kind: 'sendOrder' }>): Promise<void> {
+    const address = survey.tryGetAddress(effect.backendServer);
+    if (address !== undefined && sender !== undefined) {
+      const outcome = await sender.send(address, effect.order, effect.fence);
+      handle({ kind: 'orderAnswered', backendServer: effect.backendServer, outcome });
+    }
+  }
+
+  async function readState({ backendServer }: { backendServer: string }): Promise<void> {
+    const address = survey.tryGetAddress(backendServer);
+    if (address !== undefined && sender !== undefined) {
+      const read = await sender.readState(address);
+      const state = read.kind === 'ok' ? read.value : undefined;
+      handle({ kind: 'stateRead', backendServer, state });
+    }
+  }
+
+  function carryOut(effect: PlacementEffect): void {
+    switch (effect.kind) {
+      case 'sendOrder':
+        void sendOrder(effect);
+        break;
+      case 'readState':
+        void readState(effect);
+        break;
+      case 'logPlacement':
+        options.decisions.record(effect.decision);
+        break;
+      default:
+        Debug.assertNever(effect);
+    }
+  }
+
+  function handle(message: PlacementMessage): void {
+    controller?.handle(message, clock.now()).forEach(carryOut);
+  }
+
+  async function lookAround(): Promise<void> {
+    const view = options.tryGetSettings();
+    if (view !== undefined && lease?.state().kind === 'held') {
+      const servers = await survey.survey(view);
+      handle({ kind: 'serversReported', servers });
+      handle({ kind: 'demandChanged', demand: describeDemand(view, servers, options.tryGetMove) });
+      handle({ kind: 'timePassed' });
+    }
+    if (lease !== undefined) {
+      timer = clock.after(SURVEY_INTERVAL_MS, startLook);
+    }
+  }
+
+  function startLook(): void {
+    void lookAround();
+  }
+
+  function start(view: SettingsView, holder: string): void {
+    controller = createPlacementController({ failureDomain, loadBudget: budgetOf(view) });
+    lease = createLease({
+      store,
+      name: `placement-${failureDomain}`,
+      holder,
+      clock,
+      random,
+      onChange: (state) => handle({ kind: 'leaseChanged', lease: state }),
+    });
+    sender = createEngineOrderSender({ lease });
+    startLook();
+  }
+
+  async function stop(): Promise<void> {
+    timer?.cancel();
+    handle({ kind: 'leaseChanged', lease: { kind: 'notHeld' } });
+    const held = lease;
+    const open = sender;
+    lease = undefined;
+    sender = undefined;
+    controller = undefined;
+    await held?.stop();
+    await open?.close();
+  }
+
+  return {
+    update(isDelegate, incarnation) {
+      const view = options.tryGetSettings();
+      if (isDelegate && lease === undefined && view !== undefined) {
+        start(view, incarnation);
+      } else if (!isDelegate && lease !== undefined) {
+        void stop();
+      }
+    },
+    close: stop,
+  };
+}
--- /dev/null
+++ b/packages/entry-host/src/placement/describeDemand.ts
@@ -0,0 +1,46 @@
+import type { PoolId } from '@rattanreel/core';
+import type { StoredMove } from '@rattanreel/moves';
+import { getMoveDemand } from '@rattanreel/placement';
+import type { PlacedServer, PlacementDemand, VersionDemand } from '@rattanreel/placement';
+import type { SettingsView } from '../types';
+
+/** Streams that a pool is taken to need when it is idle, so that it keeps a server. */
+const LEAST_WORK_STREAMS = 1;
+
+function workOf(pool: PoolId, servers: readonly PlacedServer[]): number {
+  const running = servers
+    .filter((server) => server.pool === pool)
+    .reduce((sum, server) => sum + server.running, 0);
+  return Math.max(LEAST_WORK_STREAMS, running);
+}
+
+function shareOf({ record }: StoredMove): number {
+  switch (record.verdict) {
+    case 'done':
+      return 1;
+    case 'takenBack':
+    case 'cancelled':
+      return 0;
+    case 'underWay':
+      return record.steps[record.step]?.share ?? 0;
+    default:
+      return record.verdict satisfies never;
+  }
+}
+
+/** What the model pools of a failure domain need loaded, from their moves and from the work at hand. */
+export default function describeDemand(
+  view: SettingsView,
+  servers: readonly PlacedServer[],
+  tryGetMove: (pool: PoolId) => StoredMove | undefined,
+): PlacementDemand {
+  const models = view.settings.pools.filter(({ kind }) => kind === 'model');
+  const versions = models.flatMap(({ id, currentVersion }): readonly VersionDemand[] => {
+    const work = workOf(id, servers);
+    const move = tryGetMove(id);
+    return move === undefined
+      ? [{ pool: id, version: currentVersion, work, carriesTraffic: true }]
+      : getMoveDemand({ record: move.record, work, share: shareOf(move) });
+  });
+  return { versions, adapters: [], roles: [] };
+}
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -39,8 +39,10 @@
 import type {
   AskOwner,
   OrderDesk,
+  OrderOwner,
   OrderRequest,
   OwnerAnswer,
+  PeerView,
   RecordingOrderDesk,
 } from '@rattanreel/orders';
 import type { ObjectStore } from '@rattanreel/platform';
@@ -269,6 +271,16 @@
   readonly transport: HostTransport;
   readonly tryGetPeerAddress: (entryHost: EntryHostId) => string | undefined;
   readonly getServices: () => CallerServices;
+  /** The other live incarnations, of every failure domain. */
+  readonly listOthers: () => readonly OrderOwner[];
+  /** Whether this entry host is the one of its failure domain that removes expired claims. */
+  readonly isFirstDelegate: () => boolean;
+}
+
+/** Remembers whether an incarnation has ended lately. */
+export interface PeerHistory {
+  membersChanged(message: MembersChanged): void;
+  view(peers: readonly OrderOwner[]): PeerView;
 }
 
 /** The order desk of an entry host with its dispatcher. */
@@ -277,6 +289,8 @@
   readonly orderDispatcher: OrderDispatcher;
   /** Answers another entry host's question about an order. */
   readonly answerOwner: OwnerQuestions['answer'];
+  membersChanged(message: MembersChanged): void;
+  close(): void;
 }
 
 /** Starts and cancels moves for operators. */
