--- a/packages/scheduling/src/queue/createRequestQueue.ts
+++ b/packages/scheduling/src/queue/createRequestQueue.ts
@@ -47,6 +47,7 @@
       bandOf(request.band).serve(request);
       forget(request);
     },
+    tryGetNewestOf: (rank) => bands[rank]?.newest(),
     tryGetNewestOfLowest: () => bands.findLast((band) => band.size > 0)?.newest(),
     tryGetNextExpiring: () => expiry.peek(),
     costThrough(rank) {
--- a/packages/scheduling/src/queue/types.ts
+++ b/packages/scheduling/src/queue/types.ts
@@ -52,6 +52,8 @@
   peek(): QueuedRequest | undefined;
   /** Removes a request that is served and charges its customer. */
   serve(request: QueuedRequest): void;
+  /** The newest request of a band. */
+  tryGetNewestOf(band: number): QueuedRequest | undefined;
   /** The newest request of the lowest band. */
   tryGetNewestOfLowest(): QueuedRequest | undefined;
   /** The request that becomes hopeless first. */
