Learn from answers whose first token was not told

Cause: an instance of a plain service, or one whose message was lost, would never leave slow start. Change: the release of a whole answer stands in for its first token.

--- a/packages/scheduling/src/createPoolScheduler.test.ts
+++ b/packages/scheduling/src/createPoolScheduler.test.ts
@@ -408,6 +408,17 @@
       ],
       effects: ['grant a e1', 'grant b e1', 'grant c e1'],
     },
+    {
+      name: 'lets a backend server grow by answers whose first tokens were not told',
+      steps: [
+        [0, pool({ backendServers: [backendServer('e1', { maximumStreams: 3 })] })],
+        [0, asked('a')],
+        [1, asked('b')],
+        [2, asked('c')],
+        [20, released('a')],
+      ],
+      effects: ['grant a e1', 'grant b e1', 'grant c e1'],
+    },
     {
       name: 'serves customers of a tier in turn by cost',
       steps: [
--- a/packages/scheduling/src/handlers/releaseGrant.ts
+++ b/packages/scheduling/src/handlers/releaseGrant.ts
@@ -5,6 +5,7 @@
 import type { BackendServer, InFlight } from '../servers/types';
 import judgeHealth from '../servers/judgeHealth';
 import type { GrantReleased } from '../types';
+import learnFirstToken from './learnFirstToken';
 import rememberFinished from './rememberFinished';
 
 const FEWEST_TOKENS_TO_LEARN = 4;
@@ -84,6 +85,10 @@
     return;
   }
   const server = state.servers.get(slot.backendServer)!;
+  if (released.outcome === 'completed' && slot.firstTokenAt === undefined) {
+    const firstTokenAfter = released.firstTokenAfter ?? released.duration;
+    learnFirstToken(state, server, slot, { ...released, firstTokenAfter }, now);
+  }
   state.ledger.free(server, slot, now);
   state.orphans.delete(slot.request);
   if (released.outcome !== 'notDispatched') {
