--- a/packages/command-line/src/demo/deployment.test.ts
+++ b/packages/command-line/src/demo/deployment.test.ts
@@ -207,6 +207,36 @@
     expect(items.map(({ decision }) => decision.decision)).toEqual(['granted', 'ended']);
   });
 
+  it('starts one move of a pool at a time, and cancels it', async () => {
+    const headers = { authorization: OPERATOR, 'content-type': 'application/json' };
+    const body = JSON.stringify({
+      pool: 'assistant',
+      to: 'v2',
+      deadline: Date.now() + 3_600_000,
+      bakeTime: 60_000,
+    });
+    const started = await send(2, 'POST', '/administration/v1/moves', headers, body);
+    expect(started.status).toEqual(200);
+    const second = await send(3, 'POST', '/administration/v1/moves', headers, body);
+    expect(second.status).toEqual(409);
+    const cancelled = await send(4, 'DELETE', '/administration/v1/moves/assistant', headers);
+    expect(cancelled.body.verdict).toEqual('cancelled');
+  });
+
+  it('takes another engine when one refuses its connections', async () => {
+    await Debug.checkDefined(deployment.engines[0], 'engine').close();
+    const answers = await Promise.all(
+      [0, 0, 0, 0, 0, 0].map((index) =>
+        openAiClient(index).chat.completions.create({
+          model: 'assistant',
+          messages: PROMPT,
+          max_tokens: 2,
+        }),
+      ),
+    );
+    expect(answers.every((answer) => answer.choices[0]?.finish_reason === 'stop')).toEqual(true);
+  });
+
   it('refuses administration without an operator token', async () => {
     const answer = await send(0, 'GET', '/administration/v1/status', {
       authorization: 'Bearer test-key-workshop',
--- a/packages/entry-host/src/administration/createAdministrationServices.ts
+++ b/packages/entry-host/src/administration/createAdministrationServices.ts
@@ -1,4 +1,5 @@
 import type { AdministrationServices, ExplainedDecision } from '@rattanreel/administration';
+import type { ConfigurationStatus, SettingsChange } from '@rattanreel/configuration';
 import { fail } from '@rattanreel/core';
 import type { RequestId } from '@rattanreel/core';
 import type { HostContext, HostTasks, HostTransport } from '../types';
@@ -7,6 +8,18 @@
 
 const EXPLAIN_TIMEOUT_MS = 1_000;
 
+/** A restore also ends the local drains of its target that the store does not hold yet. */
+function withLocalDrains(change: SettingsChange, status: ConfigurationStatus): SettingsChange {
+  if (change.kind !== 'restore') {
+    return change;
+  }
+  const { kind, id } = change.target;
+  const localDrains = status.localDrains
+    .filter(({ target }) => target.kind === kind && target.id === id)
+    .map((drain) => drain.id);
+  return { ...change, localDrains };
+}
+
 /** Binds the administration API to the tasks of this entry host. */
 export default function createAdministrationServices(
   context: HostContext,
@@ -54,7 +67,7 @@
       if (basedOn !== undefined && basedOn !== current.generation) {
         return fail({ kind: 'changeConflict', basedOn, current, differences: [] });
       }
-      return keeper.apply({ change, author, changeId });
+      return keeper.apply({ change: withLocalDrains(change, keeper.status()), author, changeId });
     },
     drainLocally: (target, author, id) =>
       configuration.handle({ kind: 'localDrainRequested', drain: { id, target, author } }),
--- a/packages/entry-host/src/administration/createMoveCommands.ts
+++ b/packages/entry-host/src/administration/createMoveCommands.ts
@@ -79,6 +79,10 @@
       if (before.value === undefined) {
         return fail({ kind: 'noMove' });
       }
+      if (before.value.value.verdict === 'cancelled') {
+        // A guard or the controller may have recorded it already.
+        return ok(before.value.value);
+      }
       const changed = changeMoveRecord(before.value.value, { kind: 'cancel' });
       if (changed.kind === 'error') {
         return fail({ kind: 'noMove' });
--- a/packages/entry-host/src/callers/runChat.ts
+++ b/packages/entry-host/src/callers/runChat.ts
@@ -17,7 +17,7 @@
   }
   switch (result.error.kind) {
     case 'notConnected':
-      return 'notDispatched';
+      return 'notConnected';
     case 'rejected':
       return 'backendServerRefused';
     case 'silent':
--- a/packages/entry-host/src/callers/runServiceCall.ts
+++ b/packages/entry-host/src/callers/runServiceCall.ts
@@ -17,7 +17,7 @@
   }
   switch (result.error.kind) {
     case 'notConnected':
-      return 'notDispatched';
+      return 'notConnected';
     case 'silent':
       return 'silent';
     case 'aborted':
--- a/packages/entry-host/src/createHostTasks.ts
+++ b/packages/entry-host/src/createHostTasks.ts
@@ -3,6 +3,7 @@
 import createMovesTask from './moves/createMovesTask';
 import createMembershipTask from './membership/createMembershipTask';
 import describePeers from './membership/describePeers';
+import tellListedHosts from './membership/tellListedHosts';
 import listOthers from './membership/listOthers';
 import listNeighbours from './membership/listNeighbours';
 import createOrderTasks from './orders/createOrderTasks';
@@ -16,7 +17,7 @@
 
 /** Makes the tasks of one entry host and binds each to the messages of the others. */
 export default function createHostTasks(context: HostContext, transport: HostTransport): HostTasks {
-  const { settings, clock, random, incarnation, logger, engines, decisions, store } = context;
+  const { settings, clock, logger, engines, decisions } = context;
   const { entryHost, failureDomain } = settings;
 
   const membership = createMembershipTask({
@@ -146,6 +147,7 @@
       moves.update();
       placement.update(membership.view().isDelegate, membership.self().incarnation);
     },
+    list: () => tellListedHosts(context.store, membership),
     report: () =>
       grants.forEachPlace((pool, domain) =>
         router.sendToScheduler(pool, domain, grants.report(pool, domain)),
--- a/packages/entry-host/src/createRegularWork.ts
+++ b/packages/entry-host/src/createRegularWork.ts
@@ -1,7 +1,8 @@
 import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
 
 const UPDATE_INTERVAL_MS = 500;
-const REPORT_INTERVAL_MS = 2_000;
+const REPORT_INTERVAL_MS = 1_000;
+const LIST_INTERVAL_MS = 5_000;
 
 interface RegularWorkOptions {
   readonly clock: Clock;
@@ -9,6 +10,8 @@
   readonly update: () => void;
   /** Repeats what is in flight, so that a scheduler that missed a release learns of it. */
   readonly report: () => void;
+  /** Reads the platform's list of hosts. */
+  readonly list: () => Promise<void>;
 }
 
 interface RegularWork {
@@ -33,6 +36,9 @@
     start() {
       repeat('update', UPDATE_INTERVAL_MS, options.update);
       repeat('report', REPORT_INTERVAL_MS, options.report);
+      repeat('list', LIST_INTERVAL_MS, () => {
+        void options.list();
+      });
     },
     stop() {
       timers.forEach((timer) => timer.cancel());
--- /dev/null
+++ b/packages/entry-host/src/moves/countBearableShare.ts
@@ -0,0 +1,14 @@
+import type { StoredMove } from '@rattanreel/moves';
+import type { BackendServerSummary } from '@rattanreel/scheduling';
+
+/** Share of the work at hand, between 0 and 1, that a move's new version's backend servers can bear. */
+export default function countBearableShare(
+  servers: readonly BackendServerSummary[],
+  move: StoredMove | undefined,
+): number {
+  const streams = servers
+    .filter(({ version }) => version === move?.record.to)
+    .reduce((sum, { streamLimit }) => sum + streamLimit, 0);
+  const inFlight = servers.reduce((sum, server) => sum + server.inFlight, 0);
+  return Math.min(1, streams / Math.max(1, inFlight));
+}
--- a/packages/entry-host/src/moves/createMovesTask.ts
+++ b/packages/entry-host/src/moves/createMovesTask.ts
@@ -2,6 +2,9 @@
 import { identifyMove } from '@rattanreel/moves';
 import type { MoveDecisionLogged, StoredMove, VetoHeard } from '@rattanreel/moves';
 import type { LeaseState } from '@rattanreel/platform';
+import type { BackendServerSummary } from '@rattanreel/scheduling';
+import countBearableShare from './countBearableShare';
+import countOldTraffic from './countOldTraffic';
 import createMoveControllerRole from './createMoveControllerRole';
 import createMoveDelegate from './createMoveDelegate';
 import createMoveGuardRole from './createMoveGuardRole';
@@ -140,23 +143,8 @@
     }
   }
 
-  function countOldTraffic(pool: PoolId): number {
-    const from = records.get(pool)?.record.from;
-    const servers = options.tryGetTask(pool)?.summary().backendServers ?? [];
-    return servers
-      .filter(({ version }) => version === from)
-      .reduce((sum, { inFlight }) => sum + inFlight, 0);
-  }
-
-  /** Share of the pool's work here that the new version's backend servers can bear. */
-  function countBearableShare(pool: PoolId): number {
-    const to = records.get(pool)?.record.to;
-    const servers = options.tryGetTask(pool)?.summary().backendServers ?? [];
-    const streams = servers
-      .filter(({ version }) => version === to)
-      .reduce((sum, { streamLimit }) => sum + streamLimit, 0);
-    const inFlight = servers.reduce((sum, server) => sum + server.inFlight, 0);
-    return Math.min(1, streams / Math.max(1, inFlight));
+  function serversOf(pool: PoolId): readonly BackendServerSummary[] {
+    return options.tryGetTask(pool)?.summary().backendServers ?? [];
   }
 
   function passTime(): void {
@@ -165,8 +153,14 @@
       .domains.filter(({ age }) => age !== undefined && age <= REACHABLE_AGE_MS)
       .map((domain) => domain.failureDomain);
     guards.forEach((guard, pool) => {
-      guard.handle({ kind: 'capacityCounted', bearableShare: countBearableShare(pool) });
-      guard.handle({ kind: 'oldTrafficCounted', inFlight: countOldTraffic(pool) });
+      guard.handle({
+        kind: 'capacityCounted',
+        bearableShare: countBearableShare(serversOf(pool), records.get(pool)),
+      });
+      guard.handle({
+        kind: 'oldTrafficCounted',
+        inFlight: countOldTraffic(serversOf(pool), records.get(pool)),
+      });
       guard.handle({ kind: 'timePassed' });
     });
     controllers.forEach((controller, pool) => {
--- a/packages/entry-host/src/scheduling/createHeldGrants.ts
+++ b/packages/entry-host/src/scheduling/createHeldGrants.ts
@@ -30,6 +30,7 @@
       // The slot belongs to the incarnation that it was granted to, also after a change.
       from: grant.to,
       backendServer: grant.backendServer,
+      echo: grant.echo,
       ...report,
     });
   }
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -45,7 +45,7 @@
   PeerView,
   RecordingOrderDesk,
 } from '@rattanreel/orders';
-import type { ObjectStore } from '@rattanreel/platform';
+import type { ObjectStore, PlatformClient } from '@rattanreel/platform';
 import type {
   EntryHostIncarnation,
   FirstTokenSeen,
@@ -246,7 +246,7 @@
   readonly decisions: DecisionLog;
   readonly engines: EngineClient;
   readonly services: ServiceClient;
-  readonly store: ObjectStore;
+  readonly store: PlatformClient;
   readonly admission: Admission;
 }
 
--- a/packages/scheduling/src/handlers/releaseGrant.ts
+++ b/packages/scheduling/src/handlers/releaseGrant.ts
@@ -4,10 +4,12 @@
 import getIncarnationKey from '../getIncarnationKey';
 import type { BackendServer, InFlight } from '../servers/types';
 import judgeHealth from '../servers/judgeHealth';
-import type { GrantReleased } from '../types';
+import type { GrantReleased, ReleaseOutcome } from '../types';
 import learnFirstToken from './learnFirstToken';
 import rememberFinished from './rememberFinished';
 
+/** Outcomes after which the request has reached no backend server and may be granted again. */
+const UNSENT_OUTCOMES: ReadonlySet<ReleaseOutcome> = new Set(['notDispatched', 'notConnected']);
 const FEWEST_TOKENS_TO_LEARN = 4;
 
 /** Mean number of streams between a slot's first token and now. */
@@ -44,7 +46,7 @@
 }
 
 function tellEvidence(state: SchedulerState, slot: InFlight, released: GrantReleased): void {
-  if (released.outcome === 'notDispatched' || released.outcome === 'callerGone') {
+  if (released.outcome === 'callerGone') {
     return;
   }
   state.effects.push({
@@ -78,7 +80,8 @@
   now: Milliseconds,
 ): void {
   const slot = state.ledger.tryGet(released.request);
-  if (released.outcome !== 'notDispatched') {
+  const sent = !UNSENT_OUTCOMES.has(released.outcome);
+  if (sent) {
     rememberFinished(state, released.request);
   }
   if (slot === undefined || !isReleaseOf(slot, released)) {
@@ -91,7 +94,7 @@
   }
   state.ledger.free(server, slot, now);
   state.orphans.delete(slot.request);
-  if (released.outcome !== 'notDispatched') {
+  if (sent) {
     learn(state, server, slot, released, now);
     tellEvidence(state, slot, released);
   }
--- a/packages/scheduling/src/servers/createHealthMonitor.ts
+++ b/packages/scheduling/src/servers/createHealthMonitor.ts
@@ -41,6 +41,7 @@
       switch (outcome) {
         case 'completed':
           return succeeded();
+        case 'notConnected':
         case 'backendServerFailed':
         case 'backendServerRefused':
           return failed();
--- a/packages/scheduling/src/servers/judgeHealth.ts
+++ b/packages/scheduling/src/servers/judgeHealth.ts
@@ -10,6 +10,7 @@
 const EJECTION_JITTER = 0.5;
 const MOST_EJECTED_SHARE = 0.5;
 const FAILED_PROBES: ReadonlySet<string> = new Set<ReleaseOutcome>([
+  'notConnected',
   'backendServerFailed',
   'backendServerRefused',
   'silent',
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -58,6 +58,8 @@
   | 'completed'
   | 'callerGone'
   | 'notDispatched'
+  /** The backend server took no connection; no byte was sent, so the request may be granted anew. */
+  | 'notConnected'
   | 'backendServerFailed'
   | 'backendServerRefused'
   | 'silent';
