--- /dev/null
+++ b/specification/src/findTrace.ts
@@ -0,0 +1,35 @@
+import type { TraceStep } from './types';
+
+/** A transition that was found between two states. */
+interface Edge {
+  readonly state: { readonly context: unknown };
+  readonly event: { readonly step: unknown };
+  readonly nextState: { readonly context: unknown };
+}
+
+interface Reached {
+  readonly from: string;
+  readonly event: string;
+}
+
+/** A shortest trace from the first edge's state to `target`, along edges that were found breadth first. */
+export default function findTrace(edges: readonly Edge[], target: string): readonly TraceStep[] {
+  const reached = new Map<string, Reached>();
+  const initial = JSON.stringify(edges[0]?.state.context);
+  for (const { state, event, nextState } of edges) {
+    const to = JSON.stringify(nextState.context);
+    if (to !== initial && !reached.has(to)) {
+      reached.set(to, { from: JSON.stringify(state.context), event: JSON.stringify(event.step) });
+    }
+    if (to === target) {
+      break;
+    }
+  }
+  const trace: TraceStep[] = [];
+  let state = target;
+  for (let step = reached.get(state); step !== undefined; step = reached.get(state)) {
+    trace.unshift({ event: step.event, state });
+    state = step.from;
+  }
+  return trace;
+}
--- /dev/null
+++ b/specification/src/models/ordersModel.ts
@@ -0,0 +1,215 @@
+import defineModel from '../defineModel';
+
+const VERSION_LIMIT = 4;
+
+/** How far an attempt has come, as the library's order states have it. */
+type AttemptState = 'idle' | 'claiming' | 'claimed' | 'dispatching' | 'givenUp' | 'ran';
+
+interface Claim {
+  readonly version: number;
+  readonly claimant: number;
+  readonly outcome: 'none' | 'answered' | 'notRun';
+}
+
+interface Host {
+  readonly state: AttemptState;
+  readonly alive: boolean;
+  /** Version that the claim write replaces; 0 creates. */
+  readonly replaces: number;
+  /** The write may still reach the store, also after the attempt has ended. */
+  readonly writeUnderWay: boolean;
+  /** The host has told a caller that the order was not run under its attempt. */
+  readonly saidNotRun: boolean;
+  /** What the host gave as the recorded outcome. */
+  readonly gave: 'none' | 'answered' | 'wrong';
+}
+
+interface State {
+  readonly claim: Claim | undefined;
+  readonly hosts: readonly Host[];
+  readonly dispatches: number;
+  /** An attempt that had forbidden itself the dispatch has dispatched. */
+  readonly falseNotRun: boolean;
+}
+
+type Event =
+  | { readonly kind: 'submit'; readonly host: number }
+  | { readonly kind: 'landClaim'; readonly host: number }
+  | { readonly kind: 'loseClaim'; readonly host: number }
+  | { readonly kind: 'learnClaim'; readonly host: number }
+  | { readonly kind: 'giveUp'; readonly host: number }
+  | { readonly kind: 'dispatch'; readonly host: number }
+  | { readonly kind: 'end'; readonly host: number }
+  | { readonly kind: 'record'; readonly host: number }
+  | { readonly kind: 'follow'; readonly host: number }
+  | { readonly kind: 'die'; readonly host: number };
+
+const HOSTS = [0, 1, 2];
+
+const IDLE: Host = {
+  state: 'idle',
+  alive: true,
+  replaces: 0,
+  writeUnderWay: false,
+  saidNotRun: false,
+  gave: 'none',
+};
+
+function withHost(state: State, index: number, change: Partial<Host>): State {
+  const hosts = state.hosts.map((host, position) =>
+    position === index ? { ...host, ...change } : host,
+  );
+  return { ...state, hosts };
+}
+
+/** One keyed order, submitted at three entry hosts that claim it in the store before they dispatch it. */
+const ordersModel = defineModel<State, Event>({
+  name: 'orders',
+  bounds: '1 order, 3 entry hosts with 1 attempt each, 4 versions of the claim, any host may die',
+  guards: [
+    { name: 'create-if-absent', keeps: 'dispatched-at-most-once' },
+    { name: 'nonce-check', keeps: 'dispatched-at-most-once' },
+    { name: 'one-way-dispatch', keeps: 'not-run-stays-true' },
+    { name: 'claimant-gone', keeps: 'dispatched-at-most-once' },
+    { name: 'recorded-outcome', keeps: 'recorded-outcome-given-again' },
+  ],
+  create(has) {
+    function isCurrent({ claim }: State, { replaces }: Host): boolean {
+      return !has('create-if-absent') || (claim?.version ?? 0) === replaces;
+    }
+
+    /** Whether the attempt finds the claim to be its own; a nonce tells it from every other. */
+    function isOwn({ claim }: State, host: number): boolean {
+      return claim !== undefined && (claim.claimant === host || !has('nonce-check'));
+    }
+
+    function mayTakeOver({ claim, hosts }: State): boolean {
+      if (claim === undefined) {
+        return false;
+      }
+      const claimant = hosts[claim.claimant]!;
+      const isGivenUp = claimant.alive && claimant.state === 'givenUp';
+      const isGone = !claimant.alive && !has('claimant-gone');
+      return claim.outcome === 'notRun' || (claim.outcome === 'none' && (isGivenUp || isGone));
+    }
+
+    function follow(state: State, host: number): State {
+      if (mayTakeOver(state)) {
+        return withHost(state, host, { replaces: state.claim!.version, writeUnderWay: true });
+      }
+      if (state.claim?.outcome === 'answered') {
+        const gave = has('recorded-outcome') ? 'answered' : 'wrong';
+        return withHost(state, host, { state: 'ran', gave });
+      }
+      return withHost(state, host, { state: 'givenUp' });
+    }
+
+    function listEvents(state: State, host: number): readonly Event['kind'][] {
+      const own = state.hosts[host]!;
+      const landing: readonly Event['kind'][] = own.writeUnderWay ? ['landClaim', 'loseClaim'] : [];
+      if (!own.alive) {
+        return landing;
+      }
+      switch (own.state) {
+        case 'idle':
+          return ['submit', 'die'];
+        case 'claiming':
+          return [
+            ...landing,
+            'giveUp',
+            'die',
+            ...(isOwn(state, host) ? (['learnClaim'] as const) : []),
+            ...(state.claim !== undefined && !isOwn(state, host) && !own.writeUnderWay
+              ? (['follow'] as const)
+              : []),
+          ];
+        case 'claimed':
+          return [...landing, 'dispatch', 'giveUp', 'die'];
+        case 'dispatching':
+          return [...landing, 'end', 'die'];
+        case 'givenUp':
+          return [
+            ...landing,
+            'die',
+            ...(has('one-way-dispatch') || !isOwn(state, host) ? [] : (['dispatch'] as const)),
+            ...(state.claim?.claimant === host && state.claim.outcome === 'none'
+              ? (['record'] as const)
+              : []),
+          ];
+        case 'ran':
+          return [
+            ...landing,
+            'die',
+            ...(state.claim?.claimant === host && state.claim.outcome === 'none'
+              ? (['record'] as const)
+              : []),
+          ];
+        default:
+          return own.state satisfies never;
+      }
+    }
+
+    function landClaim(state: State, host: number): State {
+      const own = state.hosts[host]!;
+      const landed = withHost(state, host, { writeUnderWay: false });
+      const version = (state.claim?.version ?? 0) + 1;
+      return isCurrent(state, own) && version <= VERSION_LIMIT
+        ? { ...landed, claim: { version, claimant: host, outcome: 'none' } }
+        : landed;
+    }
+
+    return {
+      initial: {
+        claim: undefined,
+        hosts: HOSTS.map(() => IDLE),
+        dispatches: 0,
+        falseNotRun: false,
+      },
+      events: (state) =>
+        HOSTS.flatMap((host) => listEvents(state, host).map((kind) => ({ kind, host }))),
+      next(state, { kind, host }) {
+        const own = state.hosts[host]!;
+        switch (kind) {
+          case 'submit':
+            return withHost(state, host, { state: 'claiming', writeUnderWay: true });
+          case 'landClaim':
+            return landClaim(state, host);
+          case 'loseClaim':
+            return withHost(state, host, { writeUnderWay: false });
+          case 'learnClaim':
+            return withHost(state, host, { state: 'claimed' });
+          case 'giveUp':
+            return withHost(state, host, { state: 'givenUp', saidNotRun: true });
+          case 'dispatch': {
+            const dispatched = withHost(state, host, { state: 'dispatching' });
+            const falseNotRun = state.falseNotRun || own.saidNotRun;
+            return { ...dispatched, dispatches: state.dispatches + 1, falseNotRun };
+          }
+          case 'end':
+            return withHost(state, host, { state: 'ran' });
+          case 'record': {
+            const outcome = own.state === 'ran' ? 'answered' : 'notRun';
+            const version = state.claim!.version + 1;
+            return { ...state, claim: { ...state.claim!, version, outcome } };
+          }
+          case 'follow':
+            return follow(state, host);
+          case 'die':
+            return withHost(state, host, { alive: false });
+          default:
+            return kind satisfies never;
+        }
+      },
+      invariants: [
+        { name: 'not-run-stays-true', holds: ({ falseNotRun }) => !falseNotRun },
+        { name: 'dispatched-at-most-once', holds: ({ dispatches }) => dispatches <= 1 },
+        {
+          name: 'recorded-outcome-given-again',
+          holds: ({ hosts }) => hosts.every(({ gave }) => gave !== 'wrong'),
+        },
+      ],
+    };
+  },
+});
+
+export default ordersModel;
--- /dev/null
+++ b/specification/src/runModelCheck.ts
@@ -0,0 +1,60 @@
+import type { Exploration, ModelDefinition } from './types';
+
+interface ModelCheckOptions {
+  readonly models: readonly ModelDefinition[];
+  /** Name of a guard to drop; undefined checks every model as it is. */
+  readonly dropped: string | undefined;
+  readonly print: (line: string) => void;
+}
+
+type ExitCode = 0 | 1 | 2;
+
+function formatViolation(
+  exploration: Extract<Exploration, { kind: 'violated' }>,
+): readonly string[] {
+  return [
+    `  VIOLATED ${exploration.invariant}, after ${exploration.states} states; a shortest trace:`,
+    ...exploration.trace.flatMap(({ event, state }, index) => [
+      `  ${index + 1}. ${event}`,
+      `     ${state}`,
+    ]),
+  ];
+}
+
+function formatExploration(model: ModelDefinition, exploration: Exploration): readonly string[] {
+  switch (exploration.kind) {
+    case 'holds':
+      return [
+        `  ${exploration.states} states, ${exploration.transitions} transitions, all explored`,
+        ...model.invariants.map((name) => `  ok ${name}`),
+      ];
+    case 'violated':
+      return formatViolation(exploration);
+    case 'limitReached':
+      return [`  LIMIT of ${exploration.limit} transitions reached: nothing is proved`];
+    default:
+      return exploration satisfies never;
+  }
+}
+
+/** Checks all models, or those with a dropped guard. Returns 0 when all hold, 1 when one does not, 2 for an unknown guard. */
+export default function runModelCheck({ models, dropped, print }: ModelCheckOptions): ExitCode {
+  const isConcerned = ({ guards }: ModelDefinition): boolean =>
+    dropped === undefined || guards.some(({ name }) => name === dropped);
+  const concerned = models.filter(isConcerned);
+  if (concerned.length === 0) {
+    print(`unknown guard: ${dropped}; the guards are:`);
+    models.forEach(({ guards }) => guards.forEach(({ name }) => print(`  ${name}`)));
+    return 2;
+  }
+  let exitCode: ExitCode = 0;
+  for (const model of concerned) {
+    print(`${model.name} (${model.bounds})`);
+    const exploration = model.explore(dropped);
+    formatExploration(model, exploration).forEach(print);
+    if (exploration.kind !== 'holds') {
+      exitCode = 1;
+    }
+  }
+  return exitCode;
+}
