--- a/packages/scheduling/src/queue/types.ts
+++ b/packages/scheduling/src/queue/types.ts
@@ -35,6 +35,8 @@
   readonly arrivedAt: Milliseconds;
   readonly firstTokenDueAt: Milliseconds;
   readonly dueAt: Milliseconds;
+  /** Deadline less the time that serving it takes with a margin: what the order within a customer follows. */
+  readonly serveBy: Milliseconds;
   /** After this instant not even an idle backend server could answer in time. */
   readonly latestStart: Milliseconds;
 }
@@ -50,6 +52,8 @@
   peek(): QueuedRequest | undefined;
   /** Removes a request that is served and charges its customer. */
   serve(request: QueuedRequest): void;
+  /** The newest request of a band. */
+  tryGetNewestOf(band: number): QueuedRequest | undefined;
   /** The newest request of the lowest band. */
   tryGetNewestOfLowest(): QueuedRequest | undefined;
   /** The request that becomes hopeless first. */
