--- a/specification/src/models.ts
+++ b/specification/src/models.ts
@@ -1,8 +1,16 @@
+import configurationModel from './models/configurationModel';
+import createLeaseModel from './models/createLeaseModel';
 import moveVerdictModel from './models/moveVerdictModel';
 import ordersModel from './models/ordersModel';
 import type { ModelDefinition } from './types';
 
 /** The models of the core protocol, in the order in which they are explored. */
-const models: readonly ModelDefinition[] = [ordersModel, moveVerdictModel];
+const models: readonly ModelDefinition[] = [
+  ordersModel,
+  createLeaseModel({ name: 'lease-fenced', checksFence: true }),
+  createLeaseModel({ name: 'lease-unfenced', checksFence: false }),
+  configurationModel,
+  moveVerdictModel,
+];
 
 export default models;
--- /dev/null
+++ b/specification/src/models/configurationModel.ts
@@ -0,0 +1,176 @@
+import defineModel from '../defineModel';
+
+const GENERATION_LIMIT = 3;
+
+/** A configuration as accepted: its generation and the change that made it. */
+interface Accepted {
+  readonly generation: number;
+  readonly change: number;
+}
+
+/** A write on its way: it may land now, later, or never. */
+interface Write extends Accepted {
+  readonly onTopOf: number;
+}
+
+interface Operator {
+  readonly state: 'idle' | 'writing' | 'accepted' | 'conflict';
+  readonly write: Write | undefined;
+}
+
+interface Host {
+  readonly inForce: Accepted;
+  readonly highest: number;
+}
+
+interface State {
+  readonly stored: Accepted;
+  /** Changes that the store has held, by generation; the history of all writes that took effect. */
+  readonly history: readonly Accepted[];
+  readonly operators: readonly Operator[];
+  readonly hosts: readonly Host[];
+}
+
+type Event =
+  | { readonly kind: 'write'; readonly operator: number }
+  | { readonly kind: 'land'; readonly operator: number }
+  | { readonly kind: 'lose'; readonly operator: number }
+  | { readonly kind: 'settle'; readonly operator: number }
+  | { readonly kind: 'offer'; readonly host: number; readonly accepted: Accepted };
+
+const OPERATORS = [0, 1];
+const HOSTS = [0, 1, 2];
+const FIRST: Accepted = { generation: 1, change: 0 };
+
+function replaceAt<Item>(items: readonly Item[], index: number, item: Item): readonly Item[] {
+  return items.map((old, position) => (position === index ? item : old));
+}
+
+function isSame(left: Accepted, right: Accepted): boolean {
+  return left.generation === right.generation && left.change === right.change;
+}
+
+/** Two operators race for generations; hosts hear of them from the store, a lagging one included, and from peers. */
+const configurationModel = defineModel<State, Event>({
+  name: 'configuration',
+  bounds: '2 operators with 1 change each, 3 hosts, 3 generations, offers late and in any order',
+  guards: [
+    { name: 'configuration-conditional-update', keeps: 'one-change-per-generation' },
+    { name: 'generation-check', keeps: 'never-reverts' },
+    { name: 'change-id-check', keeps: 'accepted-is-kept' },
+  ],
+  create(has) {
+    function land(state: State, operator: number): State {
+      const { write } = state.operators[operator]!;
+      const { onTopOf, ...accepted } = write!;
+      const own = { ...state.operators[operator]!, write: undefined };
+      const operators = replaceAt(state.operators, operator, own);
+      const isCurrent =
+        !has('configuration-conditional-update') || state.stored.generation === onTopOf;
+      return isCurrent
+        ? { ...state, operators, stored: accepted, history: [...state.history, accepted] }
+        : { ...state, operators };
+    }
+
+    /** What an operator is told once its write is known to have taken effect or not to. */
+    function settle(state: State, operator: number): State {
+      const isOwn = state.history.some(
+        ({ change }) => change === operator + 1 || (!has('change-id-check') && change !== 0),
+      );
+      const settled = { state: isOwn ? ('accepted' as const) : ('conflict' as const) };
+      const own = { ...state.operators[operator]!, ...settled };
+      return { ...state, operators: replaceAt(state.operators, operator, own) };
+    }
+
+    function take(state: State, index: number, accepted: Accepted): State {
+      const host = state.hosts[index]!;
+      const isLater = accepted.generation > host.inForce.generation || !has('generation-check');
+      const highest = Math.max(host.highest, accepted.generation);
+      const taken = { inForce: accepted, highest };
+      return isLater ? { ...state, hosts: replaceAt(state.hosts, index, taken) } : state;
+    }
+
+    function listOperatorEvents(state: State, operator: number): readonly Event[] {
+      const own = state.operators[operator]!;
+      const canWrite = own.state === 'idle' && state.stored.generation < GENERATION_LIMIT;
+      return [
+        ...(canWrite ? [{ kind: 'write' as const, operator }] : []),
+        ...(own.write === undefined
+          ? []
+          : [
+              { kind: 'land' as const, operator },
+              { kind: 'lose' as const, operator },
+            ]),
+        ...(own.state === 'writing' && own.write === undefined
+          ? [{ kind: 'settle' as const, operator }]
+          : []),
+      ];
+    }
+
+    return {
+      initial: {
+        stored: FIRST,
+        history: [FIRST],
+        operators: OPERATORS.map(() => ({ state: 'idle' as const, write: undefined })),
+        hosts: HOSTS.map(() => ({ inForce: FIRST, highest: 1 })),
+      },
+      events: (state) => [
+        ...OPERATORS.flatMap((operator) => listOperatorEvents(state, operator)),
+        // A lagging store or relay may offer whatever has been accepted at any time.
+        ...HOSTS.flatMap((host) =>
+          state.history
+            .filter((accepted) => !isSame(accepted, state.hosts[host]!.inForce))
+            .map((accepted) => ({ kind: 'offer' as const, host, accepted })),
+        ),
+      ],
+      next(state, event) {
+        switch (event.kind) {
+          case 'write': {
+            const { generation } = state.stored;
+            const write = {
+              generation: generation + 1,
+              change: event.operator + 1,
+              onTopOf: generation,
+            };
+            const own = { state: 'writing' as const, write };
+            return { ...state, operators: replaceAt(state.operators, event.operator, own) };
+          }
+          case 'land':
+            return land(state, event.operator);
+          case 'lose': {
+            const own = { ...state.operators[event.operator]!, write: undefined };
+            return { ...state, operators: replaceAt(state.operators, event.operator, own) };
+          }
+          case 'settle':
+            return settle(state, event.operator);
+          case 'offer':
+            return take(state, event.host, event.accepted);
+          default:
+            return event satisfies never;
+        }
+      },
+      invariants: [
+        {
+          name: 'one-change-per-generation',
+          holds: ({ history }) =>
+            new Set(history.map(({ generation }) => generation)).size === history.length,
+        },
+        {
+          name: 'never-reverts',
+          holds: ({ hosts }) =>
+            hosts.every(({ inForce, highest }) => inForce.generation === highest),
+        },
+        {
+          name: 'accepted-is-kept',
+          holds: ({ history, operators }) =>
+            operators.every(
+              ({ state }, operator) =>
+                state !== 'accepted' || history.some(({ change }) => change === operator + 1),
+            ),
+        },
+      ],
+    };
+  },
+});
+
+export default configurationModel;
--- /dev/null
+++ b/specification/src/models/createLeaseModel.ts
@@ -0,0 +1,230 @@
+import defineModel from '../defineModel';
+import type { ModelDefinition } from '../types';
+
+/** Length of a lease, and of the longest order, in ticks. */
+const DURATION = 20;
+/** What a candidate waits by its own clock: a twentieth more, for clocks at different speeds. */
+const DURATION_WITH_DRIFT = 21;
+/** Time passes in long and short steps by turns. */
+const LONG_STEP = 19;
+const SHORT_STEP = 1;
+const VERSION_LIMIT = 2;
+
+interface Observation {
+  readonly version: number;
+  /** Ticks of the candidate's own clock since it first saw this version. */
+  readonly age: number;
+}
+
+interface Actor {
+  /** Ticks of its own clock for which it may still act. */
+  readonly left: number;
+  readonly generation: number;
+  /** Ticks of its own clock since it took the lease. */
+  readonly since: number;
+  readonly write: { readonly onTopOf: number; readonly age: number } | undefined;
+  readonly seen: Observation | undefined;
+}
+
+interface Order {
+  readonly generation: number;
+  readonly age: number;
+}
+
+interface State {
+  readonly isLongNext: boolean;
+  /** Each taking over is a new version; renewals are left out, as they only lengthen a holding. */
+  readonly version: number;
+  readonly actors: readonly Actor[];
+  readonly orders: readonly Order[];
+  /** The highest generation of which an order has taken effect. */
+  readonly highest: number;
+  readonly olderAfterNewer: boolean;
+}
+
+type Event =
+  | { readonly kind: 'advance'; readonly ticks: number; readonly fast: number }
+  | { readonly kind: 'look' | 'take' | 'land' | 'lose' | 'send'; readonly actor: number }
+  | { readonly kind: 'effect'; readonly order: number };
+
+interface LeaseModelOptions {
+  readonly name: string;
+  /** Whether the engine refuses an order with an older generation than it has seen. */
+  readonly checksFence: boolean;
+}
+
+const ACTORS = [0, 1];
+const NOBODY = -1;
+const IDLE: Actor = { left: 0, generation: 0, since: 0, write: undefined, seen: undefined };
+
+function withActor(state: State, index: number, change: Partial<Actor>): State {
+  const actors = state.actors.map((actor, position) =>
+    position === index ? { ...actor, ...change } : actor,
+  );
+  return { ...state, actors };
+}
+
+function grow(age: number, ticks: number): number {
+  return Math.min(DURATION_WITH_DRIFT, age + ticks);
+}
+
+function advanceActor(actor: Actor, ticks: number): Actor {
+  const { write, seen } = actor;
+  return {
+    ...actor,
+    left: Math.max(0, actor.left - ticks),
+    since: actor.left > 0 && actor.generation > 1 ? grow(actor.since, ticks) : 0,
+    write: write && { ...write, age: grow(write.age, ticks) },
+    seen: seen && { ...seen, age: grow(seen.age, ticks) },
+  };
+}
+
+/** Two candidates for one lease, either of which may pause at any step, and the orders that they send to an engine. */
+export default function createLeaseModel({
+  name,
+  checksFence,
+}: LeaseModelOptions): ModelDefinition {
+  const orderGuard = checksFence ? 'fence' : 'longest-order-wait';
+  return defineModel<State, Event>({
+    name,
+    bounds:
+      '2 candidates, 2 generations, lease of 20 ticks, long and short steps of time by turns, clocks apart by 1 tick a long step, 1 order of each generation on its way',
+    guards: [
+      { name: orderGuard, keeps: 'no-older-order-after-newer' },
+      ...(checksFence
+        ? [
+            { name: 'lease-wait', keeps: 'one-holder-at-a-time' },
+            { name: 'drift-allowance', keeps: 'one-holder-at-a-time' },
+          ]
+        : []),
+    ],
+    create(has) {
+      function advance(state: State, ticks: number, fast: number): State {
+        return {
+          ...state,
+          isLongNext: !state.isLongNext,
+          actors: state.actors.map((actor, index) =>
+            advanceActor(actor, index === fast && ticks === LONG_STEP ? ticks + 1 : ticks),
+          ),
+          orders: state.orders
+            .map((order) => ({ ...order, age: checksFence ? 0 : order.age + ticks }))
+            .filter(({ age }) => age <= DURATION),
+        };
+      }
+
+      function mayTake({ version }: State, { left, write, seen }: Actor): boolean {
+        if (left > 0 || write !== undefined || version >= VERSION_LIMIT) {
+          return false;
+        }
+        const wait = has('drift-allowance') ? DURATION_WITH_DRIFT : DURATION;
+        const isFree = version === 0;
+        const isWaitedOut = seen?.version === version && seen.age >= wait;
+        return isFree || isWaitedOut || (!has('lease-wait') && seen?.version === version);
+      }
+
+      function land(state: State, index: number): State {
+        const { write } = state.actors[index]!;
+        if (write?.onTopOf !== state.version) {
+          return withActor(state, index, { write: undefined });
+        }
+        const version = state.version + 1;
+        const left = Math.max(0, DURATION - write.age);
+        const change = { write: undefined, left, generation: version, since: 0, seen: undefined };
+        return { ...withActor(state, index, change), version };
+      }
+
+      function maySend({ orders }: State, actor: Actor): boolean {
+        const isQuiet =
+          checksFence ||
+          !has('longest-order-wait') ||
+          actor.generation === 1 ||
+          actor.since >= DURATION_WITH_DRIFT;
+        const isOnItsWay = orders.some(({ generation }) => generation === actor.generation);
+        return actor.left > 0 && !isOnItsWay && isQuiet;
+      }
+
+      function takeEffect(state: State, index: number): State {
+        const { generation } = state.orders[index]!;
+        const orders = state.orders.filter((_, position) => position !== index);
+        const isOlder = generation < state.highest;
+        if (isOlder && checksFence && has('fence')) {
+          return { ...state, orders };
+        }
+        const highest = Math.max(state.highest, generation);
+        return { ...state, orders, highest, olderAfterNewer: state.olderAfterNewer || isOlder };
+      }
+
+      function listActorEvents(state: State, actor: number): readonly Event[] {
+        const own = state.actors[actor]!;
+        const isNews = own.left === 0 && state.version > 0 && own.seen?.version !== state.version;
+        return [
+          ...(isNews ? [{ kind: 'look' as const, actor }] : []),
+          ...(mayTake(state, own) ? [{ kind: 'take' as const, actor }] : []),
+          ...(own.write === undefined
+            ? []
+            : [
+                { kind: 'land' as const, actor },
+                { kind: 'lose' as const, actor },
+              ]),
+          ...(maySend(state, own) ? [{ kind: 'send' as const, actor }] : []),
+        ];
+      }
+
+      return {
+        initial: {
+          isLongNext: true,
+          version: 0,
+          actors: ACTORS.map(() => IDLE),
+          orders: [],
+          highest: 0,
+          olderAfterNewer: false,
+        },
+        events: (state) => [
+          ...(state.isLongNext ? [NOBODY, ...ACTORS] : [NOBODY]).map((fast) => ({
+            kind: 'advance' as const,
+            ticks: state.isLongNext ? LONG_STEP : SHORT_STEP,
+            fast,
+          })),
+          ...ACTORS.flatMap((actor) => listActorEvents(state, actor)),
+          ...state.orders.map((_, order) => ({ kind: 'effect' as const, order })),
+        ],
+        next(state, event) {
+          switch (event.kind) {
+            case 'advance':
+              return advance(state, event.ticks, event.fast);
+            case 'look':
+              return withActor(state, event.actor, { seen: { version: state.version, age: 0 } });
+            case 'take':
+              return withActor(state, event.actor, { write: { onTopOf: state.version, age: 0 } });
+            case 'land':
+              return land(state, event.actor);
+            case 'lose':
+              return withActor(state, event.actor, { write: undefined });
+            case 'send': {
+              const { generation } = state.actors[event.actor]!;
+              return { ...state, orders: [...state.orders, { generation, age: 0 }] };
+            }
+            case 'effect':
+              return takeEffect(state, event.order);
+            default:
+              return event satisfies never;
+          }
+        },
+        invariants: [
+          {
+            name: 'no-older-order-after-newer',
+            holds: ({ olderAfterNewer }) => !olderAfterNewer,
+          },
+          ...(checksFence
+            ? [
+                {
+                  name: 'one-holder-at-a-time',
+                  holds: ({ actors }: State) => actors.filter(({ left }) => left > 0).length <= 1,
+                },
+              ]
+            : []),
+        ],
+      };
+    },
+  });
+}
