Print the capacity table and draw the reports

The capacity table at the target's size had to be worked out by hand, and the benchmarks' JSON had no plots. npm run capacity computes the table from the JSON and names what is missing; npm run report draws goodput, prefill and moves as SVG in one page. No figures are changed.

--- /dev/null
+++ b/benchmarks/src/report/toGoodputSection.ts
@@ -0,0 +1,86 @@
+import type { BarPlot, GoodputReport, PageSection } from './types';
+
+const PERCENT = 100;
+
+type ScenarioReport = GoodputReport['scenarios'][number];
+
+function toGoodputPlot(scenario: ScenarioReport): BarPlot {
+  const policies = Object.entries(scenario.policies);
+  const tiers = policies[0]?.[1].offeredByTier ?? [];
+  return {
+    heading: `Goodput by tier: ${scenario.name}, ${scenario.deployment}`,
+    text: 'Share of the offered work that was finished within its deadlines, by tier; tier 0 is the highest.',
+    categoryAxis: 'tier',
+    valueAxis: 'goodput, % of the work offered',
+    valueScale: 'percent',
+    categories: tiers.map((_, tier) => `tier ${tier}`),
+    series: policies.map(([name, result]) => ({
+      name,
+      values: tiers.map((_, tier) => {
+        const offered = result.offeredByTier[tier] ?? 0;
+        return offered === 0 ? null : ((result.goodputByTier[tier] ?? 0) / offered) * PERCENT;
+      }),
+    })),
+  };
+}
+
+function toPlotByScenario(
+  scenarios: readonly ScenarioReport[],
+  valueOf: (result: ScenarioReport['policies'][string]) => number | null,
+  words: Pick<BarPlot, 'heading' | 'text' | 'valueAxis' | 'valueScale'>,
+): BarPlot {
+  const names = Object.keys(scenarios[0]?.policies ?? {});
+  return {
+    ...words,
+    categoryAxis: 'scenario',
+    categories: scenarios.map(({ name }) => name),
+    series: names.map((name) => ({
+      name,
+      values: scenarios.map(({ policies }) => {
+        const result = policies[name];
+        return result === undefined ? null : valueOf(result);
+      }),
+    })),
+  };
+}
+
+/** Plots of the goodput benchmark. */
+export default function toGoodputSection(report: GoodputReport): PageSection {
+  const deployments = [...new Set(report.scenarios.map(({ deployment }) => deployment))];
+  const wasted = deployments.map((deployment) =>
+    toPlotByScenario(
+      report.scenarios.filter((scenario) => scenario.deployment === deployment),
+      ({ wastedPrefillShare }) =>
+        wastedPrefillShare === null ? null : wastedPrefillShare * PERCENT,
+      {
+        heading: `Wasted prefill, ${deployment}`,
+        text: 'Share of the prefill work spent on requests that were not answered in time.',
+        valueAxis: 'wasted prefill, %',
+        valueScale: 'linear',
+      },
+    ),
+  );
+  const outages = report.scenarios.filter(({ policies }) =>
+    Object.values(policies).some((result) => result.goodputBackAfterSeconds !== undefined),
+  );
+  const back =
+    outages.length === 0
+      ? []
+      : [
+          toPlotByScenario(outages, (result) => result.goodputBackAfterSeconds ?? null, {
+            heading: 'Goodput back after a failure domain returned',
+            text: 'Time until goodput was back; a missing bar is a policy with no recorded time.',
+            valueAxis: 'time, s',
+            valueScale: 'linear',
+          }),
+        ];
+  return {
+    heading: `Goodput (seed ${report.seed}, ${report.quick ? 'quick run' : 'full run'})`,
+    plots: [...report.scenarios.map(toGoodputPlot), ...wasted, ...back],
+    notRecorded: [
+      'goodput over time, also while a failure domain leaves and returns: only totals of the measured window are kept',
+      'goodput against load as a curve: the scenarios hold fixed levels of load',
+      ...(outages.length === 0 ? ['time until goodput was back after a domain returned'] : []),
+    ],
+  };
+}
--- /dev/null
+++ b/benchmarks/src/report/toPage.test.ts
@@ -0,0 +1,27 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import toGoodputSection from './toGoodputSection';
+import toPage from './toPage';
+
+const result = { goodputByTier: [9, 0], offeredByTier: [10, 0], wastedPrefillShare: 0.1 };
+const page = toPage([
+  toGoodputSection({
+    seed: 11,
+    quick: true,
+    scenarios: [{ name: 'burst', deployment: 'small', policies: { rattanreel: result } }],
+  }),
+]);
+
+const cases = [
+  { name: 'draws one plot of goodput and one of prefill', pattern: /<svg/g, count: 2 },
+  { name: 'holds no scripts', pattern: /<script/g, count: 0 },
+  { name: 'says what is not recorded', pattern: /goodput over time/g, count: 1 },
+];
+
+describe('toPage', () => {
+  cases.forEach(({ name, pattern, count }) => {
+    it(name, () => {
+      expect([...page.matchAll(pattern)].length).toEqual(count);
+    });
+  });
+});
--- /dev/null
+++ b/benchmarks/src/report/tryReadReport.ts
@@ -0,0 +1,14 @@
+import { existsSync, readFileSync } from 'node:fs';
+import path from 'node:path';
+import type { z } from 'zod';
+
+/** Reads a report; undefined when there is none. Throws on a file that holds something else. */
+export default function tryReadReport<Report>(
+  folder: string,
+  file: string,
+  schema: z.ZodType<Report>,
+): Report | undefined {
+  const where = path.join(folder, file);
+  const text = existsSync(where) ? readFileSync(where, 'utf8').trim() : '';
+  return text === '' ? undefined : schema.parse(JSON.parse(text));
+}
