--- a/benchmarks/src/report/goodputSchema.ts
+++ b/benchmarks/src/report/goodputSchema.ts
@@ -4,7 +4,7 @@
   goodputByTier: z.array(z.number()),
   offeredByTier: z.array(z.number()),
   wastedPrefillShare: z.number().nullable(),
-  goodputBackAfterSeconds: z.number().optional(),
+  goodputBackAfterSeconds: z.number().nullable().optional(),
 });
 
 /** The parts of the goodput benchmark's JSON that are drawn. */
--- a/benchmarks/src/report/toGoodputSection.ts
+++ b/benchmarks/src/report/toGoodputSection.ts
@@ -60,16 +60,16 @@
       },
     ),
   );
-  const outages = report.scenarios.filter(({ policies }) =>
+  const bursts = report.scenarios.filter(({ policies }) =>
     Object.values(policies).some((result) => result.goodputBackAfterSeconds !== undefined),
   );
   const back =
-    outages.length === 0
+    bursts.length === 0
       ? []
       : [
-          toPlotByScenario(outages, (result) => result.goodputBackAfterSeconds ?? null, {
-            heading: 'Goodput back after a failure domain returned',
-            text: 'Time until goodput was back; a missing bar is a policy with no recorded time.',
+          toPlotByScenario(bursts, (result) => result.goodputBackAfterSeconds ?? null, {
+            heading: 'Goodput back after a burst',
+            text: 'Time from the end of the burst until requests were answered as often as before; no bar: not within the run.',
             valueAxis: 'time, s',
             valueScale: 'linear',
           }),
@@ -78,9 +78,9 @@
     heading: `Goodput (seed ${report.seed}, ${report.quick ? 'quick run' : 'full run'})`,
     plots: [...report.scenarios.map(toGoodputPlot), ...wasted, ...back],
     notRecorded: [
-      'goodput over time, also while a failure domain leaves and returns: only totals of the measured window are kept',
+      'goodput over time, also while a failure domain leaves and returns: only totals of the measured window are kept (scenario domainLeavesAndReturns)',
       'goodput against load as a curve: the scenarios hold fixed levels of load',
-      ...(outages.length === 0 ? ['time until goodput was back after a domain returned'] : []),
+      ...(bursts.length === 0 ? ['time until goodput was back after a burst'] : []),
     ],
   };
 }
--- a/benchmarks/src/report/toPage.test.ts
+++ b/benchmarks/src/report/toPage.test.ts
@@ -3,7 +3,12 @@
 import toGoodputSection from './toGoodputSection';
 import toPage from './toPage';
 
-const result = { goodputByTier: [9, 0], offeredByTier: [10, 0], wastedPrefillShare: 0.1 };
+const result = {
+  goodputByTier: [9, 0],
+  offeredByTier: [10, 0],
+  wastedPrefillShare: 0.1,
+  goodputBackAfterSeconds: null,
+};
 const page = toPage([
   toGoodputSection({
     seed: 11,
@@ -13,7 +18,7 @@
 ]);
 
 const cases = [
-  { name: 'draws one plot of goodput and one of prefill', pattern: /<svg/g, count: 2 },
+  { name: 'draws goodput, prefill and the time without a figure', pattern: /<svg/g, count: 3 },
   { name: 'holds no scripts', pattern: /<script/g, count: 0 },
   { name: 'says what is not recorded', pattern: /goodput over time/g, count: 1 },
 ];
