--- a/packages/entry-host/src/moves/createMovesTask.ts
+++ b/packages/entry-host/src/moves/createMovesTask.ts
@@ -1,7 +1,10 @@
 import type { PoolId } from '@rattanreel/core';
 import { identifyMove } from '@rattanreel/moves';
-import type { MoveDecisionLogged, StoredMove } from '@rattanreel/moves';
+import type { MoveDecisionLogged, StoredMove, VetoHeard } from '@rattanreel/moves';
 import type { LeaseState } from '@rattanreel/platform';
+import type { BackendServerSummary } from '@rattanreel/scheduling';
+import countBearableShare from './countBearableShare';
+import countOldTraffic from './countOldTraffic';
 import createMoveControllerRole from './createMoveControllerRole';
 import createMoveDelegate from './createMoveDelegate';
 import createMoveGuardRole from './createMoveGuardRole';
@@ -28,6 +31,8 @@
   const guards = new Map<PoolId, MoveGuardRole>();
   const controllers = new Map<PoolId, MoveControllerRole>();
   const records = new Map<PoolId, StoredMove>();
+  /** The latest veto of each pool's moves, for a guard that starts later. */
+  const vetoes = new Map<PoolId, VetoHeard>();
 
   function logDecision({ decision, move, reason, share }: MoveDecisionLogged): void {
     decisions.record({
@@ -65,6 +70,8 @@
   function receive(pool: PoolId, message: MovePeerMessage): void {
     if (message.kind === 'recordSeen') {
       seeRecord(pool, message.stored);
+    } else if (message.kind === 'vetoHeard') {
+      vetoes.set(pool, message);
     }
     guards.get(pool)?.handle(message);
     controllers.get(pool)?.handle(message);
@@ -112,6 +119,17 @@
     }
   }
 
+  function tellNewGuard(pool: PoolId, guard: MoveGuardRole): void {
+    const stored = records.get(pool);
+    const veto = vetoes.get(pool);
+    if (stored !== undefined) {
+      guard.handle({ kind: 'recordSeen', stored });
+    }
+    if (veto !== undefined) {
+      guard.handle(veto);
+    }
+  }
+
   function updateGuards(): void {
     for (const pool of options.getPools()) {
       const scheduler = options.tryGetTask(pool);
@@ -120,20 +138,13 @@
       } else if (!guards.has(pool)) {
         const guard = createMoveGuardRole(parts, options, pool, scheduler);
         guards.set(pool, guard);
-        const stored = records.get(pool);
-        if (stored !== undefined) {
-          guard.handle({ kind: 'recordSeen', stored });
-        }
+        tellNewGuard(pool, guard);
       }
     }
   }
 
-  function countOldTraffic(pool: PoolId): number {
-    const from = records.get(pool)?.record.from;
-    const servers = options.tryGetTask(pool)?.summary().backendServers ?? [];
-    return servers
-      .filter(({ version }) => version === from)
-      .reduce((sum, { inFlight }) => sum + inFlight, 0);
+  function serversOf(pool: PoolId): readonly BackendServerSummary[] {
+    return options.tryGetTask(pool)?.summary().backendServers ?? [];
   }
 
   function passTime(): void {
@@ -142,7 +153,14 @@
       .domains.filter(({ age }) => age !== undefined && age <= REACHABLE_AGE_MS)
       .map((domain) => domain.failureDomain);
     guards.forEach((guard, pool) => {
-      guard.handle({ kind: 'oldTrafficCounted', inFlight: countOldTraffic(pool) });
+      guard.handle({
+        kind: 'capacityCounted',
+        bearableShare: countBearableShare(serversOf(pool), records.get(pool)),
+      });
+      guard.handle({
+        kind: 'oldTrafficCounted',
+        inFlight: countOldTraffic(serversOf(pool), records.get(pool)),
+      });
       guard.handle({ kind: 'timePassed' });
     });
     controllers.forEach((controller, pool) => {
