Hold a version's times against its own hardware

Change: evidence tells times freed of the hardware's speed, by what the backend server did under the version before; a version that came before anything was learnt of its hardware is judged by errors alone.

--- /dev/null
+++ b/packages/scheduling/src/handlers/getBetweenTokens.ts
@@ -0,0 +1,10 @@
+import type { Milliseconds } from '@rattanreel/core';
+import type { GrantReleased } from '../types';
+
+/** Mean time between the tokens of an answer; undefined when it had fewer than two. */
+export default function getBetweenTokens(released: GrantReleased): Milliseconds | undefined {
+  if (released.firstTokenAfter === undefined || released.outputTokens < 2) {
+    return undefined;
+  }
+  return (released.duration - released.firstTokenAfter) / (released.outputTokens - 1);
+}
--- /dev/null
+++ b/packages/scheduling/src/handlers/getMeanStreams.ts
@@ -0,0 +1,14 @@
+import type { Milliseconds } from '@rattanreel/core';
+import type { BackendServer, InFlight } from '../servers/types';
+
+/** Mean number of streams at a backend server between a slot's first token and now. */
+export default function getMeanStreams(
+  server: BackendServer,
+  slot: InFlight,
+  now: Milliseconds,
+): number {
+  const since = slot.firstTokenAt ?? slot.grantedAt;
+  const span = now - since;
+  const area = server.streamTime - slot.streamTimeAtFirstToken;
+  return span > 0 ? Math.max(1, area / span) : server.inFlight.size + 1;
+}
--- a/packages/scheduling/src/handlers/releaseGrant.ts
+++ b/packages/scheduling/src/handlers/releaseGrant.ts
@@ -6,27 +6,15 @@
 import judgeHealth from '../servers/judgeHealth';
 import type { GrantReleased, ReleaseOutcome } from '../types';
 import learnFirstToken from './learnFirstToken';
+import getBetweenTokens from './getBetweenTokens';
+import getMeanStreams from './getMeanStreams';
 import rememberFinished from './rememberFinished';
+import tellEvidence from './tellEvidence';
 
 /** Outcomes after which the request has reached no backend server and may be granted again. */
 const UNSENT_OUTCOMES: ReadonlySet<ReleaseOutcome> = new Set(['notDispatched', 'notConnected']);
 const FEWEST_TOKENS_TO_LEARN = 4;
 
-/** Mean number of streams between a slot's first token and now. */
-function meanStreams(server: BackendServer, slot: InFlight, now: Milliseconds): number {
-  const since = slot.firstTokenAt ?? slot.grantedAt;
-  const span = now - since;
-  const area = server.streamTime - slot.streamTimeAtFirstToken;
-  return span > 0 ? Math.max(1, area / span) : server.inFlight.size + 1;
-}
-
-function betweenTokens(released: GrantReleased): Milliseconds | undefined {
-  if (released.firstTokenAfter === undefined || released.outputTokens < 2) {
-    return undefined;
-  }
-  return (released.duration - released.firstTokenAfter) / (released.outputTokens - 1);
-}
-
 function learn(
   state: SchedulerState,
   server: BackendServer,
@@ -34,9 +22,9 @@
   released: GrantReleased,
   now: Milliseconds,
 ): void {
-  const tokenTime = betweenTokens(released);
+  const tokenTime = getBetweenTokens(released);
   if (tokenTime !== undefined && released.outputTokens >= FEWEST_TOKENS_TO_LEARN) {
-    const streams = meanStreams(server, slot, now);
+    const streams = getMeanStreams(server, slot, now);
     server.speed.learnTokenTime(streams, released.outputTokens, tokenTime);
   }
   if (released.outcome === 'completed') {
@@ -45,23 +33,6 @@
   }
 }
 
-function tellEvidence(state: SchedulerState, slot: InFlight, released: GrantReleased): void {
-  if (released.outcome === 'callerGone') {
-    return;
-  }
-  state.effects.push({
-    kind: 'versionEvidence',
-    version: slot.version,
-    route: slot.route,
-    tier: slot.tier,
-    failed: released.outcome !== 'completed',
-    firstTokenAfter: released.firstTokenAfter,
-    betweenTokens: betweenTokens(released),
-    outputTokens: released.outputTokens,
-    promptTokens: slot.promptTokens,
-  });
-}
-
 /** Whether a release gives back this slot, and not an older grant of the same request. */
 function isReleaseOf(slot: InFlight, released: GrantReleased): boolean {
   const isSameHost = getIncarnationKey(slot.from) === getIncarnationKey(released.from);
@@ -96,7 +67,7 @@
   state.orphans.delete(slot.request);
   if (sent) {
     learn(state, server, slot, released, now);
-    tellEvidence(state, slot, released);
+    tellEvidence(state, server, slot, released, now);
   }
   judgeHealth(state, server, server.health.finished(released.outcome), released.outcome, now);
   grantQueued(state, now);
--- a/packages/scheduling/src/handlers/reportLoad.ts
+++ b/packages/scheduling/src/handlers/reportLoad.ts
@@ -46,6 +46,9 @@
     startAnew(state, server, 'ready again', now);
   }
   if (report.version !== server.version) {
+    // Times under the new version are judged by what this hardware did under the old one.
+    server.speedBefore = server.speed.isLearnt ? server.speed.freeze() : undefined;
+    server.hasChangedVersion = true;
     startAnew(state, server, 'other version', now);
   }
   server.ready = report.ready;
--- /dev/null
+++ b/packages/scheduling/src/handlers/tellEvidence.ts
@@ -0,0 +1,59 @@
+import type { Milliseconds } from '@rattanreel/core';
+import type { SchedulerState } from '../decisions/types';
+import type { BackendServer, InFlight, ReferenceSpeed } from '../servers/types';
+import type { GrantReleased } from '../types';
+import getBetweenTokens from './getBetweenTokens';
+import getMeanStreams from './getMeanStreams';
+
+/** Times of a backend server that is exactly as fast as expected of its hardware. */
+const NOMINAL_FIRST_TOKEN_MS = 200;
+const NOMINAL_BETWEEN_TOKENS_MS = 20;
+
+/**
+ * The speed that a version's times are held against: this hardware's own, under the version before if the
+ * version has changed. Undefined when nothing is known to compare with.
+ */
+function tryGetReference(server: BackendServer): ReferenceSpeed | undefined {
+  if (server.hasChangedVersion) {
+    return server.speedBefore;
+  }
+  return server.speed.isLearnt ? server.speed : undefined;
+}
+
+/** Tells how a finished request speaks for its version, with times freed of the hardware's speed. */
+export default function tellEvidence(
+  state: SchedulerState,
+  server: BackendServer,
+  slot: InFlight,
+  released: GrantReleased,
+  now: Milliseconds,
+): void {
+  if (released.outcome === 'callerGone') {
+    return;
+  }
+  const reference = tryGetReference(server);
+  const tokenTime = getBetweenTokens(released);
+  const { firstTokenAfter } = released;
+  const computed = Math.max(
+    1,
+    slot.prefillAhead + slot.expectedCachedTokens - released.cachedTokens,
+  );
+  state.effects.push({
+    kind: 'versionEvidence',
+    version: slot.version,
+    route: slot.route,
+    tier: slot.tier,
+    failed: released.outcome !== 'completed',
+    firstTokenAfter:
+      reference === undefined || firstTokenAfter === undefined
+        ? undefined
+        : (NOMINAL_FIRST_TOKEN_MS * firstTokenAfter) / reference.firstTokenAfter(computed),
+    betweenTokens:
+      reference === undefined || tokenTime === undefined
+        ? undefined
+        : (NOMINAL_BETWEEN_TOKENS_MS * tokenTime) /
+          reference.tokenTime(getMeanStreams(server, slot, now)),
+    outputTokens: released.outputTokens,
+    promptTokens: slot.promptTokens,
+  });
+}
--- a/packages/scheduling/src/servers/createBackendServer.ts
+++ b/packages/scheduling/src/servers/createBackendServer.ts
@@ -34,6 +34,8 @@
     streamTime: 0,
     streamTimeAt: now,
     speed: createSpeedModel(),
+    speedBefore: undefined,
+    hasChangedVersion: false,
     limit: createStreamLimit({ maximumStreams, slowStartStreams: policy.slowStartStreams }),
     health: createHealthMonitor(),
     prefixes: createPrefixIndex(settings.memoryTokens),
--- a/packages/scheduling/src/servers/createSpeedModel.ts
+++ b/packages/scheduling/src/servers/createSpeedModel.ts
@@ -62,6 +62,16 @@
       decodeLevel.add(measured / Math.max(SMALLEST_TIME, tokenTimeLine.at(streams)));
       tokenTimeLine.add(streams, measured / decodeLevel.factor, weight);
     },
+    freeze() {
+      const firstTokenAtNone = firstTokenAfter(0);
+      const prefillSlope = prefillLevel.factor * firstTokenLine.slope();
+      const tokenTimeAtNone = tokenTime(0);
+      const streamSlope = decodeLevel.factor * tokenTimeLine.slope();
+      return {
+        firstTokenAfter: (tokens) => firstTokenAtNone + prefillSlope * tokens,
+        tokenTime: (streams) => tokenTimeAtNone + streamSlope * streams,
+      };
+    },
     restart() {
       prefillLevel.restart();
       decodeLevel.restart();
--- a/packages/scheduling/src/servers/types.ts
+++ b/packages/scheduling/src/servers/types.ts
@@ -55,6 +55,14 @@
   readonly duration: Milliseconds;
 }
 
+/** Expected times of one backend server at one moment of what was learnt. */
+export interface ReferenceSpeed {
+  /** Expected time to the first token with `prefillTokens` to compute. */
+  firstTokenAfter(prefillTokens: number): Milliseconds;
+  /** Expected time between tokens with `streams` running. */
+  tokenTime(streams: number): Milliseconds;
+}
+
 /** Learnt speed of one backend server. */
 export interface SpeedModel {
   /** Whether enough has been seen to refuse on its word. */
@@ -70,6 +78,8 @@
   learnFirstToken(prefillTokens: number, measured: Milliseconds, now: Milliseconds): number;
   /** Takes the mean time between `tokens` tokens. */
   learnTokenTime(streams: number, tokens: number, measured: Milliseconds): void;
+  /** What is expected now, unmoved by later samples. */
+  freeze(): ReferenceSpeed;
   /** Lets the next samples outweigh old ones after a step in speed. */
   restart(): void;
 }
@@ -153,6 +163,10 @@
   streamTime: number;
   streamTimeAt: Milliseconds;
   speed: SpeedModel;
+  /** Speed under the version before the present one; undefined when none was learnt. */
+  speedBefore: ReferenceSpeed | undefined;
+  /** Whether its version has changed since it was first seen. */
+  hasChangedVersion: boolean;
   readonly limit: StreamLimit;
   readonly health: HealthMonitor;
   readonly prefixes: PrefixIndex;
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -300,8 +300,9 @@
   readonly route: string;
   readonly tier: TierRank;
   readonly failed: boolean;
+  /** Freed of the hardware's speed: at its nominal value on a backend server as fast as it was before. */
   readonly firstTokenAfter: Milliseconds | undefined;
-  /** Mean time between tokens after the first. */
+  /** Mean time between tokens after the first, freed of the hardware's speed likewise. */
   readonly betweenTokens: Milliseconds | undefined;
   readonly outputTokens: number;
   readonly promptTokens: number;
