--- a/packages/entry-host/src/callers/recordEnd.ts
+++ b/packages/entry-host/src/callers/recordEnd.ts
@@ -1,15 +1,8 @@
 import type { EndedRequest } from '@rattanreel/observability';
-import type { Execution } from '@rattanreel/orders';
 import type { CallerServices, ChatJob, ChatOutcome } from './types';
+import endedByExecution from './endedByExecution';
 import streamProblem from './streamProblem';
 
-const endedByExecution: Readonly<Record<Execution, EndedRequest['outcome']>> = {
-  'not-run': 'refused',
-  'partly-run': 'partlyRun',
-  'may-have-run': 'mayHaveRun',
-  ran: 'answered',
-};
-
 function outcomeOf(job: ChatJob, outcome: ChatOutcome): EndedRequest['outcome'] {
   if (outcome.kind === 'refused') {
     return 'refused';
--- a/packages/entry-host/src/callers/recordServiceEnd.ts
+++ b/packages/entry-host/src/callers/recordServiceEnd.ts
@@ -1,17 +1,11 @@
 import type { Milliseconds, Outcome } from '@rattanreel/core';
 import type { EndedRequest } from '@rattanreel/observability';
-import type { Execution, RecordedAnswer } from '@rattanreel/orders';
+import type { RecordedAnswer } from '@rattanreel/orders';
 import type { CallerServices, ProblemDocument, ServiceJob } from './types';
+import endedByExecution from './endedByExecution';
 
 const FIRST_SERVER_ERROR = 500;
 
-const endedByExecution: Readonly<Record<Execution, EndedRequest['outcome']>> = {
-  'not-run': 'refused',
-  'partly-run': 'partlyRun',
-  'may-have-run': 'mayHaveRun',
-  ran: 'answered',
-};
-
 /** A caller's own mistake is told apart from a refusal for want of room. */
 function outcomeOf(result: Outcome<RecordedAnswer, ProblemDocument>): EndedRequest['outcome'] {
   if (result.kind === 'ok') {
--- a/packages/entry-host/src/moves/createMoveControllerRole.ts
+++ b/packages/entry-host/src/moves/createMoveControllerRole.ts
@@ -22,7 +22,7 @@
         break;
       case 'writeRecord':
       case 'readRecord':
-        parts.carryOutRecord(pool, effect, (answer) => handle({ kind: 'recordAnswered', answer }));
+        parts.carryOutRecord(effect, (answer) => handle({ kind: 'recordAnswered', answer }));
         break;
       case 'logMoveDecision':
         parts.logDecision(effect);
--- a/packages/entry-host/src/moves/createMoveGuardRole.ts
+++ b/packages/entry-host/src/moves/createMoveGuardRole.ts
@@ -34,7 +34,7 @@
         break;
       case 'writeRecord':
       case 'readRecord':
-        parts.carryOutRecord(pool, effect, (answer) => handle({ kind: 'recordAnswered', answer }));
+        parts.carryOutRecord(effect, (answer) => handle({ kind: 'recordAnswered', answer }));
         break;
       case 'logMoveDecision':
         parts.logDecision(effect);
--- a/packages/entry-host/src/moves/createMovesTask.ts
+++ b/packages/entry-host/src/moves/createMovesTask.ts
@@ -1,5 +1,5 @@
 import type { PoolId } from '@rattanreel/core';
-import { identifyMove } from '@rattanreel/moves';
+import { callRecordStore, identifyMove } from '@rattanreel/moves';
 import type { RecordSeen, StoredMove, VetoHeard } from '@rattanreel/moves';
 import type { LeaseState } from '@rattanreel/platform';
 import type { BackendServerSummary } from '@rattanreel/scheduling';
@@ -9,7 +9,6 @@
 import createMoveDelegate from './createMoveDelegate';
 import createMoveGuardRole from './createMoveGuardRole';
 import createMoveLog from './createMoveLog';
-import createRecordStore from './createRecordStore';
 import listParticipants from './listParticipants';
 import type {
   MoveControllerRole,
@@ -49,7 +48,9 @@
         }
       }
     },
-    carryOutRecord: createRecordStore(store),
+    carryOutRecord(effect, answer) {
+      void callRecordStore(store, effect).then(answer);
+    },
     logDecision: createMoveLog(decisions, failureDomain),
   };
 
--- a/packages/entry-host/src/moves/types.ts
+++ b/packages/entry-host/src/moves/types.ts
@@ -33,7 +33,6 @@
 
 /** Reads and writes move records for a guard or a controller. */
 export type CarryOutRecordEffect = (
-  pool: PoolId,
   effect: RecordEffect,
   answer: (answer: RecordAnswer) => void,
 ) => void;
