Leave the times of a cold backend server out of the evidence

Change: while a backend server is in slow start its answers speak for their version by errors alone.

--- a/packages/scheduling/src/handlers/tellEvidence.ts
+++ b/packages/scheduling/src/handlers/tellEvidence.ts
@@ -11,9 +11,13 @@
 
 /**
  * The speed that a version's times are held against: this hardware's own, under the version before if the
- * version has changed. Undefined when nothing is known to compare with.
+ * version has changed. Undefined when nothing is known to compare with, and while the backend server is cold,
+ * which slows every version down.
  */
 function tryGetReference(server: BackendServer): ReferenceSpeed | undefined {
+  if (server.limit.isSlowStart) {
+    return undefined;
+  }
   if (server.hasChangedVersion) {
     return server.speedBefore;
   }
