Let the transport judge loopback addresses by itself again

Cause: the settings' check refuses port 0, which a listener may ask for; the overhead benchmark could not start its entry host, and the transport's own tests would not have either. Change: back to the transport's check, which says so. Conclusion: the two checks look alike and differ in what they allow.

--- a/packages/transport/src/createPeerTransport.ts
+++ b/packages/transport/src/createPeerTransport.ts
@@ -5,11 +5,11 @@
   ServerUnaryCall,
   UntypedServiceImplementation,
 } from '@grpc/grpc-js';
-import { isLoopbackAddress } from '@rattanreel/configuration';
 import { fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import createPeerConnection from './createPeerConnection';
 import createPeerCredentials from './createPeerCredentials';
+import isLoopbackAddress from './isLoopbackAddress';
 import createPeerService from './createPeerService';
 import type {
   Envelope,
