--- a/packages/entry-host/src/scheduling/createPeerRouter.ts
+++ b/packages/entry-host/src/scheduling/createPeerRouter.ts
@@ -31,7 +31,7 @@
   return {
     sendToScheduler(pool, domain, message) {
       // A message to a scheduler on this host is handled after the caller's own step.
-      setImmediate(() => toScheduler(pool, domain, message, false));
+      queueMicrotask(() => toScheduler(pool, domain, message, false));
     },
     sendToHost(pool, message) {
       const { entryHost } = message.to;
