Take out two members of the grant client that nothing calls

Cause: read-through of the whole change; pending and size were left from an earlier form of the stop. Change: five lines fewer; behaviour stays.

--- a/packages/entry-host/src/scheduling/createGrantClient.ts
+++ b/packages/entry-host/src/scheduling/createGrantClient.ts
@@ -144,6 +144,5 @@
     },
     report: heldGrants.report,
     forEachPlace: heldGrants.forEachPlace,
-    pending: () => queued.size + heldGrants.size(),
   };
 }
--- a/packages/entry-host/src/scheduling/createHeldGrants.ts
+++ b/packages/entry-host/src/scheduling/createHeldGrants.ts
@@ -95,6 +95,5 @@
       );
       places.forEach(({ pool, failureDomain }) => visit(pool, failureDomain));
     },
-    size: () => inFlight.size,
   };
 }
--- a/packages/entry-host/src/scheduling/types.ts
+++ b/packages/entry-host/src/scheduling/types.ts
@@ -96,8 +96,6 @@
   report(pool: PoolId, failureDomain: FailureDomainId): InFlightReported;
   /** Visits each pool and failure domain with requests of this host in flight. */
   forEachPlace(visit: (pool: PoolId, failureDomain: FailureDomainId) => void): void;
-  /** Requests queued or in flight. */
-  pending(): number;
 }
 
 /** Carries messages to the scheduler of a pool in a failure domain. */
@@ -159,7 +157,6 @@
   isHeld(grant: Grant): boolean;
   report(pool: PoolId, failureDomain: FailureDomainId): InFlightReported;
   forEachPlace(visit: (pool: PoolId, failureDomain: FailureDomainId) => void): void;
-  size(): number;
 }
 
 /** Asks one backend server for its state until closed. */
