--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -3,7 +3,7 @@
 
 /** Airbnb's rules for TypeScript; each departure states its reason. */
 export default tseslint.config(
-  { ignores: ['**/node_modules/**', '**/dist/**', 'reports/**'] },
+  { ignores: ['**/node_modules/**', '**/dist/**', 'reports/**', 'target/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- a/packages/command-line/src/commandTable.ts
+++ b/packages/command-line/src/commandTable.ts
@@ -8,12 +8,14 @@
 import move from './commands/move';
 import restore from './commands/restore';
 import serve from './commands/serve';
+import servePlatform from './commands/servePlatform';
 import status from './commands/status';
 import type { Command } from './types';
 
 /** Every command, in the order of the help text. */
 const commandTable: readonly Command[] = [
   serve,
+  servePlatform,
   check,
   configure,
   apply,
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -23,4 +23,5 @@
 } from './types';
 export { default as chooseOwner } from './chooseOwner';
 export { default as createIncarnation } from './createIncarnation';
+export { default as chooseOwners } from './chooseOwners';
 export { default as createMembership } from './createMembership';
--- /dev/null
+++ b/packages/platform/src/createHttpCaller.ts
@@ -0,0 +1,89 @@
+import { Pool } from 'undici';
+import type { Clock, Milliseconds } from '@rattanreel/core';
+import type { HttpCall, HttpReply } from './types';
+
+/** Failures of the connection attempt, before any byte of a request was written. */
+const NOT_SENT_CODES: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'ENOTFOUND',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+const CONNECTIONS = 16;
+const CONNECT_TIMEOUT: Milliseconds = 800;
+const IDLE_TIMEOUT: Milliseconds = 20_000;
+
+export interface HttpCallerOptions {
+  readonly url: string;
+  readonly clock: Clock;
+}
+
+export interface HttpCaller {
+  /** Resolves within `timeout`, by the caller's clock. */
+  send(call: HttpCall, timeout: Milliseconds): Promise<HttpReply>;
+  close(): Promise<void>;
+}
+
+function getErrorCode(error: unknown): string {
+  return error instanceof Error && 'code' in error ? String(error.code) : '';
+}
+
+/** Makes calls over HTTP/1.1 connections, one call at a time on each, none ever sent twice. */
+export default function createHttpCaller(options: HttpCallerOptions): HttpCaller {
+  const { url, clock } = options;
+  let pool = openPool();
+  const retired = new Set<Pool>();
+
+  function openPool(): Pool {
+    return new Pool(url, {
+      connections: CONNECTIONS,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT },
+      keepAliveTimeout: IDLE_TIMEOUT,
+    });
+  }
+
+  /** Leaves connections that may all have gone silent; calls still waiting on them run out by themselves. */
+  function retire(used: Pool): void {
+    if (used !== pool) {
+      return;
+    }
+    pool = openPool();
+    retired.add(used);
+    used
+      .close()
+      .catch(() => undefined)
+      .finally(() => retired.delete(used));
+  }
+
+  async function exchange(used: Pool, call: HttpCall, signal: AbortSignal): Promise<HttpReply> {
+    try {
+      const json = call.body === undefined ? {} : { 'content-type': 'application/json' };
+      const headers = { ...json, ...call.headers };
+      const { method, path, body } = call;
+      const response = await used.request({ method, path, body, headers, signal });
+      const text = await response.body.text();
+      return { kind: 'answered', status: response.statusCode, headers: response.headers, text };
+    } catch (error) {
+      return { kind: NOT_SENT_CODES.has(getErrorCode(error)) ? 'notSent' : 'lost' };
+    }
+  }
+
+  return {
+    async send(call, timeout) {
+      const abort = new AbortController();
+      const used = pool;
+      const timer = clock.after(timeout, () => {
+        abort.abort();
+        retire(used);
+      });
+      const reply = await exchange(used, call, abort.signal);
+      timer.cancel();
+      return reply;
+    },
+    async close() {
+      await Promise.all([pool, ...retired].map((each) => each.destroy()));
+    },
+  };
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -1,5 +1,6 @@
 /** Client of the platform's object API: calls, watches and leases. */
 export type * from './types';
+export { default as createHttpCaller } from './createHttpCaller';
 export { default as createLease } from './createLease';
 export { default as createObjectStore } from './createObjectStore';
 export { default as createObjectStoreClient } from './createObjectStoreClient';
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -231,3 +231,24 @@
   /** Told of every change; a lapse is reported when its timer runs, `state()` shows it at once. */
   readonly onChange?: (state: LeaseState) => void;
 }
+
+/** One call over HTTP. */
+export interface HttpCall {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body?: string;
+}
+
+/** What became of one call over HTTP. */
+export type HttpReply =
+  | {
+      readonly kind: 'answered';
+      readonly status: number;
+      readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+      readonly text: string;
+    }
+  /** No byte of the call was written. */
+  | { readonly kind: 'notSent' }
+  /** No answer came; the call may have taken effect, or may still do so. */
+  | { readonly kind: 'lost' };
--- /dev/null
+++ b/packages/relay/src/createPools.ts
@@ -0,0 +1,110 @@
+import { chooseOwners } from '@rattanreel/membership';
+import type { Clock, EntryHostId, FailureDomainId, PoolId, Random } from '@rattanreel/core';
+import getColdInterval from './decisions/getColdInterval';
+import createPoolDesk from './pools/createPoolDesk';
+import createServerAccounts from './pools/createServerAccounts';
+import type { ServerAccounts } from './pools/createServerAccounts';
+import type { PoolDesk } from './pools/types';
+import type { ListedServer, PoolSettings, RelayBounds } from './types';
+
+export interface PoolsOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly ownName: EntryHostId;
+  readonly ownDomain: FailureDomainId;
+  readonly bounds: RelayBounds;
+  readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
+}
+
+export interface Pools {
+  getDesk(pool: PoolId): PoolDesk;
+  setSettings(settings: readonly PoolSettings[]): void;
+  setServers(servers: readonly ListedServer[]): void;
+  setHosts(hosts: readonly EntryHostId[]): void;
+  /** Takes servers of these failure domains for cold: they may have been idle. */
+  coolDown(failureDomains: readonly FailureDomainId[]): void;
+  forEachDesk(action: (desk: PoolDesk) => void): void;
+}
+
+interface OpenPool {
+  readonly desk: PoolDesk;
+  readonly accounts: ServerAccounts;
+}
+
+/** The rendezvous choice of `count` hosts for a key. */
+function chooseHosts(
+  key: string,
+  hosts: readonly EntryHostId[],
+  count: number,
+): readonly EntryHostId[] {
+  const members = hosts.map((entryHost) => ({ entryHost }));
+  return chooseOwners(key, members, count).map(({ entryHost }) => entryHost);
+}
+
+/** The pools of this host, each made when it is first heard of. */
+export default function createPools(options: PoolsOptions): Pools {
+  const { clock, ownName } = options;
+  const open = new Map<PoolId, OpenPool>();
+  let settingsByPool = new Map<PoolId, PoolSettings>();
+  let hosts: readonly EntryHostId[] = [ownName];
+
+  function openPool(pool: PoolId): OpenPool {
+    const accounts = createServerAccounts();
+    const desk = createPoolDesk({
+      clock,
+      random: options.random,
+      ownDomain: options.ownDomain,
+      bounds: options.bounds,
+      accounts,
+      getEvacuated: options.getEvacuated,
+      getSettings: () => settingsByPool.get(pool),
+      getColdInterval: (server, rate) =>
+        getColdInterval({ server, host: ownName, hosts, rate, chooseHosts }),
+    });
+    desk.setHosts(hosts);
+    return { desk, accounts };
+  }
+
+  function getPool(pool: PoolId): OpenPool {
+    let known = open.get(pool);
+    if (known === undefined) {
+      known = openPool(pool);
+      open.set(pool, known);
+    }
+    return known;
+  }
+
+  return {
+    getDesk: (pool) => getPool(pool).desk,
+    setSettings(settings) {
+      settingsByPool = new Map(settings.map((each) => [each.name, each]));
+    },
+    setServers(servers) {
+      const now = clock.now();
+      servers.forEach(({ pool }) => getPool(pool));
+      open.forEach(({ accounts, desk }, pool) => {
+        accounts.replace(
+          servers.filter((server) => server.pool === pool),
+          now,
+        );
+        desk.pump();
+      });
+    },
+    setHosts(next) {
+      hosts = next;
+      open.forEach(({ desk }) => desk.setHosts(next));
+    },
+    coolDown(failureDomains) {
+      const now = clock.now();
+      open.forEach(({ accounts }, pool) => {
+        const coldTime = settingsByPool.get(pool)?.coldTime ?? 0;
+        accounts.byId.forEach((account) => {
+          if (failureDomains.includes(account.listed.failureDomain)) {
+            account.coldUntil = Math.max(account.coldUntil, now + coldTime);
+          }
+        });
+      });
+    },
+    forEachDesk: (action) => open.forEach(({ desk }) => action(desk)),
+  };
+}
--- /dev/null
+++ b/packages/relay/src/createReadinessFront.ts
@@ -0,0 +1,26 @@
+import { serve } from '@hono/node-server';
+import type { ServerType } from '@hono/node-server';
+import { Hono } from 'hono';
+
+export interface ReadinessFrontOptions {
+  /** HOST:PORT. */
+  readonly address: string;
+  readonly readyPath: string;
+  readonly isReady: () => boolean;
+  readonly scrape: () => Promise<string>;
+}
+
+/** Answers the balancer's question and gives the metrics out at `/metrics`. */
+export default function createReadinessFront(options: ReadinessFrontOptions): ServerType {
+  const application = new Hono();
+  application.get(options.readyPath, (context) =>
+    options.isReady() ? context.text('ready', 200) : context.text('not ready', 503),
+  );
+  application.get('/metrics', async (context) => context.text(await options.scrape()));
+  const at = options.address.lastIndexOf(':');
+  return serve({
+    fetch: application.fetch,
+    hostname: options.address.slice(0, at),
+    port: Number(options.address.slice(at + 1)),
+  });
+}
--- /dev/null
+++ b/packages/relay/src/createRelayHost.ts
@@ -0,0 +1,253 @@
+import type { ServerType } from '@hono/node-server';
+import type { EntryHostId, FailureDomainId, Incarnation, Milliseconds } from '@rattanreel/core';
+import { createPeerTransport } from '@rattanreel/transport';
+import createBeliefKeeper from './createBeliefKeeper';
+import createPools from './createPools';
+import createReadinessFront from './createReadinessFront';
+import createRequestDesk from './createRequestDesk';
+import createRouteTable from './decisions/createRouteTable';
+import type { RouteTable } from './decisions/createRouteTable';
+import createSharedQuota from './decisions/createSharedQuota';
+import createRelayFront from './front/createRelayFront';
+import createRelayMetrics from './front/createRelayMetrics';
+import createRequestObserver from './front/createRequestObserver';
+import createPeerExchange from './peers/createPeerExchange';
+import type { RelayTransport } from './peers/createPeerExchange';
+import createPeerTable from './peers/createPeerTable';
+import createServerConnections from './servers/createServerConnections';
+import type {
+  BeliefSource,
+  Beliefs,
+  CallerLimits,
+  HeaderNames,
+  HostSummary,
+  PeerQuestion,
+  Quota,
+  RelayBounds,
+  RelayConfiguration,
+  RelayContext,
+  RelayCustomer,
+} from './types';
+
+/** Limits until a configuration is known. */
+const FIRST_LIMITS: CallerLimits = {
+  headerBytes: 16_384,
+  bodyBytes: 4_194_304,
+  headerTimeout: 3_000,
+  idleTimeout: 15_000,
+};
+/** Time after the stop signal for which connections are accepted: the balancer needs two missed answers. */
+const ACCEPT_AFTER_STOP: Milliseconds = 2_600;
+/** Left of the grace at the end for the process to close. */
+const STOP_MARGIN: Milliseconds = 700;
+const STOP_LOOK_INTERVAL: Milliseconds = 50;
+
+export interface RelayHostOptions {
+  readonly context: RelayContext;
+  readonly bounds: RelayBounds;
+  readonly names: HeaderNames;
+  readonly source: BeliefSource;
+  readonly entryHost: EntryHostId;
+  readonly incarnation: Incarnation;
+  readonly failureDomain: FailureDomainId;
+  /** HOST:PORT for callers, for the balancer's question, and for other hosts. */
+  readonly callerAddress: string;
+  readonly readinessAddress: string;
+  readonly readyPath: string;
+  readonly peerAddress: string;
+  /** Addresses of some hosts, possibly out of date. */
+  readonly seedAddresses: readonly string[];
+}
+
+export interface RelayHost {
+  /** Answers what is in hand and ends; resolves when nothing is left or the grace is over. */
+  stop(): Promise<void>;
+}
+
+function indexCustomers(
+  configuration: RelayConfiguration,
+): ReadonlyMap<string, RelayCustomer> | undefined {
+  const { customers } = configuration;
+  return customers === undefined
+    ? undefined
+    : new Map(customers.flatMap((customer) => customer.keys.map((key) => [key, customer])));
+}
+
+function listQuotas(configuration: RelayConfiguration): ReadonlyMap<string, Quota> {
+  return new Map(
+    (configuration.customers ?? []).flatMap(({ name, quota }) =>
+      quota === undefined ? [] : [[name, quota]],
+    ),
+  );
+}
+
+/** Runs the relay on one entry host: binds beliefs, pools, peers and callers together. */
+export default async function createRelayHost(options: RelayHostOptions): Promise<RelayHost> {
+  const { context, bounds, source, entryHost, incarnation, failureDomain, peerAddress } = options;
+  const { clock, logger, random } = context;
+  const startedAt = clock.now();
+  const quota = createSharedQuota({ now: startedAt });
+  const metrics = createRelayMetrics();
+  const observer = createRequestObserver({ logger, metrics, now: clock.now });
+  const connections = createServerConnections({ clock });
+  const peerTable = createPeerTable();
+  let routes: RouteTable | undefined;
+  let customersByKey: ReadonlyMap<string, RelayCustomer> | undefined;
+  let limits = FIRST_LIMITS;
+  let isReady = false;
+  let isStopping = false;
+
+  const keeper = createBeliefKeeper({
+    clock,
+    logger,
+    ownName: entryHost,
+    onConfiguration(configuration) {
+      routes = createRouteTable(configuration.routes);
+      customersByKey = indexCustomers(configuration);
+      limits = configuration.limits;
+      quota.setQuotas(listQuotas(configuration), clock.now());
+      pools.setSettings(configuration.pools);
+      front.applyLimits();
+    },
+    onServers(servers) {
+      connections.retain(new Map(servers.map((server) => [server.id, server])));
+      pools.setServers(servers);
+    },
+    onEvacuated: (_evacuated, returned) => pools.coolDown(returned),
+    onPeers(peers) {
+      const names = peers.map((peer) => peer.entryHost);
+      quota.setPeers(names);
+      pools.setHosts([entryHost, ...names]);
+      exchange.setPeers(peers);
+    },
+  });
+
+  const pools = createPools({
+    clock,
+    random,
+    ownName: entryHost,
+    ownDomain: failureDomain,
+    bounds,
+    getEvacuated: () => keeper.evacuated,
+  });
+
+  const requestDesk = createRequestDesk({
+    context,
+    names: options.names,
+    pools,
+    quota,
+    connections,
+    observer,
+    getRoutes: () => routes,
+    getCustomersByKey: () => customersByKey,
+  });
+
+  const front = createRelayFront({
+    clock,
+    getLimits: () => limits,
+    onRequest: requestDesk.take,
+    onTooLarge: requestDesk.refuseTooLarge,
+  });
+
+  function getSummary(): HostSummary {
+    const inFlight: Record<string, number> = {};
+    pools.forEachDesk(({ accounts }) =>
+      accounts.forEach(({ own }, id) => {
+        if (own > 0) {
+          inFlight[id] = own;
+        }
+      }),
+    );
+    const beliefs = keeper.get();
+    return {
+      kind: 'summary',
+      entryHost,
+      incarnation,
+      failureDomain,
+      address: peerAddress,
+      inFlight,
+      spent: quota.spent(),
+      configurationVersion: beliefs.configuration?.version ?? -1,
+      serversVersion: beliefs.serversVersion,
+      evacuatedVersion: beliefs.evacuatedVersion,
+    };
+  }
+
+  function hearSummary(summary: HostSummary): void {
+    const now = clock.now();
+    peerTable.hear(summary, now);
+    quota.hear({ ...summary, from: summary.entryHost, now });
+    exchange.hear(summary);
+    const counts = peerTable.countInFlight(now);
+    pools.forEachDesk((desk) => desk.setOthers(counts));
+  }
+
+  const transport = await openTransport();
+  const exchange = createPeerExchange({
+    clock,
+    logger,
+    transport,
+    getSummary,
+    getBeliefs: keeper.get,
+    onBeliefs: keeper.merge,
+  });
+
+  async function openTransport(): Promise<RelayTransport> {
+    const opened = await createPeerTransport<HostSummary, PeerQuestion, Beliefs>({
+      identity: { entryHost, incarnation },
+      listenAddress: peerAddress,
+      security: { kind: 'plainTrustedNetwork' },
+      onMessage: ({ body }) => hearSummary(body),
+      onQuestion: async () => keeper.get(),
+    });
+    if (opened.kind === 'error') {
+      throw new Error(`peer address ${opened.error.address}: ${opened.error.kind}`);
+    }
+    return opened.value;
+  }
+
+  function isWarm(): boolean {
+    return routes !== undefined && keeper.get().serversVersion >= 0;
+  }
+
+  const readiness: ServerType = createReadinessFront({
+    address: options.readinessAddress,
+    readyPath: options.readyPath,
+    isReady: () => isReady && isWarm() && !isStopping,
+    scrape: metrics.scrape,
+  });
+
+  await front.listen(options.callerAddress);
+  isReady = true;
+  source.follow(keeper.apply);
+  void source.register({ entryHost, address: peerAddress, failureDomain });
+  const seeds = options.seedAddresses.filter((address) => address !== peerAddress);
+  void exchange.askAny(seeds);
+  logger.info({ entryHost, incarnation, startedIn: clock.now() - startedAt }, 'host started');
+
+  async function waitFor(condition: () => boolean, until: Milliseconds): Promise<void> {
+    while (!condition() && clock.now() < until) {
+      await new Promise<void>((resolve) => {
+        clock.after(STOP_LOOK_INTERVAL, resolve);
+      });
+    }
+  }
+
+  return {
+    async stop() {
+      const stoppedAt = clock.now();
+      isStopping = true;
+      logger.info({ active: front.countActive() }, 'host stopping');
+      front.startDraining();
+      await waitFor(() => false, stoppedAt + ACCEPT_AFTER_STOP);
+      front.stopAccepting();
+      await waitFor(() => front.countActive() === 0, stoppedAt + bounds.stopGrace - STOP_MARGIN);
+      logger.info({ active: front.countActive() }, 'host stopped');
+      exchange.stop();
+      keeper.stop();
+      front.close();
+      readiness.close();
+      await Promise.all([transport.close(), source.close(), connections.close()]);
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -0,0 +1,55 @@
+import type { BackendServerId, FailureDomainId, Milliseconds, Random } from '@rattanreel/core';
+import type { ServerAccount } from '../types';
+import getOccupancy from './getOccupancy';
+
+/** Added to a remote server's expected time, relative to an average request: bytes between domains cost. */
+const REMOTE_PENALTY = 0.15;
+/** Weight of the share of failed attempts: a server that fails half of them counts as three times as slow. */
+const FAILURE_WEIGHT = 4;
+/** Spread of the random part, so that hosts with the same view do not all choose the same server. */
+const RANDOM_SPREAD = 0.15;
+
+export interface ChooseServerOptions {
+  readonly accounts: readonly ServerAccount[];
+  readonly now: Milliseconds;
+  readonly random: Random;
+  readonly ownDomain: FailureDomainId;
+  readonly evacuated: ReadonlySet<FailureDomainId>;
+  readonly avoid: ReadonlySet<BackendServerId>;
+  /** Requests beyond its slots that a server may be given. */
+  readonly overcommit?: number;
+}
+
+function isUsable(account: ServerAccount, options: ChooseServerOptions): boolean {
+  const { listed } = account;
+  const { now } = options;
+  return (
+    !listed.isDraining &&
+    !options.evacuated.has(listed.failureDomain) &&
+    !options.avoid.has(listed.id) &&
+    account.avoidedUntil <= now &&
+    (account.coldUntil <= now || (account.nextColdAt ?? Infinity) <= now)
+  );
+}
+
+/** The backend server with room at which a request is expected to end first; undefined when none has room. */
+export default function chooseServer(options: ChooseServerOptions): ServerAccount | undefined {
+  const { now, random, overcommit = 0 } = options;
+  let best: ServerAccount | undefined;
+  let bestCost = Infinity;
+  options.accounts.forEach((account) => {
+    const occupancy = getOccupancy(account, now);
+    if (!isUsable(account, options) || occupancy >= account.listed.slots + overcommit) {
+      return;
+    }
+    const crowding = 1 + occupancy / account.listed.slots;
+    const remote = account.listed.failureDomain === options.ownDomain ? 0 : REMOTE_PENALTY;
+    const failures = 1 + FAILURE_WEIGHT * account.failureShare;
+    const cost = account.slowness * crowding * failures + remote + random.next() * RANDOM_SPREAD;
+    if (cost < bestCost) {
+      best = account;
+      bestCost = cost;
+    }
+  });
+  return best;
+}
--- /dev/null
+++ b/packages/relay/src/decisions/createSharedQuota.ts
@@ -0,0 +1,132 @@
+import type { CustomerId, EntryHostId, Milliseconds } from '@rattanreel/core';
+import type { Quota } from '../types';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Part of the burst that hosts use; the rest covers what two hosts spend before each hears of the other. */
+const USED_BURST = 0.8;
+/** A host not heard of for this long keeps its equal part of every quota; summaries come every 100 ms. */
+const SILENT_AFTER: Milliseconds = 400;
+
+export interface SharedQuotaOptions {
+  readonly now: Milliseconds;
+}
+
+export type QuotaAnswer =
+  { readonly kind: 'within' } | { readonly kind: 'over'; readonly retryAfter: Milliseconds };
+
+export interface SharedQuota {
+  setQuotas(quotas: ReadonlyMap<CustomerId, Quota>, now: Milliseconds): void;
+  /** Other hosts that exist, heard or not. */
+  setPeers(peers: readonly EntryHostId[]): void;
+  /** Takes in what another host has spent since its process started. */
+  hear(report: {
+    readonly from: EntryHostId;
+    readonly incarnation: string;
+    readonly spent: Readonly<Record<CustomerId, number>>;
+    readonly now: Milliseconds;
+  }): void;
+  trySpend(customer: CustomerId, cost: number, now: Milliseconds): QuotaAnswer;
+  /** Gives back the cost of a request that did not run. */
+  giveBack(customer: CustomerId, cost: number): void;
+  /** What this process has spent since its start, by customer. */
+  spent(): Readonly<Record<CustomerId, number>>;
+}
+
+interface Bucket {
+  quota: Quota;
+  level: number;
+  at: Milliseconds;
+  spent: number;
+}
+
+interface HeardHost {
+  incarnation: string;
+  at: Milliseconds;
+  spent: Readonly<Record<CustomerId, number>>;
+}
+
+/**
+ * One token bucket a customer over all hosts. Each host keeps the whole bucket and takes off what the
+ * others say they spent. The rate of hosts that are not heard is left to them, so that the sum over
+ * a partition stays within the quota. A new process starts with an empty bucket.
+ */
+export default function createSharedQuota(options: SharedQuotaOptions): SharedQuota {
+  const buckets = new Map<CustomerId, Bucket>();
+  const heard = new Map<EntryHostId, HeardHost>();
+  let peers: readonly EntryHostId[] = [];
+  const startedAt = options.now;
+
+  /** The part of each quota that the hosts in contact may use together. */
+  function getReachableShare(now: Milliseconds): number {
+    const silent = peers.filter((peer) => now - (heard.get(peer)?.at ?? startedAt) > SILENT_AFTER);
+    return (peers.length + 1 - silent.length) / (peers.length + 1);
+  }
+
+  function refill(bucket: Bucket, now: Milliseconds): void {
+    const share = getReachableShare(now);
+    const gained =
+      (bucket.quota.ratePerSecond * share * (now - bucket.at)) / MILLISECONDS_PER_SECOND;
+    const most = bucket.quota.burst * USED_BURST * share;
+    bucket.level = Math.min(Math.max(bucket.level, Math.min(bucket.level + gained, most)), most);
+    bucket.at = now;
+  }
+
+  return {
+    setQuotas(quotas, now) {
+      [...buckets.keys()]
+        .filter((customer) => !quotas.has(customer))
+        .forEach((customer) => buckets.delete(customer));
+      quotas.forEach((quota, customer) => {
+        const bucket = buckets.get(customer);
+        if (bucket === undefined) {
+          buckets.set(customer, { quota, level: 0, at: now, spent: 0 });
+          return;
+        }
+        refill(bucket, now);
+        bucket.quota = quota;
+        bucket.level = Math.min(bucket.level, quota.burst * USED_BURST);
+      });
+    },
+    setPeers(next) {
+      peers = next;
+    },
+    hear({ from, incarnation, spent, now }) {
+      const before = heard.get(from);
+      const isSameLife = before?.incarnation === incarnation;
+      if (before !== undefined) {
+        Object.entries(spent).forEach(([customer, total]) => {
+          const bucket = buckets.get(customer);
+          const known = isSameLife ? (before.spent[customer] ?? 0) : 0;
+          if (bucket !== undefined) {
+            bucket.level -= total - known;
+          }
+        });
+      }
+      heard.set(from, { incarnation, at: now, spent });
+    },
+    trySpend(customer, cost, now) {
+      const bucket = buckets.get(customer);
+      if (bucket === undefined) {
+        return { kind: 'within' };
+      }
+      refill(bucket, now);
+      if (bucket.level < Math.min(cost, bucket.quota.burst * USED_BURST) / 2) {
+        const missing = cost / 2 - bucket.level;
+        const rate = Math.max(bucket.quota.ratePerSecond, 1);
+        return { kind: 'over', retryAfter: (missing / rate) * MILLISECONDS_PER_SECOND };
+      }
+      bucket.level -= cost;
+      bucket.spent += cost;
+      return { kind: 'within' };
+    },
+    giveBack(customer, cost) {
+      const bucket = buckets.get(customer);
+      if (bucket !== undefined) {
+        bucket.level += cost;
+        bucket.spent -= cost;
+      }
+    },
+    spent: () =>
+      Object.fromEntries([...buckets].map(([customer, bucket]) => [customer, bucket.spent])),
+  };
+}
--- /dev/null
+++ b/packages/relay/src/front/createAttemptHeaders.ts
@@ -0,0 +1,33 @@
+import type { BackendServerId, Milliseconds } from '@rattanreel/core';
+import type { HeaderNames } from '../types';
+import selectHeaders from './selectHeaders';
+import type { CallerExchange, RequestPlan } from './types';
+
+export interface AttemptHeadersOptions {
+  readonly exchange: CallerExchange;
+  readonly plan: RequestPlan;
+  readonly names: HeaderNames;
+  readonly server: BackendServerId;
+  readonly now: Milliseconds;
+  /** Last event that the caller has; undefined at the first attempt. */
+  readonly resumeAfter: string | undefined;
+}
+
+/** The caller's headers for one backend server, with those that this system sets itself. */
+export default function createAttemptHeaders(options: AttemptHeadersOptions): string[] {
+  const { exchange, plan, names, now } = options;
+  const dropped = new Set([...names.reserved, 'content-length']);
+  if (options.resumeAfter !== undefined || !plan.route.isResumable) {
+    dropped.add(names.lastEventId);
+  }
+  const headers = selectHeaders(exchange.rawHeaders, dropped);
+  const left = Math.max(Math.floor(plan.endAt - now), 1);
+  headers.push(names.deadline, String(left), names.expectedServer, options.server);
+  if (plan.customer !== undefined) {
+    headers.push(names.customer, plan.customer.name);
+  }
+  if (options.resumeAfter !== undefined) {
+    headers.push(names.lastEventId, options.resumeAfter);
+  }
+  return headers;
+}
--- /dev/null
+++ b/packages/relay/src/front/createCallerExchange.ts
@@ -0,0 +1,49 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Milliseconds } from '@rattanreel/core';
+import type { CallerExchange } from './types';
+
+export interface CallerExchangeOptions {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  readonly body: Buffer;
+  readonly arrivedAt: Milliseconds;
+  /** Whether the connection closes after this answer. */
+  readonly isLast: () => boolean;
+}
+
+/** A caller's request on a Node.js connection. */
+export default function createCallerExchange(options: CallerExchangeOptions): CallerExchange {
+  const { incoming, outgoing } = options;
+  return {
+    method: incoming.method ?? 'GET',
+    target: incoming.url ?? '/',
+    rawHeaders: incoming.rawHeaders,
+    body: options.body,
+    arrivedAt: options.arrivedAt,
+    isOver: () => outgoing.writableEnded || outgoing.destroyed,
+    sendHead(status, headers) {
+      outgoing.sendDate = false;
+      if (options.isLast()) {
+        outgoing.shouldKeepAlive = false;
+      }
+      outgoing.writeHead(status, headers as string[]);
+    },
+    sendData: (chunk) => outgoing.write(chunk),
+    finish: () => {
+      outgoing.end();
+    },
+    breakOff: () => {
+      outgoing.destroy();
+    },
+    onGone(listener) {
+      outgoing.once('close', () => {
+        if (!outgoing.writableFinished) {
+          listener();
+        }
+      });
+    },
+    onDrain(listener) {
+      outgoing.on('drain', listener);
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/front/createRelayFront.ts
@@ -0,0 +1,97 @@
+import { createServer } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Clock } from '@rattanreel/core';
+import type { CallerLimits } from '../types';
+import createCallerExchange from './createCallerExchange';
+import readBody from './readBody';
+import type { CallerExchange } from './types';
+
+/** Largest header block that is read at all; a configuration may set less. */
+const MOST_HEADER_BYTES = 65_536;
+
+export interface RelayFrontOptions {
+  readonly clock: Clock;
+  readonly getLimits: () => CallerLimits;
+  /** Takes a request whose body is in. */
+  readonly onRequest: (exchange: CallerExchange, incoming: IncomingMessage) => void;
+  readonly onTooLarge: (exchange: CallerExchange) => void;
+}
+
+export interface RelayFront {
+  listen(address: string): Promise<void>;
+  /** Takes over changed limits for connections to come. */
+  applyLimits(): void;
+  /** From now on each answer closes its connection. */
+  startDraining(): void;
+  /** Accepts no connection any more and closes those that are idle. */
+  stopAccepting(): void;
+  /** Requests that have not been answered. */
+  countActive(): number;
+  close(): void;
+}
+
+function splitAddress(address: string): { readonly host: string; readonly port: number } {
+  const at = address.lastIndexOf(':');
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
+
+/** Takes callers' requests byte for byte; a body is read whole before anything is decided on it. */
+export default function createRelayFront(options: RelayFrontOptions): RelayFront {
+  const { clock, getLimits } = options;
+  let isDraining = false;
+  let active = 0;
+
+  function handle(incoming: IncomingMessage, outgoing: ServerResponse): void {
+    const arrivedAt = clock.now();
+    active += 1;
+    outgoing.once('close', () => {
+      active -= 1;
+    });
+    readBody(incoming, getLimits().bodyBytes, (read) => {
+      if (read.kind === 'cut') {
+        outgoing.destroy();
+        return;
+      }
+      const body = read.kind === 'whole' ? read.body : Buffer.alloc(0);
+      const isLast = (): boolean => isDraining || read.kind === 'tooLarge';
+      const exchange = createCallerExchange({ incoming, outgoing, body, arrivedAt, isLast });
+      if (read.kind === 'tooLarge') {
+        options.onTooLarge(exchange);
+      } else {
+        options.onRequest(exchange, incoming);
+      }
+    });
+  }
+
+  const server: Server = createServer({ maxHeaderSize: MOST_HEADER_BYTES }, handle);
+  server.requestTimeout = 0;
+  server.timeout = 0;
+
+  function applyLimits(): void {
+    const limits = getLimits();
+    server.headersTimeout = limits.headerTimeout;
+    server.keepAliveTimeout = limits.idleTimeout;
+  }
+
+  return {
+    listen: (address) =>
+      new Promise((resolve, reject) => {
+        applyLimits();
+        server.once('error', reject);
+        server.listen({ ...splitAddress(address), backlog: 1_024 }, () => resolve());
+      }),
+    applyLimits,
+    startDraining() {
+      isDraining = true;
+    },
+    stopAccepting() {
+      server.close();
+      server.closeIdleConnections();
+    },
+    countActive: () => active,
+    close() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/front/createRelayMetrics.ts
@@ -0,0 +1,53 @@
+import { Counter, Histogram, Registry } from 'prom-client';
+import type { RequestPlan } from './types';
+
+const MILLISECONDS_PER_SECOND = 1_000;
+const DURATION_BUCKETS_SECONDS = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15];
+
+export type EndOutcome =
+  'answered' | 'refused' | 'rejected' | 'failed' | 'brokenOff' | 'callerGone';
+
+export interface RelayMetrics {
+  ended(outcome: EndOutcome, reason: string): void;
+  dispatched(attempt: number): void;
+  answered(plan: RequestPlan, now: number): void;
+  scrape(): Promise<string>;
+}
+
+/** Counters and histograms of the relay. */
+export default function createRelayMetrics(): RelayMetrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const ends = new Counter({
+    name: 'rattanreel_relay_requests_total',
+    help: 'Requests by the way they ended.',
+    labelNames: ['outcome', 'reason'],
+    registers,
+  });
+  const attempts = new Counter({
+    name: 'rattanreel_relay_attempts_total',
+    help: 'Requests sent to backend servers, first attempts and repeats.',
+    labelNames: ['attempt'],
+    registers,
+  });
+  const durations = new Histogram({
+    name: 'rattanreel_relay_answer_seconds',
+    help: "Time from a request's arrival to the end of its answer.",
+    labelNames: ['kind', 'tier'],
+    buckets: DURATION_BUCKETS_SECONDS,
+    registers,
+  });
+
+  return {
+    ended: (outcome, reason) => ends.inc({ outcome, reason }),
+    dispatched: (attempt) => attempts.inc({ attempt: attempt > 1 ? 'repeat' : 'first' }),
+    answered(plan, now) {
+      const arrivedAt = plan.objectiveAt - plan.route.objective;
+      durations.observe(
+        { kind: plan.route.kind, tier: String(plan.tier) },
+        (now - arrivedAt) / MILLISECONDS_PER_SECOND,
+      );
+    },
+    scrape: () => registry.metrics(),
+  };
+}
--- /dev/null
+++ b/packages/relay/src/front/createResumableAnswer.ts
@@ -0,0 +1,73 @@
+import type { AnswerHead } from '../servers/types';
+import type { CallerExchange } from './types';
+import type { AnswerRelay } from './relayTypes';
+import toRawHeaders from './toRawHeaders';
+
+const EMPTY = Buffer.alloc(0);
+const LINE_FEED = 10;
+const CARRIAGE_RETURN = 13;
+const EVENT_ID = /(?:^|\n)id: ?([^\r\n]*)/g;
+
+/** End of the last whole event in `bytes`: after its blank line; 0 when there is none. */
+function findEventsEnd(bytes: Buffer): number {
+  for (let index = bytes.length - 1; index > 0; index -= 1) {
+    if (bytes[index] === LINE_FEED) {
+      const before = bytes[index - 1] === CARRIAGE_RETURN ? index - 2 : index - 1;
+      if (before >= 0 && bytes[before] === LINE_FEED) {
+        return index + 1;
+      }
+    }
+  }
+  return 0;
+}
+
+/**
+ * Passes a stream on by whole events, so that it can go on at another backend server after a break.
+ * The caller sees the head of the first.
+ */
+export default function createResumableAnswer(exchange: CallerExchange): AnswerRelay {
+  let head: AnswerHead | undefined;
+  let isCommitted = false;
+  let partial: Buffer = EMPTY;
+  let lastEventId: string | undefined;
+
+  function commit(): void {
+    if (!isCommitted && head !== undefined) {
+      isCommitted = true;
+      const headers = { ...head.headers };
+      // The length is the first server's; a stream that goes on elsewhere may frame its rest otherwise.
+      delete headers['content-length'];
+      exchange.sendHead(head.status, toRawHeaders(headers));
+    }
+  }
+
+  function passOn(bytes: Buffer): boolean {
+    commit();
+    lastEventId = [...bytes.toString('latin1').matchAll(EVENT_ID)].at(-1)?.[1] ?? lastEventId;
+    return exchange.sendData(bytes);
+  }
+
+  return {
+    isCommitted: () => isCommitted,
+    resumeAfter: () => lastEventId,
+    onHead(next) {
+      partial = EMPTY;
+      if (!isCommitted) {
+        head = next;
+      }
+    },
+    onData(chunk) {
+      const bytes = partial.length === 0 ? chunk : Buffer.concat([partial, chunk]);
+      const end = findEventsEnd(bytes);
+      partial = bytes.subarray(end);
+      return end === 0 ? true : passOn(bytes.subarray(0, end));
+    },
+    finish() {
+      commit();
+      if (partial.length > 0) {
+        exchange.sendData(partial);
+      }
+      exchange.finish();
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/front/planRequest.ts
@@ -0,0 +1,85 @@
+import type { Milliseconds, Random } from '@rattanreel/core';
+import type { RouteTable } from '../decisions/createRouteTable';
+import type { HeaderNames, RelayCustomer } from '../types';
+import type { Planned, RequestPlan } from './types';
+
+/** When a host without configuration may be asked again. */
+const NO_CONFIGURATION_RETRY: Milliseconds = 500;
+const UNTOLD_OUTPUT_TOKENS = 50;
+
+export interface PlanRequestOptions {
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  readonly target: string;
+  readonly arrivedAt: Milliseconds;
+  readonly names: HeaderNames;
+  /** Undefined until a configuration is known. */
+  readonly routes: RouteTable | undefined;
+  /** Customers by key; undefined when requests carry no keys. */
+  readonly customersByKey: ReadonlyMap<string, RelayCustomer> | undefined;
+  readonly random: Random;
+}
+
+function getHeader(options: PlanRequestOptions, name: string): string | undefined {
+  const value = options.headers[name];
+  return Array.isArray(value) ? value[0] : value;
+}
+
+function getHostName(options: PlanRequestOptions): string {
+  return (getHeader(options, 'host') ?? '').toLowerCase().replace(/:\d+$/, '');
+}
+
+/** `PROMPT,OUTPUT` as numbers; undefined when it is absent or cannot be read. */
+function tryReadTokens(text: string | undefined): readonly [number, number] | undefined {
+  const match = /^\s*(\d{1,9})\s*,\s*(\d{1,9})\s*$/.exec(text ?? '');
+  return match === null ? undefined : [Number(match[1]), Number(match[2])];
+}
+
+function tryReadPositive(text: string | undefined): number | undefined {
+  const value = Number(text);
+  return text !== undefined && Number.isFinite(value) && value > 0 ? value : undefined;
+}
+
+function createPlan(
+  options: PlanRequestOptions,
+  route: RequestPlan['route'],
+  customer: RelayCustomer | undefined,
+): RequestPlan {
+  const { names, arrivedAt } = options;
+  const tokens = tryReadTokens(getHeader(options, names.tokenCount));
+  const hint = tryReadPositive(getHeader(options, names.lengthHint));
+  const deadline = tryReadPositive(getHeader(options, names.deadline)) ?? route.timeout;
+  const quota = customer?.quota;
+  const tokenCost = tokens === undefined ? (quota?.plainCost ?? 1) : tokens[0] + tokens[1];
+  return {
+    requestId: getHeader(options, names.requestId) ?? options.random.identifier(),
+    route,
+    customer,
+    tier: customer?.tier ?? route.tier,
+    cost: quota?.countsTokens === true ? tokenCost : 1,
+    promptTokens: tokens?.[0] ?? 0,
+    outputTokens: hint ?? tokens?.[1] ?? UNTOLD_OUTPUT_TOKENS,
+    objectiveAt: arrivedAt + route.objective,
+    endAt: arrivedAt + Math.min(deadline, route.timeout),
+  };
+}
+
+/** Decides by its head alone whether a request may be served, and what it asks for. */
+export default function planRequest(options: PlanRequestOptions): Planned {
+  const { routes, customersByKey, names } = options;
+  if (routes === undefined) {
+    const retryAfter = NO_CONFIGURATION_RETRY;
+    return { kind: 'rejected', rejection: { status: 503, code: 'noConfiguration', retryAfter } };
+  }
+  const path = options.target.split('?', 1)[0]!;
+  const route = routes.tryMatch(getHostName(options), path);
+  if (route === undefined) {
+    return { kind: 'rejected', rejection: { status: 404, code: 'unknownRoute' } };
+  }
+  if (customersByKey === undefined || route.isAnonymous) {
+    return { kind: 'ok', plan: createPlan(options, route, undefined) };
+  }
+  const customer = customersByKey.get(getHeader(options, names.key) ?? '');
+  return customer === undefined
+    ? { kind: 'rejected', rejection: { status: 401, code: 'unknownKey' } }
+    : { kind: 'ok', plan: createPlan(options, route, customer) };
+}
--- /dev/null
+++ b/packages/relay/src/front/readBody.ts
@@ -0,0 +1,41 @@
+import type { IncomingMessage } from 'node:http';
+
+const EMPTY = Buffer.alloc(0);
+
+export type ReadBody =
+  | { readonly kind: 'whole'; readonly body: Buffer }
+  | { readonly kind: 'tooLarge' }
+  /** The caller left before the end. */
+  | { readonly kind: 'cut' };
+
+/** Reads a request's body up to `limit` bytes. */
+export default function readBody(
+  incoming: IncomingMessage,
+  limit: number,
+  onRead: (read: ReadBody) => void,
+): void {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  let isOver = false;
+
+  function end(read: ReadBody): void {
+    if (!isOver) {
+      isOver = true;
+      onRead(read);
+    }
+  }
+
+  incoming.on('data', (chunk: Buffer) => {
+    size += chunk.length;
+    if (size > limit) {
+      end({ kind: 'tooLarge' });
+    } else {
+      chunks.push(chunk);
+    }
+  });
+  incoming.on('end', () => {
+    end({ kind: 'whole', body: chunks.length === 0 ? EMPTY : Buffer.concat(chunks) });
+  });
+  incoming.on('close', () => end({ kind: 'cut' }));
+  incoming.on('error', () => end({ kind: 'cut' }));
+}
--- /dev/null
+++ b/packages/relay/src/index.ts
@@ -0,0 +1,4 @@
+/** The relay: routes of requests to pools of unlike backend servers, from any number of entry hosts. */
+export type * from './types';
+export type { RelayHost, RelayHostOptions } from './createRelayHost';
+export { default as createRelayHost } from './createRelayHost';
--- /dev/null
+++ b/packages/relay/src/peers/createPeerExchange.ts
@@ -0,0 +1,87 @@
+import type { Clock, EntryHostId, Milliseconds, Timer } from '@rattanreel/core';
+import type { Logger } from '@rattanreel/observability';
+import type { PeerTransport } from '@rattanreel/transport';
+import type { Beliefs, HostSummary, PeerAddress, PeerQuestion } from '../types';
+
+/** Time between two summaries to a few hosts. */
+const SUMMARY_INTERVAL: Milliseconds = 100;
+/** With more hosts each summary is sent less often, so that sending stays a few hundredths of a core. */
+const INTERVAL_PER_PEER: Milliseconds = 8;
+/** Shortest time between two questions for another host's beliefs. */
+const QUESTION_PAUSE: Milliseconds = 200;
+const ANSWER_TIMEOUT: Milliseconds = 700;
+
+export type RelayTransport = PeerTransport<HostSummary, PeerQuestion, Beliefs>;
+
+export interface PeerExchangeOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly transport: RelayTransport;
+  readonly getSummary: () => HostSummary;
+  readonly getBeliefs: () => Beliefs;
+  readonly onBeliefs: (beliefs: Beliefs) => void;
+}
+
+export interface PeerExchange {
+  setPeers(peers: readonly PeerAddress[]): void;
+  /** Notes what another host knows, and asks it when it knows more. */
+  hear(summary: HostSummary): void;
+  /** Asks hosts, whose addresses may be out of date, for what they know. */
+  askAny(addresses: readonly string[]): Promise<void>;
+  stop(): void;
+}
+
+function knowsMore(summary: HostSummary, beliefs: Beliefs): boolean {
+  return (
+    summary.configurationVersion > (beliefs.configuration?.version ?? -1) ||
+    summary.serversVersion > beliefs.serversVersion ||
+    summary.evacuatedVersion > beliefs.evacuatedVersion
+  );
+}
+
+/** Tells the other hosts what this one does, and fetches from them what it has missed. */
+export default function createPeerExchange(options: PeerExchangeOptions): PeerExchange {
+  const { clock, logger, transport } = options;
+  let peers: readonly PeerAddress[] = [];
+  let timer: Timer | undefined;
+  let askedAt = -Infinity;
+  let isStopped = false;
+
+  function tell(): void {
+    const summary = options.getSummary();
+    peers.forEach(({ address }) => transport.send(address, summary));
+    if (!isStopped) {
+      timer = clock.after(Math.max(SUMMARY_INTERVAL, peers.length * INTERVAL_PER_PEER), tell);
+    }
+  }
+
+  async function ask(address: string, host: EntryHostId | undefined): Promise<void> {
+    const answer = await transport.ask(address, { kind: 'beliefs' }, ANSWER_TIMEOUT);
+    if (answer.kind === 'ok') {
+      options.onBeliefs(answer.value);
+    } else {
+      logger.warn({ host, address, error: answer.error }, 'host does not tell what it knows');
+    }
+  }
+
+  timer = clock.after(SUMMARY_INTERVAL, tell);
+  return {
+    setPeers(next) {
+      peers = next;
+    },
+    hear(summary) {
+      const now = clock.now();
+      if (now - askedAt > QUESTION_PAUSE && knowsMore(summary, options.getBeliefs())) {
+        askedAt = now;
+        void ask(summary.address, summary.entryHost);
+      }
+    },
+    async askAny(addresses) {
+      await Promise.all(addresses.map((address) => ask(address, undefined)));
+    },
+    stop() {
+      isStopped = true;
+      timer?.cancel();
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/pools/createServerAccounts.ts
@@ -0,0 +1,54 @@
+import type { BackendServerId, Milliseconds } from '@rattanreel/core';
+import type { ListedServer, ServerAccount } from '../types';
+
+export interface ServerAccounts {
+  readonly byId: ReadonlyMap<BackendServerId, ServerAccount>;
+  /** Takes over the list of a pool's servers; what was learnt of a server stays while it lives. */
+  replace(servers: readonly ListedServer[], now: Milliseconds): void;
+}
+
+function isSameLife(left: ListedServer, right: ListedServer): boolean {
+  return left.address === right.address && left.startedAt === right.startedAt;
+}
+
+function createAccount(listed: ListedServer, now: Milliseconds): ServerAccount {
+  return {
+    listed,
+    own: 0,
+    others: 0,
+    reportedOthers: 0,
+    reportedAt: -Infinity,
+    slowness: 1,
+    failures: 0,
+    failureShare: 0,
+    avoidedUntil: 0,
+    coldUntil: now + listed.coldFor,
+    nextColdAt: undefined,
+  };
+}
+
+/** What this host knows of a pool's backend servers. */
+export default function createServerAccounts(): ServerAccounts {
+  let byId = new Map<BackendServerId, ServerAccount>();
+
+  return {
+    get byId() {
+      return byId;
+    },
+    replace(servers, now) {
+      byId = new Map(
+        servers.map((listed) => {
+          const known = byId.get(listed.id);
+          if (known === undefined || !isSameLife(known.listed, listed)) {
+            return [listed.id, createAccount(listed, now)];
+          }
+          if (listed !== known.listed && listed.coldFor > 0) {
+            known.coldUntil = Math.max(known.coldUntil, now + listed.coldFor);
+          }
+          known.listed = listed;
+          return [listed.id, known];
+        }),
+      );
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/servers/createServerConnections.ts
@@ -0,0 +1,86 @@
+import { Pool } from 'undici';
+import type { BackendServerId, Clock, Milliseconds } from '@rattanreel/core';
+import sendOnce from './sendOnce';
+import type { Attempt, AttemptRequest, AttemptSink } from './types';
+import type { ListedServer } from '../types';
+
+/** Time that an unused connection is kept; a server's own shorter hint goes first. */
+const IDLE_TIMEOUT: Milliseconds = 4_000;
+/** Longest wait for a connection inside one region, two lost opening packets excluded. */
+const CONNECT_TIMEOUT: Milliseconds = 700;
+/** A server needs connections for what it runs and for what it holds in its own queue. */
+const CONNECTIONS_PER_SLOT = 3;
+
+export interface ServerConnections {
+  send(server: ListedServer, request: AttemptRequest, sink: AttemptSink): Attempt;
+  /** Closes the connections to servers that are not listed any more, once they are unused. */
+  retain(servers: ReadonlyMap<BackendServerId, ListedServer>): void;
+  close(): Promise<void>;
+}
+
+export interface ServerConnectionsOptions {
+  readonly clock: Clock;
+}
+
+interface OpenServer {
+  readonly key: string;
+  readonly pool: Pool;
+}
+
+/** One life of a server at one address; a reborn server never gets an old connection. */
+function getKey(server: ListedServer): string {
+  return `${server.address} ${server.startedAt ?? ''}`;
+}
+
+/** Connections to backend servers, by server. No request is ever sent twice by this layer. */
+export default function createServerConnections(
+  options: ServerConnectionsOptions,
+): ServerConnections {
+  const open = new Map<BackendServerId, OpenServer>();
+
+  function closeSoon(server: OpenServer): void {
+    // Requests in flight end first; a failure to close leaves nothing to mend.
+    server.pool.close().catch(() => undefined);
+  }
+
+  function getPool(server: ListedServer): Pool {
+    const key = getKey(server);
+    const known = open.get(server.id);
+    if (known?.key === key) {
+      return known.pool;
+    }
+    if (known !== undefined) {
+      closeSoon(known);
+    }
+    const pool = new Pool(`http://${server.address}`, {
+      connections: server.slots * CONNECTIONS_PER_SLOT,
+      pipelining: 1,
+      connect: { timeout: CONNECT_TIMEOUT },
+      keepAliveTimeout: IDLE_TIMEOUT,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+    // A failed connection attempt is reported to each request that waits for it.
+    pool.on('connectionError', () => undefined);
+    open.set(server.id, { key, pool });
+    return pool;
+  }
+
+  return {
+    send: (server, request, sink) =>
+      sendOnce({ dispatcher: getPool(server), request, sink, clock: options.clock }),
+    retain(servers) {
+      open.forEach((server, id) => {
+        const listed = servers.get(id);
+        if (listed === undefined || getKey(listed) !== server.key) {
+          open.delete(id);
+          closeSoon(server);
+        }
+      });
+    },
+    async close() {
+      await Promise.all([...open.values()].map(({ pool }) => pool.destroy()));
+      open.clear();
+    },
+  };
+}
--- /dev/null
+++ b/packages/relay/src/servers/sendOnce.ts
@@ -0,0 +1,119 @@
+import type { Dispatcher } from 'undici';
+import type { Clock, Milliseconds } from '@rattanreel/core';
+import type { AbortReason, AttemptEnd } from '../types';
+import type { AnswerHead, Attempt, AttemptRequest, AttemptSink } from './types';
+
+/** Longest wait until the request can be written; a server in reach accepts within milliseconds. */
+const UNSENT_PATIENCE: Milliseconds = 400;
+const HTTP_OK = 200;
+const HTTP_MULTIPLE_CHOICES = 300;
+const HTTP_MISDIRECTED = 421;
+
+interface SendOnceOptions {
+  readonly dispatcher: Dispatcher;
+  readonly request: AttemptRequest;
+  readonly sink: AttemptSink;
+  readonly clock: Clock;
+}
+
+/** Why a head is not the answer to the request; undefined when it is. */
+function tryGetMismatch(head: AnswerHead, request: AttemptRequest): string | undefined {
+  const echoed = head.headers[request.requestIdHeader];
+  if (echoed !== undefined) {
+    return echoed === request.requestId ? undefined : 'answer to another request';
+  }
+  const isSuccess = head.status >= HTTP_OK && head.status < HTTP_MULTIPLE_CHOICES;
+  return isSuccess ? 'success without the request identifier' : undefined;
+}
+
+function saysNotRun(head: AnswerHead, request: AttemptRequest): boolean {
+  return head.status === HTTP_MISDIRECTED || head.headers[request.notRunHeader] !== undefined;
+}
+
+/**
+ * Sends a request to one backend server, once. An answer that names another request is discarded
+ * with its connection, since what else may come on it belongs to nobody.
+ */
+export default function sendOnce(options: SendOnceOptions): Attempt {
+  const { dispatcher, request, sink, clock } = options;
+  const startedAt = clock.now();
+  let controller: Dispatcher.DispatchController | undefined;
+  let head: AnswerHead | undefined;
+  let isNotRun = false;
+  let isEnded = false;
+
+  const unsentTimer = clock.after(UNSENT_PATIENCE, () => end({ kind: 'notConnected' }));
+
+  function end(attemptEnd: AttemptEnd): void {
+    if (isEnded) {
+      return;
+    }
+    isEnded = true;
+    unsentTimer.cancel();
+    sink.onEnd(attemptEnd);
+  }
+
+  /** Ends the attempt; the connection goes with it, so the server stops work. */
+  function breakOff(attemptEnd: AttemptEnd): void {
+    end(attemptEnd);
+    controller?.abort(new Error(attemptEnd.kind));
+  }
+
+  dispatcher.dispatch(
+    {
+      method: request.method as Dispatcher.HttpMethod,
+      path: request.target,
+      headers: [...request.headers],
+      body: request.body.length === 0 ? null : request.body,
+      idempotent: false,
+    },
+    {
+      onRequestStart(started) {
+        controller = started;
+        unsentTimer.cancel();
+        if (isEnded) {
+          started.abort(new Error('ended before it was sent'));
+        }
+      },
+      onResponseStart(_, status, headers) {
+        if (status < HTTP_OK || isEnded) {
+          return;
+        }
+        head = { status, headers };
+        const mismatch = tryGetMismatch(head, request);
+        if (mismatch !== undefined) {
+          breakOff({ kind: 'broken', reason: mismatch });
+          return;
+        }
+        isNotRun = saysNotRun(head, request);
+        sink.onHead(head);
+      },
+      onResponseData(_, chunk) {
+        if (!isEnded && !isNotRun && !sink.onData(chunk)) {
+          controller?.pause();
+        }
+      },
+      onResponseEnd() {
+        if (head !== undefined) {
+          end({ kind: isNotRun ? 'notRun' : 'whole', status: head.status });
+        }
+      },
+      onResponseError(_, error) {
+        if (controller === undefined) {
+          end({ kind: 'notConnected' });
+        } else if (isNotRun && head !== undefined) {
+          end({ kind: 'notRun', status: head.status });
+        } else {
+          end({ kind: 'broken', reason: error.message });
+        }
+      },
+    },
+  );
+
+  return {
+    startedAt,
+    isSent: () => controller !== undefined,
+    abort: (reason: AbortReason) => breakOff({ kind: 'aborted', reason }),
+    resume: () => controller?.resume(),
+  };
+}
--- /dev/null
+++ b/packages/relay/src/servers/types.ts
@@ -0,0 +1,40 @@
+/** One attempt to have a request answered by one backend server. */
+import type { Milliseconds } from '@rattanreel/core';
+import type { AbortReason, AttemptEnd } from '../types';
+
+export interface AttemptRequest {
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly target: string;
+  /** Names and values by turns. */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  /** Header in which the server echoes the request's identifier. */
+  readonly requestIdHeader: string;
+  /** Header that says that the server did not run the request. */
+  readonly notRunHeader: string;
+}
+
+export interface AnswerHead {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+}
+
+/** Takes what an attempt brings, in order; `onEnd` comes once and last. */
+export interface AttemptSink {
+  onHead(head: AnswerHead): void;
+  /** Returns false when it wants a pause; see {@link Attempt.resume}. */
+  onData(chunk: Buffer): boolean;
+  onEnd(end: AttemptEnd): void;
+}
+
+export interface Attempt {
+  /** Whether a byte of the request may have been written. */
+  isSent(): boolean;
+  /** Ends the attempt and its connection. */
+  abort(reason: AbortReason): void;
+  /** Goes on after a pause. */
+  resume(): void;
+  readonly startedAt: Milliseconds;
+}
--- /dev/null
+++ b/packages/relay/src/types.ts
@@ -0,0 +1,297 @@
+/** Terms of the relay: routes, pools, backend servers, customers, and what hosts tell each other. */
+import type {
+  BackendServerId,
+  Clock,
+  CustomerId,
+  EntryHostId,
+  FailureDomainId,
+  Incarnation,
+  Milliseconds,
+  PoolId,
+  Random,
+  RequestId,
+  TierRank,
+  VersionId,
+} from '@rattanreel/core';
+import type { Logger } from '@rattanreel/observability';
+
+/** What may be repeated: an idempotent call, a call that runs once, a stream that runs once unless resumable. */
+export type RouteKind = 'idempotent' | 'once' | 'stream';
+
+/** A pool that a route may choose, with its share of the route's requests. */
+export interface RouteTarget {
+  readonly pool: PoolId;
+  readonly weight: number;
+}
+
+/** A rule that leads requests of one host name and path prefix to pools. */
+export interface Route {
+  readonly name: string;
+  readonly hostName: string;
+  /** Begins and ends with a slash. */
+  readonly pathPrefix: string;
+  readonly kind: RouteKind;
+  /** Longest time that a caller is kept waiting for the end of the answer. */
+  readonly timeout: Milliseconds;
+  /** Time to the answer, or to a stream's first event, that the route aims at. */
+  readonly objective: Milliseconds;
+  readonly tier: TierRank;
+  readonly targets: readonly RouteTarget[];
+  /** Backend servers to which one request may be sent. */
+  readonly maximumAttempts: number;
+  /** Whether callers need no key. */
+  readonly isAnonymous: boolean;
+  /** Whether a broken stream may go on at another backend server. */
+  readonly isResumable: boolean;
+}
+
+export interface PoolSettings {
+  readonly name: PoolId;
+  /** Connections that one backend server accepts from all hosts together. */
+  readonly maximumConnections: number;
+  /** Time that a backend server stays cold after its start. */
+  readonly coldTime: Milliseconds;
+  /** Requests a second that a cold backend server bears; 0 when it bears any. */
+  readonly coldRate: number;
+  /** Tokens that a model engine's memory holds; undefined for a plain service. */
+  readonly memoryTokens: number | undefined;
+}
+
+/** What a customer may ask for, over all hosts together. */
+export interface Quota {
+  /** Cost units a second; a request's cost is its tokens or 1. */
+  readonly ratePerSecond: number;
+  readonly burst: number;
+  /** Whether a request costs its tokens; otherwise each costs 1. */
+  readonly countsTokens: boolean;
+  /** Cost of a request that tells no token count. */
+  readonly plainCost: number;
+}
+
+export interface RelayCustomer {
+  readonly name: CustomerId;
+  readonly keys: readonly string[];
+  /** Goes before the route's tier. */
+  readonly tier: TierRank | undefined;
+  readonly quota: Quota | undefined;
+}
+
+/** Limits on what a caller may send and how long it may stay idle. */
+export interface CallerLimits {
+  readonly headerBytes: number;
+  readonly bodyBytes: number;
+  readonly headerTimeout: Milliseconds;
+  readonly idleTimeout: Milliseconds;
+}
+
+/** Everything that operators decide, as one version. */
+export interface RelayConfiguration {
+  /** Grows with each change. */
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly pools: readonly PoolSettings[];
+  readonly limits: CallerLimits;
+  /** Undefined when requests carry no keys. */
+  readonly customers: readonly RelayCustomer[] | undefined;
+}
+
+/** A backend server as the platform lists it. */
+export interface ListedServer {
+  readonly id: BackendServerId;
+  readonly pool: PoolId;
+  /** IP:PORT. */
+  readonly address: string;
+  readonly failureDomain: FailureDomainId;
+  readonly version: VersionId;
+  readonly slots: number;
+  readonly isDraining: boolean;
+  /** Time for which it stays cold, counted from when it was listed. */
+  readonly coldFor: Milliseconds;
+  /** Unix millisecond of its start; tells two lives of one id apart. */
+  readonly startedAt: number | undefined;
+}
+
+/** Another entry host. */
+export interface PeerAddress {
+  readonly entryHost: EntryHostId;
+  readonly address: string;
+  readonly failureDomain: FailureDomainId;
+}
+
+/** Bounds that hold over all hosts, from the platform's settings. */
+export interface RelayBounds {
+  /** Repeats allowed per request of a pool. */
+  readonly repeatRatio: number;
+  readonly repeatWindow: Milliseconds;
+  /** Repeats allowed beyond the ratio in each window. */
+  readonly repeatSlack: number;
+  /** Factor on a cold server's rate. */
+  readonly coldFactor: number;
+  /** Requests a second allowed to a cold server beyond that. */
+  readonly coldSlack: number;
+  /** Time within which a stopped process must have ended. */
+  readonly stopGrace: Milliseconds;
+}
+
+/** Names of the headers by which callers, hosts and backend servers talk. Lower case. */
+export interface HeaderNames {
+  readonly requestId: string;
+  /** Milliseconds that the caller waits. */
+  readonly deadline: string;
+  readonly key: string;
+  /** Name of the customer, told to backend servers. */
+  readonly customer: string;
+  /** `PROMPT,OUTPUT`: tokens of the prompt and at most of the answer. */
+  readonly tokenCount: string;
+  /** The caller's estimate of the answer's tokens. */
+  readonly lengthHint: string;
+  /** Identifier of the backend server that alone may run the request. */
+  readonly expectedServer: string;
+  /** Present when a backend server did not run the request. */
+  readonly notRun: string;
+  /** `RUNNING,WAITING,SLOTS` of the answering backend server. */
+  readonly load: string;
+  /** Where a resumed stream goes on. */
+  readonly lastEventId: string;
+  /** Headers that callers may not set. */
+  readonly reserved: ReadonlySet<string>;
+  /** Media type of an answer that is a stream of events. */
+  readonly streamType: string;
+}
+
+/** How one attempt at a backend server ended. */
+export type AttemptEnd =
+  /** No connection was made, so no byte was written. */
+  | { readonly kind: 'notConnected' }
+  /** The backend server said that it did not run the request. */
+  | { readonly kind: 'notRun'; readonly status: number }
+  /** The answer, whole. */
+  | { readonly kind: 'whole'; readonly status: number }
+  /** The connection broke or what came was no answer to this request; it may have run. */
+  | { readonly kind: 'broken'; readonly reason: string }
+  /** This host ended the attempt. */
+  | { readonly kind: 'aborted'; readonly reason: AbortReason };
+
+export type AbortReason = 'callerGone' | 'timeout' | 'silent' | 'stop';
+
+/** Why a request was not sent to a backend server. */
+export type RefusalReason =
+  | 'overQuota'
+  | 'expectedLate'
+  | 'deadlinePassed'
+  | 'noServer'
+  | 'serverFull'
+  | 'notConnected'
+  | 'noConfiguration';
+
+/** How urgent a waiting request is. */
+export interface Urgency {
+  readonly tier: TierRank;
+  /** Time at which the route's objective is missed. */
+  readonly objectiveAt: Milliseconds;
+  /** Time at which the answer is of no use any more. */
+  readonly deadlineAt: Milliseconds;
+}
+
+/** Size of a request as far as it tells. */
+export interface RequestSize {
+  readonly promptTokens: number;
+  /** Expected tokens of the answer. */
+  readonly outputTokens: number;
+}
+
+/** A request that waits for a backend server. */
+export interface WaitingRequest {
+  readonly id: RequestId;
+  readonly urgency: Urgency;
+  readonly size: RequestSize;
+  /** Servers that have been tried. */
+  readonly avoid: ReadonlySet<BackendServerId>;
+  onGranted(server: ServerAccount): void;
+  onRefused(reason: RefusalReason): void;
+}
+
+/** What this host knows of one backend server. */
+export interface ServerAccount {
+  listed: ListedServer;
+  /** Requests that this host has at the server. */
+  own: number;
+  /** Requests of the other hosts, by their last summaries. */
+  others: number;
+  /** Requests at the server when it last told its load, less those of this host. */
+  reportedOthers: number;
+  reportedAt: Milliseconds;
+  /** Time per unit of work against the pool's mean; 1 is average. */
+  slowness: number;
+  /** Consecutive failures. */
+  failures: number;
+  /** Share of failed attempts, smoothed. */
+  failureShare: number;
+  /** No request goes there before this time. */
+  avoidedUntil: Milliseconds;
+  /** Cold until this time. */
+  coldUntil: Milliseconds;
+  /** Earliest time of the next request while cold; undefined until it is found cold. */
+  nextColdAt: Milliseconds | undefined;
+}
+
+/** What a host tells the others several times a second. */
+export interface HostSummary {
+  readonly kind: 'summary';
+  readonly entryHost: EntryHostId;
+  readonly incarnation: Incarnation;
+  readonly failureDomain: FailureDomainId;
+  readonly address: string;
+  /** Requests in flight by backend server. */
+  readonly inFlight: Readonly<Record<BackendServerId, number>>;
+  /** Cost spent since the process started, by customer. */
+  readonly spent: Readonly<Record<CustomerId, number>>;
+  readonly configurationVersion: number;
+  /** Version of the store up to which the host knows the list of servers. */
+  readonly serversVersion: number;
+  readonly evacuatedVersion: number;
+}
+
+/** What hosts ask each other for. */
+export type PeerQuestion = { readonly kind: 'beliefs' };
+
+/** All that a host has learnt from the platform. */
+export interface Beliefs {
+  readonly configuration: RelayConfiguration | undefined;
+  readonly servers: readonly ListedServer[];
+  readonly serversVersion: number;
+  readonly evacuated: readonly FailureDomainId[];
+  readonly evacuatedVersion: number;
+  readonly peers: readonly PeerAddress[];
+}
+
+/** What the platform tells, whenever it changes. */
+export interface BeliefSource {
+  /** Follows the platform until closed. */
+  follow(listener: (change: BeliefChange) => void): void;
+  /** Makes this host known to the others, or takes it off their list. */
+  register(peer: PeerAddress): Promise<void>;
+  close(): Promise<void>;
+}
+
+export type BeliefChange =
+  | { readonly kind: 'configuration'; readonly configuration: RelayConfiguration }
+  | {
+      readonly kind: 'servers';
+      readonly servers: readonly ListedServer[];
+      readonly version: number;
+    }
+  | {
+      readonly kind: 'evacuated';
+      readonly failureDomains: readonly FailureDomainId[];
+      readonly version: number;
+    }
+  | { readonly kind: 'peers'; readonly peers: readonly PeerAddress[] }
+  | { readonly kind: 'storeLost'; readonly subject: string; readonly reason: string }
+  | { readonly kind: 'storeRegained'; readonly subject: string };
+
+export interface RelayContext {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly logger: Logger;
+}
--- a/packages/transport/src/createPeerCredentials.ts
+++ b/packages/transport/src/createPeerCredentials.ts
@@ -7,6 +7,7 @@
 export default function createPeerCredentials(security: PeerSecurity): PeerCredentials {
   switch (security.kind) {
     case 'plainLoopback':
+    case 'plainTrustedNetwork':
       return {
         client: credentials.createInsecure(),
         server: ServerCredentials.createInsecure(),
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -29,7 +29,9 @@
       readonly privateKeyFile: string;
       readonly authorityFile: string;
     }
-  | { readonly kind: 'plainLoopback' };
+  | { readonly kind: 'plainLoopback' }
+  /** Plain text between hosts of a network that operators keep to themselves, where no certificates are given. */
+  | { readonly kind: 'plainTrustedNetwork' };
 
 /** Settings that cannot be honoured. */
 export interface TransportSettingsError {
--- /dev/null
+++ b/scripts/bundleProgram.mjs
@@ -0,0 +1,21 @@
+import { build } from 'esbuild';
+
+/** Bundles the program and its libraries into the file `outfile`. */
+export default async function bundleProgram(outfile) {
+  await build({
+    entryPoints: ['packages/command-line/src/main.ts'],
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    minifyWhitespace: true,
+    minifySyntax: true,
+    outfile,
+    // meow looks for a package.json from import.meta.url on, which a CommonJS bundle lacks.
+    define: { 'import.meta': 'importMeta' },
+    banner: {
+      js: "const importMeta = { url: require('node:url').pathToFileURL(process.execPath).href };",
+    },
+    logLevel: 'warning',
+  });
+}
--- a/scripts/package.mjs
+++ b/scripts/package.mjs
@@ -6,8 +6,8 @@
 import { chmodSync, copyFileSync, mkdirSync, readFileSync, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
-import { build } from 'esbuild';
 import { inject } from 'postject';
+import bundleProgram from './bundleProgram.mjs';
 
 const FOLDER = 'dist';
 const BUNDLE = path.join(FOLDER, 'rattanreel.cjs');
@@ -18,20 +18,7 @@
 
 mkdirSync(FOLDER, { recursive: true });
 
-await build({
-  entryPoints: ['packages/command-line/src/main.ts'],
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  outfile: BUNDLE,
-  // meow looks for a package.json from import.meta.url on, which a CommonJS bundle lacks.
-  define: { 'import.meta': 'importMeta' },
-  banner: {
-    js: "const importMeta = { url: require('node:url').pathToFileURL(process.execPath).href };",
-  },
-  logLevel: 'warning',
-});
+await bundleProgram(BUNDLE);
 
 writeFileSync(
   CONFIGURATION,
