Take an answer without a length that ends by a reset for broken

Ruled out: the relay's own framing; answers with a length were already found cut. Change: connections are opened by a connector that notes their failure before undici handles it. Test: createServerConnections.test.ts, the reset case fails without the change.

--- /dev/null
+++ b/packages/relay/src/servers/createServerConnections.test.ts
@@ -0,0 +1,117 @@
+import { createServer } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createSystemClock } from '@rattanreel/core';
+import type { AttemptEnd, ListedServer } from '../types';
+import createServerConnections from './createServerConnections';
+
+const HEAD = 'HTTP/1.1 200 OK\r\nx-id: r1\r\n';
+
+interface Case {
+  readonly name: string;
+  /** What the backend server does once the request has come. */
+  readonly answer: (socket: Socket) => void;
+  readonly kind: AttemptEnd['kind'];
+}
+
+const cases: readonly Case[] = [
+  {
+    name: 'an answer with its whole length',
+    answer: (socket) => socket.write(`${HEAD}content-length: 2\r\n\r\nok`),
+    kind: 'whole',
+  },
+  {
+    name: 'an answer without a length that ends with its connection',
+    answer: (socket) => socket.end(`${HEAD}connection: close\r\n\r\nok`),
+    kind: 'whole',
+  },
+  {
+    name: 'an answer without a length whose connection is reset',
+    answer: (socket) =>
+      socket.write(`${HEAD}connection: close\r\n\r\nok`, () => {
+        setTimeout(() => socket.resetAndDestroy(), 20);
+      }),
+    kind: 'broken',
+  },
+  {
+    name: 'an answer that ends before its length',
+    answer: (socket) => socket.end(`${HEAD}content-length: 9\r\n\r\nok`),
+    kind: 'broken',
+  },
+  {
+    name: 'an answer to another request',
+    answer: (socket) => socket.write('HTTP/1.1 200 OK\r\nx-id: r0\r\ncontent-length: 0\r\n\r\n'),
+    kind: 'broken',
+  },
+  {
+    name: 'bytes that are no answer',
+    answer: (socket) => socket.write('not an answer\r\n\r\n'),
+    kind: 'broken',
+  },
+  {
+    name: 'a full server',
+    answer: (socket) =>
+      socket.write('HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n'),
+    kind: 'notRun',
+  },
+];
+
+function createListed(port: number): ListedServer {
+  return {
+    id: 's1',
+    pool: 'pool',
+    address: `127.0.0.1:${port}`,
+    failureDomain: 'domain',
+    version: 'v1',
+    slots: 2,
+    isDraining: false,
+    coldFor: 0,
+    startedAt: undefined,
+  };
+}
+
+async function send(port: number): Promise<AttemptEnd> {
+  const connections = createServerConnections({ clock: createSystemClock() });
+  const end = await new Promise<AttemptEnd>((resolve) => {
+    connections.send(
+      createListed(port),
+      {
+        requestId: 'r1',
+        method: 'GET',
+        target: '/',
+        headers: ['host', 'h'],
+        body: Buffer.alloc(0),
+        requestIdHeader: 'x-id',
+        notRunHeader: 'x-not-run',
+      },
+      { onHead: () => undefined, onData: () => true, onEnd: resolve },
+    );
+  });
+  await connections.close();
+  return end;
+}
+
+describe('createServerConnections', () => {
+  let server: Server | undefined;
+
+  afterEach(() => server?.close());
+
+  cases.forEach(({ name, answer, kind }) => {
+    it(`ends an attempt as ${kind} for ${name}`, async () => {
+      server = createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.once('data', () => answer(socket));
+      });
+      await new Promise<void>((resolve) => {
+        server!.listen(0, '127.0.0.1', resolve);
+      });
+      const end = await send((server.address() as AddressInfo).port);
+      expect(end.kind).toEqual(kind);
+    });
+  });
+
+  it('tells a refused connection from a sent request', async () => {
+    expect((await send(1)).kind).toEqual('notConnected');
+  });
+});
--- a/packages/relay/src/servers/createServerConnections.ts
+++ b/packages/relay/src/servers/createServerConnections.ts
@@ -1,5 +1,6 @@
 import { Pool } from 'undici';
 import type { BackendServerId, Clock, Milliseconds } from '@rattanreel/core';
+import createResetWatch from './createResetWatch';
 import sendOnce from './sendOnce';
 import type { Attempt, AttemptRequest, AttemptSink } from './types';
 import type { ListedServer } from '../types';
@@ -37,6 +38,7 @@
   options: ServerConnectionsOptions,
 ): ServerConnections {
   const open = new Map<BackendServerId, OpenServer>();
+  const resetWatch = createResetWatch(CONNECT_TIMEOUT);
 
   function closeSoon(server: OpenServer): void {
     // Requests in flight end first; a failure to close leaves nothing to mend.
@@ -55,7 +57,7 @@
     const pool = new Pool(`http://${server.address}`, {
       connections: server.slots * CONNECTIONS_PER_SLOT,
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT },
+      connect: resetWatch.connect,
       keepAliveTimeout: IDLE_TIMEOUT,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -68,7 +70,13 @@
 
   return {
     send: (server, request, sink) =>
-      sendOnce({ dispatcher: getPool(server), request, sink, clock: options.clock }),
+      sendOnce({
+        dispatcher: getPool(server),
+        request,
+        sink,
+        clock: options.clock,
+        isConnectionFailing: resetWatch.isFailing,
+      }),
     retain(servers) {
       open.forEach((server, id) => {
         const listed = servers.get(id);
--- a/packages/relay/src/servers/sendOnce.ts
+++ b/packages/relay/src/servers/sendOnce.ts
@@ -14,6 +14,8 @@
   readonly request: AttemptRequest;
   readonly sink: AttemptSink;
   readonly clock: Clock;
+  /** Whether the end of an answer comes with the failure of its connection. */
+  readonly isConnectionFailing: () => boolean;
 }
 
 /** Why a head is not the answer to the request; undefined when it is. */
@@ -94,9 +96,14 @@
         }
       },
       onResponseEnd() {
-        if (head !== undefined) {
-          end({ kind: isNotRun ? 'notRun' : 'whole', status: head.status });
+        if (head === undefined) {
+          return;
+        }
+        if (!isNotRun && options.isConnectionFailing()) {
+          end({ kind: 'broken', reason: 'reset before the end' });
+          return;
         }
+        end({ kind: isNotRun ? 'notRun' : 'whole', status: head.status });
       },
       onResponseError(_, error) {
         if (controller === undefined) {
