Serve by rank, refuse at once what would be late, tell other hosts within 20 ms

Customers' tiers alone made all kinds of request equal. Change: rank is the customer's tier, then the route's; returning requests follow the fresh ones; floors and headroom of places by tier; summaries when something changes, 20 ms apart. LOST after SIGTERM on a kept connection: idle connections close until the end.

--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -14,6 +14,8 @@
   readonly ownDomain: FailureDomainId;
   readonly bounds: RelayBounds;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
+  /** Told when requests in flight change. */
+  readonly onChange: () => void;
 }
 
 export interface Pools {
@@ -23,7 +25,7 @@
   setHosts(hosts: readonly EntryHostId[]): void;
   /** Takes servers of these failure domains for cold: they may have been idle. */
   coolDown(failureDomains: readonly FailureDomainId[]): void;
-  forEachDesk(action: (desk: PoolDesk) => void): void;
+  forEachDesk(action: (desk: PoolDesk, pool: PoolId) => void): void;
 }
 
 interface OpenPool {
@@ -57,6 +59,7 @@
       bounds: options.bounds,
       accounts,
       getEvacuated: options.getEvacuated,
+      onChange: options.onChange,
       getSettings: () => settingsByPool.get(pool),
       getColdInterval: (server, rate) =>
         getColdInterval({ server, host: ownName, hosts, rate, chooseHosts }),
@@ -105,6 +108,6 @@
         });
       });
     },
-    forEachDesk: (action) => open.forEach(({ desk }) => action(desk)),
+    forEachDesk: (action) => open.forEach(({ desk }, pool) => action(desk, pool)),
   };
 }
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -129,6 +129,7 @@
     ownDomain: failureDomain,
     bounds,
     getEvacuated: () => keeper.evacuated,
+    onChange: () => exchange.noteChange(),
   });
 
   const requestDesk = createRequestDesk({
@@ -151,13 +152,15 @@
 
   function getSummary(): HostSummary {
     const inFlight: Record<string, number> = {};
-    pools.forEachDesk(({ accounts }) =>
-      accounts.forEach(({ own }, id) => {
+    const tiers: Record<string, Record<string, number>> = {};
+    pools.forEachDesk((desk, pool) => {
+      tiers[pool] = Object.fromEntries(desk.getOwnByTier());
+      desk.accounts.forEach(({ own }, id) => {
         if (own > 0) {
           inFlight[id] = own;
         }
-      }),
-    );
+      });
+    });
     const beliefs = keeper.get();
     return {
       kind: 'summary',
@@ -166,6 +169,7 @@
       failureDomain,
       address: peerAddress,
       inFlight,
+      tiers,
       spent: quota.spent(),
       configurationVersion: beliefs.configuration?.version ?? -1,
       serversVersion: beliefs.serversVersion,
@@ -179,7 +183,7 @@
     quota.hear({ ...summary, from: summary.entryHost, now });
     exchange.hear(summary);
     const counts = peerTable.countInFlight(now);
-    pools.forEachDesk((desk) => desk.setOthers(counts));
+    pools.forEachDesk((desk, pool) => desk.setOthers(counts, peerTable.countByTier(pool, now)));
   }
 
   const transport = await openTransport();
@@ -233,6 +237,12 @@
     }
   }
 
+  /** Closes connections that a last answer, whose head went out before the stop, has left open. */
+  function hasEnded(): boolean {
+    front.stopAccepting();
+    return front.countActive() === 0;
+  }
+
   return {
     async stop() {
       const stoppedAt = clock.now();
@@ -241,7 +251,7 @@
       front.startDraining();
       await waitFor(() => false, stoppedAt + ACCEPT_AFTER_STOP);
       front.stopAccepting();
-      await waitFor(() => front.countActive() === 0, stoppedAt + bounds.stopGrace - STOP_MARGIN);
+      await waitFor(hasEnded, stoppedAt + bounds.stopGrace - STOP_MARGIN);
       logger.info({ active: front.countActive() }, 'host stopped');
       exchange.stop();
       keeper.stop();
--- a/packages/relay/src/createRequestDesk.ts
+++ b/packages/relay/src/createRequestDesk.ts
@@ -8,6 +8,7 @@
 import sendRejection from './front/sendRejection';
 import type { RequestObserver } from './front/observerTypes';
 import type { CallerExchange, RequestPlan } from './front/types';
+import type { PoolState } from './pools/types';
 import type { ServerConnections } from './servers/createServerConnections';
 import type { HeaderNames, RefusalReason, RelayContext, RelayCustomer, RouteTarget } from './types';
 
@@ -51,10 +52,11 @@
     plan: RequestPlan,
     reason: RefusalReason,
     wait: number,
+    pool?: PoolState,
   ): void {
     const left = plan.endAt - clock.now();
     const retryAfter = Math.min(wait, left * RETRY_PART);
-    observer.refused(plan, reason, Math.round(retryAfter));
+    observer.refused(plan, reason, Math.round(retryAfter), pool);
     sendRejection(exchange, {
       status: reason === 'overQuota' ? 429 : 503,
       code: reason,
@@ -85,8 +87,8 @@
         if (customer !== undefined) {
           quota.giveBack(customer, plan.cost);
         }
-        const urgency = { ...plan, deadlineAt: plan.endAt };
-        refuse(exchange, plan, reason, desk.getRetryAfter(urgency));
+        const { urgency } = plan;
+        refuse(exchange, plan, reason, desk.getRetryAfter(urgency), desk.describe(urgency));
       },
       failWith(status, code) {
         observer.failed(plan, status, code);
--- /dev/null
+++ b/packages/relay/src/decisions/createPlaceShares.ts
@@ -0,0 +1,75 @@
+import type { Milliseconds, TierRank } from '@rattanreel/core';
+import createMovingMean from './createMovingMean';
+import type { MovingMean } from './createMovingMean';
+
+/** Part of a pool's places that each tier may always use, so that overload starves none. */
+const FLOOR_PART = 0.12;
+/** Part of a pool's places kept free per multiple by which a tier's answers last longer. */
+const HEADROOM_PER_MULTIPLE = 0.1;
+const MOST_HEADROOM = 0.25;
+const DURATION_GUESS: Milliseconds = 400;
+const DURATION_WEIGHT = 0.05;
+
+export interface PlaceCounts {
+  /** Places of usable servers over all hosts, and those taken. */
+  readonly places: number;
+  readonly taken: number;
+  /** Places taken by requests of a tier, over all hosts. */
+  readonly getTakenBy: (tier: TierRank) => number;
+}
+
+export type PlaceClaim =
+  /** The tier has less than its floor: it goes before others. */
+  | 'belowFloor'
+  | 'free'
+  /** The places left are kept for more urgent tiers. */
+  | 'kept';
+
+export interface PlaceShares {
+  noteDuration(tier: TierRank, duration: Milliseconds): void;
+  getDuration(tier: TierRank): Milliseconds;
+  /** Whether a request of this tier may take a place. */
+  judge(tier: TierRank, counts: PlaceCounts): PlaceClaim;
+}
+
+/**
+ * How tiers share a pool's places under load. Long answers of a less urgent tier hold their places for
+ * seconds and cannot be taken back, so they leave some free for the first moments of a burst of more
+ * urgent requests; and each tier keeps a small floor.
+ */
+export default function createPlaceShares(): PlaceShares {
+  const durations = new Map<TierRank, MovingMean>();
+
+  function getMean(tier: TierRank): MovingMean {
+    let mean = durations.get(tier);
+    if (mean === undefined) {
+      mean = createMovingMean({ initial: DURATION_GUESS, weight: DURATION_WEIGHT });
+      durations.set(tier, mean);
+    }
+    return mean;
+  }
+
+  /** Part of the places that this tier leaves to those above it. */
+  function getHeadroom(tier: TierRank): number {
+    const above = [...durations].filter(([other]) => other < tier);
+    if (above.length === 0) {
+      return 0;
+    }
+    const shortest = Math.min(...above.map(([, mean]) => mean.get()));
+    const multiple = getMean(tier).get() / Math.max(shortest, 1) - 1;
+    return Math.min(Math.max(multiple * HEADROOM_PER_MULTIPLE, 0), MOST_HEADROOM);
+  }
+
+  return {
+    noteDuration: (tier, duration) => getMean(tier).add(duration),
+    getDuration: (tier) => getMean(tier).get(),
+    judge(tier, { places, taken, getTakenBy }) {
+      if (getTakenBy(tier) + 1 <= places * FLOOR_PART) {
+        return 'belowFloor';
+      }
+      return taken + 1 <= places * (1 - getHeadroom(tier)) || getHeadroom(tier) === 0
+        ? 'free'
+        : 'kept';
+    },
+  };
+}
--- a/packages/relay/src/decisions/createWaitingLine.ts
+++ b/packages/relay/src/decisions/createWaitingLine.ts
@@ -1,100 +1,74 @@
-import type { Milliseconds } from '@rattanreel/core';
+import type { Milliseconds, TierRank } from '@rattanreel/core';
 import type { WaitingRequest } from '../types';
 
 export interface WaitingLine {
   readonly size: number;
   add(request: WaitingRequest): void;
   remove(request: WaitingRequest): void;
-  /** The request to serve next, left in the line. */
-  peek(now: Milliseconds): WaitingRequest | undefined;
-  /** Removes and returns requests that can no longer end in time. */
-  takeExpired(now: Milliseconds): readonly WaitingRequest[];
-  /** Requests that would be served before one of this tier that can still meet its objective. */
-  countAhead(tier: number): number;
+  /** The most urgent request of a tier for which `isServable` holds, left in the line. */
+  tryFind(isServable: (tier: TierRank) => boolean): WaitingRequest | undefined;
+  /** Removes and returns requests that would come too late if they were served now. */
+  takeLate(now: Milliseconds): readonly WaitingRequest[];
+  /** Sum of `getWork` over the requests that would be served before one of this rank that comes now. */
+  sumAhead(rank: number, getWork: (tier: TierRank) => number): number;
 }
 
 export interface WaitingLineOptions {
-  /** Expected time from dispatch to a first answer; a request with less time left to its objective is late. */
+  /** Expected time from dispatch to a first answer. */
   readonly getExpectedTime: () => Milliseconds;
 }
 
-/** Tiers by which a late request falls behind: after the next tier's requests that are in time, before the one after. */
-const LATE_PENALTY = 1.5;
-
 interface Lane {
   readonly rank: number;
+  readonly tier: TierRank;
   readonly requests: Set<WaitingRequest>;
 }
 
 /**
- * Requests that wait for a backend server, in order of service: by tier, and in each tier those that
- * can still meet their objective before those that cannot. Under a burst this serves fresh work in
- * time instead of all work late.
+ * Requests that wait for a backend server, by rank and in each rank in order of arrival. Those that
+ * can no longer be served in time leave at once: work that is late already must not delay work that
+ * is not, or a burst keeps every later request late (a metastable overload).
  */
 export default function createWaitingLine(options: WaitingLineOptions): WaitingLine {
-  const lanes = new Map<number, Lane>();
+  const lanes = new Map<string, Lane>();
   let order: Lane[] = [];
 
-  function getLane(rank: number): Lane {
-    let lane = lanes.get(rank);
+  function getLane({ urgency: { rank, tier } }: WaitingRequest): Lane {
+    const key = `${rank} ${tier}`;
+    let lane = lanes.get(key);
     if (lane === undefined) {
-      lane = { rank, requests: new Set() };
-      lanes.set(rank, lane);
+      lane = { rank, tier, requests: new Set() };
+      lanes.set(key, lane);
       order = [...lanes.values()].sort((left, right) => left.rank - right.rank);
     }
     return lane;
   }
 
-  function isLate(request: WaitingRequest, now: Milliseconds): boolean {
-    return now + options.getExpectedTime() > request.urgency.objectiveAt;
-  }
-
-  /** Moves requests that became late from the front of their lane to the late lane of their tier. */
-  function moveLate(now: Milliseconds): void {
-    order.forEach((lane) => {
-      if (!Number.isInteger(lane.rank)) {
-        return;
-      }
-      // eslint-disable-next-line no-restricted-syntax
-      for (const request of lane.requests) {
-        if (!isLate(request, now)) {
-          return;
-        }
-        lane.requests.delete(request);
-        getLane(lane.rank + LATE_PENALTY).requests.add(request);
-      }
-    });
-  }
-
-  function tryGetFirst(lane: Lane): WaitingRequest | undefined {
-    return lane.requests.values().next().value;
-  }
-
   return {
     get size() {
       return order.reduce((sum, lane) => sum + lane.requests.size, 0);
     },
     add(request) {
-      getLane(request.urgency.tier).requests.add(request);
+      getLane(request).requests.add(request);
     },
     remove(request) {
-      order.forEach((lane) => lane.requests.delete(request));
+      getLane(request).requests.delete(request);
     },
-    peek(now) {
-      moveLate(now);
-      const lane = order.find(({ requests }) => requests.size > 0);
-      return lane === undefined ? undefined : tryGetFirst(lane);
+    tryFind(isServable) {
+      const lane = order.find(({ tier, requests }) => requests.size > 0 && isServable(tier));
+      return lane?.requests.values().next().value;
     },
-    takeExpired(now) {
-      const expired = order.flatMap((lane) =>
-        [...lane.requests].filter(
-          ({ urgency }) => now + options.getExpectedTime() > urgency.deadlineAt,
-        ),
+    takeLate(now) {
+      const expectedAt = now + options.getExpectedTime();
+      const late = order.flatMap((lane) =>
+        [...lane.requests].filter(({ urgency }) => expectedAt > urgency.serveBy),
       );
-      expired.forEach((request) => order.forEach((lane) => lane.requests.delete(request)));
-      return expired;
+      late.forEach((request) => getLane(request).requests.delete(request));
+      return late;
     },
-    countAhead: (tier) =>
-      order.filter(({ rank }) => rank <= tier).reduce((sum, lane) => sum + lane.requests.size, 0),
+    sumAhead: (rank, getWork) =>
+      order
+        .filter((lane) => lane.rank <= rank)
+        .reduce((sum, lane) => sum + lane.requests.size * getWork(lane.tier), 0),
   };
 }
--- a/packages/relay/src/front/createRelayFront.ts
+++ b/packages/relay/src/front/createRelayFront.ts
@@ -85,7 +85,9 @@
       isDraining = true;
     },
     stopAccepting() {
-      server.close();
+      if (server.listening) {
+        server.close();
+      }
       server.closeIdleConnections();
     },
     countActive: () => active,
--- a/packages/relay/src/front/createRelayMetrics.ts
+++ b/packages/relay/src/front/createRelayMetrics.ts
@@ -42,10 +42,9 @@
     ended: (outcome, reason) => ends.inc({ outcome, reason }),
     dispatched: (attempt) => attempts.inc({ attempt: attempt > 1 ? 'repeat' : 'first' }),
     answered(plan, now) {
-      const arrivedAt = plan.objectiveAt - plan.route.objective;
       durations.observe(
-        { kind: plan.route.kind, tier: String(plan.tier) },
-        (now - arrivedAt) / MILLISECONDS_PER_SECOND,
+        { kind: plan.route.kind, tier: String(plan.urgency.tier) },
+        (now - plan.arrivedAt) / MILLISECONDS_PER_SECOND,
       );
     },
     scrape: () => registry.metrics(),
--- a/packages/relay/src/front/createRequestObserver.ts
+++ b/packages/relay/src/front/createRequestObserver.ts
@@ -22,7 +22,7 @@
     return {
       request: plan.requestId,
       route: plan.route.name,
-      tier: plan.tier,
+      rank: plan.urgency.rank,
       customer: plan.customer?.name,
       left: Math.round(plan.endAt - now()),
     };
@@ -46,14 +46,13 @@
       metrics.ended('rejected', rejection.code);
       logger.info({ request: requestId, ...rejection }, 'request rejected');
     },
-    refused(plan, reason, retryAfter) {
+    refused(plan, reason, retryAfter, pool) {
       metrics.ended('refused', reason);
-      logger.info({ ...describe(plan), reason, retryAfter }, 'request refused');
+      logger.info({ ...describe(plan), reason, retryAfter, pool }, 'request refused');
     },
     dispatched(plan, server, attempt, waiting) {
       metrics.dispatched(attempt);
-      successes += 1;
-      if (attempt > 1 || successes % SUCCESS_SAMPLE === 0) {
+      if (attempt > 1) {
         logger.info(
           { ...describe(plan), ...describeServer(server), attempt, waiting },
           'request dispatched',
@@ -65,7 +64,21 @@
         logger.info({ ...describe(plan), ...describeServer(server), end }, 'attempt failed');
       }
     },
-    completed(plan, _server, end) {
+    completed(plan, server, figures) {
+      const { end } = figures;
+      successes += 1;
+      if (successes % SUCCESS_SAMPLE === 0) {
+        logger.info(
+          {
+            ...describe(plan),
+            ...describeServer(server),
+            promptTokens: plan.promptTokens,
+            outputTokens: plan.outputTokens,
+            figures,
+          },
+          'request answered',
+        );
+      }
       metrics.ended('answered', end.kind === 'whole' && end.status >= 500 ? 'failure' : 'success');
       metrics.answered(plan, now());
     },
--- a/packages/relay/src/front/planRequest.ts
+++ b/packages/relay/src/front/planRequest.ts
@@ -6,6 +6,14 @@
 /** When a host without configuration may be asked again. */
 const NO_CONFIGURATION_RETRY: Milliseconds = 500;
 const UNTOLD_OUTPUT_TOKENS = 50;
+/** A caller that has less than this part of the route's time left has been refused before. */
+const RETURNING_PART = 0.93;
+/** A returning request is late already: it follows the fresh ones of its tier and of the next. */
+const RETURNING_RANK_STEP = 1.5;
+/** More than the ranks of any route: a customer's tier goes before the route's. */
+const CUSTOMER_RANK_STEP = 100;
+/** Part of its time for which a returning request may wait. */
+const RETURNING_WAIT_PART = 0.5;
 
 export interface PlanRequestOptions {
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
@@ -50,16 +58,24 @@
   const deadline = tryReadPositive(getHeader(options, names.deadline)) ?? route.timeout;
   const quota = customer?.quota;
   const tokenCost = tokens === undefined ? (quota?.plainCost ?? 1) : tokens[0] + tokens[1];
+  const time = Math.min(deadline, route.timeout);
+  const isReturning = deadline < route.timeout * RETURNING_PART;
+  const customerRank = (customer?.tier ?? route.tier) * CUSTOMER_RANK_STEP;
   return {
     requestId: getHeader(options, names.requestId) ?? options.random.identifier(),
     route,
     customer,
-    tier: customer?.tier ?? route.tier,
+    urgency: {
+      rank: customerRank + route.tier + (isReturning ? RETURNING_RANK_STEP : 0),
+      tier: route.tier,
+      serveBy: arrivedAt + (isReturning ? time * RETURNING_WAIT_PART : route.objective),
+      deadlineAt: arrivedAt + time,
+    },
     cost: quota?.countsTokens === true ? tokenCost : 1,
     promptTokens: tokens?.[0] ?? 0,
     outputTokens: hint ?? tokens?.[1] ?? UNTOLD_OUTPUT_TOKENS,
-    objectiveAt: arrivedAt + route.objective,
-    endAt: arrivedAt + Math.min(deadline, route.timeout),
+    arrivedAt,
+    endAt: arrivedAt + time,
   };
 }
 
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -1,7 +1,7 @@
 import { createRequestLifecycle } from '@rattanreel/dispatch';
 import { Debug } from '@rattanreel/core';
 import type { BackendServerId, Clock, Milliseconds, Timer } from '@rattanreel/core';
-import type { PoolDesk } from '../pools/types';
+import type { AttemptFigures, PoolDesk } from '../pools/types';
 import type { ServerConnections } from '../servers/createServerConnections';
 import type { Attempt } from '../servers/types';
 import type {
@@ -66,7 +66,7 @@
 
   const waiting: WaitingRequest = {
     id: plan.requestId,
-    urgency: { tier: plan.tier, objectiveAt: plan.objectiveAt, deadlineAt: plan.endAt },
+    urgency: plan.urgency,
     size: { promptTokens: plan.promptTokens, outputTokens: plan.outputTokens },
     avoid: tried,
     onGranted: dispatch,
@@ -189,8 +189,9 @@
           const own: AttemptEnd =
             end.kind === 'whole' && !isAnswer ? { kind: 'broken', reason: 'not resumed' } : end;
           attempt = undefined;
-          desk.noteEnded(server, meter.read(own));
-          afterAttempt(server, own);
+          const figures = meter.read(own);
+          desk.noteEnded(server, plan.urgency.tier, figures);
+          afterAttempt(server, figures);
         },
       },
     );
@@ -199,7 +200,8 @@
     }
   }
 
-  function afterAttempt(server: ServerAccount, end: AttemptEnd): void {
+  function afterAttempt(server: ServerAccount, figures: AttemptFigures): void {
+    const { end } = figures;
     observer.attemptEnded(plan, server, end);
     if (isDone) {
       return;
@@ -223,7 +225,7 @@
       case 'complete':
         finish();
         answer.finish();
-        observer.completed(plan, server, end);
+        observer.completed(plan, server, figures);
         return;
       case 'repeatUnsent':
         lifecycle.tryRequeueUnsent();
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -1,6 +1,6 @@
 /** One caller's request and its answer, as the relay sees them. */
 import type { Milliseconds } from '@rattanreel/core';
-import type { RelayCustomer, Route } from '../types';
+import type { RelayCustomer, Route, Urgency } from '../types';
 
 /** A caller's request whose body is in, and the way to answer it. */
 export interface CallerExchange {
@@ -30,11 +30,11 @@
   readonly requestId: string;
   readonly route: Route;
   readonly customer: RelayCustomer | undefined;
-  readonly tier: number;
+  readonly urgency: Urgency;
   readonly cost: number;
   readonly promptTokens: number;
   readonly outputTokens: number;
-  readonly objectiveAt: Milliseconds;
+  readonly arrivedAt: Milliseconds;
   /** The caller's deadline or the route's time-out, whichever comes first. */
   readonly endAt: Milliseconds;
 }
--- a/packages/relay/src/peers/createPeerExchange.ts
+++ b/packages/relay/src/peers/createPeerExchange.ts
@@ -3,10 +3,12 @@
 import type { PeerTransport } from '@rattanreel/transport';
 import type { Beliefs, HostSummary, PeerAddress, PeerQuestion } from '../types';
 
-/** Time between two summaries to a few hosts. */
+/** Longest time between two summaries. */
 const SUMMARY_INTERVAL: Milliseconds = 100;
+/** Shortest time between two summaries when requests came or went. */
+const CHANGE_INTERVAL: Milliseconds = 20;
 /** With more hosts each summary is sent less often, so that sending stays a few hundredths of a core. */
-const INTERVAL_PER_PEER: Milliseconds = 8;
+const INTERVAL_PER_PEER: Milliseconds = 4;
 /** Shortest time between two questions for another host's beliefs. */
 const QUESTION_PAUSE: Milliseconds = 200;
 const ANSWER_TIMEOUT: Milliseconds = 700;
@@ -24,6 +26,8 @@
 
 export interface PeerExchange {
   setPeers(peers: readonly PeerAddress[]): void;
+  /** Tells the others soon that requests came or went. */
+  noteChange(): void;
   /** Notes what another host knows, and asks it when it knows more. */
   hear(summary: HostSummary): void;
   /** Asks hosts, whose addresses may be out of date, for what they know. */
@@ -45,14 +49,25 @@
   let peers: readonly PeerAddress[] = [];
   let timer: Timer | undefined;
   let askedAt = -Infinity;
+  let toldAt = -Infinity;
+  let dueAt = Infinity;
   let isStopped = false;
 
+  function getInterval(shortest: Milliseconds): Milliseconds {
+    return Math.max(shortest, peers.length * INTERVAL_PER_PEER);
+  }
+
+  function tellIn(interval: Milliseconds): void {
+    timer?.cancel();
+    dueAt = clock.now() + interval;
+    timer = isStopped ? undefined : clock.after(interval, tell);
+  }
+
   function tell(): void {
     const summary = options.getSummary();
     peers.forEach(({ address }) => transport.send(address, summary));
-    if (!isStopped) {
-      timer = clock.after(Math.max(SUMMARY_INTERVAL, peers.length * INTERVAL_PER_PEER), tell);
-    }
+    toldAt = clock.now();
+    tellIn(getInterval(SUMMARY_INTERVAL));
   }
 
   async function ask(address: string, host: EntryHostId | undefined): Promise<void> {
@@ -64,8 +79,14 @@
     }
   }
 
-  timer = clock.after(SUMMARY_INTERVAL, tell);
+  tellIn(SUMMARY_INTERVAL);
   return {
+    noteChange() {
+      const soon = Math.max(toldAt + getInterval(CHANGE_INTERVAL), clock.now());
+      if (soon < dueAt) {
+        tellIn(soon - clock.now());
+      }
+    },
     setPeers(next) {
       peers = next;
     },
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -1,4 +1,10 @@
-import type { BackendServerId, EntryHostId, Milliseconds } from '@rattanreel/core';
+import type {
+  BackendServerId,
+  EntryHostId,
+  Milliseconds,
+  PoolId,
+  TierRank,
+} from '@rattanreel/core';
 import type { HostSummary } from '../types';
 
 /** A summary older than this says nothing of what a host has in flight; summaries come every 100 ms. */
@@ -14,6 +20,8 @@
   hear(summary: HostSummary, now: Milliseconds): void;
   /** Requests that the other hosts have in flight, by backend server. */
   countInFlight(now: Milliseconds): ReadonlyMap<BackendServerId, number>;
+  /** The same by pool and route tier. */
+  countByTier(pool: PoolId, now: Milliseconds): ReadonlyMap<TierRank, number>;
   /** Hosts heard lately. */
   listHeard(now: Milliseconds): readonly HostSummary[];
 }
@@ -41,6 +49,15 @@
       });
       return counts;
     },
+    countByTier(pool, now) {
+      const counts = new Map<TierRank, number>();
+      listHeard(now).forEach(({ tiers }) => {
+        Object.entries(tiers[pool] ?? {}).forEach(([tier, count]) => {
+          counts.set(Number(tier), (counts.get(Number(tier)) ?? 0) + count);
+        });
+      });
+      return counts;
+    },
     listHeard,
   };
 }
--- a/packages/relay/src/pools/createPoolDesk.ts
+++ b/packages/relay/src/pools/createPoolDesk.ts
@@ -5,10 +5,14 @@
   Milliseconds,
   Random,
   Clock,
+  TierRank,
 } from '@rattanreel/core';
 import chooseServer from '../decisions/chooseServer';
 import createMovingMean from '../decisions/createMovingMean';
+import createPlaceShares from '../decisions/createPlaceShares';
+import type { PlaceClaim, PlaceCounts } from '../decisions/createPlaceShares';
 import createRepeatBudget from '../decisions/createRepeatBudget';
+import getOccupancy from '../decisions/getOccupancy';
 import createWaitingLine from '../decisions/createWaitingLine';
 import type { PoolSettings, RelayBounds, ServerAccount, WaitingRequest } from '../types';
 import type { ServerAccounts } from './createServerAccounts';
@@ -23,11 +27,9 @@
 const DURATION_GUESS: Milliseconds = 400;
 const GAP_GUESS: Milliseconds = 30;
 const WHOLE_GUESS: Milliseconds = 60;
-/** Part of the time to a request's deadline that it may be expected to wait. */
-const WAITING_PART = 0.5;
+/** Refused requests return after this part of their time at the earliest, spread up to twice that. */
+const RETRY_PART = 1 / 6;
 const SHORTEST_RETRY: Milliseconds = 100;
-/** Spread of the time at which refused requests return, so that they do not return together. */
-const RETRY_SPREAD = 0.5;
 
 export interface PoolDeskOptions {
   readonly clock: Clock;
@@ -37,6 +39,8 @@
   readonly accounts: ServerAccounts;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
   readonly getSettings: () => PoolSettings | undefined;
+  /** Told when the requests in flight change. */
+  readonly onChange: () => void;
   /** Time between two requests of this host to a cold server. */
   readonly getColdInterval: (server: BackendServerId, rate: number) => Milliseconds;
 }
@@ -56,6 +60,9 @@
     window: bounds.repeatWindow,
     slack: bounds.repeatSlack,
   });
+  const shares = createPlaceShares();
+  const ownByTier = new Map<TierRank, number>();
+  let othersByTier: ReadonlyMap<TierRank, number> = new Map();
   let hosts = 1;
   let isLooking = false;
 
@@ -85,22 +92,64 @@
     });
   }
 
-  function take(server: ServerAccount): void {
+  function addOwn(tier: TierRank, change: 1 | -1): void {
+    ownByTier.set(tier, (ownByTier.get(tier) ?? 0) + change);
+    options.onChange();
+  }
+
+  function take(server: ServerAccount, tier: TierRank): void {
     const now = clock.now();
     server.own += 1;
+    addOwn(tier, 1);
     if (server.coldUntil > now) {
       server.nextColdAt = now + getColdInterval(server);
     }
   }
 
+  function isUsable({ listed, avoidedUntil }: ServerAccount, now: Milliseconds): boolean {
+    return (
+      !listed.isDraining && !options.getEvacuated().has(listed.failureDomain) && avoidedUntil <= now
+    );
+  }
+
+  function countPlaces(): PlaceCounts {
+    const now = clock.now();
+    let places = 0;
+    let taken = 0;
+    accounts.byId.forEach((account) => {
+      if (isUsable(account, now)) {
+        places += account.listed.slots;
+        taken += Math.min(getOccupancy(account, now), account.listed.slots);
+      }
+    });
+    const getTakenBy = (tier: TierRank): number =>
+      (ownByTier.get(tier) ?? 0) + (othersByTier.get(tier) ?? 0);
+    return { places, taken, getTakenBy };
+  }
+
+  /** The request to serve next: of a tier below its floor first, then by rank. */
+  function tryFindNext(): WaitingRequest | undefined {
+    const counts = countPlaces();
+    const claims = new Map<TierRank, PlaceClaim>();
+    const judge = (tier: TierRank): PlaceClaim => {
+      const claim = claims.get(tier) ?? shares.judge(tier, counts);
+      claims.set(tier, claim);
+      return claim;
+    };
+    return (
+      line.tryFind((tier) => judge(tier) === 'belowFloor') ??
+      line.tryFind((tier) => judge(tier) !== 'kept')
+    );
+  }
+
   function serveNext(): boolean {
-    const request = line.peek(clock.now());
+    const request = line.size === 0 ? undefined : tryFindNext();
     const server = request === undefined ? undefined : chooseFor(request);
     if (request === undefined || server === undefined) {
       return false;
     }
     line.remove(request);
-    take(server);
+    take(server, request.urgency.tier);
     request.onGranted(server);
     return true;
   }
@@ -117,46 +166,44 @@
   }
 
   function pump(): void {
-    line.takeExpired(clock.now()).forEach((request) => request.onRefused('deadlinePassed'));
+    line.takeLate(clock.now()).forEach((request) => request.onRefused('expectedLate'));
     while (serveNext()) {
       // Serves until no request or no place is left.
     }
     lookLater();
   }
 
-  /** Places of usable servers that fall to this host. */
-  function getOwnPlaces(): number {
-    const now = clock.now();
-    const evacuated = options.getEvacuated();
-    const places = [...accounts.byId.values()]
-      .filter(
-        ({ listed, avoidedUntil }) =>
-          !listed.isDraining && !evacuated.has(listed.failureDomain) && avoidedUntil <= now,
-      )
-      .reduce((sum, { listed }) => sum + listed.slots, 0);
-    return places / hosts;
+  function countOwn(): number {
+    return [...ownByTier.values()].reduce((sum, count) => sum + count, 0);
   }
 
-  /** Expected wait of a request of this tier that comes now. */
-  function getExpectedWait(tier: number): Milliseconds {
-    const places = getOwnPlaces();
-    return places === 0 ? Infinity : (line.countAhead(tier) * means.duration.get()) / places;
+  /** Expected wait of a request of this rank that comes now. */
+  function getExpectedWait(rank: number): Milliseconds {
+    // Under load a host refills the places that its own requests leave.
+    const places = Math.max(countPlaces().places / hosts, countOwn());
+    return places === 0 ? Infinity : line.sumAhead(rank, shares.getDuration) / places;
   }
 
   return {
     get waiting() {
       return line.size;
     },
+    describe({ rank, tier }) {
+      const { places, taken, getTakenBy } = countPlaces();
+      const expectedWait = Math.round(getExpectedWait(rank));
+      return { waiting: line.size, places, taken, takenByTier: getTakenBy(tier), expectedWait };
+    },
+    getOwnByTier: () => ownByTier,
     get accounts() {
       return accounts.byId;
     },
     ask(request) {
       const now = clock.now();
-      const { tier, deadlineAt } = request.urgency;
-      const allowance = (deadlineAt - now - means.firstData.get()) * WAITING_PART;
-      const wait = line.size === 0 ? 0 : getExpectedWait(tier);
-      if (wait > allowance || allowance <= 0) {
-        return { kind: 'refused', reason: allowance <= 0 ? 'deadlinePassed' : 'expectedLate' };
+      const { rank, serveBy } = request.urgency;
+      const allowance = serveBy - now - means.firstData.get();
+      const wait = line.size === 0 ? 0 : getExpectedWait(rank);
+      if (wait > allowance) {
+        return { kind: 'refused', reason: 'expectedLate' };
       }
       if (accounts.byId.size === 0) {
         return { kind: 'refused', reason: 'noServer' };
@@ -166,8 +213,12 @@
       return { kind: 'waiting' };
     },
     withdraw: (request) => line.remove(request),
-    noteEnded(server, figures) {
+    noteEnded(server, tier, figures) {
       server.own -= 1;
+      addOwn(tier, -1);
+      if (figures.end.kind === 'whole') {
+        shares.noteDuration(tier, figures.duration);
+      }
       noteAttempt({ account: server, figures, means, now: clock.now() });
       pump();
     },
@@ -177,11 +228,12 @@
     },
     tryRepeat: () => budget.tryRepeat(clock.now()),
     noteRequest: () => budget.noteRequest(clock.now()),
-    getRetryAfter({ tier }) {
-      const wait = Math.min(getExpectedWait(tier), 2_000);
-      return Math.max(wait, SHORTEST_RETRY) * (1 + random.next() * RETRY_SPREAD);
+    getRetryAfter({ deadlineAt }) {
+      const part = Math.max((deadlineAt - clock.now()) * RETRY_PART, SHORTEST_RETRY);
+      return part * (1 + random.next());
     },
-    setOthers(inFlight) {
+    setOthers(inFlight, byTier) {
+      othersByTier = byTier;
       accounts.byId.forEach((account, id) => {
         account.others = inFlight.get(id) ?? 0;
       });
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -1,5 +1,5 @@
 /** A pool at one host: its backend servers, its waiting requests, its budget for repeats. */
-import type { BackendServerId, EntryHostId, Milliseconds } from '@rattanreel/core';
+import type { BackendServerId, EntryHostId, Milliseconds, TierRank } from '@rattanreel/core';
 import type { AttemptEnd, RefusalReason, ServerAccount, Urgency, WaitingRequest } from '../types';
 
 /** What was measured of one attempt. */
@@ -15,23 +15,40 @@
 export type Admission =
   { readonly kind: 'waiting' } | { readonly kind: 'refused'; readonly reason: RefusalReason };
 
+/** State of a pool as this host sees it. */
+export interface PoolState {
+  readonly waiting: number;
+  /** Places of usable servers, over all hosts, and those taken. */
+  readonly places: number;
+  readonly taken: number;
+  readonly takenByTier: number;
+  readonly expectedWait: Milliseconds;
+}
+
 export interface PoolDesk {
   /** Queues a request, or refuses it when it cannot be served in time. */
   ask(request: WaitingRequest): Admission;
   withdraw(request: WaitingRequest): void;
   /** Gives the place of an attempt back. */
-  noteEnded(server: ServerAccount, figures: AttemptFigures): void;
+  noteEnded(server: ServerAccount, tier: TierRank, figures: AttemptFigures): void;
   /** Takes in the load that a server told with an answer. */
   noteLoad(server: ServerAccount, running: number, waiting: number): void;
   tryRepeat(): boolean;
   noteRequest(): void;
   /** When a request refused now may come back. */
   getRetryAfter(urgency: Urgency): Milliseconds;
-  /** Takes in the other hosts' requests in flight, by server. */
-  setOthers(inFlight: ReadonlyMap<BackendServerId, number>): void;
+  /** Takes in the other hosts' requests in flight, by server and by route tier. */
+  setOthers(
+    inFlight: ReadonlyMap<BackendServerId, number>,
+    byTier: ReadonlyMap<TierRank, number>,
+  ): void;
+  /** This host's requests in flight, by route tier. */
+  getOwnByTier(): ReadonlyMap<TierRank, number>;
   setHosts(hosts: readonly EntryHostId[]): void;
   /** Serves whoever can be served. */
   pump(): void;
   readonly waiting: number;
+  /** What a decision on a request of this urgency is made from. */
+  describe(urgency: Urgency): PoolState;
   readonly accounts: ReadonlyMap<BackendServerId, ServerAccount>;
 }
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -186,9 +186,12 @@
 
 /** How urgent a waiting request is. */
 export interface Urgency {
+  /** Order of service: lower goes first. */
+  readonly rank: number;
+  /** Tier of the route; decides how much of a pool the request may fill. */
   readonly tier: TierRank;
-  /** Time at which the route's objective is missed. */
-  readonly objectiveAt: Milliseconds;
+  /** Latest time of the first answer for which the request is worth serving. */
+  readonly serveBy: Milliseconds;
   /** Time at which the answer is of no use any more. */
   readonly deadlineAt: Milliseconds;
 }
@@ -244,6 +247,8 @@
   readonly address: string;
   /** Requests in flight by backend server. */
   readonly inFlight: Readonly<Record<BackendServerId, number>>;
+  /** Requests in flight by pool and route tier. */
+  readonly tiers: Readonly<Record<PoolId, Readonly<Record<string, number>>>>;
   /** Cost spent since the process started, by customer. */
   readonly spent: Readonly<Record<CustomerId, number>>;
   readonly configurationVersion: number;
