Yield free places to more urgent requests that wait at other hosts

Cause: a host with a short line of its own served returning requests, late already, while fresh ones waited elsewhere. Change: summaries tell who waits by rank; a host leaves free places to others' more urgent requests; a returning request waits at most four objectives, since its caller leaves after about that.

--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -153,8 +153,10 @@
   function getSummary(): HostSummary {
     const inFlight: Record<string, number> = {};
     const tiers: Record<string, Record<string, number>> = {};
+    const waiting: Record<string, Record<string, number>> = {};
     pools.forEachDesk((desk, pool) => {
       tiers[pool] = Object.fromEntries(desk.getOwnByTier());
+      waiting[pool] = Object.fromEntries(desk.getWaitingByRank());
       desk.accounts.forEach(({ own }, id) => {
         if (own > 0) {
           inFlight[id] = own;
@@ -170,6 +172,7 @@
       address: peerAddress,
       inFlight,
       tiers,
+      waiting,
       spent: quota.spent(),
       configurationVersion: beliefs.configuration?.version ?? -1,
       serversVersion: beliefs.serversVersion,
@@ -183,7 +186,9 @@
     quota.hear({ ...summary, from: summary.entryHost, now });
     exchange.hear(summary);
     const counts = peerTable.countInFlight(now);
-    pools.forEachDesk((desk, pool) => desk.setOthers(counts, peerTable.countByTier(pool, now)));
+    pools.forEachDesk((desk, pool) =>
+      desk.setOthers(counts, peerTable.countByTier(pool, now), peerTable.countWaiting(pool, now)),
+    );
   }
 
   const transport = await openTransport();
--- a/packages/relay/src/decisions/createWaitingLine.ts
+++ b/packages/relay/src/decisions/createWaitingLine.ts
@@ -9,6 +9,8 @@
   tryFind(isServable: (tier: TierRank) => boolean): WaitingRequest | undefined;
   /** Removes and returns requests that would come too late if they were served now. */
   takeLate(now: Milliseconds): readonly WaitingRequest[];
+  /** Requests by rank. */
+  countByRank(): ReadonlyMap<number, number>;
   /** Sum of `getWork` over the requests that would be served before one of this rank that comes now. */
   sumAhead(rank: number, getWork: (tier: TierRank) => number): number;
 }
@@ -66,6 +68,15 @@
       late.forEach((request) => getLane(request).requests.delete(request));
       return late;
     },
+    countByRank() {
+      const counts = new Map<number, number>();
+      order.forEach(({ rank, requests }) => {
+        if (requests.size > 0) {
+          counts.set(rank, (counts.get(rank) ?? 0) + requests.size);
+        }
+      });
+      return counts;
+    },
     sumAhead: (rank, getWork) =>
       order
         .filter((lane) => lane.rank <= rank)
--- a/packages/relay/src/front/planRequest.ts
+++ b/packages/relay/src/front/planRequest.ts
@@ -12,8 +12,9 @@
 const RETURNING_RANK_STEP = 1.5;
 /** More than the ranks of any route: a customer's tier goes before the route's. */
 const CUSTOMER_RANK_STEP = 100;
-/** Part of its time for which a returning request may wait. */
-const RETURNING_WAIT_PART = 0.5;
+/** Part of its time for which a returning request may wait, and objectives that its caller waits at least. */
+const RETURNING_WAIT_PART = 0.3;
+const RETURNING_WAIT_OBJECTIVES = 4;
 
 export interface PlanRequestOptions {
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
@@ -60,6 +61,10 @@
   const tokenCost = tokens === undefined ? (quota?.plainCost ?? 1) : tokens[0] + tokens[1];
   const time = Math.min(deadline, route.timeout);
   const isReturning = deadline < route.timeout * RETURNING_PART;
+  const returningWait = Math.min(
+    time * RETURNING_WAIT_PART,
+    route.objective * RETURNING_WAIT_OBJECTIVES,
+  );
   const customerRank = (customer?.tier ?? route.tier) * CUSTOMER_RANK_STEP;
   return {
     requestId: getHeader(options, names.requestId) ?? options.random.identifier(),
@@ -68,7 +73,7 @@
     urgency: {
       rank: customerRank + route.tier + (isReturning ? RETURNING_RANK_STEP : 0),
       tier: route.tier,
-      serveBy: arrivedAt + (isReturning ? time * RETURNING_WAIT_PART : route.objective),
+      serveBy: arrivedAt + (isReturning ? returningWait : route.objective),
       deadlineAt: arrivedAt + time,
     },
     cost: quota?.countsTokens === true ? tokenCost : 1,
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -22,10 +22,25 @@
   countInFlight(now: Milliseconds): ReadonlyMap<BackendServerId, number>;
   /** The same by pool and route tier. */
   countByTier(pool: PoolId, now: Milliseconds): ReadonlyMap<TierRank, number>;
+  /** Requests that wait at the other hosts, by rank. */
+  countWaiting(pool: PoolId, now: Milliseconds): ReadonlyMap<number, number>;
   /** Hosts heard lately. */
   listHeard(now: Milliseconds): readonly HostSummary[];
 }
 
+/** Adds counts up by their numeric keys, which became text on the way. */
+function sumCounts(
+  parts: readonly (Readonly<Record<string, number>> | undefined)[],
+): ReadonlyMap<number, number> {
+  const sums = new Map<number, number>();
+  parts.forEach((part) =>
+    Object.entries(part ?? {}).forEach(([key, count]) => {
+      sums.set(Number(key), (sums.get(Number(key)) ?? 0) + count);
+    }),
+  );
+  return sums;
+}
+
 /** The last summary of each other host. */
 export default function createPeerTable(): PeerTable {
   const heard = new Map<EntryHostId, HeardSummary>();
@@ -49,15 +64,8 @@
       });
       return counts;
     },
-    countByTier(pool, now) {
-      const counts = new Map<TierRank, number>();
-      listHeard(now).forEach(({ tiers }) => {
-        Object.entries(tiers[pool] ?? {}).forEach(([tier, count]) => {
-          counts.set(Number(tier), (counts.get(Number(tier)) ?? 0) + count);
-        });
-      });
-      return counts;
-    },
+    countByTier: (pool, now) => sumCounts(listHeard(now).map(({ tiers }) => tiers[pool])),
+    countWaiting: (pool, now) => sumCounts(listHeard(now).map(({ waiting }) => waiting[pool])),
     listHeard,
   };
 }
--- a/packages/relay/src/pools/createPoolDesk.ts
+++ b/packages/relay/src/pools/createPoolDesk.ts
@@ -12,6 +12,7 @@
 import createPlaceShares from '../decisions/createPlaceShares';
 import type { PlaceClaim, PlaceCounts } from '../decisions/createPlaceShares';
 import createRepeatBudget from '../decisions/createRepeatBudget';
+import mustYield from '../decisions/mustYield';
 import getOccupancy from '../decisions/getOccupancy';
 import createWaitingLine from '../decisions/createWaitingLine';
 import type { PoolSettings, RelayBounds, ServerAccount, WaitingRequest } from '../types';
@@ -63,6 +64,7 @@
   const shares = createPlaceShares();
   const ownByTier = new Map<TierRank, number>();
   let othersByTier: ReadonlyMap<TierRank, number> = new Map();
+  let othersWaiting: ReadonlyMap<number, number> = new Map();
   let hosts = 1;
   let isLooking = false;
 
@@ -136,10 +138,15 @@
       claims.set(tier, claim);
       return claim;
     };
-    return (
-      line.tryFind((tier) => judge(tier) === 'belowFloor') ??
-      line.tryFind((tier) => judge(tier) !== 'kept')
-    );
+    const belowFloor = line.tryFind((tier) => judge(tier) === 'belowFloor');
+    if (belowFloor !== undefined) {
+      return belowFloor;
+    }
+    const next = line.tryFind((tier) => judge(tier) !== 'kept');
+    const freePlaces = counts.places - counts.taken;
+    const isYielding =
+      next !== undefined && mustYield({ rank: next.urgency.rank, freePlaces, othersWaiting });
+    return isYielding ? undefined : next;
   }
 
   function serveNext(): boolean {
@@ -194,6 +201,7 @@
       return { waiting: line.size, places, taken, takenByTier: getTakenBy(tier), expectedWait };
     },
     getOwnByTier: () => ownByTier,
+    getWaitingByRank: line.countByRank,
     get accounts() {
       return accounts.byId;
     },
@@ -210,6 +218,7 @@
       }
       line.add(request);
       pump();
+      options.onChange();
       return { kind: 'waiting' };
     },
     withdraw: (request) => line.remove(request),
@@ -232,8 +241,9 @@
       const part = Math.max((deadlineAt - clock.now()) * RETRY_PART, SHORTEST_RETRY);
       return part * (1 + random.next());
     },
-    setOthers(inFlight, byTier) {
+    setOthers(inFlight, byTier, waiting) {
       othersByTier = byTier;
+      othersWaiting = waiting;
       accounts.byId.forEach((account, id) => {
         account.others = inFlight.get(id) ?? 0;
       });
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -37,13 +37,16 @@
   noteRequest(): void;
   /** When a request refused now may come back. */
   getRetryAfter(urgency: Urgency): Milliseconds;
-  /** Takes in the other hosts' requests in flight, by server and by route tier. */
+  /** Takes in the other hosts' requests in flight, by server and by route tier, and those that wait, by rank. */
   setOthers(
     inFlight: ReadonlyMap<BackendServerId, number>,
     byTier: ReadonlyMap<TierRank, number>,
+    waiting: ReadonlyMap<number, number>,
   ): void;
   /** This host's requests in flight, by route tier. */
   getOwnByTier(): ReadonlyMap<TierRank, number>;
+  /** This host's requests that wait, by rank. */
+  getWaitingByRank(): ReadonlyMap<number, number>;
   setHosts(hosts: readonly EntryHostId[]): void;
   /** Serves whoever can be served. */
   pump(): void;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -249,6 +249,8 @@
   readonly inFlight: Readonly<Record<BackendServerId, number>>;
   /** Requests in flight by pool and route tier. */
   readonly tiers: Readonly<Record<PoolId, Readonly<Record<string, number>>>>;
+  /** Requests that wait, by pool and rank. */
+  readonly waiting: Readonly<Record<PoolId, Readonly<Record<string, number>>>>;
   /** Cost spent since the process started, by customer. */
   readonly spent: Readonly<Record<CustomerId, number>>;
   readonly configurationVersion: number;
