--- a/packages/command-line/src/commands/servePlatform.ts
+++ b/packages/command-line/src/commands/servePlatform.ts
@@ -1,3 +1,4 @@
+import { watchFile } from 'node:fs';
 import { servePlatform as start } from '@rattanreel/platform-adapter';
 import exitCodes from '../exitCodes';
 import type { Command } from '../types';
@@ -5,6 +6,9 @@
 /** Environment variable in which the platform names the settings file. */
 const SETTINGS_VARIABLE = 'RATTANREEL_NODE_FILE';
 
+/** Time between two looks at the settings file; a look costs one system call. */
+const SETTINGS_LOOK_INTERVAL_MS = 1_000;
+
 /** `serve-platform`: runs an entry host on the users' platform until SIGTERM. */
 const servePlatform: Command = {
   name: 'serve-platform',
@@ -23,8 +27,16 @@
       );
       return exitCodes.invalidInput;
     }
-    // A process that does not handle SIGHUP dies of it.
-    process.on('SIGHUP', () => undefined);
+    const { logger, reload } = started.value;
+    const reloadLogged = (): void => {
+      reload().catch((error: unknown) => logger.error({ error: String(error) }, 'reload failed'));
+    };
+    process.on('SIGHUP', reloadLogged);
+    // The settings may also change without a signal.
+    watchFile(fileName, { interval: SETTINGS_LOOK_INTERVAL_MS, persistent: false }, reloadLogged);
+    process.on('unhandledRejection', (error) => {
+      logger.error({ error: String(error) }, 'unhandled rejection');
+    });
     await new Promise<void>((resolve) => {
       process.once('SIGTERM', () => resolve());
       process.once('SIGINT', () => resolve());
--- a/packages/platform/src/createHttpCaller.ts
+++ b/packages/platform/src/createHttpCaller.ts
@@ -1,6 +1,6 @@
 import { Pool } from 'undici';
 import type { Clock, Milliseconds } from '@rattanreel/core';
-import type { HttpCall, HttpReply } from './types';
+import type { HttpCall, HttpCaller, HttpReply } from './types';
 
 /** Failures of the connection attempt, before any byte of a request was written. */
 const NOT_SENT_CODES: ReadonlySet<string> = new Set([
@@ -14,17 +14,11 @@
 const CONNECT_TIMEOUT: Milliseconds = 800;
 const IDLE_TIMEOUT: Milliseconds = 20_000;
 
-export interface HttpCallerOptions {
+interface HttpCallerOptions {
   readonly url: string;
   readonly clock: Clock;
 }
 
-export interface HttpCaller {
-  /** Resolves within `timeout`, by the caller's clock. */
-  send(call: HttpCall, timeout: Milliseconds): Promise<HttpReply>;
-  close(): Promise<void>;
-}
-
 function getErrorCode(error: unknown): string {
   return error instanceof Error && 'code' in error ? String(error.code) : '';
 }
--- a/packages/platform/src/createHttpTransport.ts
+++ b/packages/platform/src/createHttpTransport.ts
@@ -2,7 +2,7 @@
 import createHttpCaller from './createHttpCaller';
 import openHttpWatch from './openHttpWatch';
 import parseReply from './parseReply';
-import type { HttpCall, StoreCall, StoreReply, StoreTransport, Watch } from './types';
+import type { HttpCall, StoreCall, StoreTransport, Watch } from './types';
 
 const RETRY_AFTER: Milliseconds = 200;
 
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -252,3 +252,9 @@
   | { readonly kind: 'notSent' }
   /** No answer came; the call may have taken effect, or may still do so. */
   | { readonly kind: 'lost' };
+
+export interface HttpCaller {
+  /** Resolves within `timeout`, by the caller's clock. */
+  send(call: HttpCall, timeout: Milliseconds): Promise<HttpReply>;
+  close(): Promise<void>;
+}
--- a/packages/relay/src/createBeliefKeeper.ts
+++ b/packages/relay/src/createBeliefKeeper.ts
@@ -6,7 +6,7 @@
 /** Time between two looks at entries that are kept for their return. */
 const HOLD_LOOK_INTERVAL = 250;
 
-export interface BeliefKeeperOptions {
+interface BeliefKeeperOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly ownName: EntryHostId;
@@ -19,7 +19,7 @@
   readonly onPeers: (peers: readonly PeerAddress[]) => void;
 }
 
-export interface BeliefKeeper {
+interface BeliefKeeper {
   /** Takes in what the platform told. */
   apply(change: BeliefChange): void;
   /** Takes in what another host knows, where it is newer. */
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -3,11 +3,10 @@
 import getColdInterval from './decisions/getColdInterval';
 import createPoolDesk from './pools/createPoolDesk';
 import createServerAccounts from './pools/createServerAccounts';
-import type { ServerAccounts } from './pools/createServerAccounts';
-import type { PoolDesk } from './pools/types';
-import type { ListedServer, PoolSettings, RelayBounds } from './types';
+import type { PoolDesk, ServerAccounts } from './pools/types';
+import type { PoolSettings, Pools, RelayBounds } from './types';
 
-export interface PoolsOptions {
+interface PoolsOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly ownName: EntryHostId;
@@ -18,16 +17,6 @@
   readonly onChange: () => void;
 }
 
-export interface Pools {
-  getDesk(pool: PoolId): PoolDesk;
-  setSettings(settings: readonly PoolSettings[]): void;
-  setServers(servers: readonly ListedServer[]): void;
-  setHosts(hosts: readonly EntryHostId[]): void;
-  /** Takes servers of these failure domains for cold: they may have been idle. */
-  coolDown(failureDomains: readonly FailureDomainId[]): void;
-  forEachDesk(action: (desk: PoolDesk, pool: PoolId) => void): void;
-}
-
 interface OpenPool {
   readonly desk: PoolDesk;
   readonly accounts: ServerAccounts;
--- a/packages/relay/src/createReadinessFront.ts
+++ b/packages/relay/src/createReadinessFront.ts
@@ -2,7 +2,7 @@
 import type { ServerType } from '@hono/node-server';
 import { Hono } from 'hono';
 
-export interface ReadinessFrontOptions {
+interface ReadinessFrontOptions {
   /** HOST:PORT. */
   readonly address: string;
   readonly readyPath: string;
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -2,17 +2,17 @@
 import type { EntryHostId, FailureDomainId, Incarnation, Milliseconds } from '@rattanreel/core';
 import { createPeerTransport } from '@rattanreel/transport';
 import createBeliefKeeper from './createBeliefKeeper';
+import createHostSummary from './createHostSummary';
 import createPools from './createPools';
 import createReadinessFront from './createReadinessFront';
 import createRequestDesk from './createRequestDesk';
 import createRouteTable from './decisions/createRouteTable';
-import type { RouteTable } from './decisions/createRouteTable';
 import createSharedQuota from './decisions/createSharedQuota';
 import createRelayFront from './front/createRelayFront';
+import drainFront from './front/drainFront';
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
 import createPeerExchange from './peers/createPeerExchange';
-import type { RelayTransport } from './peers/createPeerExchange';
 import createPeerTable from './peers/createPeerTable';
 import createServerConnections from './servers/createServerConnections';
 import type {
@@ -27,7 +27,10 @@
   RelayConfiguration,
   RelayContext,
   RelayCustomer,
+  RelayHost,
 } from './types';
+import type { RouteTable } from './decisions/types';
+import type { RelayTransport } from './peers/types';
 
 /** Limits until a configuration is known. */
 const FIRST_LIMITS: CallerLimits = {
@@ -36,13 +39,10 @@
   headerTimeout: 3_000,
   idleTimeout: 15_000,
 };
-/** Time after the stop signal for which connections are accepted: the balancer needs two missed answers. */
-const ACCEPT_AFTER_STOP: Milliseconds = 2_600;
-/** Left of the grace at the end for the process to close. */
-const STOP_MARGIN: Milliseconds = 700;
-const STOP_LOOK_INTERVAL: Milliseconds = 50;
+/** Time between two tries to be listed; spread, since all hosts may start together. */
+const REGISTER_PAUSE: Milliseconds = 1_000;
 
-export interface RelayHostOptions {
+interface RelayHostOptions {
   readonly context: RelayContext;
   readonly bounds: RelayBounds;
   readonly names: HeaderNames;
@@ -59,11 +59,6 @@
   readonly seedAddresses: readonly string[];
 }
 
-export interface RelayHost {
-  /** Answers what is in hand and ends; resolves when nothing is left or the grace is over. */
-  stop(): Promise<void>;
-}
-
 function indexCustomers(
   configuration: RelayConfiguration,
 ): ReadonlyMap<string, RelayCustomer> | undefined {
@@ -83,8 +78,9 @@
 
 /** Runs the relay on one entry host: binds beliefs, pools, peers and callers together. */
 export default async function createRelayHost(options: RelayHostOptions): Promise<RelayHost> {
-  const { context, bounds, source, entryHost, incarnation, failureDomain, peerAddress } = options;
+  const { context, source, entryHost, incarnation, failureDomain, peerAddress } = options;
   const { clock, logger, random } = context;
+  const bounds = { ...options.bounds };
   const startedAt = clock.now();
   const quota = createSharedQuota({ now: startedAt });
   const metrics = createRelayMetrics();
@@ -150,36 +146,6 @@
     onTooLarge: requestDesk.refuseTooLarge,
   });
 
-  function getSummary(): HostSummary {
-    const inFlight: Record<string, number> = {};
-    const tiers: Record<string, Record<string, number>> = {};
-    const waiting: Record<string, Record<string, number>> = {};
-    pools.forEachDesk((desk, pool) => {
-      tiers[pool] = Object.fromEntries(desk.getOwnByTier());
-      waiting[pool] = Object.fromEntries(desk.getWaitingByRank());
-      desk.accounts.forEach(({ own }, id) => {
-        if (own > 0) {
-          inFlight[id] = own;
-        }
-      });
-    });
-    const beliefs = keeper.get();
-    return {
-      kind: 'summary',
-      entryHost,
-      incarnation,
-      failureDomain,
-      address: peerAddress,
-      inFlight,
-      tiers,
-      waiting,
-      spent: quota.spent(),
-      configurationVersion: beliefs.configuration?.version ?? -1,
-      serversVersion: beliefs.serversVersion,
-      evacuatedVersion: beliefs.evacuatedVersion,
-    };
-  }
-
   function hearSummary(summary: HostSummary): void {
     const now = clock.now();
     peerTable.hear(summary, now);
@@ -196,7 +162,16 @@
     clock,
     logger,
     transport,
-    getSummary,
+    getSummary: () =>
+      createHostSummary({
+        entryHost,
+        incarnation,
+        failureDomain,
+        address: peerAddress,
+        pools,
+        spent: quota.spent(),
+        beliefs: keeper.get(),
+      }),
     getBeliefs: keeper.get,
     onBeliefs: keeper.merge,
   });
@@ -229,35 +204,30 @@
   await front.listen(options.callerAddress);
   isReady = true;
   source.follow(keeper.apply);
-  void source.register({ entryHost, address: peerAddress, failureDomain });
+  register();
   const seeds = options.seedAddresses.filter((address) => address !== peerAddress);
   void exchange.askAny(seeds);
   logger.info({ entryHost, incarnation, startedIn: clock.now() - startedAt }, 'host started');
 
-  async function waitFor(condition: () => boolean, until: Milliseconds): Promise<void> {
-    while (!condition() && clock.now() < until) {
-      await new Promise<void>((resolve) => {
-        clock.after(STOP_LOOK_INTERVAL, resolve);
-      });
-    }
-  }
-
-  /** Closes connections that a last answer, whose head went out before the stop, has left open. */
-  function hasEnded(): boolean {
-    front.stopAccepting();
-    return front.countActive() === 0;
+  /** Goes on until the other hosts can find this one; a store that is out of reach delays it only. */
+  function register(): void {
+    source.register({ entryHost, address: peerAddress, failureDomain }).then(
+      (isRegistered) => {
+        if (!isRegistered && !isStopping) {
+          clock.after(REGISTER_PAUSE * (1 + random.next()), register);
+        }
+      },
+      (error: unknown) => logger.error({ error: String(error) }, 'host not registered'),
+    );
   }
 
   return {
+    applyBounds(next) {
+      Object.assign(bounds, next);
+    },
     async stop() {
-      const stoppedAt = clock.now();
       isStopping = true;
-      logger.info({ active: front.countActive() }, 'host stopping');
-      front.startDraining();
-      await waitFor(() => false, stoppedAt + ACCEPT_AFTER_STOP);
-      front.stopAccepting();
-      await waitFor(hasEnded, stoppedAt + bounds.stopGrace - STOP_MARGIN);
-      logger.info({ active: front.countActive() }, 'host stopped');
+      await drainFront({ clock, logger, front, grace: bounds.stopGrace });
       exchange.stop();
       keeper.stop();
       front.close();
--- a/packages/relay/src/createRequestDesk.ts
+++ b/packages/relay/src/createRequestDesk.ts
@@ -1,21 +1,25 @@
 import type { IncomingMessage } from 'node:http';
 import type { PoolId, Random } from '@rattanreel/core';
-import type { RouteTable } from './decisions/createRouteTable';
-import type { SharedQuota } from './decisions/createSharedQuota';
-import type { Pools } from './createPools';
 import planRequest from './front/planRequest';
 import relayRequest from './front/relayRequest';
 import sendRejection from './front/sendRejection';
-import type { RequestObserver } from './front/observerTypes';
-import type { CallerExchange, RequestPlan } from './front/types';
+import type { CallerExchange, RequestObserver, RequestPlan } from './front/types';
 import type { PoolState } from './pools/types';
-import type { ServerConnections } from './servers/createServerConnections';
-import type { HeaderNames, RefusalReason, RelayContext, RelayCustomer, RouteTarget } from './types';
+import type {
+  HeaderNames,
+  Pools,
+  RefusalReason,
+  RelayContext,
+  RelayCustomer,
+  RouteTarget,
+} from './types';
+import type { RouteTable, SharedQuota } from './decisions/types';
+import type { ServerConnections } from './servers/types';
 
 /** A caller keeps to a time to come back of at most this part of what it has left. */
 const RETRY_PART = 1 / 3;
 
-export interface RequestDeskOptions {
+interface RequestDeskOptions {
   readonly context: RelayContext;
   readonly names: HeaderNames;
   readonly pools: Pools;
@@ -26,7 +30,7 @@
   readonly getCustomersByKey: () => ReadonlyMap<string, RelayCustomer> | undefined;
 }
 
-export interface RequestDesk {
+interface RequestDesk {
   take(exchange: CallerExchange, incoming: IncomingMessage): void;
   refuseTooLarge(exchange: CallerExchange): void;
 }
--- /dev/null
+++ b/packages/relay/src/decisions/chooseServer.test.ts
@@ -0,0 +1,76 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createRandom } from '@rattanreel/core';
+import createAccount from '../testing/createAccount';
+import type { ServerAccount } from '../types';
+import chooseServer from './chooseServer';
+
+interface Case {
+  readonly name: string;
+  readonly accounts: readonly ServerAccount[];
+  readonly evacuated?: readonly string[];
+  readonly avoid?: readonly string[];
+  readonly chosen: string | undefined;
+}
+
+const idle = createAccount({ id: 'idle' });
+const full = { ...createAccount({ id: 'full' }), own: 1, others: 3 };
+const slow = { ...createAccount({ id: 'slow' }), slowness: 2 };
+const remote = createAccount({ id: 'remote', failureDomain: 'far' });
+const failing = { ...createAccount({ id: 'failing' }), failureShare: 0.5 };
+const cases: readonly Case[] = [
+  { name: 'none without servers', accounts: [], chosen: undefined },
+  { name: 'none when all are full', accounts: [full], chosen: undefined },
+  { name: 'the one with room', accounts: [full, idle], chosen: 'idle' },
+  { name: 'the faster one', accounts: [slow, idle], chosen: 'idle' },
+  { name: 'the near one', accounts: [remote, idle], chosen: 'idle' },
+  { name: 'the one that answers', accounts: [failing, idle], chosen: 'idle' },
+  {
+    name: 'a remote one before a slow near one',
+    accounts: [slow, remote],
+    chosen: 'remote',
+  },
+  {
+    name: 'none that is draining',
+    accounts: [createAccount({ isDraining: true })],
+    chosen: undefined,
+  },
+  {
+    name: 'none of an evacuated failure domain',
+    accounts: [idle, remote],
+    evacuated: ['near'],
+    chosen: 'remote',
+  },
+  { name: 'none that was tried', accounts: [idle, slow], avoid: ['idle'], chosen: 'slow' },
+  {
+    name: 'none that is avoided for a while',
+    accounts: [{ ...idle, avoidedUntil: 101 }],
+    chosen: undefined,
+  },
+  {
+    name: 'a cold one only when its next request is due',
+    accounts: [{ ...idle, coldUntil: 200, nextColdAt: 101 }],
+    chosen: undefined,
+  },
+  {
+    name: 'a cold one whose next request is due',
+    accounts: [{ ...idle, coldUntil: 200, nextColdAt: 100 }],
+    chosen: 'idle',
+  },
+];
+
+describe('chooseServer', () => {
+  cases.forEach(({ name, accounts, evacuated = [], avoid = [], chosen }) => {
+    it(`chooses ${name}`, () => {
+      const server = chooseServer({
+        accounts,
+        now: 100,
+        random: createRandom(7),
+        ownDomain: 'near',
+        evacuated: new Set(evacuated),
+        avoid: new Set(avoid),
+      });
+      expect(server?.listed.id).toEqual(chosen);
+    });
+  });
+});
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -9,7 +9,7 @@
 /** Spread of the random part, so that hosts with the same view do not all choose the same server. */
 const RANDOM_SPREAD = 0.15;
 
-export interface ChooseServerOptions {
+interface ChooseServerOptions {
   readonly accounts: readonly ServerAccount[];
   readonly now: Milliseconds;
   readonly random: Random;
--- a/packages/relay/src/decisions/createMovingMean.ts
+++ b/packages/relay/src/decisions/createMovingMean.ts
@@ -1,9 +1,6 @@
-export interface MovingMean {
-  add(value: number): void;
-  get(): number;
-}
+import type { MovingMean } from './types';
 
-export interface MovingMeanOptions {
+interface MovingMeanOptions {
   readonly initial: number;
   /** Weight of each new value, in (0, 1]. */
   readonly weight: number;
--- a/packages/relay/src/decisions/createPlaceShares.ts
+++ b/packages/relay/src/decisions/createPlaceShares.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds, TierRank } from '@rattanreel/core';
 import createMovingMean from './createMovingMean';
-import type { MovingMean } from './createMovingMean';
+import type { MovingMean, PlaceClaim, PlaceCounts } from './types';
 
 /** Part of a pool's places that each tier may always use, so that overload starves none. */
 const FLOOR_PART = 0.15;
@@ -10,22 +10,7 @@
 const DURATION_GUESS: Milliseconds = 400;
 const DURATION_WEIGHT = 0.05;
 
-export interface PlaceCounts {
-  /** Places of usable servers over all hosts, and those taken. */
-  readonly places: number;
-  readonly taken: number;
-  /** Places taken by requests of a tier, over all hosts. */
-  readonly getTakenBy: (tier: TierRank) => number;
-}
-
-export type PlaceClaim =
-  /** The tier has less than its floor: it goes before others. */
-  | 'belowFloor'
-  | 'free'
-  /** The places left are kept for more urgent tiers. */
-  | 'kept';
-
-export interface PlaceShares {
+interface PlaceShares {
   noteDuration(tier: TierRank, duration: Milliseconds): void;
   getDuration(tier: TierRank): Milliseconds;
   /** Whether a request of this tier may take a place. */
--- a/packages/relay/src/decisions/createRepeatBudget.ts
+++ b/packages/relay/src/decisions/createRepeatBudget.ts
@@ -1,18 +1,17 @@
 import type { Milliseconds } from '@rattanreel/core';
+import type { RelayBounds } from '../types';
 
 /** Parts of a window by which arrivals are counted. */
 const PARTS = 10;
 /** Part of the bound that hosts use: arrivals of one window may have been sent in the one before. */
 const USED_PART = 0.7;
 
-export interface RepeatBudgetOptions {
-  readonly ratio: number;
-  readonly window: Milliseconds;
-  /** Repeats beyond the ratio in each window, over all hosts. */
-  readonly slack: number;
+interface RepeatBudgetOptions {
+  /** Read at each use, since a reload of the settings may change them. */
+  readonly bounds: Pick<RelayBounds, 'repeatRatio' | 'repeatWindow' | 'repeatSlack'>;
 }
 
-export interface RepeatBudget {
+interface RepeatBudget {
   setHosts(count: number): void;
   noteRequest(now: Milliseconds): void;
   /** Whether a request may be sent to one more backend server; counts it when so. */
@@ -30,12 +29,12 @@
  * It asks no other host, so the sum holds in every partition.
  */
 export default function createRepeatBudget(options: RepeatBudgetOptions): RepeatBudget {
-  const partLength = options.window / PARTS;
+  const { bounds } = options;
   let parts: Part[] = [];
   let hosts = 1;
 
   function getPart(now: Milliseconds): Part {
-    const index = Math.floor(now / partLength);
+    const index = Math.floor(now / (bounds.repeatWindow / PARTS));
     parts = parts.filter((part) => part.index > index - PARTS);
     let part = parts.at(-1);
     if (part === undefined || part.index !== index) {
@@ -56,7 +55,7 @@
       const part = getPart(now);
       const requests = parts.reduce((sum, each) => sum + each.requests, 0);
       const repeats = parts.reduce((sum, each) => sum + each.repeats, 0);
-      const allowed = USED_PART * (options.ratio * requests + options.slack / hosts);
+      const allowed = USED_PART * (bounds.repeatRatio * requests + bounds.repeatSlack / hosts);
       if (repeats + 1 > allowed) {
         return false;
       }
--- a/packages/relay/src/decisions/createRouteTable.ts
+++ b/packages/relay/src/decisions/createRouteTable.ts
@@ -1,9 +1,5 @@
 import type { Route } from '../types';
-
-export interface RouteTable {
-  /** The route of the host with the longest prefix that begins the path. */
-  tryMatch(hostName: string, path: string): Route | undefined;
-}
+import type { RouteTable } from './types';
 
 /** Finds routes by host name and path prefix; a lookup takes one step for each slash of the path. */
 export default function createRouteTable(routes: readonly Route[]): RouteTable {
--- /dev/null
+++ b/packages/relay/src/decisions/createServerList.test.ts
@@ -0,0 +1,46 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import createAccount from '../testing/createAccount';
+import createServerList from './createServerList';
+
+const one = createAccount({ id: 'one' }).listed;
+const two = createAccount({ id: 'two' }).listed;
+
+function ids(list: ReturnType<typeof createServerList>, now: number): readonly string[] {
+  return [...list.get(now).keys()].sort();
+}
+
+describe('createServerList', () => {
+  it('drops a server at once when the store is well', () => {
+    const list = createServerList();
+    list.replace([one, two], 1, 0);
+    list.replace([one], 2, 10);
+    expect(ids(list, 10)).toEqual(['one']);
+  });
+
+  it('ignores a list older than the one it has', () => {
+    const list = createServerList();
+    list.replace([one, two], 5, 0);
+    expect(list.replace([one], 4, 10)).toEqual(false);
+    expect(ids(list, 10)).toEqual(['one', 'two']);
+  });
+
+  it('keeps an entry that lapsed in an outage until it has had time to return', () => {
+    const list = createServerList();
+    list.replace([one, two], 1, 0);
+    list.noteStoreLost();
+    list.noteStoreRegained(5_000);
+    list.replace([one], 2, 5_010);
+    expect(ids(list, 6_900)).toEqual(['one', 'two']);
+    expect(ids(list, 7_100)).toEqual(['one']);
+  });
+
+  it('does not keep a draining server through an outage', () => {
+    const list = createServerList();
+    list.replace([one, { ...two, isDraining: true }], 1, 0);
+    list.noteStoreLost();
+    list.noteStoreRegained(5_000);
+    list.replace([one], 2, 5_010);
+    expect(ids(list, 5_020)).toEqual(['one']);
+  });
+});
--- a/packages/relay/src/decisions/createServerList.ts
+++ b/packages/relay/src/decisions/createServerList.ts
@@ -4,7 +4,7 @@
 /** Entries that lapsed in an outage of the store come back within this time of its return. */
 const RETURN_TIME: Milliseconds = 2_000;
 
-export interface ServerList {
+interface ServerList {
   /** Takes over what the store lists; false when the list is older than what is known. */
   replace(servers: readonly ListedServer[], version: number, now: Milliseconds): boolean;
   noteStoreLost(): void;
--- a/packages/relay/src/decisions/createSharedQuota.ts
+++ b/packages/relay/src/decisions/createSharedQuota.ts
@@ -1,5 +1,6 @@
 import type { CustomerId, EntryHostId, Milliseconds } from '@rattanreel/core';
 import type { Quota } from '../types';
+import type { SharedQuota } from './types';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Part of the burst that hosts use; the rest covers what two hosts spend before each hears of the other. */
@@ -7,31 +8,10 @@
 /** A host not heard of for this long keeps its equal part of every quota; summaries come every 100 ms. */
 const SILENT_AFTER: Milliseconds = 400;
 
-export interface SharedQuotaOptions {
+interface SharedQuotaOptions {
   readonly now: Milliseconds;
 }
 
-export type QuotaAnswer =
-  { readonly kind: 'within' } | { readonly kind: 'over'; readonly retryAfter: Milliseconds };
-
-export interface SharedQuota {
-  setQuotas(quotas: ReadonlyMap<CustomerId, Quota>, now: Milliseconds): void;
-  /** Other hosts that exist, heard or not. */
-  setPeers(peers: readonly EntryHostId[]): void;
-  /** Takes in what another host has spent since its process started. */
-  hear(report: {
-    readonly from: EntryHostId;
-    readonly incarnation: string;
-    readonly spent: Readonly<Record<CustomerId, number>>;
-    readonly now: Milliseconds;
-  }): void;
-  trySpend(customer: CustomerId, cost: number, now: Milliseconds): QuotaAnswer;
-  /** Gives back the cost of a request that did not run. */
-  giveBack(customer: CustomerId, cost: number): void;
-  /** What this process has spent since its start, by customer. */
-  spent(): Readonly<Record<CustomerId, number>>;
-}
-
 interface Bucket {
   quota: Quota;
   level: number;
--- a/packages/relay/src/decisions/createWaitingLine.ts
+++ b/packages/relay/src/decisions/createWaitingLine.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds, TierRank } from '@rattanreel/core';
 import type { WaitingRequest } from '../types';
 
-export interface WaitingLine {
+interface WaitingLine {
   readonly size: number;
   add(request: WaitingRequest): void;
   remove(request: WaitingRequest): void;
@@ -15,7 +15,7 @@
   sumAhead(rank: number, getWork: (tier: TierRank) => number): number;
 }
 
-export interface WaitingLineOptions {
+interface WaitingLineOptions {
   /** Expected time from dispatch to a first answer. */
   readonly getExpectedTime: () => Milliseconds;
 }
--- a/packages/relay/src/decisions/getColdInterval.ts
+++ b/packages/relay/src/decisions/getColdInterval.ts
@@ -4,7 +4,7 @@
 /** Hosts that send to one cold server; more would leave each less than a request in some seconds. */
 const SENDING_HOSTS = 6;
 
-export interface ColdIntervalOptions {
+interface ColdIntervalOptions {
   readonly server: BackendServerId;
   readonly host: EntryHostId;
   readonly hosts: readonly EntryHostId[];
--- a/packages/relay/src/decisions/mustYield.ts
+++ b/packages/relay/src/decisions/mustYield.ts
@@ -1,4 +1,4 @@
-export interface MustYieldOptions {
+interface MustYieldOptions {
   /** Rank of this host's most urgent request. */
   readonly rank: number;
   readonly freePlaces: number;
--- a/packages/relay/src/front/createAttemptHeaders.ts
+++ b/packages/relay/src/front/createAttemptHeaders.ts
@@ -3,7 +3,7 @@
 import selectHeaders from './selectHeaders';
 import type { CallerExchange, RequestPlan } from './types';
 
-export interface AttemptHeadersOptions {
+interface AttemptHeadersOptions {
   readonly exchange: CallerExchange;
   readonly plan: RequestPlan;
   readonly names: HeaderNames;
--- a/packages/relay/src/front/createAttemptMeter.ts
+++ b/packages/relay/src/front/createAttemptMeter.ts
@@ -2,7 +2,7 @@
 import type { AttemptFigures } from '../pools/types';
 import type { AttemptEnd } from '../types';
 
-export interface AttemptMeter {
+interface AttemptMeter {
   noteChunk(): void;
   read(end: AttemptEnd): AttemptFigures;
 }
--- a/packages/relay/src/front/createCallerExchange.ts
+++ b/packages/relay/src/front/createCallerExchange.ts
@@ -2,7 +2,7 @@
 import type { Milliseconds } from '@rattanreel/core';
 import type { CallerExchange } from './types';
 
-export interface CallerExchangeOptions {
+interface CallerExchangeOptions {
   readonly incoming: IncomingMessage;
   readonly outgoing: ServerResponse;
   readonly body: Buffer;
--- a/packages/relay/src/front/createEventAnswer.ts
+++ b/packages/relay/src/front/createEventAnswer.ts
@@ -1,6 +1,5 @@
 import type { AnswerHead } from '../servers/types';
-import type { CallerExchange } from './types';
-import type { AnswerRelay } from './relayTypes';
+import type { AnswerRelay, CallerExchange } from './types';
 import toRawHeaders from './toRawHeaders';
 
 /** Passes a stream on as it comes, from its first byte on. */
--- a/packages/relay/src/front/createRelayFront.ts
+++ b/packages/relay/src/front/createRelayFront.ts
@@ -9,7 +9,7 @@
 /** Largest header block that is read at all; a configuration may set less. */
 const MOST_HEADER_BYTES = 65_536;
 
-export interface RelayFrontOptions {
+interface RelayFrontOptions {
   readonly clock: Clock;
   readonly getLimits: () => CallerLimits;
   /** Takes a request whose body is in. */
@@ -17,7 +17,7 @@
   readonly onTooLarge: (exchange: CallerExchange) => void;
 }
 
-export interface RelayFront {
+interface RelayFront {
   listen(address: string): Promise<void>;
   /** Takes over changed limits for connections to come. */
   applyLimits(): void;
--- a/packages/relay/src/front/createRelayMetrics.ts
+++ b/packages/relay/src/front/createRelayMetrics.ts
@@ -1,19 +1,9 @@
 import { Counter, Histogram, Registry } from 'prom-client';
-import type { RequestPlan } from './types';
+import type { RelayMetrics } from './types';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 const DURATION_BUCKETS_SECONDS = [0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 15];
 
-export type EndOutcome =
-  'answered' | 'refused' | 'rejected' | 'failed' | 'brokenOff' | 'callerGone';
-
-export interface RelayMetrics {
-  ended(outcome: EndOutcome, reason: string): void;
-  dispatched(attempt: number): void;
-  answered(plan: RequestPlan, now: number): void;
-  scrape(): Promise<string>;
-}
-
 /** Counters and histograms of the relay. */
 export default function createRelayMetrics(): RelayMetrics {
   const registry = new Registry();
--- a/packages/relay/src/front/createRequestObserver.ts
+++ b/packages/relay/src/front/createRequestObserver.ts
@@ -1,13 +1,11 @@
 import type { Logger } from '@rattanreel/observability';
 import type { AttemptEnd, ServerAccount } from '../types';
-import type { RequestObserver } from './observerTypes';
-import type { RelayMetrics } from './createRelayMetrics';
-import type { RequestPlan } from './types';
+import type { RelayMetrics, RequestObserver, RequestPlan } from './types';
 
 /** Successes are logged one in this many; everything else is logged each time. */
 const SUCCESS_SAMPLE = 50;
 
-export interface RequestObserverOptions {
+interface RequestObserverOptions {
   readonly logger: Logger;
   readonly metrics: RelayMetrics;
   readonly now: () => number;
--- a/packages/relay/src/front/createWholeAnswer.ts
+++ b/packages/relay/src/front/createWholeAnswer.ts
@@ -1,6 +1,5 @@
 import type { AnswerHead } from '../servers/types';
-import type { CallerExchange } from './types';
-import type { AnswerRelay } from './relayTypes';
+import type { AnswerRelay, CallerExchange } from './types';
 import toRawHeaders from './toRawHeaders';
 
 /** Answers up to this size are passed on only once they are whole, so that a cut one can be repeated. */
--- a/packages/relay/src/front/decideAfterAttempt.ts
+++ b/packages/relay/src/front/decideAfterAttempt.ts
@@ -1,7 +1,7 @@
 import type { AttemptEnd } from '../types';
 
 /** What happens to a request after an attempt. */
-export type NextStep =
+type NextStep =
   /** The answer is whole and is passed on. */
   | 'complete'
   /** No byte was written, or the server said that it did not run: the request waits again. */
@@ -15,7 +15,7 @@
   /** The caller has gone. */
   | 'nothing';
 
-export interface AfterAttemptOptions {
+interface AfterAttemptOptions {
   readonly end: AttemptEnd;
   readonly isRepeatable: boolean;
   /** Whether the caller has been sent part of the answer. */
--- a/packages/relay/src/front/planRequest.ts
+++ b/packages/relay/src/front/planRequest.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds, Random } from '@rattanreel/core';
-import type { RouteTable } from '../decisions/createRouteTable';
 import type { HeaderNames, RelayCustomer } from '../types';
 import type { Planned, RequestPlan } from './types';
+import type { RouteTable } from '../decisions/types';
 
 /** When a host without configuration may be asked again. */
 const NO_CONFIGURATION_RETRY: Milliseconds = 500;
@@ -16,7 +16,7 @@
 const RETURNING_WAIT_PART = 0.3;
 const RETURNING_WAIT_OBJECTIVES = 4;
 
-export interface PlanRequestOptions {
+interface PlanRequestOptions {
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly target: string;
   readonly arrivedAt: Milliseconds;
--- a/packages/relay/src/front/readBody.ts
+++ b/packages/relay/src/front/readBody.ts
@@ -2,7 +2,7 @@
 
 const EMPTY = Buffer.alloc(0);
 
-export type ReadBody =
+type ReadBody =
   | { readonly kind: 'whole'; readonly body: Buffer }
   | { readonly kind: 'tooLarge' }
   /** The caller left before the end. */
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -1,26 +1,17 @@
 import { createRequestLifecycle } from '@rattanreel/dispatch';
 import { Debug } from '@rattanreel/core';
-import type { BackendServerId, Clock, Milliseconds, Timer } from '@rattanreel/core';
-import type { AttemptFigures, PoolDesk } from '../pools/types';
-import type { ServerConnections } from '../servers/createServerConnections';
+import type { BackendServerId, Milliseconds, Timer } from '@rattanreel/core';
+import type { AttemptFigures } from '../pools/types';
 import type { Attempt } from '../servers/types';
-import type {
-  AttemptEnd,
-  HeaderNames,
-  RefusalReason,
-  ServerAccount,
-  WaitingRequest,
-} from '../types';
-import createAttemptHeaders from './createAttemptHeaders';
-import createAttemptMeter from './createAttemptMeter';
+import type { RefusalReason, ServerAccount, WaitingRequest } from '../types';
+import endBroken from './endBroken';
+import endUnserved from './endUnserved';
 import createEventAnswer from './createEventAnswer';
 import createResumableAnswer from './createResumableAnswer';
 import createWholeAnswer from './createWholeAnswer';
 import decideAfterAttempt from './decideAfterAttempt';
-import tryReadLoad from './tryReadLoad';
-import type { AnswerRelay } from './relayTypes';
-import type { RequestObserver } from './observerTypes';
-import type { CallerExchange, RequestPlan } from './types';
+import startAttempt from './startAttempt';
+import type { AnswerRelay, CallerExchange, RelayRequestOptions, RequestPlan } from './types';
 
 /** Tries to connect, none of which wrote a byte, before a request is refused. */
 const MOST_UNSENT = 4;
@@ -28,20 +19,6 @@
 const SILENT_OBJECTIVES = 3;
 const SHORTEST_SILENCE: Milliseconds = 1_000;
 
-export interface RelayRequestOptions {
-  readonly clock: Clock;
-  readonly exchange: CallerExchange;
-  readonly plan: RequestPlan;
-  readonly desk: PoolDesk;
-  readonly connections: ServerConnections;
-  readonly names: HeaderNames;
-  readonly observer: RequestObserver;
-  /** Refuses the request with the truth that it has not run. */
-  readonly refuse: (reason: RefusalReason) => void;
-  /** Answers that the request failed and may have run. */
-  readonly failWith: (status: 502 | 504, code: string) => void;
-}
-
 function createAnswer(plan: RequestPlan, exchange: CallerExchange): AnswerRelay {
   if (plan.route.kind !== 'stream') {
     return createWholeAnswer(exchange);
@@ -51,7 +28,7 @@
 
 /** Takes an admitted request through waiting, attempts and its answer, which comes once. */
 export default function relayRequest(options: RelayRequestOptions): void {
-  const { clock, exchange, plan, desk, connections, names, observer } = options;
+  const { clock, exchange, plan, desk, observer } = options;
   const { route } = plan;
   const isRepeatable = route.kind === 'idempotent' || route.isResumable;
   const lifecycle = createRequestLifecycle();
@@ -91,27 +68,9 @@
 
   /** Ends a request that no backend server is running. */
   function giveUp(reason: RefusalReason): void {
-    if (isDone) {
-      return;
-    }
-    finish();
-    if (answer.isCommitted()) {
-      exchange.breakOff();
-    } else if (!mayHaveRun) {
-      options.refuse(reason);
-    } else {
-      options.failWith(reason === 'deadlinePassed' ? 504 : 502, reason);
-    }
-  }
-
-  function failSent(end: AttemptEnd): void {
-    finish();
-    const isTimeout = end.kind === 'aborted' && end.reason === 'timeout';
-    if (answer.isCommitted()) {
-      observer.brokenOff(plan, isTimeout ? 'timeout' : 'serverBroke');
-      exchange.breakOff();
-    } else {
-      options.failWith(isTimeout ? 504 : 502, isTimeout ? 'timeout' : 'serverBroke');
+    if (!isDone) {
+      finish();
+      endUnserved({ ...options, answer, mayHaveRun, reason });
     }
   }
 
@@ -140,61 +99,23 @@
   }
 
   function dispatch(server: ServerAccount): void {
-    const { listed } = server;
-    tried.add(listed.id);
+    tried.add(server.listed.id);
     sentAttempts += 1;
     markDispatched();
     observer.dispatched(plan, server, sentAttempts, desk.waiting);
-    const meter = createAttemptMeter(clock);
     watchSilence();
-    const headers = createAttemptHeaders({
-      exchange,
-      plan,
-      names,
-      server: listed.id,
-      now: clock.now(),
-      resumeAfter: answer.resumeAfter(),
-    });
-    let isAnswer = true;
-    attempt = connections.send(
-      listed,
-      {
-        requestId: plan.requestId,
-        method: exchange.method,
-        target: exchange.target,
-        headers,
-        body: exchange.body,
-        requestIdHeader: names.requestId,
-        notRunHeader: names.notRun,
-      },
-      {
-        onHead(head) {
-          const load = tryReadLoad(head.headers[names.load]);
-          if (load !== undefined) {
-            desk.noteLoad(server, load.running, load.waiting);
-          }
-          // A resumed stream goes on only with events; anything else is no part of it.
-          isAnswer = !answer.isCommitted() || head.status === 200;
-          if (isAnswer) {
-            answer.onHead(head);
-          }
-        },
-        onData(chunk) {
-          meter.noteChunk();
-          silenceTimer?.cancel();
-          return isAnswer ? answer.onData(chunk) : true;
-        },
-        onEnd(end) {
-          silenceTimer?.cancel();
-          const own: AttemptEnd =
-            end.kind === 'whole' && !isAnswer ? { kind: 'broken', reason: 'not resumed' } : end;
-          attempt = undefined;
-          const figures = meter.read(own);
-          desk.noteEnded(server, plan.urgency.tier, figures);
-          afterAttempt(server, figures);
-        },
+    attempt = startAttempt({
+      ...options,
+      server,
+      answer,
+      onData: () => silenceTimer?.cancel(),
+      onEnd(figures) {
+        silenceTimer?.cancel();
+        attempt = undefined;
+        desk.noteEnded(server, plan.urgency.tier, figures);
+        afterAttempt(server, figures);
       },
-    );
+    });
     if (isDone) {
       attempt?.abort('callerGone');
     }
@@ -238,7 +159,8 @@
         giveUp(end.kind === 'notRun' ? 'serverFull' : 'notConnected');
         return;
       case 'fail':
-        failSent(end);
+        finish();
+        endBroken({ ...options, answer, end });
         return;
       case 'nothing':
         finish();
--- a/packages/relay/src/front/sendRejection.ts
+++ b/packages/relay/src/front/sendRejection.ts
@@ -4,7 +4,7 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 const SECONDS_DIGITS = 3;
 
-export interface OwnAnswer {
+interface OwnAnswer {
   readonly status: number;
   readonly code: string;
   /** What is known of the request's run. */
--- a/packages/relay/src/front/tryReadLoad.ts
+++ b/packages/relay/src/front/tryReadLoad.ts
@@ -1,4 +1,4 @@
-export interface ServerLoad {
+interface ServerLoad {
   readonly running: number;
   readonly waiting: number;
 }
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -1,6 +1,16 @@
 /** One caller's request and its answer, as the relay sees them. */
-import type { Milliseconds } from '@rattanreel/core';
-import type { RelayCustomer, Route, Urgency } from '../types';
+import type { Clock, Milliseconds } from '@rattanreel/core';
+import type {
+  AttemptEnd,
+  HeaderNames,
+  RefusalReason,
+  RelayCustomer,
+  Route,
+  ServerAccount,
+  Urgency,
+} from '../types';
+import type { AttemptFigures, PoolDesk, PoolState } from '../pools/types';
+import type { AnswerHead, ServerConnections } from '../servers/types';
 
 /** A caller's request whose body is in, and the way to answer it. */
 export interface CallerExchange {
@@ -49,3 +59,52 @@
 export type Planned =
   | { readonly kind: 'ok'; readonly plan: RequestPlan }
   | { readonly kind: 'rejected'; readonly rejection: Rejection };
+
+export interface RequestObserver {
+  rejected(requestId: string, rejection: Rejection): void;
+  refused(plan: RequestPlan, reason: RefusalReason, retryAfter: number, pool?: PoolState): void;
+  dispatched(plan: RequestPlan, server: ServerAccount, attempt: number, waiting: number): void;
+  attemptEnded(plan: RequestPlan, server: ServerAccount, end: AttemptEnd): void;
+  completed(plan: RequestPlan, server: ServerAccount, figures: AttemptFigures): void;
+  failed(plan: RequestPlan, status: number, code: string): void;
+  brokenOff(plan: RequestPlan, reason: 'timeout' | 'serverBroke'): void;
+  callerGone(plan: RequestPlan): void;
+}
+
+/** Passes one answer on; the attempts that bring it may change. */
+export interface AnswerRelay {
+  /** Whether the caller has been sent any of it. */
+  isCommitted(): boolean;
+  /** Identifier of the last whole event passed on; undefined when nothing is to be resumed. */
+  resumeAfter(): string | undefined;
+  onHead(head: AnswerHead): void;
+  /** Returns false when the caller reads too slowly. */
+  onData(chunk: Buffer): boolean;
+  /** Ends the answer as complete. */
+  finish(): void;
+}
+
+export type EndOutcome =
+  'answered' | 'refused' | 'rejected' | 'failed' | 'brokenOff' | 'callerGone';
+
+export interface RelayMetrics {
+  ended(outcome: EndOutcome, reason: string): void;
+  dispatched(attempt: number): void;
+  answered(plan: RequestPlan, now: number): void;
+  scrape(): Promise<string>;
+}
+
+/** An admitted request and what it needs. */
+export interface RelayRequestOptions {
+  readonly clock: Clock;
+  readonly exchange: CallerExchange;
+  readonly plan: RequestPlan;
+  readonly desk: PoolDesk;
+  readonly connections: ServerConnections;
+  readonly names: HeaderNames;
+  readonly observer: RequestObserver;
+  /** Refuses the request with the truth that it has not run. */
+  readonly refuse: (reason: RefusalReason) => void;
+  /** Answers that the request failed and may have run. */
+  readonly failWith: (status: 502 | 504, code: string) => void;
+}
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,4 +1,3 @@
 /** The relay: routes of requests to pools of unlike backend servers, from any number of entry hosts. */
 export type * from './types';
-export type { RelayHost, RelayHostOptions } from './createRelayHost';
 export { default as createRelayHost } from './createRelayHost';
--- a/packages/relay/src/peers/createPeerExchange.ts
+++ b/packages/relay/src/peers/createPeerExchange.ts
@@ -1,7 +1,7 @@
 import type { Clock, EntryHostId, Milliseconds, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
-import type { PeerTransport } from '@rattanreel/transport';
-import type { Beliefs, HostSummary, PeerAddress, PeerQuestion } from '../types';
+import type { Beliefs, HostSummary, PeerAddress } from '../types';
+import type { RelayTransport } from './types';
 
 /** Longest time between two summaries. */
 const SUMMARY_INTERVAL: Milliseconds = 100;
@@ -13,9 +13,7 @@
 const QUESTION_PAUSE: Milliseconds = 200;
 const ANSWER_TIMEOUT: Milliseconds = 700;
 
-export type RelayTransport = PeerTransport<HostSummary, PeerQuestion, Beliefs>;
-
-export interface PeerExchangeOptions {
+interface PeerExchangeOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly transport: RelayTransport;
@@ -24,7 +22,7 @@
   readonly onBeliefs: (beliefs: Beliefs) => void;
 }
 
-export interface PeerExchange {
+interface PeerExchange {
   setPeers(peers: readonly PeerAddress[]): void;
   /** Tells the others soon that requests came or went. */
   noteChange(): void;
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -15,7 +15,7 @@
   readonly at: Milliseconds;
 }
 
-export interface PeerTable {
+interface PeerTable {
   /** False when a later life of the host has been heard already. */
   hear(summary: HostSummary, now: Milliseconds): void;
   /** Requests that the other hosts have in flight, by backend server. */
--- /dev/null
+++ b/packages/relay/src/pools/burstOfMixedTiers.test.ts
@@ -0,0 +1,135 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createRandom, createVirtualClock } from '@rattanreel/core';
+import type { VirtualClock } from '@rattanreel/core';
+import createAccount from '../testing/createAccount';
+import type { ServerAccount, WaitingRequest } from '../types';
+import createPoolDesk from './createPoolDesk';
+import createServerAccounts from './createServerAccounts';
+import type { PoolDesk } from './types';
+
+/** A kind of request: its tier, how often it comes, how long it holds a place, its objective. */
+interface Kind {
+  readonly tier: number;
+  readonly perSecond: number;
+  readonly holds: number;
+  readonly objective: number;
+}
+
+interface Served {
+  offered: number;
+  inTime: number;
+}
+
+interface Case {
+  readonly name: string;
+  /** Factor on every arrival rate from second 5 to 10. */
+  readonly burst: number;
+  /** Least share served in time, by tier, over the whole run. */
+  readonly least: readonly number[];
+}
+
+const kinds: readonly Kind[] = [
+  { tier: 0, perSecond: 23, holds: 490, objective: 500 },
+  { tier: 1, perSecond: 28, holds: 310, objective: 400 },
+  { tier: 2, perSecond: 9, holds: 1_580, objective: 400 },
+];
+
+// 36 places; the load takes 34 of them, a burst of 1.7 takes 58. In a burst of 2.5 the top tier takes 28 and the
+// last tier's floor 5, which leaves tier 1 three of the 22 that it asks for: half of its requests over the run.
+const cases: readonly Case[] = [
+  { name: 'no burst', burst: 1, least: [0.97, 0.95, 0.5] },
+  { name: 'a burst of 1.7', burst: 1.7, least: [0.95, 0.85, 0.25] },
+  { name: 'a burst of 2.5', burst: 2.5, least: [0.9, 0.5, 0.15] },
+];
+
+function createDesk(clock: VirtualClock): PoolDesk {
+  const accounts = createServerAccounts();
+  accounts.replace(
+    Array.from({ length: 6 }, (_, index) => createAccount({ id: `s${index}`, slots: 6 }).listed),
+    0,
+  );
+  return createPoolDesk({
+    clock,
+    random: createRandom(3),
+    ownDomain: 'near',
+    accounts,
+    getEvacuated: () => new Set(),
+    getSettings: () => undefined,
+    onChange: () => undefined,
+    getColdInterval: () => 0,
+    bounds: {
+      repeatRatio: 0.2,
+      repeatWindow: 10_000,
+      repeatSlack: 50,
+      coldFactor: 1,
+      coldSlack: 0,
+      stopGrace: 8_000,
+    },
+  });
+}
+
+/** Plays 15 s of arrivals on virtual time. */
+function play(burst: number): readonly Served[] {
+  const clock = createVirtualClock();
+  const random = createRandom(11);
+  const desk = createDesk(clock);
+  const served: Served[] = kinds.map(() => ({ offered: 0, inTime: 0 }));
+
+  function run(server: ServerAccount, kind: Kind, arrivedAt: number): void {
+    const firstDataAfter = 110;
+    const isInTime = clock.now() + firstDataAfter - arrivedAt <= kind.objective;
+    served[kind.tier]!.inTime += isInTime ? 1 : 0;
+    clock.after(kind.holds * (0.5 + random.next()), () =>
+      desk.noteEnded(server, kind.tier, {
+        end: { kind: 'whole', status: 200 },
+        duration: kind.holds,
+        firstDataAfter,
+        laterChunks: 0,
+        laterTime: 0,
+      }),
+    );
+  }
+
+  function arrive(kind: Kind): void {
+    const now = clock.now();
+    served[kind.tier]!.offered += 1;
+    const request: WaitingRequest = {
+      id: `${kind.tier}-${served[kind.tier]!.offered}`,
+      urgency: {
+        rank: kind.tier,
+        tier: kind.tier,
+        serveBy: now + kind.objective,
+        deadlineAt: now + 5_000,
+      },
+      size: { promptTokens: 0, outputTokens: 0 },
+      avoid: new Set(),
+      onGranted: (server) => run(server, kind, now),
+      onRefused: () => undefined,
+    };
+    desk.ask(request);
+  }
+
+  function arriveLater(kind: Kind): void {
+    const factor = clock.now() >= 5_000 && clock.now() < 10_000 ? burst : 1;
+    const gap = (-Math.log(1 - random.next()) * 1_000) / (kind.perSecond * factor);
+    clock.after(gap, () => {
+      arrive(kind);
+      arriveLater(kind);
+    });
+  }
+
+  kinds.forEach(arriveLater);
+  clock.advance(15_000);
+  return served;
+}
+
+describe('a burst of mixed tiers', () => {
+  cases.forEach(({ name, burst, least }) => {
+    it(`keeps the most important work in time: ${name}`, () => {
+      play(burst).forEach(({ offered, inTime }, tier) => {
+        expect(inTime / offered).toBeGreaterThanOrEqual(least[tier]!);
+      });
+    });
+  });
+});
--- a/packages/relay/src/pools/createPoolDesk.ts
+++ b/packages/relay/src/pools/createPoolDesk.ts
@@ -1,25 +1,14 @@
-import type {
-  BackendServerId,
-  EntryHostId,
-  FailureDomainId,
-  Milliseconds,
-  Random,
-  Clock,
-  TierRank,
-} from '@rattanreel/core';
-import chooseServer from '../decisions/chooseServer';
+import type { EntryHostId, Milliseconds, TierRank } from '@rattanreel/core';
 import createMovingMean from '../decisions/createMovingMean';
 import createPlaceShares from '../decisions/createPlaceShares';
-import type { PlaceClaim, PlaceCounts } from '../decisions/createPlaceShares';
 import createRepeatBudget from '../decisions/createRepeatBudget';
 import mustYield from '../decisions/mustYield';
-import getOccupancy from '../decisions/getOccupancy';
 import createWaitingLine from '../decisions/createWaitingLine';
-import type { PoolSettings, RelayBounds, ServerAccount, WaitingRequest } from '../types';
-import type { ServerAccounts } from './createServerAccounts';
+import type { RelayBounds, WaitingRequest } from '../types';
 import noteAttempt from './noteAttempt';
-import type { PoolMeans } from './noteAttempt';
-import type { PoolDesk } from './types';
+import type { PlaceLedgerOptions, PoolDesk, PoolMeans } from './types';
+import type { PlaceClaim } from '../decisions/types';
+import createPlaceLedger from './createPlaceLedger';
 
 /** Time between two looks at requests that wait; covers what no message announces. */
 const LOOK_INTERVAL: Milliseconds = 20;
@@ -32,23 +21,13 @@
 const RETRY_PART = 1 / 6;
 const SHORTEST_RETRY: Milliseconds = 100;
 
-export interface PoolDeskOptions {
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly ownDomain: FailureDomainId;
+interface PoolDeskOptions extends PlaceLedgerOptions {
   readonly bounds: RelayBounds;
-  readonly accounts: ServerAccounts;
-  readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
-  readonly getSettings: () => PoolSettings | undefined;
-  /** Told when the requests in flight change. */
-  readonly onChange: () => void;
-  /** Time between two requests of this host to a cold server. */
-  readonly getColdInterval: (server: BackendServerId, rate: number) => Milliseconds;
 }
 
 /** Orders a pool's requests before dispatch, so that the servers' own queues stay short. */
 export default function createPoolDesk(options: PoolDeskOptions): PoolDesk {
-  const { clock, random, ownDomain, bounds, accounts } = options;
+  const { clock, random, bounds, accounts } = options;
   const means: PoolMeans = {
     chunkGap: createMovingMean({ initial: GAP_GUESS, weight: MEAN_WEIGHT }),
     wholeTime: createMovingMean({ initial: WHOLE_GUESS, weight: MEAN_WEIGHT }),
@@ -56,82 +35,16 @@
     duration: createMovingMean({ initial: DURATION_GUESS, weight: MEAN_WEIGHT }),
   };
   const line = createWaitingLine({ getExpectedTime: means.firstData.get });
-  const budget = createRepeatBudget({
-    ratio: bounds.repeatRatio,
-    window: bounds.repeatWindow,
-    slack: bounds.repeatSlack,
-  });
+  const budget = createRepeatBudget({ bounds });
   const shares = createPlaceShares();
-  const ownByTier = new Map<TierRank, number>();
-  let othersByTier: ReadonlyMap<TierRank, number> = new Map();
+  const ledger = createPlaceLedger(options);
   let othersWaiting: ReadonlyMap<number, number> = new Map();
   let hosts = 1;
   let isLooking = false;
 
-  function getColdInterval(account: ServerAccount): Milliseconds {
-    return options.getColdInterval(account.listed.id, options.getSettings()?.coldRate ?? 0);
-  }
-
-  /** Gives servers found cold a first time of sending, spread so that hosts do not begin together. */
-  function prepareCold(account: ServerAccount, now: Milliseconds): void {
-    if (account.coldUntil <= now) {
-      account.nextColdAt = undefined;
-    } else {
-      account.nextColdAt ??= now + random.next() * getColdInterval(account);
-    }
-  }
-
-  function chooseFor(request: WaitingRequest): ServerAccount | undefined {
-    const now = clock.now();
-    accounts.byId.forEach((account) => prepareCold(account, now));
-    return chooseServer({
-      accounts: [...accounts.byId.values()],
-      now,
-      random,
-      ownDomain,
-      evacuated: options.getEvacuated(),
-      avoid: request.avoid,
-    });
-  }
-
-  function addOwn(tier: TierRank, change: 1 | -1): void {
-    ownByTier.set(tier, (ownByTier.get(tier) ?? 0) + change);
-    options.onChange();
-  }
-
-  function take(server: ServerAccount, tier: TierRank): void {
-    const now = clock.now();
-    server.own += 1;
-    addOwn(tier, 1);
-    if (server.coldUntil > now) {
-      server.nextColdAt = now + getColdInterval(server);
-    }
-  }
-
-  function isUsable({ listed, avoidedUntil }: ServerAccount, now: Milliseconds): boolean {
-    return (
-      !listed.isDraining && !options.getEvacuated().has(listed.failureDomain) && avoidedUntil <= now
-    );
-  }
-
-  function countPlaces(): PlaceCounts {
-    const now = clock.now();
-    let places = 0;
-    let taken = 0;
-    accounts.byId.forEach((account) => {
-      if (isUsable(account, now)) {
-        places += account.listed.slots;
-        taken += Math.min(getOccupancy(account, now), account.listed.slots);
-      }
-    });
-    const getTakenBy = (tier: TierRank): number =>
-      (ownByTier.get(tier) ?? 0) + (othersByTier.get(tier) ?? 0);
-    return { places, taken, getTakenBy };
-  }
-
   /** The request to serve next: of a tier below its floor first, then by rank. */
   function tryFindNext(): WaitingRequest | undefined {
-    const counts = countPlaces();
+    const counts = ledger.countPlaces();
     const claims = new Map<TierRank, PlaceClaim>();
     const judge = (tier: TierRank): PlaceClaim => {
       const claim = claims.get(tier) ?? shares.judge(tier, counts);
@@ -151,12 +64,12 @@
 
   function serveNext(): boolean {
     const request = line.size === 0 ? undefined : tryFindNext();
-    const server = request === undefined ? undefined : chooseFor(request);
+    const server = request === undefined ? undefined : ledger.choose(request);
     if (request === undefined || server === undefined) {
       return false;
     }
     line.remove(request);
-    take(server, request.urgency.tier);
+    ledger.take(server, request.urgency.tier);
     request.onGranted(server);
     return true;
   }
@@ -180,14 +93,10 @@
     lookLater();
   }
 
-  function countOwn(): number {
-    return [...ownByTier.values()].reduce((sum, count) => sum + count, 0);
-  }
-
   /** Expected wait of a request of this rank that comes now. */
   function getExpectedWait(rank: number): Milliseconds {
     // Under load a host refills the places that its own requests leave.
-    const places = Math.max(countPlaces().places / hosts, countOwn());
+    const places = Math.max(ledger.countPlaces().places / hosts, ledger.countOwn());
     return places === 0 ? Infinity : line.sumAhead(rank, shares.getDuration) / places;
   }
 
@@ -196,11 +105,11 @@
       return line.size;
     },
     describe({ rank, tier }) {
-      const { places, taken, getTakenBy } = countPlaces();
+      const { places, taken, getTakenBy } = ledger.countPlaces();
       const expectedWait = Math.round(getExpectedWait(rank));
       return { waiting: line.size, places, taken, takenByTier: getTakenBy(tier), expectedWait };
     },
-    getOwnByTier: () => ownByTier,
+    getOwnByTier: ledger.getOwnByTier,
     getWaitingByRank: line.countByRank,
     get accounts() {
       return accounts.byId;
@@ -223,8 +132,7 @@
     },
     withdraw: (request) => line.remove(request),
     noteEnded(server, tier, figures) {
-      server.own -= 1;
-      addOwn(tier, -1);
+      ledger.giveBack(server, tier);
       if (figures.end.kind === 'whole') {
         shares.noteDuration(tier, figures.duration);
       }
@@ -242,11 +150,8 @@
       return part * (1 + random.next());
     },
     setOthers(inFlight, byTier, waiting) {
-      othersByTier = byTier;
       othersWaiting = waiting;
-      accounts.byId.forEach((account, id) => {
-        account.others = inFlight.get(id) ?? 0;
-      });
+      ledger.setOthers(inFlight, byTier);
       pump();
     },
     setHosts(next: readonly EntryHostId[]) {
--- a/packages/relay/src/pools/createServerAccounts.ts
+++ b/packages/relay/src/pools/createServerAccounts.ts
@@ -1,11 +1,6 @@
 import type { BackendServerId, Milliseconds } from '@rattanreel/core';
 import type { ListedServer, ServerAccount } from '../types';
-
-export interface ServerAccounts {
-  readonly byId: ReadonlyMap<BackendServerId, ServerAccount>;
-  /** Takes over the list of a pool's servers; what was learnt of a server stays while it lives. */
-  replace(servers: readonly ListedServer[], now: Milliseconds): void;
-}
+import type { ServerAccounts } from './types';
 
 function isSameLife(left: ListedServer, right: ListedServer): boolean {
   return left.address === right.address && left.startedAt === right.startedAt;
--- a/packages/relay/src/pools/noteAttempt.ts
+++ b/packages/relay/src/pools/noteAttempt.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@rattanreel/core';
-import type { MovingMean } from '../decisions/createMovingMean';
 import type { ServerAccount } from '../types';
-import type { AttemptFigures } from './types';
+import type { AttemptFigures, PoolMeans } from './types';
+import type { MovingMean } from '../decisions/types';
 
 /** Weight of one attempt in what is known of a server. */
 const WEIGHT = 0.15;
@@ -21,14 +21,6 @@
 const HTTP_SERVER_ERROR = 500;
 const HTTP_MISDIRECTED = 421;
 
-/** Means over a pool against which a server is compared. */
-export interface PoolMeans {
-  readonly chunkGap: MovingMean;
-  readonly wholeTime: MovingMean;
-  readonly firstData: MovingMean;
-  readonly duration: MovingMean;
-}
-
 interface NoteAttemptOptions {
   readonly account: ServerAccount;
   readonly figures: AttemptFigures;
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -1,6 +1,23 @@
 /** A pool at one host: its backend servers, its waiting requests, its budget for repeats. */
-import type { BackendServerId, EntryHostId, Milliseconds, TierRank } from '@rattanreel/core';
-import type { AttemptEnd, RefusalReason, ServerAccount, Urgency, WaitingRequest } from '../types';
+import type {
+  BackendServerId,
+  Clock,
+  EntryHostId,
+  FailureDomainId,
+  Milliseconds,
+  Random,
+  TierRank,
+} from '@rattanreel/core';
+import type {
+  AttemptEnd,
+  ListedServer,
+  PoolSettings,
+  RefusalReason,
+  ServerAccount,
+  Urgency,
+  WaitingRequest,
+} from '../types';
+import type { MovingMean } from '../decisions/types';
 
 /** What was measured of one attempt. */
 export interface AttemptFigures {
@@ -55,3 +72,30 @@
   describe(urgency: Urgency): PoolState;
   readonly accounts: ReadonlyMap<BackendServerId, ServerAccount>;
 }
+
+/** Means over a pool against which a server is compared. */
+export interface PoolMeans {
+  readonly chunkGap: MovingMean;
+  readonly wholeTime: MovingMean;
+  readonly firstData: MovingMean;
+  readonly duration: MovingMean;
+}
+
+export interface ServerAccounts {
+  readonly byId: ReadonlyMap<BackendServerId, ServerAccount>;
+  /** Takes over the list of a pool's servers; what was learnt of a server stays while it lives. */
+  replace(servers: readonly ListedServer[], now: Milliseconds): void;
+}
+
+export interface PlaceLedgerOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly ownDomain: FailureDomainId;
+  readonly accounts: ServerAccounts;
+  readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
+  readonly getSettings: () => PoolSettings | undefined;
+  /** Told when the requests in flight change. */
+  readonly onChange: () => void;
+  /** Time between two requests of this host to a cold server. */
+  readonly getColdInterval: (server: BackendServerId, rate: number) => Milliseconds;
+}
--- a/packages/relay/src/servers/createResetWatch.ts
+++ b/packages/relay/src/servers/createResetWatch.ts
@@ -1,7 +1,7 @@
 import { buildConnector } from 'undici';
 import type { Milliseconds } from '@rattanreel/core';
 
-export interface ResetWatch {
+interface ResetWatch {
   /** Opens connections for undici. */
   readonly connect: buildConnector.connector;
   /** Whether a connection's failure is being handled right now. */
--- a/packages/relay/src/servers/createServerConnections.ts
+++ b/packages/relay/src/servers/createServerConnections.ts
@@ -2,7 +2,7 @@
 import type { BackendServerId, Clock, Milliseconds } from '@rattanreel/core';
 import createResetWatch from './createResetWatch';
 import sendOnce from './sendOnce';
-import type { Attempt, AttemptRequest, AttemptSink } from './types';
+import type { ServerConnections } from './types';
 import type { ListedServer } from '../types';
 
 /** Time that an unused connection is kept; a server's own shorter hint goes first. */
@@ -12,14 +12,7 @@
 /** A server needs connections for what it runs and for what it holds in its own queue. */
 const CONNECTIONS_PER_SLOT = 3;
 
-export interface ServerConnections {
-  send(server: ListedServer, request: AttemptRequest, sink: AttemptSink): Attempt;
-  /** Closes the connections to servers that are not listed any more, once they are unused. */
-  retain(servers: ReadonlyMap<BackendServerId, ListedServer>): void;
-  close(): Promise<void>;
-}
-
-export interface ServerConnectionsOptions {
+interface ServerConnectionsOptions {
   readonly clock: Clock;
 }
 
--- a/packages/relay/src/servers/sendOnce.ts
+++ b/packages/relay/src/servers/sendOnce.ts
@@ -63,7 +63,7 @@
 
   dispatcher.dispatch(
     {
-      method: request.method as Dispatcher.HttpMethod,
+      method: request.method,
       path: request.target,
       headers: [...request.headers],
       body: request.body.length === 0 ? null : request.body,
--- a/packages/relay/src/servers/types.ts
+++ b/packages/relay/src/servers/types.ts
@@ -1,6 +1,6 @@
 /** One attempt to have a request answered by one backend server. */
-import type { Milliseconds } from '@rattanreel/core';
-import type { AbortReason, AttemptEnd } from '../types';
+import type { BackendServerId, Milliseconds } from '@rattanreel/core';
+import type { AbortReason, AttemptEnd, ListedServer } from '../types';
 
 export interface AttemptRequest {
   readonly requestId: string;
@@ -38,3 +38,10 @@
   resume(): void;
   readonly startedAt: Milliseconds;
 }
+
+export interface ServerConnections {
+  send(server: ListedServer, request: AttemptRequest, sink: AttemptSink): Attempt;
+  /** Closes the connections to servers that are not listed any more, once they are unused. */
+  retain(servers: ReadonlyMap<BackendServerId, ListedServer>): void;
+  close(): Promise<void>;
+}
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -14,6 +14,7 @@
   VersionId,
 } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
+import type { PoolDesk } from './pools/types';
 
 /** What may be repeated: an idempotent call, a call that runs once, a stream that runs once unless resumable. */
 export type RouteKind = 'idempotent' | 'once' | 'stream';
@@ -260,7 +261,9 @@
 }
 
 /** What hosts ask each other for. */
-export type PeerQuestion = { readonly kind: 'beliefs' };
+export interface PeerQuestion {
+  readonly kind: 'beliefs';
+}
 
 /** All that a host has learnt from the platform. */
 export interface Beliefs {
@@ -276,8 +279,8 @@
 export interface BeliefSource {
   /** Follows the platform until closed. */
   follow(listener: (change: BeliefChange) => void): void;
-  /** Makes this host known to the others, or takes it off their list. */
-  register(peer: PeerAddress): Promise<void>;
+  /** Makes this host known to the others; false when it is not certain that they can see it. */
+  register(peer: PeerAddress): Promise<boolean>;
   close(): Promise<void>;
 }
 
@@ -302,3 +305,21 @@
   readonly random: Random;
   readonly logger: Logger;
 }
+
+export interface Pools {
+  getDesk(pool: PoolId): PoolDesk;
+  setSettings(settings: readonly PoolSettings[]): void;
+  setServers(servers: readonly ListedServer[]): void;
+  setHosts(hosts: readonly EntryHostId[]): void;
+  /** Takes servers of these failure domains for cold: they may have been idle. */
+  coolDown(failureDomains: readonly FailureDomainId[]): void;
+  forEachDesk(action: (desk: PoolDesk, pool: PoolId) => void): void;
+}
+
+/** A running relay. */
+export interface RelayHost {
+  /** Takes over bounds that a reload of the settings changed. */
+  applyBounds(bounds: RelayBounds): void;
+  /** Answers what is in hand and ends; resolves when nothing is left or the grace is over. */
+  stop(): Promise<void>;
+}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,5 +1,5 @@
 /** Bundles the program into one file: `node scripts/bundle.mjs FILE`. */
 import process from 'node:process';
-import bundle from './bundleProgram.mjs';
+import bundleProgram from './bundleProgram.mjs';
 
-await bundle(process.argv[2] ?? 'target/rattanreel.cjs');
+await bundleProgram(process.argv[2] ?? 'target/rattanreel.cjs');
