--- a/packages/relay/src/front/createRelayFront.ts
+++ b/packages/relay/src/front/createRelayFront.ts
@@ -4,7 +4,7 @@
 import type { CallerLimits } from '../types';
 import createCallerExchange from './createCallerExchange';
 import readBody from './readBody';
-import type { CallerExchange } from './types';
+import type { CallerExchange, RelayFront } from './types';
 
 /** Largest header block that is read at all; a configuration may set less. */
 const MOST_HEADER_BYTES = 65_536;
@@ -17,19 +17,6 @@
   readonly onTooLarge: (exchange: CallerExchange) => void;
 }
 
-interface RelayFront {
-  listen(address: string): Promise<void>;
-  /** Takes over changed limits for connections to come. */
-  applyLimits(): void;
-  /** From now on each answer closes its connection. */
-  startDraining(): void;
-  /** Accepts no connection any more and closes those that are idle. */
-  stopAccepting(): void;
-  /** Requests that have not been answered. */
-  countActive(): number;
-  close(): void;
-}
-
 function splitAddress(address: string): { readonly host: string; readonly port: number } {
   const at = address.lastIndexOf(':');
   return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -108,3 +108,17 @@
   /** Answers that the request failed and may have run. */
   readonly failWith: (status: 502 | 504, code: string) => void;
 }
+
+/** The listener for callers. */
+export interface RelayFront {
+  listen(address: string): Promise<void>;
+  /** Takes over changed limits for connections to come. */
+  applyLimits(): void;
+  /** From now on each answer closes its connection. */
+  startDraining(): void;
+  /** Accepts no connection any more and closes those that are idle. */
+  stopAccepting(): void;
+  /** Requests that have not been answered. */
+  countActive(): number;
+  close(): void;
+}
