--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -13,8 +13,8 @@
   readonly ownDomain: FailureDomainId;
   readonly bounds: RelayBounds;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
-  /** Told when requests in flight change. */
-  readonly onChange: () => void;
+  /** Told when the requests in flight change, and whether places are scarce. */
+  readonly onChange: (isScarce: boolean) => void;
 }
 
 interface OpenPool {
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -20,7 +20,7 @@
   Beliefs,
   CallerLimits,
   HeaderNames,
-  HostSummary,
+  HostMessage,
   PeerQuestion,
   Quota,
   RelayBounds,
@@ -125,7 +125,7 @@
     ownDomain: failureDomain,
     bounds,
     getEvacuated: () => keeper.evacuated,
-    onChange: () => exchange.noteChange(),
+    onChange: (isScarce) => exchange.noteChange(isScarce),
   });
 
   const requestDesk = createRequestDesk({
@@ -146,11 +146,13 @@
     onTooLarge: requestDesk.refuseTooLarge,
   });
 
-  function hearSummary(summary: HostSummary): void {
+  function hear(message: HostMessage): void {
     const now = clock.now();
-    peerTable.hear(summary, now);
-    quota.hear({ ...summary, from: summary.entryHost, now });
-    exchange.hear(summary);
+    peerTable.hear(message, now);
+    if (message.kind === 'summary') {
+      quota.hear({ ...message, from: message.entryHost, now });
+      exchange.hear(message);
+    }
     const counts = peerTable.countInFlight(now);
     pools.forEachDesk((desk, pool) =>
       desk.setOthers(counts, peerTable.countByTier(pool, now), peerTable.countWaiting(pool, now)),
@@ -177,11 +179,11 @@
   });
 
   async function openTransport(): Promise<RelayTransport> {
-    const opened = await createPeerTransport<HostSummary, PeerQuestion, Beliefs>({
+    const opened = await createPeerTransport<HostMessage, PeerQuestion, Beliefs>({
       identity: { entryHost, incarnation },
       listenAddress: peerAddress,
       security: { kind: 'plainTrustedNetwork' },
-      onMessage: ({ body }) => hearSummary(body),
+      onMessage: ({ body }) => hear(body),
       onQuestion: async () => keeper.get(),
     });
     if (opened.kind === 'error') {
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -2,8 +2,11 @@
 import type { ServerAccount } from '../types';
 import getOccupancy from './getOccupancy';
 
-/** Added to a remote server's expected time, relative to an average request: bytes between domains cost. */
-const REMOTE_PENALTY = 0.15;
+/**
+ * Added to a remote server's expected time, relative to an average request: bytes between failure
+ * domains cost, and time within the objective does not, so a near server with room goes first.
+ */
+const REMOTE_PENALTY = 1;
 /** Weight of the share of failed attempts: a server that fails half of them counts as three times as slow. */
 const FAILURE_WEIGHT = 4;
 /** Spread of the random part, so that hosts with the same view do not all choose the same server. */
--- a/packages/relay/src/decisions/createSharedQuota.ts
+++ b/packages/relay/src/decisions/createSharedQuota.ts
@@ -5,8 +5,8 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Part of the burst that hosts use; the rest covers what two hosts spend before each hears of the other. */
 const USED_BURST = 0.8;
-/** A host not heard of for this long keeps its equal part of every quota; summaries come every 100 ms. */
-const SILENT_AFTER: Milliseconds = 400;
+/** A host not heard of for this long keeps its equal part of every quota; summaries come every 200 ms. */
+const SILENT_AFTER: Milliseconds = 600;
 
 interface SharedQuotaOptions {
   readonly now: Milliseconds;
--- a/packages/relay/src/peers/createPeerExchange.ts
+++ b/packages/relay/src/peers/createPeerExchange.ts
@@ -1,12 +1,13 @@
 import type { Clock, EntryHostId, Milliseconds, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
-import type { Beliefs, HostSummary, PeerAddress } from '../types';
+import type { Beliefs, HostChange, HostSummary, PeerAddress } from '../types';
 import type { RelayTransport } from './types';
 
-/** Longest time between two summaries. */
-const SUMMARY_INTERVAL: Milliseconds = 100;
-/** Shortest time between two summaries when requests came or went. */
-const CHANGE_INTERVAL: Milliseconds = 20;
+/** Time between two whole summaries. */
+const SUMMARY_INTERVAL: Milliseconds = 200;
+/** Shortest time between two messages when requests came or went while places are scarce, and otherwise. */
+const SCARCE_INTERVAL: Milliseconds = 20;
+const CHANGE_INTERVAL: Milliseconds = 100;
 /** With more hosts each summary is sent less often, so that sending stays a few hundredths of a core. */
 const INTERVAL_PER_PEER: Milliseconds = 4;
 /** Shortest time between two questions for another host's beliefs. */
@@ -24,8 +25,8 @@
 
 interface PeerExchange {
   setPeers(peers: readonly PeerAddress[]): void;
-  /** Tells the others soon that requests came or went. */
-  noteChange(): void;
+  /** Tells the others that requests came or went: soon while places are scarce. */
+  noteChange(isScarce: boolean): void;
   /** Notes what another host knows, and asks it when it knows more. */
   hear(summary: HostSummary): void;
   /** Asks hosts, whose addresses may be out of date, for what they know. */
@@ -47,7 +48,9 @@
   let peers: readonly PeerAddress[] = [];
   let timer: Timer | undefined;
   let askedAt = -Infinity;
+  let told: HostSummary | undefined;
   let toldAt = -Infinity;
+  let summarisedAt = -Infinity;
   let dueAt = Infinity;
   let isStopped = false;
 
@@ -61,10 +64,26 @@
     timer = isStopped ? undefined : clock.after(interval, tell);
   }
 
+  /** What changed since the last message; undefined when a whole summary is due. */
+  function tryGetChange(summary: HostSummary): HostChange | undefined {
+    if (told === undefined || clock.now() - summarisedAt >= getInterval(SUMMARY_INTERVAL)) {
+      return undefined;
+    }
+    const { entryHost, tiers, waiting } = summary;
+    const before = told.inFlight;
+    const ids = new Set([...Object.keys(before), ...Object.keys(summary.inFlight)]);
+    const changed = [...ids].filter((id) => before[id] !== summary.inFlight[id]);
+    const inFlight = Object.fromEntries(changed.map((id) => [id, summary.inFlight[id] ?? 0]));
+    return { kind: 'change', entryHost, inFlight, tiers, waiting };
+  }
+
   function tell(): void {
     const summary = options.getSummary();
-    peers.forEach(({ address }) => transport.send(address, summary));
+    const change = tryGetChange(summary);
+    peers.forEach(({ address }) => transport.send(address, change ?? summary));
+    told = summary;
     toldAt = clock.now();
+    summarisedAt = change === undefined ? toldAt : summarisedAt;
     tellIn(getInterval(SUMMARY_INTERVAL));
   }
 
@@ -79,8 +98,9 @@
 
   tellIn(SUMMARY_INTERVAL);
   return {
-    noteChange() {
-      const soon = Math.max(toldAt + getInterval(CHANGE_INTERVAL), clock.now());
+    noteChange(isScarce) {
+      const interval = getInterval(isScarce ? SCARCE_INTERVAL : CHANGE_INTERVAL);
+      const soon = Math.max(toldAt + interval, clock.now());
       if (soon < dueAt) {
         tellIn(soon - clock.now());
       }
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -5,7 +5,7 @@
   PoolId,
   TierRank,
 } from '@rattanreel/core';
-import type { HostSummary } from '../types';
+import type { HostMessage, HostSummary } from '../types';
 
 /** A summary older than this says nothing of what a host has in flight; summaries come every 100 ms. */
 const SUMMARY_LIFE: Milliseconds = 1_000;
@@ -16,8 +16,8 @@
 }
 
 interface PeerTable {
-  /** False when a later life of the host has been heard already. */
-  hear(summary: HostSummary, now: Milliseconds): void;
+  /** Takes in a whole summary, or a change to the last one. */
+  hear(message: HostMessage, now: Milliseconds): void;
   /** Requests that the other hosts have in flight, by backend server. */
   countInFlight(now: Milliseconds): ReadonlyMap<BackendServerId, number>;
   /** The same by pool and route tier. */
@@ -52,8 +52,18 @@
   }
 
   return {
-    hear(summary, now) {
-      heard.set(summary.entryHost, { summary, at: now });
+    hear(message, now) {
+      const { entryHost } = message;
+      if (message.kind === 'summary') {
+        heard.set(entryHost, { summary: message, at: now });
+        return;
+      }
+      const known = heard.get(entryHost)?.summary;
+      if (known !== undefined) {
+        const { tiers, waiting } = message;
+        const inFlight = { ...known.inFlight, ...message.inFlight };
+        heard.set(entryHost, { summary: { ...known, inFlight, tiers, waiting }, at: now });
+      }
     },
     countInFlight(now) {
       const counts = new Map<BackendServerId, number>();
--- a/packages/relay/src/peers/types.ts
+++ b/packages/relay/src/peers/types.ts
@@ -1,4 +1,4 @@
 import type { PeerTransport } from '@rattanreel/transport';
-import type { Beliefs, HostSummary, PeerQuestion } from '../types';
+import type { Beliefs, HostMessage, PeerQuestion } from '../types';
 
-export type RelayTransport = PeerTransport<HostSummary, PeerQuestion, Beliefs>;
+export type RelayTransport = PeerTransport<HostMessage, PeerQuestion, Beliefs>;
--- a/packages/relay/src/pools/createPlaceLedger.ts
+++ b/packages/relay/src/pools/createPlaceLedger.ts
@@ -21,6 +21,9 @@
   ): void;
 }
 
+/** Part of the places taken from which on hosts must know of each change at once. */
+const SCARCE_PART = 0.6;
+
 /** Keeps account of the places at a pool's servers: this host's exactly, the others' as they tell. */
 export default function createPlaceLedger(options: PlaceLedgerOptions): PlaceLedger {
   const { clock, random, ownDomain, accounts } = options;
@@ -53,9 +56,14 @@
     });
   }
 
+  function isScarce(): boolean {
+    const { places, taken } = countPlaces();
+    return taken >= places * SCARCE_PART;
+  }
+
   function addOwn(tier: TierRank, change: 1 | -1): void {
     ownByTier.set(tier, (ownByTier.get(tier) ?? 0) + change);
-    options.onChange();
+    options.onChange(isScarce());
   }
 
   function take(server: ServerAccount, tier: TierRank): void {
--- a/packages/relay/src/pools/createPoolDesk.ts
+++ b/packages/relay/src/pools/createPoolDesk.ts
@@ -127,7 +127,7 @@
       }
       line.add(request);
       pump();
-      options.onChange();
+      options.onChange(true);
       return { kind: 'waiting' };
     },
     withdraw: (request) => line.remove(request),
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -94,8 +94,8 @@
   readonly accounts: ServerAccounts;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
   readonly getSettings: () => PoolSettings | undefined;
-  /** Told when the requests in flight change. */
-  readonly onChange: () => void;
+  /** Told when the requests in flight change, and whether places are scarce. */
+  readonly onChange: (isScarce: boolean) => void;
   /** Time between two requests of this host to a cold server. */
   readonly getColdInterval: (server: BackendServerId, rate: number) => Milliseconds;
 }
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -260,6 +260,18 @@
   readonly evacuatedVersion: number;
 }
 
+/** What changed at a host since its last message; sent more often than whole summaries. */
+export interface HostChange {
+  readonly kind: 'change';
+  readonly entryHost: EntryHostId;
+  /** Requests in flight at the backend servers where that number changed. */
+  readonly inFlight: Readonly<Record<BackendServerId, number>>;
+  readonly tiers: HostSummary['tiers'];
+  readonly waiting: HostSummary['waiting'];
+}
+
+export type HostMessage = HostSummary | HostChange;
+
 /** What hosts ask each other for. */
 export interface PeerQuestion {
   readonly kind: 'beliefs';
