Pass on answers that only their connection ends in the same way

The end of such a connection does not always come as a reset, so the reset watch alone could not tell. Change: such an answer is passed on without a length and its connection closed, so nothing vouches for its end. Test: createRelayFront.test.ts.

--- a/packages/relay/src/front/createCallerExchange.ts
+++ b/packages/relay/src/front/createCallerExchange.ts
@@ -21,11 +21,14 @@
     body: options.body,
     arrivedAt: options.arrivedAt,
     isOver: () => outgoing.writableEnded || outgoing.destroyed,
-    sendHead(status, headers) {
+    sendHead(status, headers, isDelimitedByClose = false) {
       outgoing.sendDate = false;
-      if (options.isLast()) {
+      if (options.isLast() || isDelimitedByClose) {
         outgoing.shouldKeepAlive = false;
       }
+      if (isDelimitedByClose) {
+        outgoing.useChunkedEncodingByDefault = false;
+      }
       outgoing.writeHead(status, headers as string[]);
     },
     sendData: (chunk) => outgoing.write(chunk),
--- a/packages/relay/src/front/createEventAnswer.ts
+++ b/packages/relay/src/front/createEventAnswer.ts
@@ -10,7 +10,7 @@
   function commit(): void {
     if (!isCommitted && head !== undefined) {
       isCommitted = true;
-      exchange.sendHead(head.status, toRawHeaders(head.headers));
+      exchange.sendHead(head.status, toRawHeaders(head.headers), head.isDelimitedByClose);
     }
   }
 
--- /dev/null
+++ b/packages/relay/src/front/createRelayFront.test.ts
@@ -0,0 +1,105 @@
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import { afterEach, describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createSystemClock } from '@rattanreel/core';
+import createRelayFront from './createRelayFront';
+import type { CallerExchange, RelayFront } from './types';
+
+const PORT = 18_391;
+const LIMITS = { headerBytes: 16_384, bodyBytes: 64, headerTimeout: 3_000, idleTimeout: 5_000 };
+
+interface Case {
+  readonly name: string;
+  readonly request: string;
+  readonly answer: (exchange: CallerExchange) => void;
+  /** What the caller must read until the connection closes or falls quiet. */
+  readonly read: RegExp;
+}
+
+const cases: readonly Case[] = [
+  {
+    name: 'an answer with its length as it is',
+    request: 'GET /a/b?c=%20d HTTP/1.1\r\nhost: h\r\n\r\n',
+    answer(exchange) {
+      exchange.sendHead(200, ['content-length', '2', 'x-target', exchange.target]);
+      exchange.sendData(Buffer.from('ok'));
+      exchange.finish();
+    },
+    read: /^HTTP\/1\.1 200 OK\r\ncontent-length: 2\r\nx-target: \/a\/b\?c=%20d\r\n[^]*\r\n\r\nok$/,
+  },
+  {
+    name: 'an answer that its connection ends without a length of its own',
+    request: 'GET / HTTP/1.1\r\nhost: h\r\n\r\n',
+    answer(exchange) {
+      exchange.sendHead(200, [], true);
+      exchange.sendData(Buffer.from('ok'));
+      exchange.finish();
+    },
+    read: /^HTTP\/1\.1 200 OK\r\nConnection: close\r\n\r\nok$/,
+  },
+  {
+    name: 'a chunked body',
+    request: 'POST / HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n',
+    answer(exchange) {
+      exchange.sendHead(200, ['content-length', '2']);
+      exchange.sendData(exchange.body);
+      exchange.finish();
+    },
+    read: /\r\n\r\nab$/,
+  },
+  {
+    name: 'a body over the limit',
+    request: `POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 65\r\n\r\n${'x'.repeat(65)}`,
+    answer: () => undefined,
+    read: /^HTTP\/1\.1 413 [^]*[Cc]onnection: close/,
+  },
+  {
+    name: 'an answer that is broken off',
+    request: 'GET / HTTP/1.1\r\nhost: h\r\n\r\n',
+    answer(exchange) {
+      exchange.sendHead(200, []);
+      exchange.sendData(Buffer.from('part'));
+      setTimeout(() => exchange.breakOff(), 20);
+    },
+    read: /\r\n4\r\npart\r\n$/,
+  },
+];
+
+function call(request: string): Promise<string> {
+  return new Promise((resolve) => {
+    let text = '';
+    const socket: Socket = connect(PORT, '127.0.0.1', () => socket.write(request));
+    socket.on('data', (chunk: Buffer) => {
+      text += chunk.toString('latin1');
+    });
+    const quiet = setTimeout(() => socket.destroy(), 200);
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      clearTimeout(quiet);
+      resolve(text);
+    });
+  });
+}
+
+describe('createRelayFront', () => {
+  let front: RelayFront | undefined;
+
+  afterEach(() => front?.close());
+
+  cases.forEach(({ name, request, answer, read }) => {
+    it(`passes on ${name}`, async () => {
+      front = createRelayFront({
+        clock: createSystemClock(),
+        getLimits: () => LIMITS,
+        onRequest: answer,
+        onTooLarge(exchange) {
+          exchange.sendHead(413, ['content-length', '0']);
+          exchange.finish();
+        },
+      });
+      await front.listen(`127.0.0.1:${PORT}`);
+      expect(await call(request)).toMatchRegex(read);
+    });
+  });
+});
--- a/packages/relay/src/front/createResumableAnswer.ts
+++ b/packages/relay/src/front/createResumableAnswer.ts
@@ -36,7 +36,7 @@
       const headers = { ...head.headers };
       // The length is the first server's; a stream that goes on elsewhere may frame its rest otherwise.
       delete headers['content-length'];
-      exchange.sendHead(head.status, toRawHeaders(headers));
+      exchange.sendHead(head.status, toRawHeaders(headers), head.isDelimitedByClose);
     }
   }
 
--- a/packages/relay/src/front/createWholeAnswer.ts
+++ b/packages/relay/src/front/createWholeAnswer.ts
@@ -15,7 +15,7 @@
   function commit(): void {
     if (!isCommitted && head !== undefined) {
       isCommitted = true;
-      exchange.sendHead(head.status, toRawHeaders(head.headers));
+      exchange.sendHead(head.status, toRawHeaders(head.headers), head.isDelimitedByClose);
       held.forEach((chunk) => exchange.sendData(chunk));
       held = [];
     }
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -23,7 +23,11 @@
   readonly arrivedAt: Milliseconds;
   /** Whether the caller has gone or the answer is over. */
   isOver(): boolean;
-  sendHead(status: number, headers: readonly string[]): void;
+  /**
+   * An answer whose end only its connection told is passed on in the same way: a length or a last
+   * chunk of this system's own would vouch for an end that it has not seen.
+   */
+  sendHead(status: number, headers: readonly string[], isDelimitedByClose?: boolean): void;
   /** Returns false when the caller reads more slowly than the server answers. */
   sendData(chunk: Buffer): boolean;
   finish(): void;
--- a/packages/relay/src/servers/sendOnce.ts
+++ b/packages/relay/src/servers/sendOnce.ts
@@ -8,6 +8,7 @@
 const HTTP_OK = 200;
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_MISDIRECTED = 421;
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 interface SendOnceOptions {
   readonly dispatcher: Dispatcher;
@@ -28,6 +29,14 @@
   return isSuccess ? 'success without the request identifier' : undefined;
 }
 
+function isDelimitedByClose(status: number, headers: AnswerHead['headers']): boolean {
+  return (
+    headers['content-length'] === undefined &&
+    headers['transfer-encoding'] === undefined &&
+    !BODILESS_STATUSES.has(status)
+  );
+}
+
 function saysNotRun(head: AnswerHead, request: AttemptRequest): boolean {
   return head.status === HTTP_MISDIRECTED || head.headers[request.notRunHeader] !== undefined;
 }
@@ -81,7 +90,7 @@
         if (status < HTTP_OK || isEnded) {
           return;
         }
-        head = { status, headers };
+        head = { status, headers, isDelimitedByClose: isDelimitedByClose(status, headers) };
         const mismatch = tryGetMismatch(head, request);
         if (mismatch !== undefined) {
           breakOff({ kind: 'broken', reason: mismatch });
--- a/packages/relay/src/servers/types.ts
+++ b/packages/relay/src/servers/types.ts
@@ -19,6 +19,8 @@
 export interface AnswerHead {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | readonly string[] | undefined>>;
+  /** Whether only the end of the connection tells the end of the answer. */
+  readonly isDelimitedByClose: boolean;
 }
 
 /** Takes what an attempt brings, in order; `onEnd` comes once and last. */
