--- /dev/null
+++ b/packages/observability/src/createBoundedLogger.ts
@@ -0,0 +1,92 @@
+import pino from 'pino';
+import type { BoundedLogger, BoundedLoggerOptions } from './types';
+
+/** Bytes of lines that wait for a slow reader before further lines are dropped. */
+const MOST_WAITING_BYTES = 1_048_576;
+/** Bytes after which lines are written; fewer system calls, and at most one flush interval late. */
+const WRITE_BYTES = 4_096;
+const FLUSH_INTERVAL_MS = 200;
+/** Lines of one message a second; more are counted and summed up in one line. */
+const DEFAULT_LINES_PER_SECOND = 40;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+interface MessageCount {
+  written: number;
+  suppressed: number;
+}
+
+/**
+ * A structured log on standard output that never blocks: a slow reader costs lines, not requests, and
+ * each message has a bounded rate. What was left out is counted and said.
+ */
+export default function createBoundedLogger(options: BoundedLoggerOptions): BoundedLogger {
+  const { clock, linesPerSecond = DEFAULT_LINES_PER_SECOND } = options;
+  const destination = pino.destination({
+    fd: 1,
+    sync: false,
+    minLength: WRITE_BYTES,
+    maxLength: MOST_WAITING_BYTES,
+    periodicFlush: FLUSH_INTERVAL_MS,
+  });
+  const logger = pino(
+    { base: { ...options.bindings }, timestamp: pino.stdTimeFunctions.isoTime },
+    destination,
+  );
+  const counts = new Map<string, MessageCount>();
+  let dropped = 0;
+  let isSumming = false;
+  destination.on('drop', () => {
+    dropped += 1;
+  });
+
+  /** Says once a second what was left out; silent when nothing was. */
+  function sumUp(): void {
+    isSumming = false;
+    const suppressed = Object.fromEntries(
+      [...counts].flatMap(([message, count]) =>
+        count.suppressed > 0 ? [[message, count.suppressed]] : [],
+      ),
+    );
+    counts.clear();
+    if (dropped > 0 || Object.keys(suppressed).length > 0) {
+      logger.warn({ suppressed, dropped }, 'lines left out');
+      dropped = 0;
+    }
+  }
+
+  function isWithinRate(message: string): boolean {
+    const count = counts.get(message) ?? { written: 0, suppressed: 0 };
+    counts.set(message, count);
+    if (!isSumming) {
+      isSumming = true;
+      clock.after(MILLISECONDS_PER_SECOND, sumUp);
+    }
+    if (count.written >= linesPerSecond) {
+      count.suppressed += 1;
+      return false;
+    }
+    count.written += 1;
+    return true;
+  }
+
+  function write(
+    level: 'debug' | 'info' | 'warn' | 'error',
+    fields: object,
+    message: string,
+  ): void {
+    if (isWithinRate(message)) {
+      logger[level](fields, message);
+    }
+  }
+
+  return {
+    debug: (fields, message) => write('debug', fields, message),
+    info: (fields, message) => write('info', fields, message),
+    warn: (fields, message) => write('warn', fields, message),
+    error: (fields, message) => write('error', fields, message),
+    flush() {
+      sumUp();
+      destination.flushSync();
+    },
+  };
+}
--- a/packages/observability/src/types.ts
+++ b/packages/observability/src/types.ts
@@ -113,3 +113,17 @@
   /** Decisions kept for questions. */
   readonly capacity?: number;
 }
+
+/** A logger whose volume is bounded and whose reader cannot hold the process up. */
+export interface BoundedLogger extends Logger {
+  /** Writes what waits, before the process ends. */
+  flush(): void;
+}
+
+export interface BoundedLoggerOptions {
+  readonly clock: Clock;
+  /** Fields of every line. */
+  readonly bindings: object;
+  /** Lines of one message a second. */
+  readonly linesPerSecond?: number;
+}
--- a/packages/relay/src/createBeliefKeeper.ts
+++ b/packages/relay/src/createBeliefKeeper.ts
@@ -1,7 +1,7 @@
 import type { Clock, EntryHostId, FailureDomainId, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import createServerList from './decisions/createServerList';
-import type { BeliefChange, Beliefs, ListedServer, PeerAddress, RelayConfiguration } from './types';
+import type { BeliefKeeper, ListedServer, PeerAddress, RelayConfiguration } from './types';
 
 /** Time between two looks at entries that are kept for their return. */
 const HOLD_LOOK_INTERVAL = 250;
@@ -19,17 +19,6 @@
   readonly onPeers: (peers: readonly PeerAddress[]) => void;
 }
 
-interface BeliefKeeper {
-  /** Takes in what the platform told. */
-  apply(change: BeliefChange): void;
-  /** Takes in what another host knows, where it is newer. */
-  merge(beliefs: Beliefs): void;
-  get(): Beliefs;
-  readonly evacuated: ReadonlySet<FailureDomainId>;
-  readonly isStoreInReach: boolean;
-  stop(): void;
-}
-
 /** What this host believes of the world outside, whoever told it. Nothing in it ever becomes older. */
 export default function createBeliefKeeper(options: BeliefKeeperOptions): BeliefKeeper {
   const { clock, logger } = options;
--- a/packages/relay/src/createReadinessFront.ts
+++ b/packages/relay/src/createReadinessFront.ts
@@ -7,16 +7,14 @@
   readonly address: string;
   readonly readyPath: string;
   readonly isReady: () => boolean;
-  readonly scrape: () => Promise<string>;
 }
 
-/** Answers the balancer's question and gives the metrics out at `/metrics`. */
+/** Answers the balancer's question. */
 export default function createReadinessFront(options: ReadinessFrontOptions): ServerType {
   const application = new Hono();
   application.get(options.readyPath, (context) =>
     options.isReady() ? context.text('ready', 200) : context.text('not ready', 503),
   );
-  application.get('/metrics', async (context) => context.text(await options.scrape()));
   const at = options.address.lastIndexOf(':');
   return serve({
     fetch: application.fetch,
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -1,8 +1,9 @@
 import type { ServerType } from '@hono/node-server';
 import type { EntryHostId, FailureDomainId, Incarnation, Milliseconds } from '@rattanreel/core';
-import { createPeerTransport } from '@rattanreel/transport';
 import createBeliefKeeper from './createBeliefKeeper';
 import createHostSummary from './createHostSummary';
+import addRelayGauges from './addRelayGauges';
+import createMetricsFront from './createMetricsFront';
 import createPools from './createPools';
 import createReadinessFront from './createReadinessFront';
 import createRequestDesk from './createRequestDesk';
@@ -12,16 +13,15 @@
 import drainFront from './front/drainFront';
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
+import openRelayTransport from './peers/openRelayTransport';
 import createPeerExchange from './peers/createPeerExchange';
 import createPeerTable from './peers/createPeerTable';
 import createServerConnections from './servers/createServerConnections';
 import type {
   BeliefSource,
-  Beliefs,
   CallerLimits,
   HeaderNames,
   HostMessage,
-  PeerQuestion,
   Quota,
   RelayBounds,
   RelayConfiguration,
@@ -30,7 +30,6 @@
   RelayHost,
 } from './types';
 import type { RouteTable } from './decisions/types';
-import type { RelayTransport } from './peers/types';
 
 /** Limits until a configuration is known. */
 const FIRST_LIMITS: CallerLimits = {
@@ -55,6 +54,7 @@
   readonly readinessAddress: string;
   readonly readyPath: string;
   readonly peerAddress: string;
+  readonly metricsAddress: string;
   /** Addresses of some hosts, possibly out of date. */
   readonly seedAddresses: readonly string[];
 }
@@ -159,7 +159,12 @@
     );
   }
 
-  const transport = await openTransport();
+  const transport = await openRelayTransport({
+    identity: { entryHost, incarnation },
+    listenAddress: peerAddress,
+    onMessage: hear,
+    getBeliefs: () => keeper.get(),
+  });
   const exchange = createPeerExchange({
     clock,
     logger,
@@ -178,20 +183,6 @@
     onBeliefs: keeper.merge,
   });
 
-  async function openTransport(): Promise<RelayTransport> {
-    const opened = await createPeerTransport<HostMessage, PeerQuestion, Beliefs>({
-      identity: { entryHost, incarnation },
-      listenAddress: peerAddress,
-      security: { kind: 'plainTrustedNetwork' },
-      onMessage: ({ body }) => hear(body),
-      onQuestion: async () => keeper.get(),
-    });
-    if (opened.kind === 'error') {
-      throw new Error(`peer address ${opened.error.address}: ${opened.error.kind}`);
-    }
-    return opened.value;
-  }
-
   function isWarm(): boolean {
     return routes !== undefined && keeper.get().serversVersion >= 0;
   }
@@ -200,8 +191,13 @@
     address: options.readinessAddress,
     readyPath: options.readyPath,
     isReady: () => isReady && isWarm() && !isStopping,
+  });
+
+  const metricsFront = createMetricsFront({
+    address: options.metricsAddress,
     scrape: metrics.scrape,
   });
+  addRelayGauges({ metrics, pools, keeper, peerTable, clock });
 
   await front.listen(options.callerAddress);
   isReady = true;
@@ -234,6 +230,7 @@
       keeper.stop();
       front.close();
       readiness.close();
+      metricsFront.close();
       await Promise.all([transport.close(), source.close(), connections.close()]);
     },
   };
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -1,4 +1,5 @@
 /** One caller's request and its answer, as the relay sees them. */
+import type { Gauge as GaugeDefinition } from '@rattanreel/observability';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type {
   AttemptEnd,
@@ -95,6 +96,7 @@
   ended(outcome: EndOutcome, reason: string): void;
   dispatched(attempt: number): void;
   answered(plan: RequestPlan, now: number): void;
+  addGauge(gauge: GaugeDefinition): void;
   scrape(): Promise<string>;
 }
 
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -1,11 +1,5 @@
-import type {
-  BackendServerId,
-  EntryHostId,
-  Milliseconds,
-  PoolId,
-  TierRank,
-} from '@rattanreel/core';
-import type { HostMessage, HostSummary } from '../types';
+import type { BackendServerId, EntryHostId, Milliseconds } from '@rattanreel/core';
+import type { HostSummary, PeerTable } from '../types';
 
 /** A summary older than this says nothing of what a host has in flight; summaries come every 100 ms. */
 const SUMMARY_LIFE: Milliseconds = 1_000;
@@ -15,19 +9,6 @@
   readonly at: Milliseconds;
 }
 
-interface PeerTable {
-  /** Takes in a whole summary, or a change to the last one. */
-  hear(message: HostMessage, now: Milliseconds): void;
-  /** Requests that the other hosts have in flight, by backend server. */
-  countInFlight(now: Milliseconds): ReadonlyMap<BackendServerId, number>;
-  /** The same by pool and route tier. */
-  countByTier(pool: PoolId, now: Milliseconds): ReadonlyMap<TierRank, number>;
-  /** Requests that wait at the other hosts, by rank. */
-  countWaiting(pool: PoolId, now: Milliseconds): ReadonlyMap<number, number>;
-  /** Hosts heard lately. */
-  listHeard(now: Milliseconds): readonly HostSummary[];
-}
-
 /** Adds counts up by their numeric keys, which became text on the way. */
 function sumCounts(
   parts: readonly (Readonly<Record<string, number>> | undefined)[],
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -69,7 +69,7 @@
   pump(): void;
   readonly waiting: number;
   /** What a decision on a request of this urgency is made from. */
-  describe(urgency: Urgency): PoolState;
+  describe(urgency: Pick<Urgency, 'rank' | 'tier'>): PoolState;
   readonly accounts: ReadonlyMap<BackendServerId, ServerAccount>;
 }
 
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -335,3 +335,27 @@
   /** Answers what is in hand and ends; resolves when nothing is left or the grace is over. */
   stop(): Promise<void>;
 }
+
+export interface BeliefKeeper {
+  /** Takes in what the platform told. */
+  apply(change: BeliefChange): void;
+  /** Takes in what another host knows, where it is newer. */
+  merge(beliefs: Beliefs): void;
+  get(): Beliefs;
+  readonly evacuated: ReadonlySet<FailureDomainId>;
+  readonly isStoreInReach: boolean;
+  stop(): void;
+}
+
+export interface PeerTable {
+  /** Takes in a whole summary, or a change to the last one. */
+  hear(message: HostMessage, now: Milliseconds): void;
+  /** Requests that the other hosts have in flight, by backend server. */
+  countInFlight(now: Milliseconds): ReadonlyMap<BackendServerId, number>;
+  /** The same by pool and route tier. */
+  countByTier(pool: PoolId, now: Milliseconds): ReadonlyMap<TierRank, number>;
+  /** Requests that wait at the other hosts, by rank. */
+  countWaiting(pool: PoolId, now: Milliseconds): ReadonlyMap<number, number>;
+  /** Hosts heard lately. */
+  listHeard(now: Milliseconds): readonly HostSummary[];
+}
