Let two hosts of each failure domain of a large fleet follow the store, and hosts tell their domain only

Change: over 12 other hosts, a host tells those of its failure domain only, reads loads that servers report for the rest, and two followers a domain, chosen by rendezvous among the hosts heard, watch the store and are asked for what is new; hosts are listed now and then instead of watched, and learnt by hearing them. Small fleets go on as before.

--- a/packages/relay/src/createBeliefKeeper.ts
+++ b/packages/relay/src/createBeliefKeeper.ts
@@ -27,7 +27,7 @@
   let configuration: RelayConfiguration | undefined;
   let evacuated: ReadonlySet<FailureDomainId> = new Set();
   let evacuatedVersion = -1;
-  let peers: readonly PeerAddress[] = [];
+  let peers: readonly PeerAddress[] | undefined;
   let holdTimer: Timer | undefined;
 
   function applyConfiguration(next: RelayConfiguration, from: string): void {
@@ -73,9 +73,13 @@
   }
 
   function applyPeers(next: readonly PeerAddress[]): void {
-    peers = next.filter(({ entryHost }) => entryHost !== options.ownName);
-    logger.info({ peers: peers.map(({ entryHost }) => entryHost) }, 'other hosts');
-    options.onPeers(peers);
+    const others = next.filter(({ entryHost }) => entryHost !== options.ownName);
+    const isChanged = JSON.stringify(others) !== JSON.stringify(peers);
+    peers = others;
+    if (isChanged) {
+      logger.info({ peers: peers.map(({ entryHost }) => entryHost) }, 'other hosts');
+      options.onPeers(peers);
+    }
   }
 
   return {
@@ -121,8 +125,8 @@
         applyServers(beliefs.servers, beliefs.serversVersion, 'peer');
       }
       applyEvacuated(beliefs.evacuated, beliefs.evacuatedVersion, 'peer');
-      if (peers.length === 0 && beliefs.peers.length > 0) {
-        applyPeers(beliefs.peers);
+      if ((peers ?? []).length === 0 && (beliefs.peers ?? []).length > 0) {
+        applyPeers(beliefs.peers ?? []);
       }
     },
     get: () => ({
@@ -133,6 +137,16 @@
       evacuatedVersion,
       peers,
     }),
+    learnPeer({ entryHost, address, failureDomain }) {
+      const known = (peers ?? []).find((peer) => peer.entryHost === entryHost);
+      if (known?.address !== address) {
+        const others = (peers ?? []).filter((peer) => peer.entryHost !== entryHost);
+        applyPeers([...others, { entryHost, address, failureDomain }]);
+      }
+    },
+    stopFollowing() {
+      lostSubjects.clear();
+    },
     stop() {
       holdTimer?.cancel();
     },
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -1,5 +1,6 @@
-import { chooseOwners } from '@rattanreel/membership';
+import chooseHosts from './decisions/chooseHosts';
 import type { Clock, EntryHostId, FailureDomainId, PoolId, Random } from '@rattanreel/core';
+import MOST_DIRECT_PEERS from './decisions/mostDirectPeers';
 import getColdInterval from './decisions/getColdInterval';
 import createPoolDesk from './pools/createPoolDesk';
 import createServerAccounts from './pools/createServerAccounts';
@@ -22,16 +23,6 @@
   readonly accounts: ServerAccounts;
 }
 
-/** The rendezvous choice of `count` hosts for a key. */
-function chooseHosts(
-  key: string,
-  hosts: readonly EntryHostId[],
-  count: number,
-): readonly EntryHostId[] {
-  const members = hosts.map((entryHost) => ({ entryHost }));
-  return chooseOwners(key, members, count).map(({ entryHost }) => entryHost);
-}
-
 /** The pools of this host, each made when it is first heard of. */
 export default function createPools(options: PoolsOptions): Pools {
   const { clock, ownName } = options;
@@ -48,6 +39,7 @@
       bounds: options.bounds,
       accounts,
       getEvacuated: options.getEvacuated,
+      hearsAll: () => hosts.length <= MOST_DIRECT_PEERS + 1,
       onChange: options.onChange,
       getSettings: () => settingsByPool.get(pool),
       getColdInterval: (server, rate) =>
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -6,7 +6,9 @@
 import createMetricsFront from './createMetricsFront';
 import createPools from './createPools';
 import createReadinessFront from './createReadinessFront';
+import createStoreFollower from './createStoreFollower';
 import createRequestDesk from './createRequestDesk';
+import choosePartners from './decisions/choosePartners';
 import createRouteTable from './decisions/createRouteTable';
 import createSharedQuota from './decisions/createSharedQuota';
 import createRelayFront from './front/createRelayFront';
@@ -82,6 +84,7 @@
   const { clock, logger, random } = context;
   const bounds = { ...options.bounds };
   const startedAt = clock.now();
+  const identity = { entryHost, incarnation, failureDomain, address: peerAddress };
   const quota = createSharedQuota({ now: startedAt });
   const metrics = createRelayMetrics();
   const observer = createRequestObserver({ logger, metrics, now: clock.now });
@@ -114,7 +117,7 @@
       const names = peers.map((peer) => peer.entryHost);
       quota.setPeers(names);
       pools.setHosts([entryHost, ...names]);
-      exchange.setPeers(peers);
+      exchange.setPeers(choosePartners(peers, failureDomain));
     },
   });
 
@@ -150,6 +153,7 @@
     const now = clock.now();
     peerTable.hear(message, now);
     if (message.kind === 'summary') {
+      keeper.learnPeer(message);
       quota.hear({ ...message, from: message.entryHost, now });
       exchange.hear(message);
     }
@@ -170,16 +174,9 @@
     logger,
     transport,
     getSummary: () =>
-      createHostSummary({
-        entryHost,
-        incarnation,
-        failureDomain,
-        address: peerAddress,
-        pools,
-        spent: quota.spent(),
-        beliefs: keeper.get(),
-      }),
+      createHostSummary({ ...identity, pools, spent: quota.spent(), beliefs: keeper.get() }),
     getBeliefs: keeper.get,
+    isFollowing: () => keeper.isStoreInReach && follower.isFollowing(),
     onBeliefs: keeper.merge,
   });
 
@@ -201,7 +198,14 @@
 
   await front.listen(options.callerAddress);
   isReady = true;
-  source.follow(keeper.apply);
+  const follower = createStoreFollower({
+    context,
+    source,
+    keeper,
+    peerTable,
+    ownName: entryHost,
+    ownDomain: failureDomain,
+  });
   register();
   const seeds = options.seedAddresses.filter((address) => address !== peerAddress);
   void exchange.askAny(seeds);
@@ -227,6 +231,7 @@
       isStopping = true;
       await drainFront({ clock, logger, front, grace: bounds.stopGrace });
       exchange.stop();
+      follower.stop();
       keeper.stop();
       front.close();
       readiness.close();
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -15,6 +15,8 @@
 interface ChooseServerOptions {
   readonly accounts: readonly ServerAccount[];
   readonly now: Milliseconds;
+  /** Whether the other hosts' requests in flight are all heard of. */
+  readonly hearsAll?: boolean;
   readonly random: Random;
   readonly ownDomain: FailureDomainId;
   readonly evacuated: ReadonlySet<FailureDomainId>;
@@ -41,7 +43,7 @@
   let best: ServerAccount | undefined;
   let bestCost = Infinity;
   options.accounts.forEach((account) => {
-    const occupancy = getOccupancy(account, now);
+    const occupancy = getOccupancy(account, now, options.hearsAll ?? true);
     if (!isUsable(account, options) || occupancy >= account.listed.slots + overcommit) {
       return;
     }
--- a/packages/relay/src/peers/createPeerExchange.ts
+++ b/packages/relay/src/peers/createPeerExchange.ts
@@ -20,6 +20,8 @@
   readonly transport: RelayTransport;
   readonly getSummary: () => HostSummary;
   readonly getBeliefs: () => Beliefs;
+  /** Whether this host follows the store itself, and the store answers. */
+  readonly isFollowing: () => boolean;
   readonly onBeliefs: (beliefs: Beliefs) => void;
 }
 
@@ -34,9 +36,15 @@
   stop(): void;
 }
 
-function knowsMore(summary: HostSummary, beliefs: Beliefs): boolean {
+function knowsMore(summary: HostSummary, beliefs: Beliefs, isFollowing: boolean): boolean {
+  if (summary.configurationVersion > (beliefs.configuration?.version ?? -1)) {
+    return true;
+  }
+  // A host that follows the store itself hears of these two as soon as any other.
+  if (isFollowing) {
+    return false;
+  }
   return (
-    summary.configurationVersion > (beliefs.configuration?.version ?? -1) ||
     summary.serversVersion > beliefs.serversVersion ||
     summary.evacuatedVersion > beliefs.evacuatedVersion
   );
@@ -110,7 +118,10 @@
     },
     hear(summary) {
       const now = clock.now();
-      if (now - askedAt > QUESTION_PAUSE && knowsMore(summary, options.getBeliefs())) {
+      if (
+        now - askedAt > QUESTION_PAUSE &&
+        knowsMore(summary, options.getBeliefs(), options.isFollowing())
+      ) {
         askedAt = now;
         void ask(summary.address, summary.entryHost);
       }
--- a/packages/relay/src/pools/burstOfMixedTiers.test.ts
+++ b/packages/relay/src/pools/burstOfMixedTiers.test.ts
@@ -55,6 +55,7 @@
     ownDomain: 'near',
     accounts,
     getEvacuated: () => new Set(),
+    hearsAll: () => true,
     getSettings: () => undefined,
     onChange: () => undefined,
     getColdInterval: () => 0,
--- a/packages/relay/src/pools/createPlaceLedger.ts
+++ b/packages/relay/src/pools/createPlaceLedger.ts
@@ -48,6 +48,7 @@
     accounts.byId.forEach((account) => prepareCold(account, now));
     return chooseServer({
       accounts: [...accounts.byId.values()],
+      hearsAll: options.hearsAll(),
       now,
       random,
       ownDomain,
@@ -88,7 +89,7 @@
     accounts.byId.forEach((account) => {
       if (isUsable(account, now)) {
         places += account.listed.slots;
-        taken += Math.min(getOccupancy(account, now), account.listed.slots);
+        taken += Math.min(getOccupancy(account, now, options.hearsAll()), account.listed.slots);
       }
     });
     const getTakenBy = (tier: TierRank): number =>
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -93,6 +93,8 @@
   readonly ownDomain: FailureDomainId;
   readonly accounts: ServerAccounts;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
+  /** Whether the other hosts' requests in flight are all heard of. */
+  readonly hearsAll: () => boolean;
   readonly getSettings: () => PoolSettings | undefined;
   /** Told when the requests in flight change, and whether places are scarce. */
   readonly onChange: (isScarce: boolean) => void;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -284,13 +284,16 @@
   readonly serversVersion: number;
   readonly evacuated: readonly FailureDomainId[];
   readonly evacuatedVersion: number;
-  readonly peers: readonly PeerAddress[];
+  /** Undefined until the hosts have been listed. */
+  readonly peers: readonly PeerAddress[] | undefined;
 }
 
 /** What the platform tells, whenever it changes. */
 export interface BeliefSource {
-  /** Follows the platform until closed. */
-  follow(listener: (change: BeliefChange) => void): void;
+  /** Follows the platform until the returned function is called. */
+  follow(listener: (change: BeliefChange) => void): () => void;
+  /** The other hosts as the platform lists them, possibly seconds old; undefined when it does not answer. */
+  listPeers(): Promise<readonly PeerAddress[] | undefined>;
   /** Makes this host known to the others; false when it is not certain that they can see it. */
   register(peer: PeerAddress): Promise<boolean>;
   close(): Promise<void>;
@@ -341,6 +344,10 @@
   apply(change: BeliefChange): void;
   /** Takes in what another host knows, where it is newer. */
   merge(beliefs: Beliefs): void;
+  /** Takes in where a host is that has been heard. */
+  learnPeer(peer: PeerAddress): void;
+  /** Forgets what was out of reach, once the store is not followed any more. */
+  stopFollowing(): void;
   get(): Beliefs;
   readonly evacuated: ReadonlySet<FailureDomainId>;
   readonly isStoreInReach: boolean;
