--- a/packages/command-line/src/commands/explain.ts
+++ b/packages/command-line/src/commands/explain.ts
@@ -2,6 +2,7 @@
 import runCall from '../client/runCall';
 import exitCodes from '../exitCodes';
 import type { Command } from '../types';
+import explainFromLogs from './explainFromLogs';
 
 function formatDecisions(body: unknown): string {
   const { items } = body as { readonly items: readonly ExplainedDecision[] };
@@ -15,7 +16,7 @@
 /** `explain`: why a request was answered, refused or sent where it was. */
 const explain: Command = {
   name: 'explain',
-  usage: 'explain REQUEST --host URL --token TOKEN [--json]',
+  usage: 'explain REQUEST (--log FILE... | --host URL --token TOKEN) [--json]',
   summary: 'Tell what was decided about a request, and why',
   async run(context) {
     const request = context.input[0];
@@ -23,6 +24,11 @@
       context.complain('name a request');
       return exitCodes.usage;
     }
+    if (context.flags.log.length > 0) {
+      const lines = await explainFromLogs(request, context.flags.log);
+      lines.forEach(context.print);
+      return lines.length === 0 ? exitCodes.invalidInput : exitCodes.success;
+    }
     const path = `/requests/${encodeURIComponent(request)}/decisions`;
     return runCall(context, { method: 'GET', path }, formatDecisions);
   },
--- /dev/null
+++ b/packages/command-line/src/commands/explainFromLogs.ts
@@ -0,0 +1,50 @@
+import { createReadStream } from 'node:fs';
+import { createInterface } from 'node:readline';
+
+/** Fields that begin each told line, or are the same in all. */
+const HEADING_FIELDS: ReadonlySet<string> = new Set(['time', 'host', 'msg', 'level', 'request']);
+
+interface ToldLine {
+  readonly time: string;
+  readonly text: string;
+}
+
+/** A log line as an object; undefined for any other text. What stands before the object is skipped. */
+function tryParse(line: string): Record<string, unknown> | undefined {
+  const start = line.indexOf('{"level"');
+  if (start < 0) {
+    return undefined;
+  }
+  try {
+    return JSON.parse(line.slice(start)) as Record<string, unknown>;
+  } catch {
+    return undefined;
+  }
+}
+
+function toToldLine(fields: Record<string, unknown>): ToldLine {
+  const { time, host, msg } = fields;
+  const rest = Object.entries(fields).filter(([name]) => !HEADING_FIELDS.has(name));
+  const details = JSON.stringify(Object.fromEntries(rest));
+  const text = `${String(time)} ${String(host)} ${String(msg)} ${details}`;
+  return { time: String(time), text };
+}
+
+/** Every line about one request in the logs of several hosts, in the order of their clocks. */
+export default async function explainFromLogs(
+  request: string,
+  fileNames: readonly string[],
+): Promise<readonly string[]> {
+  const told: ToldLine[] = [];
+  for (let index = 0; index < fileNames.length; index += 1) {
+    const input = createReadStream(fileNames[index]!, 'utf8');
+
+    for await (const line of createInterface({ input })) {
+      const fields = line.includes(request) ? tryParse(line) : undefined;
+      if (fields?.request === request) {
+        told.push(toToldLine(fields));
+      }
+    }
+  }
+  return told.sort((left, right) => (left.time < right.time ? -1 : 1)).map(({ text }) => text);
+}
--- a/packages/command-line/src/main.ts
+++ b/packages/command-line/src/main.ts
@@ -39,6 +39,7 @@
       expectedRate: { type: 'number' },
       platform: { type: 'string' },
       to: { type: 'string' },
+      log: { type: 'string', isMultiple: true, default: [] },
     },
   },
 );
@@ -58,6 +59,7 @@
       apiKey: cli.flags.apiKey ?? [],
       model: cli.flags.model ?? [],
       tier: cli.flags.tier ?? [],
+      log: cli.flags.log ?? [],
     },
     print: (line) => process.stdout.write(`${line}\n`),
     complain: (line) => process.stderr.write(`${line}\n`),
--- a/packages/command-line/src/types.ts
+++ b/packages/command-line/src/types.ts
@@ -23,6 +23,8 @@
   readonly expectedRate: number | undefined;
   readonly platform: string | undefined;
   readonly to: string | undefined;
+  /** Log files of entry hosts. */
+  readonly log: readonly string[];
 }
 
 export interface CommandContext {
