--- a/packages/platform/src/createObjectStore.ts
+++ b/packages/platform/src/createObjectStore.ts
@@ -16,6 +16,7 @@
 
 const DEFAULT_WATCH_SILENCE: Milliseconds = 15_000;
 const DEFAULT_RELIST_INTERVAL: Milliseconds = 60_000;
+const DEFAULT_LONGEST_WATCH_PAUSE: Milliseconds = 5_000;
 const DEFAULT_RETRY_AFTER: Milliseconds = 1_000;
 
 interface StoreOverTransportOptions extends ObjectStoreOptions {
@@ -125,6 +126,7 @@
         takeCall: caller.takeCall,
         silence: options.watchSilence ?? DEFAULT_WATCH_SILENCE,
         relistInterval: options.relistInterval ?? DEFAULT_RELIST_INTERVAL,
+        longestPause: options.longestWatchPause ?? DEFAULT_LONGEST_WATCH_PAUSE,
       });
       watches.add(watch);
       return {
--- a/packages/platform/src/createWatch.ts
+++ b/packages/platform/src/createWatch.ts
@@ -10,7 +10,6 @@
 } from './types';
 
 const FIRST_PAUSE: Milliseconds = 100;
-const LONGEST_PAUSE: Milliseconds = 5_000;
 const PAUSE_FACTOR = 2;
 
 interface WatchOptions<Value> {
@@ -24,6 +23,8 @@
   readonly takeCall: () => boolean;
   readonly silence: Milliseconds;
   readonly relistInterval: Milliseconds;
+  /** Longest pause between two tries to watch. */
+  readonly longestPause: Milliseconds;
 }
 
 /**
@@ -55,7 +56,7 @@
   function pauseThen(action: () => void): void {
     disconnect();
     failures += 1;
-    const ceiling = Math.min(LONGEST_PAUSE, FIRST_PAUSE * PAUSE_FACTOR ** failures);
+    const ceiling = Math.min(options.longestPause, FIRST_PAUSE * PAUSE_FACTOR ** failures);
     pauseTimer = clock.after(jitter(ceiling), action);
   }
 
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -179,6 +179,8 @@
   readonly watchSilence?: Milliseconds;
   /** A watch is opened anew with a new list about this often. */
   readonly relistInterval?: Milliseconds;
+  /** Longest pause between two tries to watch while the store is out of reach. */
+  readonly longestWatchPause?: Milliseconds;
 }
 
 /** What is known of a conditional write after its attempts. */
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -176,7 +176,6 @@
     getSummary: () =>
       createHostSummary({ ...identity, pools, spent: quota.spent(), beliefs: keeper.get() }),
     getBeliefs: keeper.get,
-    isFollowing: () => keeper.isStoreInReach && follower.isFollowing(),
     onBeliefs: keeper.merge,
   });
 
--- a/packages/relay/src/createStoreFollower.ts
+++ b/packages/relay/src/createStoreFollower.ts
@@ -19,7 +19,6 @@
 }
 
 interface StoreFollower {
-  isFollowing(): boolean;
   stop(): void;
 }
 
@@ -94,7 +93,6 @@
   listOn();
   lookOn();
   return {
-    isFollowing: () => unfollow !== undefined,
     stop() {
       isStopped = true;
       lookTimer?.cancel();
--- /dev/null
+++ b/packages/relay/src/peers/createPeerExchange.test.ts
@@ -0,0 +1,87 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createVirtualClock, ok } from '@rattanreel/core';
+import type { Beliefs, HostSummary } from '../types';
+import createPeerExchange from './createPeerExchange';
+
+const silentLogger = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+function createBeliefs(serversVersion: number): Beliefs {
+  return {
+    configuration: undefined,
+    servers: [],
+    serversVersion,
+    evacuated: [],
+    evacuatedVersion: 0,
+    peers: [],
+  };
+}
+
+function createSummary(serversVersion: number): HostSummary {
+  return {
+    kind: 'summary',
+    entryHost: 'other',
+    incarnation: 'one',
+    failureDomain: 'near',
+    address: '10.0.0.2:1',
+    inFlight: {},
+    tiers: {},
+    waiting: {},
+    spent: {},
+    configurationVersion: -1,
+    serversVersion,
+    evacuatedVersion: 0,
+  };
+}
+
+interface Case {
+  readonly name: string;
+  /** Versions of the list of servers that the other host tells, one every 200 ms. */
+  readonly told: readonly number[];
+  readonly asked: number;
+}
+
+const cases: readonly Case[] = [
+  { name: 'not while it knows as much', told: [5, 5, 5, 5], asked: 0 },
+  { name: 'not at once, since its own watch may be about to tell', told: [6], asked: 0 },
+  { name: 'once it stays behind, though its own store seems well', told: [6, 6, 6], asked: 1 },
+];
+
+describe('createPeerExchange', () => {
+  cases.forEach(({ name, told, asked }) => {
+    it(`asks another host what it knows ${name}`, () => {
+      const clock = createVirtualClock();
+      const questions: string[] = [];
+      let beliefs = createBeliefs(5);
+      const exchange = createPeerExchange({
+        clock,
+        logger: silentLogger,
+        transport: {
+          address: '10.0.0.1:1',
+          send: () => undefined,
+          async ask(address) {
+            questions.push(address);
+            beliefs = createBeliefs(6);
+            return ok(beliefs);
+          },
+          traffic: () => ({ messagesSent: 0, bytesSent: 0, messagesReceived: 0, bytesReceived: 0 }),
+          close: async () => undefined,
+        },
+        getSummary: () => createSummary(5),
+        getBeliefs: () => beliefs,
+        onBeliefs: () => undefined,
+      });
+      told.forEach((version) => {
+        exchange.hear(createSummary(version));
+        clock.advance(200);
+      });
+      exchange.stop();
+      expect(questions.length).toEqual(asked);
+    });
+  });
+});
--- a/packages/relay/src/peers/createPeerExchange.ts
+++ b/packages/relay/src/peers/createPeerExchange.ts
@@ -12,6 +12,8 @@
 const INTERVAL_PER_PEER: Milliseconds = 4;
 /** Shortest time between two questions for another host's beliefs. */
 const QUESTION_PAUSE: Milliseconds = 200;
+/** Time for which a host waits to hear from the store itself what another knows already. */
+const BEHIND_PATIENCE: Milliseconds = 250;
 const ANSWER_TIMEOUT: Milliseconds = 700;
 
 interface PeerExchangeOptions {
@@ -20,8 +22,6 @@
   readonly transport: RelayTransport;
   readonly getSummary: () => HostSummary;
   readonly getBeliefs: () => Beliefs;
-  /** Whether this host follows the store itself, and the store answers. */
-  readonly isFollowing: () => boolean;
   readonly onBeliefs: (beliefs: Beliefs) => void;
 }
 
@@ -36,15 +36,9 @@
   stop(): void;
 }
 
-function knowsMore(summary: HostSummary, beliefs: Beliefs, isFollowing: boolean): boolean {
-  if (summary.configurationVersion > (beliefs.configuration?.version ?? -1)) {
-    return true;
-  }
-  // A host that follows the store itself hears of these two as soon as any other.
-  if (isFollowing) {
-    return false;
-  }
+function knowsMore(summary: HostSummary, beliefs: Beliefs): boolean {
   return (
+    summary.configurationVersion > (beliefs.configuration?.version ?? -1) ||
     summary.serversVersion > beliefs.serversVersion ||
     summary.evacuatedVersion > beliefs.evacuatedVersion
   );
@@ -55,6 +49,7 @@
   const { clock, logger, transport } = options;
   let peers: readonly PeerAddress[] = [];
   let timer: Timer | undefined;
+  const behindSince = new Map<EntryHostId, Milliseconds>();
   let askedAt = -Infinity;
   let told: HostSummary | undefined;
   let toldAt = -Infinity;
@@ -118,10 +113,13 @@
     },
     hear(summary) {
       const now = clock.now();
-      if (
-        now - askedAt > QUESTION_PAUSE &&
-        knowsMore(summary, options.getBeliefs(), options.isFollowing())
-      ) {
+      if (!knowsMore(summary, options.getBeliefs())) {
+        behindSince.delete(summary.entryHost);
+        return;
+      }
+      const since = behindSince.get(summary.entryHost) ?? now;
+      behindSince.set(summary.entryHost, since);
+      if (now - since >= BEHIND_PATIENCE && now - askedAt > QUESTION_PAUSE) {
         askedAt = now;
         void ask(summary.address, summary.entryHost);
       }
