--- a/packages/relay/src/decisions/createPlaceShares.ts
+++ b/packages/relay/src/decisions/createPlaceShares.ts
@@ -3,7 +3,7 @@
 import type { MovingMean, PlaceClaim, PlaceCounts } from './types';
 
 /** Part of a pool's places that each tier may always use, so that overload starves none. */
-const FLOOR_PART = 0.2;
+const FLOOR_PART = 0.15;
 /** Part of a pool's places kept free per multiple by which a tier's answers last longer. */
 const HEADROOM_PER_MULTIPLE = 0.1;
 const MOST_HEADROOM = 0.25;
--- a/packages/relay/src/pools/burstOfMixedTiers.test.ts
+++ b/packages/relay/src/pools/burstOfMixedTiers.test.ts
@@ -125,6 +125,24 @@
   return served;
 }
 
+describe('a pool that urgent work alone would fill', () => {
+  it('takes a request of a tier below its floor, however many urgent ones wait', () => {
+    const clock = createVirtualClock();
+    const desk = createDesk(clock);
+    const createRequest = (tier: number, index: number): WaitingRequest => ({
+      id: `${tier}-${index}`,
+      urgency: { rank: tier, tier, serveBy: 500, deadlineAt: 5_000 },
+      size: { promptTokens: 0, outputTokens: 0 },
+      avoid: new Set(),
+      onGranted: () => undefined,
+      onRefused: () => undefined,
+    });
+    const urgent = Array.from({ length: 200 }, (_, index) => desk.ask(createRequest(0, index)));
+    expect(urgent.at(-1)).toEqual({ kind: 'refused', reason: 'expectedLate' });
+    expect(desk.ask(createRequest(2, 0))).toEqual({ kind: 'waiting' });
+  });
+});
+
 describe('a burst of mixed tiers', () => {
   cases.forEach(({ name, burst, least }) => {
     it(`keeps the most important work in time: ${name}`, () => {
--- a/packages/relay/src/pools/createPoolDesk.ts
+++ b/packages/relay/src/pools/createPoolDesk.ts
@@ -116,9 +116,11 @@
     },
     ask(request) {
       const now = clock.now();
-      const { rank, serveBy } = request.urgency;
+      const { rank, tier, serveBy } = request.urgency;
       const allowance = serveBy - now - means.firstData.get();
-      const wait = line.size === 0 ? 0 : getExpectedWait(rank);
+      // A tier below its floor goes before all others, so their requests do not delay it.
+      const isAhead = line.size === 0 || shares.judge(tier, ledger.countPlaces()) === 'belowFloor';
+      const wait = isAhead ? 0 : getExpectedWait(rank);
       if (wait > allowance) {
         return { kind: 'refused', reason: 'expectedLate' };
       }
