Say things once in the relay: addresses, gauges, accounts, versions; take out what nobody reads

Found on reading the whole change; behaviour is meant to stay, no check or expectation changed. - HOST:PORT was split in three places and hono served in two: splitAddress, serveApplication. - Gauges were registered by two copies: addGauge in observability serves both registries. - A new server's account was written out again for tests: pools/createAccount serves both. - drainFront had its own sleep: the one of packages/platform. - Each message and each question of the balancer copied every server and peer to read three numbers: getVersions. - Registering a host is a file of its own. Gone: poll outcomes, isOver, size, streamType, a reason that none gave.

--- a/packages/observability/src/createMetrics.ts
+++ b/packages/observability/src/createMetrics.ts
@@ -1,10 +1,5 @@
-import {
-  collectDefaultMetrics,
-  Counter,
-  Gauge as PrometheusGauge,
-  Histogram,
-  Registry,
-} from 'prom-client';
+import { collectDefaultMetrics, Counter, Histogram, Registry } from 'prom-client';
+import addGauge from './addGauge';
 import type { Metrics } from './types';
 
 const DURATION_BUCKETS_SECONDS = [0.05, 0.1, 0.25, 0.5, 1, 1.7, 2.5, 5, 10, 30, 60, 120, 300];
@@ -70,18 +65,7 @@
       decisions.inc({ kind, decision, reason: kind === 'routing' ? (reason ?? '') : '' });
     },
     invariantViolated: (code) => violations.inc({ code }),
-    addGauge({ name, help, labelNames, read }) {
-      const gauge: PrometheusGauge = new PrometheusGauge({
-        name,
-        help,
-        labelNames,
-        registers,
-        collect() {
-          gauge.reset();
-          read().forEach(({ labels, value }) => gauge.set(labels, value));
-        },
-      });
-    },
+    addGauge: (gauge) => addGauge(registry, gauge),
     scrape: async () => ({ contentType: registry.contentType, body: await registry.metrics() }),
   };
 }
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -1,5 +1,6 @@
 /** Structured logs, metrics and the record of decisions. */
 export type * from './types';
+export { default as addGauge } from './addGauge';
 export { default as createBoundedLogger } from './createBoundedLogger';
 export { default as createDecisionLog } from './createDecisionLog';
 export { default as createLogger } from './createLogger';
--- a/packages/relay/src/addRelayGauges.ts
+++ b/packages/relay/src/addRelayGauges.ts
@@ -41,7 +41,7 @@
     name: 'rattanreel_relay_configuration_version',
     help: 'Version of the configuration in force; -1 before the first.',
     labelNames: [],
-    read: () => single(keeper.get().configuration?.version ?? -1),
+    read: () => single(keeper.getVersions().configurationVersion),
   });
   metrics.addGauge({
     name: 'rattanreel_relay_store_in_reach',
--- a/packages/relay/src/createBeliefKeeper.ts
+++ b/packages/relay/src/createBeliefKeeper.ts
@@ -137,6 +137,11 @@
       evacuatedVersion,
       peers,
     }),
+    getVersions: () => ({
+      configurationVersion: configuration?.version ?? -1,
+      serversVersion: servers.version,
+      evacuatedVersion,
+    }),
     learnPeer({ entryHost, address, failureDomain }) {
       const known = (peers ?? []).find((peer) => peer.entryHost === entryHost);
       if (known?.address !== address) {
--- a/packages/relay/src/createHostSummary.ts
+++ b/packages/relay/src/createHostSummary.ts
@@ -1,17 +1,17 @@
 import type { PoolId } from '@rattanreel/core';
-import type { Beliefs, HostSummary, Pools } from './types';
+import type { BeliefVersions, HostSummary, Pools } from './types';
 
 interface HostSummaryOptions extends Pick<
   HostSummary,
   'entryHost' | 'incarnation' | 'failureDomain' | 'address' | 'spent'
 > {
   readonly pools: Pools;
-  readonly beliefs: Beliefs;
+  readonly versions: BeliefVersions;
 }
 
 /** What this host tells the others now. */
 export default function createHostSummary(options: HostSummaryOptions): HostSummary {
-  const { pools, beliefs, ...identity } = options;
+  const { pools, versions, ...identity } = options;
   const inFlight: Record<string, number> = {};
   const tiers: Record<PoolId, Record<string, number>> = {};
   const waiting: Record<PoolId, Record<string, number>> = {};
@@ -26,12 +26,10 @@
   });
   return {
     ...identity,
+    ...versions,
     kind: 'summary',
     inFlight,
     tiers,
     waiting,
-    configurationVersion: beliefs.configuration?.version ?? -1,
-    serversVersion: beliefs.serversVersion,
-    evacuatedVersion: beliefs.evacuatedVersion,
   };
 }
--- a/packages/relay/src/createMetricsFront.ts
+++ b/packages/relay/src/createMetricsFront.ts
@@ -1,6 +1,6 @@
-import { serve } from '@hono/node-server';
 import type { ServerType } from '@hono/node-server';
 import { Hono } from 'hono';
+import serveApplication from './serveApplication';
 
 interface MetricsFrontOptions {
   /** HOST:PORT. */
@@ -12,10 +12,5 @@
 export default function createMetricsFront(options: MetricsFrontOptions): ServerType {
   const application = new Hono();
   application.get('/metrics', async (context) => context.text(await options.scrape()));
-  const at = options.address.lastIndexOf(':');
-  return serve({
-    fetch: application.fetch,
-    hostname: options.address.slice(0, at),
-    port: Number(options.address.slice(at + 1)),
-  });
+  return serveApplication(application, options.address);
 }
--- a/packages/relay/src/createReadinessFront.ts
+++ b/packages/relay/src/createReadinessFront.ts
@@ -1,6 +1,6 @@
-import { serve } from '@hono/node-server';
 import type { ServerType } from '@hono/node-server';
 import { Hono } from 'hono';
+import serveApplication from './serveApplication';
 
 interface ReadinessFrontOptions {
   /** HOST:PORT. */
@@ -15,10 +15,5 @@
   application.get(options.readyPath, (context) =>
     options.isReady() ? context.text('ready', 200) : context.text('not ready', 503),
   );
-  const at = options.address.lastIndexOf(':');
-  return serve({
-    fetch: application.fetch,
-    hostname: options.address.slice(0, at),
-    port: Number(options.address.slice(at + 1)),
-  });
+  return serveApplication(application, options.address);
 }
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -1,5 +1,5 @@
 import type { ServerType } from '@hono/node-server';
-import type { EntryHostId, FailureDomainId, Incarnation, Milliseconds } from '@rattanreel/core';
+import type { EntryHostId, FailureDomainId, Incarnation } from '@rattanreel/core';
 import createBeliefKeeper from './createBeliefKeeper';
 import createHostSummary from './createHostSummary';
 import addRelayGauges from './addRelayGauges';
@@ -7,6 +7,7 @@
 import createPools from './createPools';
 import createReadinessFront from './createReadinessFront';
 import createStoreFollower from './createStoreFollower';
+import registerHost from './registerHost';
 import createRequestDesk from './createRequestDesk';
 import choosePartners from './decisions/choosePartners';
 import createRouteTable from './decisions/createRouteTable';
@@ -40,8 +41,6 @@
   headerTimeout: 3_000,
   idleTimeout: 15_000,
 };
-/** Time between two tries to be listed; spread, since all hosts may start together. */
-const REGISTER_PAUSE: Milliseconds = 1_000;
 
 interface RelayHostOptions {
   readonly context: RelayContext;
@@ -174,13 +173,18 @@
     logger,
     transport,
     getSummary: () =>
-      createHostSummary({ ...identity, pools, spent: quota.spent(), beliefs: keeper.get() }),
-    getBeliefs: keeper.get,
+      createHostSummary({
+        ...identity,
+        pools,
+        spent: quota.spent(),
+        versions: keeper.getVersions(),
+      }),
+    getVersions: keeper.getVersions,
     onBeliefs: keeper.merge,
   });
 
   function isWarm(): boolean {
-    return routes !== undefined && keeper.get().serversVersion >= 0;
+    return routes !== undefined && keeper.getVersions().serversVersion >= 0;
   }
 
   const readiness: ServerType = createReadinessFront({
@@ -205,23 +209,11 @@
     ownName: entryHost,
     ownDomain: failureDomain,
   });
-  register();
+  registerHost({ context, source, self: identity, isStopping: () => isStopping });
   const seeds = options.seedAddresses.filter((address) => address !== peerAddress);
   void exchange.askAny(seeds);
   logger.info({ entryHost, incarnation, startedIn: clock.now() - startedAt }, 'host started');
 
-  /** Goes on until the other hosts can find this one; a store that is out of reach delays it only. */
-  function register(): void {
-    source.register({ entryHost, address: peerAddress, failureDomain }).then(
-      (isRegistered) => {
-        if (!isRegistered && !isStopping) {
-          clock.after(REGISTER_PAUSE * (1 + random.next()), register);
-        }
-      },
-      (error: unknown) => logger.error({ error: String(error) }, 'host not registered'),
-    );
-  }
-
   return {
     applyBounds(next) {
       Object.assign(bounds, next);
--- a/packages/relay/src/front/createCallerExchange.ts
+++ b/packages/relay/src/front/createCallerExchange.ts
@@ -20,7 +20,6 @@
     rawHeaders: incoming.rawHeaders,
     body: options.body,
     arrivedAt: options.arrivedAt,
-    isOver: () => outgoing.writableEnded || outgoing.destroyed,
     sendHead(status, headers, isDelimitedByClose = false) {
       outgoing.sendDate = false;
       if (options.isLast() || isDelimitedByClose) {
--- a/packages/relay/src/front/createRelayFront.ts
+++ b/packages/relay/src/front/createRelayFront.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Clock } from '@rattanreel/core';
 import type { CallerLimits } from '../types';
+import splitAddress from '../splitAddress';
 import createCallerExchange from './createCallerExchange';
 import readBody from './readBody';
 import type { CallerExchange, RelayFront } from './types';
@@ -17,11 +18,6 @@
   readonly onTooLarge: (exchange: CallerExchange) => void;
 }
 
-function splitAddress(address: string): { readonly host: string; readonly port: number } {
-  const at = address.lastIndexOf(':');
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
-}
-
 /** Takes callers' requests byte for byte; a body is read whole before anything is decided on it. */
 export default function createRelayFront(options: RelayFrontOptions): RelayFront {
   const { clock, getLimits } = options;
--- a/packages/relay/src/front/createRelayMetrics.ts
+++ b/packages/relay/src/front/createRelayMetrics.ts
@@ -1,4 +1,5 @@
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+import { Counter, Histogram, Registry } from 'prom-client';
+import { addGauge } from '@rattanreel/observability';
 import type { RelayMetrics } from './types';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -37,18 +38,7 @@
         (now - plan.arrivedAt) / MILLISECONDS_PER_SECOND,
       );
     },
-    addGauge({ name, help, labelNames, read }) {
-      const gauge: Gauge = new Gauge({
-        name,
-        help,
-        labelNames,
-        registers,
-        collect() {
-          gauge.reset();
-          read().forEach(({ labels, value }) => gauge.set(labels, value));
-        },
-      });
-    },
+    addGauge: (gauge) => addGauge(registry, gauge),
     scrape: () => registry.metrics(),
   };
 }
--- a/packages/relay/src/front/drainFront.ts
+++ b/packages/relay/src/front/drainFront.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds } from '@rattanreel/core';
+import { sleep } from '@rattanreel/platform';
 import type { Logger } from '@rattanreel/observability';
 import type { RelayFront } from './types';
 
@@ -24,14 +25,6 @@
   const { clock, logger, front } = options;
   const stoppedAt = clock.now();
 
-  async function waitFor(condition: () => boolean, until: Milliseconds): Promise<void> {
-    while (!condition() && clock.now() < until) {
-      await new Promise<void>((resolve) => {
-        clock.after(STOP_LOOK_INTERVAL, resolve);
-      });
-    }
-  }
-
   /** Closes connections that a last answer, whose head went out before the stop, has left open. */
   function hasEnded(): boolean {
     front.stopAccepting();
@@ -40,7 +33,9 @@
 
   logger.info({ active: front.countActive() }, 'host stopping');
   front.startDraining();
-  await waitFor(() => false, stoppedAt + ACCEPT_AFTER_STOP);
-  await waitFor(hasEnded, stoppedAt + options.grace - STOP_MARGIN);
+  await sleep(clock, ACCEPT_AFTER_STOP);
+  while (!hasEnded() && clock.now() < stoppedAt + options.grace - STOP_MARGIN) {
+    await sleep(clock, STOP_LOOK_INTERVAL);
+  }
   logger.info({ active: front.countActive() }, 'host stopped');
 }
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -44,7 +44,6 @@
   const waiting: WaitingRequest = {
     id: plan.requestId,
     urgency: plan.urgency,
-    size: { promptTokens: plan.promptTokens, outputTokens: plan.outputTokens },
     avoid: tried,
     onGranted: dispatch,
     onRefused: (reason) => giveUp(reason),
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -22,8 +22,6 @@
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
   readonly arrivedAt: Milliseconds;
-  /** Whether the caller has gone or the answer is over. */
-  isOver(): boolean;
   /**
    * An answer whose end only its connection told is passed on in the same way: a length or a last
    * chunk of this system's own would vouch for an end that it has not seen.
--- a/packages/relay/src/peers/createPeerExchange.test.ts
+++ b/packages/relay/src/peers/createPeerExchange.test.ts
@@ -73,7 +73,7 @@
           close: async () => undefined,
         },
         getSummary: () => createSummary(5),
-        getBeliefs: () => beliefs,
+        getVersions: () => ({ ...beliefs, configurationVersion: -1 }),
         onBeliefs: () => undefined,
       });
       told.forEach((version) => {
--- a/packages/relay/src/peers/createPeerExchange.ts
+++ b/packages/relay/src/peers/createPeerExchange.ts
@@ -1,6 +1,6 @@
 import type { Clock, EntryHostId, Milliseconds, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
-import type { Beliefs, HostChange, HostSummary, PeerAddress } from '../types';
+import type { Beliefs, BeliefVersions, HostChange, HostSummary, PeerAddress } from '../types';
 import type { RelayTransport } from './types';
 
 /** Time between two whole summaries. */
@@ -21,7 +21,7 @@
   readonly logger: Logger;
   readonly transport: RelayTransport;
   readonly getSummary: () => HostSummary;
-  readonly getBeliefs: () => Beliefs;
+  readonly getVersions: () => BeliefVersions;
   readonly onBeliefs: (beliefs: Beliefs) => void;
 }
 
@@ -36,11 +36,11 @@
   stop(): void;
 }
 
-function knowsMore(summary: HostSummary, beliefs: Beliefs): boolean {
+function knowsMore(summary: BeliefVersions, own: BeliefVersions): boolean {
   return (
-    summary.configurationVersion > (beliefs.configuration?.version ?? -1) ||
-    summary.serversVersion > beliefs.serversVersion ||
-    summary.evacuatedVersion > beliefs.evacuatedVersion
+    summary.configurationVersion > own.configurationVersion ||
+    summary.serversVersion > own.serversVersion ||
+    summary.evacuatedVersion > own.evacuatedVersion
   );
 }
 
@@ -113,7 +113,7 @@
     },
     hear(summary) {
       const now = clock.now();
-      if (!knowsMore(summary, options.getBeliefs())) {
+      if (!knowsMore(summary, options.getVersions())) {
         behindSince.delete(summary.entryHost);
         return;
       }
--- a/packages/relay/src/pools/burstOfMixedTiers.test.ts
+++ b/packages/relay/src/pools/burstOfMixedTiers.test.ts
@@ -103,7 +103,6 @@
         serveBy: now + kind.objective,
         deadlineAt: now + 5_000,
       },
-      size: { promptTokens: 0, outputTokens: 0 },
       avoid: new Set(),
       onGranted: (server) => run(server, kind, now),
       onRefused: () => undefined,
@@ -132,7 +131,6 @@
     const createRequest = (tier: number, index: number): WaitingRequest => ({
       id: `${tier}-${index}`,
       urgency: { rank: tier, tier, serveBy: 500, deadlineAt: 5_000 },
-      size: { promptTokens: 0, outputTokens: 0 },
       avoid: new Set(),
       onGranted: () => undefined,
       onRefused: () => undefined,
--- /dev/null
+++ b/packages/relay/src/pools/createAccount.ts
@@ -0,0 +1,19 @@
+import type { Milliseconds } from '@rattanreel/core';
+import type { ListedServer, ServerAccount } from '../types';
+
+/** What is known of a backend server that has just been listed: nothing yet. */
+export default function createAccount(listed: ListedServer, now: Milliseconds): ServerAccount {
+  return {
+    listed,
+    own: 0,
+    others: 0,
+    reportedOthers: 0,
+    reportedAt: -Infinity,
+    slowness: 1,
+    failures: 0,
+    failureShare: 0,
+    avoidedUntil: 0,
+    coldUntil: now + listed.coldFor,
+    nextColdAt: undefined,
+  };
+}
--- a/packages/relay/src/pools/createServerAccounts.ts
+++ b/packages/relay/src/pools/createServerAccounts.ts
@@ -1,4 +1,5 @@
-import type { BackendServerId, Milliseconds } from '@rattanreel/core';
+import type { BackendServerId } from '@rattanreel/core';
+import createAccount from './createAccount';
 import type { ListedServer, ServerAccount } from '../types';
 import type { ServerAccounts } from './types';
 
@@ -6,22 +7,6 @@
   return left.address === right.address && left.startedAt === right.startedAt;
 }
 
-function createAccount(listed: ListedServer, now: Milliseconds): ServerAccount {
-  return {
-    listed,
-    own: 0,
-    others: 0,
-    reportedOthers: 0,
-    reportedAt: -Infinity,
-    slowness: 1,
-    failures: 0,
-    failureShare: 0,
-    avoidedUntil: 0,
-    coldUntil: now + listed.coldFor,
-    nextColdAt: undefined,
-  };
-}
-
 /** What this host knows of a pool's backend servers. */
 export default function createServerAccounts(): ServerAccounts {
   let byId = new Map<BackendServerId, ServerAccount>();
--- /dev/null
+++ b/packages/relay/src/splitAddress.ts
@@ -0,0 +1,8 @@
+/** The parts of HOST:PORT. */
+export default function splitAddress(address: string): {
+  readonly host: string;
+  readonly port: number;
+} {
+  const at = address.lastIndexOf(':');
+  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
+}
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -156,8 +156,6 @@
   readonly lastEventId: string;
   /** Headers that callers may not set. */
   readonly reserved: ReadonlySet<string>;
-  /** Media type of an answer that is a stream of events. */
-  readonly streamType: string;
 }
 
 /** How one attempt at a backend server ended. */
@@ -177,13 +175,7 @@
 
 /** Why a request was not sent to a backend server. */
 export type RefusalReason =
-  | 'overQuota'
-  | 'expectedLate'
-  | 'deadlinePassed'
-  | 'noServer'
-  | 'serverFull'
-  | 'notConnected'
-  | 'noConfiguration';
+  'overQuota' | 'expectedLate' | 'deadlinePassed' | 'noServer' | 'serverFull' | 'notConnected';
 
 /** How urgent a waiting request is. */
 export interface Urgency {
@@ -197,18 +189,10 @@
   readonly deadlineAt: Milliseconds;
 }
 
-/** Size of a request as far as it tells. */
-export interface RequestSize {
-  readonly promptTokens: number;
-  /** Expected tokens of the answer. */
-  readonly outputTokens: number;
-}
-
 /** A request that waits for a backend server. */
 export interface WaitingRequest {
   readonly id: RequestId;
   readonly urgency: Urgency;
-  readonly size: RequestSize;
   /** Servers that have been tried. */
   readonly avoid: ReadonlySet<BackendServerId>;
   onGranted(server: ServerAccount): void;
@@ -240,7 +224,7 @@
 }
 
 /** What a host tells the others several times a second. */
-export interface HostSummary {
+export interface HostSummary extends BeliefVersions {
   readonly kind: 'summary';
   readonly entryHost: EntryHostId;
   readonly incarnation: Incarnation;
@@ -254,10 +238,6 @@
   readonly waiting: Readonly<Record<PoolId, Readonly<Record<string, number>>>>;
   /** Cost spent since the process started, by customer. */
   readonly spent: Readonly<Record<CustomerId, number>>;
-  readonly configurationVersion: number;
-  /** Version of the store up to which the host knows the list of servers. */
-  readonly serversVersion: number;
-  readonly evacuatedVersion: number;
 }
 
 /** What changed at a host since its last message; sent more often than whole summaries. */
@@ -272,6 +252,13 @@
 
 export type HostMessage = HostSummary | HostChange;
 
+/** How much a host knows; each number only grows, and is -1 before the first word. */
+export interface BeliefVersions {
+  readonly configurationVersion: number;
+  readonly serversVersion: number;
+  readonly evacuatedVersion: number;
+}
+
 /** What hosts ask each other for. */
 export interface PeerQuestion {
   readonly kind: 'beliefs';
@@ -349,6 +336,8 @@
   /** Forgets what was out of reach, once the store is not followed any more. */
   stopFollowing(): void;
   get(): Beliefs;
+  /** The versions of what is known; cheap, for each message and each question of the balancer. */
+  getVersions(): BeliefVersions;
   readonly evacuated: ReadonlySet<FailureDomainId>;
   readonly isStoreInReach: boolean;
   stop(): void;
