Tell returning requests from fresh ones by the route's longest deadline; short answers before long ones

A log of every decision showed that on a calm second half of all fresh requests were ranked as returning: callers' deadlines differ by 15 in 100, and the bound was 0.93 of the route's time-out. They waited up to four objectives behind later ones and were answered late. The same log showed a tenth of each kind's answers holding two fifths of its place time, and nearly all places of the last tier's floor going to returning requests, which are late in any case. Change: decisions/createRequestHabits learns a route's longest deadline and mean answer. A request returns only if it has at most 5/6 of that deadline (our own Retry-After is a sixth at least) and something was refused lately. Long answers (1.5 times the mean) follow the shorter ones of their tier, but not where a floor is shared out. Returning requests get half of the floor.

--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -10,6 +10,7 @@
 import registerHost from './registerHost';
 import createRequestDesk from './createRequestDesk';
 import choosePartners from './decisions/choosePartners';
+import createRequestHabits from './decisions/createRequestHabits';
 import createRouteTable from './decisions/createRouteTable';
 import createSharedQuota from './decisions/createSharedQuota';
 import createRelayFront from './front/createRelayFront';
@@ -86,6 +87,7 @@
   const identity = { entryHost, incarnation, failureDomain, address: peerAddress };
   const quota = createSharedQuota({ now: startedAt });
   const metrics = createRelayMetrics();
+  const habits = createRequestHabits();
   const observer = createRequestObserver({ logger, metrics, now: clock.now });
   const connections = createServerConnections({ clock });
   const peerTable = createPeerTable();
@@ -101,6 +103,7 @@
     ownName: entryHost,
     onConfiguration(configuration) {
       routes = createRouteTable(configuration.routes);
+      habits.keepOnly(new Set(configuration.routes.map(({ name }) => name)));
       customersByKey = indexCustomers(configuration);
       limits = configuration.limits;
       quota.setQuotas(listQuotas(configuration), clock.now());
@@ -135,6 +138,7 @@
     names: options.names,
     pools,
     quota,
+    habits,
     connections,
     observer,
     getRoutes: () => routes,
--- a/packages/relay/src/createRequestDesk.ts
+++ b/packages/relay/src/createRequestDesk.ts
@@ -13,17 +13,18 @@
   RelayCustomer,
   RouteTarget,
 } from './types';
-import type { RouteTable, SharedQuota } from './decisions/types';
+import type { RequestHabits, RouteTable, SharedQuota } from './decisions/types';
 import type { ServerConnections } from './servers/types';
 
 /** A caller keeps to a time to come back of at most this part of what it has left. */
-const RETRY_PART = 1 / 3;
+const MOST_RETRY_PART = 1 / 3;
 
 interface RequestDeskOptions {
   readonly context: RelayContext;
   readonly names: HeaderNames;
   readonly pools: Pools;
   readonly quota: SharedQuota;
+  readonly habits: RequestHabits;
   readonly connections: ServerConnections;
   readonly observer: RequestObserver;
   readonly getRoutes: () => RouteTable | undefined;
@@ -48,7 +49,7 @@
 
 /** Takes callers' requests in: rejects, refuses or relays each. */
 export default function createRequestDesk(options: RequestDeskOptions): RequestDesk {
-  const { context, names, pools, quota, observer } = options;
+  const { context, names, pools, quota, habits, observer } = options;
   const { clock, random } = context;
 
   function refuse(
@@ -59,7 +60,8 @@
     pool?: PoolState,
   ): void {
     const left = plan.endAt - clock.now();
-    const retryAfter = Math.min(wait, left * RETRY_PART);
+    const retryAfter = Math.min(wait, left * MOST_RETRY_PART);
+    habits.noteRefused(plan.route.name, clock.now());
     observer.refused(plan, reason, Math.round(retryAfter), pool);
     sendRejection(exchange, {
       status: reason === 'overQuota' ? 429 : 503,
@@ -110,6 +112,7 @@
         names,
         routes: options.getRoutes(),
         customersByKey: options.getCustomersByKey(),
+        habits,
         random,
       });
       if (planned.kind === 'ok') {
--- a/packages/relay/src/decisions/createPlaceShares.ts
+++ b/packages/relay/src/decisions/createPlaceShares.ts
@@ -1,9 +1,11 @@
 import type { Milliseconds, TierRank } from '@rattanreel/core';
 import createMovingMean from './createMovingMean';
-import type { MovingMean, PlaceClaim, PlaceCounts } from './types';
+import type { MovingMean, PlaceClaim, PlaceCounts, PlaceGroup } from './types';
 
 /** Part of a pool's places that each tier may always use, so that overload starves none. */
 const FLOOR_PART = 0.15;
+/** Returning requests get this part of the floor: the rest is left to fresh ones, which can still be in time. */
+const RETURNING_FLOOR_PART = 0.5;
 /** Part of a pool's places kept free per multiple by which a tier's answers last longer. */
 const HEADROOM_PER_MULTIPLE = 0.1;
 const MOST_HEADROOM = 0.25;
@@ -13,8 +15,8 @@
 interface PlaceShares {
   noteDuration(tier: TierRank, duration: Milliseconds): void;
   getDuration(tier: TierRank): Milliseconds;
-  /** Whether a request of this tier may take a place. */
-  judge(tier: TierRank, counts: PlaceCounts): PlaceClaim;
+  /** Whether a request of this group may take a place. */
+  judge(group: PlaceGroup, counts: PlaceCounts): PlaceClaim;
 }
 
 /**
@@ -48,8 +50,9 @@
   return {
     noteDuration: (tier, duration) => getMean(tier).add(duration),
     getDuration: (tier) => getMean(tier).get(),
-    judge(tier, { places, taken, getTakenBy }) {
-      if (getTakenBy(tier) + 1 <= places * FLOOR_PART) {
+    judge({ tier, isReturning }, { places, taken, getTakenBy }) {
+      const floorPart = FLOOR_PART * (isReturning ? RETURNING_FLOOR_PART : 1);
+      if (getTakenBy(tier) + 1 <= places * floorPart) {
         return 'belowFloor';
       }
       return taken + 1 <= places * (1 - getHeadroom(tier)) || getHeadroom(tier) === 0
--- a/packages/relay/src/decisions/createWaitingLine.ts
+++ b/packages/relay/src/decisions/createWaitingLine.ts
@@ -1,12 +1,15 @@
 import type { Milliseconds, TierRank } from '@rattanreel/core';
-import type { WaitingRequest } from '../types';
+import type { Urgency, WaitingRequest } from '../types';
+import type { PlaceGroup } from './types';
 
 interface WaitingLine {
   readonly size: number;
   add(request: WaitingRequest): void;
   remove(request: WaitingRequest): void;
-  /** The most urgent request of a tier for which `isServable` holds, left in the line. */
-  tryFind(isServable: (tier: TierRank) => boolean): WaitingRequest | undefined;
+  /** The most urgent request of a group for which `isServable` holds, left in the line. */
+  tryFind(isServable: (group: PlaceGroup) => boolean): WaitingRequest | undefined;
+  /** The same by floor rank, and then by arrival, whatever the length of the answer. */
+  tryFindForFloor(isServable: (group: PlaceGroup) => boolean): WaitingRequest | undefined;
   /** Removes and returns requests that would come too late if they were served now. */
   takeLate(now: Milliseconds): readonly WaitingRequest[];
   /** Requests by rank. */
@@ -21,11 +24,19 @@
 }
 
 interface Lane {
-  readonly rank: number;
-  readonly tier: TierRank;
+  readonly urgency: Urgency;
   readonly requests: Set<WaitingRequest>;
 }
 
+function getHead(requests: ReadonlySet<WaitingRequest>): WaitingRequest {
+  return requests.values().next().value!;
+}
+
+function compareForFloor(left: WaitingRequest, right: WaitingRequest): number {
+  const byRank = left.urgency.floorRank - right.urgency.floorRank;
+  return byRank === 0 ? left.urgency.serveBy - right.urgency.serveBy : byRank;
+}
+
 /**
  * Requests that wait for a backend server, by rank and in each rank in order of arrival. Those that
  * can no longer be served in time leave at once: work that is late already must not delay work that
@@ -35,13 +46,13 @@
   const lanes = new Map<string, Lane>();
   let order: Lane[] = [];
 
-  function getLane({ urgency: { rank, tier } }: WaitingRequest): Lane {
-    const key = `${rank} ${tier}`;
+  function getLane({ urgency }: WaitingRequest): Lane {
+    const key = `${urgency.rank} ${urgency.floorRank} ${urgency.tier}`;
     let lane = lanes.get(key);
     if (lane === undefined) {
-      lane = { rank, tier, requests: new Set() };
+      lane = { urgency, requests: new Set() };
       lanes.set(key, lane);
-      order = [...lanes.values()].sort((left, right) => left.rank - right.rank);
+      order = [...lanes.values()].sort((left, right) => left.urgency.rank - right.urgency.rank);
     }
     return lane;
   }
@@ -57,9 +68,15 @@
       getLane(request).requests.delete(request);
     },
     tryFind(isServable) {
-      const lane = order.find(({ tier, requests }) => requests.size > 0 && isServable(tier));
+      const lane = order.find(({ urgency, requests }) => requests.size > 0 && isServable(urgency));
       return lane?.requests.values().next().value;
     },
+    tryFindForFloor(isServable) {
+      const heads = order.flatMap(({ urgency, requests }) =>
+        requests.size > 0 && isServable(urgency) ? [getHead(requests)] : [],
+      );
+      return heads.sort(compareForFloor)[0];
+    },
     takeLate(now) {
       const expectedAt = now + options.getExpectedTime();
       const late = order.flatMap((lane) =>
@@ -70,7 +87,7 @@
     },
     countByRank() {
       const counts = new Map<number, number>();
-      order.forEach(({ rank, requests }) => {
+      order.forEach(({ urgency: { rank }, requests }) => {
         if (requests.size > 0) {
           counts.set(rank, (counts.get(rank) ?? 0) + requests.size);
         }
@@ -79,7 +96,7 @@
     },
     sumAhead: (rank, getWork) =>
       order
-        .filter((lane) => lane.rank <= rank)
-        .reduce((sum, lane) => sum + lane.requests.size * getWork(lane.tier), 0),
+        .filter((lane) => lane.urgency.rank <= rank)
+        .reduce((sum, lane) => sum + lane.requests.size * getWork(lane.urgency.tier), 0),
   };
 }
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -1,4 +1,4 @@
-import type { Quota, Route } from '../types';
+import type { Quota, Route, Urgency } from '../types';
 import type { CustomerId, EntryHostId, Milliseconds, TierRank } from '@rattanreel/core';
 
 export interface MovingMean {
@@ -40,9 +40,32 @@
   readonly getTakenBy: (tier: TierRank) => number;
 }
 
+/** Requests that are treated alike when places are shared out. */
+export type PlaceGroup = Pick<Urgency, 'tier' | 'isReturning'>;
+
 export type PlaceClaim =
   /** The tier has less than its floor: it goes before others. */
   | 'belowFloor'
   | 'free'
   /** The places left are kept for more urgent tiers. */
   | 'kept';
+
+export interface RequestHabits {
+  /** Judges a request that comes now, and learns from it. */
+  judge(request: {
+    /** Name of its route. */
+    readonly route: string;
+    /** Time that its caller still has. */
+    readonly deadline: Milliseconds;
+    readonly outputTokens: number;
+    readonly now: Milliseconds;
+  }): {
+    /** Whether it was refused before: its caller has waited, so its answer is late already. */
+    readonly isReturning: boolean;
+    /** Whether its answer is much longer than the route's usual one. */
+    readonly isLong: boolean;
+  };
+  noteRefused(route: string, now: Milliseconds): void;
+  /** Forgets all routes but these. */
+  keepOnly(routes: ReadonlySet<string>): void;
+}
--- a/packages/relay/src/front/planRequest.ts
+++ b/packages/relay/src/front/planRequest.ts
@@ -1,15 +1,15 @@
 import type { Milliseconds, Random } from '@rattanreel/core';
 import type { HeaderNames, RelayCustomer } from '../types';
 import type { Planned, RequestPlan } from './types';
-import type { RouteTable } from '../decisions/types';
+import type { RequestHabits, RouteTable } from '../decisions/types';
 
 /** When a host without configuration may be asked again. */
 const NO_CONFIGURATION_RETRY: Milliseconds = 500;
 const UNTOLD_OUTPUT_TOKENS = 50;
-/** A caller that has less than this part of the route's time left has been refused before. */
-const RETURNING_PART = 0.93;
 /** A returning request is late already: it follows the fresh ones of its tier and of the next. */
 const RETURNING_RANK_STEP = 1.5;
+/** A long answer follows the shorter ones of its tier: it takes the place of several of them. */
+const LONG_RANK_STEP = 0.4;
 /** More than the ranks of any route: a customer's tier goes before the route's. */
 const CUSTOMER_RANK_STEP = 100;
 /** Part of its time for which a returning request may wait, and objectives that its caller waits at least. */
@@ -25,6 +25,8 @@
   readonly routes: RouteTable | undefined;
   /** Customers by key; undefined when requests carry no keys. */
   readonly customersByKey: ReadonlyMap<string, RelayCustomer> | undefined;
+  /** What callers of each route usually ask for. */
+  readonly habits: RequestHabits;
   readonly random: Random;
 }
 
@@ -60,25 +62,34 @@
   const quota = customer?.quota;
   const tokenCost = tokens === undefined ? (quota?.plainCost ?? 1) : tokens[0] + tokens[1];
   const time = Math.min(deadline, route.timeout);
-  const isReturning = deadline < route.timeout * RETURNING_PART;
+  const outputTokens = hint ?? tokens?.[1] ?? UNTOLD_OUTPUT_TOKENS;
+  const { isReturning, isLong } = options.habits.judge({
+    route: route.name,
+    deadline,
+    outputTokens,
+    now: arrivedAt,
+  });
   const returningWait = Math.min(
     time * RETURNING_WAIT_PART,
     route.objective * RETURNING_WAIT_OBJECTIVES,
   );
   const customerRank = (customer?.tier ?? route.tier) * CUSTOMER_RANK_STEP;
+  const floorRank = customerRank + route.tier + (isReturning ? RETURNING_RANK_STEP : 0);
   return {
     requestId: getHeader(options, names.requestId) ?? options.random.identifier(),
     route,
     customer,
     urgency: {
-      rank: customerRank + route.tier + (isReturning ? RETURNING_RANK_STEP : 0),
+      rank: floorRank + (isLong ? LONG_RANK_STEP : 0),
+      floorRank,
+      isReturning,
       tier: route.tier,
       serveBy: arrivedAt + (isReturning ? returningWait : route.objective),
       deadlineAt: arrivedAt + time,
     },
     cost: quota?.countsTokens === true ? tokenCost : 1,
     promptTokens: tokens?.[0] ?? 0,
-    outputTokens: hint ?? tokens?.[1] ?? UNTOLD_OUTPUT_TOKENS,
+    outputTokens,
     arrivedAt,
     endAt: arrivedAt + time,
   };
--- /dev/null
+++ b/packages/relay/src/pools/burstOfMixedLengths.test.ts
@@ -0,0 +1,160 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createRandom, createVirtualClock } from '@rattanreel/core';
+import createRequestHabits from '../decisions/createRequestHabits';
+import createRouteTable from '../decisions/createRouteTable';
+import planRequest from '../front/planRequest';
+import type { RequestPlan } from '../front/types';
+import createDesk from '../testing/createDesk';
+import headerNames from '../testing/headerNames';
+import type { Route, ServerAccount } from '../types';
+
+/** A kind of request: its route's tier, how often it comes, its mean answer in tokens. */
+interface Kind {
+  readonly tier: number;
+  readonly perSecond: number;
+  readonly meanTokens: number;
+  readonly objective: number;
+  readonly timeout: number;
+}
+
+interface Served {
+  offered: number;
+  inTime: number;
+}
+
+interface Case {
+  readonly name: string;
+  /** Factor on every arrival rate. */
+  readonly load: number;
+  /** Least share answered in time, by tier. */
+  readonly least: readonly number[];
+}
+
+const FIRST_DATA_AFTER = 110;
+const TOKEN_TIME = 6;
+const PLAY_TIME = 20_000;
+
+// Answers' lengths are spread as the users' are: a tenth of them makes up two fifths of the work.
+const kinds: readonly Kind[] = [
+  { tier: 0, perSecond: 36, meanTokens: 50, objective: 500, timeout: 5_000 },
+  { tier: 1, perSecond: 44, meanTokens: 22, objective: 400, timeout: 3_000 },
+  { tier: 2, perSecond: 14, meanTokens: 280, objective: 400, timeout: 15_000 },
+];
+
+// As usual the tiers ask for 15, 11 and 25 of the 36 places, which leaves the last one 10. At 1.8 times as much the
+// first takes 27 and the last its floor of 5; the shorter half of tier 1 needs 5, all of it 19.
+const cases: readonly Case[] = [
+  { name: 'as usual', load: 1, least: [0.95, 0.95, 0.4] },
+  { name: '1.8 times as much', load: 1.8, least: [0.95, 0.45, 0.1] },
+];
+
+const routes: readonly Route[] = kinds.map(({ tier, objective, timeout }) => ({
+  name: `route-${tier}`,
+  hostName: 'callers.example',
+  pathPrefix: `/${tier}/`,
+  kind: 'stream',
+  timeout,
+  objective,
+  tier,
+  targets: [{ pool: 'pool', weight: 1 }],
+  maximumAttempts: 1,
+  isAnonymous: true,
+  isResumable: false,
+}));
+
+/** Plays arrivals on virtual time; a refused caller returns once, when it was told to. */
+function play(load: number): readonly Served[] {
+  const clock = createVirtualClock();
+  const random = createRandom(11);
+  const desk = createDesk({ clock, servers: 6, slots: 6 });
+  const table = createRouteTable(routes);
+  const habits = createRequestHabits();
+  const served: Served[] = kinds.map(() => ({ offered: 0, inTime: 0 }));
+
+  function drawTokens({ meanTokens }: Kind): number {
+    const spread = 1.5;
+    const normal = Math.sqrt(-2 * Math.log(1 - random.next())) * Math.cos(6.283 * random.next());
+    return Math.ceil(meanTokens * Math.exp(spread * normal - spread ** 2 / 2));
+  }
+
+  function run(server: ServerAccount, plan: RequestPlan, firstAskedAt: number): void {
+    const { tier } = plan.urgency;
+    const isInTime = clock.now() + FIRST_DATA_AFTER - firstAskedAt <= plan.route.objective;
+    served[tier]!.inTime += isInTime ? 1 : 0;
+    const duration = FIRST_DATA_AFTER + plan.outputTokens * TOKEN_TIME;
+    clock.after(duration, () =>
+      desk.noteEnded(server, tier, {
+        end: { kind: 'whole', status: 200 },
+        duration,
+        firstDataAfter: FIRST_DATA_AFTER,
+        laterChunks: 0,
+        laterTime: 0,
+      }),
+    );
+  }
+
+  function ask(kind: Kind, tokens: number, deadlineAt: number, firstAskedAt: number): void {
+    const now = clock.now();
+    const planned = planRequest({
+      headers: {
+        host: 'callers.example',
+        [headerNames.deadline]: String(deadlineAt - now),
+        [headerNames.tokenCount]: `1000,${tokens}`,
+      },
+      target: `/${kind.tier}/`,
+      arrivedAt: now,
+      names: headerNames,
+      routes: table,
+      customersByKey: undefined,
+      habits,
+      random,
+    });
+    if (planned.kind !== 'ok') {
+      throw new Error(`request of tier ${kind.tier} was rejected`);
+    }
+    const { plan } = planned;
+    const refuse = (): void => {
+      habits.noteRefused(plan.route.name, clock.now());
+      if (now === firstAskedAt) {
+        clock.after(desk.getRetryAfter(plan.urgency), () =>
+          ask(kind, tokens, deadlineAt, firstAskedAt),
+        );
+      }
+    };
+    const admission = desk.ask({
+      id: plan.requestId,
+      urgency: plan.urgency,
+      avoid: new Set(),
+      onGranted: (server) => run(server, plan, firstAskedAt),
+      onRefused: refuse,
+    });
+    if (admission.kind === 'refused') {
+      refuse();
+    }
+  }
+
+  function arriveLater(kind: Kind): void {
+    const gap = (-Math.log(1 - random.next()) * 1_000) / (kind.perSecond * load);
+    clock.after(gap, () => {
+      const now = clock.now();
+      served[kind.tier]!.offered += 1;
+      // Callers' deadlines differ by up to 0.15 of the longest.
+      ask(kind, drawTokens(kind), now + kind.timeout * (1 - 0.15 * random.next()), now);
+      arriveLater(kind);
+    });
+  }
+
+  kinds.forEach(arriveLater);
+  clock.advance(PLAY_TIME);
+  return served;
+}
+
+describe('a burst of short and long answers', () => {
+  cases.forEach(({ name, load, least }) => {
+    it(`answers fresh requests in time, the short ones first: ${name}`, () => {
+      const shares = play(load).map(({ offered, inTime }) => inTime / offered);
+      shares.forEach((share, tier) => expect(share).toBeGreaterThanOrEqual(least[tier]!));
+    });
+  });
+});
--- a/packages/relay/src/pools/burstOfMixedTiers.test.ts
+++ b/packages/relay/src/pools/burstOfMixedTiers.test.ts
@@ -1,12 +1,8 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createRandom, createVirtualClock } from '@rattanreel/core';
-import type { VirtualClock } from '@rattanreel/core';
-import createAccount from '../testing/createAccount';
+import createDesk from '../testing/createDesk';
 import type { ServerAccount, WaitingRequest } from '../types';
-import createPoolDesk from './createPoolDesk';
-import createServerAccounts from './createServerAccounts';
-import type { PoolDesk } from './types';
 
 /** A kind of request: its tier, how often it comes, how long it holds a place, its objective. */
 interface Kind {
@@ -43,38 +39,11 @@
   { name: 'a burst of 2.5', burst: 2.5, least: [0.9, 0.5, 0.15] },
 ];
 
-function createDesk(clock: VirtualClock): PoolDesk {
-  const accounts = createServerAccounts();
-  accounts.replace(
-    Array.from({ length: 6 }, (_, index) => createAccount({ id: `s${index}`, slots: 6 }).listed),
-    0,
-  );
-  return createPoolDesk({
-    clock,
-    random: createRandom(3),
-    ownDomain: 'near',
-    accounts,
-    getEvacuated: () => new Set(),
-    hearsAll: () => true,
-    getSettings: () => undefined,
-    onChange: () => undefined,
-    getColdInterval: () => 0,
-    bounds: {
-      repeatRatio: 0.2,
-      repeatWindow: 10_000,
-      repeatSlack: 50,
-      coldFactor: 1,
-      coldSlack: 0,
-      stopGrace: 8_000,
-    },
-  });
-}
-
 /** Plays 15 s of arrivals on virtual time. */
 function play(burst: number): readonly Served[] {
   const clock = createVirtualClock();
   const random = createRandom(11);
-  const desk = createDesk(clock);
+  const desk = createDesk({ clock, servers: 6, slots: 6 });
   const served: Served[] = kinds.map(() => ({ offered: 0, inTime: 0 }));
 
   function run(server: ServerAccount, kind: Kind, arrivedAt: number): void {
@@ -99,6 +68,8 @@
       id: `${kind.tier}-${served[kind.tier]!.offered}`,
       urgency: {
         rank: kind.tier,
+        floorRank: kind.tier,
+        isReturning: false,
         tier: kind.tier,
         serveBy: now + kind.objective,
         deadlineAt: now + 5_000,
@@ -127,10 +98,17 @@
 describe('a pool that urgent work alone would fill', () => {
   it('takes a request of a tier below its floor, however many urgent ones wait', () => {
     const clock = createVirtualClock();
-    const desk = createDesk(clock);
+    const desk = createDesk({ clock, servers: 6, slots: 6 });
     const createRequest = (tier: number, index: number): WaitingRequest => ({
       id: `${tier}-${index}`,
-      urgency: { rank: tier, tier, serveBy: 500, deadlineAt: 5_000 },
+      urgency: {
+        rank: tier,
+        floorRank: tier,
+        isReturning: false,
+        tier,
+        serveBy: 500,
+        deadlineAt: 5_000,
+      },
       avoid: new Set(),
       onGranted: () => undefined,
       onRefused: () => undefined,
--- a/packages/relay/src/pools/createPoolDesk.ts
+++ b/packages/relay/src/pools/createPoolDesk.ts
@@ -1,13 +1,13 @@
-import type { EntryHostId, Milliseconds, TierRank } from '@rattanreel/core';
+import type { EntryHostId, Milliseconds } from '@rattanreel/core';
 import createMovingMean from '../decisions/createMovingMean';
 import createPlaceShares from '../decisions/createPlaceShares';
+import RETRY_PART from '../decisions/retryPart';
 import createRepeatBudget from '../decisions/createRepeatBudget';
 import mustYield from '../decisions/mustYield';
 import createWaitingLine from '../decisions/createWaitingLine';
 import type { RelayBounds, WaitingRequest } from '../types';
 import noteAttempt from './noteAttempt';
 import type { PlaceLedgerOptions, PoolDesk, PoolMeans } from './types';
-import type { PlaceClaim } from '../decisions/types';
 import createPlaceLedger from './createPlaceLedger';
 
 /** Time between two looks at requests that wait; covers what no message announces. */
@@ -17,8 +17,6 @@
 const DURATION_GUESS: Milliseconds = 400;
 const GAP_GUESS: Milliseconds = 30;
 const WHOLE_GUESS: Milliseconds = 60;
-/** Refused requests return after this part of their time at the earliest, spread up to twice that. */
-const RETRY_PART = 1 / 6;
 const SHORTEST_RETRY: Milliseconds = 100;
 
 interface PoolDeskOptions extends PlaceLedgerOptions {
@@ -45,17 +43,13 @@
   /** The request to serve next: of a tier below its floor first, then by rank. */
   function tryFindNext(): WaitingRequest | undefined {
     const counts = ledger.countPlaces();
-    const claims = new Map<TierRank, PlaceClaim>();
-    const judge = (tier: TierRank): PlaceClaim => {
-      const claim = claims.get(tier) ?? shares.judge(tier, counts);
-      claims.set(tier, claim);
-      return claim;
-    };
-    const belowFloor = line.tryFind((tier) => judge(tier) === 'belowFloor');
+    const belowFloor = line.tryFindForFloor(
+      (group) => shares.judge(group, counts) === 'belowFloor',
+    );
     if (belowFloor !== undefined) {
       return belowFloor;
     }
-    const next = line.tryFind((tier) => judge(tier) !== 'kept');
+    const next = line.tryFind((group) => shares.judge(group, counts) !== 'kept');
     const freePlaces = counts.places - counts.taken;
     const isYielding =
       next !== undefined && mustYield({ rank: next.urgency.rank, freePlaces, othersWaiting });
@@ -116,10 +110,11 @@
     },
     ask(request) {
       const now = clock.now();
-      const { rank, tier, serveBy } = request.urgency;
+      const { rank, serveBy } = request.urgency;
       const allowance = serveBy - now - means.firstData.get();
       // A tier below its floor goes before all others, so their requests do not delay it.
-      const isAhead = line.size === 0 || shares.judge(tier, ledger.countPlaces()) === 'belowFloor';
+      const isAhead =
+        line.size === 0 || shares.judge(request.urgency, ledger.countPlaces()) === 'belowFloor';
       const wait = isAhead ? 0 : getExpectedWait(rank);
       if (wait > allowance) {
         return { kind: 'refused', reason: 'expectedLate' };
--- /dev/null
+++ b/packages/relay/src/testing/headerNames.ts
@@ -0,0 +1,18 @@
+import type { HeaderNames } from '../types';
+
+/** Header names as tests spell them. */
+const headerNames: HeaderNames = {
+  requestId: 'x-request-id',
+  deadline: 'x-deadline',
+  key: 'x-key',
+  customer: 'x-customer',
+  tokenCount: 'x-token-count',
+  lengthHint: 'x-length-hint',
+  expectedServer: 'x-expected-server',
+  notRun: 'x-not-run',
+  load: 'x-load',
+  lastEventId: 'last-event-id',
+  reserved: new Set(),
+};
+
+export default headerNames;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -181,6 +181,10 @@
 export interface Urgency {
   /** Order of service: lower goes first. */
   readonly rank: number;
+  /** Order among the requests that share a tier's floor; the length of the answer does not count. */
+  readonly floorRank: number;
+  /** Whether its caller was refused before, so that the answer is late in any case. */
+  readonly isReturning: boolean;
   /** Tier of the route; decides how much of a pool the request may fill. */
   readonly tier: TierRank;
   /** Latest time of the first answer for which the request is worth serving. */
