Give each server one request more than its places; tell other failure domains what was spent of quotas

Cause: between an answer's end at one host and the next message to the others (20 ms) its place stands empty, 5 % of an answer of 400 ms. Change: a server may be given one request beyond its places, which its own queue holds; none once it turned one away (ServerAccount.extraPlaces). In a large fleet a host hears its own failure domain only, so three quarters of each quota were left to hosts not heard. Change: two hosts of a domain report its sums to three of each other domain, every 250 ms; these pass them on with their summaries. The wiring of the hosts' messages moved from createRelayHost to peers/openPeerLink.

--- a/packages/relay/src/createHostSummary.ts
+++ b/packages/relay/src/createHostSummary.ts
@@ -3,7 +3,7 @@
 
 interface HostSummaryOptions extends Pick<
   HostSummary,
-  'entryHost' | 'incarnation' | 'failureDomain' | 'address' | 'spent'
+  'entryHost' | 'incarnation' | 'failureDomain' | 'address' | 'spent' | 'farSpending'
 > {
   readonly pools: Pools;
   readonly versions: BeliefVersions;
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -1,7 +1,6 @@
 import type { ServerType } from '@hono/node-server';
 import type { EntryHostId, FailureDomainId, Incarnation } from '@rattanreel/core';
 import createBeliefKeeper from './createBeliefKeeper';
-import createHostSummary from './createHostSummary';
 import addRelayGauges from './addRelayGauges';
 import createMetricsFront from './createMetricsFront';
 import createPools from './createPools';
@@ -9,7 +8,6 @@
 import createStoreFollower from './createStoreFollower';
 import registerHost from './registerHost';
 import createRequestDesk from './createRequestDesk';
-import choosePartners from './decisions/choosePartners';
 import createRequestHabits from './decisions/createRequestHabits';
 import createRouteTable from './decisions/createRouteTable';
 import createSharedQuota from './decisions/createSharedQuota';
@@ -17,15 +15,13 @@
 import drainFront from './front/drainFront';
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
-import openRelayTransport from './peers/openRelayTransport';
-import createPeerExchange from './peers/createPeerExchange';
 import createPeerTable from './peers/createPeerTable';
+import openPeerLink from './peers/openPeerLink';
 import createServerConnections from './servers/createServerConnections';
 import type {
   BeliefSource,
   CallerLimits,
   HeaderNames,
-  HostMessage,
   Quota,
   RelayBounds,
   RelayConfiguration,
@@ -116,10 +112,8 @@
     },
     onEvacuated: (_evacuated, returned) => pools.coolDown(returned),
     onPeers(peers) {
-      const names = peers.map((peer) => peer.entryHost);
-      quota.setPeers(names);
-      pools.setHosts([entryHost, ...names]);
-      exchange.setPeers(choosePartners(peers, failureDomain));
+      pools.setHosts([entryHost, ...peers.map((peer) => peer.entryHost)]);
+      link.setPeers(peers);
     },
   });
 
@@ -130,7 +124,7 @@
     ownDomain: failureDomain,
     bounds,
     getEvacuated: () => keeper.evacuated,
-    onChange: (isScarce) => exchange.noteChange(isScarce),
+    onChange: (isScarce) => link.noteChange(isScarce),
   });
 
   const requestDesk = createRequestDesk({
@@ -152,39 +146,14 @@
     onTooLarge: requestDesk.refuseTooLarge,
   });
 
-  function hear(message: HostMessage): void {
-    const now = clock.now();
-    peerTable.hear(message, now);
-    if (message.kind === 'summary') {
-      keeper.learnPeer(message);
-      quota.hear({ ...message, from: message.entryHost, now });
-      exchange.hear(message);
-    }
-    const counts = peerTable.countInFlight(now);
-    pools.forEachDesk((desk, pool) =>
-      desk.setOthers(counts, peerTable.countByTier(pool, now), peerTable.countWaiting(pool, now)),
-    );
-  }
-
-  const transport = await openRelayTransport({
-    identity: { entryHost, incarnation },
-    listenAddress: peerAddress,
-    onMessage: hear,
-    getBeliefs: () => keeper.get(),
-  });
-  const exchange = createPeerExchange({
+  const link = await openPeerLink({
     clock,
     logger,
-    transport,
-    getSummary: () =>
-      createHostSummary({
-        ...identity,
-        pools,
-        spent: quota.spent(),
-        versions: keeper.getVersions(),
-      }),
-    getVersions: keeper.getVersions,
-    onBeliefs: keeper.merge,
+    self: identity,
+    keeper,
+    peerTable,
+    pools,
+    quota,
   });
 
   function isWarm(): boolean {
@@ -215,7 +184,7 @@
   });
   registerHost({ context, source, self: identity, isStopping: () => isStopping });
   const seeds = options.seedAddresses.filter((address) => address !== peerAddress);
-  void exchange.askAny(seeds);
+  void link.askAny(seeds);
   logger.info({ entryHost, incarnation, startedIn: clock.now() - startedAt }, 'host started');
 
   return {
@@ -225,13 +194,13 @@
     async stop() {
       isStopping = true;
       await drainFront({ clock, logger, front, grace: bounds.stopGrace });
-      exchange.stop();
+      link.stop();
       follower.stop();
       keeper.stop();
       front.close();
       readiness.close();
       metricsFront.close();
-      await Promise.all([transport.close(), source.close(), connections.close()]);
+      await Promise.all([link.close(), source.close(), connections.close()]);
     },
   };
 }
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -21,8 +21,6 @@
   readonly ownDomain: FailureDomainId;
   readonly evacuated: ReadonlySet<FailureDomainId>;
   readonly avoid: ReadonlySet<BackendServerId>;
-  /** Requests beyond its slots that a server may be given. */
-  readonly overcommit?: number;
 }
 
 function isUsable(account: ServerAccount, options: ChooseServerOptions): boolean {
@@ -39,12 +37,12 @@
 
 /** The backend server with room at which a request is expected to end first; undefined when none has room. */
 export default function chooseServer(options: ChooseServerOptions): ServerAccount | undefined {
-  const { now, random, overcommit = 0 } = options;
+  const { now, random } = options;
   let best: ServerAccount | undefined;
   let bestCost = Infinity;
   options.accounts.forEach((account) => {
     const occupancy = getOccupancy(account, now, options.hearsAll ?? true);
-    if (!isUsable(account, options) || occupancy >= account.listed.slots + overcommit) {
+    if (!isUsable(account, options) || occupancy >= account.listed.slots + account.extraPlaces) {
       return;
     }
     const crowding = 1 + occupancy / account.listed.slots;
--- a/packages/relay/src/decisions/createSharedQuota.ts
+++ b/packages/relay/src/decisions/createSharedQuota.ts
@@ -1,5 +1,5 @@
-import type { CustomerId, EntryHostId, Milliseconds } from '@rattanreel/core';
-import type { Quota } from '../types';
+import type { CustomerId, EntryHostId, FailureDomainId, Milliseconds } from '@rattanreel/core';
+import type { DomainSpending, PeerAddress, Quota } from '../types';
 import type { SharedQuota } from './types';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -7,6 +7,8 @@
 const USED_BURST = 0.8;
 /** A host not heard of for this long keeps its equal part of every quota; summaries come every 200 ms. */
 const SILENT_AFTER: Milliseconds = 600;
+/** The same for a failure domain that is heard through others: its reports pass two more hosts, 250 ms and 200 ms each. */
+const DOMAIN_SILENT_AFTER: Milliseconds = 1_000;
 
 interface SharedQuotaOptions {
   readonly now: Milliseconds;
@@ -17,6 +19,13 @@
   level: number;
   at: Milliseconds;
   spent: number;
+  /** Spent by hosts heard directly, since this process started. */
+  heardSpent: number;
+}
+
+interface HeardDomain {
+  report: DomainSpending;
+  at: Milliseconds;
 }
 
 interface HeardHost {
@@ -28,18 +37,53 @@
 /**
  * One token bucket a customer over all hosts. Each host keeps the whole bucket and takes off what the
  * others say they spent. The rate of hosts that are not heard is left to them, so that the sum over
- * a partition stays within the quota. A new process starts with an empty bucket.
+ * a partition stays within the quota. A new process starts with an empty bucket. In a large fleet the
+ * other failure domains are heard through reports of their sums.
  */
 export default function createSharedQuota(options: SharedQuotaOptions): SharedQuota {
   const buckets = new Map<CustomerId, Bucket>();
   const heard = new Map<EntryHostId, HeardHost>();
-  let peers: readonly EntryHostId[] = [];
+  /** The last report of each reporter of another failure domain. */
+  const reports = new Map<EntryHostId, HeardDomain>();
+  let peers: readonly Pick<PeerAddress, 'entryHost' | 'failureDomain'>[] = [];
   const startedAt = options.now;
 
   /** The part of each quota that the hosts in contact may use together. */
   function getReachableShare(now: Milliseconds): number {
-    const silent = peers.filter((peer) => now - (heard.get(peer)?.at ?? startedAt) > SILENT_AFTER);
-    return (peers.length + 1 - silent.length) / (peers.length + 1);
+    const silent = peers.filter(({ entryHost }) => isSilent(entryHost, now));
+    const domains = new Set(silent.map(({ failureDomain }) => failureDomain));
+    const told = [...domains].reduce((sum, domain) => {
+      const members = silent.filter(({ failureDomain }) => failureDomain === domain);
+      return sum + Math.min(tryGetReport(domain, now)?.hosts ?? 0, members.length);
+    }, 0);
+    return (peers.length + 1 - silent.length + told) / (peers.length + 1);
+  }
+
+  function isSilent(host: EntryHostId, now: Milliseconds): boolean {
+    return now - (heard.get(host)?.at ?? startedAt) > SILENT_AFTER;
+  }
+
+  /** The report that counts for a failure domain: of its reporters in contact, the first by name. */
+  function tryGetReport(domain: FailureDomainId, now: Milliseconds): DomainSpending | undefined {
+    return [...reports.values()]
+      .filter(
+        ({ report, at }) => report.failureDomain === domain && now - at <= DOMAIN_SILENT_AFTER,
+      )
+      .map(({ report }) => report)
+      .sort((left, right) => (left.entryHost < right.entryHost ? -1 : 1))[0];
+  }
+
+  /** Takes what was spent between two reports of one life off the buckets. */
+  function takeOff(
+    before: Readonly<Record<CustomerId, number>>,
+    after: Readonly<Record<CustomerId, number>>,
+  ): void {
+    Object.entries(after).forEach(([customer, total]) => {
+      const bucket = buckets.get(customer);
+      if (bucket !== undefined) {
+        bucket.level -= total - (before[customer] ?? 0);
+      }
+    });
   }
 
   function refill(bucket: Bucket, now: Milliseconds): void {
@@ -59,7 +103,7 @@
       quotas.forEach((quota, customer) => {
         const bucket = buckets.get(customer);
         if (bucket === undefined) {
-          buckets.set(customer, { quota, level: 0, at: now, spent: 0 });
+          buckets.set(customer, { quota, level: 0, at: now, spent: 0, heardSpent: 0 });
           return;
         }
         refill(bucket, now);
@@ -79,11 +123,22 @@
           const known = isSameLife ? (before.spent[customer] ?? 0) : 0;
           if (bucket !== undefined) {
             bucket.level -= total - known;
+            bucket.heardSpent += total - known;
           }
         });
       }
       heard.set(from, { incarnation, at: now, spent });
     },
+    hearDomain(report, now) {
+      const before = reports.get(report.entryHost)?.report;
+      reports.set(report.entryHost, { report, at: now });
+      const isCounted =
+        tryGetReport(report.failureDomain, now)?.entryHost === report.entryHost &&
+        before?.incarnation === report.incarnation;
+      if (isCounted) {
+        takeOff(before.spent, report.spent);
+      }
+    },
     trySpend(customer, cost, now) {
       const bucket = buckets.get(customer);
       if (bucket === undefined) {
@@ -106,6 +161,12 @@
         bucket.spent -= cost;
       }
     },
+    spentTogether: (now) => ({
+      hosts: 1 + peers.filter(({ entryHost }) => !isSilent(entryHost, now)).length,
+      spent: Object.fromEntries(
+        [...buckets].map(([customer, { spent, heardSpent }]) => [customer, spent + heardSpent]),
+      ),
+    }),
     spent: () =>
       Object.fromEntries([...buckets].map(([customer, bucket]) => [customer, bucket.spent])),
   };
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -1,4 +1,4 @@
-import type { Quota, Route, Urgency } from '../types';
+import type { DomainSpending, PeerAddress, Quota, Route, Urgency } from '../types';
 import type { CustomerId, EntryHostId, Milliseconds, TierRank } from '@rattanreel/core';
 
 export interface MovingMean {
@@ -17,7 +17,7 @@
 export interface SharedQuota {
   setQuotas(quotas: ReadonlyMap<CustomerId, Quota>, now: Milliseconds): void;
   /** Other hosts that exist, heard or not. */
-  setPeers(peers: readonly EntryHostId[]): void;
+  setPeers(peers: readonly Pick<PeerAddress, 'entryHost' | 'failureDomain'>[]): void;
   /** Takes in what another host has spent since its process started. */
   hear(report: {
     readonly from: EntryHostId;
@@ -25,11 +25,15 @@
     readonly spent: Readonly<Record<CustomerId, number>>;
     readonly now: Milliseconds;
   }): void;
+  /** Takes in what the hosts of another failure domain have spent together. */
+  hearDomain(report: DomainSpending, now: Milliseconds): void;
   trySpend(customer: CustomerId, cost: number, now: Milliseconds): QuotaAnswer;
   /** Gives back the cost of a request that did not run. */
   giveBack(customer: CustomerId, cost: number): void;
   /** What this process has spent since its start, by customer. */
   spent(): Readonly<Record<CustomerId, number>>;
+  /** The same with what hosts heard directly have spent meanwhile, and the number of these with this one. */
+  spentTogether(now: Milliseconds): Pick<DomainSpending, 'hosts' | 'spent'>;
 }
 
 export interface PlaceCounts {
--- /dev/null
+++ b/packages/relay/src/peers/createSpendingExchange.test.ts
@@ -0,0 +1,103 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createVirtualClock } from '@rattanreel/core';
+import type { PeerAddress } from '../types';
+import createSpendingExchange from './createSpendingExchange';
+
+interface Case {
+  readonly name: string;
+  readonly domains: number;
+  readonly hostsOfADomain: number;
+  /** Messages of all hosts together in one second. */
+  readonly most: number;
+  readonly least: number;
+}
+
+// Two reporters a domain, three receivers in each other domain, four reports a second (five at the ends of one).
+const cases: readonly Case[] = [
+  { name: 'nothing in a small fleet', domains: 3, hostsOfADomain: 3, most: 0, least: 0 },
+  {
+    name: 'few messages in a fleet of 88',
+    domains: 4,
+    hostsOfADomain: 22,
+    most: 360,
+    least: 288,
+  },
+  {
+    name: 'as many a domain in a fleet of 360',
+    domains: 12,
+    hostsOfADomain: 30,
+    most: 3_960,
+    least: 3_168,
+  },
+];
+
+function listHosts({ domains, hostsOfADomain }: Case): readonly PeerAddress[] {
+  return Array.from({ length: domains * hostsOfADomain }, (_, index) => ({
+    entryHost: `host-${index}`,
+    address: `10.0.0.${index}:1`,
+    failureDomain: `domain-${index % domains}`,
+  }));
+}
+
+describe('createSpendingExchange', () => {
+  cases.forEach((testCase) => {
+    it(`tells other failure domains: ${testCase.name}`, () => {
+      const hosts = listHosts(testCase);
+      let sent = 0;
+      hosts.forEach((self) => {
+        const clock = createVirtualClock();
+        const exchange = createSpendingExchange({
+          clock,
+          transport: {
+            send() {
+              sent += 1;
+            },
+          },
+          quota: {
+            hearDomain: () => undefined,
+            spentTogether: () => ({ hosts: 1, spent: {} }),
+          },
+          self: { ...self, incarnation: 'one' },
+          listNear: () =>
+            hosts
+              .filter((host) => host.failureDomain === self.failureDomain && host !== self)
+              .map(({ entryHost }) => entryHost),
+        });
+        exchange.setPeers(hosts.filter((host) => host !== self));
+        clock.advance(1_000);
+        exchange.stop();
+      });
+      expect(sent).toBeLessThanOrEqual(testCase.most);
+      expect(sent).toBeGreaterThanOrEqual(testCase.least);
+    });
+  });
+
+  it('passes a report on for as long as it is fresh', () => {
+    const clock = createVirtualClock();
+    const heard: string[] = [];
+    const exchange = createSpendingExchange({
+      clock,
+      transport: { send: () => undefined },
+      quota: {
+        hearDomain: ({ failureDomain }) => heard.push(failureDomain),
+        spentTogether: () => ({ hosts: 1, spent: {} }),
+      },
+      self: { entryHost: 'host-0', incarnation: 'one', failureDomain: 'near' },
+      listNear: () => [],
+    });
+    exchange.hear({
+      kind: 'spending',
+      entryHost: 'host-9',
+      incarnation: 'one',
+      failureDomain: 'far',
+      hosts: 3,
+      spent: { customer: 5 },
+    });
+    expect(heard).toEqual(['far']);
+    expect(exchange.listReports().length).toEqual(1);
+    clock.advance(600);
+    expect(exchange.listReports().length).toEqual(0);
+    exchange.stop();
+  });
+});
--- /dev/null
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -0,0 +1,106 @@
+import type { Clock, EntryHostId } from '@rattanreel/core';
+import type { Logger } from '@rattanreel/observability';
+import createHostSummary from '../createHostSummary';
+import choosePartners from '../decisions/choosePartners';
+import type { SharedQuota } from '../decisions/types';
+import type {
+  BeliefKeeper,
+  HostMessage,
+  HostSummary,
+  PeerAddress,
+  PeerTable,
+  Pools,
+} from '../types';
+import createPeerExchange from './createPeerExchange';
+import createSpendingExchange from './createSpendingExchange';
+import openRelayTransport from './openRelayTransport';
+
+interface PeerLinkOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly self: Pick<HostSummary, 'entryHost' | 'incarnation' | 'failureDomain' | 'address'>;
+  readonly keeper: BeliefKeeper;
+  readonly peerTable: PeerTable;
+  readonly pools: Pools;
+  readonly quota: SharedQuota;
+}
+
+interface PeerLink {
+  setPeers(peers: readonly PeerAddress[]): void;
+  /** Tells the others that requests came or went: soon while places are scarce. */
+  noteChange(isScarce: boolean): void;
+  /** Asks hosts, whose addresses may be out of date, for what they know. */
+  askAny(addresses: readonly string[]): Promise<void>;
+  /** Ends what is told to others; the other hosts may still ask until `close`. */
+  stop(): void;
+  close(): Promise<void>;
+}
+
+/** Links this host with the others: what they do, what they have spent, what they know. */
+export default async function openPeerLink(options: PeerLinkOptions): Promise<PeerLink> {
+  const { clock, logger, self, keeper, peerTable, pools, quota } = options;
+
+  function listNear(): readonly EntryHostId[] {
+    return peerTable
+      .listHeard(clock.now())
+      .filter(({ failureDomain }) => failureDomain === self.failureDomain)
+      .map(({ entryHost }) => entryHost);
+  }
+
+  function hear(message: HostMessage): void {
+    const now = clock.now();
+    if (message.kind === 'spending') {
+      spending.hear(message);
+      return;
+    }
+    peerTable.hear(message, now);
+    if (message.kind === 'summary') {
+      keeper.learnPeer(message);
+      quota.hear({ ...message, from: message.entryHost, now });
+      message.farSpending?.forEach((report) => quota.hearDomain(report, now));
+      exchange.hear(message);
+    }
+    const counts = peerTable.countInFlight(now);
+    pools.forEachDesk((desk, pool) =>
+      desk.setOthers(counts, peerTable.countByTier(pool, now), peerTable.countWaiting(pool, now)),
+    );
+  }
+
+  const transport = await openRelayTransport({
+    identity: self,
+    listenAddress: self.address,
+    onMessage: hear,
+    getBeliefs: () => keeper.get(),
+  });
+  const spending = createSpendingExchange({ clock, transport, quota, self, listNear });
+  const exchange = createPeerExchange({
+    clock,
+    logger,
+    transport,
+    getSummary: () =>
+      createHostSummary({
+        ...self,
+        pools,
+        spent: quota.spent(),
+        farSpending: spending.listReports(),
+        versions: keeper.getVersions(),
+      }),
+    getVersions: keeper.getVersions,
+    onBeliefs: keeper.merge,
+  });
+
+  return {
+    setPeers(peers) {
+      quota.setPeers(peers);
+      spending.setPeers(peers);
+      exchange.setPeers(choosePartners(peers, self.failureDomain));
+    },
+    noteChange: exchange.noteChange,
+    askAny: exchange.askAny,
+    stop() {
+      exchange.stop();
+      spending.stop();
+    },
+    close: transport.close,
+  };
+}
--- a/packages/relay/src/pools/noteAttempt.ts
+++ b/packages/relay/src/pools/noteAttempt.ts
@@ -71,6 +71,7 @@
       }
       return;
     case 'notRun':
+      account.extraPlaces = end.status === HTTP_MISDIRECTED ? account.extraPlaces : 0;
       account.avoidedUntil =
         now + (end.status === HTTP_MISDIRECTED ? MISDIRECTED_AVOIDANCE : FULL_AVOIDANCE);
       return;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -213,6 +213,8 @@
   /** Requests at the server when it last told its load, less those of this host. */
   reportedOthers: number;
   reportedAt: Milliseconds;
+  /** Requests beyond its places that it may be given, so that no place stands empty between two messages; none once it turned one away. */
+  extraPlaces: number;
   /** Time per unit of work against the pool's mean; 1 is average. */
   slowness: number;
   /** Consecutive failures. */
@@ -242,6 +244,20 @@
   readonly waiting: Readonly<Record<PoolId, Readonly<Record<string, number>>>>;
   /** Cost spent since the process started, by customer. */
   readonly spent: Readonly<Record<CustomerId, number>>;
+  /** In a large fleet, what other failure domains told this host lately. */
+  readonly farSpending?: readonly DomainSpending[];
+}
+
+/** What the hosts of a failure domain have spent together; told to other domains in a large fleet. */
+export interface DomainSpending {
+  readonly kind: 'spending';
+  readonly failureDomain: FailureDomainId;
+  /** The host that adds up, and the life of its process, from whose start it counts. */
+  readonly entryHost: EntryHostId;
+  readonly incarnation: Incarnation;
+  /** Hosts whose spending is in it. */
+  readonly hosts: number;
+  readonly spent: Readonly<Record<CustomerId, number>>;
 }
 
 /** What changed at a host since its last message; sent more often than whole summaries. */
@@ -254,7 +270,7 @@
   readonly waiting: HostSummary['waiting'];
 }
 
-export type HostMessage = HostSummary | HostChange;
+export type HostMessage = HostSummary | HostChange | DomainSpending;
 
 /** How much a host knows; each number only grows, and is -1 before the first word. */
 export interface BeliefVersions {
@@ -349,7 +365,7 @@
 
 export interface PeerTable {
   /** Takes in a whole summary, or a change to the last one. */
-  hear(message: HostMessage, now: Milliseconds): void;
+  hear(message: HostSummary | HostChange, now: Milliseconds): void;
   /** Requests that the other hosts have in flight, by backend server. */
   countInFlight(now: Milliseconds): ReadonlyMap<BackendServerId, number>;
   /** The same by pool and route tier. */
