Leave the last tier's places to its fresh requests

Change: floors of 0.18, a quarter of them for returning requests, which also keep 1.6 times the headroom free. Test: createPlaceShares.

--- a/packages/relay/src/decisions/createPlaceShares.ts
+++ b/packages/relay/src/decisions/createPlaceShares.ts
@@ -3,12 +3,14 @@
 import type { MovingMean, PlaceClaim, PlaceCounts, PlaceGroup } from './types';
 
 /** Part of a pool's places that each tier may always use, so that overload starves none. */
-const FLOOR_PART = 0.15;
+const FLOOR_PART = 0.18;
 /** Returning requests get this part of the floor: the rest is left to fresh ones, which can still be in time. */
-const RETURNING_FLOOR_PART = 0.5;
+const RETURNING_FLOOR_PART = 0.25;
 /** Part of a pool's places kept free per multiple by which a tier's answers last longer. */
 const HEADROOM_PER_MULTIPLE = 0.1;
 const MOST_HEADROOM = 0.25;
+/** Returning requests, late already, leave this many times the headroom: fresh ones of their tier come next. */
+const RETURNING_HEADROOM = 1.6;
 const DURATION_GUESS: Milliseconds = 400;
 const DURATION_WEIGHT = 0.05;
 
@@ -55,9 +57,8 @@
       if (getTakenBy(tier) + 1 <= places * floorPart) {
         return 'belowFloor';
       }
-      return taken + 1 <= places * (1 - getHeadroom(tier)) || getHeadroom(tier) === 0
-        ? 'free'
-        : 'kept';
+      const headroom = getHeadroom(tier) * (isReturning ? RETURNING_HEADROOM : 1);
+      return taken + 1 <= places * (1 - headroom) || headroom === 0 ? 'free' : 'kept';
     },
   };
 }
