Add a randomised fault soak over real processes

Entry hosts run as separate processes of the bundled program, started and ended by the soak; the store and the backend servers are stand-ins behind loopback links that go silent, slow or are reset.

--- a/benchmarks/src/getBenchmark.ts
+++ b/benchmarks/src/getBenchmark.ts
@@ -10,6 +10,7 @@
   orders: () => import('./orders'),
   configuration: () => import('./configuration'),
   soak: () => import('./soak'),
+  processes: () => import('./processes'),
 };
 
 /** Finds a benchmark by name; throws with the names known when there is none. */
--- a/benchmarks/src/main.ts
+++ b/benchmarks/src/main.ts
@@ -10,7 +10,7 @@
     $ npm run bench -- NAME [--seed N] [--json] [--quick] [--minutes N]
 
   Names
-    overhead, goodput, decisions, moves, orders, configuration, soak
+    overhead, goodput, decisions, moves, orders, configuration, soak, processes
 `,
   {
     importMeta: import.meta,
--- /dev/null
+++ b/benchmarks/src/processes/createSoakHost.ts
@@ -0,0 +1,92 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { createWriteStream, writeFileSync } from 'node:fs';
+import path from 'node:path';
+import process from 'node:process';
+import createLinkProxy from './createLinkProxy';
+import soakLimits from './soakLimits';
+import type { SoakHost } from './types';
+
+interface SoakHostOptions {
+  readonly index: number;
+  readonly folder: string;
+  readonly program: string;
+  readonly failureDomain: string;
+  /** First of the four ports of this host. */
+  readonly port: number;
+  readonly seedPorts: readonly number[];
+  readonly storeAddress: string;
+}
+
+const MEMORY_MB = 110;
+/** Time that the users give a process after SIGTERM, in seconds. */
+const GRACE_SECONDS = 8;
+
+/** An entry host as a process of its own; its log is kept in `folder`. */
+export default async function createSoakHost(options: SoakHostOptions): Promise<SoakHost> {
+  const { index, folder, port } = options;
+  const name = `edge-${index}`;
+  const settingsFile = path.join(folder, `${name}.conf`);
+  const log = createWriteStream(path.join(folder, `${name}.log`));
+  const storeLink = await createLinkProxy(options.storeAddress);
+  let child: ChildProcess | undefined;
+  let reloads = 0;
+
+  function writeSettings(): void {
+    const { ratio, window, slack } = soakLimits.repeats;
+    const lines = [
+      `node-name=${name}`,
+      'ip=127.0.0.1',
+      `zone=${options.failureDomain}`,
+      `listen.front=127.0.0.1:${port}`,
+      `listen.ready=127.0.0.1:${port + 1}`,
+      `listen.control=127.0.0.1:${port + 2}`,
+      `metrics-port=${port + 3}`,
+      `seed-nodes=${options.seedPorts.map((seed) => `127.0.0.1:${seed + 2}`).join(',')}`,
+      `provider.addr=${storeLink.address}`,
+      'provider.reads-per-s=2000',
+      `bounds.grace-s=${GRACE_SECONDS}`,
+      `bounds.budget-ratio=${ratio}`,
+      `bounds.budget-window-s=${window / 1_000}`,
+      `bounds.budget-slack=${slack}`,
+      `# written ${reloads} times before`,
+    ];
+    writeFileSync(settingsFile, lines.join('\n'));
+  }
+
+  writeSettings();
+  return {
+    callers: `http://127.0.0.1:${port}`,
+    readiness: `http://127.0.0.1:${port + 1}/v1/ready`,
+    storeLink,
+    get isRunning() {
+      return child !== undefined && child.exitCode === null && child.signalCode === null;
+    },
+    start() {
+      const heap = `--max-old-space-size=${MEMORY_MB}`;
+      child = spawn(
+        process.execPath,
+        [heap, options.program, 'serve-platform', '--settings', settingsFile],
+        { stdio: ['ignore', 'pipe', 'pipe'] },
+      );
+      child.stdout?.pipe(log, { end: false });
+      child.stderr?.pipe(log, { end: false });
+    },
+    signal(signal) {
+      child?.kill(signal);
+    },
+    reload() {
+      reloads += 1;
+      writeSettings();
+      child?.kill('SIGHUP');
+    },
+    async untilEnded() {
+      const ending = child;
+      if (ending !== undefined && ending.exitCode === null && ending.signalCode === null) {
+        await new Promise((resolve) => {
+          ending.once('exit', resolve);
+        });
+      }
+    },
+  };
+}
--- /dev/null
+++ b/benchmarks/src/processes/soakLimits.ts
@@ -0,0 +1,15 @@
+/** Limits over all hosts that the soak configures and checks. */
+const soakLimits = {
+  quota: {
+    customer: 'small',
+    ratePerSecond: 20,
+    burst: 20,
+    window: 8_000,
+    over: 0.1,
+    /** Requests; the users' slack is a second of a customer's usual rate. */
+    slack: 20,
+  },
+  repeats: { ratio: 0.2, window: 10_000, slack: 20 },
+} as const;
+
+export default soakLimits;
