--- a/benchmarks/src/processes/findBoundViolations.ts
+++ b/benchmarks/src/processes/findBoundViolations.ts
@@ -76,16 +76,19 @@
 
 /** Requests whose new key a host still does not know. */
 function findUnknownKeys(record: SoakRecord): readonly Violation[] {
-  return record.grants.flatMap(({ key, at }) =>
-    [...record.sent.values()]
+  return record.grants.flatMap(({ key, at }) => {
+    const ban = record.bans.find(({ what, name }) => what === 'key' && name === key);
+    const goneAt = ban?.from ?? Infinity;
+    return [...record.sent.values()]
       .filter((request) => request.key === key && request.at > at + record.bounds.apply)
+      .filter(({ id }) => (record.ends.get(id)?.at ?? Infinity) < goneAt)
       .filter((request) => isInTouch(record, request.host, at, request.at))
       .filter(({ id }) => {
         const end = record.ends.get(id);
         return end?.kind === 'answered' && end.status === HTTP_UNAUTHORIZED;
       })
-      .map(({ id }) => ({ promise: 'configuration', detail: `${id}: ${key} unknown` })),
-  );
+      .map(({ id }) => ({ promise: 'configuration', detail: `${id}: ${key} unknown` }));
+  });
 }
 
 /** Requests without an answer half a second after their route's time-out. */
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -5,3 +5,4 @@
 export { default as createDecisionLog } from './createDecisionLog';
 export { default as createLogger } from './createLogger';
 export { default as createMetrics } from './createMetrics';
+export { default as silentLogger } from './silentLogger';
--- /dev/null
+++ b/packages/observability/src/silentLogger.ts
@@ -0,0 +1,11 @@
+import type { Logger } from './types';
+
+/** A logger that writes nothing, for tests. */
+const silentLogger: Logger = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
+
+export default silentLogger;
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -84,7 +84,12 @@
   const quota = createSharedQuota({ now: startedAt });
   const metrics = createRelayMetrics();
   const habits = createRequestHabits();
-  const observer = createRequestObserver({ logger, metrics, now: clock.now });
+  const observer = createRequestObserver({
+    logger,
+    metrics,
+    now: clock.now,
+    getBasis: () => ({ ...keeper.getVersions(), ...peerTable.getAge(clock.now()) }),
+  });
   const connections = createServerConnections({ clock });
   const peerTable = createPeerTable();
   let routes: RouteTable | undefined;
--- a/packages/relay/src/front/createRequestObserver.ts
+++ b/packages/relay/src/front/createRequestObserver.ts
@@ -1,20 +1,18 @@
 import type { Logger } from '@rattanreel/observability';
 import type { AttemptEnd, ServerAccount } from '../types';
-import type { RelayMetrics, RequestObserver, RequestPlan } from './types';
-
-/** Successes are logged one in this many; everything else is logged each time. */
-const SUCCESS_SAMPLE = 50;
+import type { DecisionBasis, RelayMetrics, RequestObserver, RequestPlan } from './types';
 
 interface RequestObserverOptions {
   readonly logger: Logger;
   readonly metrics: RelayMetrics;
   readonly now: () => number;
+  /** What this host's decisions rest on at the moment. */
+  readonly getBasis: () => DecisionBasis;
 }
 
-/** Writes a line for each decision on a request, and counts them. */
+/** Writes a line for each decision on a request, within the logger's bound, and counts them. */
 export default function createRequestObserver(options: RequestObserverOptions): RequestObserver {
-  const { logger, metrics, now } = options;
-  let successes = 0;
+  const { logger, metrics, now, getBasis } = options;
 
   function describe(plan: RequestPlan): object {
     return {
@@ -32,6 +30,8 @@
       own: server.own,
       others: server.others,
       slowness: Number(server.slowness.toFixed(2)),
+      failures: server.failures,
+      avoidedFor: Math.max(Math.round(server.avoidedUntil - now()), 0),
     };
   }
 
@@ -42,20 +42,21 @@
   return {
     rejected(requestId, rejection) {
       metrics.ended('rejected', rejection.code);
-      logger.info({ request: requestId, ...rejection }, 'request rejected');
+      logger.info({ request: requestId, ...rejection, basis: getBasis() }, 'request rejected');
     },
     refused(plan, reason, retryAfter, pool) {
       metrics.ended('refused', reason);
-      logger.info({ ...describe(plan), reason, retryAfter, pool }, 'request refused');
+      logger.info(
+        { ...describe(plan), reason, retryAfter, pool, basis: getBasis() },
+        'request refused',
+      );
     },
     dispatched(plan, server, attempt, waiting) {
       metrics.dispatched(attempt);
-      if (attempt > 1) {
-        logger.info(
-          { ...describe(plan), ...describeServer(server), attempt, waiting },
-          'request dispatched',
-        );
-      }
+      logger.info(
+        { ...describe(plan), ...describeServer(server), attempt, waiting, basis: getBasis() },
+        'request dispatched',
+      );
     },
     attemptEnded(plan, server, end) {
       if (!isPlain(end)) {
@@ -64,19 +65,16 @@
     },
     completed(plan, server, figures) {
       const { end } = figures;
-      successes += 1;
-      if (successes % SUCCESS_SAMPLE === 0) {
-        logger.info(
-          {
-            ...describe(plan),
-            ...describeServer(server),
-            promptTokens: plan.promptTokens,
-            outputTokens: plan.outputTokens,
-            figures,
-          },
-          'request answered',
-        );
-      }
+      logger.info(
+        {
+          ...describe(plan),
+          server: server.listed.id,
+          promptTokens: plan.promptTokens,
+          outputTokens: plan.outputTokens,
+          figures,
+        },
+        'request answered',
+      );
       metrics.ended('answered', end.kind === 'whole' && end.status >= 500 ? 'failure' : 'success');
       metrics.answered(plan, now());
     },
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -80,13 +80,10 @@
     }
   }
 
-  /** Moves the state of a request that may run once before a byte of it is written. */
-  function markDispatched(): void {
-    if (isRepeatable) {
-      return;
-    }
-    const isFirst = lifecycle.tryGrant() && lifecycle.tryDispatch();
-    Debug.invariant(isFirst, 'dispatched-twice', () => `request ${plan.requestId}`);
+  /** Moves the state of a request that may run once before a byte of it is written; false forbids it. */
+  function tryMarkDispatched(): boolean {
+    const isFirst = isRepeatable || (lifecycle.tryGrant() && lifecycle.tryDispatch());
+    return Debug.invariant(isFirst, 'dispatched-twice', () => `request ${plan.requestId}`);
   }
 
   function watchSilence(): void {
@@ -98,9 +95,14 @@
   }
 
   function dispatch(server: ServerAccount): void {
+    if (!tryMarkDispatched()) {
+      finish();
+      desk.withdrawGranted(server, plan.urgency.tier);
+      options.failWith(502, 'dispatchedTwice');
+      return;
+    }
     tried.add(server.listed.id);
     sentAttempts += 1;
-    markDispatched();
     observer.dispatched(plan, server, sentAttempts, desk.waiting);
     watchSilence();
     attempt = startAttempt({
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -3,6 +3,7 @@
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type {
   AttemptEnd,
+  BeliefVersions,
   HeaderNames,
   RefusalReason,
   RelayCustomer,
@@ -63,6 +64,13 @@
   | { readonly kind: 'ok'; readonly plan: RequestPlan }
   | { readonly kind: 'rejected'; readonly rejection: Rejection };
 
+/** What a decision rests on: how new what this host knows is. */
+export interface DecisionBasis extends BeliefVersions {
+  /** Other hosts heard lately, and the age of the oldest of their last words. */
+  readonly hosts: number;
+  readonly oldest: Milliseconds;
+}
+
 export interface RequestObserver {
   rejected(requestId: string, rejection: Rejection): void;
   refused(plan: RequestPlan, reason: RefusalReason, retryAfter: number, pool?: PoolState): void;
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -58,5 +58,16 @@
     countByTier: (pool, now) => sumCounts(listHeard(now).map(({ tiers }) => tiers[pool])),
     countWaiting: (pool, now) => sumCounts(listHeard(now).map(({ waiting }) => waiting[pool])),
     listHeard,
+    getAge(now) {
+      let hosts = 0;
+      let oldest = 0;
+      heard.forEach(({ at }) => {
+        if (now - at < SUMMARY_LIFE) {
+          hosts += 1;
+          oldest = Math.max(oldest, now - at);
+        }
+      });
+      return { hosts, oldest: Math.round(oldest) };
+    },
   };
 }
--- /dev/null
+++ b/packages/relay/src/peers/createSilenceWatch.test.ts
@@ -0,0 +1,45 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createVirtualClock } from '@rattanreel/core';
+import createSilenceWatch from './createSilenceWatch';
+
+interface Case {
+  readonly name: string;
+  /** Hosts heard, one list every half second. */
+  readonly heard: readonly (readonly string[])[];
+  readonly lines: readonly string[];
+}
+
+const cases: readonly Case[] = [
+  { name: 'nothing of a host heard for the first time', heard: [[], ['b']], lines: [] },
+  { name: 'once that a host is lost', heard: [['b'], [], []], lines: ['host lost b'] },
+  {
+    name: 'that a host is regained',
+    heard: [['b', 'c'], ['c'], ['b', 'c']],
+    lines: ['host lost b', 'host regained b'],
+  },
+];
+
+describe('createSilenceWatch', () => {
+  cases.forEach(({ name, heard, lines }) => {
+    it(`says ${name}`, () => {
+      const clock = createVirtualClock();
+      const said: string[] = [];
+      const say = (fields: object, message: string): void => {
+        said.push(`${message} ${String(Reflect.get(fields, 'peer'))}`);
+      };
+      let index = 0;
+      const watch = createSilenceWatch({
+        clock,
+        logger: { debug: say, info: say, warn: say, error: say },
+        listHeard: () => heard[index] ?? [],
+      });
+      heard.forEach(() => {
+        clock.advance(500);
+        index += 1;
+      });
+      watch.stop();
+      expect(said).toEqual([...lines]);
+    });
+  });
+});
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -12,6 +12,7 @@
   Pools,
 } from '../types';
 import createPeerExchange from './createPeerExchange';
+import createSilenceWatch from './createSilenceWatch';
 import createSpendingExchange from './createSpendingExchange';
 import openRelayTransport from './openRelayTransport';
 
@@ -89,6 +90,12 @@
     onBeliefs: keeper.merge,
   });
 
+  const silence = createSilenceWatch({
+    clock,
+    logger,
+    listHeard: () => peerTable.listHeard(clock.now()).map(({ entryHost }) => entryHost),
+  });
+
   return {
     setPeers(peers) {
       quota.setPeers(peers);
@@ -100,6 +107,7 @@
     stop() {
       exchange.stop();
       spending.stop();
+      silence.stop();
     },
     close: transport.close,
   };
--- a/packages/relay/src/pools/createPoolDesk.ts
+++ b/packages/relay/src/pools/createPoolDesk.ts
@@ -128,6 +128,10 @@
       return { kind: 'waiting' };
     },
     withdraw: (request) => line.remove(request),
+    withdrawGranted(server, tier) {
+      ledger.giveBack(server, tier);
+      pump();
+    },
     noteEnded(server, tier, figures) {
       ledger.giveBack(server, tier);
       if (figures.end.kind === 'whole') {
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -46,6 +46,8 @@
   /** Queues a request, or refuses it when it cannot be served in time. */
   ask(request: WaitingRequest): Admission;
   withdraw(request: WaitingRequest): void;
+  /** Gives a granted place back that was not used. */
+  withdrawGranted(server: ServerAccount, tier: TierRank): void;
   /** Gives the place of an attempt back. */
   noteEnded(server: ServerAccount, tier: TierRank, figures: AttemptFigures): void;
   /** Takes in the load that a server told with an answer. */
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -374,4 +374,6 @@
   countWaiting(pool: PoolId, now: Milliseconds): ReadonlyMap<number, number>;
   /** Hosts heard lately. */
   listHeard(now: Milliseconds): readonly HostSummary[];
+  /** How many these are, and the age of the oldest of their last words. */
+  getAge(now: Milliseconds): { readonly hosts: number; readonly oldest: Milliseconds };
 }
