Send long answers where they can end in time; in a large fleet count the near places and hear of the far ones

Change: such a server is left out while another one can end the answer; the line serves the next request that has a server (decisions/endsInTime, WaitingLine by request). A host of a large fleet hears its own failure domain only, took servers of other domains for empty, and judged its domain's shares against all places, so that the last tier's floor was four times too large. Change: the reports between domains also tell what is in flight; a host counts the places of its own domain, and a far server must have a place to spare. Tests: endsInTime, chooseServer, createDomainExchange (was createSpendingExchange), createWaitingLine.

--- a/packages/relay/src/createHostSummary.ts
+++ b/packages/relay/src/createHostSummary.ts
@@ -3,7 +3,7 @@
 
 interface HostSummaryOptions extends Pick<
   HostSummary,
-  'entryHost' | 'incarnation' | 'failureDomain' | 'address' | 'spent' | 'farSpending'
+  'entryHost' | 'incarnation' | 'failureDomain' | 'address' | 'spent' | 'farReports'
 > {
   readonly pools: Pools;
   readonly versions: BeliefVersions;
@@ -12,23 +12,17 @@
 /** What this host tells the others now. */
 export default function createHostSummary(options: HostSummaryOptions): HostSummary {
   const { pools, versions, ...identity } = options;
-  const inFlight: Record<string, number> = {};
   const tiers: Record<PoolId, Record<string, number>> = {};
   const waiting: Record<PoolId, Record<string, number>> = {};
   pools.forEachDesk((desk, pool) => {
     tiers[pool] = Object.fromEntries(desk.getOwnByTier());
     waiting[pool] = Object.fromEntries(desk.getWaitingByRank());
-    desk.accounts.forEach(({ own }, id) => {
-      if (own > 0) {
-        inFlight[id] = own;
-      }
-    });
   });
   return {
     ...identity,
     ...versions,
     kind: 'summary',
-    inFlight,
+    inFlight: Object.fromEntries(pools.countOwn()),
     tiers,
     waiting,
   };
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -1,5 +1,12 @@
 import chooseHosts from './decisions/chooseHosts';
-import type { Clock, EntryHostId, FailureDomainId, PoolId, Random } from '@rattanreel/core';
+import type {
+  BackendServerId,
+  Clock,
+  EntryHostId,
+  FailureDomainId,
+  PoolId,
+  Random,
+} from '@rattanreel/core';
 import MOST_DIRECT_PEERS from './decisions/mostDirectPeers';
 import getColdInterval from './decisions/getColdInterval';
 import createPoolDesk from './pools/createPoolDesk';
@@ -29,6 +36,11 @@
   const open = new Map<PoolId, OpenPool>();
   let settingsByPool = new Map<PoolId, PoolSettings>();
   let hosts: readonly EntryHostId[] = [ownName];
+  let nearHosts = 1;
+
+  const hearsAll = (): boolean => hosts.length <= MOST_DIRECT_PEERS + 1;
+  /** Hosts that share the places that a desk counts. */
+  const countSharers = (): number => (hearsAll() ? hosts.length : nearHosts);
 
   function openPool(pool: PoolId): OpenPool {
     const accounts = createServerAccounts();
@@ -39,13 +51,13 @@
       bounds: options.bounds,
       accounts,
       getEvacuated: options.getEvacuated,
-      hearsAll: () => hosts.length <= MOST_DIRECT_PEERS + 1,
+      hearsAll,
       onChange: options.onChange,
       getSettings: () => settingsByPool.get(pool),
       getColdInterval: (server, rate) =>
         getColdInterval({ server, host: ownName, hosts, rate, chooseHosts }),
     });
-    desk.setHosts(hosts);
+    desk.setHosts(hosts, countSharers());
     return { desk, accounts };
   }
 
@@ -74,9 +86,21 @@
         desk.pump();
       });
     },
-    setHosts(next) {
+    setHosts(next, near) {
       hosts = next;
-      open.forEach(({ desk }) => desk.setHosts(next));
+      nearHosts = near;
+      open.forEach(({ desk }) => desk.setHosts(hosts, countSharers()));
+    },
+    countOwn() {
+      const counts = new Map<BackendServerId, number>();
+      open.forEach(({ accounts }) =>
+        accounts.byId.forEach(({ own }, id) => {
+          if (own > 0) {
+            counts.set(id, own);
+          }
+        }),
+      );
+      return counts;
     },
     coolDown(failureDomains) {
       const now = clock.now();
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -117,7 +117,8 @@
     },
     onEvacuated: (_evacuated, returned) => pools.coolDown(returned),
     onPeers(peers) {
-      pools.setHosts([entryHost, ...peers.map((peer) => peer.entryHost)]);
+      const near = peers.filter((peer) => peer.failureDomain === failureDomain);
+      pools.setHosts([entryHost, ...peers.map((peer) => peer.entryHost)], near.length + 1);
       link.setPeers(peers);
     },
   });
--- a/packages/relay/src/decisions/chooseServer.test.ts
+++ b/packages/relay/src/decisions/chooseServer.test.ts
@@ -10,6 +10,10 @@
   readonly accounts: readonly ServerAccount[];
   readonly evacuated?: readonly string[];
   readonly avoid?: readonly string[];
+  /** Servers at which the request cannot end within its deadline. */
+  readonly tooSlow?: readonly string[];
+  /** False in a large fleet. */
+  readonly hearsAll?: boolean;
   readonly chosen: string | undefined;
 }
 
@@ -29,6 +33,30 @@
     chosen: undefined,
   },
   { name: 'the one with room', accounts: [full, idle], chosen: 'idle' },
+  {
+    name: 'none when those at which it can end are full',
+    accounts: [overfull, idle],
+    tooSlow: ['idle'],
+    chosen: undefined,
+  },
+  {
+    name: 'any when it can end nowhere',
+    accounts: [idle],
+    tooSlow: ['idle'],
+    chosen: 'idle',
+  },
+  {
+    name: 'a far one in a large fleet only with a place to spare',
+    accounts: [{ ...remote, others: 3 }],
+    hearsAll: false,
+    chosen: undefined,
+  },
+  {
+    name: 'a far one in a large fleet with two places free',
+    accounts: [{ ...remote, others: 2 }],
+    hearsAll: false,
+    chosen: 'remote',
+  },
   { name: 'the faster one', accounts: [slow, idle], chosen: 'idle' },
   { name: 'the near one', accounts: [remote, idle], chosen: 'idle' },
   { name: 'the one that answers', accounts: [failing, idle], chosen: 'idle' },
@@ -67,17 +95,21 @@
 ];
 
 describe('chooseServer', () => {
-  cases.forEach(({ name, accounts, evacuated = [], avoid = [], chosen }) => {
-    it(`chooses ${name}`, () => {
-      const server = chooseServer({
-        accounts,
-        now: 100,
-        random: createRandom(7),
-        ownDomain: 'near',
-        evacuated: new Set(evacuated),
-        avoid: new Set(avoid),
+  cases.forEach(
+    ({ name, accounts, evacuated = [], avoid = [], tooSlow = [], hearsAll, chosen }) => {
+      it(`chooses ${name}`, () => {
+        const server = chooseServer({
+          accounts,
+          now: 100,
+          random: createRandom(7),
+          ownDomain: 'near',
+          evacuated: new Set(evacuated),
+          avoid: new Set(avoid),
+          hearsAll,
+          endsInTime: ({ listed }) => !tooSlow.includes(listed.id),
+        });
+        expect(server?.listed.id).toEqual(chosen);
       });
-      expect(server?.listed.id).toEqual(chosen);
-    });
-  });
+    },
+  );
 });
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -12,6 +12,9 @@
 /** Spread of the random part, so that hosts with the same view do not all choose the same server. */
 const RANDOM_SPREAD = 0.15;
 
+/** In a large fleet, what is known of a far server is half a second old: a place stays free for what came since. */
+const FAR_SLACK = -1;
+
 interface ChooseServerOptions {
   readonly accounts: readonly ServerAccount[];
   readonly now: Milliseconds;
@@ -21,6 +24,8 @@
   readonly ownDomain: FailureDomainId;
   readonly evacuated: ReadonlySet<FailureDomainId>;
   readonly avoid: ReadonlySet<BackendServerId>;
+  /** Whether the request is expected to end in time at a server; ignored where no server is. */
+  readonly endsInTime?: (account: ServerAccount) => boolean;
 }
 
 function isUsable(account: ServerAccount, options: ChooseServerOptions): boolean {
@@ -35,14 +40,22 @@
   );
 }
 
+/** Requests beyond its places, or short of them, that a server may be given. */
+function getSlack(account: ServerAccount, options: ChooseServerOptions): number {
+  const isFar = account.listed.failureDomain !== options.ownDomain;
+  return isFar && options.hearsAll === false ? FAR_SLACK : account.extraPlaces;
+}
+
 /** The backend server with room at which a request is expected to end first; undefined when none has room. */
 export default function chooseServer(options: ChooseServerOptions): ServerAccount | undefined {
-  const { now, random } = options;
+  const { now, random, endsInTime = () => true } = options;
+  const usable = options.accounts.filter((account) => isUsable(account, options));
+  const fit = usable.filter(endsInTime);
   let best: ServerAccount | undefined;
   let bestCost = Infinity;
-  options.accounts.forEach((account) => {
+  (fit.length > 0 ? fit : usable).forEach((account) => {
     const occupancy = getOccupancy(account, now, options.hearsAll ?? true);
-    if (!isUsable(account, options) || occupancy >= account.listed.slots + account.extraPlaces) {
+    if (occupancy >= account.listed.slots + getSlack(account, options)) {
       return;
     }
     const crowding = 1 + occupancy / account.listed.slots;
--- a/packages/relay/src/decisions/createSharedQuota.test.ts
+++ b/packages/relay/src/decisions/createSharedQuota.test.ts
@@ -203,10 +203,11 @@
       Array.from({ length: DOMAINS }, (_, domain) => {
         const reporter = running.find((host) => host.domain === domain)!;
         const report = {
-          kind: 'spending' as const,
+          kind: 'domain' as const,
           failureDomain: `domain-${domain}`,
           entryHost: reporter.name,
           incarnation: 'one',
+          inFlight: {},
           ...reporter.quota.spentTogether(now),
         };
         const at = now + REPORT_DELAY_MS;
--- a/packages/relay/src/decisions/createSharedQuota.ts
+++ b/packages/relay/src/decisions/createSharedQuota.ts
@@ -1,5 +1,6 @@
-import type { CustomerId, EntryHostId, FailureDomainId, Milliseconds } from '@rattanreel/core';
-import type { DomainSpending, PeerAddress, Quota } from '../types';
+import type { CustomerId, EntryHostId, Milliseconds } from '@rattanreel/core';
+import type { PeerAddress, Quota } from '../types';
+import createDomainReports from './createDomainReports';
 import type { SharedQuota } from './types';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -7,8 +8,6 @@
 const USED_BURST = 0.8;
 /** A host not heard of for this long keeps its equal part of every quota; summaries come every 200 ms. */
 const SILENT_AFTER: Milliseconds = 600;
-/** The same for a failure domain that is heard through others: its reports pass two more hosts, 250 ms and 200 ms each. */
-const DOMAIN_SILENT_AFTER: Milliseconds = 1_000;
 
 interface SharedQuotaOptions {
   readonly now: Milliseconds;
@@ -23,11 +22,6 @@
   heardSpent: number;
 }
 
-interface HeardDomain {
-  report: DomainSpending;
-  at: Milliseconds;
-}
-
 interface HeardHost {
   incarnation: string;
   at: Milliseconds;
@@ -43,8 +37,7 @@
 export default function createSharedQuota(options: SharedQuotaOptions): SharedQuota {
   const buckets = new Map<CustomerId, Bucket>();
   const heard = new Map<EntryHostId, HeardHost>();
-  /** The last report of each reporter of another failure domain. */
-  const reports = new Map<EntryHostId, HeardDomain>();
+  const reports = createDomainReports();
   let peers: readonly Pick<PeerAddress, 'entryHost' | 'failureDomain'>[] = [];
   const startedAt = options.now;
 
@@ -54,7 +47,7 @@
     const domains = new Set(silent.map(({ failureDomain }) => failureDomain));
     const told = [...domains].reduce((sum, domain) => {
       const members = silent.filter(({ failureDomain }) => failureDomain === domain);
-      return sum + Math.min(tryGetReport(domain, now)?.hosts ?? 0, members.length);
+      return sum + Math.min(reports.tryGet(domain, now)?.hosts ?? 0, members.length);
     }, 0);
     return (peers.length + 1 - silent.length + told) / (peers.length + 1);
   }
@@ -63,16 +56,6 @@
     return now - (heard.get(host)?.at ?? startedAt) > SILENT_AFTER;
   }
 
-  /** The report that counts for a failure domain: of its reporters in contact, the first by name. */
-  function tryGetReport(domain: FailureDomainId, now: Milliseconds): DomainSpending | undefined {
-    return [...reports.values()]
-      .filter(
-        ({ report, at }) => report.failureDomain === domain && now - at <= DOMAIN_SILENT_AFTER,
-      )
-      .map(({ report }) => report)
-      .sort((left, right) => (left.entryHost < right.entryHost ? -1 : 1))[0];
-  }
-
   /** Takes what was spent between two reports of one life off the buckets. */
   function takeOff(
     before: Readonly<Record<CustomerId, number>>,
@@ -130,11 +113,10 @@
       heard.set(from, { incarnation, at: now, spent });
     },
     hearDomain(report, now) {
-      const before = reports.get(report.entryHost)?.report;
-      reports.set(report.entryHost, { report, at: now });
+      const before = reports.note(report, now);
+      const counted = reports.tryGet(report.failureDomain, now);
       const isCounted =
-        tryGetReport(report.failureDomain, now)?.entryHost === report.entryHost &&
-        before?.incarnation === report.incarnation;
+        counted?.entryHost === report.entryHost && before?.incarnation === report.incarnation;
       if (isCounted) {
         takeOff(before.spent, report.spent);
       }
--- a/packages/relay/src/decisions/createWaitingLine.test.ts
+++ b/packages/relay/src/decisions/createWaitingLine.test.ts
@@ -22,6 +22,7 @@
       serveBy: arrivedAt + 400,
       deadlineAt: arrivedAt + 3_000,
     },
+    outputTokens: 50,
     avoid: new Set(),
     onGranted: () => undefined,
     onRefused: () => undefined,
@@ -37,7 +38,7 @@
 
 interface Case {
   readonly name: string;
-  readonly isServable: (group: { readonly tier: number; readonly isReturning: boolean }) => boolean;
+  readonly isServable: (request: WaitingRequest) => boolean;
   readonly next: string | undefined;
   readonly nextForFloor: string | undefined;
 }
@@ -46,13 +47,13 @@
   { name: 'all', isServable: () => true, next: 'urgent', nextForFloor: 'urgent' },
   {
     name: 'the last tier',
-    isServable: ({ tier }) => tier === 2,
+    isServable: ({ urgency }) => urgency.tier === 2,
     next: 'short',
     nextForFloor: 'long',
   },
   {
     name: 'returning ones',
-    isServable: ({ isReturning }) => isReturning,
+    isServable: ({ urgency }) => urgency.isReturning,
     next: 'returning',
     nextForFloor: 'returning',
   },
--- a/packages/relay/src/decisions/createWaitingLine.ts
+++ b/packages/relay/src/decisions/createWaitingLine.ts
@@ -1,15 +1,14 @@
 import type { Milliseconds, TierRank } from '@rattanreel/core';
 import type { Urgency, WaitingRequest } from '../types';
-import type { PlaceGroup } from './types';
 
 interface WaitingLine {
   readonly size: number;
   add(request: WaitingRequest): void;
   remove(request: WaitingRequest): void;
-  /** The most urgent request of a group for which `isServable` holds, left in the line. */
-  tryFind(isServable: (group: PlaceGroup) => boolean): WaitingRequest | undefined;
+  /** The most urgent request for which `isServable` holds, left in the line. */
+  tryFind(isServable: (request: WaitingRequest) => boolean): WaitingRequest | undefined;
   /** The same by floor rank, and then by arrival, whatever the length of the answer. */
-  tryFindForFloor(isServable: (group: PlaceGroup) => boolean): WaitingRequest | undefined;
+  tryFindForFloor(isServable: (request: WaitingRequest) => boolean): WaitingRequest | undefined;
   /** Removes and returns requests that would come too late if they were served now. */
   takeLate(now: Milliseconds): readonly WaitingRequest[];
   /** Requests by rank. */
@@ -28,10 +27,6 @@
   readonly requests: Set<WaitingRequest>;
 }
 
-function getHead(requests: ReadonlySet<WaitingRequest>): WaitingRequest {
-  return requests.values().next().value!;
-}
-
 function compareForFloor(left: WaitingRequest, right: WaitingRequest): number {
   const byRank = left.urgency.floorRank - right.urgency.floorRank;
   return byRank === 0 ? left.urgency.serveBy - right.urgency.serveBy : byRank;
@@ -57,6 +52,10 @@
     return lane;
   }
 
+  function listAll(): readonly WaitingRequest[] {
+    return order.flatMap(({ requests }) => [...requests]);
+  }
+
   return {
     get size() {
       return order.reduce((sum, lane) => sum + lane.requests.size, 0);
@@ -67,16 +66,8 @@
     remove(request) {
       getLane(request).requests.delete(request);
     },
-    tryFind(isServable) {
-      const lane = order.find(({ urgency, requests }) => requests.size > 0 && isServable(urgency));
-      return lane?.requests.values().next().value;
-    },
-    tryFindForFloor(isServable) {
-      const heads = order.flatMap(({ urgency, requests }) =>
-        requests.size > 0 && isServable(urgency) ? [getHead(requests)] : [],
-      );
-      return heads.sort(compareForFloor)[0];
-    },
+    tryFind: (isServable) => listAll().find(isServable),
+    tryFindForFloor: (isServable) => [...listAll()].sort(compareForFloor).find(isServable),
     takeLate(now) {
       const expectedAt = now + options.getExpectedTime();
       const late = order.flatMap((lane) =>
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -1,5 +1,11 @@
-import type { DomainSpending, PeerAddress, Quota, Route, Urgency } from '../types';
-import type { CustomerId, EntryHostId, Milliseconds, TierRank } from '@rattanreel/core';
+import type { DomainReport, PeerAddress, Quota, Route, Urgency } from '../types';
+import type {
+  CustomerId,
+  EntryHostId,
+  FailureDomainId,
+  Milliseconds,
+  TierRank,
+} from '@rattanreel/core';
 
 export interface MovingMean {
   add(value: number): void;
@@ -26,14 +32,14 @@
     readonly now: Milliseconds;
   }): void;
   /** Takes in what the hosts of another failure domain have spent together. */
-  hearDomain(report: DomainSpending, now: Milliseconds): void;
+  hearDomain(report: DomainReport, now: Milliseconds): void;
   trySpend(customer: CustomerId, cost: number, now: Milliseconds): QuotaAnswer;
   /** Gives back the cost of a request that did not run. */
   giveBack(customer: CustomerId, cost: number): void;
   /** What this process has spent since its start, by customer. */
   spent(): Readonly<Record<CustomerId, number>>;
   /** The same with what hosts heard directly have spent meanwhile, and the number of these with this one. */
-  spentTogether(now: Milliseconds): Pick<DomainSpending, 'hosts' | 'spent'>;
+  spentTogether(now: Milliseconds): Pick<DomainReport, 'hosts' | 'spent'>;
 }
 
 export interface PlaceCounts {
@@ -73,3 +79,12 @@
   /** Forgets all routes but these. */
   keepOnly(routes: ReadonlySet<string>): void;
 }
+
+export interface DomainReports {
+  /** Takes a report in; returns the last one of the same reporter. */
+  note(report: DomainReport, now: Milliseconds): DomainReport | undefined;
+  /** The report that counts for a failure domain; undefined when it is silent. */
+  tryGet(domain: FailureDomainId, now: Milliseconds): DomainReport | undefined;
+  /** One report for each domain in contact. */
+  list(now: Milliseconds): readonly DomainReport[];
+}
--- a/packages/relay/src/front/createAttemptMeter.ts
+++ b/packages/relay/src/front/createAttemptMeter.ts
@@ -8,7 +8,7 @@
 }
 
 /** Measures one attempt from its start. */
-export default function createAttemptMeter(clock: Clock): AttemptMeter {
+export default function createAttemptMeter(clock: Clock, outputTokens: number): AttemptMeter {
   const startedAt = clock.now();
   let firstAt: number | undefined;
   let lastAt = startedAt;
@@ -26,6 +26,7 @@
       firstDataAfter: firstAt === undefined ? undefined : firstAt - startedAt,
       laterChunks: Math.max(chunks - 1, 0),
       laterTime: firstAt === undefined ? 0 : lastAt - firstAt,
+      outputTokens,
     }),
   };
 }
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -44,6 +44,7 @@
   const waiting: WaitingRequest = {
     id: plan.requestId,
     urgency: plan.urgency,
+    outputTokens: plan.outputTokens,
     avoid: tried,
     onGranted: dispatch,
     onRefused: (reason) => giveUp(reason),
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -19,7 +19,7 @@
 /** Sends an admitted request to one backend server and passes on what comes back. */
 export default function startAttempt(options: StartAttemptOptions): Attempt {
   const { clock, exchange, plan, names, server, answer, desk } = options;
-  const meter = createAttemptMeter(clock);
+  const meter = createAttemptMeter(clock, plan.outputTokens);
   let isAnswer = true;
   const headers = createAttemptHeaders({
     exchange,
--- a/packages/relay/src/peers/createSpendingExchange.test.ts
+++ b/packages/relay/src/peers/createDomainExchange.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl';
 import { createVirtualClock } from '@rattanreel/core';
 import type { PeerAddress } from '../types';
-import createSpendingExchange from './createSpendingExchange';
+import createDomainExchange from './createDomainExchange';
 
 interface Case {
   readonly name: string;
@@ -40,14 +40,14 @@
   }));
 }
 
-describe('createSpendingExchange', () => {
+describe('createDomainExchange', () => {
   cases.forEach((testCase) => {
     it(`tells other failure domains: ${testCase.name}`, () => {
       const hosts = listHosts(testCase);
       let sent = 0;
       hosts.forEach((self) => {
         const clock = createVirtualClock();
-        const exchange = createSpendingExchange({
+        const exchange = createDomainExchange({
           clock,
           transport: {
             send() {
@@ -58,6 +58,7 @@
             hearDomain: () => undefined,
             spentTogether: () => ({ hosts: 1, spent: {} }),
           },
+          countTogether: () => new Map(),
           self: { ...self, incarnation: 'one' },
           listNear: () =>
             hosts
@@ -76,26 +77,32 @@
   it('passes a report on for as long as it is fresh', () => {
     const clock = createVirtualClock();
     const heard: string[] = [];
-    const exchange = createSpendingExchange({
+    const exchange = createDomainExchange({
       clock,
       transport: { send: () => undefined },
       quota: {
         hearDomain: ({ failureDomain }) => heard.push(failureDomain),
         spentTogether: () => ({ hosts: 1, spent: {} }),
       },
+      countTogether: () => new Map(),
       self: { entryHost: 'host-0', incarnation: 'one', failureDomain: 'near' },
       listNear: () => [],
     });
-    exchange.hear({
-      kind: 'spending',
-      entryHost: 'host-9',
-      incarnation: 'one',
-      failureDomain: 'far',
-      hosts: 3,
-      spent: { customer: 5 },
-    });
+    exchange.hear(
+      {
+        kind: 'domain',
+        entryHost: 'host-9',
+        incarnation: 'one',
+        failureDomain: 'far',
+        hosts: 3,
+        spent: { customer: 5 },
+        inFlight: { server: 4 },
+      },
+      'sent',
+    );
     expect(heard).toEqual(['far']);
     expect(exchange.listReports().length).toEqual(1);
+    expect([...exchange.countFar()]).toEqual([['server', 4]]);
     clock.advance(600);
     expect(exchange.listReports().length).toEqual(0);
     exchange.stop();
--- a/packages/relay/src/peers/createSpendingExchange.ts
+++ b/packages/relay/src/peers/createDomainExchange.ts
@@ -1,8 +1,16 @@
-import type { Clock, EntryHostId, FailureDomainId, Milliseconds, Timer } from '@rattanreel/core';
+import type {
+  BackendServerId,
+  Clock,
+  EntryHostId,
+  FailureDomainId,
+  Milliseconds,
+  Timer,
+} from '@rattanreel/core';
 import chooseHosts from '../decisions/chooseHosts';
+import createDomainReports from '../decisions/createDomainReports';
 import MOST_DIRECT_PEERS from '../decisions/mostDirectPeers';
 import type { SharedQuota } from '../decisions/types';
-import type { DomainSpending, HostSummary, PeerAddress } from '../types';
+import type { DomainReport, HostSummary, PeerAddress } from '../types';
 import type { RelayTransport } from './types';
 
 /** Time between two reports to the other failure domains. */
@@ -14,32 +22,37 @@
 /** Hosts of each other failure domain that are told: the list may name one or two that are gone. */
 const RECEIVERS = 3;
 
-interface SpendingExchangeOptions {
+interface DomainExchangeOptions {
   readonly clock: Clock;
   readonly transport: Pick<RelayTransport, 'send'>;
   readonly quota: Pick<SharedQuota, 'hearDomain' | 'spentTogether'>;
   readonly self: Pick<HostSummary, 'entryHost' | 'incarnation' | 'failureDomain'>;
+  /** Requests in flight of this host and of those heard, by backend server. */
+  readonly countTogether: () => ReadonlyMap<BackendServerId, number>;
   /** Hosts of the own failure domain that were heard lately. */
   readonly listNear: () => readonly EntryHostId[];
 }
 
-interface SpendingExchange {
+interface DomainExchange {
   setPeers(peers: readonly PeerAddress[]): void;
-  /** Takes in a report that another failure domain sent to this host. */
-  hear(report: DomainSpending): void;
+  /** Takes in a report of another failure domain, sent to this host or passed on by a near one. */
+  hear(report: DomainReport, way: 'sent' | 'passedOn'): void;
+  /** Requests in flight of the other failure domains in contact, by backend server. */
+  countFar(): ReadonlyMap<BackendServerId, number>;
   /** Reports to pass on to the own failure domain. */
-  listReports(): readonly DomainSpending[];
+  listReports(): readonly DomainReport[];
   stop(): void;
 }
 
 /**
- * In a large fleet, tells the other failure domains what this one has spent of each quota. Two hosts of
- * a domain add up and report to three of each other domain, which pass it on with their summaries: the
+ * In a large fleet, tells the other failure domains what this one does: what it has spent of each quota,
+ * and its requests in flight at each backend server. Two hosts of a domain add up and report to three of each other domain, which pass it on with their summaries: the
  * messages grow with the square of the domains, not of the hosts.
  */
-export default function createSpendingExchange(options: SpendingExchangeOptions): SpendingExchange {
+export default function createDomainExchange(options: DomainExchangeOptions): DomainExchange {
   const { clock, transport, quota, self } = options;
-  const received = new Map<EntryHostId, { report: DomainSpending; at: Milliseconds }>();
+  const received = new Map<EntryHostId, { report: DomainReport; at: Milliseconds }>();
+  const reports = createDomainReports();
   let peers: readonly PeerAddress[] = [];
   let timer: Timer | undefined;
   let isStopped = false;
@@ -48,26 +61,27 @@
     const near = [self.entryHost, ...options.listNear()];
     return (
       peers.length > MOST_DIRECT_PEERS &&
-      chooseHosts('spending', near, REPORTERS).includes(self.entryHost)
+      chooseHosts('domain', near, REPORTERS).includes(self.entryHost)
     );
   }
 
   function listReceivers(domain: FailureDomainId): readonly PeerAddress[] {
     const members = peers.filter(({ failureDomain }) => failureDomain === domain);
     const names = members.map(({ entryHost }) => entryHost);
-    const chosen = chooseHosts('spending', names, RECEIVERS);
+    const chosen = chooseHosts('domain', names, RECEIVERS);
     return members.filter(({ entryHost }) => chosen.includes(entryHost));
   }
 
   function report(): void {
     const { entryHost, incarnation, failureDomain } = self;
     const sums = quota.spentTogether(clock.now());
-    const message: DomainSpending = {
-      kind: 'spending',
+    const message: DomainReport = {
+      kind: 'domain',
       entryHost,
       incarnation,
       failureDomain,
       ...sums,
+      inFlight: Object.fromEntries(options.countTogether()),
     };
     const domains = new Set(peers.map((peer) => peer.failureDomain));
     domains.delete(failureDomain);
@@ -88,10 +102,22 @@
     setPeers(next) {
       peers = next;
     },
-    hear(message) {
-      received.set(message.entryHost, { report: message, at: clock.now() });
+    hear(message, way) {
+      if (way === 'sent') {
+        received.set(message.entryHost, { report: message, at: clock.now() });
+      }
+      reports.note(message, clock.now());
       quota.hearDomain(message, clock.now());
     },
+    countFar() {
+      const counts = new Map<BackendServerId, number>();
+      reports.list(clock.now()).forEach(({ inFlight }) =>
+        Object.entries(inFlight).forEach(([server, count]) => {
+          counts.set(server, (counts.get(server) ?? 0) + count);
+        }),
+      );
+      return counts;
+    },
     listReports: () =>
       [...received.values()]
         .filter(({ at }) => clock.now() - at <= REPORT_LIFE)
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -11,9 +11,10 @@
   PeerTable,
   Pools,
 } from '../types';
+import sumCounts from '../decisions/sumCounts';
 import createPeerExchange from './createPeerExchange';
 import createSilenceWatch from './createSilenceWatch';
-import createSpendingExchange from './createSpendingExchange';
+import createDomainExchange from './createDomainExchange';
 import openRelayTransport from './openRelayTransport';
 
 interface PeerLinkOptions {
@@ -50,18 +51,18 @@
 
   function hear(message: HostMessage): void {
     const now = clock.now();
-    if (message.kind === 'spending') {
-      spending.hear(message);
+    if (message.kind === 'domain') {
+      domains.hear(message, 'sent');
       return;
     }
     peerTable.hear(message, now);
     if (message.kind === 'summary') {
       keeper.learnPeer(message);
       quota.hear({ ...message, from: message.entryHost, now });
-      message.farSpending?.forEach((report) => quota.hearDomain(report, now));
+      message.farReports?.forEach((report) => domains.hear(report, 'passedOn'));
       exchange.hear(message);
     }
-    const counts = peerTable.countInFlight(now);
+    const counts = sumCounts([peerTable.countInFlight(now), domains.countFar()]);
     pools.forEachDesk((desk, pool) =>
       desk.setOthers(counts, peerTable.countByTier(pool, now), peerTable.countWaiting(pool, now)),
     );
@@ -73,7 +74,14 @@
     onMessage: hear,
     getBeliefs: () => keeper.get(),
   });
-  const spending = createSpendingExchange({ clock, transport, quota, self, listNear });
+  const domains = createDomainExchange({
+    clock,
+    transport,
+    quota,
+    self,
+    countTogether: () => sumCounts([peerTable.countInFlight(clock.now()), pools.countOwn()]),
+    listNear,
+  });
   const exchange = createPeerExchange({
     clock,
     logger,
@@ -83,7 +91,7 @@
         ...self,
         pools,
         spent: quota.spent(),
-        farSpending: spending.listReports(),
+        farReports: domains.listReports(),
         versions: keeper.getVersions(),
       }),
     getVersions: keeper.getVersions,
@@ -99,14 +107,14 @@
   return {
     setPeers(peers) {
       quota.setPeers(peers);
-      spending.setPeers(peers);
+      domains.setPeers(peers);
       exchange.setPeers(choosePartners(peers, self.failureDomain));
     },
     noteChange: exchange.noteChange,
     askAny: exchange.askAny,
     stop() {
       exchange.stop();
-      spending.stop();
+      domains.stop();
       silence.stop();
     },
     close: transport.close,
--- a/packages/relay/src/pools/burstOfMixedLengths.test.ts
+++ b/packages/relay/src/pools/burstOfMixedLengths.test.ts
@@ -90,6 +90,7 @@
         firstDataAfter: FIRST_DATA_AFTER,
         laterChunks: 0,
         laterTime: 0,
+        outputTokens: 50,
       }),
     );
   }
@@ -125,6 +126,7 @@
     const admission = desk.ask({
       id: plan.requestId,
       urgency: plan.urgency,
+      outputTokens: 50,
       avoid: new Set(),
       onGranted: (server) => run(server, plan, firstAskedAt),
       onRefused: refuse,
--- a/packages/relay/src/pools/burstOfMixedTiers.test.ts
+++ b/packages/relay/src/pools/burstOfMixedTiers.test.ts
@@ -57,6 +57,7 @@
         firstDataAfter,
         laterChunks: 0,
         laterTime: 0,
+        outputTokens: 50,
       }),
     );
   }
@@ -74,6 +75,7 @@
         serveBy: now + kind.objective,
         deadlineAt: now + 5_000,
       },
+      outputTokens: 50,
       avoid: new Set(),
       onGranted: (server) => run(server, kind, now),
       onRefused: () => undefined,
@@ -109,6 +111,7 @@
         serveBy: 500,
         deadlineAt: 5_000,
       },
+      outputTokens: 50,
       avoid: new Set(),
       onGranted: () => undefined,
       onRefused: () => undefined,
--- a/packages/relay/src/pools/createPlaceLedger.ts
+++ b/packages/relay/src/pools/createPlaceLedger.ts
@@ -54,6 +54,7 @@
       ownDomain,
       evacuated: options.getEvacuated(),
       avoid: request.avoid,
+      endsInTime: (account) => options.endsInTime(account, request),
     });
   }
 
@@ -82,11 +83,25 @@
     );
   }
 
+  /**
+   * The servers whose places this host's shares are taken from. In a large fleet it hears what its own
+   * failure domain has in flight, so it counts that domain's servers, while there are any.
+   */
+  function listCounted(now: Milliseconds): readonly ServerAccount[] {
+    const all = [...accounts.byId.values()];
+    const near = options.hearsAll()
+      ? []
+      : all.filter(
+          (account) => account.listed.failureDomain === ownDomain && isUsable(account, now),
+        );
+    return near.length > 0 ? near : all;
+  }
+
   function countPlaces(): PlaceCounts {
     const now = clock.now();
     let places = 0;
     let taken = 0;
-    accounts.byId.forEach((account) => {
+    listCounted(now).forEach((account) => {
       if (isUsable(account, now)) {
         places += account.listed.slots;
         taken += Math.min(getOccupancy(account, now, options.hearsAll()), account.listed.slots);
--- a/packages/relay/src/pools/createPoolDesk.ts
+++ b/packages/relay/src/pools/createPoolDesk.ts
@@ -3,9 +3,10 @@
 import createPlaceShares from '../decisions/createPlaceShares';
 import RETRY_PART from '../decisions/retryPart';
 import createRepeatBudget from '../decisions/createRepeatBudget';
+import endsInTime from '../decisions/endsInTime';
 import mustYield from '../decisions/mustYield';
 import createWaitingLine from '../decisions/createWaitingLine';
-import type { RelayBounds, WaitingRequest } from '../types';
+import type { RelayBounds, ServerAccount, WaitingRequest } from '../types';
 import noteAttempt from './noteAttempt';
 import type { PlaceLedgerOptions, PoolDesk, PoolMeans } from './types';
 import createPlaceLedger from './createPlaceLedger';
@@ -19,10 +20,15 @@
 const WHOLE_GUESS: Milliseconds = 60;
 const SHORTEST_RETRY: Milliseconds = 100;
 
-interface PoolDeskOptions extends PlaceLedgerOptions {
+interface PoolDeskOptions extends Omit<PlaceLedgerOptions, 'endsInTime'> {
   readonly bounds: RelayBounds;
 }
 
+interface Grant {
+  readonly request: WaitingRequest;
+  readonly server: ServerAccount;
+}
+
 /** Orders a pool's requests before dispatch, so that the servers' own queues stay short. */
 export default function createPoolDesk(options: PoolDeskOptions): PoolDesk {
   const { clock, random, bounds, accounts } = options;
@@ -30,38 +36,58 @@
     chunkGap: createMovingMean({ initial: GAP_GUESS, weight: MEAN_WEIGHT }),
     wholeTime: createMovingMean({ initial: WHOLE_GUESS, weight: MEAN_WEIGHT }),
     firstData: createMovingMean({ initial: FIRST_DATA_GUESS, weight: MEAN_WEIGHT }),
+    tokenTime: createMovingMean({ initial: 0, weight: MEAN_WEIGHT }),
     duration: createMovingMean({ initial: DURATION_GUESS, weight: MEAN_WEIGHT }),
   };
   const line = createWaitingLine({ getExpectedTime: means.firstData.get });
   const budget = createRepeatBudget({ bounds });
   const shares = createPlaceShares();
-  const ledger = createPlaceLedger(options);
+  const ledger = createPlaceLedger({
+    ...options,
+    endsInTime: ({ slowness }, { outputTokens, urgency }) =>
+      endsInTime({
+        outputTokens,
+        firstData: means.firstData.get(),
+        tokenTime: means.tokenTime.get(),
+        slowness,
+        timeLeft: urgency.deadlineAt - clock.now(),
+      }),
+  });
   let othersWaiting: ReadonlyMap<number, number> = new Map();
-  let hosts = 1;
+  let sharers = 1;
   let isLooking = false;
 
-  /** The request to serve next: of a tier below its floor first, then by rank. */
-  function tryFindNext(): WaitingRequest | undefined {
+  /** Whether a request may take a place now, and at which server; the floor is judged first. */
+  function tryFindNext(): Grant | undefined {
     const counts = ledger.countPlaces();
+    let server: ServerAccount | undefined;
+    const canServe = (request: WaitingRequest): boolean => {
+      server = ledger.choose(request);
+      return server !== undefined;
+    };
     const belowFloor = line.tryFindForFloor(
-      (group) => shares.judge(group, counts) === 'belowFloor',
+      (request) => shares.judge(request.urgency, counts) === 'belowFloor' && canServe(request),
+    );
+    if (belowFloor !== undefined && server !== undefined) {
+      return { request: belowFloor, server };
+    }
+    const next = line.tryFind(
+      (request) => shares.judge(request.urgency, counts) !== 'kept' && canServe(request),
     );
-    if (belowFloor !== undefined) {
-      return belowFloor;
+    if (next === undefined || server === undefined) {
+      return undefined;
     }
-    const next = line.tryFind((group) => shares.judge(group, counts) !== 'kept');
     const freePlaces = counts.places - counts.taken;
-    const isYielding =
-      next !== undefined && mustYield({ rank: next.urgency.rank, freePlaces, othersWaiting });
-    return isYielding ? undefined : next;
+    const isYielding = mustYield({ rank: next.urgency.rank, freePlaces, othersWaiting });
+    return isYielding ? undefined : { request: next, server };
   }
 
   function serveNext(): boolean {
-    const request = line.size === 0 ? undefined : tryFindNext();
-    const server = request === undefined ? undefined : ledger.choose(request);
-    if (request === undefined || server === undefined) {
+    const grant = line.size === 0 ? undefined : tryFindNext();
+    if (grant === undefined) {
       return false;
     }
+    const { request, server } = grant;
     line.remove(request);
     ledger.take(server, request.urgency.tier);
     request.onGranted(server);
@@ -90,7 +116,7 @@
   /** Expected wait of a request of this rank that comes now. */
   function getExpectedWait(rank: number): Milliseconds {
     // Under load a host refills the places that its own requests leave.
-    const places = Math.max(ledger.countPlaces().places / hosts, ledger.countOwn());
+    const places = Math.max(ledger.countPlaces().places / sharers, ledger.countOwn());
     return places === 0 ? Infinity : line.sumAhead(rank, shares.getDuration) / places;
   }
 
@@ -155,9 +181,9 @@
       ledger.setOthers(inFlight, byTier);
       pump();
     },
-    setHosts(next: readonly EntryHostId[]) {
-      hosts = Math.max(next.length, 1);
-      budget.setHosts(hosts);
+    setHosts(next: readonly EntryHostId[], nextSharers: number) {
+      sharers = Math.max(nextSharers, 1);
+      budget.setHosts(Math.max(next.length, 1));
     },
     pump,
   };
--- a/packages/relay/src/pools/noteAttempt.ts
+++ b/packages/relay/src/pools/noteAttempt.ts
@@ -53,6 +53,7 @@
   }
   if (figures.laterChunks >= LEAST_CHUNKS) {
     learnPace(account, means.chunkGap, figures.laterTime / figures.laterChunks);
+    means.tokenTime.add(figures.laterTime / Math.max(figures.outputTokens, 1));
   } else if (figures.laterChunks === 0) {
     learnPace(account, means.wholeTime, figures.duration);
   }
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -27,6 +27,8 @@
   /** Chunks of data after the first, and the time over which they came. */
   readonly laterChunks: number;
   readonly laterTime: Milliseconds;
+  /** Tokens of the answer, at most or as its caller expected. */
+  readonly outputTokens: number;
 }
 
 export type Admission =
@@ -66,7 +68,8 @@
   getOwnByTier(): ReadonlyMap<TierRank, number>;
   /** This host's requests that wait, by rank. */
   getWaitingByRank(): ReadonlyMap<number, number>;
-  setHosts(hosts: readonly EntryHostId[]): void;
+  /** Takes in all hosts, and how many of them share the places that this one counts. */
+  setHosts(hosts: readonly EntryHostId[], sharers: number): void;
   /** Serves whoever can be served. */
   pump(): void;
   readonly waiting: number;
@@ -81,6 +84,8 @@
   readonly wholeTime: MovingMean;
   readonly firstData: MovingMean;
   readonly duration: MovingMean;
+  /** Time for each token that a caller asked for; 0 until answers with tokens have come. */
+  readonly tokenTime: MovingMean;
 }
 
 export interface ServerAccounts {
@@ -100,6 +105,8 @@
   readonly getSettings: () => PoolSettings | undefined;
   /** Told when the requests in flight change, and whether places are scarce. */
   readonly onChange: (isScarce: boolean) => void;
+  /** Whether a server is expected to end a request's answer within its deadline. */
+  readonly endsInTime: (account: ServerAccount, request: WaitingRequest) => boolean;
   /** Time between two requests of this host to a cold server. */
   readonly getColdInterval: (server: BackendServerId, rate: number) => Milliseconds;
 }
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -197,6 +197,8 @@
 export interface WaitingRequest {
   readonly id: RequestId;
   readonly urgency: Urgency;
+  /** Tokens of its answer, at most or as its caller expects. */
+  readonly outputTokens: number;
   /** Servers that have been tried. */
   readonly avoid: ReadonlySet<BackendServerId>;
   onGranted(server: ServerAccount): void;
@@ -245,19 +247,21 @@
   /** Cost spent since the process started, by customer. */
   readonly spent: Readonly<Record<CustomerId, number>>;
   /** In a large fleet, what other failure domains told this host lately. */
-  readonly farSpending?: readonly DomainSpending[];
+  readonly farReports?: readonly DomainReport[];
 }
 
-/** What the hosts of a failure domain have spent together; told to other domains in a large fleet. */
-export interface DomainSpending {
-  readonly kind: 'spending';
+/** What the hosts of a failure domain do and have spent together; told to other domains in a large fleet. */
+export interface DomainReport {
+  readonly kind: 'domain';
   readonly failureDomain: FailureDomainId;
   /** The host that adds up, and the life of its process, from whose start it counts. */
   readonly entryHost: EntryHostId;
   readonly incarnation: Incarnation;
-  /** Hosts whose spending is in it. */
+  /** Hosts that are in it. */
   readonly hosts: number;
   readonly spent: Readonly<Record<CustomerId, number>>;
+  /** Their requests in flight by backend server. */
+  readonly inFlight: Readonly<Record<BackendServerId, number>>;
 }
 
 /** What changed at a host since its last message; sent more often than whole summaries. */
@@ -270,7 +274,7 @@
   readonly waiting: HostSummary['waiting'];
 }
 
-export type HostMessage = HostSummary | HostChange | DomainSpending;
+export type HostMessage = HostSummary | HostChange | DomainReport;
 
 /** How much a host knows; each number only grows, and is -1 before the first word. */
 export interface BeliefVersions {
@@ -332,7 +336,10 @@
   getDesk(pool: PoolId): PoolDesk;
   setSettings(settings: readonly PoolSettings[]): void;
   setServers(servers: readonly ListedServer[]): void;
-  setHosts(hosts: readonly EntryHostId[]): void;
+  /** Takes in all hosts, this one too, and how many of them are in its failure domain. */
+  setHosts(hosts: readonly EntryHostId[], nearHosts: number): void;
+  /** This host's requests in flight, by backend server. */
+  countOwn(): ReadonlyMap<BackendServerId, number>;
   /** Takes servers of these failure domains for cold: they may have been idle. */
   coolDown(failureDomains: readonly FailureDomainId[]): void;
   forEachDesk(action: (desk: PoolDesk, pool: PoolId) => void): void;
