--- a/packages/relay/src/pools/createPlaceLedger.ts
+++ b/packages/relay/src/pools/createPlaceLedger.ts
@@ -8,6 +8,8 @@
 interface PlaceLedger {
   /** Places of usable servers over all hosts, and how many are taken. */
   countPlaces(): PlaceCounts;
+  /** Whether any server has room; asked many times a second, so it stops at the first. */
+  hasRoom(): boolean;
   /** The server to which a request goes now; undefined when none has room for it. */
   choose(request: WaitingRequest): ServerAccount | undefined;
   take(server: ServerAccount, tier: TierRank): void;
@@ -112,7 +114,18 @@
     return { places, taken, getTakenBy };
   }
 
+  function hasRoom(): boolean {
+    const now = clock.now();
+    const hearsAll = options.hearsAll();
+    return [...accounts.byId.values()].some(
+      (account) =>
+        getOccupancy(account, now, hearsAll) < account.listed.slots + account.extraPlaces &&
+        isUsable(account, now),
+    );
+  }
+
   return {
+    hasRoom,
     countPlaces,
     choose,
     take,
--- a/packages/relay/src/pools/createPoolDesk.ts
+++ b/packages/relay/src/pools/createPoolDesk.ts
@@ -59,6 +59,9 @@
 
   /** Whether a request may take a place now, and at which server; the floor is judged first. */
   function tryFindNext(): Grant | undefined {
+    if (!ledger.hasRoom()) {
+      return undefined;
+    }
     const counts = ledger.countPlaces();
     let server: ServerAccount | undefined;
     const canServe = (request: WaitingRequest): boolean => {
