--- a/benchmarks/src/processes/findViolations.test.ts
+++ b/benchmarks/src/processes/findViolations.test.ts
@@ -4,17 +4,9 @@
 import findBoundViolations from './findBoundViolations';
 import findLimitViolations from './findLimitViolations';
 import getExpectedAnswer from './getExpectedAnswer';
+import soakBounds from './soakBounds';
 import type { CallerEnd, SeenRun, SentRequest, SoakRecord } from './types';
 
-const bounds = {
-  drain: 2_000,
-  evacuate: 5_000,
-  apply: 2_000,
-  stable: 3_000,
-  recover: 12_000,
-  timeout: 1_500,
-};
-
 const order: SentRequest = {
   id: 'r1',
   route: 'order',
@@ -42,7 +34,7 @@
 
 function createRecord(changes: Partial<SoakRecord>): SoakRecord {
   return {
-    bounds,
+    bounds: soakBounds,
     sent: new Map([['r1', order]]),
     ends: new Map([['r1', whole]]),
     runs: [run],
--- a/benchmarks/src/processes/runSoak.ts
+++ b/benchmarks/src/processes/runSoak.ts
@@ -11,7 +11,8 @@
 import createSoakOperator from './createSoakOperator';
 import drawFaults from './drawFaults';
 import findFreePorts from './findFreePorts';
-import type { PromiseBounds, PromiseLedger, RunSummary } from './types';
+import soakBounds from './soakBounds';
+import type { PromiseLedger, RunSummary } from './types';
 
 const HOSTS = 4;
 const PORTS_OF_A_HOST = 4;
@@ -26,16 +27,6 @@
 
 const failureDomains = ['a', 'b'];
 
-/** The users' bounds of their smaller deployments. */
-const bounds: PromiseBounds = {
-  drain: 2_000,
-  evacuate: 5_000,
-  apply: 2_000,
-  stable: 3_000,
-  recover: 12_000,
-  timeout: 1_500,
-};
-
 interface RunSoakOptions {
   readonly seed: number;
   /** The bundled program. */
@@ -65,9 +56,15 @@
   const folder = await mkdtemp(path.join(tmpdir(), `soak-${seed}-`));
   const random = createRandom(seed);
   const faults = drawFaults(createRandom(seed), FAULT_SPAN);
-  const ledger = createPromiseLedger({ clock: createSystemClock(), bounds });
+  const ledger = createPromiseLedger({ clock: createSystemClock(), bounds: soakBounds });
   const store = await createStoreStandIn();
-  const operator = createSoakOperator({ store, ledger, random, bounds, failureDomains });
+  const operator = createSoakOperator({
+    store,
+    ledger,
+    random,
+    bounds: soakBounds,
+    failureDomains,
+  });
   await operator.start();
   const firstPort = await findFreePorts(seed, HOSTS * PORTS_OF_A_HOST);
   const ports = Array.from({ length: HOSTS }, (_, index) => firstPort + index * PORTS_OF_A_HOST);
@@ -87,16 +84,22 @@
   );
   const lagTimer = watchOwnLag(ledger);
   hosts.forEach((host) => host.start());
-  const callers = createSoakCallers({ hosts, ledger, random, bounds, getKeys: operator.getKeys });
+  const callers = createSoakCallers({
+    hosts,
+    ledger,
+    random,
+    bounds: soakBounds,
+    getKeys: operator.getKeys,
+  });
   const startedAt = ledger.now();
   while (callers.countReady() < HOSTS && ledger.now() - startedAt < START_PATIENCE) {
     await wait(LAG_INTERVAL);
   }
   ledger.disturbed('all', 0, 'started');
-  await wait(bounds.stable);
+  await wait(soakBounds.stable);
   const world = { hosts, store, operator, callers, ledger };
   faults.forEach((fault) => setTimeout(() => applyFault(world, fault), fault.at));
-  await wait(FAULT_SPAN + LONGEST_FAULT + bounds.recover + RECOVERED_SPAN);
+  await wait(FAULT_SPAN + LONGEST_FAULT + soakBounds.recover + RECOVERED_SPAN);
   await callers.stop();
   clearInterval(lagTimer);
   hosts.forEach((host) => host.signal('SIGCONT'));
--- /dev/null
+++ b/benchmarks/src/processes/soakBounds.ts
@@ -0,0 +1,13 @@
+import type { PromiseBounds } from './types';
+
+/** The users' bounds of their smaller deployments. */
+const soakBounds: PromiseBounds = {
+  drain: 2_000,
+  evacuate: 5_000,
+  apply: 2_000,
+  stable: 3_000,
+  recover: 12_000,
+  timeout: 1_500,
+};
+
+export default soakBounds;
--- a/packages/relay/src/peers/createDomainExchange.ts
+++ b/packages/relay/src/peers/createDomainExchange.ts
@@ -46,8 +46,9 @@
 
 /**
  * In a large fleet, tells the other failure domains what this one does: what it has spent of each quota,
- * and its requests in flight at each backend server. Two hosts of a domain add up and report to three of each other domain, which pass it on with their summaries: the
- * messages grow with the square of the domains, not of the hosts.
+ * and its requests in flight at each backend server. Two hosts of a domain add up and report to three
+ * of each other domain, which pass it on with their summaries: the messages grow with the square of the
+ * domains, not of the hosts.
  */
 export default function createDomainExchange(options: DomainExchangeOptions): DomainExchange {
   const { clock, transport, quota, self } = options;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -215,7 +215,10 @@
   /** Requests at the server when it last told its load, less those of this host. */
   reportedOthers: number;
   reportedAt: Milliseconds;
-  /** Requests beyond its places that it may be given, so that no place stands empty between two messages; none once it turned one away. */
+  /**
+   * Requests beyond its places that it may be given, so that no place stands empty between two
+   * messages; none once it turned one away.
+   */
   extraPlaces: number;
   /** Time per unit of work against the pool's mean; 1 is average. */
   slowness: number;
