Say things once in the relay: sums of counts, a large fleet, a usable server; take out what nobody reads

Found on reading the whole change since; behaviour is meant to stay, no test, bound or check changed. - Counts were summed in four places: decisions/sumCounts serves createPeerTable (three uses) and createDomainExchange. - Six places compared a number of hosts with MOST_DIRECT_PEERS, one with an offset: decisions/isLargeFleet. - createPlaceLedger and chooseServer each had the check of a usable server, and countPlaces made it twice in a large fleet: decisions/isUsableServer. - Each attempt copied the reserved header names into a new set: selectHeaders asks a predicate. - getColdInterval was handed the one chooseHosts there is. The soak had a sleep of its own. - Gone: PoolMeans.duration (only written), PoolDesk.accounts, Attempt.isSent and startedAt.

--- a/benchmarks/src/processes/runSoak.ts
+++ b/benchmarks/src/processes/runSoak.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import { createRandom, createSystemClock } from '@rattanreel/core';
 import type { Milliseconds } from '@rattanreel/core';
+import { sleep } from '@rattanreel/platform';
 import createStoreStandIn from '@rattanreel/platform-adapter/testing';
 import applyFault from './applyFault';
 import createPromiseLedger from './createPromiseLedger';
@@ -33,12 +34,6 @@
   readonly program: string;
 }
 
-function wait(time: Milliseconds): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, time);
-  });
-}
-
 /** Notes when this machine held the soak itself up, and with it the hosts. */
 function watchOwnLag(ledger: PromiseLedger): NodeJS.Timeout {
   let before = ledger.now();
@@ -56,7 +51,8 @@
   const folder = await mkdtemp(path.join(tmpdir(), `soak-${seed}-`));
   const random = createRandom(seed);
   const faults = drawFaults(createRandom(seed), FAULT_SPAN);
-  const ledger = createPromiseLedger({ clock: createSystemClock(), bounds: soakBounds });
+  const clock = createSystemClock();
+  const ledger = createPromiseLedger({ clock, bounds: soakBounds });
   const store = await createStoreStandIn();
   const operator = createSoakOperator({
     store,
@@ -93,13 +89,13 @@
   });
   const startedAt = ledger.now();
   while (callers.countReady() < HOSTS && ledger.now() - startedAt < START_PATIENCE) {
-    await wait(LAG_INTERVAL);
+    await sleep(clock, LAG_INTERVAL);
   }
   ledger.disturbed('all', 0, 'started');
-  await wait(soakBounds.stable);
+  await sleep(clock, soakBounds.stable);
   const world = { hosts, store, operator, callers, ledger };
   faults.forEach((fault) => setTimeout(() => applyFault(world, fault), fault.at));
-  await wait(FAULT_SPAN + LONGEST_FAULT + soakBounds.recover + RECOVERED_SPAN);
+  await sleep(clock, FAULT_SPAN + LONGEST_FAULT + soakBounds.recover + RECOVERED_SPAN);
   await callers.stop();
   clearInterval(lagTimer);
   hosts.forEach((host) => host.signal('SIGCONT'));
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -1,4 +1,3 @@
-import chooseHosts from './decisions/chooseHosts';
 import type {
   BackendServerId,
   Clock,
@@ -7,8 +6,8 @@
   PoolId,
   Random,
 } from '@rattanreel/core';
-import MOST_DIRECT_PEERS from './decisions/mostDirectPeers';
 import getColdInterval from './decisions/getColdInterval';
+import isLargeFleet from './decisions/isLargeFleet';
 import createPoolDesk from './pools/createPoolDesk';
 import createServerAccounts from './pools/createServerAccounts';
 import type { PoolDesk, ServerAccounts } from './pools/types';
@@ -38,7 +37,7 @@
   let hosts: readonly EntryHostId[] = [ownName];
   let nearHosts = 1;
 
-  const hearsAll = (): boolean => hosts.length <= MOST_DIRECT_PEERS + 1;
+  const hearsAll = (): boolean => !isLargeFleet(hosts.length - 1);
   /** Hosts that share the places that a desk counts. */
   const countSharers = (): number => (hearsAll() ? hosts.length : nearHosts);
 
@@ -54,8 +53,7 @@
       hearsAll,
       onChange: options.onChange,
       getSettings: () => settingsByPool.get(pool),
-      getColdInterval: (server, rate) =>
-        getColdInterval({ server, host: ownName, hosts, rate, chooseHosts }),
+      getColdInterval: (server, rate) => getColdInterval({ server, host: ownName, hosts, rate }),
     });
     desk.setHosts(hosts, countSharers());
     return { desk, accounts };
--- a/packages/relay/src/decisions/choosePartners.ts
+++ b/packages/relay/src/decisions/choosePartners.ts
@@ -1,13 +1,13 @@
 import type { FailureDomainId } from '@rattanreel/core';
 import type { PeerAddress } from '../types';
-import MOST_DIRECT_PEERS from './mostDirectPeers';
+import isLargeFleet from './isLargeFleet';
 
 /** The hosts that a host tells what it does: all of a small fleet, those of its failure domain in a large one. */
 export default function choosePartners(
   peers: readonly PeerAddress[],
   ownDomain: FailureDomainId,
 ): readonly PeerAddress[] {
-  return peers.length <= MOST_DIRECT_PEERS
-    ? peers
-    : peers.filter(({ failureDomain }) => failureDomain === ownDomain);
+  return isLargeFleet(peers.length)
+    ? peers.filter(({ failureDomain }) => failureDomain === ownDomain)
+    : peers;
 }
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -1,6 +1,7 @@
 import type { BackendServerId, FailureDomainId, Milliseconds, Random } from '@rattanreel/core';
 import type { ServerAccount } from '../types';
 import getOccupancy from './getOccupancy';
+import isUsableServer from './isUsableServer';
 
 /**
  * Added to a remote server's expected time, relative to an average request: bytes between failure
@@ -28,14 +29,11 @@
   readonly endsInTime?: (account: ServerAccount) => boolean;
 }
 
-function isUsable(account: ServerAccount, options: ChooseServerOptions): boolean {
-  const { listed } = account;
-  const { now } = options;
+function isUsableNow(account: ServerAccount, options: ChooseServerOptions): boolean {
+  const { now, avoid } = options;
   return (
-    !listed.isDraining &&
-    !options.evacuated.has(listed.failureDomain) &&
-    !options.avoid.has(listed.id) &&
-    account.avoidedUntil <= now &&
+    isUsableServer(account, options) &&
+    !avoid.has(account.listed.id) &&
     (account.coldUntil <= now || (account.nextColdAt ?? Infinity) <= now)
   );
 }
@@ -49,7 +47,7 @@
 /** The backend server with room at which a request is expected to end first; undefined when none has room. */
 export default function chooseServer(options: ChooseServerOptions): ServerAccount | undefined {
   const { now, random, endsInTime = () => true } = options;
-  const usable = options.accounts.filter((account) => isUsable(account, options));
+  const usable = options.accounts.filter((account) => isUsableNow(account, options));
   const fit = usable.filter(endsInTime);
   let best: ServerAccount | undefined;
   let bestCost = Infinity;
--- a/packages/relay/src/decisions/getColdInterval.ts
+++ b/packages/relay/src/decisions/getColdInterval.ts
@@ -1,4 +1,5 @@
 import type { BackendServerId, EntryHostId, Milliseconds } from '@rattanreel/core';
+import chooseHosts from './chooseHosts';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Hosts that send to one cold server; more would leave each less than a request in some seconds. */
@@ -10,12 +11,6 @@
   readonly hosts: readonly EntryHostId[];
   /** Requests a second that the cold server bears from all hosts together. */
   readonly rate: number;
-  /** Chooses the hosts that send, the same on every host. */
-  readonly chooseHosts: (
-    key: string,
-    hosts: readonly EntryHostId[],
-    count: number,
-  ) => readonly EntryHostId[];
 }
 
 /**
@@ -27,6 +22,6 @@
   if (rate <= 0) {
     return 0;
   }
-  const senders = options.chooseHosts(server, hosts, SENDING_HOSTS);
+  const senders = chooseHosts(server, hosts, SENDING_HOSTS);
   return senders.includes(host) ? (senders.length * MILLISECONDS_PER_SECOND) / rate : Infinity;
 }
--- a/packages/relay/src/decisions/mostDirectPeers.ts
+++ b/packages/relay/src/decisions/isLargeFleet.ts
@@ -4,4 +4,7 @@
  */
 const MOST_DIRECT_PEERS = 12;
 
-export default MOST_DIRECT_PEERS;
+/** Whether a host has too many others to hear them all directly. */
+export default function isLargeFleet(otherHosts: number): boolean {
+  return otherHosts > MOST_DIRECT_PEERS;
+}
--- a/packages/relay/src/decisions/isStoreFollower.ts
+++ b/packages/relay/src/decisions/isStoreFollower.ts
@@ -1,7 +1,7 @@
 import type { EntryHostId, FailureDomainId, Milliseconds } from '@rattanreel/core';
 import type { PeerAddress } from '../types';
-import MOST_DIRECT_PEERS from './mostDirectPeers';
 import chooseHosts from './chooseHosts';
+import isLargeFleet from './isLargeFleet';
 
 /** Hosts of a failure domain that follow the store, so that one may die. */
 const FOLLOWERS = 2;
@@ -30,7 +30,7 @@
   if (peers === undefined || (!isInformed && age > PATIENCE)) {
     return age > PATIENCE;
   }
-  if (peers.length <= MOST_DIRECT_PEERS) {
+  if (!isLargeFleet(peers.length)) {
     return true;
   }
   const near = heard
--- /dev/null
+++ b/packages/relay/src/decisions/isUsableServer.ts
@@ -0,0 +1,15 @@
+import type { FailureDomainId, Milliseconds } from '@rattanreel/core';
+import type { ServerAccount } from '../types';
+
+interface UsableServerOptions {
+  readonly now: Milliseconds;
+  readonly evacuated: ReadonlySet<FailureDomainId>;
+}
+
+/** Whether requests may go to a server at all: it stays, its domain is in use, and it has not just failed. */
+export default function isUsableServer(
+  { listed, avoidedUntil }: ServerAccount,
+  { now, evacuated }: UsableServerOptions,
+): boolean {
+  return !listed.isDraining && !evacuated.has(listed.failureDomain) && avoidedUntil <= now;
+}
--- a/packages/relay/src/decisions/sumCounts.ts
+++ b/packages/relay/src/decisions/sumCounts.ts
@@ -1,10 +1,10 @@
-/** Adds counts up by their keys. */
+/** Adds counts up by their keys; a part is a map, or the entries of one. */
 export default function sumCounts<Key>(
-  parts: readonly ReadonlyMap<Key, number>[],
+  parts: readonly Iterable<readonly [Key, number]>[],
 ): ReadonlyMap<Key, number> {
   const sums = new Map<Key, number>();
   parts.forEach((part) =>
-    part.forEach((count, key) => {
+    [...part].forEach(([key, count]) => {
       sums.set(key, (sums.get(key) ?? 0) + count);
     }),
   );
--- a/packages/relay/src/front/createAttemptHeaders.ts
+++ b/packages/relay/src/front/createAttemptHeaders.ts
@@ -16,11 +16,14 @@
 /** The caller's headers for one backend server, with those that this system sets itself. */
 export default function createAttemptHeaders(options: AttemptHeadersOptions): string[] {
   const { exchange, plan, names, now } = options;
-  const dropped = new Set([...names.reserved, 'content-length']);
-  if (options.resumeAfter !== undefined || !plan.route.isResumable) {
-    dropped.add(names.lastEventId);
-  }
-  const headers = selectHeaders(exchange.rawHeaders, dropped);
+  const mayResume = options.resumeAfter === undefined && plan.route.isResumable;
+  const headers = selectHeaders(
+    exchange.rawHeaders,
+    (name) =>
+      names.reserved.has(name) ||
+      name === 'content-length' ||
+      (name === names.lastEventId && !mayResume),
+  );
   const left = Math.max(Math.floor(plan.endAt - now), 1);
   headers.push(names.deadline, String(left), names.expectedServer, options.server);
   if (plan.customer !== undefined) {
--- a/packages/relay/src/front/selectHeaders.ts
+++ b/packages/relay/src/front/selectHeaders.ts
@@ -12,12 +12,10 @@
   'expect',
 ]);
 
-const NOTHING: ReadonlySet<string> = new Set();
-
-/** Headers, names and values by turns, without those of one connection and those in `dropped`. */
+/** Headers, names and values by turns, without those of one connection and those to drop, by lower-case name. */
 export default function selectHeaders(
   rawHeaders: readonly string[],
-  dropped: ReadonlySet<string> = NOTHING,
+  isDropped: (name: string) => boolean = () => false,
 ): string[] {
   const named = new Set<string>();
   for (let index = 0; index < rawHeaders.length; index += 2) {
@@ -28,7 +26,7 @@
   const selected: string[] = [];
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index]!.toLowerCase();
-    if (!CONNECTION_HEADERS.has(name) && !named.has(name) && !dropped.has(name)) {
+    if (!CONNECTION_HEADERS.has(name) && !named.has(name) && !isDropped(name)) {
       selected.push(rawHeaders[index]!, rawHeaders[index + 1]!);
     }
   }
--- a/packages/relay/src/peers/createDomainExchange.ts
+++ b/packages/relay/src/peers/createDomainExchange.ts
@@ -8,7 +8,8 @@
 } from '@rattanreel/core';
 import chooseHosts from '../decisions/chooseHosts';
 import createDomainReports from '../decisions/createDomainReports';
-import MOST_DIRECT_PEERS from '../decisions/mostDirectPeers';
+import isLargeFleet from '../decisions/isLargeFleet';
+import sumCounts from '../decisions/sumCounts';
 import type { SharedQuota } from '../decisions/types';
 import type { DomainReport, HostSummary, PeerAddress } from '../types';
 import type { RelayTransport } from './types';
@@ -61,8 +62,7 @@
   function isReporter(): boolean {
     const near = [self.entryHost, ...options.listNear()];
     return (
-      peers.length > MOST_DIRECT_PEERS &&
-      chooseHosts('domain', near, REPORTERS).includes(self.entryHost)
+      isLargeFleet(peers.length) && chooseHosts('domain', near, REPORTERS).includes(self.entryHost)
     );
   }
 
@@ -110,15 +110,8 @@
       reports.note(message, clock.now());
       quota.hearDomain(message, clock.now());
     },
-    countFar() {
-      const counts = new Map<BackendServerId, number>();
-      reports.list(clock.now()).forEach(({ inFlight }) =>
-        Object.entries(inFlight).forEach(([server, count]) => {
-          counts.set(server, (counts.get(server) ?? 0) + count);
-        }),
-      );
-      return counts;
-    },
+    countFar: () =>
+      sumCounts(reports.list(clock.now()).map(({ inFlight }) => Object.entries(inFlight))),
     listReports: () =>
       [...received.values()]
         .filter(({ at }) => clock.now() - at <= REPORT_LIFE)
--- a/packages/relay/src/peers/createPeerExchange.ts
+++ b/packages/relay/src/peers/createPeerExchange.ts
@@ -1,7 +1,7 @@
 import type { Clock, EntryHostId, Milliseconds, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import type { Beliefs, BeliefVersions, HostChange, HostSummary, PeerAddress } from '../types';
-import MOST_DIRECT_PEERS from '../decisions/mostDirectPeers';
+import isLargeFleet from '../decisions/isLargeFleet';
 import type { RelayTransport } from './types';
 
 /** Time between two whole summaries. */
@@ -11,7 +11,7 @@
 const CHANGE_INTERVAL: Milliseconds = 100;
 /** With more hosts each summary is sent less often, so that sending stays a few hundredths of a core. */
 const INTERVAL_PER_PEER: Milliseconds = 4;
-/** The same in a large fleet, whose hosts have least processor time to spare for each other. */
+/** The same for a host that tells as many as a large fleet has: it has least processor time to spare for them. */
 const LARGE_INTERVAL_PER_PEER: Milliseconds = 8;
 /** Shortest time between two questions for another host's beliefs. */
 const QUESTION_PAUSE: Milliseconds = 200;
@@ -61,8 +61,7 @@
   let isStopped = false;
 
   function getInterval(shortest: Milliseconds): Milliseconds {
-    const isLarge = peers.length > MOST_DIRECT_PEERS;
-    const perPeer = isLarge ? LARGE_INTERVAL_PER_PEER : INTERVAL_PER_PEER;
+    const perPeer = isLargeFleet(peers.length) ? LARGE_INTERVAL_PER_PEER : INTERVAL_PER_PEER;
     return Math.max(shortest, peers.length * perPeer);
   }
 
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -1,4 +1,5 @@
-import type { BackendServerId, EntryHostId, Milliseconds } from '@rattanreel/core';
+import type { EntryHostId, Milliseconds } from '@rattanreel/core';
+import sumCounts from '../decisions/sumCounts';
 import type { HostSummary, PeerTable } from '../types';
 
 /** A summary older than this says nothing of what a host has in flight; summaries come every 100 ms. */
@@ -9,17 +10,11 @@
   readonly at: Milliseconds;
 }
 
-/** Adds counts up by their numeric keys, which became text on the way. */
-function sumCounts(
-  parts: readonly (Readonly<Record<string, number>> | undefined)[],
-): ReadonlyMap<number, number> {
-  const sums = new Map<number, number>();
-  parts.forEach((part) =>
-    Object.entries(part ?? {}).forEach(([key, count]) => {
-      sums.set(Number(key), (sums.get(Number(key)) ?? 0) + count);
-    }),
-  );
-  return sums;
+/** Counts whose numeric keys became text on the way. */
+function readCounts(
+  part: Readonly<Record<string, number>> | undefined,
+): readonly (readonly [number, number])[] {
+  return Object.entries(part ?? {}).map(([key, count]) => [Number(key), count]);
 }
 
 /** The last summary of each other host. */
@@ -46,17 +41,12 @@
         heard.set(entryHost, { summary: { ...known, inFlight, tiers, waiting }, at: now });
       }
     },
-    countInFlight(now) {
-      const counts = new Map<BackendServerId, number>();
-      listHeard(now).forEach(({ inFlight }) => {
-        Object.entries(inFlight).forEach(([server, count]) => {
-          counts.set(server, (counts.get(server) ?? 0) + count);
-        });
-      });
-      return counts;
-    },
-    countByTier: (pool, now) => sumCounts(listHeard(now).map(({ tiers }) => tiers[pool])),
-    countWaiting: (pool, now) => sumCounts(listHeard(now).map(({ waiting }) => waiting[pool])),
+    countInFlight: (now) =>
+      sumCounts(listHeard(now).map(({ inFlight }) => Object.entries(inFlight))),
+    countByTier: (pool, now) =>
+      sumCounts(listHeard(now).map(({ tiers }) => readCounts(tiers[pool]))),
+    countWaiting: (pool, now) =>
+      sumCounts(listHeard(now).map(({ waiting }) => readCounts(waiting[pool]))),
     listHeard,
     getAge(now) {
       let hosts = 0;
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -1,7 +1,7 @@
 import type { Clock, EntryHostId, Milliseconds } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import createHostSummary from '../createHostSummary';
-import MOST_DIRECT_PEERS from '../decisions/mostDirectPeers';
+import isLargeFleet from '../decisions/isLargeFleet';
 import choosePartners from '../decisions/choosePartners';
 import type { SharedQuota } from '../decisions/types';
 import type {
@@ -127,7 +127,7 @@
 
   return {
     setPeers(peers) {
-      isLarge = peers.length > MOST_DIRECT_PEERS;
+      isLarge = isLargeFleet(peers.length);
       quota.setPeers(peers);
       domains.setPeers(peers);
       exchange.setPeers(choosePartners(peers, self.failureDomain));
--- a/packages/relay/src/pools/createPlaceLedger.ts
+++ b/packages/relay/src/pools/createPlaceLedger.ts
@@ -1,6 +1,7 @@
 import type { BackendServerId, Milliseconds, TierRank } from '@rattanreel/core';
 import chooseServer from '../decisions/chooseServer';
 import getOccupancy from '../decisions/getOccupancy';
+import isUsableServer from '../decisions/isUsableServer';
 import type { PlaceCounts } from '../decisions/types';
 import type { ServerAccount, WaitingRequest } from '../types';
 import type { PlaceLedgerOptions } from './types';
@@ -79,35 +80,29 @@
     }
   }
 
-  function isUsable({ listed, avoidedUntil }: ServerAccount, now: Milliseconds): boolean {
-    return (
-      !listed.isDraining && !options.getEvacuated().has(listed.failureDomain) && avoidedUntil <= now
-    );
-  }
-
   /**
    * The servers whose places this host's shares are taken from. In a large fleet it hears what its own
    * failure domain has in flight, so it counts that domain's servers, while there are any.
    */
   function listCounted(now: Milliseconds): readonly ServerAccount[] {
-    const all = [...accounts.byId.values()];
+    const evacuated = options.getEvacuated();
+    const usable = [...accounts.byId.values()].filter((account) =>
+      isUsableServer(account, { now, evacuated }),
+    );
     const near = options.hearsAll()
       ? []
-      : all.filter(
-          (account) => account.listed.failureDomain === ownDomain && isUsable(account, now),
-        );
-    return near.length > 0 ? near : all;
+      : usable.filter(({ listed }) => listed.failureDomain === ownDomain);
+    return near.length > 0 ? near : usable;
   }
 
   function countPlaces(): PlaceCounts {
     const now = clock.now();
+    const hearsAll = options.hearsAll();
     let places = 0;
     let taken = 0;
     listCounted(now).forEach((account) => {
-      if (isUsable(account, now)) {
-        places += account.listed.slots;
-        taken += Math.min(getOccupancy(account, now, options.hearsAll()), account.listed.slots);
-      }
+      places += account.listed.slots;
+      taken += Math.min(getOccupancy(account, now, hearsAll), account.listed.slots);
     });
     const getTakenBy = (tier: TierRank): number =>
       (ownByTier.get(tier) ?? 0) + (othersByTier.get(tier) ?? 0);
@@ -117,10 +112,11 @@
   function hasRoom(): boolean {
     const now = clock.now();
     const hearsAll = options.hearsAll();
+    const evacuated = options.getEvacuated();
     return [...accounts.byId.values()].some(
       (account) =>
         getOccupancy(account, now, hearsAll) < account.listed.slots + account.extraPlaces &&
-        isUsable(account, now),
+        isUsableServer(account, { now, evacuated }),
     );
   }
 
--- a/packages/relay/src/pools/createPoolDesk.ts
+++ b/packages/relay/src/pools/createPoolDesk.ts
@@ -15,7 +15,6 @@
 const LOOK_INTERVAL: Milliseconds = 20;
 const MEAN_WEIGHT = 0.05;
 const FIRST_DATA_GUESS: Milliseconds = 120;
-const DURATION_GUESS: Milliseconds = 400;
 const GAP_GUESS: Milliseconds = 30;
 const WHOLE_GUESS: Milliseconds = 60;
 const SHORTEST_RETRY: Milliseconds = 100;
@@ -37,7 +36,6 @@
     wholeTime: createMovingMean({ initial: WHOLE_GUESS, weight: MEAN_WEIGHT }),
     firstData: createMovingMean({ initial: FIRST_DATA_GUESS, weight: MEAN_WEIGHT }),
     tokenTime: createMovingMean({ initial: 0, weight: MEAN_WEIGHT }),
-    duration: createMovingMean({ initial: DURATION_GUESS, weight: MEAN_WEIGHT }),
   };
   const line = createWaitingLine({ getExpectedTime: means.firstData.get });
   const budget = createRepeatBudget({ bounds });
@@ -134,9 +132,6 @@
     },
     getOwnByTier: ledger.getOwnByTier,
     getWaitingByRank: line.countByRank,
-    get accounts() {
-      return accounts.byId;
-    },
     ask(request) {
       const now = clock.now();
       const { rank, serveBy } = request.urgency;
--- a/packages/relay/src/pools/noteAttempt.ts
+++ b/packages/relay/src/pools/noteAttempt.ts
@@ -47,7 +47,6 @@
 function noteSuccess({ account, figures, means }: NoteAttemptOptions): void {
   account.failures = 0;
   account.failureShare -= WEIGHT * account.failureShare;
-  means.duration.add(figures.duration);
   if (figures.firstDataAfter !== undefined) {
     means.firstData.add(figures.firstDataAfter);
   }
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -75,7 +75,6 @@
   readonly waiting: number;
   /** What a decision on a request of this urgency is made from. */
   describe(urgency: Pick<Urgency, 'rank' | 'tier'>): PoolState;
-  readonly accounts: ReadonlyMap<BackendServerId, ServerAccount>;
 }
 
 /** Means over a pool against which a server is compared. */
@@ -83,7 +82,6 @@
   readonly chunkGap: MovingMean;
   readonly wholeTime: MovingMean;
   readonly firstData: MovingMean;
-  readonly duration: MovingMean;
   /** Time for each token that a caller asked for; 0 until answers with tokens have come. */
   readonly tokenTime: MovingMean;
 }
--- a/packages/relay/src/servers/sendOnce.ts
+++ b/packages/relay/src/servers/sendOnce.ts
@@ -47,7 +47,6 @@
  */
 export default function sendOnce(options: SendOnceOptions): Attempt {
   const { dispatcher, request, sink, clock } = options;
-  const startedAt = clock.now();
   let controller: Dispatcher.DispatchController | undefined;
   let head: AnswerHead | undefined;
   let isNotRun = false;
@@ -127,8 +126,6 @@
   );
 
   return {
-    startedAt,
-    isSent: () => controller !== undefined,
     abort: (reason: AbortReason) => breakOff({ kind: 'aborted', reason }),
     resume: () => controller?.resume(),
   };
--- a/packages/relay/src/servers/types.ts
+++ b/packages/relay/src/servers/types.ts
@@ -1,5 +1,5 @@
 /** One attempt to have a request answered by one backend server. */
-import type { BackendServerId, Milliseconds } from '@rattanreel/core';
+import type { BackendServerId } from '@rattanreel/core';
 import type { AbortReason, AttemptEnd, ListedServer } from '../types';
 
 export interface AttemptRequest {
@@ -32,13 +32,10 @@
 }
 
 export interface Attempt {
-  /** Whether a byte of the request may have been written. */
-  isSent(): boolean;
   /** Ends the attempt and its connection. */
   abort(reason: AbortReason): void;
   /** Goes on after a pause. */
   resume(): void;
-  readonly startedAt: Milliseconds;
 }
 
 export interface ServerConnections {
