--- a/packages/orders/src/createClaimSweeper.ts
+++ b/packages/orders/src/createClaimSweeper.ts
@@ -57,7 +57,7 @@
 
   async function sweepShard(): Promise<void> {
     if (options.isActive()) {
-      const listed = await store.list<ClaimRecord>(claimKind, getPrefix());
+      const listed = await store.list<ClaimRecord>(claimKind, { prefix: getPrefix() });
       if (listed.kind === 'ok') {
         const now = clock.wallTime();
         await removeExpired(
--- a/packages/platform/src/createObjectStore.ts
+++ b/packages/platform/src/createObjectStore.ts
@@ -4,6 +4,7 @@
 import createWatch from './createWatch';
 import type {
   ListedObjects,
+  ListOptions,
   ObjectStoreOptions,
   PlatformClient,
   StoreCall,
@@ -75,9 +76,9 @@
 
   async function list<Value>(
     objectKind: string,
-    prefix = '',
+    { prefix = '', allowStale = false }: ListOptions = {},
   ): Promise<Outcome<ListedObjects<Value>, StoreError>> {
-    const call: StoreCall = { kind: 'list', objectKind, prefix };
+    const call: StoreCall = { kind: 'list', objectKind, prefix, allowStale };
     const result = await retryingTransport.call(call);
     if (result.kind === 'error') {
       return result;
@@ -124,7 +125,7 @@
         objectKind,
         prefix,
         listener,
-        list: () => list<Value>(objectKind, prefix),
+        list: () => list<Value>(objectKind, { prefix }),
         tryTakeCall: retryingTransport.tryTakeCall,
         idleTimeout: options.watchIdleTimeout ?? DEFAULT_WATCH_IDLE_TIMEOUT,
         relistInterval: options.relistInterval ?? DEFAULT_RELIST_INTERVAL,
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -29,6 +29,13 @@
   readonly version: number;
 }
 
+export interface ListOptions {
+  /** Lists only objects whose names begin with it. */
+  readonly prefix?: string;
+  /** Accepts a list that may be seconds old, which costs less. */
+  readonly allowStale?: boolean;
+}
+
 export type WatchEvent<Value = unknown> =
   | { readonly kind: 'changed'; readonly object: StoredObject<Value> }
   | { readonly kind: 'removed'; readonly name: string; readonly version: number }
@@ -44,7 +51,10 @@
 /** Client of the object API. Every wait in it is bounded. */
 export interface ObjectStore {
   get<Value>(kind: string, name: string): Promise<Outcome<StoredObject<Value>, StoreError>>;
-  list<Value>(kind: string, prefix?: string): Promise<Outcome<ListedObjects<Value>, StoreError>>;
+  list<Value>(
+    kind: string,
+    options?: ListOptions,
+  ): Promise<Outcome<ListedObjects<Value>, StoreError>>;
   /** Fails with `conflict` when an object of that name exists. */
   create<Value>(
     kind: string,
@@ -95,7 +105,12 @@
 /** Call to the object API, as a transport carries it. */
 export type StoreCall =
   | { readonly kind: 'get'; readonly objectKind: string; readonly name: string }
-  | { readonly kind: 'list'; readonly objectKind: string; readonly prefix: string }
+  | {
+      readonly kind: 'list';
+      readonly objectKind: string;
+      readonly prefix: string;
+      readonly allowStale?: boolean;
+    }
   | {
       readonly kind: 'create';
       readonly objectKind: string;
--- a/packages/relay/src/createClusterStateCache.ts
+++ b/packages/relay/src/createClusterStateCache.ts
@@ -1,10 +1,25 @@
 import type { Clock, EntryHostId, FailureDomainId, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
-import createServerList from './decisions/createServerList';
-import type { ClusterStateCache, ListedServer, PeerAddress, RelayConfiguration } from './types';
+import createEvacuationList from './decisions/createEvacuationList';
+import listStateChanges from './decisions/listStateChanges';
+import createRoster from './decisions/createRoster';
+import createServerDirectory from './createServerDirectory';
+import selectNewerState from './decisions/selectNewerState';
+import type {
+  ClusterState,
+  ClusterStateCache,
+  ClusterStateChange,
+  ClusterStateVersions,
+  ListedServer,
+  PeerAddress,
+  RelayConfiguration,
+} from './types';
 
-/** Interval at which servers that the store no longer lists, but that are retained, are checked. */
-const RETAINED_SERVERS_CHECK_INTERVAL_MILLISECONDS = 250;
+/**
+ * Time after the store's return from an older copy in which the operator and the servers write
+ * again what it lost.
+ */
+const RESTORE_GRACE_PERIOD_MILLISECONDS = 3_000;
 
 interface ClusterStateCacheOptions {
   readonly clock: Clock;
@@ -16,7 +31,10 @@
     evacuated: ReadonlySet<FailureDomainId>,
     returned: readonly FailureDomainId[],
   ) => void;
+  /** Called with the registered hosts other than this one. */
   readonly onPeers: (peers: readonly PeerAddress[]) => void;
+  /** Called when the store has lost what was written to it since an older copy. */
+  readonly onStoreRestored: () => void;
 }
 
 /**
@@ -27,13 +45,13 @@
   options: ClusterStateCacheOptions,
 ): ClusterStateCache {
   const { clock, logger } = options;
-  const servers = createServerList();
+  const servers = createServerDirectory({ clock, logger, onServers: options.onServers });
   const unreachableSubjects = new Set<string>();
   let configuration: RelayConfiguration | undefined;
-  let evacuated: ReadonlySet<FailureDomainId> = new Set();
-  let evacuatedVersion = -1;
-  let peers: readonly PeerAddress[] | undefined;
-  let retainedServersTimer: Timer | undefined;
+  const evacuations = createEvacuationList();
+  const roster = createRoster();
+  let storeEra: number | undefined;
+  let restoreTimer: Timer | undefined;
 
   function applyConfiguration(next: RelayConfiguration, from: string): void {
     if (configuration !== undefined && next.version <= configuration.version) {
@@ -44,21 +62,16 @@
     options.onConfiguration(next);
   }
 
-  function publishServers(): void {
-    const now = clock.now();
-    options.onServers([...servers.get(now).values()]);
-    retainedServersTimer?.cancel();
-    retainedServersTimer = servers.hasRetainedServers(now)
-      ? clock.after(RETAINED_SERVERS_CHECK_INTERVAL_MILLISECONDS, publishServers)
-      : undefined;
-  }
-
-  function applyServers(listed: readonly ListedServer[], version: number, from: string): void {
-    if (servers.replace(listed, version, clock.now())) {
-      const draining = listed.filter(({ isDraining }) => isDraining).map(({ id }) => id);
-      logger.info({ count: listed.length, draining, version, from }, 'backend servers');
-      publishServers();
+  /** Applies the listed evacuations as far as they are in force now. */
+  function publishEvacuated(from: string): void {
+    const before = evacuations.current.size;
+    const returned = evacuations.update(clock.now());
+    const { current, version } = evacuations;
+    if (current.size !== before || returned.length > 0) {
+      const fields = { domains: [...current], returned, version, from };
+      logger.info(fields, 'evacuated failure domains');
     }
+    options.onEvacuated(current, returned);
   }
 
   function applyEvacuated(
@@ -66,101 +79,121 @@
     version: number,
     from: string,
   ): void {
-    if (version <= evacuatedVersion) {
-      return;
+    if (evacuations.replace(domains, version)) {
+      publishEvacuated(from);
     }
-    evacuatedVersion = version;
-    const next = new Set(domains);
-    const returned = [...evacuated].filter((domain) => !next.has(domain));
-    if (next.size !== evacuated.size || returned.length > 0) {
-      logger.info({ domains, returned, version, from }, 'evacuated failure domains');
+  }
+
+  function getVersions(): ClusterStateVersions {
+    return {
+      configurationVersion: configuration?.version ?? -1,
+      serversVersion: servers.version,
+      evacuatedVersion: evacuations.version,
+      rosterVersion: roster.version,
+      storeEra,
+    };
+  }
+
+  function getState(): ClusterState {
+    return {
+      ...getVersions(),
+      configuration,
+      servers: servers.list(),
+      evacuated: [...evacuations.current],
+      peers: roster.hosts,
+    };
+  }
+
+  function publishPeers(): void {
+    const others = (roster.hosts ?? []).filter(({ entryHost }) => entryHost !== options.ownName);
+    logger.info({ peers: others.map(({ entryHost }) => entryHost) }, 'peer list changed');
+    options.onPeers(others);
+  }
+
+  function applyRoster(hosts: readonly PeerAddress[], version: number): void {
+    if (roster.replace(hosts, version)) {
+      publishPeers();
     }
-    evacuated = next;
-    options.onEvacuated(next, returned);
   }
 
-  function applyPeers(next: readonly PeerAddress[]): void {
-    const otherPeers = next.filter(({ entryHost }) => entryHost !== options.ownName);
-    const isChanged = JSON.stringify(otherPeers) !== JSON.stringify(peers);
-    peers = otherPeers;
-    if (isChanged) {
-      logger.info({ peers: peers.map(({ entryHost }) => entryHost) }, 'peer list changed');
-      options.onPeers(peers);
+  function applyEra(era: number, from: string): void {
+    if (era > (storeEra ?? -1)) {
+      // A host that learns of the store's first answer has lost nothing.
+      if (storeEra !== undefined) {
+        logger.warn({ era, before: storeEra, from }, 'store returned from an older copy');
+        const now = clock.now();
+        servers.markStoreRestored(now);
+        evacuations.markStoreRestored(now + RESTORE_GRACE_PERIOD_MILLISECONDS);
+        restoreTimer?.cancel();
+        restoreTimer = clock.after(RESTORE_GRACE_PERIOD_MILLISECONDS, () => {
+          publishEvacuated('restored store');
+        });
+        options.onStoreRestored();
+      }
+      storeEra = era;
+    }
+  }
+
+  function apply(change: ClusterStateChange, from: 'store' | 'peer'): void {
+    switch (change.kind) {
+      case 'configuration':
+        applyConfiguration(change.configuration, from);
+        return;
+      case 'servers':
+        if (from === 'store' || change.version > servers.version) {
+          servers.apply(change.servers, change.version, from);
+        }
+        return;
+      case 'evacuated':
+        applyEvacuated(change.failureDomains, change.version, from);
+        return;
+      case 'peers':
+        applyRoster(change.peers, change.version);
+        return;
+      case 'storeEra':
+        applyEra(change.era, from);
+        return;
+      case 'storeLost':
+        unreachableSubjects.add(change.subject);
+        logger.warn({ subject: change.subject, reason: change.reason }, 'store unreachable');
+        servers.markStoreUnreachable();
+        return;
+      case 'storeRegained':
+        unreachableSubjects.delete(change.subject);
+        logger.info({ subject: change.subject }, 'store reachable');
+        servers.markStoreReachable(clock.now());
+        return;
+      default:
+        change satisfies never;
     }
   }
 
   return {
     get evacuated() {
-      return evacuated;
+      return evacuations.current;
+    },
+    get isRegistered() {
+      return roster.has(options.ownName);
     },
     get isStoreReachable() {
       return unreachableSubjects.size === 0;
     },
-    apply(change) {
-      switch (change.kind) {
-        case 'configuration':
-          applyConfiguration(change.configuration, 'store');
-          return;
-        case 'servers':
-          applyServers(change.servers, change.version, 'store');
-          return;
-        case 'evacuated':
-          applyEvacuated(change.failureDomains, change.version, 'store');
-          return;
-        case 'peers':
-          applyPeers(change.peers);
-          return;
-        case 'storeLost':
-          unreachableSubjects.add(change.subject);
-          logger.warn({ subject: change.subject, reason: change.reason }, 'store unreachable');
-          servers.markStoreUnreachable();
-          return;
-        case 'storeRegained':
-          unreachableSubjects.delete(change.subject);
-          logger.info({ subject: change.subject }, 'store reachable');
-          servers.markStoreReachable(clock.now());
-          return;
-        default:
-          change satisfies never;
-      }
-    },
-    merge(state) {
-      if (state.configuration !== undefined) {
-        applyConfiguration(state.configuration, 'peer');
-      }
-      if (state.serversVersion > servers.version) {
-        applyServers(state.servers, state.serversVersion, 'peer');
-      }
-      applyEvacuated(state.evacuated, state.evacuatedVersion, 'peer');
-      if ((peers ?? []).length === 0 && (state.peers ?? []).length > 0) {
-        applyPeers(state.peers ?? []);
-      }
-    },
-    get: () => ({
-      configuration,
-      servers: [...servers.get(clock.now()).values()],
-      serversVersion: servers.version,
-      evacuated: [...evacuated],
-      evacuatedVersion,
-      peers,
-    }),
-    getVersions: () => ({
-      configurationVersion: configuration?.version ?? -1,
-      serversVersion: servers.version,
-      evacuatedVersion,
-    }),
-    upsertPeer({ entryHost, address, failureDomain }) {
-      const known = (peers ?? []).find((peer) => peer.entryHost === entryHost);
-      if (known?.address !== address) {
-        const others = (peers ?? []).filter((peer) => peer.entryHost !== entryHost);
-        applyPeers([...others, { entryHost, address, failureDomain }]);
+    apply: (change) => apply(change, 'store'),
+    merge: (state) => listStateChanges(state).forEach((change) => apply(change, 'peer')),
+    get: getState,
+    getSince: (known) => selectNewerState(getState(), known),
+    getVersions,
+    upsertPeer(peer) {
+      if (roster.upsert(peer)) {
+        publishPeers();
       }
     },
     clearUnreachableSubjects() {
       unreachableSubjects.clear();
     },
     stop() {
-      retainedServersTimer?.cancel();
+      servers.stop();
+      restoreTimer?.cancel();
     },
   };
 }
--- /dev/null
+++ b/packages/relay/src/createHostCore.ts
@@ -0,0 +1,212 @@
+import type { BackendServerId, EntryHostId, FailureDomainId, Incarnation } from '@rattanreel/core';
+import createLocalAdmission from './admission/createLocalAdmission';
+import createScheduling from './admission/createScheduling';
+import type { Admission } from './admission/types';
+import createClusterStateCache from './createClusterStateCache';
+import createPools from './createPools';
+import createStoreWatcher from './createStoreWatcher';
+import createServerEmbargo from './decisions/createServerEmbargo';
+import createSharedQuota from './decisions/createSharedQuota';
+import type { ServerEmbargo } from './decisions/types';
+import createPeerTable from './peers/createPeerTable';
+import openPeerLink from './peers/openPeerLink';
+import type { OpenTransport } from './peers/types';
+import registerHost from './registerHost';
+import type {
+  ClusterStateCache,
+  ClusterStateSource,
+  FleetRole,
+  ListedServer,
+  PeerTable,
+  Pools,
+  Quota,
+  RelayBounds,
+  RelayConfiguration,
+  RelayContext,
+} from './types';
+
+interface HostCoreOptions {
+  readonly context: RelayContext;
+  readonly bounds: RelayBounds;
+  readonly source: ClusterStateSource;
+  readonly entryHost: EntryHostId;
+  readonly incarnation: Incarnation;
+  readonly failureDomain: FailureDomainId;
+  /** Processor cores that this host may use. */
+  readonly capacity: number;
+  /** Whether the whole system starts for the first time. */
+  readonly isBootstrap: boolean;
+  readonly peerAddress: string;
+  /** Addresses of some entry hosts, possibly out of date. */
+  readonly seedAddresses: readonly string[];
+  readonly openTransport: OpenTransport;
+  readonly onConfiguration: (configuration: RelayConfiguration) => void;
+  readonly onServers: (servers: ReadonlyMap<BackendServerId, ListedServer>) => void;
+}
+
+interface HostCore {
+  readonly admission: Admission;
+  readonly embargo: ServerEmbargo;
+  readonly pools: Pools;
+  readonly stateCache: ClusterStateCache;
+  readonly peerTable: PeerTable;
+  getRole(): FleetRole;
+  /** Whether this host knows a configuration and the backend servers. */
+  hasClusterState(): boolean;
+  /** Begins to follow the platform's store and registers this host. */
+  start(): void;
+  /** Hands the hosts that this one schedules over to another one. */
+  resign(): void;
+  stop(): Promise<void>;
+}
+
+function listQuotas(configuration: RelayConfiguration): ReadonlyMap<string, Quota> {
+  return new Map(
+    (configuration.customers ?? []).flatMap(({ name, quota }) =>
+      quota === undefined ? [] : [[name, quota]],
+    ),
+  );
+}
+
+/**
+ * Creates the part of an entry host that serves no callers: its cluster state, pools and quotas,
+ * and its connections to peers.
+ */
+export default async function createHostCore(options: HostCoreOptions): Promise<HostCore> {
+  const { context, source, bounds, entryHost, incarnation, failureDomain, peerAddress } = options;
+  const { clock, logger, random } = context;
+  const { capacity, isBootstrap } = options;
+  const self = { entryHost, failureDomain, address: peerAddress, capacity };
+  const quota = createSharedQuota({ now: clock.now(), random, bounds });
+  const embargo = createServerEmbargo();
+  const peerTable = createPeerTable();
+  let storeWatcher: ReturnType<typeof createStoreWatcher> | undefined;
+  let hasAskedSeeds = false;
+  let isStopping = false;
+
+  const stateCache = createClusterStateCache({
+    clock,
+    logger,
+    ownName: entryHost,
+    onConfiguration(configuration) {
+      quota.setQuotas(listQuotas(configuration), clock.now());
+      pools.setSettings(configuration.pools);
+      options.onConfiguration(configuration);
+      scheduling.announceStatus();
+    },
+    onServers(servers) {
+      const serversById = new Map(servers.map((server) => [server.id, server]));
+      embargo.retainServers(serversById);
+      options.onServers(serversById);
+      pools.setServers(servers);
+    },
+    onEvacuated(_evacuated, returned) {
+      pools.markCold(returned);
+      scheduling.announceStatus();
+    },
+    onPeers(peers) {
+      link.setPeers(peers);
+      scheduling.setPeers(peers);
+    },
+    onStoreRestored: () => register(false),
+  });
+
+  const pools = createPools({
+    clock,
+    random,
+    ownName: entryHost,
+    ownDomain: failureDomain,
+    bounds,
+    embargo,
+    getEvacuated: () => stateCache.evacuated,
+    onInFlightChange: (isScarce) => link.announceChange(isScarce),
+  });
+
+  const scheduling = createScheduling({
+    clock,
+    logger,
+    self,
+    local: createLocalAdmission({ clock, random, pools, quota }),
+    pools,
+    quota,
+    embargo,
+    stateCache,
+    peerTable,
+    hasClusterState,
+    send: (host, message) => link.send(host, message),
+    onVersions: (host) => link.handleVersions(host),
+    onRoleChange: () => link.announceChange(false),
+  });
+
+  const link = await openPeerLink({
+    clock,
+    logger,
+    openTransport: options.openTransport,
+    self: { ...self, incarnation },
+    stateCache,
+    peerTable,
+    pools,
+    quota,
+    getRole: scheduling.getRole,
+    isWatchingStore: () => storeWatcher?.isWatching() ?? false,
+    onSchedulerRequest: scheduling.handleRequest,
+    onSchedulerResponse: scheduling.handleResponse,
+    onReachableChange: scheduling.updateSharing,
+  });
+
+  function hasClusterState(): boolean {
+    const { configurationVersion, serversVersion } = stateCache.getVersions();
+    return configurationVersion >= 0 && serversVersion >= 0;
+  }
+
+  function register(isOptional: boolean): void {
+    const isStoppingNow = (): boolean => isStopping;
+    registerHost({ context, source, self, isBootstrap, isOptional, isStopping: isStoppingNow });
+  }
+
+  /** Asks the hosts named in the settings for the cluster state, once. */
+  function askSeeds(): void {
+    if (!hasAskedSeeds && !hasClusterState()) {
+      hasAskedSeeds = true;
+      const seeds = options.seedAddresses.filter((address) => address !== peerAddress);
+      void link.fetchClusterStateFrom(seeds);
+    }
+  }
+
+  return {
+    admission: scheduling.admission,
+    embargo,
+    pools,
+    stateCache,
+    peerTable,
+    getRole: scheduling.getRole,
+    hasClusterState,
+    start() {
+      storeWatcher = createStoreWatcher({
+        context,
+        source,
+        stateCache,
+        getRole: scheduling.getRole,
+        isBootstrap,
+        onListed(isListed) {
+          // In a large fleet the scheduler has the state, and the seeds would get hundreds of calls.
+          if (!isListed || !scheduling.getRole().isLarge) {
+            askSeeds();
+          }
+        },
+      });
+      register(true);
+    },
+    resign() {
+      isStopping = true;
+      scheduling.resign();
+    },
+    async stop() {
+      scheduling.stop();
+      link.stop();
+      storeWatcher?.stop();
+      stateCache.stop();
+      await Promise.all([link.close(), source.close()]);
+    },
+  };
+}
--- a/packages/relay/src/createHostSummary.ts
+++ b/packages/relay/src/createHostSummary.ts
@@ -3,7 +3,7 @@
 
 interface HostSummaryOptions extends Pick<
   HostSummary,
-  'entryHost' | 'incarnation' | 'failureDomain' | 'address' | 'spent' | 'farReports'
+  'entryHost' | 'incarnation' | 'failureDomain' | 'address' | 'capacity' | 'spent' | 'hosts'
 > {
   readonly pools: Pools;
   readonly versions: ClusterStateVersions;
@@ -11,7 +11,7 @@
 
 /** Creates the current summary of this host for its peers. */
 export default function createHostSummary(options: HostSummaryOptions): HostSummary {
-  const { pools, versions, ...identity } = options;
+  const { pools, versions, entryHost, incarnation, failureDomain, address, capacity } = options;
   const tiers: Record<PoolId, Record<string, number>> = {};
   const waiting: Record<PoolId, Record<string, number>> = {};
   pools.forEachQueue((queue, pool) => {
@@ -19,9 +19,16 @@
     waiting[pool] = Object.fromEntries(queue.getQueuedByRank());
   });
   return {
-    ...identity,
     ...versions,
     kind: 'summary',
+    entryHost,
+    incarnation,
+    failureDomain,
+    address,
+    capacity,
+    spent: options.spent,
+    hosts: options.hosts,
+    leaving: pools.listLeaving(),
     inFlight: Object.fromEntries(pools.countOwnInFlight()),
     tiers,
     waiting,
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -7,11 +7,11 @@
   Random,
 } from '@rattanreel/core';
 import getColdRequestInterval from './decisions/getColdRequestInterval';
-import isLargeFleet from './decisions/isLargeFleet';
 import createPoolQueue from './pools/createPoolQueue';
 import createServerStateMap from './pools/createServerStateMap';
 import type { PoolQueue, ServerStateMap } from './pools/types';
-import type { PoolSettings, Pools, RelayBounds } from './types';
+import type { ServerEmbargo } from './decisions/types';
+import type { PoolSettings, Pools, RelayBounds, SlotSharing } from './types';
 
 interface PoolsOptions {
   readonly clock: Clock;
@@ -19,6 +19,7 @@
   readonly ownName: EntryHostId;
   readonly ownDomain: FailureDomainId;
   readonly bounds: RelayBounds;
+  readonly embargo: ServerEmbargo;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
   /**
    * Called when the requests in flight change, with whether capacity is scarce, and with true when a
@@ -37,12 +38,7 @@
   const { clock, ownName } = options;
   const poolsById = new Map<PoolId, PoolEntry>();
   let settingsByPool = new Map<PoolId, PoolSettings>();
-  let hosts: readonly EntryHostId[] = [ownName];
-  let sameDomainHosts = 1;
-
-  const hasFullPeerView = (): boolean => !isLargeFleet(hosts.length - 1);
-  /** Returns the number of hosts that share the slots that a pool queue counts. */
-  const countSharingHosts = (): number => (hasFullPeerView() ? hosts.length : sameDomainHosts);
+  let sharing: SlotSharing = { grantingHosts: [ownName], fleetHosts: 1 };
 
   function createPoolEntry(pool: PoolId): PoolEntry {
     const serverStates = createServerStateMap();
@@ -53,13 +49,13 @@
       bounds: options.bounds,
       serverStates,
       getEvacuated: options.getEvacuated,
-      hasFullPeerView,
+      embargo: options.embargo,
       onInFlightChange: options.onInFlightChange,
       getSettings: () => settingsByPool.get(pool),
       getColdRequestInterval: (server, rate) =>
-        getColdRequestInterval({ server, host: ownName, hosts, rate }),
+        getColdRequestInterval({ server, host: ownName, hosts: sharing.grantingHosts, rate }),
     });
-    queue.setHosts(hosts, countSharingHosts());
+    queue.setSharing(sharing);
     return { queue, serverStates };
   }
 
@@ -88,11 +84,26 @@
         queue.grantSlots();
       });
     },
-    setHosts(next, nextSameDomainHosts) {
-      hosts = next;
-      sameDomainHosts = nextSameDomainHosts;
-      poolsById.forEach(({ queue }) => queue.setHosts(hosts, countSharingHosts()));
+    setSharing(next) {
+      sharing = next;
+      poolsById.forEach(({ queue }) => queue.setSharing(sharing));
+    },
+    markLeaving(servers) {
+      poolsById.forEach(({ serverStates }) =>
+        servers.forEach(({ id, startedAt }) => {
+          const server = serverStates.byId.get(id);
+          if (server !== undefined && server.listed.startedAt === startedAt) {
+            server.isLeaving = true;
+          }
+        }),
+      );
     },
+    listLeaving: () =>
+      [...poolsById.values()].flatMap(({ serverStates }) =>
+        [...serverStates.byId.values()]
+          .filter(({ isLeaving }) => isLeaving)
+          .map(({ listed: { id, startedAt } }) => ({ id, startedAt })),
+      ),
     countOwnInFlight() {
       const counts = new Map<BackendServerId, number>();
       poolsById.forEach(({ serverStates }) =>
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -1,19 +1,14 @@
 import type { IncomingMessage } from 'node:http';
 import type { PoolId, Random } from '@rattanreel/core';
+import getRetryDelay from './decisions/getRetryDelay';
 import planRequest from './front/planRequest';
 import relayRequest from './front/relayRequest';
 import sendProblem from './front/sendProblem';
 import type { CallerExchange, RequestObserver, RequestPlan } from './front/types';
 import type { PoolState } from './pools/types';
-import type {
-  HeaderNames,
-  Pools,
-  RefusalReason,
-  RelayContext,
-  RelayCustomer,
-  RouteTarget,
-} from './types';
-import type { RequestClassifier, RouteTable, SharedQuota } from './decisions/types';
+import type { HeaderNames, RefusalReason, RelayContext, RelayCustomer, RouteTarget } from './types';
+import type { Admission } from './admission/types';
+import type { RequestClassifier, RouteTable, ServerEmbargo } from './decisions/types';
 import type { ServerConnections } from './servers/types';
 
 /** Callers honour a `retry-after` of at most this fraction of their remaining time. */
@@ -22,8 +17,8 @@
 interface RequestHandlerOptions {
   readonly context: RelayContext;
   readonly names: HeaderNames;
-  readonly pools: Pools;
-  readonly quota: SharedQuota;
+  readonly admission: Admission;
+  readonly embargo: ServerEmbargo;
   readonly classifier: RequestClassifier;
   readonly connections: ServerConnections;
   readonly observer: RequestObserver;
@@ -49,18 +44,21 @@
 
 /** Creates the handler that rejects, refuses or relays each caller's request. */
 export default function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
-  const { context, names, pools, quota, classifier, observer } = options;
+  const { context, names, classifier, observer } = options;
   const { clock, random } = context;
 
   function refuse(
     exchange: CallerExchange,
     plan: RequestPlan,
     reason: RefusalReason,
-    requestedDelay: number,
+    requestedDelay: number | undefined,
     pool?: PoolState,
   ): void {
     const remainingTime = plan.deadlineAt - clock.now();
-    const retryAfter = Math.min(requestedDelay, remainingTime * MAXIMUM_RETRY_FRACTION);
+    const retryAfter = Math.min(
+      requestedDelay ?? getRetryDelay(remainingTime, random),
+      remainingTime * MAXIMUM_RETRY_FRACTION,
+    );
     classifier.recordRefusal(plan.route.name, clock.now());
     observer.refused(plan, reason, Math.round(retryAfter), pool);
     sendProblem(exchange, {
@@ -72,30 +70,17 @@
   }
 
   function relay(exchange: CallerExchange, plan: RequestPlan): void {
-    const customer = plan.customer?.name;
-    if (customer !== undefined) {
-      const decision = quota.trySpend(customer, plan.cost, clock.now());
-      if (decision.kind === 'over') {
-        refuse(exchange, plan, 'overQuota', decision.retryAfter);
-        return;
-      }
-    }
-    const queue = pools.getQueue(chooseTarget(plan.route.targets, random));
     relayRequest({
       clock,
       exchange,
       plan,
-      queue,
+      pool: chooseTarget(plan.route.targets, random),
+      admission: options.admission,
+      embargo: options.embargo,
       connections: options.connections,
       names,
       observer,
-      refuse(reason) {
-        if (customer !== undefined) {
-          quota.refund(customer, plan.cost);
-        }
-        const { priority } = plan;
-        refuse(exchange, plan, reason, queue.getRetryAfter(priority), queue.getState(priority));
-      },
+      refuse: ({ reason, retryAfter, pool }) => refuse(exchange, plan, reason, retryAfter, pool),
       sendFailure(status, code) {
         observer.failed(plan, status, code);
         sendProblem(exchange, { status, code, execution: 'may-have-run' });
--- a/packages/relay/src/createStoreWatcher.ts
+++ b/packages/relay/src/createStoreWatcher.ts
@@ -1,14 +1,15 @@
-import type { EntryHostId, FailureDomainId, Milliseconds, Timer } from '@rattanreel/core';
+import type { Milliseconds, Timer } from '@rattanreel/core';
 import isStoreWatcher from './decisions/isStoreWatcher';
-import type { ClusterStateCache, ClusterStateSource, PeerTable, RelayContext } from './types';
+import type { ClusterStateCache, ClusterStateSource, FleetRole, RelayContext } from './types';
 
 /** Interval at which the host checks whether it must watch the store. */
-const CHECK_INTERVAL: Milliseconds = 500;
+const CHECK_INTERVAL: Milliseconds = 250;
 /**
  * Times after the start at which the hosts are listed: hosts that start together register within
- * seconds.
+ * seconds. The first is later when the whole system starts, since nothing is registered before.
  */
 const INITIAL_LIST_TIMES: readonly Milliseconds[] = [0, 1_500, 4_000, 8_000];
+const BOOTSTRAP_LIST_TIMES: readonly Milliseconds[] = [2_500, 4_500, 8_000];
 /** Minimum interval of later lists; new hosts are usually known earlier, from their messages. */
 const LIST_INTERVAL: Milliseconds = 20_000;
 
@@ -16,12 +17,15 @@
   readonly context: RelayContext;
   readonly source: ClusterStateSource;
   readonly stateCache: ClusterStateCache;
-  readonly peerTable: PeerTable;
-  readonly ownName: EntryHostId;
-  readonly ownDomain: FailureDomainId;
+  readonly getRole: () => FleetRole;
+  /** Whether the whole system starts for the first time. */
+  readonly isBootstrap: boolean;
+  /** Called after the first attempt to list the hosts. */
+  readonly onListed: (isListed: boolean) => void;
 }
 
 interface StoreWatcher {
+  isWatching(): boolean;
   stop(): void;
 }
 
@@ -30,28 +34,31 @@
  * periodically.
  */
 export default function createStoreWatcher(options: StoreWatcherOptions): StoreWatcher {
-  const { context, source, stateCache, peerTable } = options;
+  const { context, source, stateCache, getRole } = options;
   const { clock, random, logger } = context;
   const startedAt = clock.now();
+  const listTimes = options.isBootstrap ? BOOTSTRAP_LIST_TIMES : INITIAL_LIST_TIMES;
   let stopWatching: (() => void) | undefined;
   let checkTimer: Timer | undefined;
   let listTimer: Timer | undefined;
   let listCount = 0;
+  let isListed = false;
   let isStopped = false;
 
+  function hasClusterState(): boolean {
+    const versions = stateCache.getVersions();
+    return versions.configurationVersion >= 0 && versions.serversVersion >= 0;
+  }
+
   function updateWatch(): void {
-    const state = stateCache.get();
-    const now = clock.now();
+    const role = isListed || stateCache.getVersions().rosterVersion >= 0 ? getRole() : undefined;
     const shouldWatch = isStoreWatcher({
-      ownName: options.ownName,
-      ownDomain: options.ownDomain,
-      peers: state.peers,
-      reachablePeers: peerTable.listReachable(now),
-      hasClusterState: state.configuration !== undefined && state.serversVersion >= 0,
-      age: now - startedAt,
+      role,
+      hasClusterState: hasClusterState(),
+      age: clock.now() - startedAt,
     });
     if (shouldWatch !== (stopWatching !== undefined)) {
-      logger.info({ shouldFollow: shouldWatch, peers: state.peers?.length }, 'store watch changed');
+      logger.info({ shouldFollow: shouldWatch, role }, 'store watch changed');
     }
     if (shouldWatch) {
       stopWatching ??= source.watch(stateCache.apply);
@@ -70,41 +77,53 @@
   }
 
   async function refreshPeers(): Promise<void> {
-    const peers = await source.listPeers();
-    if (peers !== undefined && !isStopped) {
-      const listed = new Set(peers.map(({ entryHost }) => entryHost));
-      const unlistedPeers = peerTable
-        .listReachable(clock.now())
-        .filter((peer) => !listed.has(peer.entryHost));
-      const additionalPeers = unlistedPeers.map(({ entryHost, address, failureDomain }) => ({
-        entryHost,
-        address,
-        failureDomain,
-      }));
-      stateCache.apply({ kind: 'peers', peers: [...peers, ...additionalPeers] });
+    const listed = await source.listPeers();
+    if (isStopped) {
+      return;
+    }
+    if (listed !== undefined) {
+      isListed = true;
+      stateCache.apply({ kind: 'peers', ...listed });
       updateWatch();
     }
+    options.onListed(listed !== undefined);
+  }
+
+  /**
+   * Returns whether this host must list the hosts itself: one that has a scheduler receives them
+   * from there.
+   */
+  function mustList(): boolean {
+    const role = getRole();
+    return !isListed || !role.isLarge || role.isGranting;
+  }
+
+  function scheduleList(delay: Milliseconds): void {
+    listTimer = clock.after(delay, listPeriodically);
   }
 
-  function refreshPeriodically(): void {
+  function listPeriodically(): void {
     if (isStopped) {
       return;
     }
-    refreshPeers().catch((error: unknown) =>
-      logger.error({ error: String(error) }, 'failed to list hosts'),
-    );
+    if (mustList()) {
+      refreshPeers().catch((error: unknown) =>
+        logger.error({ error: String(error) }, 'failed to list hosts'),
+      );
+    }
     listCount += 1;
-    const due = INITIAL_LIST_TIMES[listCount];
-    const delay =
+    const due = listTimes[listCount];
+    scheduleList(
       due === undefined
         ? LIST_INTERVAL * (1 + random.next())
-        : due - (INITIAL_LIST_TIMES[listCount - 1] ?? 0);
-    listTimer = clock.after(delay, refreshPeriodically);
+        : due - (listTimes[listCount - 1] ?? 0),
+    );
   }
 
-  refreshPeriodically();
+  scheduleList(listTimes[0] ?? 0);
   checkPeriodically();
   return {
+    isWatching: () => stopWatching !== undefined,
     stop() {
       isStopped = true;
       checkTimer?.cancel();
--- a/packages/relay/src/decisions/chooseServer.test.ts
+++ b/packages/relay/src/decisions/chooseServer.test.ts
@@ -12,8 +12,8 @@
   readonly excludedServers?: readonly string[];
   /** Servers that cannot meet the request's deadline. */
   readonly tooSlow?: readonly string[];
-  /** False in a large fleet. */
-  readonly hasFullPeerView?: boolean;
+  /** Servers that asked this host to send nothing. */
+  readonly embargoed?: readonly string[];
   readonly chosen: string | undefined;
 }
 
@@ -50,16 +50,15 @@
     chosen: 'idle',
   },
   {
-    name: 'no remote one in a large fleet with one slot free',
-    servers: [{ ...remote, peerInFlight: 3 }],
-    hasFullPeerView: false,
+    name: 'none that announced that it is leaving',
+    servers: [{ ...idle, isLeaving: true }],
     chosen: undefined,
   },
   {
-    name: 'a remote one in a large fleet with two slots free',
-    servers: [{ ...remote, peerInFlight: 2 }],
-    hasFullPeerView: false,
-    chosen: 'remote',
+    name: 'none that asked this host to send nothing',
+    servers: [idle, slow],
+    embargoed: ['idle'],
+    chosen: 'slow',
   },
   { name: 'the faster one', servers: [slow, idle], chosen: 'idle' },
   { name: 'the same-domain one', servers: [remote, idle], chosen: 'idle' },
@@ -111,7 +110,7 @@
       evacuated = [],
       excludedServers = [],
       tooSlow = [],
-      hasFullPeerView,
+      embargoed = [],
       chosen,
     }) => {
       it(`chooses ${name}`, () => {
@@ -122,7 +121,7 @@
           ownDomain: 'near',
           evacuated: new Set(evacuated),
           excludedServers: new Set(excludedServers),
-          hasFullPeerView,
+          embargo: { isEmbargoed: ({ id }) => embargoed.includes(id) },
           canMeetDeadline: ({ listed }) => !tooSlow.includes(listed.id),
         });
         expect(server?.listed.id).toEqual(chosen);
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -1,5 +1,6 @@
 import type { BackendServerId, FailureDomainId, Milliseconds, Random } from '@rattanreel/core';
 import type { ServerState } from '../types';
+import type { ServerEmbargo } from './types';
 import getOccupancy from './getOccupancy';
 import isUsableServer from './isUsableServer';
 
@@ -16,20 +17,14 @@
 /** Range of the random term, so that hosts with the same view do not all choose the same server. */
 const RANDOM_SPREAD = 0.15;
 
-/**
- * In a large fleet, the known state of a remote server is half a second old: one slot is left free
- * for requests that other hosts have sent since.
- */
-const REMOTE_SLOT_SLACK = -1;
-
 interface ChooseServerOptions {
   readonly servers: readonly ServerState[];
   readonly now: Milliseconds;
-  /** Whether this host receives the requests in flight of all other hosts directly. */
-  readonly hasFullPeerView?: boolean;
   readonly random: Random;
   readonly ownDomain: FailureDomainId;
   readonly evacuated: ReadonlySet<FailureDomainId>;
+  /** Servers that asked this host to send nothing. */
+  readonly embargo: Pick<ServerEmbargo, 'isEmbargoed'>;
   readonly excludedServers: ReadonlySet<BackendServerId>;
   /**
    * Returns whether the request is expected to meet its deadline at a server; ignored if no usable
@@ -47,12 +42,6 @@
   );
 }
 
-/** Returns how many requests more (or, if negative, fewer) than its slots a server may be given. */
-function getSlack(server: ServerState, options: ChooseServerOptions): number {
-  const isRemote = server.listed.failureDomain !== options.ownDomain;
-  return isRemote && options.hasFullPeerView === false ? REMOTE_SLOT_SLACK : server.extraSlots;
-}
-
 /**
  * Returns the server with a free slot and the lowest cost by speed, load, failure rate and failure
  * domain, among those expected to meet the deadline if there are any; undefined if none has a free
@@ -65,8 +54,8 @@
   let best: ServerState | undefined;
   let bestCost = Infinity;
   (inTime.length > 0 ? inTime : usable).forEach((server) => {
-    const occupancy = getOccupancy(server, now, options.hasFullPeerView ?? true);
-    if (occupancy >= server.listed.slots + getSlack(server, options)) {
+    const occupancy = getOccupancy(server, now);
+    if (occupancy >= server.listed.slots + server.extraSlots) {
       return;
     }
     const loadFactor = 1 + occupancy / server.listed.slots;
--- a/packages/relay/src/decisions/createServerList.test.ts
+++ b/packages/relay/src/decisions/createServerList.test.ts
@@ -35,6 +35,34 @@
     expect(ids(list, 7_100)).toEqual(['one']);
   });
 
+  it('does not let a draining server count as ready in an older copy of the store', () => {
+    const list = createServerList();
+    list.replace([one, { ...two, isDraining: true }], 1, 0);
+    list.markStoreRestored(100);
+    list.replace([one, two], 2, 110);
+    expect(list.get(120).get('two')?.isDraining).toEqual(true);
+  });
+
+  it('ignores a server of an older copy that had been removed, but not its next process', () => {
+    const list = createServerList();
+    list.replace([one, two], 1, 0);
+    list.replace([one], 2, 50);
+    list.markStoreRestored(100);
+    list.replace([one, two], 3, 110);
+    expect(ids(list, 5_000)).toEqual(['one']);
+    list.replace([one, { ...two, startedAt: 7 }], 4, 120);
+    expect(ids(list, 5_000)).toEqual(['one', 'two']);
+  });
+
+  it('retains a server that an older copy lacks until it has had time to register again', () => {
+    const list = createServerList();
+    list.replace([one, two], 1, 0);
+    list.markStoreRestored(100);
+    list.replace([one], 2, 110);
+    expect(ids(list, 1_000)).toEqual(['one', 'two']);
+    expect(ids(list, 2_200)).toEqual(['one']);
+  });
+
   it('does not retain a draining server during an outage', () => {
     const list = createServerList();
     list.replace([one, { ...two, isDraining: true }], 1, 0);
--- a/packages/relay/src/decisions/createSharedQuota.test.ts
+++ b/packages/relay/src/decisions/createSharedQuota.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { createRandom } from '@rattanreel/core';
 import createSharedQuota from './createSharedQuota';
 import type { SharedQuota } from './types';
 
@@ -62,17 +63,25 @@
 interface Host {
   quota: SharedQuota;
   incarnation: string;
+  readonly ownHosts: number;
 }
 
-function createHost(index: number, hosts: number, now: number): Host {
-  const quota = createSharedQuota({ now });
-  const peers = Array.from({ length: hosts }, (_, each) => ({
-    entryHost: `host-${each}`,
-    failureDomain: 'near',
-  }));
-  quota.setPeers(peers.filter(({ entryHost }) => entryHost !== `host-${index}`));
+/** Gives each host of the tests its position in the fleet. */
+const random = createRandom(3);
+
+interface HostOptions {
+  readonly hosts: number;
+  /** Number of hosts for which this one spends. */
+  readonly ownHosts?: number;
+  readonly quotaSlack?: number;
+}
+
+function createHost(index: number, now: number, options: HostOptions): Host {
+  const { hosts, ownHosts = 1, quotaSlack = 0 } = options;
+  const quota = createSharedQuota({ now, random, bounds: { quotaSlack } });
+  quota.setFleet({ fleetHosts: hosts, ownHosts });
   quota.setQuotas(new Map([['customer', QUOTA]]), now);
-  return { quota, incarnation: `${index} at ${now}` };
+  return { quota, incarnation: `${index} at ${now}`, ownHosts };
 }
 
 /** Delivers what each host has spent to every other host that it is connected to. */
@@ -84,10 +93,11 @@
   fleet.forEach((from, left) =>
     fleet.forEach((to, right) => {
       if (left !== right && isConnected(left, right, now)) {
-        const { incarnation } = from;
+        const { incarnation, ownHosts } = from;
         to.quota.recordHostSpending({
           from: `host-${left}`,
           incarnation,
+          hosts: ownHosts,
           spent: from.quota.getSpent(),
           now,
         });
@@ -106,11 +116,11 @@
 
 /** Lets every host spend as much as it may for 8 s after a warm-up of 2 s; returns the total. */
 function spendAll({ hosts, isConnected, restartAt }: Case): number {
-  const fleet = Array.from({ length: hosts }, (_, index) => createHost(index, hosts, -2_000));
+  const fleet = Array.from({ length: hosts }, (_, index) => createHost(index, -2_000, { hosts }));
   let sum = 0;
   for (let now = -2_000; now < 8_000; now += STEP_MS) {
     if (now === restartAt) {
-      fleet[0] = createHost(0, hosts, now);
+      fleet[0] = createHost(0, now, { hosts });
     }
     sum += now >= 0 ? spendOnce(fleet, now) : 0;
     deliverSpending(fleet, isConnected, now);
@@ -119,10 +129,9 @@
 }
 
 const DOMAINS = 3;
-const HOSTS_PER_DOMAIN = 3;
-/** Interval of the reports, and delay after which one has reached all hosts of another domain. */
-const REPORT_INTERVAL_MS = 250;
-const REPORT_DELAY_MS = 250;
+const HOSTS_PER_DOMAIN = 30;
+/** Interval of the summaries between the schedulers, and their delay. */
+const SUMMARY_INTERVAL_MS = 200;
 
 interface DomainCase {
   readonly name: string;
@@ -130,13 +139,13 @@
   readonly receivesRequests: (domain: number) => boolean;
   /** Whether domain 0 is connected to the others. */
   readonly isConnected: (now: number) => boolean;
-  /** Time at which the reporter of domain 0 stops and another host replaces it. */
-  readonly reporterStopsAt?: number;
+  /** Time at which another host takes over as the scheduler of domain 0, with an empty bucket. */
+  readonly replacedAt?: number;
   readonly maximumTotal: number;
   readonly minimumTotal: number;
 }
 
-// The limits are those of the cases above. A report that is late by 0.5 s costs 0.5 s of the rate.
+// The limits are those of the cases above. A summary that is late by 0.5 s costs 0.5 s of the rate.
 const domainCases: readonly DomainCase[] = [
   {
     name: 'all of them receive requests',
@@ -160,91 +169,61 @@
     minimumTotal: 7_500,
   },
   {
-    name: 'a reporter stops',
+    name: 'a scheduler is replaced',
     receivesRequests: () => true,
     isConnected: () => true,
-    reporterStopsAt: 4_000,
+    replacedAt: 4_000,
     maximumTotal: 11_400,
     minimumTotal: 8_000,
   },
 ];
 
-interface DomainHost {
-  readonly name: string;
-  readonly domain: number;
-  readonly quota: SharedQuota;
-}
-
-function createDomainHosts(): readonly DomainHost[] {
-  const peers = Array.from({ length: DOMAINS * HOSTS_PER_DOMAIN }, (_, index) => ({
-    entryHost: `host-${index}`,
-    failureDomain: `domain-${Math.floor(index / HOSTS_PER_DOMAIN)}`,
-  }));
-  return peers.map(({ entryHost }, index) => {
-    const quota = createSharedQuota({ now: -2_000 });
-    quota.setPeers(peers.filter((peer) => peer.entryHost !== entryHost));
-    quota.setQuotas(new Map([['customer', QUOTA]]), -2_000);
-    return { name: entryHost, domain: Math.floor(index / HOSTS_PER_DOMAIN), quota };
-  });
-}
-
-/**
- * Simulates spending in several domains; returns the total. Hosts of a domain receive each other's
- * summaries at once, and the first running host of each domain reports to the other domains.
- */
-function spendInDomains({ receivesRequests, isConnected, reporterStopsAt }: DomainCase): number {
-  const fleet = createDomainHosts();
-  const pendingDeliveries: { readonly at: number; readonly deliver: () => void }[] = [];
+/** Simulates spending by the schedulers of several failure domains; returns the total. */
+function spendInDomains({ receivesRequests, isConnected, replacedAt }: DomainCase): number {
+  const options = { hosts: DOMAINS * HOSTS_PER_DOMAIN, ownHosts: HOSTS_PER_DOMAIN };
+  const fleet = Array.from({ length: DOMAINS }, (_, index) => createHost(index, -2_000, options));
   let sum = 0;
   for (let now = -2_000; now < 8_000; now += STEP_MS) {
-    const stopped = now >= (reporterStopsAt ?? Infinity) ? 'host-0' : undefined;
-    const running = fleet.filter(({ name }) => name !== stopped);
+    if (now === replacedAt) {
+      fleet[0] = createHost(DOMAINS, now, options);
+    }
     sum +=
       now >= 0
         ? spendOnce(
-            running.filter(({ domain }) => receivesRequests(domain)),
+            fleet.filter((_, domain) => receivesRequests(domain)),
             now,
           )
         : 0;
-    running.forEach((from) =>
-      running
-        .filter((to) => to !== from && to.domain === from.domain)
-        .forEach((to) => {
-          const spent = from.quota.getSpent();
-          to.quota.recordHostSpending({ from: from.name, incarnation: 'one', spent, now });
-        }),
-    );
-    while (pendingDeliveries[0] !== undefined && pendingDeliveries[0].at <= now) {
-      pendingDeliveries.shift()?.deliver();
-    }
-    if (now % REPORT_INTERVAL_MS === 0) {
-      Array.from({ length: DOMAINS }, (_, domain) => {
-        const reporter = running.find((host) => host.domain === domain)!;
-        const report = {
-          kind: 'domain' as const,
-          failureDomain: `domain-${domain}`,
-          entryHost: reporter.name,
-          incarnation: 'one',
-          inFlight: {},
-          ...reporter.quota.getReachableSpent(now),
-        };
-        const at = now + REPORT_DELAY_MS;
-        running
-          .filter((to) => to.domain !== domain)
-          .filter((to) => isConnected(now) || (to.domain === 0) === (domain === 0))
-          .forEach((to) =>
-            pendingDeliveries.push({
-              at,
-              deliver: () => to.quota.recordDomainSpending(report, at),
-            }),
-          );
-        return reporter.name;
-      });
+    if (now % SUMMARY_INTERVAL_MS === 0) {
+      deliverSpending(fleet, (left, right, at) => isConnected(at) || (left > 0 && right > 0), now);
     }
   }
   return sum;
 }
 
+interface IsolationCase {
+  readonly name: string;
+  readonly quotaSlack: number;
+  readonly maximumTotal: number;
+  readonly minimumTotal: number;
+}
+
+// 200 hosts on their own, each with a share of 5 of each 1,000 a second: smaller than a request.
+const isolationCases: readonly IsolationCase[] = [
+  {
+    name: 'nothing beyond the quota is allowed',
+    quotaSlack: 0,
+    maximumTotal: 9_900,
+    minimumTotal: 0,
+  },
+  {
+    name: 'a slack of 2,000 is allowed',
+    quotaSlack: 2_000,
+    maximumTotal: 11_900,
+    minimumTotal: 1_000,
+  },
+];
+
 describe('createSharedQuota', () => {
   cases.forEach((testCase) => {
     it(`keeps the total within the quota when ${testCase.name}`, () => {
@@ -255,15 +234,30 @@
   });
 
   domainCases.forEach((testCase) => {
-    it(`keeps the total over three failure domains within the quota when ${testCase.name}`, () => {
+    it(`keeps the total of three schedulers within the quota when ${testCase.name}`, () => {
       const sum = spendInDomains(testCase);
       expect(sum).toBeLessThanOrEqual(testCase.maximumTotal);
       expect(sum).toBeGreaterThanOrEqual(testCase.minimumTotal);
     });
   });
 
+  isolationCases.forEach(({ name, quotaSlack, maximumTotal, minimumTotal }) => {
+    it(`keeps the total of hosts on their own within the bound when ${name}`, () => {
+      const hosts = 200;
+      const fleet = Array.from({ length: hosts }, (_, index) =>
+        createHost(index, -2_000, { hosts, quotaSlack }),
+      );
+      let sum = 0;
+      for (let now = 0; now < 8_000; now += STEP_MS) {
+        sum += spendOnce(fleet, now);
+      }
+      expect(sum).toBeLessThanOrEqual(maximumTotal);
+      expect(sum).toBeGreaterThanOrEqual(minimumTotal);
+    });
+  });
+
   it('refunds the cost of a request that did not run', () => {
-    const { quota } = createHost(0, 1, 0);
+    const { quota } = createHost(0, 0, { hosts: 1 });
     expect(quota.trySpend('customer', 800, 1_000).kind).toEqual('within');
     expect(quota.trySpend('customer', 800, 1_000).kind).toEqual('over');
     quota.refund('customer', 800);
@@ -271,6 +265,7 @@
   });
 
   it('does not limit a customer without a quota', () => {
-    expect(createSharedQuota({ now: 0 }).trySpend('other', 1e9, 0).kind).toEqual('within');
+    const { quota } = createHost(0, 0, { hosts: 1 });
+    expect(quota.trySpend('other', 1e9, 0).kind).toEqual('within');
   });
 });
--- a/packages/relay/src/decisions/createSharedQuota.ts
+++ b/packages/relay/src/decisions/createSharedQuota.ts
@@ -1,6 +1,5 @@
-import type { CustomerId, EntryHostId, Milliseconds } from '@rattanreel/core';
-import type { PeerAddress, Quota } from '../types';
-import createDomainReports from './createDomainReports';
+import type { CustomerId, EntryHostId, Milliseconds, Random } from '@rattanreel/core';
+import type { Quota, RelayBounds } from '../types';
 import type { SharedQuota } from './types';
 
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -10,14 +9,21 @@
  */
 const USABLE_BURST_SHARE = 0.8;
 /**
- * A host without a summary for this long counts as unreachable: an equal part of every quota is
- * left to it. Summaries are sent every 200 ms, or less often by a host with more than 25
- * recipients.
+ * A host without a summary for this long counts as unreachable: its part of every quota is left to
+ * it. Summaries are sent every 200 ms, or less often by a host with many recipients.
  */
 const UNREACHABLE_AFTER: Milliseconds = 600;
+/**
+ * Part of the allowed excess that hosts whose share is smaller than a request may overdraw
+ * together.
+ */
+const OVERDRAWN_SLACK_SHARE = 0.75;
 
 interface SharedQuotaOptions {
   readonly now: Milliseconds;
+  readonly random: Random;
+  /** Read on each use, since a reload of the settings may change the value. */
+  readonly bounds: Pick<RelayBounds, 'quotaSlack'>;
 }
 
 interface Bucket {
@@ -25,13 +31,14 @@
   level: number;
   refilledAt: Milliseconds;
   spent: number;
-  /** Spent by the hosts whose summaries are received directly, since this process started. */
-  heardSpent: number;
+  /** Random position of this host among those of the fleet, in [0, 1). */
+  readonly position: number;
 }
 
 interface HostSpending {
   incarnation: string;
   receivedAt: Milliseconds;
+  hosts: number;
   spent: Readonly<Record<CustomerId, number>>;
 }
 
@@ -39,49 +46,32 @@
  * Maintains one token bucket per customer, shared by all hosts. Each host keeps the whole bucket
  * and deducts what the others report as spent. The share of unreachable hosts is left to them, so
  * that the total stays within the quota during a network partition. A new process starts with empty
- * buckets. In a large fleet, the spending of other failure domains arrives as totals in domain
- * reports.
+ * buckets. In a large fleet the hosts that schedule a failure domain spend for all of its hosts.
  */
 export default function createSharedQuota(options: SharedQuotaOptions): SharedQuota {
+  const { random, bounds } = options;
   const buckets = new Map<CustomerId, Bucket>();
   const spendingByHost = new Map<EntryHostId, HostSpending>();
-  const reports = createDomainReports();
-  let peers: readonly Pick<PeerAddress, 'entryHost' | 'failureDomain'>[] = [];
-  const startedAt = options.now;
+  let fleetHosts = 1;
+  let ownHosts = 1;
 
-  /** Returns the share of each quota that the reachable hosts may use together. */
+  /** Returns the share of each quota that this host and the reachable ones may use together. */
   function getReachableShare(now: Milliseconds): number {
-    const unreachablePeers = peers.filter(({ entryHost }) => isUnreachable(entryHost, now));
-    const domains = new Set(unreachablePeers.map(({ failureDomain }) => failureDomain));
-    const reportedHosts = [...domains].reduce((sum, domain) => {
-      const members = unreachablePeers.filter(({ failureDomain }) => failureDomain === domain);
-      return sum + Math.min(reports.tryGet(domain, now)?.hosts ?? 0, members.length);
-    }, 0);
-    return (peers.length + 1 - unreachablePeers.length + reportedHosts) / (peers.length + 1);
+    let reachable = ownHosts;
+    spendingByHost.forEach(({ receivedAt, hosts }) => {
+      reachable += now - receivedAt <= UNREACHABLE_AFTER ? hosts : 0;
+    });
+    return Math.min(reachable / fleetHosts, 1);
   }
 
-  function isUnreachable(host: EntryHostId, now: Milliseconds): boolean {
-    return now - (spendingByHost.get(host)?.receivedAt ?? startedAt) > UNREACHABLE_AFTER;
+  function getMaximumLevel({ quota }: Bucket, share: number): number {
+    return quota.burst * USABLE_BURST_SHARE * share;
   }
 
-  /** Deducts what was spent between two reports of the same incarnation from the buckets. */
-  function deductSpending(
-    before: Readonly<Record<CustomerId, number>>,
-    after: Readonly<Record<CustomerId, number>>,
-  ): void {
-    Object.entries(after).forEach(([customer, total]) => {
-      const bucket = buckets.get(customer);
-      if (bucket !== undefined) {
-        bucket.level -= total - (before[customer] ?? 0);
-      }
-    });
-  }
-
-  function refill(bucket: Bucket, now: Milliseconds): void {
-    const share = getReachableShare(now);
+  function refill(bucket: Bucket, now: Milliseconds, share: number): void {
     const refilled =
       (bucket.quota.ratePerSecond * share * (now - bucket.refilledAt)) / MILLISECONDS_PER_SECOND;
-    const maximumLevel = bucket.quota.burst * USABLE_BURST_SHARE * share;
+    const maximumLevel = getMaximumLevel(bucket, share);
     bucket.level = Math.min(
       Math.max(bucket.level, Math.min(bucket.level + refilled, maximumLevel)),
       maximumLevel,
@@ -89,6 +79,19 @@
     bucket.refilledAt = now;
   }
 
+  /**
+   * Returns the level from which a request may be served; the level may become negative. A host on
+   * its own in a large fleet has a share smaller than one request: of those hosts, as many may
+   * overdraw as the allowed excess covers.
+   */
+  function getRequiredLevel(bucket: Bucket, cost: number, share: number): number {
+    const required = Math.min(cost, getMaximumLevel(bucket, 1)) / 2;
+    const available = getMaximumLevel(bucket, share) / 2;
+    const overdrawingHosts = (bounds.quotaSlack * OVERDRAWN_SLACK_SHARE) / Math.max(cost, 1);
+    const mayOverdraw = bucket.position < overdrawingHosts / fleetHosts;
+    return mayOverdraw ? Math.min(required, available) : required;
+  }
+
   return {
     setQuotas(quotas, now) {
       [...buckets.keys()]
@@ -97,18 +100,20 @@
       quotas.forEach((quota, customer) => {
         const bucket = buckets.get(customer);
         if (bucket === undefined) {
-          buckets.set(customer, { quota, level: 0, refilledAt: now, spent: 0, heardSpent: 0 });
+          const position = random.next();
+          buckets.set(customer, { quota, level: 0, refilledAt: now, spent: 0, position });
           return;
         }
-        refill(bucket, now);
+        refill(bucket, now, getReachableShare(now));
         bucket.quota = quota;
         bucket.level = Math.min(bucket.level, quota.burst * USABLE_BURST_SHARE);
       });
     },
-    setPeers(next) {
-      peers = next;
+    setFleet(next) {
+      fleetHosts = Math.max(next.fleetHosts, next.ownHosts, 1);
+      ownHosts = next.ownHosts;
     },
-    recordHostSpending({ from, incarnation, spent, now }) {
+    recordHostSpending({ from, incarnation, spent, now, hosts }) {
       const before = spendingByHost.get(from);
       const isSameIncarnation = before?.incarnation === incarnation;
       if (before !== undefined) {
@@ -117,28 +122,21 @@
           const countedTotal = isSameIncarnation ? (before.spent[customer] ?? 0) : 0;
           if (bucket !== undefined) {
             bucket.level -= total - countedTotal;
-            bucket.heardSpent += total - countedTotal;
+            // The spending of a host that this one schedules is reported as this host's own.
+            bucket.spent += hosts === 0 ? total - countedTotal : 0;
           }
         });
       }
-      spendingByHost.set(from, { incarnation, receivedAt: now, spent });
-    },
-    recordDomainSpending(report, now) {
-      const before = reports.record(report, now);
-      const counted = reports.tryGet(report.failureDomain, now);
-      const isCounted =
-        counted?.entryHost === report.entryHost && before?.incarnation === report.incarnation;
-      if (isCounted) {
-        deductSpending(before.spent, report.spent);
-      }
+      spendingByHost.set(from, { incarnation, receivedAt: now, hosts, spent });
     },
     trySpend(customer, cost, now) {
       const bucket = buckets.get(customer);
       if (bucket === undefined) {
         return { kind: 'within' };
       }
-      refill(bucket, now);
-      if (bucket.level < Math.min(cost, bucket.quota.burst * USABLE_BURST_SHARE) / 2) {
+      const share = getReachableShare(now);
+      refill(bucket, now, share);
+      if (bucket.level < getRequiredLevel(bucket, cost, share)) {
         const missing = cost / 2 - bucket.level;
         const rate = Math.max(bucket.quota.ratePerSecond, 1);
         return { kind: 'over', retryAfter: (missing / rate) * MILLISECONDS_PER_SECOND };
@@ -154,12 +152,6 @@
         bucket.spent -= cost;
       }
     },
-    getReachableSpent: (now) => ({
-      hosts: 1 + peers.filter(({ entryHost }) => !isUnreachable(entryHost, now)).length,
-      spent: Object.fromEntries(
-        [...buckets].map(([customer, { spent, heardSpent }]) => [customer, spent + heardSpent]),
-      ),
-    }),
     getSpent: () =>
       Object.fromEntries([...buckets].map(([customer, bucket]) => [customer, bucket.spent])),
   };
--- /dev/null
+++ b/packages/relay/src/decisions/selectNewerState.ts
@@ -0,0 +1,16 @@
+import type { ClusterState, ClusterStateVersions } from '../types';
+
+/** Returns a state without the parts whose versions are not newer than the known ones. */
+export default function selectNewerState(
+  state: ClusterState,
+  known: ClusterStateVersions,
+): ClusterState {
+  return {
+    ...state,
+    configuration:
+      state.configurationVersion > known.configurationVersion ? state.configuration : undefined,
+    servers: state.serversVersion > known.serversVersion ? state.servers : undefined,
+    evacuated: state.evacuatedVersion > known.evacuatedVersion ? state.evacuated : undefined,
+    peers: state.rosterVersion > known.rosterVersion ? state.peers : undefined,
+  };
+}
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -1,8 +1,8 @@
-import type { DomainReport, PeerAddress, Quota, Route, Priority } from '../types';
+import type { ListedServer, Priority, Quota, Route } from '../types';
 import type {
+  BackendServerId,
   CustomerId,
   EntryHostId,
-  FailureDomainId,
   Milliseconds,
   TierRank,
 } from '@rattanreel/core';
@@ -20,29 +20,35 @@
 export type QuotaDecision =
   { readonly kind: 'within' } | { readonly kind: 'over'; readonly retryAfter: Milliseconds };
 
+export interface ServerEmbargo {
+  /** Records that a server announced that it is leaving. */
+  recordLeaving(server: ListedServer, now: Milliseconds): void;
+  /** Records that a server wants nothing from this host for a time. */
+  recordTurnedAway(server: ListedServer, retryAfter: Milliseconds, now: Milliseconds): void;
+  isEmbargoed(server: ListedServer, now: Milliseconds): boolean;
+  list(now: Milliseconds): readonly BackendServerId[];
+  /** Ends the embargo on names that another process of the list has taken over. */
+  retainServers(servers: ReadonlyMap<BackendServerId, ListedServer>): void;
+}
+
 export interface SharedQuota {
   setQuotas(quotas: ReadonlyMap<CustomerId, Quota>, now: Milliseconds): void;
-  /** Sets the other hosts of the fleet, reachable or not. */
-  setPeers(peers: readonly Pick<PeerAddress, 'entryHost' | 'failureDomain'>[]): void;
+  /** Sets the number of hosts of the fleet, and of those for which this host spends. */
+  setFleet(fleet: { readonly fleetHosts: number; readonly ownHosts: number }): void;
   /** Records what another host has spent since its process started. */
   recordHostSpending(report: {
     readonly from: EntryHostId;
     readonly incarnation: string;
+    /** Number of hosts for which it spends; 0 for a host that this one schedules. */
+    readonly hosts: number;
     readonly spent: Readonly<Record<CustomerId, number>>;
     readonly now: Milliseconds;
   }): void;
-  /** Records what the hosts of another failure domain have spent together. */
-  recordDomainSpending(report: DomainReport, now: Milliseconds): void;
   trySpend(customer: CustomerId, cost: number, now: Milliseconds): QuotaDecision;
   /** Refunds the cost of a request that did not run. */
   refund(customer: CustomerId, cost: number): void;
   /** Returns what this process has spent since its start, by customer. */
   getSpent(): Readonly<Record<CustomerId, number>>;
-  /**
-   * Returns what this process, and the hosts whose summaries it receives directly, have spent since
-   * its start, and the number of those hosts including this one.
-   */
-  getReachableSpent(now: Milliseconds): Pick<DomainReport, 'hosts' | 'spent'>;
 }
 
 export interface SlotCounts {
@@ -82,12 +88,3 @@
   /** Deletes the statistics of all other routes. */
   retainRoutes(routes: ReadonlySet<string>): void;
 }
-
-export interface DomainReports {
-  /** Records a report; returns the previous one of the same reporter. */
-  record(report: DomainReport, now: Milliseconds): DomainReport | undefined;
-  /** Returns the report in force for a failure domain; undefined if the domain is unreachable. */
-  tryGet(domain: FailureDomainId, now: Milliseconds): DomainReport | undefined;
-  /** Lists one report for each reachable domain. */
-  listCurrent(now: Milliseconds): readonly DomainReport[];
-}
--- a/packages/relay/src/front/createRequestObserver.ts
+++ b/packages/relay/src/front/createRequestObserver.ts
@@ -1,5 +1,5 @@
 import type { Logger } from '@rattanreel/observability';
-import type { AttemptOutcome, ServerState } from '../types';
+import type { AttemptOutcome } from '../types';
 import type { DecisionBasis, RelayMetrics, RequestObserver, RequestPlan } from './types';
 
 interface RequestObserverOptions {
@@ -24,17 +24,6 @@
     };
   }
 
-  function describeServer(server: ServerState): object {
-    return {
-      server: server.listed.id,
-      own: server.ownInFlight,
-      others: server.peerInFlight,
-      slowness: Number(server.slowness.toFixed(2)),
-      failures: server.consecutiveFailures,
-      avoidedFor: Math.max(Math.round(server.backoffUntil - now()), 0),
-    };
-  }
-
   function isSuccessful(end: AttemptOutcome): boolean {
     return end.kind === 'whole' && end.status < 500;
   }
@@ -51,16 +40,16 @@
         'request refused',
       );
     },
-    dispatched(plan, server, attempt, waiting) {
+    dispatched(plan, server, view, attempt) {
       metrics.countAttempt(attempt);
       logger.info(
-        { ...describe(plan), ...describeServer(server), attempt, waiting, basis: getBasis() },
+        { ...describe(plan), server, ...view, attempt, basis: getBasis() },
         'request dispatched',
       );
     },
     attemptEnded(plan, server, end) {
       if (!isSuccessful(end)) {
-        logger.info({ ...describe(plan), ...describeServer(server), end }, 'attempt failed');
+        logger.info({ ...describe(plan), server, end }, 'attempt failed');
       }
     },
     completed(plan, server, figures) {
@@ -68,7 +57,7 @@
       logger.info(
         {
           ...describe(plan),
-          server: server.listed.id,
+          server,
           promptTokens: plan.promptTokens,
           outputTokens: plan.outputTokens,
           figures,
--- a/packages/relay/src/front/refuseOrFail.ts
+++ b/packages/relay/src/front/refuseOrFail.ts
@@ -1,11 +1,10 @@
-import type { RefusalReason } from '../types';
-import type { ResponseRelay, RelayRequestOptions } from './types';
+import type { Refusal, RelayRequestOptions, ResponseRelay } from './types';
 
 interface RefuseOrFailOptions extends RelayRequestOptions {
   readonly response: ResponseRelay;
   /** Whether an earlier attempt may have run. */
   readonly mayHaveRun: boolean;
-  readonly reason: RefusalReason;
+  readonly refusal: Refusal;
 }
 
 /**
@@ -13,12 +12,13 @@
  * otherwise fails it.
  */
 export default function refuseOrFail(options: RefuseOrFailOptions): void {
-  const { exchange, response, mayHaveRun, reason } = options;
+  const { exchange, response, mayHaveRun, refusal } = options;
   if (response.isCommitted()) {
     exchange.abort();
   } else if (mayHaveRun) {
+    const { reason } = refusal;
     options.sendFailure(reason === 'deadlinePassed' ? 504 : 502, reason);
   } else {
-    options.refuse(reason);
+    options.refuse(refusal);
   }
 }
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -1,27 +1,27 @@
 import { createRequestLifecycle } from '@rattanreel/dispatch';
 import { Debug } from '@rattanreel/core';
-import type { BackendServerId, Milliseconds, Timer } from '@rattanreel/core';
+import type { BackendServerId, Timer } from '@rattanreel/core';
 import type { AttemptFigures } from '../pools/types';
 import type { Attempt } from '../servers/types';
-import type { RefusalReason, ServerState, QueuedRequest } from '../types';
+import type { SlotGrant } from '../admission/types';
 import failRequest from './failRequest';
+import getFirstDataTimeout from './getFirstDataTimeout';
 import refuseOrFail from './refuseOrFail';
 import createStreamedResponse from './createStreamedResponse';
 import createResumableResponse from './createResumableResponse';
 import createBufferedResponse from './createBufferedResponse';
 import decideAfterAttempt from './decideAfterAttempt';
 import startAttempt from './startAttempt';
-import type { ResponseRelay, CallerExchange, RelayRequestOptions, RequestPlan } from './types';
+import type {
+  CallerExchange,
+  Refusal,
+  RelayRequestOptions,
+  RequestPlan,
+  ResponseRelay,
+} from './types';
 
 /** Failed connection attempts, none of which wrote a byte, before a request is refused. */
 const MAXIMUM_CONNECT_FAILURES = 4;
-/**
- * Multiple of the route's objective after which an attempt without any data is aborted, if the
- * request may be retried.
- */
-const FIRST_DATA_TIMEOUT_OBJECTIVES = 3;
-const MINIMUM_FIRST_DATA_TIMEOUT: Milliseconds = 1_000;
-
 function createResponseRelay(plan: RequestPlan, exchange: CallerExchange): ResponseRelay {
   if (plan.route.kind !== 'stream') {
     return createBufferedResponse(exchange);
@@ -33,8 +33,8 @@
 
 /** Queues a request, dispatches its attempts and forwards its response, which is sent once. */
 export default function relayRequest(options: RelayRequestOptions): void {
-  const { clock, exchange, plan, queue, observer } = options;
-  const { route } = plan;
+  const { clock, exchange, plan, pool, admission, observer } = options;
+  const { route, customer } = plan;
   const isRetryable = route.kind === 'idempotent' || route.isResumable;
   const lifecycle = createRequestLifecycle();
   const response = createResponseRelay(plan, exchange);
@@ -45,20 +45,14 @@
   let attempt: Attempt | undefined;
   let firstDataTimer: Timer | undefined;
   let isDone = false;
-
-  const queuedRequest: QueuedRequest = {
-    id: plan.requestId,
-    priority: plan.priority,
-    outputTokens: plan.outputTokens,
-    excludedServers: triedServers,
-    onGranted: dispatch,
-    onRefused: (reason) => giveUp(reason),
-  };
+  /** Whether the customer's quota is charged with this request. */
+  let isCharged = false;
+  let cancelSlotRequest = (): void => undefined;
 
   const deadlineTimer = clock.after(Math.max(plan.deadlineAt - clock.now(), 0), () => {
     if (attempt === undefined) {
-      queue.cancel(queuedRequest);
-      giveUp('deadlinePassed');
+      cancelSlotRequest();
+      giveUp({ reason: 'deadlinePassed' });
     } else {
       attempt.abort('timeout');
     }
@@ -72,18 +66,27 @@
   }
 
   /** Ends a request that has no attempt in flight. */
-  function giveUp(reason: RefusalReason): void {
-    if (!isDone) {
-      finish();
-      refuseOrFail({ ...options, response, mayHaveRun, reason });
+  function giveUp(refusal: Refusal): void {
+    if (isDone) {
+      return;
     }
+    finish();
+    if (isCharged && !mayHaveRun && customer !== undefined) {
+      admission.refund(customer.name, plan.cost);
+    }
+    refuseOrFail({ ...options, response, mayHaveRun, refusal });
   }
 
-  function enqueue(): void {
-    const admission = queue.enqueue(queuedRequest);
-    if (admission.kind === 'refused') {
-      giveUp(admission.reason);
-    }
+  function requestSlot(): void {
+    cancelSlotRequest = admission.requestSlot({
+      ...plan,
+      pool,
+      customer: customer?.name,
+      cost: isCharged ? 0 : plan.cost,
+      excludedServers: triedServers,
+      onGranted: dispatch,
+      onRefused: giveUp,
+    });
   }
 
   /**
@@ -98,35 +101,33 @@
   function startFirstDataTimer(): void {
     firstDataTimer?.cancel();
     if (isRetryable && sentAttempts < route.maximumAttempts) {
-      const firstDataTimeout = Math.max(
-        route.objective * FIRST_DATA_TIMEOUT_OBJECTIVES,
-        MINIMUM_FIRST_DATA_TIMEOUT,
-      );
-      firstDataTimer = clock.after(firstDataTimeout, () => attempt?.abort('silent'));
+      firstDataTimer = clock.after(getFirstDataTimeout(route), () => attempt?.abort('silent'));
     }
   }
 
-  function dispatch(server: ServerState): void {
+  function dispatch(grant: SlotGrant): void {
+    const { id } = grant.server;
     if (!tryMarkDispatched()) {
       finish();
-      queue.releaseUnusedSlot(server, plan.priority.tier);
+      grant.release();
       options.sendFailure(502, 'dispatchedTwice');
       return;
     }
-    triedServers.add(server.listed.id);
+    isCharged = true;
+    triedServers.add(id);
     sentAttempts += 1;
-    observer.dispatched(plan, server, sentAttempts, queue.size);
+    observer.dispatched(plan, id, grant.view, sentAttempts);
     startFirstDataTimer();
     attempt = startAttempt({
       ...options,
-      server,
+      grant,
       response,
       onData: () => firstDataTimer?.cancel(),
       onEnd(figures) {
         firstDataTimer?.cancel();
         attempt = undefined;
-        queue.completeAttempt(server, plan.priority.tier, figures);
-        handleAttemptEnd(server, figures);
+        grant.complete(figures);
+        handleAttemptEnd(id, figures);
       },
     });
     if (isDone) {
@@ -134,7 +135,7 @@
     }
   }
 
-  function handleAttemptEnd(server: ServerState, figures: AttemptFigures): void {
+  function handleAttemptEnd(server: BackendServerId, figures: AttemptFigures): void {
     const { end } = figures;
     observer.attemptEnded(plan, server, end);
     if (isDone) {
@@ -153,7 +154,7 @@
       canResume: route.isResumable,
       hasAttemptsLeft: sentAttempts < route.maximumAttempts,
       hasConnectAttemptsLeft: connectFailures < MAXIMUM_CONNECT_FAILURES,
-      trySpendRetry: () => queue.trySpendRetry(),
+      trySpendRetry: () => admission.trySpendRetry(pool),
     });
     switch (next) {
       case 'complete':
@@ -163,13 +164,13 @@
         return;
       case 'repeatUnsent':
         lifecycle.tryRequeueUnsent();
-        enqueue();
+        requestSlot();
         return;
       case 'repeat':
-        enqueue();
+        requestSlot();
         return;
       case 'refuse':
-        giveUp(end.kind === 'notRun' ? 'serverFull' : 'notConnected');
+        giveUp({ reason: end.kind === 'notRun' ? 'serverFull' : 'notConnected' });
         return;
       case 'fail':
         finish();
@@ -190,9 +191,9 @@
     }
     finish();
     observer.callerGone(plan);
-    queue.cancel(queuedRequest);
+    cancelSlotRequest();
     attempt?.abort('callerGone');
   });
-  queue.recordRequest();
-  enqueue();
+  admission.recordRequest(pool);
+  requestSlot();
 }
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -1,6 +1,6 @@
 import type { Attempt } from '../servers/types';
 import type { AttemptFigures } from '../pools/types';
-import type { ServerState } from '../types';
+import type { SlotGrant } from '../admission/types';
 import createAttemptHeaders from './createAttemptHeaders';
 import createAttemptMeter from './createAttemptMeter';
 import tryParseLoad from './tryParseLoad';
@@ -9,7 +9,7 @@
 const HTTP_OK = 200;
 
 interface StartAttemptOptions extends RelayRequestOptions {
-  readonly server: ServerState;
+  readonly grant: SlotGrant;
   readonly response: ResponseRelay;
   readonly onData: () => void;
   /** Called once, after all other callbacks. */
@@ -18,19 +18,20 @@
 
 /** Sends a request to one backend server and forwards its response. */
 export default function startAttempt(options: StartAttemptOptions): Attempt {
-  const { clock, exchange, plan, names, server, response, queue } = options;
+  const { clock, exchange, plan, names, grant, response, embargo } = options;
+  const { server } = grant;
   const meter = createAttemptMeter(clock, plan.outputTokens);
   let isAccepted = true;
   const headers = createAttemptHeaders({
     exchange,
     plan,
     names,
-    server: server.listed.id,
+    server: server.id,
     now: clock.now(),
     lastEventId: response.getLastEventId(),
   });
   return options.connections.send(
-    server.listed,
+    server,
     {
       requestId: plan.requestId,
       method: exchange.method,
@@ -39,12 +40,17 @@
       body: exchange.body,
       requestIdHeader: names.requestId,
       notRunHeader: names.notRun,
+      retryAfterHeader: names.retryAfter,
     },
     {
       onHead(head) {
         const load = tryParseLoad(head.headers[names.load]);
         if (load !== undefined) {
-          queue.recordLoadReport(server, load.running, load.waiting);
+          grant.recordLoad(load.running, load.waiting);
+        }
+        if (head.headers[names.leaving] !== undefined) {
+          embargo.recordLeaving(server, clock.now());
+          grant.recordLeaving();
         }
         // Only a 200 response continues a resumed stream; any other is not part of it.
         isAccepted = !response.isCommitted() || head.status === HTTP_OK;
@@ -58,6 +64,9 @@
         return isAccepted ? response.onData(chunk) : true;
       },
       onEnd(end) {
+        if (end.kind === 'notRun' && end.retryAfter !== undefined) {
+          embargo.recordTurnedAway(server, end.retryAfter, clock.now());
+        }
         const isUnexpected = end.kind === 'whole' && !isAccepted;
         options.onEnd(
           meter.getFigures(isUnexpected ? { kind: 'broken', reason: 'not resumed' } : end),
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -1,6 +1,6 @@
 /** Types of a caller's request and of the response to it. */
 import type { Gauge as GaugeDefinition } from '@rattanreel/observability';
-import type { Clock, Milliseconds } from '@rattanreel/core';
+import type { BackendServerId, Clock, Milliseconds, PoolId } from '@rattanreel/core';
 import type {
   AttemptOutcome,
   ClusterStateVersions,
@@ -8,10 +8,11 @@
   RefusalReason,
   RelayCustomer,
   Route,
-  ServerState,
   Priority,
 } from '../types';
-import type { AttemptFigures, PoolQueue, PoolState } from '../pools/types';
+import type { Admission, ServerView } from '../admission/types';
+import type { ServerEmbargo } from '../decisions/types';
+import type { AttemptFigures, PoolState } from '../pools/types';
 import type { ResponseHead, ServerConnections } from '../servers/types';
 
 /** A caller's request with its complete body, and the operations that respond to it. */
@@ -80,9 +81,9 @@
     retryAfter: number,
     poolState?: PoolState,
   ): void;
-  dispatched(plan: RequestPlan, server: ServerState, attempt: number, queuedRequests: number): void;
-  attemptEnded(plan: RequestPlan, server: ServerState, end: AttemptOutcome): void;
-  completed(plan: RequestPlan, server: ServerState, figures: AttemptFigures): void;
+  dispatched(plan: RequestPlan, server: BackendServerId, view: ServerView, attempt: number): void;
+  attemptEnded(plan: RequestPlan, server: BackendServerId, end: AttemptOutcome): void;
+  completed(plan: RequestPlan, server: BackendServerId, figures: AttemptFigures): void;
   failed(plan: RequestPlan, status: number, code: string): void;
   brokenOff(plan: RequestPlan, reason: 'timeout' | 'serverBroke'): void;
   callerGone(plan: RequestPlan): void;
@@ -112,17 +113,27 @@
   scrape(): Promise<string>;
 }
 
+/** Why a request is refused, and what the refusal is based on. */
+export interface Refusal {
+  readonly reason: RefusalReason;
+  /** Time after which the caller may return; a part of its remaining time if undefined. */
+  readonly retryAfter?: Milliseconds;
+  readonly pool?: PoolState;
+}
+
 /** A planned request and what relaying it needs. */
 export interface RelayRequestOptions {
   readonly clock: Clock;
   readonly exchange: CallerExchange;
   readonly plan: RequestPlan;
-  readonly queue: PoolQueue;
+  readonly pool: PoolId;
+  readonly admission: Admission;
+  readonly embargo: ServerEmbargo;
   readonly connections: ServerConnections;
   readonly names: HeaderNames;
   readonly observer: RequestObserver;
   /** Refuses the request and reports that it has not run. */
-  readonly refuse: (reason: RefusalReason) => void;
+  readonly refuse: (refusal: Refusal) => void;
   /** Responds that the request failed and may have run. */
   readonly sendFailure: (status: 502 | 504, code: string) => void;
 }
--- a/packages/relay/src/peers/createPeerSync.ts
+++ b/packages/relay/src/peers/createPeerSync.ts
@@ -1,13 +1,6 @@
-import type { Clock, EntryHostId, Milliseconds, Timer } from '@rattanreel/core';
-import type { Logger } from '@rattanreel/observability';
-import type {
-  ClusterState,
-  ClusterStateVersions,
-  HostChange,
-  HostSummary,
-  PeerAddress,
-} from '../types';
-import isLargeFleet from '../decisions/isLargeFleet';
+import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
+import type chooseSummaryRecipients from '../decisions/chooseSummaryRecipients';
+import type { HostChange, HostSummary } from '../types';
 import type { RelayTransport } from './types';
 
 /** Time between two complete summaries. */
@@ -16,59 +9,32 @@
 const SCARCE_INTERVAL: Milliseconds = 20;
 const CHANGE_INTERVAL: Milliseconds = 100;
 /**
- * With more peers, messages are sent less often, so that sending takes only a few percent of a
+ * With more recipients, messages are sent less often, so that sending takes only a few percent of a
  * core.
  */
-const INTERVAL_PER_PEER: Milliseconds = 4;
-/**
- * The same for a host with more recipients than a small fleet has peers, since it has the least
- * processor time to spare.
- */
-const LARGE_FLEET_INTERVAL_PER_PEER: Milliseconds = 8;
-/** Minimum time between two fetches of a peer's cluster state. */
-const FETCH_INTERVAL: Milliseconds = 200;
-/** Time for which a host waits for the store to deliver a state that a peer already has. */
-const STALE_STATE_GRACE_PERIOD: Milliseconds = 250;
-const FETCH_TIMEOUT: Milliseconds = 700;
+const INTERVAL_PER_RECIPIENT: Milliseconds = 4;
 
 interface PeerSyncOptions {
   readonly clock: Clock;
-  readonly logger: Logger;
-  readonly transport: RelayTransport;
+  readonly transport: Pick<RelayTransport, 'send'>;
   readonly getSummary: () => HostSummary;
-  readonly getVersions: () => ClusterStateVersions;
-  readonly onClusterState: (state: ClusterState) => void;
+  readonly listRecipients: () => ReturnType<typeof chooseSummaryRecipients>;
 }
 
 interface PeerSync {
-  setPeers(peers: readonly PeerAddress[]): void;
   /**
    * Announces to the peers that the requests in flight or queued changed; sooner if capacity is
    * scarce.
    */
   announceChange(isScarce: boolean): void;
-  /** Compares a peer's versions with this host's, and fetches its state if it stays newer. */
-  handleSummary(summary: HostSummary): void;
-  /** Fetches the cluster state from hosts whose addresses may be out of date. */
-  fetchClusterStateFrom(addresses: readonly string[]): Promise<void>;
   stop(): void;
 }
 
-function isNewer(summary: ClusterStateVersions, own: ClusterStateVersions): boolean {
-  return (
-    summary.configurationVersion > own.configurationVersion ||
-    summary.serversVersion > own.serversVersion ||
-    summary.evacuatedVersion > own.evacuatedVersion
-  );
-}
-
-/** Sends this host's summaries and changes to its peers, and fetches state that it has missed. */
+/** Sends this host's summaries and changes to its peers. */
 export default function createPeerSync(options: PeerSyncOptions): PeerSync {
-  const { clock, logger, transport } = options;
-  let peers: readonly PeerAddress[] = [];
+  const { clock, transport } = options;
+  let recipients = options.listRecipients();
   let timer: Timer | undefined;
-  const staleSince = new Map<EntryHostId, Milliseconds>();
-  let lastFetchedAt = -Infinity;
   let lastSummary: HostSummary | undefined;
   let lastSentAt = -Infinity;
   let lastSummaryAt = -Infinity;
@@ -76,8 +42,7 @@
   let isStopped = false;
 
   function getInterval(shortest: Milliseconds): Milliseconds {
-    const perPeer = isLargeFleet(peers.length) ? LARGE_FLEET_INTERVAL_PER_PEER : INTERVAL_PER_PEER;
-    return Math.max(shortest, peers.length * perPeer);
+    return Math.max(shortest, recipients.direct.length * INTERVAL_PER_RECIPIENT);
   }
 
   function scheduleSend(interval: Milliseconds): void {
@@ -100,24 +65,22 @@
   }
 
   function sendUpdate(): void {
-    const summary = options.getSummary();
-    const change = tryGetChange(summary);
-    peers.forEach(({ address }) => transport.send(address, change ?? summary));
-    lastSummary = summary;
+    recipients = options.listRecipients();
+    const { direct, standby } = recipients;
+    if (direct.length + standby.length > 0) {
+      const summary = options.getSummary();
+      const change = tryGetChange(summary);
+      direct.forEach(({ address }) => transport.send(address, change ?? summary));
+      if (change === undefined) {
+        standby.forEach(({ address }) => transport.send(address, summary));
+      }
+      lastSummary = summary;
+      lastSummaryAt = change === undefined ? clock.now() : lastSummaryAt;
+    }
     lastSentAt = clock.now();
-    lastSummaryAt = change === undefined ? lastSentAt : lastSummaryAt;
     scheduleSend(getInterval(SUMMARY_INTERVAL));
   }
 
-  async function fetchClusterState(address: string, host: EntryHostId | undefined): Promise<void> {
-    const result = await transport.ask(address, { kind: 'beliefs' }, FETCH_TIMEOUT);
-    if (result.kind === 'ok') {
-      options.onClusterState(result.value);
-    } else {
-      logger.warn({ host, address, error: result.error }, 'cannot fetch cluster state from host');
-    }
-  }
-
   scheduleSend(SUMMARY_INTERVAL);
   return {
     announceChange(isScarce) {
@@ -127,25 +90,6 @@
         scheduleSend(earliestSendAt - clock.now());
       }
     },
-    setPeers(next) {
-      peers = next;
-    },
-    handleSummary(summary) {
-      const now = clock.now();
-      if (!isNewer(summary, options.getVersions())) {
-        staleSince.delete(summary.entryHost);
-        return;
-      }
-      const since = staleSince.get(summary.entryHost) ?? now;
-      staleSince.set(summary.entryHost, since);
-      if (now - since >= STALE_STATE_GRACE_PERIOD && now - lastFetchedAt > FETCH_INTERVAL) {
-        lastFetchedAt = now;
-        void fetchClusterState(summary.address, summary.entryHost);
-      }
-    },
-    async fetchClusterStateFrom(addresses) {
-      await Promise.all(addresses.map((address) => fetchClusterState(address, undefined)));
-    },
     stop() {
       isStopped = true;
       timer?.cancel();
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -4,8 +4,7 @@
 
 /**
  * A host without a message for this long counts as unreachable; its summary no longer shows what it
- * has in flight and is ignored. Hosts send a message at least every 200 ms, or every 8 ms times the
- * number of recipients if that is longer.
+ * has in flight and is ignored. Hosts send a message at least every 200 ms.
  */
 const SUMMARY_TTL: Milliseconds = 1_000;
 
@@ -34,11 +33,13 @@
   return {
     record(message, now) {
       const { entryHost } = message;
+      const received = receivedByHost.get(entryHost);
+      const isNew = received === undefined || now - received.receivedAt >= SUMMARY_TTL;
       if (message.kind === 'summary') {
         receivedByHost.set(entryHost, { summary: message, receivedAt: now });
-        return;
+        return isNew;
       }
-      const known = receivedByHost.get(entryHost)?.summary;
+      const known = received?.summary;
       if (known !== undefined) {
         const { tiers, waiting } = message;
         const inFlight = { ...known.inFlight, ...message.inFlight };
@@ -47,6 +48,7 @@
           receivedAt: now,
         });
       }
+      return isNew && known !== undefined;
     },
     countInFlight: (now) =>
       sumCounts(listReachable(now).map(({ inFlight }) => Object.entries(inFlight))),
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -1,37 +1,53 @@
-import type { Clock, EntryHostId, Milliseconds } from '@rattanreel/core';
+import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
+import type { Respond, SchedulerRequest, SchedulerResponse, Sender } from '../admission/types';
+import listDomainCandidates from '../admission/listDomainCandidates';
 import createHostSummary from '../createHostSummary';
-import isLargeFleet from '../decisions/isLargeFleet';
 import chooseSummaryRecipients from '../decisions/chooseSummaryRecipients';
 import type { SharedQuota } from '../decisions/types';
 import type {
   ClusterStateCache,
+  ClusterStateVersions,
+  FleetRole,
+  HostChange,
   HostMessage,
   HostSummary,
   PeerAddress,
   PeerTable,
   Pools,
 } from '../types';
-import sumCounts from '../decisions/sumCounts';
-import createPeerSync from './createPeerSync';
 import createPeerReachabilityLog from './createPeerReachabilityLog';
-import createDomainSync from './createDomainSync';
-import openRelayTransport from './openRelayTransport';
+import createPeerSync from './createPeerSync';
+import createStateFetcher from './createStateFetcher';
+import type { OpenTransport } from './types';
 
+/** Minimum time between two pool updates, since hundreds of messages may arrive per second. */
+const POOL_UPDATE_INTERVAL: Milliseconds = 5;
 /**
- * Minimum time between two pool updates in a large fleet, where hundreds of messages arrive per
- * second.
+ * Candidates of each failure domain that receive summaries although nothing is heard from them:
+ * the scheduler and the host that would replace it.
  */
-const POOL_UPDATE_INTERVAL: Milliseconds = 10;
+const CANDIDATES_PER_DOMAIN = 2;
 
 interface PeerLinkOptions {
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly self: Pick<HostSummary, 'entryHost' | 'incarnation' | 'failureDomain' | 'address'>;
+  readonly openTransport: OpenTransport;
+  readonly self: PeerAddress & Pick<HostSummary, 'incarnation'>;
   readonly stateCache: ClusterStateCache;
   readonly peerTable: PeerTable;
   readonly pools: Pools;
   readonly quota: SharedQuota;
+  readonly getRole: () => FleetRole;
+  readonly isWatchingStore: () => boolean;
+  readonly onSchedulerRequest: (
+    sender: Sender,
+    message: SchedulerRequest,
+    respond: Respond,
+  ) => void;
+  readonly onSchedulerResponse: (sender: Sender, message: SchedulerResponse) => void;
+  /** Called after a message changed which hosts are reachable. */
+  readonly onReachableChange: () => void;
 }
 
 interface PeerLink {
@@ -41,6 +57,9 @@
    * scarce.
    */
   announceChange(isScarce: boolean): void;
+  send(host: PeerAddress, message: HostMessage): void;
+  /** Fetches the cluster state of a host if its versions are newer than those of this host. */
+  handleVersions(host: Pick<PeerAddress, 'entryHost' | 'address'> & ClusterStateVersions): void;
   /** Fetches the cluster state from hosts whose addresses may be out of date. */
   fetchClusterStateFrom(addresses: readonly string[]): Promise<void>;
   /** Stops sending to the other hosts; they may still query this host until `close`. */
@@ -51,42 +70,21 @@
 /** Connects this host with its peers to share load, spending and cluster state. */
 export default async function openPeerLink(options: PeerLinkOptions): Promise<PeerLink> {
   const { clock, logger, self, stateCache, peerTable, pools, quota } = options;
-
-  let isLarge = false;
+  let peers: readonly PeerAddress[] = [];
+  let candidates: readonly PeerAddress[] = [];
   let isUpdateScheduled = false;
 
-  function listSameDomainHosts(): readonly EntryHostId[] {
-    return peerTable
-      .listReachable(clock.now())
-      .filter(({ failureDomain }) => failureDomain === self.failureDomain)
-      .map(({ entryHost }) => entryHost);
-  }
-
   /** Updates the pools with the load of the other hosts. */
   function updatePools(): void {
     const now = clock.now();
-    const counts = sumCounts([peerTable.countInFlight(now), domainSync.countRemoteInFlight()]);
+    const counts = peerTable.countInFlight(now);
     pools.forEachQueue((queue, pool) =>
       queue.setPeerLoad(counts, peerTable.countByTier(pool, now), peerTable.countQueued(pool, now)),
     );
   }
 
-  function handleMessage(message: HostMessage): void {
-    const now = clock.now();
-    if (message.kind === 'domain') {
-      domainSync.handleReport(message, 'sent');
-      return;
-    }
-    peerTable.record(message, now);
-    if (message.kind === 'summary') {
-      stateCache.upsertPeer(message);
-      quota.recordHostSpending({ ...message, from: message.entryHost, now });
-      message.farReports?.forEach((report) => domainSync.handleReport(report, 'passedOn'));
-      peerSync.handleSummary(message);
-    }
-    if (!isLarge) {
-      updatePools();
-    } else if (!isUpdateScheduled) {
+  function scheduleUpdate(): void {
+    if (!isUpdateScheduled) {
       isUpdateScheduled = true;
       clock.after(POOL_UPDATE_INTERVAL, () => {
         isUpdateScheduled = false;
@@ -95,35 +93,88 @@
     }
   }
 
-  const transport = await openRelayTransport({
+  function handleSummary(message: HostSummary | HostChange): void {
+    const now = clock.now();
+    const isNew = peerTable.record(message, now);
+    if (message.kind === 'summary') {
+      if (!options.getRole().isLarge) {
+        stateCache.upsertPeer(message);
+      }
+      quota.recordHostSpending({ ...message, from: message.entryHost, now });
+      pools.markLeaving(message.leaving ?? []);
+      stateFetcher.handleVersions(message);
+    }
+    if (isNew) {
+      options.onReachableChange();
+    }
+    if (options.getRole().isLarge) {
+      scheduleUpdate();
+    } else {
+      updatePools();
+    }
+  }
+
+  function handleMessage(sender: Sender, message: HostMessage, respond: Respond): void {
+    switch (message.kind) {
+      case 'summary':
+      case 'change':
+        handleSummary(message);
+        return;
+      case 'ask':
+      case 'cancel':
+      case 'return':
+      case 'serverReport':
+      case 'refund':
+      case 'report':
+      case 'probe':
+      case 'leave':
+        options.onSchedulerRequest(sender, message, respond);
+        return;
+      case 'granted':
+      case 'refused':
+      case 'queued':
+      case 'unknown':
+      case 'status':
+        options.onSchedulerResponse(sender, message);
+        return;
+      default:
+        message satisfies never;
+    }
+  }
+
+  const transport = await options.openTransport({
     identity: self,
     listenAddress: self.address,
     onMessage: handleMessage,
-    getClusterState: () => stateCache.get(),
+    getClusterState: (query) => stateCache.getSince(query),
   });
-  const domainSync = createDomainSync({
+  const stateFetcher = createStateFetcher({
     clock,
+    logger,
     transport,
-    quota,
-    self,
-    countDomainInFlight: () =>
-      sumCounts([peerTable.countInFlight(clock.now()), pools.countOwnInFlight()]),
-    listSameDomainHosts,
+    getVersions: stateCache.getVersions,
+    onClusterState: stateCache.merge,
+    isWatchingStore: options.isWatchingStore,
+    isGranting: () => options.getRole().isGranting,
   });
   const peerSync = createPeerSync({
     clock,
-    logger,
     transport,
     getSummary: () =>
       createHostSummary({
         ...self,
         pools,
         spent: quota.getSpent(),
-        farReports: domainSync.listReportsToRelay(),
+        hosts: options.getRole().ownHosts,
         versions: stateCache.getVersions(),
       }),
-    getVersions: stateCache.getVersions,
-    onClusterState: stateCache.merge,
+    listRecipients: () =>
+      chooseSummaryRecipients({
+        role: options.getRole(),
+        peers,
+        candidates,
+        reachable: peerTable.listReachable(clock.now()),
+      }),
   });
 
   const reachabilityLog = createPeerReachabilityLog({
@@ -133,17 +184,23 @@
   });
 
   return {
-    setPeers(peers) {
-      isLarge = isLargeFleet(peers.length);
-      quota.setPeers(peers);
-      domainSync.setPeers(peers);
-      peerSync.setPeers(chooseSummaryRecipients(peers, self.failureDomain));
+    setPeers(next) {
+      peers = next;
+      candidates = listDomainCandidates([self, ...peers], CANDIDATES_PER_DOMAIN).filter(
+        ({ entryHost }) => entryHost !== self.entryHost,
+      );
+    },
+    announceChange(isScarce) {
+      const role = options.getRole();
+      if (!role.isLarge || role.isGranting) {
+        peerSync.announceChange(isScarce);
+      }
     },
-    announceChange: peerSync.announceChange,
-    fetchClusterStateFrom: peerSync.fetchClusterStateFrom,
+    send: (host, message) => transport.send(host.address, message),
+    handleVersions: stateFetcher.handleVersions,
+    fetchClusterStateFrom: stateFetcher.fetchFrom,
     stop() {
       peerSync.stop();
-      domainSync.stop();
       reachabilityLog.stop();
     },
     close: transport.close,
--- a/packages/relay/src/peers/openRelayTransport.ts
+++ b/packages/relay/src/peers/openRelayTransport.ts
@@ -1,15 +1,6 @@
 import { createPeerTransport } from '@rattanreel/transport';
-import type { PeerIdentity } from '@rattanreel/transport';
 import type { ClusterState, HostMessage, PeerQuery } from '../types';
-import type { RelayTransport } from './types';
-
-interface RelayTransportOptions {
-  readonly identity: PeerIdentity;
-  /** HOST:PORT. */
-  readonly listenAddress: string;
-  readonly onMessage: (message: HostMessage) => void;
-  readonly getClusterState: () => ClusterState;
-}
+import type { RelayTransport, RelayTransportOptions } from './types';
 
 /** Opens the transport between hosts. Throws if it cannot listen on the address. */
 export default async function openRelayTransport(
@@ -19,8 +10,8 @@
     identity: options.identity,
     listenAddress: options.listenAddress,
     security: { kind: 'plainTrustedNetwork' },
-    onMessage: ({ body }) => options.onMessage(body),
-    onQuestion: async () => options.getClusterState(),
+    onMessage: ({ from, body }, respond) => options.onMessage(from, body, respond),
+    onQuestion: async ({ body }) => options.getClusterState(body),
   });
   if (opened.kind === 'error') {
     throw new Error(`cannot listen on peer address ${opened.error.address}: ${opened.error.kind}`);
--- a/packages/relay/src/peers/types.ts
+++ b/packages/relay/src/peers/types.ts
@@ -1,4 +1,19 @@
-import type { PeerTransport } from '@rattanreel/transport';
+import type { PeerIdentity, PeerTransport } from '@rattanreel/transport';
 import type { ClusterState, HostMessage, PeerQuery } from '../types';
 
 export type RelayTransport = PeerTransport<HostMessage, PeerQuery, ClusterState>;
+
+export interface RelayTransportOptions {
+  readonly identity: PeerIdentity;
+  /** HOST:PORT. */
+  readonly listenAddress: string;
+  readonly onMessage: (
+    sender: PeerIdentity,
+    message: HostMessage,
+    respond: (response: HostMessage) => void,
+  ) => void;
+  readonly getClusterState: (query: PeerQuery) => ClusterState;
+}
+
+/** Opens the transport between hosts. Rejects if it cannot listen on the address. */
+export type OpenTransport = (options: RelayTransportOptions) => Promise<RelayTransport>;
--- a/packages/relay/src/pools/burstOfMixedLengths.test.ts
+++ b/packages/relay/src/pools/burstOfMixedLengths.test.ts
@@ -1,6 +1,7 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createRandom, createVirtualClock } from '@rattanreel/core';
+import getRetryDelay from '../decisions/getRetryDelay';
 import createRequestClassifier from '../decisions/createRequestClassifier';
 import createRouteTable from '../decisions/createRouteTable';
 import planRequest from '../front/planRequest';
@@ -121,9 +122,8 @@
     const refuse = (): void => {
       classifier.recordRefusal(plan.route.name, clock.now());
       if (now === firstSentAt) {
-        clock.after(queue.getRetryAfter(plan.priority), () =>
-          sendRequest(kind, tokens, deadlineAt, firstSentAt),
-        );
+        const delay = getRetryDelay(plan.priority.deadlineAt - clock.now(), random);
+        clock.after(delay, () => sendRequest(kind, tokens, deadlineAt, firstSentAt));
       }
     };
     const admission = queue.enqueue({
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -1,23 +1,17 @@
-import type { EntryHostId, Milliseconds } from '@rattanreel/core';
-import createMovingAverage from '../decisions/createMovingAverage';
+import type { Milliseconds } from '@rattanreel/core';
 import createSlotSharingPolicy from '../decisions/createSlotSharingPolicy';
-import MINIMUM_RETRY_FRACTION from '../decisions/minimumRetryFraction';
 import createRetryBudget from '../decisions/createRetryBudget';
 import canMeetDeadline from '../decisions/canMeetDeadline';
 import shouldDeferToPeers from '../decisions/shouldDeferToPeers';
 import createRequestQueue from '../decisions/createRequestQueue';
 import type { RelayBounds, ServerState, QueuedRequest } from '../types';
 import recordAttempt from './recordAttempt';
-import type { SlotTrackerOptions, PoolQueue, PoolAverages } from './types';
+import createPoolAverages from './createPoolAverages';
+import type { SlotTrackerOptions, PoolQueue } from './types';
 import createSlotTracker from './createSlotTracker';
 
 /** Time between two checks of the queue; covers changes that no message announces. */
 const QUEUE_CHECK_INTERVAL: Milliseconds = 20;
-const AVERAGE_WEIGHT = 0.05;
-const INITIAL_FIRST_DATA: Milliseconds = 120;
-const INITIAL_CHUNK_INTERVAL: Milliseconds = 30;
-const INITIAL_DURATION: Milliseconds = 60;
-const MINIMUM_RETRY_DELAY: Milliseconds = 100;
 
 interface PoolQueueOptions extends Omit<SlotTrackerOptions, 'canMeetDeadline'> {
   readonly bounds: RelayBounds;
@@ -32,13 +26,8 @@
  * Queues and orders a pool's requests before dispatch, so that the servers' own queues stay short.
  */
 export default function createPoolQueue(options: PoolQueueOptions): PoolQueue {
-  const { clock, random, bounds, serverStates } = options;
-  const averages: PoolAverages = {
-    chunkInterval: createMovingAverage({ initial: INITIAL_CHUNK_INTERVAL, weight: AVERAGE_WEIGHT }),
-    singleChunkDuration: createMovingAverage({ initial: INITIAL_DURATION, weight: AVERAGE_WEIGHT }),
-    timeToFirstData: createMovingAverage({ initial: INITIAL_FIRST_DATA, weight: AVERAGE_WEIGHT }),
-    timePerToken: createMovingAverage({ initial: 0, weight: AVERAGE_WEIGHT }),
-  };
+  const { clock, bounds, serverStates } = options;
+  const averages = createPoolAverages();
   const queue = createRequestQueue({ getExpectedTimeToFirstData: averages.timeToFirstData.get });
   const retryBudget = createRetryBudget({ bounds });
   const policy = createSlotSharingPolicy();
@@ -176,21 +165,24 @@
     },
     trySpendRetry: () => retryBudget.trySpendRetry(clock.now()),
     recordRequest: () => retryBudget.recordRequest(clock.now()),
-    getRetryAfter({ deadlineAt }) {
-      const delay = Math.max(
-        (deadlineAt - clock.now()) * MINIMUM_RETRY_FRACTION,
-        MINIMUM_RETRY_DELAY,
-      );
-      return delay * (1 + random.next());
+    recordLeaving(server) {
+      server.isLeaving = true;
+    },
+    tryAdoptSlot(id, tier) {
+      const server = serverStates.byId.get(id);
+      if (server !== undefined) {
+        tracker.acquireSlot(server, tier);
+      }
+      return server;
     },
     setPeerLoad(inFlight, byTier, waiting) {
       peerQueuedByRank = waiting;
       tracker.setPeerLoad(inFlight, byTier);
       grantSlots();
     },
-    setHosts(next: readonly EntryHostId[], nextSharingHosts: number) {
-      sharingHosts = Math.max(nextSharingHosts, 1);
-      retryBudget.setHosts(Math.max(next.length, 1));
+    setSharing({ grantingHosts, fleetHosts }) {
+      sharingHosts = Math.max(grantingHosts.length, 1);
+      retryBudget.setHosts(fleetHosts);
     },
     grantSlots,
   };
--- a/packages/relay/src/pools/createServerState.ts
+++ b/packages/relay/src/pools/createServerState.ts
@@ -14,6 +14,7 @@
     reportedAt: -Infinity,
     extraSlots: EXTRA_SLOTS,
     slowness: 1,
+    isLeaving: false,
     consecutiveFailures: 0,
     failureRate: 0,
     backoffUntil: 0,
--- a/packages/relay/src/pools/createSlotTracker.ts
+++ b/packages/relay/src/pools/createSlotTracker.ts
@@ -57,7 +57,7 @@
     serverStates.byId.forEach((server) => scheduleColdRequests(server, now));
     return chooseServer({
       servers: [...serverStates.byId.values()],
-      hasFullPeerView: options.hasFullPeerView(),
+      embargo: options.embargo,
       now,
       random,
       ownDomain,
@@ -86,30 +86,16 @@
     }
   }
 
-  /**
-   * Returns the servers whose slots are divided among the tiers and hosts. In a large fleet, this
-   * host receives the requests in flight of its own failure domain, so it counts that domain's
-   * servers if any are usable.
-   */
-  function listCountedServers(now: Milliseconds): readonly ServerState[] {
-    const evacuated = options.getEvacuated();
-    const usable = [...serverStates.byId.values()].filter((server) =>
-      isUsableServer(server, { now, evacuated }),
-    );
-    const sameDomain = options.hasFullPeerView()
-      ? []
-      : usable.filter(({ listed }) => listed.failureDomain === ownDomain);
-    return sameDomain.length > 0 ? sameDomain : usable;
-  }
-
   function countSlots(): SlotCounts {
     const now = clock.now();
-    const hasFullPeerView = options.hasFullPeerView();
+    const evacuated = options.getEvacuated();
     let total = 0;
     let inUse = 0;
-    listCountedServers(now).forEach((server) => {
-      total += server.listed.slots;
-      inUse += Math.min(getOccupancy(server, now, hasFullPeerView), server.listed.slots);
+    serverStates.byId.forEach((server) => {
+      if (isUsableServer(server, { now, evacuated, embargo: options.embargo })) {
+        total += server.listed.slots;
+        inUse += Math.min(getOccupancy(server, now), server.listed.slots);
+      }
     });
     const getTierInUse = (tier: TierRank): number =>
       (ownInFlightByTier.get(tier) ?? 0) + (peerInFlightByTier.get(tier) ?? 0);
@@ -118,12 +104,11 @@
 
   function hasFreeSlot(): boolean {
     const now = clock.now();
-    const hasFullPeerView = options.hasFullPeerView();
     const evacuated = options.getEvacuated();
     return [...serverStates.byId.values()].some(
       (server) =>
-        getOccupancy(server, now, hasFullPeerView) < server.listed.slots + server.extraSlots &&
-        isUsableServer(server, { now, evacuated }),
+        getOccupancy(server, now) < server.listed.slots + server.extraSlots &&
+        isUsableServer(server, { now, evacuated, embargo: options.embargo }),
     );
   }
 
--- a/packages/relay/src/pools/recordAttempt.ts
+++ b/packages/relay/src/pools/recordAttempt.ts
@@ -16,6 +16,7 @@
 const CONSECUTIVE_FAILURE_THRESHOLD = 4;
 /** Backoff after a server reported that it is full. */
 const SERVER_FULL_BACKOFF: Milliseconds = 60;
+const MAXIMUM_FULL_BACKOFF: Milliseconds = 500;
 /** Backoff after another server, or one of another version, responded at the address. */
 const MISDIRECTED_BACKOFF: Milliseconds = 1_000;
 const HTTP_SERVER_ERROR = 500;
@@ -35,6 +36,17 @@
   server.slowness += ATTEMPT_WEIGHT * (bounded - server.slowness);
 }
 
+/**
+ * Returns the backoff after a server turned a request away. The time that it asked for binds the
+ * host which sent the request; to the others it is a sign that the server is full.
+ */
+function getNotRunBackoff(status: number, retryAfter: Milliseconds | undefined): Milliseconds {
+  if (status === HTTP_MISDIRECTED) {
+    return MISDIRECTED_BACKOFF;
+  }
+  return Math.max(SERVER_FULL_BACKOFF, Math.min(retryAfter ?? 0, MAXIMUM_FULL_BACKOFF));
+}
+
 function recordFailure(server: ServerState, now: Milliseconds, threshold: number): void {
   server.consecutiveFailures += 1;
   server.failureRate += ATTEMPT_WEIGHT * (1 - server.failureRate);
@@ -72,8 +84,7 @@
       return;
     case 'notRun':
       server.extraSlots = end.status === HTTP_MISDIRECTED ? server.extraSlots : 0;
-      server.backoffUntil =
-        now + (end.status === HTTP_MISDIRECTED ? MISDIRECTED_BACKOFF : SERVER_FULL_BACKOFF);
+      server.backoffUntil = now + getNotRunBackoff(end.status, end.retryAfter);
       return;
     case 'notConnected':
       recordFailure(server, now, 1);
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -2,7 +2,6 @@
 import type {
   BackendServerId,
   Clock,
-  EntryHostId,
   FailureDomainId,
   Milliseconds,
   Random,
@@ -16,8 +15,9 @@
   ServerState,
   Priority,
   QueuedRequest,
+  SlotSharing,
 } from '../types';
-import type { MovingAverage } from '../decisions/types';
+import type { MovingAverage, ServerEmbargo } from '../decisions/types';
 
 /** Measurements of one attempt. */
 export interface AttemptFigures {
@@ -56,8 +56,10 @@
   recordLoadReport(server: ServerState, running: number, queued: number): void;
   trySpendRetry(): boolean;
   recordRequest(): void;
-  /** Returns the delay after which a request refused now may return. */
-  getRetryAfter(priority: Priority): Milliseconds;
+  /** Records that a server announced in a response that it is leaving. */
+  recordLeaving(server: ServerState): void;
+  /** Takes over a slot that another host granted; undefined if the server is unknown. */
+  tryAdoptSlot(server: BackendServerId, tier: TierRank): ServerState | undefined;
   /**
    * Sets the requests of the other hosts: in flight by server and by route tier, and queued by
    * rank.
@@ -71,8 +73,7 @@
   getOwnInFlightByTier(): ReadonlyMap<TierRank, number>;
   /** Returns this host's queued requests, by rank. */
   getQueuedByRank(): ReadonlyMap<number, number>;
-  /** Sets all hosts, and how many of them share the slots that this one counts. */
-  setHosts(hosts: readonly EntryHostId[], sharingHosts: number): void;
+  setSharing(sharing: SlotSharing): void;
   /** Grants free slots to queued requests. */
   grantSlots(): void;
   readonly size: number;
@@ -104,8 +105,8 @@
   readonly ownDomain: FailureDomainId;
   readonly serverStates: ServerStateMap;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
-  /** Whether this host receives the requests in flight of all other hosts directly. */
-  readonly hasFullPeerView: () => boolean;
+  /** Servers that asked this host to send nothing. */
+  readonly embargo: Pick<ServerEmbargo, 'isEmbargoed'>;
   readonly getSettings: () => PoolSettings | undefined;
   /** Called when the requests in flight change, with whether capacity is scarce. */
   readonly onInFlightChange: (isScarce: boolean) => void;
--- a/packages/relay/src/servers/createServerConnections.test.ts
+++ b/packages/relay/src/servers/createServerConnections.test.ts
@@ -84,6 +84,7 @@
         body: Buffer.alloc(0),
         requestIdHeader: 'x-id',
         notRunHeader: 'x-not-run',
+        retryAfterHeader: 'retry-after',
       },
       { onHead: () => undefined, onData: () => true, onEnd: resolve },
     );
@@ -111,6 +112,21 @@
     });
   });
 
+  it('reads for how long a full server wants no other request', async () => {
+    server = createServer((socket) => {
+      socket.once('data', () =>
+        socket.write(
+          'HTTP/1.1 503 Full\r\nx-not-run: 1\r\nretry-after: 1.5\r\ncontent-length: 0\r\n\r\n',
+        ),
+      );
+    });
+    await new Promise<void>((resolve) => {
+      server!.listen(0, '127.0.0.1', resolve);
+    });
+    const end = await send((server.address() as AddressInfo).port);
+    expect(end).toEqual({ kind: 'notRun', status: 503, retryAfter: 1_500 });
+  });
+
   it('reports a refused connection as not connected', async () => {
     expect((await send(1)).kind).toEqual('notConnected');
   });
--- a/packages/relay/src/servers/sendOnce.ts
+++ b/packages/relay/src/servers/sendOnce.ts
@@ -1,6 +1,7 @@
 import type { Dispatcher } from 'undici';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { AbortReason, AttemptOutcome } from '../types';
+import tryParseRetryAfter from './tryParseRetryAfter';
 import type { ResponseHead, Attempt, AttemptRequest, AttemptSink } from './types';
 
 /**
@@ -10,6 +11,7 @@
 const HTTP_OK = 200;
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_MISDIRECTED = 421;
+const HTTP_UNAVAILABLE = 503;
 const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 interface SendOnceOptions {
@@ -65,6 +67,14 @@
     sink.onEnd(outcome);
   }
 
+  function createNotRun({ status, headers }: ResponseHead): AttemptOutcome {
+    const retryAfter =
+      status === HTTP_UNAVAILABLE
+        ? tryParseRetryAfter(headers[request.retryAfterHeader])
+        : undefined;
+    return { kind: 'notRun', status, retryAfter };
+  }
+
   /**
    * Ends the attempt and closes its connection, so that the server stops working on the request.
    */
@@ -115,13 +125,13 @@
           end({ kind: 'broken', reason: 'reset before the end' });
           return;
         }
-        end({ kind: isNotRun ? 'notRun' : 'whole', status: head.status });
+        end(isNotRun ? createNotRun(head) : { kind: 'whole', status: head.status });
       },
       onResponseError(_, error) {
         if (controller === undefined) {
           end({ kind: 'notConnected' });
         } else if (isNotRun && head !== undefined) {
-          end({ kind: 'notRun', status: head.status });
+          end(createNotRun(head));
         } else {
           end({ kind: 'broken', reason: error.message });
         }
--- a/packages/relay/src/servers/types.ts
+++ b/packages/relay/src/servers/types.ts
@@ -14,6 +14,8 @@
   readonly requestIdHeader: string;
   /** Header that marks a response to a request that the server did not run. */
   readonly notRunHeader: string;
+  /** Header with the seconds for which a server that is full wants no other request. */
+  readonly retryAfterHeader: string;
 }
 
 export interface ResponseHead {
--- /dev/null
+++ b/packages/relay/src/testing/createTestStore.ts
@@ -0,0 +1,68 @@
+import type { Clock, Milliseconds } from '@rattanreel/core';
+import type {
+  ClusterStateChange,
+  ClusterStateSource,
+  ListedServer,
+  PeerAddress,
+  RelayConfiguration,
+} from '../types';
+import type { TestHost } from './types';
+
+const STORE_DELAY: Milliseconds = 4;
+
+interface TestStoreOptions {
+  readonly clock: Clock;
+  readonly configuration: RelayConfiguration;
+  readonly servers: readonly ListedServer[];
+}
+
+/** Creates the store of a test fleet: registered hosts, and a cluster state that stays the same. */
+export default function createTestStore({ clock, configuration, servers }: TestStoreOptions) {
+  const registered = new Map<string, PeerAddress>();
+  const watchers = new Map<TestHost | undefined, (change: ClusterStateChange) => void>();
+  let version = 1;
+
+  function createSource(getHost: () => TestHost | undefined): ClusterStateSource {
+    const countCall = (): void => {
+      const host = getHost();
+      if (host !== undefined) {
+        host.traffic.storeCalls += 1;
+      }
+    };
+    return {
+      watch(listener) {
+        const host = getHost();
+        watchers.set(host, listener);
+        countCall();
+        clock.after(STORE_DELAY, () => {
+          if (watchers.get(host) === listener) {
+            listener({ kind: 'storeEra', era: 0 });
+            listener({ kind: 'configuration', configuration });
+            listener({ kind: 'servers', servers, version: 1 });
+            listener({ kind: 'evacuated', failureDomains: [], version: 1 });
+          }
+        });
+        return () => watchers.delete(host);
+      },
+      async listPeers() {
+        countCall();
+        return { peers: [...registered.values()], version };
+      },
+      async register(peer) {
+        countCall();
+        version += 1;
+        registered.set(peer.entryHost, peer);
+        return true;
+      },
+      close: async () => undefined,
+    };
+  }
+
+  return {
+    createSource,
+    /** Ends the watches of a process that was killed. */
+    forget: (host: TestHost) => watchers.delete(host),
+    countWatchers: () => watchers.size,
+    countRegistered: () => registered.size,
+  };
+}
--- a/packages/relay/src/testing/headerNames.ts
+++ b/packages/relay/src/testing/headerNames.ts
@@ -11,6 +11,8 @@
   expectedServer: 'x-expected-server',
   notRun: 'x-not-run',
   load: 'x-load',
+  leaving: 'x-leaving',
+  retryAfter: 'retry-after',
   lastEventId: 'last-event-id',
   reserved: new Set(),
 };
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -14,6 +14,7 @@
   VersionId,
 } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
+import type { SchedulerRequest, SchedulerResponse } from './admission/types';
 import type { PoolQueue } from './pools/types';
 
 /**
@@ -115,11 +116,16 @@
   readonly startedAt: number | undefined;
 }
 
+/** Identifies one process of a backend server. */
+export type ServerProcess = Pick<ListedServer, 'id' | 'startedAt'>;
+
 /** Another entry host. */
 export interface PeerAddress {
   readonly entryHost: EntryHostId;
   readonly address: string;
   readonly failureDomain: FailureDomainId;
+  /** Processor cores that the host may use; 0 if unknown. */
+  readonly capacity: number;
 }
 
 /** Limits that apply to all hosts together, from the platform's settings. */
@@ -129,6 +135,8 @@
   readonly retryWindow: Milliseconds;
   /** Retries allowed in each window in addition to the ratio. */
   readonly retrySlack: number;
+  /** Cost by which the spending of one customer may exceed its quota in a window. */
+  readonly quotaSlack: number;
   /** Factor applied to the rate of a cold server. */
   readonly coldFactor: number;
   /** Requests per second allowed to a cold server in addition to that rate. */
@@ -155,6 +163,10 @@
   readonly notRun: string;
   /** `RUNNING,WAITING,SLOTS` of the responding backend server. */
   readonly load: string;
+  /** Present in the responses of a backend server that is leaving. */
+  readonly leaving: string;
+  /** Seconds for which a backend server that turned a request away wants no other one. */
+  readonly retryAfter: string;
   /** Identifier of the last event received, after which a resumed stream continues. */
   readonly lastEventId: string;
   /** Headers that callers may not set. */
@@ -166,7 +178,12 @@
   /** No connection was established, so no byte was written. */
   | { readonly kind: 'notConnected' }
   /** The backend server reported that it did not run the request. */
-  | { readonly kind: 'notRun'; readonly status: number }
+  | {
+      readonly kind: 'notRun';
+      readonly status: number;
+      /** Time for which the backend server wants no other request from this host. */
+      readonly retryAfter?: Milliseconds;
+    }
   /** The complete response was received. */
   | { readonly kind: 'whole'; readonly status: number }
   /** The connection failed or the response was not for this request, which may have run. */
@@ -227,6 +244,8 @@
   extraSlots: number;
   /** Time per unit of work relative to the pool's average; 1 is average. */
   slowness: number;
+  /** Whether the server announced in a response that it is leaving. */
+  isLeaving: boolean;
   consecutiveFailures: number;
   /** Exponential moving average of the share of failed attempts. */
   failureRate: number;
@@ -247,6 +266,7 @@
   readonly incarnation: Incarnation;
   readonly failureDomain: FailureDomainId;
   readonly address: string;
+  readonly capacity: number;
   /** Requests in flight by backend server. */
   readonly inFlight: Readonly<Record<BackendServerId, number>>;
   /** Requests in flight by pool and route tier. */
@@ -255,22 +275,10 @@
   readonly waiting: Readonly<Record<PoolId, Readonly<Record<string, number>>>>;
   /** Cost spent since the process started, by customer. */
   readonly spent: Readonly<Record<CustomerId, number>>;
-  /** In a large fleet, recent reports that this host received from other failure domains. */
-  readonly farReports?: readonly DomainReport[];
-}
-
-/** Totals over the hosts of a failure domain, sent to the other domains in a large fleet. */
-export interface DomainReport {
-  readonly kind: 'domain';
-  readonly failureDomain: FailureDomainId;
-  /** The reporting host, and the incarnation of its process, since whose start it counts. */
-  readonly entryHost: EntryHostId;
-  readonly incarnation: Incarnation;
-  /** Number of hosts included in the totals. */
+  /** Number of hosts whose requests this one schedules, including itself. */
   readonly hosts: number;
-  readonly spent: Readonly<Record<CustomerId, number>>;
-  /** Requests in flight of these hosts, by backend server. */
-  readonly inFlight: Readonly<Record<BackendServerId, number>>;
+  /** Backend servers that announced in a response that they are leaving. */
+  readonly leaving?: readonly ServerProcess[];
 }
 
 /** Changes at a host since its last message; sent more often than complete summaries. */
@@ -283,28 +291,33 @@
   readonly waiting: HostSummary['waiting'];
 }
 
-export type HostMessage = HostSummary | HostChange | DomainReport;
+export type HostMessage = HostSummary | HostChange | SchedulerRequest | SchedulerResponse;
 
 /** Versions of the state known to a host. They never decrease; -1 means nothing is known yet. */
 export interface ClusterStateVersions {
   readonly configurationVersion: number;
   readonly serversVersion: number;
   readonly evacuatedVersion: number;
+  /** Version of the list of registered hosts. */
+  readonly rosterVersion: number;
+  /** Rises each time that the store returns from an older copy; absent if unknown. */
+  readonly storeEra?: number;
 }
 
-/** Query by which a host asks a peer for its cluster state. */
-export interface PeerQuery {
+/** Query by which a host asks a peer for the parts of its cluster state that are newer. */
+export interface PeerQuery extends ClusterStateVersions {
   readonly kind: 'beliefs';
 }
 
-/** State of the cluster as a host knows it from the platform. */
-export interface ClusterState {
+/**
+ * State of the cluster as a host knows it from the platform. In a response to a peer, parts that the
+ * peer knows already are undefined.
+ */
+export interface ClusterState extends ClusterStateVersions {
   readonly configuration: RelayConfiguration | undefined;
-  readonly servers: readonly ListedServer[];
-  readonly serversVersion: number;
-  readonly evacuated: readonly FailureDomainId[];
-  readonly evacuatedVersion: number;
-  /** Undefined until the hosts have been listed. */
+  readonly servers: readonly ListedServer[] | undefined;
+  readonly evacuated: readonly FailureDomainId[] | undefined;
+  /** All registered hosts; undefined until listed. */
   readonly peers: readonly PeerAddress[] | undefined;
 }
 
@@ -313,15 +326,21 @@
   /** Watches the platform until the returned function is called. */
   watch(listener: (change: ClusterStateChange) => void): () => void;
   /**
-   * Lists the other hosts as the platform knows them. The list may be seconds old; `undefined`
+   * Lists the registered hosts as the platform knows them. The list may be seconds old; `undefined`
    * means that the platform does not respond.
    */
-  listPeers(): Promise<readonly PeerAddress[] | undefined>;
+  listPeers(): Promise<ListedPeers | undefined>;
   /** Registers this host for its peers; returns false unless it is known to be registered. */
   register(peer: PeerAddress): Promise<boolean>;
   close(): Promise<void>;
 }
 
+/** The registered hosts with the version of their list. */
+export interface ListedPeers {
+  readonly peers: readonly PeerAddress[];
+  readonly version: number;
+}
+
 export type ClusterStateChange =
   | { readonly kind: 'configuration'; readonly configuration: RelayConfiguration }
   | {
@@ -334,7 +353,9 @@
       readonly failureDomains: readonly FailureDomainId[];
       readonly version: number;
     }
-  | { readonly kind: 'peers'; readonly peers: readonly PeerAddress[] }
+  | { readonly kind: 'peers'; readonly peers: readonly PeerAddress[]; readonly version: number }
+  /** The store's era, which rises each time that it returns from an older copy. */
+  | { readonly kind: 'storeEra'; readonly era: number }
   | { readonly kind: 'storeLost'; readonly subject: string; readonly reason: string }
   | { readonly kind: 'storeRegained'; readonly subject: string };
 
@@ -348,8 +369,12 @@
   getQueue(pool: PoolId): PoolQueue;
   setSettings(settings: readonly PoolSettings[]): void;
   setServers(servers: readonly ListedServer[]): void;
-  /** Sets all hosts, including this one, and how many of them are in its failure domain. */
-  setHosts(hosts: readonly EntryHostId[], sameDomainHosts: number): void;
+  /** Sets which hosts share the slots and the rates of cold servers, and the size of the fleet. */
+  setSharing(sharing: SlotSharing): void;
+  /** Marks servers as leaving, as another host has seen. */
+  markLeaving(servers: readonly ServerProcess[]): void;
+  /** Lists the servers that announced in a response that they are leaving. */
+  listLeaving(): readonly ServerProcess[];
   /** This host's requests in flight, by backend server. */
   countOwnInFlight(): ReadonlyMap<BackendServerId, number>;
   /** Marks the servers of these failure domains as cold, since they may have been idle. */
@@ -357,6 +382,26 @@
   forEachQueue(action: (queue: PoolQueue, pool: PoolId) => void): void;
 }
 
+/** The hosts that grant slots, and the size of the fleet. */
+export interface SlotSharing {
+  /** Hosts that grant slots, this one included if it does. */
+  readonly grantingHosts: readonly EntryHostId[];
+  readonly fleetHosts: number;
+}
+
+/** What a host does for its fleet. */
+export interface FleetRole {
+  /** Whether the fleet is large, so that one host schedules each failure domain. */
+  readonly isLarge: boolean;
+  /** Whether this host grants slots: to itself, and perhaps to other hosts of its domain. */
+  readonly isGranting: boolean;
+  /** Whether this host watches the store because its scheduler cannot reach it. */
+  readonly isStoreSubstitute: boolean;
+  /** Number of hosts whose requests this one schedules, including itself. */
+  readonly ownHosts: number;
+  readonly fleetHosts: number;
+}
+
 /** A running relay. */
 export interface RelayHost {
   /** Applies limits that were changed by a reload of the settings. */
@@ -373,6 +418,8 @@
   apply(change: ClusterStateChange): void;
   /** Merges the parts of a peer's state that are newer. */
   merge(state: ClusterState): void;
+  /** Returns the state, without the parts whose versions are not newer than these. */
+  getSince(versions: ClusterStateVersions): ClusterState;
   /** Adds or updates the address of a host from which a message was received. */
   upsertPeer(peer: PeerAddress): void;
   /** Forgets which store subjects were unreachable; called once the store is no longer watched. */
@@ -382,12 +429,17 @@
   getVersions(): ClusterStateVersions;
   readonly evacuated: ReadonlySet<FailureDomainId>;
   readonly isStoreReachable: boolean;
+  /** Whether this host is among the registered hosts. */
+  readonly isRegistered: boolean;
   stop(): void;
 }
 
 export interface PeerTable {
-  /** Records a complete summary, or a change to the last one. */
-  record(message: HostSummary | HostChange, now: Milliseconds): void;
+  /**
+   * Records a complete summary, or a change to the last one; returns whether its host was not
+   * reachable before.
+   */
+  record(message: HostSummary | HostChange, now: Milliseconds): boolean;
   /** Counts the requests in flight of the other hosts, by backend server. */
   countInFlight(now: Milliseconds): ReadonlyMap<BackendServerId, number>;
   /** Counts the requests in flight of the other hosts in a pool, by route tier. */
--- a/packages/transport/src/createPeerConnection.ts
+++ b/packages/transport/src/createPeerConnection.ts
@@ -1,5 +1,5 @@
 import { makeGenericClientConstructor, status } from '@grpc/grpc-js';
-import type { ChannelCredentials, ClientWritableStream, ServiceError } from '@grpc/grpc-js';
+import type { ChannelCredentials, ClientDuplexStream, ServiceError } from '@grpc/grpc-js';
 import { fail, ok } from '@rattanreel/core';
 import type { Milliseconds, Outcome } from '@rattanreel/core';
 import type { Envelope, PeerConnection, PeerError, PeerService } from './types';
@@ -19,12 +19,13 @@
 
 /**
  * Creates a connection to one peer. It reconnects automatically and detects dead connections by
- * keepalive.
+ * keepalive. `onMessage` receives what the peer sends back on the stream of messages.
  */
 export default function createPeerConnection(
   address: string,
   credentials: ChannelCredentials,
   service: PeerService,
+  onMessage: (envelope: Envelope<unknown>) => void,
 ): PeerConnection {
   const PeerClient = makeGenericClientConstructor({ ...service }, 'Peer');
   const client = new PeerClient(address, credentials, {
@@ -36,19 +37,18 @@
     // A retry by the library could deliver a question twice.
     'grpc.enable_retries': 0,
   });
-  let stream: ClientWritableStream<Envelope<unknown>> | undefined;
+  let stream: ClientDuplexStream<Envelope<unknown>, Envelope<unknown>> | undefined;
 
-  function openStream(): ClientWritableStream<Envelope<unknown>> {
-    const opened = client.exchange!(() => {
+  function openStream(): ClientDuplexStream<Envelope<unknown>, Envelope<unknown>> {
+    const opened = client.exchange!() as ClientDuplexStream<Envelope<unknown>, Envelope<unknown>>;
+    const forget = (): void => {
       if (stream === opened) {
         stream = undefined;
       }
-    }) as ClientWritableStream<Envelope<unknown>>;
-    opened.on('error', () => {
-      if (stream === opened) {
-        stream = undefined;
-      }
-    });
+    };
+    opened.on('data', onMessage);
+    opened.on('error', forget);
+    opened.on('end', forget);
     return opened;
   }
 
--- a/packages/transport/src/createPeerService.ts
+++ b/packages/transport/src/createPeerService.ts
@@ -21,11 +21,14 @@
   const exchange: MethodDefinition<Envelope<unknown>, Envelope<unknown>> = {
     path: '/rattanreel.Peer/Exchange',
     requestStream: true,
-    responseStream: false,
+    responseStream: true,
     requestSerialize: serialize,
     requestDeserialize: deserialize,
     responseSerialize: serialize,
     responseDeserialize: deserialize,
   };
-  return { exchange, ask: { ...exchange, path: '/rattanreel.Peer/Ask', requestStream: false } };
+  return {
+    exchange,
+    ask: { ...exchange, path: '/rattanreel.Peer/Ask', requestStream: false, responseStream: false },
+  };
 }
--- a/packages/transport/src/createPeerTransport.ts
+++ b/packages/transport/src/createPeerTransport.ts
@@ -1,7 +1,7 @@
 import { Server } from '@grpc/grpc-js';
 import type {
   sendUnaryData,
-  ServerReadableStream,
+  ServerDuplexStream,
   ServerUnaryCall,
   UntypedServiceImplementation,
 } from '@grpc/grpc-js';
@@ -21,6 +21,8 @@
 } from './types';
 
 const DEFAULT_ANSWER_TIMEOUT_MS = 2_000;
+/** Number of responses buffered for a slow peer before further ones are dropped. */
+const MAXIMUM_BUFFERED_MESSAGES = 4_096;
 
 function hostOf(address: string): string {
   return address.slice(0, address.lastIndexOf(':'));
@@ -56,19 +58,24 @@
   function getOrCreateConnection(address: string): PeerConnection {
     let connection = connections.get(address);
     if (connection === undefined) {
-      connection = createPeerConnection(address, peerCredentials.client, service);
+      const send = (message: Message): void => connection!.send({ from: identity, body: message });
+      connection = createPeerConnection(address, peerCredentials.client, service, (envelope) =>
+        onMessage(envelope as Envelope<Message>, send),
+      );
       connections.set(address, connection);
     }
     return connection;
   }
 
   const implementation: UntypedServiceImplementation = {
-    exchange(
-      call: ServerReadableStream<Envelope<unknown>, Envelope<unknown>>,
-      reply: sendUnaryData<Envelope<unknown>>,
-    ) {
-      call.on('data', (envelope: Envelope<Message>) => onMessage(envelope));
-      call.on('end', () => reply(null, { from: identity, body: null }));
+    exchange(call: ServerDuplexStream<Envelope<unknown>, Envelope<unknown>>) {
+      const respond = (message: Message): void => {
+        if (!call.destroyed && call.writableLength < MAXIMUM_BUFFERED_MESSAGES) {
+          call.write({ from: identity, body: message });
+        }
+      };
+      call.on('data', (envelope: Envelope<Message>) => onMessage(envelope, respond));
+      call.on('end', () => call.end());
       call.on('error', () => call.removeAllListeners('data'));
     },
     ask(
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -50,7 +50,11 @@
   /** Address to listen on, as host:port; port 0 chooses any free port. */
   readonly listenAddress: string;
   readonly security: PeerSecurity;
-  readonly onMessage: (envelope: Envelope<Message>) => void;
+  /**
+   * Handles a message. `respond` sends a message back on the same connection, without a connection
+   * of this host's own; the message is lost if the connection has ended.
+   */
+  readonly onMessage: (envelope: Envelope<Message>, respond: (message: Message) => void) => void;
   readonly onQuestion: (envelope: Envelope<Question>) => Promise<Answer>;
   /** Longest wait for an answer. */
   readonly answerTimeout?: Milliseconds;
