--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -75,7 +75,8 @@
     },
   },
   {
-    files: ['**/*.mjs'],
+    files: ['**/*.mjs', '**/*.cjs'],
+    languageOptions: { globals: { __dirname: 'readonly' } },
     rules: {
       'import-x/no-extraneous-dependencies': 'off',
       'import-x/extensions': 'off',
--- a/packages/platform/src/parseReply.ts
+++ b/packages/platform/src/parseReply.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 import type { Milliseconds } from '@rattanreel/core';
 import schemas from './schemas';
 import type { StoreCall, StoreReply } from './types';
--- a/packages/platform/src/schemas.ts
+++ b/packages/platform/src/schemas.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod';
+import * as z from 'zod';
 
 const object = z.object({
   kind: z.string(),
