--- a/packages/transport/src/createPeerTransport.test.ts
+++ b/packages/transport/src/createPeerTransport.test.ts
@@ -40,6 +40,30 @@
     await right.close();
   });
 
+  it('sends a response back on the connection of the message', async () => {
+    const outcome = await createPeerTransport<string, string, string>({
+      identity: { entryHost: 'right', incarnation: 'right-1' },
+      listenAddress: '127.0.0.1:0',
+      security: { kind: 'plainLoopback' },
+      onMessage: ({ body }, respond) => respond(`${body} received`),
+      onQuestion: async () => '',
+    });
+    const right = Debug.checkDefined(outcome.kind === 'ok' ? outcome.value : undefined, 'right');
+    const received: Envelope<string>[] = [];
+    const left = await startTransport('left', received);
+    left.send(right.address, 'one');
+    while (received.length === 0) {
+      await new Promise((resolve) => {
+        setImmediate(resolve);
+      });
+    }
+    expect(received.map(({ body, from }) => [body, from.entryHost])).toEqual([
+      ['one received', 'right'],
+    ]);
+    await left.close();
+    await right.close();
+  });
+
   it('reports a peer that does not listen as unreachable', async () => {
     const left = await startTransport('left', []);
     const answer = await left.ask('127.0.0.1:1', 'anyone');
