Log the parts of a prompt and whether data had arrived with each attempt

The lines 'request dispatched' and 'attempt failed' now name the parts of the prompt that others may share; the second also says how long the attempt ran and when its first data came. No decision changes.

--- a/packages/relay/src/front/createRequestObserver.ts
+++ b/packages/relay/src/front/createRequestObserver.ts
@@ -43,13 +43,24 @@
     dispatched(plan, server, view, attempt) {
       metrics.countAttempt(attempt);
       logger.info(
-        { ...describe(plan), server, ...view, attempt, basis: getBasis() },
+        {
+          ...describe(plan),
+          promptParts: plan.promptParts,
+          server,
+          ...view,
+          attempt,
+          basis: getBasis(),
+        },
         'request dispatched',
       );
     },
-    attemptEnded(plan, server, end) {
+    attemptEnded(plan, server, { end, duration, firstDataAfter }) {
       if (!isSuccessful(end)) {
-        logger.info({ ...describe(plan), server, end }, 'attempt failed');
+        const { promptParts } = plan;
+        logger.info(
+          { ...describe(plan), server, promptParts, duration, firstDataAfter, end },
+          'attempt failed',
+        );
       }
     },
     completed(plan, server, figures) {
--- a/packages/relay/src/front/planRequest.ts
+++ b/packages/relay/src/front/planRequest.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds, Random } from '@rattanreel/core';
 import type { HeaderNames, RelayCustomer } from '../types';
+import parsePromptParts from './parsePromptParts';
 import type { PlanResult, RequestPlan } from './types';
 import type { RequestClassifier, RouteTable } from '../decisions/types';
 
@@ -92,6 +93,7 @@
     },
     cost: quota?.countsTokens === true ? tokenCost : 1,
     promptTokens: tokens?.[0] ?? 0,
+    promptParts: parsePromptParts(getHeader(options, names.promptParts)),
     outputTokens,
     arrivedAt,
     deadlineAt: arrivedAt + timeLimit,
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -137,7 +137,7 @@
 
   function handleAttemptEnd(server: BackendServerId, figures: AttemptFigures): void {
     const { end } = figures;
-    observer.attemptEnded(plan, server, end);
+    observer.attemptEnded(plan, server, figures);
     if (isDone) {
       return;
     }
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -2,9 +2,9 @@
 import type { Gauge as GaugeDefinition } from '@rattanreel/observability';
 import type { BackendServerId, Clock, Milliseconds, PoolId } from '@rattanreel/core';
 import type {
-  AttemptOutcome,
   ClusterStateVersions,
   HeaderNames,
+  PromptPartId,
   RefusalReason,
   RelayCustomer,
   Route,
@@ -49,6 +49,11 @@
   readonly priority: Priority;
   readonly cost: number;
   readonly promptTokens: number;
+  /**
+   * Parts of the prompt that other requests may share, in order: all but the last, which belongs to
+   * the request or its session.
+   */
+  readonly promptParts: readonly PromptPartId[];
   readonly outputTokens: number;
   readonly arrivedAt: Milliseconds;
   /** The caller's deadline or the route's timeout, whichever comes first. */
@@ -82,7 +87,7 @@
     poolState?: PoolState,
   ): void;
   dispatched(plan: RequestPlan, server: BackendServerId, view: ServerView, attempt: number): void;
-  attemptEnded(plan: RequestPlan, server: BackendServerId, end: AttemptOutcome): void;
+  attemptEnded(plan: RequestPlan, server: BackendServerId, figures: AttemptFigures): void;
   completed(plan: RequestPlan, server: BackendServerId, figures: AttemptFigures): void;
   failed(plan: RequestPlan, status: number, code: string): void;
   brokenOff(plan: RequestPlan, reason: 'timeout' | 'serverBroke'): void;
--- a/packages/relay/src/testing/headerNames.ts
+++ b/packages/relay/src/testing/headerNames.ts
@@ -8,6 +8,7 @@
   customer: 'x-customer',
   tokenCount: 'x-token-count',
   lengthHint: 'x-length-hint',
+  promptParts: 'x-prompt-parts',
   expectedServer: 'x-expected-server',
   notRun: 'x-not-run',
   load: 'x-load',
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -17,6 +17,9 @@
 import type { SchedulerRequest, SchedulerResponse } from './admission/types';
 import type { PoolQueue } from './pools/types';
 
+/** Identifier of a part of a prompt; equal parts of two prompts have the same one. */
+export type PromptPartId = string;
+
 /**
  * Determines which requests may be retried after they may have run: `idempotent` calls may, `once`
  * calls may not, and a `stream` may only if its route is resumable.
@@ -157,6 +160,8 @@
   readonly tokenCount: string;
   /** The caller's estimate of the response length in tokens. */
   readonly lengthHint: string;
+  /** `ID:TOKENS,...`: the parts of the prompt in order, as a server caches them. */
+  readonly promptParts: string;
   /** Identifier of the only backend server that may run the request. */
   readonly expectedServer: string;
   /** Present in a response if the backend server did not run the request. */
