Reproduce servers that end one after the other under one part of prompts: failing test

A fleet of hosts in virtual time, at 3, 9 and 195 hosts, before engines that end when they begin to answer a prompt with a crashing part: at the first, a middle or the last place but one, two and three parts at once, seldom, with hosts restarted, frozen, cut off and serving alone. The callers pass the whole relay of a host.

--- /dev/null
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -0,0 +1,152 @@
+import type { IncomingMessage } from 'node:http';
+import type { Milliseconds } from '@rattanreel/core';
+import { silentLogger } from '@rattanreel/observability';
+import createRequestHandler from '../createRequestHandler';
+import createRequestClassifier from '../decisions/createRequestClassifier';
+import createRouteTable from '../decisions/createRouteTable';
+import createRelayMetrics from '../front/createRelayMetrics';
+import createRequestObserver from '../front/createRequestObserver';
+import type { CallerExchange } from '../front/types';
+import type { Route } from '../types';
+import type createTestEngines from './createTestEngines';
+import type createTestFleet from './createTestFleet';
+import headerNames from './headerNames';
+import type { TestHost } from './types';
+
+type TestFleet = Awaited<ReturnType<typeof createTestFleet>>;
+
+const DEADLINE: Milliseconds = 4_000;
+const RETRY_DELAY: Milliseconds = 150;
+const ROUTE: Route = {
+  name: 'drafts',
+  hostName: 'h',
+  pathPrefix: '/',
+  kind: 'stream',
+  timeout: DEADLINE,
+  objective: 400,
+  tier: 0,
+  targets: [{ pool: 'pool', weight: 1 }],
+  maximumAttempts: 2,
+  isAnonymous: true,
+  isResumable: true,
+};
+
+type TestHandler = ReturnType<typeof createRequestHandler>;
+
+/** A caller's request and what its first attempt came to. */
+interface CallerRequest {
+  readonly host: TestHost;
+  readonly sentAt: Milliseconds;
+  readonly promptParts: readonly string[];
+  /** Whether it is the caller's first attempt. */
+  readonly isFirst: boolean;
+  status?: number;
+  retryAfter?: Milliseconds;
+  answeredAt?: Milliseconds;
+  isBroken?: boolean;
+}
+
+interface TestCallersOptions {
+  readonly fleet: TestFleet;
+  readonly engines: ReturnType<typeof createTestEngines>;
+}
+
+/** Creates callers whose requests pass the whole relay of a host, without sockets. */
+export default function createTestCallers({ fleet, engines }: TestCallersOptions) {
+  const { clock, random } = fleet;
+  const handlers = new Map<TestHost, TestHandler>();
+  const requests: CallerRequest[] = [];
+  let isRunning = true;
+
+  function getHandler(host: TestHost): TestHandler {
+    let handler = handlers.get(host);
+    if (handler === undefined) {
+      handler = createRequestHandler({
+        context: { clock, random, logger: silentLogger },
+        names: headerNames,
+        admission: host.core.admission,
+        embargo: host.core.embargo,
+        classifier: createRequestClassifier(),
+        connections: engines.connect(host),
+        observer: createRequestObserver({
+          logger: silentLogger,
+          metrics: createRelayMetrics(),
+          now: clock.now,
+          getBasis: () => ({ ...host.core.stateCache.getVersions(), hosts: 0, oldest: 0 }),
+        }),
+        getRoutes: () => createRouteTable([ROUTE]),
+        getCustomersByKey: () => undefined,
+      });
+      handlers.set(host, handler);
+    }
+    return handler;
+  }
+
+  function retry(request: CallerRequest): void {
+    if (request.isFirst) {
+      clock.after(request.retryAfter ?? RETRY_DELAY, () => send(request.promptParts, false));
+    }
+  }
+
+  function send(promptParts: readonly string[], isFirst = true): void {
+    const available = fleet.hosts.filter(({ isDown, isFrozen }) => !isDown && !isFrozen);
+    const host = available[random.integer(0, available.length - 1)]!;
+    const request: CallerRequest = { host, sentAt: clock.now(), promptParts, isFirst };
+    requests.push(request);
+    const id = `request-${requests.length}`;
+    const ownParts = [...promptParts, `own${requests.length}`].map((part) => `${part}:100`);
+    const headers = {
+      host: 'h',
+      [headerNames.requestId]: id,
+      [headerNames.deadline]: String(DEADLINE),
+      [headerNames.tokenCount]: '300,20',
+      [headerNames.promptParts]: ownParts.join(','),
+    };
+    const exchange: CallerExchange = {
+      method: 'POST',
+      target: '/',
+      rawHeaders: Object.entries(headers).flat(),
+      body: Buffer.alloc(0),
+      arrivedAt: clock.now(),
+      sendHead(status, rawHeaders) {
+        request.status = status;
+        request.answeredAt = clock.now();
+        const index = rawHeaders.indexOf('retry-after');
+        request.retryAfter = index < 0 ? undefined : Number(rawHeaders[index + 1]) * 1_000;
+      },
+      sendData: () => true,
+      finish() {
+        if (request.status !== 200) {
+          retry(request);
+        }
+      },
+      abort() {
+        request.isBroken = true;
+        retry(request);
+      },
+      onDisconnect: () => undefined,
+      onDrain: () => undefined,
+    };
+    getHandler(host).handle(exchange, { headers } as unknown as IncomingMessage);
+  }
+
+  return {
+    requests,
+    send,
+    /** Sends requests with prompts of `createParts` at random times, until `stop`. */
+    sendOften(ratePerSecond: number, createParts: () => readonly string[]): void {
+      const scheduleNext = (): void => {
+        clock.after((-Math.log(1 - random.next()) * 1_000) / ratePerSecond, () => {
+          if (isRunning) {
+            send(createParts());
+            scheduleNext();
+          }
+        });
+      };
+      scheduleNext();
+    },
+    stop(): void {
+      isRunning = false;
+    },
+  };
+}
--- a/packages/relay/src/testing/createTestFleet.ts
+++ b/packages/relay/src/testing/createTestFleet.ts
@@ -133,6 +133,7 @@
     servers,
     advance,
     setReachable: network.setReachable,
+    setServers: store.setServers,
     countWatchers: store.countWatchers,
     countRegistered: store.countRegistered,
     /** Stops a host without notice and starts its process again. */
--- a/packages/relay/src/testing/createTestStore.ts
+++ b/packages/relay/src/testing/createTestStore.ts
@@ -16,11 +16,16 @@
   readonly servers: readonly ListedServer[];
 }
 
-/** Creates the store of a test fleet: registered hosts, and a cluster state that stays the same. */
+/**
+ * Creates the store of a test fleet: registered hosts, a configuration that stays the same, and a
+ * list of servers that may change.
+ */
 export default function createTestStore({ clock, configuration, servers }: TestStoreOptions) {
   const registered = new Map<string, PeerAddress>();
   const watchers = new Map<TestHost | undefined, (change: ClusterStateChange) => void>();
   let version = 1;
+  let listedServers = servers;
+  let serversVersion = 1;
 
   function createSource(getHost: () => TestHost | undefined): ClusterStateSource {
     const countCall = (): void => {
@@ -38,7 +43,7 @@
           if (watchers.get(host) === listener) {
             listener({ kind: 'storeEra', era: 0 });
             listener({ kind: 'configuration', configuration });
-            listener({ kind: 'servers', servers, version: 1 });
+            listener({ kind: 'servers', servers: listedServers, version: serversVersion });
             listener({ kind: 'evacuated', failureDomains: [], version: 1 });
           }
         });
@@ -60,6 +65,19 @@
 
   return {
     createSource,
+    /** Replaces the list of servers; the hosts that watch the store are informed. */
+    setServers(next: readonly ListedServer[]): void {
+      listedServers = next;
+      serversVersion += 1;
+      const change = { kind: 'servers' as const, servers: next, version: serversVersion };
+      watchers.forEach((listener, host) =>
+        clock.after(STORE_DELAY, () => {
+          if (watchers.get(host) === listener && host?.isDown !== true) {
+            listener(change);
+          }
+        }),
+      );
+    },
     /** Ends the watches of a process that was killed. */
     forget: (host: TestHost) => watchers.delete(host),
     countWatchers: () => watchers.size,
