Treat a stream that ends with its connection inside an event as broken off

Callers would get a stream without a length and without chunks as complete although its server had ended inside an event, and what they got ended by a plain close too, so that it could not be told from a whole one; nor could they see when this host broke such a stream off, or ended itself.

Change: an event stream whose end only its connection marks is whole only after a blank line; it is resumed or broken off otherwise. Event streams go to callers in chunks, and an answer that stays without a length is reset when it is broken off. Framed streams and answers of other types are passed on as before.

--- a/packages/relay/src/front/createCallerExchange.ts
+++ b/packages/relay/src/front/createCallerExchange.ts
@@ -14,6 +14,8 @@
 /** Adapts a Node.js request and response to a {@link CallerExchange}. */
 export default function createCallerExchange(options: CallerExchangeOptions): CallerExchange {
   const { incoming, outgoing } = options;
+  let mustReset = false;
+
   return {
     method: incoming.method ?? 'GET',
     target: incoming.url ?? '/',
@@ -25,6 +27,7 @@
       if (options.shouldCloseConnection() || isDelimitedByClose) {
         outgoing.shouldKeepAlive = false;
       }
+      mustReset = isDelimitedByClose;
       if (isDelimitedByClose) {
         outgoing.useChunkedEncodingByDefault = false;
       }
@@ -35,6 +38,10 @@
       outgoing.end();
     },
     abort: () => {
+      if (mustReset) {
+        // A close would end the response as if it was complete.
+        incoming.socket.resetAndDestroy();
+      }
       outgoing.destroy();
     },
     onDisconnect(listener) {
--- a/packages/relay/src/front/createResumableResponse.ts
+++ b/packages/relay/src/front/createResumableResponse.ts
@@ -1,5 +1,6 @@
 import type { ResponseHead } from '../servers/types';
 import type { ResponseRelay, CallerExchange } from './types';
+import isEventStream from './isEventStream';
 import toRawHeaders from './toRawHeaders';
 
 const EMPTY = Buffer.alloc(0);
@@ -37,7 +38,9 @@
       // The length is that of the first server's response; another server may frame the rest
       // differently.
       delete headers['content-length'];
-      exchange.sendHead(head.status, toRawHeaders(headers), head.isDelimitedByClose);
+      // An event stream is sent in chunks, so that the caller also sees when this host breaks it off.
+      const isDelimitedByClose = head.isDelimitedByClose && !isEventStream(head);
+      exchange.sendHead(head.status, toRawHeaders(headers), isDelimitedByClose);
     }
   }
 
--- a/packages/relay/src/front/createStreamedResponse.ts
+++ b/packages/relay/src/front/createStreamedResponse.ts
@@ -1,5 +1,6 @@
 import type { ResponseHead } from '../servers/types';
 import type { ResponseRelay, CallerExchange } from './types';
+import isEventStream from './isEventStream';
 import toRawHeaders from './toRawHeaders';
 
 /** Forwards a stream as it arrives, from its first byte. */
@@ -10,7 +11,9 @@
   function commit(): void {
     if (!isCommitted && head !== undefined) {
       isCommitted = true;
-      exchange.sendHead(head.status, toRawHeaders(head.headers), head.isDelimitedByClose);
+      // An event stream is sent in chunks, so that the caller also sees when this host breaks it off.
+      const isDelimitedByClose = head.isDelimitedByClose && !isEventStream(head);
+      exchange.sendHead(head.status, toRawHeaders(head.headers), isDelimitedByClose);
     }
   }
 
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -3,8 +3,10 @@
 import type { SlotGrant } from '../admission/types';
 import createAttemptHeaders from './createAttemptHeaders';
 import createAttemptMeter from './createAttemptMeter';
+import createEventBoundary from './createEventBoundary';
 import recordPromptOutcome from './recordPromptOutcome';
 import tryParseLoad from './tryParseLoad';
+import type { AttemptOutcome } from '../types';
 import type { ResponseRelay, RelayRequestOptions } from './types';
 
 const HTTP_OK = 200;
@@ -22,7 +24,20 @@
   const { clock, exchange, plan, names, grant, response, embargo } = options;
   const { server } = grant;
   const meter = createAttemptMeter(clock, plan.outputTokens);
+  const boundary = createEventBoundary();
   let isAccepted = true;
+
+  /** Returns how the attempt ended, given how its connection did. */
+  function getOutcome(end: AttemptOutcome): AttemptOutcome {
+    if (end.kind === 'whole' && !isAccepted) {
+      return { kind: 'broken', reason: 'not resumed' };
+    }
+    const isBrokenOff = plan.route.kind === 'stream' && boundary.isBrokenOff();
+    return end.kind === 'whole' && isBrokenOff
+      ? { kind: 'broken', reason: 'ended inside an event' }
+      : end;
+  }
+
   const headers = createAttemptHeaders({
     exchange,
     plan,
@@ -53,6 +68,7 @@
           embargo.recordLeaving(server, clock.now());
           grant.recordLeaving();
         }
+        boundary.recordHead(head);
         // Only a 200 response continues a resumed stream; any other is not part of it.
         isAccepted = !response.isCommitted() || head.status === HTTP_OK;
         if (isAccepted) {
@@ -61,6 +77,7 @@
       },
       onData(chunk) {
         meter.recordChunk();
+        boundary.recordData(chunk);
         options.onData();
         return isAccepted ? response.onData(chunk) : true;
       },
@@ -68,10 +85,7 @@
         if (end.kind === 'notRun' && end.retryAfter !== undefined) {
           embargo.recordTurnedAway(server, end.retryAfter, clock.now());
         }
-        const isUnexpected = end.kind === 'whole' && !isAccepted;
-        const figures = meter.getFigures(
-          isUnexpected ? { kind: 'broken', reason: 'not resumed' } : end,
-        );
+        const figures = meter.getFigures(getOutcome(end));
         recordPromptOutcome({ ...options, server, parts: plan.promptParts, figures });
         options.onEnd(figures);
       },
