--- a/packages/relay/src/prompts/createPromptEvidence.ts
+++ b/packages/relay/src/prompts/createPromptEvidence.ts
@@ -20,21 +20,30 @@
 
 type EndState = 'open' | 'cleared';
 
-interface PartEntry {
-  readonly states: Map<ProcessKey, EndState>;
+interface EndEntry {
+  readonly state: EndState;
+  readonly changedAt: Milliseconds;
 }
 
-function listProcesses({ states }: PartEntry, state: EndState): readonly ProcessKey[] {
-  return [...states].filter(([, each]) => each === state).map(([process]) => process);
+type PartEntry = Map<ProcessKey, EndEntry>;
+
+function listProcesses(
+  entry: PartEntry,
+  state: EndState,
+  since: Milliseconds = -Infinity,
+): readonly ProcessKey[] {
+  return [...entry]
+    .filter(([, end]) => end.state === state && end.changedAt >= since)
+    .map(([process]) => process);
 }
 
 /** Drops the oldest cleared end of a part that has many; returns whether there is room for one. */
 function tryMakeRoom(entry: PartEntry): boolean {
-  if (entry.states.size < MAXIMUM_PROCESSES_PER_PART) {
+  if (entry.size < MAXIMUM_PROCESSES_PER_PART) {
     return true;
   }
   const [oldest] = listProcesses(entry, 'cleared');
-  return oldest !== undefined && entry.states.delete(oldest);
+  return oldest !== undefined && entry.delete(oldest);
 }
 
 /**
@@ -64,8 +73,8 @@
     state: EndState,
     now: Milliseconds,
   ): boolean {
-    const entry = parts.get(part) ?? { states: new Map<ProcessKey, EndState>() };
-    const known = entry.states.get(process);
+    const entry: PartEntry = parts.get(part) ?? new Map();
+    const known = entry.get(process)?.state;
     const next = isRecentlyAnswered(part, now) ? 'cleared' : state;
     if (known === next || known === 'cleared') {
       return false;
@@ -73,7 +82,7 @@
     if (known === undefined && !tryMakeRoom(entry)) {
       return false;
     }
-    entry.states.set(process, next);
+    entry.set(process, { state: next, changedAt: now });
     parts.set(part, entry, now);
     return true;
   }
@@ -137,12 +146,16 @@
         .list(since)
         .map(([part, entry]): readonly [PromptPartId, PartEvidence] => [
           part,
-          { open: listProcesses(entry, 'open'), cleared: listProcesses(entry, 'cleared') },
+          {
+            open: listProcesses(entry, 'open', since),
+            cleared: listProcesses(entry, 'cleared', since),
+          },
         ])
         .sort(([, left], [, right]) => right.open.length - left.open.length)
         .slice(0, MAXIMUM_REPORTED_PARTS);
+      const reported = new Set(recent.flatMap(([, { open }]) => open));
       return {
-        ended: ended.list(since).map(([process]) => process),
+        ended: [...reported].filter((process) => ended.get(process) !== undefined),
         parts: Object.fromEntries(recent),
       };
     },
--- /dev/null
+++ b/packages/relay/src/testing/createTestEngine.ts
@@ -0,0 +1,182 @@
+import type { Clock, Milliseconds, Random } from '@rattanreel/core';
+import type { AttemptRequest, AttemptSink } from '../servers/types';
+import type { AttemptOutcome, ListedServer } from '../types';
+import headerNames from './headerNames';
+import type { TestHost } from './types';
+
+/** Requests that wait at an engine beyond its slots. */
+const MAXIMUM_WAITING = 4;
+const MINIMUM_PREFILL: Milliseconds = 40;
+const PREFILL_SPREAD: Milliseconds = 60;
+const EVENTS = 4;
+const EVENT_INTERVAL: Milliseconds = 30;
+/** Share of crashing requests whose answer begins before the engine ends. */
+const PARTIAL_ANSWER_SHARE = 0.3;
+const RESTART_TIME: Milliseconds = 2_000;
+const RESTART_SPREAD: Milliseconds = 1_500;
+/** Time until the platform's list follows the end of an engine. */
+const EXPIRY_TIME: Milliseconds = 3_600;
+
+interface TestRun {
+  readonly host: TestHost;
+  readonly request: AttemptRequest;
+  readonly sink: AttemptSink;
+  isEnded: boolean;
+}
+
+/** A limit that an engine names from a time on; undefined if it names none. */
+interface LimitChange {
+  readonly at: Milliseconds;
+  readonly limit: number | undefined;
+}
+
+interface TestEngineOptions {
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly listed: ListedServer;
+  /** Returns the part of a request's prompt under which the engine ends, if it has one. */
+  readonly tryGetCrashingPart: (request: AttemptRequest) => string | undefined;
+  readonly onCrash: (part: string | undefined) => void;
+  /** Called when the platform's list no longer has the process that ended. */
+  readonly onExpired: (id: string) => void;
+  readonly onStarted: () => void;
+}
+
+/**
+ * Creates an engine in virtual time. It ends when it begins to answer a request with a crashing
+ * part in its prompt, and starts again seconds later as a new process.
+ */
+export default function createTestEngine(options: TestEngineOptions) {
+  const { clock, random } = options;
+  let { listed } = options;
+  let isUp = true;
+  let starts = 0;
+  let running = new Set<TestRun>();
+  let waiting: TestRun[] = [];
+  const limits: LimitChange[] = [];
+  /** When each host first received an answer that names a limit. */
+  const toldAt = new Map<TestHost, Milliseconds>();
+
+  function end(run: TestRun, outcome: AttemptOutcome): void {
+    if (!run.isEnded) {
+      run.isEnded = true;
+      run.sink.onEnd(outcome);
+    }
+  }
+
+  /** Breaks the connections of all requests. */
+  function reset(reason: string): void {
+    const runs = [...running, ...waiting];
+    running = new Set();
+    waiting = [];
+    runs.forEach((run) => end(run, { kind: 'broken', reason }));
+  }
+
+  function restart(): void {
+    starts += 1;
+    const id = `${listed.id.split('.', 1)[0]!}.${starts}`;
+    listed = { ...listed, id, startedAt: clock.now() };
+    isUp = true;
+    options.onStarted();
+  }
+
+  function crash(part: string | undefined): void {
+    options.onCrash(part);
+    isUp = false;
+    const { id } = listed;
+    reset('other side closed');
+    clock.after(EXPIRY_TIME, () => options.onExpired(id));
+    clock.after(RESTART_TIME + random.next() * RESTART_SPREAD, restart);
+  }
+
+  function createHeaders({ host, request }: TestRun): Record<string, string> {
+    const headers = { [headerNames.requestId]: request.requestId };
+    const limit = limits.at(-1)?.limit;
+    if (limit === undefined) {
+      return headers;
+    }
+    if (!toldAt.has(host)) {
+      toldAt.set(host, clock.now());
+    }
+    return { ...headers, 'x-server-limit': String(limit) };
+  }
+
+  function sendEvents(run: TestRun, sent: number): void {
+    if (!running.has(run)) {
+      return;
+    }
+    if (sent < EVENTS) {
+      run.sink.onData(Buffer.from(`id: ${sent}\ndata: text\n\n`));
+      clock.after(EVENT_INTERVAL, () => sendEvents(run, sent + 1));
+      return;
+    }
+    running.delete(run);
+    end(run, { kind: 'whole', status: 200 });
+    startNext();
+  }
+
+  function answer(run: TestRun): void {
+    if (!running.has(run)) {
+      return;
+    }
+    const headers = createHeaders(run);
+    const sendHead = (): void =>
+      run.sink.onHead({ status: 200, headers, isDelimitedByClose: false });
+    const part = options.tryGetCrashingPart(run.request);
+    if (part === undefined) {
+      sendHead();
+      sendEvents(run, 0);
+      return;
+    }
+    if (random.next() < PARTIAL_ANSWER_SHARE) {
+      sendHead();
+      run.sink.onData(Buffer.from('id: 0\nda'));
+    }
+    crash(part);
+  }
+
+  function startNext(): void {
+    while (isUp && running.size < listed.slots && waiting.length > 0) {
+      const run = waiting.shift()!;
+      running.add(run);
+      clock.after(MINIMUM_PREFILL + random.next() * PREFILL_SPREAD, () => answer(run));
+    }
+  }
+
+  return {
+    getListed: () => listed,
+    isUp: () => isUp,
+    limits,
+    toldAt,
+    /** Accepts a request that was sent to the server `id`; returns whether it reached the engine. */
+    accept(run: TestRun, id: string): boolean {
+      if (!isUp) {
+        end(run, { kind: 'notConnected' });
+        return false;
+      }
+      if (listed.id !== id) {
+        end(run, { kind: 'notRun', status: 421 });
+        return false;
+      }
+      if (waiting.length >= MAXIMUM_WAITING) {
+        end(run, { kind: 'notRun', status: 503 });
+      } else {
+        waiting.push(run);
+        startNext();
+      }
+      return true;
+    },
+    cancel(run: TestRun): void {
+      waiting = waiting.filter((each) => each !== run);
+      running.delete(run);
+      startNext();
+    },
+    /** Breaks all connections, although the engine does not end. */
+    resetConnections: () => reset('reset'),
+    crash,
+    /** Makes the engine name another limit, or none, in its answers. */
+    setLimit(limit: number | undefined): void {
+      limits.push({ at: clock.now(), limit });
+    },
+  };
+}
