Keep to the limit that a server names, summed over all hosts

Cause: the relay did not read the header at all. Class: a limit of one server for all hosts, of which only the answers to some of them tell.

Ruled out: hosts that obey each for itself, and late news: no line of code knew the header, and the rate at the two servers did not change when they named their limits.

Change: the latest response of a process says what its limit is, whichever host received it; hosts tell each other (with the age of what they saw, no clocks compared), directly or through their schedulers, without the store. Each host that grants slots keeps to the share of the hosts for which it grants them in all hosts, so the sum holds whoever reaches whom. Due times that pass are not made up for, or hosts that were idle would send together. A limit near 0 still gets a request every 4 s, since only an answer tells that it was taken back. The log names the limit on which each dispatch was based.

--- a/packages/relay/src/admission/createLocalAdmission.ts
+++ b/packages/relay/src/admission/createLocalAdmission.ts
@@ -18,6 +18,7 @@
     others: server.peerInFlight,
     slowness: Number(server.slowness.toFixed(2)),
     failures: server.consecutiveFailures,
+    limit: server.pacing?.rate,
   };
 }
 
--- a/packages/relay/src/admission/createScheduling.ts
+++ b/packages/relay/src/admission/createScheduling.ts
@@ -3,8 +3,14 @@
 import createFleetSize from '../decisions/createFleetSize';
 import isLargeFleet from '../decisions/isLargeFleet';
 import type { ServerEmbargo, SharedQuota } from '../decisions/types';
-import type { PromptReport } from '../prompts/types';
-import type { ClusterStateCache, FleetRole, PeerAddress, PeerTable, Pools } from '../types';
+import type {
+  ClusterStateCache,
+  FindingsReport,
+  FleetRole,
+  PeerAddress,
+  PeerTable,
+  Pools,
+} from '../types';
 import createSchedulerClient from './createSchedulerClient';
 import createSchedulerSelector from './createSchedulerSelector';
 import createSlotLedger from './createSlotLedger';
@@ -55,8 +61,8 @@
   announceStatus(): void;
   /** Returns the host that schedules this one, or would; undefined if this host does. */
   tryGetScheduler(): PeerAddress | undefined;
-  /** Sends what is known of prompts to the hosts that this one schedules; returns their number. */
-  sendPromptsToScheduled(report: PromptReport): number;
+  /** Sends what was found to the hosts that this one schedules; returns their number. */
+  sendToScheduled(report: FindingsReport): number;
   /** Hands the hosts that this one schedules over to the next candidate. */
   resign(): void;
   stop(): void;
@@ -119,7 +125,7 @@
     const names = others.map(({ entryHost }) => entryHost);
     const grantingHosts = isGranting() ? [self.entryHost, ...names] : names;
     quota.setFleet({ fleetHosts, ownHosts });
-    pools.setSharing({ grantingHosts, fleetHosts });
+    pools.setSharing({ grantingHosts, fleetHosts, ownHosts });
   }
 
   function getStatus(): SchedulerStatus {
@@ -215,7 +221,7 @@
     updateSharing,
     announceStatus: ledger.announceStatus,
     tryGetScheduler: selector.tryGetScheduler,
-    sendPromptsToScheduled: ledger.sendPrompts,
+    sendToScheduled: ledger.sendFindings,
     resign() {
       isResigning = true;
       ledger.announceStatus();
--- a/packages/relay/src/admission/createSlotLedger.ts
+++ b/packages/relay/src/admission/createSlotLedger.ts
@@ -1,6 +1,6 @@
 import type { Clock, EntryHostId, Milliseconds, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
-import type { PromptReport } from '../prompts/types';
+import type { FindingsReport } from '../types';
 import createServedHost from './createServedHost';
 import type {
   LocalAdmission,
@@ -31,8 +31,8 @@
   handle(sender: Sender, message: SchedulerRequest, respond: Respond): void;
   /** Sends the current status to all hosts. */
   announceStatus(): void;
-  /** Sends what is known of prompts to all hosts; returns their number. */
-  sendPrompts(report: PromptReport): number;
+  /** Sends what was found to all hosts; returns their number. */
+  sendFindings(report: FindingsReport): number;
   /** Returns the number of other hosts that use this one as their scheduler. */
   countHosts(): number;
   stop(): void;
@@ -126,7 +126,7 @@
       const status = options.getStatus();
       hosts.forEach(({ respond }) => respond(status));
     },
-    sendPrompts(report) {
+    sendFindings(report) {
       hosts.forEach(({ respond }) => respond(report));
       return hosts.size;
     },
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -12,9 +12,9 @@
   TierRank,
 } from '@rattanreel/core';
 import type { AttemptFigures, PoolState } from '../pools/types';
-import type { PromptReport } from '../prompts/types';
 import type {
   ClusterStateVersions,
+  FindingsReport,
   ListedServer,
   PeerAddress,
   Priority,
@@ -28,6 +28,8 @@
   readonly others: number;
   readonly slowness: number;
   readonly failures: number;
+  /** Requests per second that the server takes from all hosts; undefined if it names no limit. */
+  readonly limit?: number;
 }
 
 /** A slot at a backend server; ends with exactly one call of `release` or `complete`. */
@@ -210,7 +212,7 @@
   SlotGranted | SlotRefused | SlotQueued | SlotUnknown | SchedulerStatus;
 
 /** Sends a message to one host; it may be lost. */
-export type Respond = (message: SchedulerResponse | PromptReport) => void;
+export type Respond = (message: SchedulerResponse | FindingsReport) => void;
 
 /** Identity of the sender of a message. */
 export interface Sender {
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -8,6 +8,9 @@
 import createServerEmbargo from './decisions/createServerEmbargo';
 import createSharedQuota from './decisions/createSharedQuota';
 import type { ServerEmbargo } from './decisions/types';
+import createServerLimits from './limits/createServerLimits';
+import type { ServerLimits } from './limits/types';
+import createFindings from './peers/createFindings';
 import createPeerTable from './peers/createPeerTable';
 import openPeerLink from './peers/openPeerLink';
 import createPromptGuard from './prompts/createPromptGuard';
@@ -50,6 +53,7 @@
   readonly admission: Admission;
   readonly embargo: ServerEmbargo;
   readonly promptGuard: PromptGuard;
+  readonly serverLimits: ServerLimits;
   readonly pools: Pools;
   readonly stateCache: ClusterStateCache;
   readonly peerTable: PeerTable;
@@ -86,7 +90,12 @@
   const promptGuard = createPromptGuard({
     clock,
     logger,
-    onChange: (origin) => link.announcePrompts(origin),
+    onChange: (origin) => link.announceFindings(origin),
+  });
+  const serverLimits = createServerLimits({
+    clock,
+    logger,
+    onChange: (origin) => link.announceFindings(origin),
   });
   let storeWatcher: ReturnType<typeof createStoreWatcher> | undefined;
   let hasAskedSeeds = false;
@@ -127,6 +136,7 @@
     ownDomain: failureDomain,
     bounds,
     embargo,
+    serverLimits,
     getEvacuated: () => stateCache.evacuated,
     onInFlightChange: (isScarce) => link.announceChange(isScarce),
   });
@@ -158,9 +168,9 @@
     quota,
     getRole: scheduling.getRole,
     isWatchingStore: () => storeWatcher?.isWatching() ?? false,
-    promptGuard,
+    findings: createFindings({ promptGuard, serverLimits }),
     tryGetScheduler: scheduling.tryGetScheduler,
-    sendPromptsToScheduled: scheduling.sendPromptsToScheduled,
+    sendToScheduled: scheduling.sendToScheduled,
     onSchedulerRequest: scheduling.handleRequest,
     onSchedulerResponse: scheduling.handleResponse,
     onReachableChange: scheduling.updateSharing,
@@ -189,6 +199,7 @@
     admission: scheduling.admission,
     embargo,
     promptGuard,
+    serverLimits,
     pools,
     stateCache,
     peerTable,
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -11,7 +11,16 @@
 import createServerStateMap from './pools/createServerStateMap';
 import type { PoolQueue, ServerStateMap } from './pools/types';
 import type { ServerEmbargo } from './decisions/types';
-import type { PoolSettings, Pools, RelayBounds, SlotSharing } from './types';
+import updatePacing from './limits/updatePacing';
+import type { ServerLimits } from './limits/types';
+import type {
+  LimitPacing,
+  PoolSettings,
+  Pools,
+  RelayBounds,
+  ServerState,
+  SlotSharing,
+} from './types';
 
 interface PoolsOptions {
   readonly clock: Clock;
@@ -20,6 +29,7 @@
   readonly ownDomain: FailureDomainId;
   readonly bounds: RelayBounds;
   readonly embargo: ServerEmbargo;
+  readonly serverLimits: Pick<ServerLimits, 'tryGetRate'>;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
   /**
    * Called when the requests in flight change, with whether capacity is scarce, and with true when a
@@ -38,7 +48,14 @@
   const { clock, ownName } = options;
   const poolsById = new Map<PoolId, PoolEntry>();
   let settingsByPool = new Map<PoolId, PoolSettings>();
-  let sharing: SlotSharing = { grantingHosts: [ownName], fleetHosts: 1 };
+  let sharing: SlotSharing = { grantingHosts: [ownName], fleetHosts: 1, ownHosts: 1 };
+
+  function getPacing({ listed, pacing }: ServerState): LimitPacing | undefined {
+    const rate = options.serverLimits.tryGetRate(listed);
+    return rate === undefined
+      ? undefined
+      : updatePacing(pacing, { ...sharing, rate, now: clock.now(), random: options.random });
+  }
 
   function createPoolEntry(pool: PoolId): PoolEntry {
     const serverStates = createServerStateMap();
@@ -51,6 +68,7 @@
       getEvacuated: options.getEvacuated,
       embargo: options.embargo,
       onInFlightChange: options.onInFlightChange,
+      getPacing,
       getSettings: () => settingsByPool.get(pool),
       getColdRequestInterval: (server, rate) =>
         getColdRequestInterval({ server, host: ownName, hosts: sharing.grantingHosts, rate }),
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -93,6 +93,7 @@
     admission: core.admission,
     embargo: core.embargo,
     promptGuard: core.promptGuard,
+    serverLimits: core.serverLimits,
     classifier,
     connections,
     observer,
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -9,6 +9,7 @@
 import type { HeaderNames, RefusalReason, RelayContext, RelayCustomer, RouteTarget } from './types';
 import type { Admission } from './admission/types';
 import type { RequestClassifier, RouteTable, ServerEmbargo } from './decisions/types';
+import type { ServerLimits } from './limits/types';
 import type { PromptGuard } from './prompts/types';
 import type { ServerConnections } from './servers/types';
 
@@ -21,6 +22,7 @@
   readonly admission: Admission;
   readonly embargo: ServerEmbargo;
   readonly promptGuard: PromptGuard;
+  readonly serverLimits: ServerLimits;
   readonly classifier: RequestClassifier;
   readonly connections: ServerConnections;
   readonly observer: RequestObserver;
@@ -83,6 +85,7 @@
       admission: options.admission,
       embargo: options.embargo,
       promptGuard: options.promptGuard,
+      serverLimits: options.serverLimits,
       connections: options.connections,
       names,
       observer,
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -1,4 +1,5 @@
 import type { BackendServerId, FailureDomainId, Milliseconds, Random } from '@rattanreel/core';
+import isDue from '../limits/isDue';
 import type { ServerState } from '../types';
 import type { ServerEmbargo } from './types';
 import getOccupancy from './getOccupancy';
@@ -38,6 +39,7 @@
   return (
     isUsableServer(server, options) &&
     !excludedServers.has(server.listed.id) &&
+    isDue(server, now) &&
     (server.coldUntil <= now || (server.nextColdRequestAt ?? Infinity) <= now)
   );
 }
--- a/packages/relay/src/decisions/createSlotSharingPolicy.test.ts
+++ b/packages/relay/src/decisions/createSlotSharingPolicy.test.ts
@@ -105,7 +105,7 @@
           policy.recordDuration(0, 400);
           return policy.recordDuration(1, 1_600);
         });
-        const counts = { total: 36, inUse, getTierInUse: () => takenByTier };
+        const counts = { total: 36, sustained: 36, inUse, getTierInUse: () => takenByTier };
         expect(policy.evaluate({ tier, isReturning }, counts)).toEqual(claim);
       });
     },
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -55,6 +55,8 @@
   /** Slots of usable servers, and those in use by all hosts. */
   readonly total: number;
   readonly inUse: number;
+  /** Slots that requests can hold on average within the limits that servers name. */
+  readonly sustained: number;
   /** Returns the slots in use by requests of a tier, over all hosts. */
   readonly getTierInUse: (tier: TierRank) => number;
 }
--- a/packages/relay/src/front/brokenOffStream.test.ts
+++ b/packages/relay/src/front/brokenOffStream.test.ts
@@ -108,6 +108,12 @@
     },
     embargo: createServerEmbargo(),
     promptGuard: createPromptGuard({ clock, logger: silentLogger, onChange: () => undefined }),
+    serverLimits: {
+      record: () => undefined,
+      tryGetRate: () => undefined,
+      merge: () => undefined,
+      tryGetReport: () => undefined,
+    },
     classifier: createRequestClassifier(),
     connections,
     observer: createRequestObserver({
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -4,12 +4,14 @@
 import createAttemptHeaders from './createAttemptHeaders';
 import createAttemptMeter from './createAttemptMeter';
 import createEventBoundary from './createEventBoundary';
+import tryParseLimit from '../limits/tryParseLimit';
 import recordPromptOutcome from './recordPromptOutcome';
 import tryParseLoad from './tryParseLoad';
 import type { AttemptOutcome } from '../types';
 import type { ResponseRelay, RelayRequestOptions } from './types';
 
 const HTTP_OK = 200;
+const HTTP_MISDIRECTED = 421;
 
 interface StartAttemptOptions extends RelayRequestOptions {
   readonly grant: SlotGrant;
@@ -64,6 +66,10 @@
         if (load !== undefined) {
           grant.recordLoad(load.running, load.waiting);
         }
+        // Another server, at an address that was used again, says nothing about this one.
+        if (head.status !== HTTP_MISDIRECTED) {
+          options.serverLimits.record(server, tryParseLimit(head.headers[names.limit]));
+        }
         if (head.headers[names.leaving] !== undefined) {
           embargo.recordLeaving(server, clock.now());
           grant.recordLeaving();
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -13,6 +13,7 @@
 import type { Admission, ServerView } from '../admission/types';
 import type { ServerEmbargo } from '../decisions/types';
 import type { AttemptFigures, PoolState } from '../pools/types';
+import type { ServerLimits } from '../limits/types';
 import type { PromptGuard } from '../prompts/types';
 import type { ResponseHead, ServerConnections } from '../servers/types';
 
@@ -136,6 +137,7 @@
   readonly admission: Admission;
   readonly embargo: ServerEmbargo;
   readonly promptGuard: PromptGuard;
+  readonly serverLimits: Pick<ServerLimits, 'record'>;
   readonly connections: ServerConnections;
   readonly names: HeaderNames;
   readonly observer: RequestObserver;
--- a/packages/relay/src/peers/createPromptSync.ts
+++ b/packages/relay/src/peers/createFindingsSync.ts
@@ -1,7 +1,6 @@
 import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
-import type { PromptReport } from '../prompts/types';
 import type chooseSummaryRecipients from '../decisions/chooseSummaryRecipients';
-import type { FleetRole, PeerAddress } from '../types';
+import type { FindingsReport, FleetRole, PeerAddress } from '../types';
 import type { RelayTransport } from './types';
 
 /** Minimum time between two reports, and the time that each further recipient adds to it. */
@@ -10,10 +9,10 @@
 /** Time after which a report that has not changed is repeated, for hosts that missed it. */
 const REPEAT_INTERVAL: Milliseconds = 1_000;
 
-interface PromptSyncOptions {
+interface FindingsSyncOptions {
   readonly clock: Clock;
   /** Returns the current report; undefined if there is nothing to tell. */
-  readonly tryGetReport: () => PromptReport | undefined;
+  readonly tryGetReport: () => FindingsReport | undefined;
   readonly transport: Pick<RelayTransport, 'send'>;
   readonly getRole: () => FleetRole;
   /** Returns the hosts that receive this host's summaries. */
@@ -21,10 +20,10 @@
   /** Returns the host that schedules this one; undefined if this host does. */
   readonly tryGetScheduler: () => PeerAddress | undefined;
   /** Sends a report to the hosts that this one schedules; returns their number. */
-  readonly sendToScheduled: (report: PromptReport) => number;
+  readonly sendToScheduled: (report: FindingsReport) => number;
 }
 
-interface PromptSync {
+interface FindingsSync {
   /**
    * Sends a report soon. What was learnt from another host is passed on at once only between failure
    * domains; all others have it from its origin, or get it with the next periodic report.
@@ -34,10 +33,10 @@
 }
 
 /**
- * Tells other hosts about prompts: what changed at once, all of it periodically. Each host passes
+ * Tells other hosts what was found about prompts and servers: changes at once, all of it periodically. Each host passes
  * on what it has learnt, so a report also reaches hosts that its origin cannot reach.
  */
-export default function createPromptSync(options: PromptSyncOptions): PromptSync {
+export default function createFindingsSync(options: FindingsSyncOptions): FindingsSync {
   const { clock } = options;
   let timer: Timer | undefined;
   let isChangeDue = false;
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -8,6 +8,7 @@
 import type {
   ClusterStateCache,
   ClusterStateVersions,
+  FindingsReport,
   FleetRole,
   HostChange,
   HostMessage,
@@ -16,12 +17,11 @@
   PeerTable,
   Pools,
 } from '../types';
-import type { PromptGuard, PromptReport } from '../prompts/types';
 import createPeerReachabilityLog from './createPeerReachabilityLog';
 import createPeerSync from './createPeerSync';
-import createPromptSync from './createPromptSync';
+import createFindingsSync from './createFindingsSync';
 import createStateFetcher from './createStateFetcher';
-import type { OpenTransport } from './types';
+import type { Findings, OpenTransport } from './types';
 
 /** Minimum time between two pool updates, since hundreds of messages may arrive per second. */
 const POOL_UPDATE_INTERVAL: Milliseconds = 5;
@@ -48,11 +48,11 @@
     respond: Respond,
   ) => void;
   readonly onSchedulerResponse: (sender: Sender, message: SchedulerResponse) => void;
-  readonly promptGuard: Pick<PromptGuard, 'merge' | 'tryGetReport'>;
+  readonly findings: Findings;
   /** Returns the host that schedules this one; undefined if this host does. */
   readonly tryGetScheduler: () => PeerAddress | undefined;
-  /** Sends what is known of prompts to the hosts that this one schedules; returns their number. */
-  readonly sendPromptsToScheduled: (report: PromptReport) => number;
+  /** Sends what was found to the hosts that this one schedules; returns their number. */
+  readonly sendToScheduled: (report: FindingsReport) => number;
   /** Called after a message changed which hosts are reachable. */
   readonly onReachableChange: () => void;
 }
@@ -64,8 +64,8 @@
    * scarce.
    */
   announceChange(isScarce: boolean): void;
-  /** Announces what this host found out, or learnt, about prompts. */
-  announcePrompts(origin: 'found' | 'learnt'): void;
+  /** Announces what this host found out, or learnt from another one. */
+  announceFindings(origin: 'found' | 'learnt'): void;
   send(host: PeerAddress, message: HostMessage): void;
   /** Fetches the cluster state of a host if its versions are newer than those of this host. */
   handleVersions(host: Pick<PeerAddress, 'entryHost' | 'address'> & ClusterStateVersions): void;
@@ -146,8 +146,8 @@
       case 'status':
         options.onSchedulerResponse(sender, message);
         return;
-      case 'prompts':
-        options.promptGuard.merge(message);
+      case 'findings':
+        options.findings.merge(message);
         return;
       default:
         message satisfies never;
@@ -191,14 +191,14 @@
       }),
     listRecipients: listSummaryRecipients,
   });
-  const promptSync = createPromptSync({
+  const findingsSync = createFindingsSync({
     clock,
     transport,
     getRole: options.getRole,
-    tryGetReport: options.promptGuard.tryGetReport,
+    tryGetReport: options.findings.tryGetReport,
     listRecipients: listSummaryRecipients,
     tryGetScheduler: options.tryGetScheduler,
-    sendToScheduled: options.sendPromptsToScheduled,
+    sendToScheduled: options.sendToScheduled,
   });
 
   const reachabilityLog = createPeerReachabilityLog({
@@ -220,13 +220,13 @@
         peerSync.announceChange(isScarce);
       }
     },
-    announcePrompts: promptSync.announceChange,
+    announceFindings: findingsSync.announceChange,
     send: (host, message) => transport.send(host.address, message),
     handleVersions: stateFetcher.handleVersions,
     fetchClusterStateFrom: stateFetcher.fetchFrom,
     stop() {
       peerSync.stop();
-      promptSync.stop();
+      findingsSync.stop();
       reachabilityLog.stop();
     },
     close: transport.close,
--- a/packages/relay/src/peers/types.ts
+++ b/packages/relay/src/peers/types.ts
@@ -1,5 +1,5 @@
 import type { PeerIdentity, PeerTransport } from '@rattanreel/transport';
-import type { ClusterState, HostMessage, PeerQuery } from '../types';
+import type { ClusterState, FindingsReport, HostMessage, PeerQuery } from '../types';
 
 export type RelayTransport = PeerTransport<HostMessage, PeerQuery, ClusterState>;
 
@@ -17,3 +17,10 @@
 
 /** Opens the transport between hosts. Rejects if it cannot listen on the address. */
 export type OpenTransport = (options: RelayTransportOptions) => Promise<RelayTransport>;
+
+/** What this host has found out, or learnt from others. */
+export interface Findings {
+  merge(report: FindingsReport): void;
+  /** Returns what other hosts should know; undefined if there is nothing. */
+  tryGetReport(): FindingsReport | undefined;
+}
--- a/packages/relay/src/pools/createPoolAverages.ts
+++ b/packages/relay/src/pools/createPoolAverages.ts
@@ -6,6 +6,7 @@
 const INITIAL_FIRST_DATA: Milliseconds = 120;
 const INITIAL_CHUNK_INTERVAL: Milliseconds = 30;
 const INITIAL_DURATION: Milliseconds = 60;
+const INITIAL_MEAN_DURATION: Milliseconds = 400;
 
 /** Creates the averages of a pool, with values that hold until responses were received. */
 export default function createPoolAverages(): PoolAverages {
@@ -14,6 +15,7 @@
     chunkInterval: createMovingAverage({ initial: INITIAL_CHUNK_INTERVAL, weight }),
     singleChunkDuration: createMovingAverage({ initial: INITIAL_DURATION, weight }),
     timeToFirstData: createMovingAverage({ initial: INITIAL_FIRST_DATA, weight }),
+    duration: createMovingAverage({ initial: INITIAL_MEAN_DURATION, weight }),
     timePerToken: createMovingAverage({ initial: 0, weight }),
   };
 }
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -7,13 +7,13 @@
 import type { RelayBounds, ServerState, QueuedRequest } from '../types';
 import recordAttempt from './recordAttempt';
 import createPoolAverages from './createPoolAverages';
-import type { SlotTrackerOptions, PoolQueue } from './types';
+import type { PoolAverages, SlotTrackerOptions, PoolQueue } from './types';
 import createSlotTracker from './createSlotTracker';
 
 /** Time between two checks of the queue; covers changes that no message announces. */
 const QUEUE_CHECK_INTERVAL: Milliseconds = 20;
 
-interface PoolQueueOptions extends Omit<SlotTrackerOptions, 'canMeetDeadline'> {
+interface PoolQueueOptions extends Omit<SlotTrackerOptions, 'canMeetDeadline' | 'getMeanDuration'> {
   readonly bounds: RelayBounds;
 }
 
@@ -22,6 +22,21 @@
   readonly server: ServerState;
 }
 
+function getDeadlineOptions(
+  averages: PoolAverages,
+  { slowness }: ServerState,
+  { outputTokens, priority }: QueuedRequest,
+  now: Milliseconds,
+): Parameters<typeof canMeetDeadline>[0] {
+  return {
+    outputTokens,
+    timeToFirstData: averages.timeToFirstData.get(),
+    timePerToken: averages.timePerToken.get(),
+    slowness,
+    timeLeft: priority.deadlineAt - now,
+  };
+}
+
 /**
  * Queues and orders a pool's requests before dispatch, so that the servers' own queues stay short.
  */
@@ -33,14 +48,9 @@
   const policy = createSlotSharingPolicy();
   const tracker = createSlotTracker({
     ...options,
-    canMeetDeadline: ({ slowness }, { outputTokens, priority }) =>
-      canMeetDeadline({
-        outputTokens,
-        timeToFirstData: averages.timeToFirstData.get(),
-        timePerToken: averages.timePerToken.get(),
-        slowness,
-        timeLeft: priority.deadlineAt - clock.now(),
-      }),
+    getMeanDuration: averages.duration.get,
+    canMeetDeadline: (server, request) =>
+      canMeetDeadline(getDeadlineOptions(averages, server, request, clock.now())),
   });
   let peerQueuedByRank: ReadonlyMap<number, number> = new Map();
   let sharingHosts = 1;
@@ -111,7 +121,10 @@
   /** Returns the expected wait of a new request of this rank. */
   function getExpectedWait(rank: number): Milliseconds {
     // Under load, a host refills the slots that its own requests release.
-    const slots = Math.max(tracker.countSlots().total / sharingHosts, tracker.countOwnInFlight());
+    const slots = Math.max(
+      tracker.countSlots().sustained / sharingHosts,
+      tracker.countOwnInFlight(),
+    );
     return slots === 0 ? Infinity : queue.sumWorkAhead(rank, policy.getDuration) / slots;
   }
 
--- a/packages/relay/src/pools/createServerState.ts
+++ b/packages/relay/src/pools/createServerState.ts
@@ -20,5 +20,6 @@
     backoffUntil: 0,
     coldUntil: now + listed.coldFor,
     nextColdRequestAt: undefined,
+    pacing: undefined,
   };
 }
--- a/packages/relay/src/pools/createSlotTracker.ts
+++ b/packages/relay/src/pools/createSlotTracker.ts
@@ -3,6 +3,7 @@
 import getOccupancy from '../decisions/getOccupancy';
 import isUsableServer from '../decisions/isUsableServer';
 import type { SlotCounts } from '../decisions/types';
+import isDue from '../limits/isDue';
 import type { ServerState, QueuedRequest } from '../types';
 import type { SlotTrackerOptions } from './types';
 
@@ -27,6 +28,7 @@
   ): void;
 }
 
+const MILLISECONDS_PER_SECOND = 1_000;
 /** Share of slots in use from which on peers must be informed of each change at once. */
 const SCARCE_UTILIZATION = 0.6;
 
@@ -54,7 +56,10 @@
 
   function selectServer(request: QueuedRequest): ServerState | undefined {
     const now = clock.now();
-    serverStates.byId.forEach((server) => scheduleColdRequests(server, now));
+    serverStates.byId.forEach((server) => {
+      scheduleColdRequests(server, now);
+      server.pacing = options.getPacing(server);
+    });
     return chooseServer({
       servers: [...serverStates.byId.values()],
       embargo: options.embargo,
@@ -84,6 +89,17 @@
     if (server.coldUntil > now) {
       server.nextColdRequestAt = now + getColdRequestInterval(server);
     }
+    const pacing = options.getPacing(server);
+    server.pacing = pacing && {
+      ...pacing,
+      nextAt: Math.min(pacing.nextAt, now) + pacing.interval,
+    };
+  }
+
+  /** Returns the slots of a server that requests can hold on average within its limit. */
+  function getSustainedSlots({ listed, pacing }: ServerState): number {
+    const held = (pacing?.rate ?? Infinity) * (options.getMeanDuration() / MILLISECONDS_PER_SECOND);
+    return Math.min(listed.slots, held);
   }
 
   function countSlots(): SlotCounts {
@@ -91,25 +107,30 @@
     const evacuated = options.getEvacuated();
     let total = 0;
     let inUse = 0;
+    let sustained = 0;
     serverStates.byId.forEach((server) => {
       if (isUsableServer(server, { now, evacuated, embargo: options.embargo })) {
         total += server.listed.slots;
         inUse += Math.min(getOccupancy(server, now), server.listed.slots);
+        sustained += getSustainedSlots(server);
       }
     });
     const getTierInUse = (tier: TierRank): number =>
       (ownInFlightByTier.get(tier) ?? 0) + (peerInFlightByTier.get(tier) ?? 0);
-    return { total, inUse, getTierInUse };
+    return { total, inUse, sustained, getTierInUse };
   }
 
   function hasFreeSlot(): boolean {
     const now = clock.now();
     const evacuated = options.getEvacuated();
-    return [...serverStates.byId.values()].some(
-      (server) =>
+    return [...serverStates.byId.values()].some((server) => {
+      server.pacing = options.getPacing(server);
+      return (
         getOccupancy(server, now) < server.listed.slots + server.extraSlots &&
-        isUsableServer(server, { now, evacuated, embargo: options.embargo }),
-    );
+        isDue(server, now) &&
+        isUsableServer(server, { now, evacuated, embargo: options.embargo })
+      );
+    });
   }
 
   return {
--- a/packages/relay/src/pools/recordAttempt.ts
+++ b/packages/relay/src/pools/recordAttempt.ts
@@ -59,6 +59,7 @@
 function recordSuccess({ server, figures, averages }: RecordAttemptOptions): void {
   server.consecutiveFailures = 0;
   server.failureRate -= ATTEMPT_WEIGHT * server.failureRate;
+  averages.duration.add(figures.duration);
   if (figures.firstDataAfter !== undefined) {
     averages.timeToFirstData.add(figures.firstDataAfter);
   }
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -9,6 +9,7 @@
 } from '@rattanreel/core';
 import type {
   AttemptOutcome,
+  LimitPacing,
   ListedServer,
   PoolSettings,
   RefusalReason,
@@ -86,6 +87,7 @@
   readonly chunkInterval: MovingAverage;
   readonly singleChunkDuration: MovingAverage;
   readonly timeToFirstData: MovingAverage;
+  readonly duration: MovingAverage;
   /** Time per requested output token; 0 until a response with several chunks was received. */
   readonly timePerToken: MovingAverage;
 }
@@ -112,6 +114,10 @@
   readonly onInFlightChange: (isScarce: boolean) => void;
   /** Returns whether a server is expected to complete a response within the request's deadline. */
   readonly canMeetDeadline: (server: ServerState, request: QueuedRequest) => boolean;
+  /** Returns the pacing of requests to a server; undefined while it names no limit. */
+  readonly getPacing: (server: ServerState) => LimitPacing | undefined;
+  /** Mean time for which a request holds its slot. */
+  readonly getMeanDuration: () => Milliseconds;
   /** Returns the time between two requests of this host to a cold server. */
   readonly getColdRequestInterval: (server: BackendServerId, rate: number) => Milliseconds;
 }
--- a/packages/relay/src/prompts/createPromptGuard.ts
+++ b/packages/relay/src/prompts/createPromptGuard.ts
@@ -149,7 +149,7 @@
       const isEmpty = [ended, Object.keys(parts), Object.keys(quarantined)].every(
         ({ length }) => length === 0,
       );
-      return isEmpty ? undefined : { kind: 'prompts', ended, parts, quarantined };
+      return isEmpty ? undefined : { ended, parts, quarantined };
     },
     countQuarantined: () => Object.keys(quarantines.list(clock.now())).length,
   };
--- a/packages/relay/src/prompts/createRecentMap.ts
+++ b/packages/relay/src/prompts/createRecentMap.ts
@@ -30,6 +30,9 @@
   }
 
   return {
+    get size() {
+      return entries.size;
+    },
     get: (key) => entries.get(key)?.value,
     set(key, value, now) {
       entries.delete(key);
--- a/packages/relay/src/prompts/types.ts
+++ b/packages/relay/src/prompts/types.ts
@@ -24,7 +24,6 @@
  * merging them in any order leads to the same state.
  */
 export interface PromptReport {
-  readonly kind: 'prompts';
   /** Processes that are known to have ended. */
   readonly ended: readonly ProcessKey[];
   readonly parts: Readonly<Record<PromptPartId, PartEvidence>>;
@@ -66,6 +65,7 @@
 
 /** A map that is bounded in size and age. */
 export interface RecentMap<Key, Value> {
+  readonly size: number;
   get(key: Key): Value | undefined;
   /** Sets an entry, which becomes the newest one. */
   set(key: Key, value: Value, now: Milliseconds): void;
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -67,6 +67,7 @@
         admission: host.core.admission,
         embargo: host.core.embargo,
         promptGuard: host.core.promptGuard,
+        serverLimits: host.core.serverLimits,
         classifier: createRequestClassifier(),
         connections: engines.connect(host),
         observer: createRequestObserver({
--- a/packages/relay/src/testing/createTestEngine.ts
+++ b/packages/relay/src/testing/createTestEngine.ts
@@ -98,7 +98,7 @@
     if (!toldAt.has(host)) {
       toldAt.set(host, clock.now());
     }
-    return { ...headers, 'x-server-limit': String(limit) };
+    return { ...headers, [headerNames.limit]: String(limit) };
   }
 
   function sendEvents(run: TestRun, sent: number): void {
--- a/packages/relay/src/testing/createTestQueue.ts
+++ b/packages/relay/src/testing/createTestQueue.ts
@@ -35,6 +35,7 @@
     getSettings: () => undefined,
     onInFlightChange: () => undefined,
     getColdRequestInterval: () => 0,
+    getPacing: () => undefined,
     bounds: {
       retryRatio: 0.2,
       retryWindow: 10_000,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -15,6 +15,7 @@
 } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import type { SchedulerRequest, SchedulerResponse } from './admission/types';
+import type { LimitReport } from './limits/types';
 import type { PoolQueue } from './pools/types';
 import type { PromptReport } from './prompts/types';
 
@@ -169,6 +170,8 @@
   readonly notRun: string;
   /** `RUNNING,WAITING,SLOTS` of the responding backend server. */
   readonly load: string;
+  /** Requests per second that the responding backend server takes from all hosts together. */
+  readonly limit: string;
   /** Present in the responses of a backend server that is leaving. */
   readonly leaving: string;
   /** Seconds for which a backend server that turned a request away wants no other one. */
@@ -270,6 +273,18 @@
    * Earliest time of the next request while cold; undefined until the server is seen to be cold.
    */
   nextColdRequestAt: Milliseconds | undefined;
+  /** When this host may send requests; undefined while the server names no limit. */
+  pacing: LimitPacing | undefined;
+}
+
+/** How a host keeps to its share of the limit that a server names. */
+export interface LimitPacing {
+  /** Requests per second that the server takes from all hosts together. */
+  readonly rate: number;
+  /** Time between two requests of this host. */
+  readonly interval: Milliseconds;
+  /** Time from which on the next request may be sent, for a short while. */
+  readonly nextAt: Milliseconds;
 }
 
 /** State that a host sends to its peers several times per second. */
@@ -304,8 +319,18 @@
   readonly waiting: HostSummary['waiting'];
 }
 
+/**
+ * What hosts have found out about requests and servers, and agree on without the store. Each host
+ * merges what it receives and passes it on.
+ */
+export interface FindingsReport {
+  readonly kind: 'findings';
+  readonly prompts?: PromptReport;
+  readonly limits?: LimitReport;
+}
+
 export type HostMessage =
-  HostSummary | HostChange | SchedulerRequest | SchedulerResponse | PromptReport;
+  HostSummary | HostChange | SchedulerRequest | SchedulerResponse | FindingsReport;
 
 /** Versions of the state known to a host. They never decrease; -1 means nothing is known yet. */
 export interface ClusterStateVersions {
@@ -401,6 +426,8 @@
   /** Hosts that grant slots, this one included if it does. */
   readonly grantingHosts: readonly EntryHostId[];
   readonly fleetHosts: number;
+  /** Number of hosts for whose requests this one grants slots, including itself. */
+  readonly ownHosts: number;
 }
 
 /** What a host does for its fleet. */
