Keep a version on trial until its roll-out is decided, and take a bad one back

Cause: the relay ignored the operators' orders for roll-outs, so that servers of a new version were servers like all others. Ruled out: a comparison that errs; there was none.

Each host compares the answers of both versions by tier, leaving out servers that are cold; hosts exchange the counts without the store. A version with significantly more failed or slow answers gets nothing more at any host, and the status says rolled_back. A version that proves good is not yet completed: as before, nobody does.

--- a/packages/platform/src/createHttpTransport.ts
+++ b/packages/platform/src/createHttpTransport.ts
@@ -38,7 +38,7 @@
       const headers = { 'if-match': `"${call.version}"` };
       return {
         method: 'PUT',
-        path: getObjectPath(call),
+        path: `${getObjectPath(call)}${call.part === 'status' ? '/status' : ''}`,
         headers,
         body: JSON.stringify(call.value),
       };
--- a/packages/platform/src/createObjectStore.ts
+++ b/packages/platform/src/createObjectStore.ts
@@ -95,6 +95,8 @@
     create: (objectKind, name, value) => callForObject({ kind: 'create', objectKind, name, value }),
     update: (objectKind, name, value, version) =>
       callForObject({ kind: 'update', objectKind, name, value, version }),
+    updateStatus: (objectKind, name, value, version) =>
+      callForObject({ kind: 'update', part: 'status', objectKind, name, value, version }),
     async remove(objectKind, name, version) {
       const call: StoreCall = { kind: 'remove', objectKind, name, version };
       const result = await retryingTransport.call(call);
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -8,6 +8,10 @@
   /** Increases with each change anywhere in the store. */
   readonly version: number;
   readonly value: Value;
+  /** What the system reports about the object; absent if the store has no statuses. */
+  readonly status?: unknown;
+  /** Version at which the object was created; absent if the store does not tell. */
+  readonly createdAt?: number;
 }
 
 /** Reason why a call to the store did not succeed. */
@@ -68,6 +72,13 @@
     value: Value,
     version: number,
   ): Promise<Outcome<StoredObject<Value>, StoreError>>;
+  /** Replaces the status of an object; fails with `conflict` unless its version is `version`. */
+  updateStatus(
+    kind: string,
+    name: string,
+    status: unknown,
+    version: number,
+  ): Promise<Outcome<StoredObject, StoreError>>;
   /** Fails with `conflict` unless the object's version is `version`. */
   remove(kind: string, name: string, version: number): Promise<Outcome<void, StoreError>>;
   /** Reports the objects of a kind and every change to them until closed. */
@@ -123,6 +134,8 @@
       readonly name: string;
       readonly value: unknown;
       readonly version: number;
+      /** The part of the object that `value` replaces. */
+      readonly part?: 'value' | 'status';
     }
   | {
       readonly kind: 'remove';
--- a/packages/relay/src/createClusterStateCache.ts
+++ b/packages/relay/src/createClusterStateCache.ts
@@ -2,6 +2,7 @@
 import type { Logger } from '@rattanreel/observability';
 import createEvacuationList from './decisions/createEvacuationList';
 import listStateChanges from './decisions/listStateChanges';
+import createVersionedValue from './decisions/createVersionedValue';
 import createRoster from './decisions/createRoster';
 import createServerDirectory from './createServerDirectory';
 import selectNewerState from './decisions/selectNewerState';
@@ -13,6 +14,7 @@
   ListedServer,
   PeerAddress,
   RelayConfiguration,
+  Rollout,
 } from './types';
 
 /**
@@ -31,6 +33,7 @@
     evacuated: ReadonlySet<FailureDomainId>,
     returned: readonly FailureDomainId[],
   ) => void;
+  readonly onRollouts: (rollouts: readonly Rollout[]) => void;
   /** Called with the registered hosts other than this one. */
   readonly onPeers: (peers: readonly PeerAddress[]) => void;
   /** Called when the store has lost what was written to it since an older copy. */
@@ -50,6 +53,7 @@
   let configuration: RelayConfiguration | undefined;
   const evacuations = createEvacuationList();
   const roster = createRoster();
+  const rollouts = createVersionedValue<readonly Rollout[]>();
   let storeEra: number | undefined;
   let restoreTimer: Timer | undefined;
 
@@ -90,6 +94,7 @@
       serversVersion: servers.version,
       evacuatedVersion: evacuations.version,
       rosterVersion: roster.version,
+      rolloutsVersion: rollouts.version,
       storeEra,
     };
   }
@@ -101,6 +106,7 @@
       servers: servers.list(),
       evacuated: [...evacuations.current],
       peers: roster.hosts,
+      rollouts: rollouts.value,
     };
   }
 
@@ -147,6 +153,11 @@
       case 'evacuated':
         applyEvacuated(change.failureDomains, change.version, from);
         return;
+      case 'rollouts':
+        if (rollouts.replace(change.rollouts, change.version)) {
+          options.onRollouts(change.rollouts);
+        }
+        return;
       case 'peers':
         applyRoster(change.peers, change.version);
         return;
@@ -188,9 +199,7 @@
         publishPeers();
       }
     },
-    clearUnreachableSubjects() {
-      unreachableSubjects.clear();
-    },
+    clearUnreachableSubjects: () => unreachableSubjects.clear(),
     stop() {
       servers.stop();
       restoreTimer?.cancel();
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -8,12 +8,10 @@
 import createServerEmbargo from './decisions/createServerEmbargo';
 import createSharedQuota from './decisions/createSharedQuota';
 import type { ServerEmbargo } from './decisions/types';
-import createServerLimits from './limits/createServerLimits';
 import type { ServerLimits } from './limits/types';
 import createFindings from './peers/createFindings';
 import createPeerTable from './peers/createPeerTable';
 import openPeerLink from './peers/openPeerLink';
-import createPromptGuard from './prompts/createPromptGuard';
 import type { OpenTransport } from './peers/types';
 import type { PromptGuard } from './prompts/types';
 import registerHost from './registerHost';
@@ -87,16 +85,15 @@
   const quota = createSharedQuota({ now: clock.now(), random, bounds });
   const embargo = createServerEmbargo();
   const peerTable = createPeerTable();
-  const promptGuard = createPromptGuard({
-    clock,
-    logger,
-    onChange: (origin) => link.announceFindings(origin),
-  });
-  const serverLimits = createServerLimits({
-    clock,
-    logger,
+  const findings = createFindings({
+    ...context,
+    ownName: entryHost,
+    bounds,
+    getRole: () => scheduling.getRole(),
+    record: source.recordRollout,
     onChange: (origin) => link.announceFindings(origin),
   });
+  const { promptGuard, serverLimits, rollouts } = findings;
   let storeWatcher: ReturnType<typeof createStoreWatcher> | undefined;
   let hasAskedSeeds = false;
   let isStopping = false;
@@ -122,6 +119,7 @@
       pools.markCold(returned);
       scheduling.announceStatus();
     },
+    onRollouts: rollouts.setRollouts,
     onPeers(peers) {
       link.setPeers(peers);
       scheduling.setPeers(peers);
@@ -136,6 +134,7 @@
     ownDomain: failureDomain,
     bounds,
     embargo,
+    rollouts,
     serverLimits,
     getEvacuated: () => stateCache.evacuated,
     onInFlightChange: (isScarce) => link.announceChange(isScarce),
@@ -168,7 +167,7 @@
     quota,
     getRole: scheduling.getRole,
     isWatchingStore: () => storeWatcher?.isWatching() ?? false,
-    findings: createFindings({ promptGuard, serverLimits }),
+    findings,
     tryGetScheduler: scheduling.tryGetScheduler,
     sendToScheduled: scheduling.sendToScheduled,
     onSchedulerRequest: scheduling.handleRequest,
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -10,6 +10,7 @@
 import createPoolQueue from './pools/createPoolQueue';
 import createServerStateMap from './pools/createServerStateMap';
 import type { PoolQueue, ServerStateMap } from './pools/types';
+import type { Rollouts } from './rollouts/types';
 import type { ServerEmbargo } from './decisions/types';
 import updatePacing from './limits/updatePacing';
 import type { ServerLimits } from './limits/types';
@@ -29,6 +30,7 @@
   readonly ownDomain: FailureDomainId;
   readonly bounds: RelayBounds;
   readonly embargo: ServerEmbargo;
+  readonly rollouts: Rollouts;
   readonly serverLimits: Pick<ServerLimits, 'tryGetRate'>;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
   /**
@@ -66,7 +68,11 @@
       bounds: options.bounds,
       serverStates,
       getEvacuated: options.getEvacuated,
-      embargo: options.embargo,
+      embargo: {
+        isEmbargoed: (server, now) =>
+          options.rollouts.getUse(server) === 'none' || options.embargo.isEmbargoed(server, now),
+      },
+      rollouts: options.rollouts,
       onInFlightChange: options.onInFlightChange,
       getPacing,
       getSettings: () => settingsByPool.get(pool),
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -27,6 +27,8 @@
   /** Servers that asked this host to send nothing. */
   readonly embargo: Pick<ServerEmbargo, 'isEmbargoed'>;
   readonly excludedServers: ReadonlySet<BackendServerId>;
+  /** Returns whether a server whose version is on trial may get a request now. */
+  readonly mayTry?: (server: ServerState) => boolean;
   /**
    * Returns whether the request is expected to meet its deadline at a server; ignored if no usable
    * server can meet it.
@@ -35,11 +37,12 @@
 }
 
 function isUsableNow(server: ServerState, options: ChooseServerOptions): boolean {
-  const { now, excludedServers } = options;
+  const { now, excludedServers, mayTry = () => true } = options;
   return (
     isUsableServer(server, options) &&
     !excludedServers.has(server.listed.id) &&
     isDue(server, now) &&
+    mayTry(server) &&
     (server.coldUntil <= now || (server.nextColdRequestAt ?? Infinity) <= now)
   );
 }
--- a/packages/relay/src/decisions/listStateChanges.ts
+++ b/packages/relay/src/decisions/listStateChanges.ts
@@ -2,7 +2,7 @@
 
 /** Lists the changes that a peer's state brings, the store's era before what belongs to it. */
 export default function listStateChanges(state: ClusterState): readonly ClusterStateChange[] {
-  const { configuration, servers, evacuated, peers, storeEra } = state;
+  const { configuration, servers, evacuated, peers, rollouts, storeEra } = state;
   const changes: ClusterStateChange[] = [];
   if (storeEra !== undefined) {
     changes.push({ kind: 'storeEra', era: storeEra });
@@ -20,6 +20,9 @@
       version: state.evacuatedVersion,
     });
   }
+  if (rollouts !== undefined) {
+    changes.push({ kind: 'rollouts', rollouts, version: state.rolloutsVersion ?? -1 });
+  }
   if (peers !== undefined) {
     changes.push({ kind: 'peers', peers, version: state.rosterVersion });
   }
--- a/packages/relay/src/decisions/selectNewerState.ts
+++ b/packages/relay/src/decisions/selectNewerState.ts
@@ -11,6 +11,8 @@
       state.configurationVersion > known.configurationVersion ? state.configuration : undefined,
     servers: state.serversVersion > known.serversVersion ? state.servers : undefined,
     evacuated: state.evacuatedVersion > known.evacuatedVersion ? state.evacuated : undefined,
+    rollouts:
+      (state.rolloutsVersion ?? -1) > (known.rolloutsVersion ?? -1) ? state.rollouts : undefined,
     peers: state.rosterVersion > known.rosterVersion ? state.peers : undefined,
   };
 }
--- a/packages/relay/src/peers/createFindings.ts
+++ b/packages/relay/src/peers/createFindings.ts
@@ -1,29 +1,51 @@
+import createServerLimits from '../limits/createServerLimits';
 import type { ServerLimits } from '../limits/types';
+import createPromptGuard from '../prompts/createPromptGuard';
 import type { PromptGuard } from '../prompts/types';
+import createRollouts from '../rollouts/createRollouts';
+import type { Rollouts } from '../rollouts/types';
 import type { Findings } from './types';
 
-interface FindingsOptions {
-  readonly promptGuard: Pick<PromptGuard, 'merge' | 'tryGetReport'>;
-  readonly serverLimits: Pick<ServerLimits, 'merge' | 'tryGetReport'>;
+interface FindingsOptions extends Omit<Parameters<typeof createRollouts>[0], 'onFound'> {
+  /** Called when other hosts should know of a change: of what this host found, or learnt. */
+  readonly onChange: (origin: 'found' | 'learnt') => void;
 }
 
-/** Joins what hosts tell each other about prompts and servers, so that it needs one message. */
-export default function createFindings({ promptGuard, serverLimits }: FindingsOptions): Findings {
+interface FindingsParts extends Findings {
+  readonly promptGuard: PromptGuard;
+  readonly serverLimits: ServerLimits;
+  readonly rollouts: Rollouts;
+}
+
+/** Joins what hosts tell each other about prompts, servers and versions, so that it needs one message. */
+export default function createFindings(options: FindingsOptions): FindingsParts {
+  const promptGuard = createPromptGuard(options);
+  const serverLimits = createServerLimits(options);
+  const rollouts = createRollouts({ ...options, onFound: () => options.onChange('found') });
+
   return {
-    merge({ prompts, limits }) {
-      if (prompts !== undefined) {
-        promptGuard.merge(prompts);
+    promptGuard,
+    serverLimits,
+    rollouts,
+    merge(report) {
+      if (report.prompts !== undefined) {
+        promptGuard.merge(report.prompts);
+      }
+      if (report.limits !== undefined) {
+        serverLimits.merge(report.limits);
       }
-      if (limits !== undefined) {
-        serverLimits.merge(limits);
+      if (report.rollouts !== undefined) {
+        rollouts.merge(report.rollouts);
       }
     },
     tryGetReport() {
-      const prompts = promptGuard.tryGetReport();
-      const limits = serverLimits.tryGetReport();
-      return prompts === undefined && limits === undefined
-        ? undefined
-        : { kind: 'findings', prompts, limits };
+      const parts = {
+        prompts: promptGuard.tryGetReport(),
+        limits: serverLimits.tryGetReport(),
+        rollouts: rollouts.tryGetReport(),
+      };
+      const isEmpty = Object.values(parts).every((part) => part === undefined);
+      return isEmpty ? undefined : { kind: 'findings', ...parts };
     },
   };
 }
--- a/packages/relay/src/peers/createStateFetcher.ts
+++ b/packages/relay/src/peers/createStateFetcher.ts
@@ -46,7 +46,8 @@
   return (
     peer.configurationVersion > own.configurationVersion ||
     peer.evacuatedVersion > own.evacuatedVersion ||
-    peer.rosterVersion > own.rosterVersion
+    peer.rosterVersion > own.rosterVersion ||
+    (peer.rolloutsVersion ?? -1) > (own.rolloutsVersion ?? -1)
   );
 }
 
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -170,6 +170,10 @@
         policy.recordDuration(tier, figures.duration);
       }
       recordAttempt({ server, figures, averages, now: clock.now() });
+      // A server that has just started is slow whatever its version.
+      if (server.coldUntil <= clock.now() - figures.duration) {
+        options.rollouts.recordAttempt(server.listed, tier, figures);
+      }
       grantSlots();
     },
     recordLoadReport(server, running, waiting) {
--- a/packages/relay/src/pools/createSlotTracker.ts
+++ b/packages/relay/src/pools/createSlotTracker.ts
@@ -68,6 +68,7 @@
       ownDomain,
       evacuated: options.getEvacuated(),
       excludedServers: request.excludedServers,
+      mayTry: ({ listed }) => options.rollouts.mayTry(listed),
       canMeetDeadline: (server) => options.canMeetDeadline(server, request),
     });
   }
@@ -85,6 +86,7 @@
   function acquireSlot(server: ServerState, tier: TierRank): void {
     const now = clock.now();
     server.ownInFlight += 1;
+    options.rollouts.recordGrant(server.listed);
     updateOwnInFlight(tier, 1);
     if (server.coldUntil > now) {
       server.nextColdRequestAt = now + getColdRequestInterval(server);
@@ -109,7 +111,8 @@
     let inUse = 0;
     let sustained = 0;
     serverStates.byId.forEach((server) => {
-      if (isUsableServer(server, { now, evacuated, embargo: options.embargo })) {
+      const isCounted = options.rollouts.getUse(server.listed) === 'free';
+      if (isCounted && isUsableServer(server, { now, evacuated, embargo: options.embargo })) {
         total += server.listed.slots;
         inUse += Math.min(getOccupancy(server, now), server.listed.slots);
         sustained += getSustainedSlots(server);
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -19,6 +19,7 @@
   SlotSharing,
 } from '../types';
 import type { MovingAverage, ServerEmbargo } from '../decisions/types';
+import type { Rollouts } from '../rollouts/types';
 
 /** Measurements of one attempt. */
 export interface AttemptFigures {
@@ -116,6 +117,8 @@
   readonly canMeetDeadline: (server: ServerState, request: QueuedRequest) => boolean;
   /** Returns the pacing of requests to a server; undefined while it names no limit. */
   readonly getPacing: (server: ServerState) => LimitPacing | undefined;
+  /** The roll-outs in force. */
+  readonly rollouts: Pick<Rollouts, 'getUse' | 'mayTry' | 'recordGrant' | 'recordAttempt'>;
   /** Mean time for which a request holds its slot. */
   readonly getMeanDuration: () => Milliseconds;
   /** Returns the time between two requests of this host to a cold server. */
--- a/packages/relay/src/testing/createTestEngine.ts
+++ b/packages/relay/src/testing/createTestEngine.ts
@@ -30,6 +30,14 @@
   readonly limit: number | undefined;
 }
 
+/** How an engine answers badly. */
+interface BadBehaviour {
+  readonly failShare: number;
+  readonly slowShare: number;
+  /** Multiple of the usual times that a slow answer takes. */
+  readonly slowness: number;
+}
+
 interface TestEngineOptions {
   readonly clock: Clock;
   readonly random: Random;
@@ -37,6 +45,8 @@
   /** Returns the part of a request's prompt under which the engine ends, if it has one. */
   readonly tryGetCrashingPart: (request: AttemptRequest) => string | undefined;
   readonly onCrash: (part: string | undefined) => void;
+  /** Called with the engine's identifier when it fails to answer, or answers slowly. */
+  readonly onBadAnswer: (id: string) => void;
   /** Called when the platform's list no longer has the process that ended. */
   readonly onExpired: (id: string) => void;
   readonly onStarted: () => void;
@@ -53,6 +63,7 @@
   let starts = 0;
   let running = new Set<TestRun>();
   let waiting: TestRun[] = [];
+  let behaviour: BadBehaviour = { failShare: 0, slowShare: 0, slowness: 1 };
   const limits: LimitChange[] = [];
   /** When each host first received an answer that names a limit. */
   const toldAt = new Map<TestHost, Milliseconds>();
@@ -101,31 +112,44 @@
     return { ...headers, [headerNames.limit]: String(limit) };
   }
 
-  function sendEvents(run: TestRun, sent: number): void {
+  function finish(run: TestRun, status: number): void {
+    running.delete(run);
+    end(run, { kind: 'whole', status });
+    startNext();
+  }
+
+  function sendEvents(run: TestRun, sent: number, slowness: number): void {
     if (!running.has(run)) {
       return;
     }
     if (sent < EVENTS) {
       run.sink.onData(Buffer.from(`id: ${sent}\ndata: text\n\n`));
-      clock.after(EVENT_INTERVAL, () => sendEvents(run, sent + 1));
+      clock.after(EVENT_INTERVAL * slowness, () => sendEvents(run, sent + 1, slowness));
       return;
     }
-    running.delete(run);
-    end(run, { kind: 'whole', status: 200 });
-    startNext();
+    finish(run, 200);
   }
 
-  function answer(run: TestRun): void {
+  function answer(run: TestRun, slowness: number): void {
     if (!running.has(run)) {
       return;
     }
     const headers = createHeaders(run);
-    const sendHead = (): void =>
-      run.sink.onHead({ status: 200, headers, isDelimitedByClose: false });
+    const sendHead = (status = 200): void =>
+      run.sink.onHead({ status, headers, isDelimitedByClose: false });
+    if (slowness > 1) {
+      options.onBadAnswer(listed.id);
+    }
+    if (random.next() < behaviour.failShare) {
+      options.onBadAnswer(listed.id);
+      sendHead(500);
+      finish(run, 500);
+      return;
+    }
     const part = options.tryGetCrashingPart(run.request);
     if (part === undefined) {
       sendHead();
-      sendEvents(run, 0);
+      sendEvents(run, 0, slowness);
       return;
     }
     if (random.next() < PARTIAL_ANSWER_SHARE) {
@@ -139,7 +163,9 @@
     while (isUp && running.size < listed.slots && waiting.length > 0) {
       const run = waiting.shift()!;
       running.add(run);
-      clock.after(MINIMUM_PREFILL + random.next() * PREFILL_SPREAD, () => answer(run));
+      const slowness = random.next() < behaviour.slowShare ? behaviour.slowness : 1;
+      const prefill = MINIMUM_PREFILL + random.next() * PREFILL_SPREAD;
+      clock.after(prefill * slowness, () => answer(run, slowness));
     }
   }
 
@@ -174,6 +200,9 @@
     /** Breaks all connections, although the engine does not end. */
     resetConnections: () => reset('reset'),
     crash,
+    setBehaviour(next: BadBehaviour): void {
+      behaviour = next;
+    },
     /** Makes the engine name another limit, or none, in its answers. */
     setLimit(limit: number | undefined): void {
       limits.push({ at: clock.now(), limit });
--- a/packages/relay/src/testing/createTestEngines.ts
+++ b/packages/relay/src/testing/createTestEngines.ts
@@ -33,6 +33,8 @@
   const crashingParts = new Set<string>();
   const arrivals: Arrival[] = [];
   const crashes: { readonly at: Milliseconds; readonly part: string | undefined }[] = [];
+  /** Servers of the answers that failed or were slow. */
+  const badAnswers: string[] = [];
   const expired = new Set<string>();
 
   function publish(): void {
@@ -40,23 +42,26 @@
     fleet.setServers(listed.filter(({ id }) => !expired.has(id)));
   }
 
-  const engines: readonly TestEngine[] = fleet.servers.map((server) =>
-    createTestEngine({
+  function createEngine(listed: ListedServer): TestEngine {
+    return createTestEngine({
       clock,
       random,
-      listed: server,
+      listed,
       tryGetCrashingPart: (request) =>
         listPromptParts(request)
           .slice(0, -1)
           .find((part) => crashingParts.has(part)),
       onCrash: (part) => crashes.push({ at: clock.now(), part }),
+      onBadAnswer: (id) => badAnswers.push(id),
       onExpired(id) {
         expired.add(id);
         publish();
       },
       onStarted: publish,
-    }),
-  );
+    });
+  }
+
+  const engines = fleet.servers.map(createEngine);
 
   function getEngine({ address }: ListedServer): TestEngine {
     return engines.find((engine) => engine.getListed().address === address)!;
@@ -95,9 +100,21 @@
 
   return {
     engines,
+    /** Starts an engine of another version beside each one. */
+    startVersion(version: string): readonly TestEngine[] {
+      const started = engines.map((engine) => {
+        const listed = engine.getListed();
+        const id = `${version}-${listed.id}`;
+        return createEngine({ ...listed, id, address: `${id}:1`, version, startedAt: clock.now() });
+      });
+      engines.push(...started);
+      publish();
+      return started;
+    },
     connect,
     crashingParts,
     arrivals,
+    badAnswers,
     crashes,
     /** Ends an engine for a reason that no request has. */
     crashAtRandom(): void {
--- a/packages/relay/src/testing/createTestFleet.ts
+++ b/packages/relay/src/testing/createTestFleet.ts
@@ -16,6 +16,8 @@
   retryWindow: 10_000,
   retrySlack: 430,
   quotaSlack: 110_000,
+  exposeShare: 0.1,
+  exposeSlack: 50,
   coldFactor: 1.5,
   coldSlack: 5,
   shutdownGracePeriod: 8_000,
@@ -134,6 +136,8 @@
     advance,
     setReachable: network.setReachable,
     setServers: store.setServers,
+    setRollouts: store.setRollouts,
+    getRollouts: store.getRollouts,
     countWatchers: store.countWatchers,
     countRegistered: store.countRegistered,
     /** Stops a host without notice and starts its process again. */
--- a/packages/relay/src/testing/createTestStore.ts
+++ b/packages/relay/src/testing/createTestStore.ts
@@ -5,6 +5,7 @@
   ListedServer,
   PeerAddress,
   RelayConfiguration,
+  Rollout,
 } from '../types';
 import type { TestHost } from './types';
 
@@ -26,6 +27,8 @@
   let version = 1;
   let listedServers = servers;
   let serversVersion = 1;
+  let rollouts: readonly Rollout[] = [];
+  let rolloutsVersion = 1;
 
   function createSource(getHost: () => TestHost | undefined): ClusterStateSource {
     const countCall = (): void => {
@@ -45,6 +48,7 @@
             listener({ kind: 'configuration', configuration });
             listener({ kind: 'servers', servers: listedServers, version: serversVersion });
             listener({ kind: 'evacuated', failureDomains: [], version: 1 });
+            listener({ kind: 'rollouts', rollouts, version: rolloutsVersion });
           }
         });
         return () => watchers.delete(host);
@@ -59,24 +63,46 @@
         registered.set(peer.entryHost, peer);
         return true;
       },
+      async recordRollout(rollout, state) {
+        countCall();
+        const known = rollouts.find(({ name }) => name === rollout.name);
+        if (known?.objectVersion !== rollout.objectVersion) {
+          return false;
+        }
+        setRollouts([{ ...known, state }]);
+        return true;
+      },
       close: async () => undefined,
     };
   }
 
+  /** Informs the hosts that watch the store. */
+  function publish(change: ClusterStateChange): void {
+    watchers.forEach((listener, host) =>
+      clock.after(STORE_DELAY, () => {
+        if (watchers.get(host) === listener && host?.isDown !== true) {
+          listener(change);
+        }
+      }),
+    );
+  }
+
+  /** Orders roll-outs, or replaces their state. */
+  function setRollouts(next: readonly Rollout[]): void {
+    rolloutsVersion += 1;
+    rollouts = next.map((rollout) => ({ ...rollout, objectVersion: rolloutsVersion }));
+    publish({ kind: 'rollouts', rollouts, version: rolloutsVersion });
+  }
+
   return {
     createSource,
-    /** Replaces the list of servers; the hosts that watch the store are informed. */
+    setRollouts,
+    getRollouts: () => rollouts,
+    /** Replaces the list of servers. */
     setServers(next: readonly ListedServer[]): void {
       listedServers = next;
       serversVersion += 1;
-      const change = { kind: 'servers' as const, servers: next, version: serversVersion };
-      watchers.forEach((listener, host) =>
-        clock.after(STORE_DELAY, () => {
-          if (watchers.get(host) === listener && host?.isDown !== true) {
-            listener(change);
-          }
-        }),
-      );
+      publish({ kind: 'servers', servers: next, version: serversVersion });
     },
     /** Ends the watches of a process that was killed. */
     forget: (host: TestHost) => watchers.delete(host),
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -18,6 +18,7 @@
 import type { LimitReport } from './limits/types';
 import type { PoolQueue } from './pools/types';
 import type { PromptReport } from './prompts/types';
+import type { RolloutReport } from './rollouts/types';
 
 /** Identifier of a part of a prompt; equal parts of two prompts have the same one. */
 export type PromptPartId = string;
@@ -121,6 +122,25 @@
   readonly startedAt: number | undefined;
 }
 
+export type RolloutState = 'running' | 'complete' | 'rolledBack';
+
+/** An operator's order to move a pool's requests to servers of another version. */
+export interface Rollout {
+  /** Name of the platform's object. */
+  readonly name: string;
+  readonly pool: PoolId;
+  /** Version to which the requests are to be moved. */
+  readonly version: VersionId;
+  /** Time that the move may take. */
+  readonly duration: Milliseconds;
+  /** Version of the store at which it was ordered; tells two orders for one version apart. */
+  readonly orderedAt: number;
+  /** What was last written about it; undefined if nothing was. */
+  readonly state: RolloutState | undefined;
+  /** Version of the platform's object, for the next write. */
+  readonly objectVersion: number;
+}
+
 /** Identifies one process of a backend server. */
 export type ServerProcess = Pick<ListedServer, 'id' | 'startedAt'>;
 
@@ -142,6 +162,9 @@
   readonly retrySlack: number;
   /** Cost by which the spending of one customer may exceed its quota in a window. */
   readonly quotaSlack: number;
+  /** Share of a pool's requests, and requests beyond it, that a version on trial may get. */
+  readonly exposeShare: number;
+  readonly exposeSlack: number;
   /** Factor applied to the rate of a cold server. */
   readonly coldFactor: number;
   /** Requests per second allowed to a cold server in addition to that rate. */
@@ -327,6 +350,7 @@
   readonly kind: 'findings';
   readonly prompts?: PromptReport;
   readonly limits?: LimitReport;
+  readonly rollouts?: RolloutReport;
 }
 
 export type HostMessage =
@@ -339,6 +363,8 @@
   readonly evacuatedVersion: number;
   /** Version of the list of registered hosts. */
   readonly rosterVersion: number;
+  /** Version of the list of roll-outs; absent if unknown. */
+  readonly rolloutsVersion?: number;
   /** Rises each time that the store returns from an older copy; absent if unknown. */
   readonly storeEra?: number;
 }
@@ -358,6 +384,8 @@
   readonly evacuated: readonly FailureDomainId[] | undefined;
   /** All registered hosts; undefined until listed. */
   readonly peers: readonly PeerAddress[] | undefined;
+  /** All roll-outs that are ordered; undefined until listed. */
+  readonly rollouts?: readonly Rollout[] | undefined;
 }
 
 /** Delivers the cluster state from the platform, and its changes. */
@@ -371,6 +399,8 @@
   listPeers(): Promise<ListedPeers | undefined>;
   /** Registers this host for its peers; returns false unless it is known to be registered. */
   register(peer: PeerAddress): Promise<boolean>;
+  /** Writes the state of a roll-out; returns false unless it is known to be written. */
+  recordRollout(rollout: Rollout, state: RolloutState): Promise<boolean>;
   close(): Promise<void>;
 }
 
@@ -392,6 +422,7 @@
       readonly failureDomains: readonly FailureDomainId[];
       readonly version: number;
     }
+  | { readonly kind: 'rollouts'; readonly rollouts: readonly Rollout[]; readonly version: number }
   | { readonly kind: 'peers'; readonly peers: readonly PeerAddress[]; readonly version: number }
   /** The store's era, which rises each time that it returns from an older copy. */
   | { readonly kind: 'storeEra'; readonly era: number }
