Share the grants of a pool among tiers while the limits of its servers bind

Change: while limits let requests hold less than half of a pool's slots, a tier with less than its floor of the recent grants goes first. Test in createSlotSharingPolicy.test.ts: the last tier got none of 200 grants before.

--- a/packages/relay/src/decisions/createSlotSharingPolicy.test.ts
+++ b/packages/relay/src/decisions/createSlotSharingPolicy.test.ts
@@ -111,3 +111,22 @@
     },
   );
 });
+
+describe('tiers of a pool whose servers name limits', () => {
+  // Guards against a tier that gets nothing while limits, not slots, bound what a pool takes.
+  it('share the grants, each with a floor', () => {
+    const policy = createSlotSharingPolicy();
+    const counts = { total: 36, sustained: 4, inUse: 2, getTierInUse: () => 1 };
+    const granted = { 0: 0, 2: 0 };
+    for (let count = 0; count < 200; count += 1) {
+      const isBelowFloor = (tier: number): boolean =>
+        policy.evaluate({ tier, isReturning: false }, counts) === 'belowFloor';
+      // Requests of both tiers wait all the time; one below its floor goes first.
+      const tier = !isBelowFloor(0) && isBelowFloor(2) ? 2 : 0;
+      policy.recordGrant(tier);
+      granted[tier] += 1;
+    }
+    expect(granted[2]).toBeGreaterThan(25);
+    expect(granted[0]).toBeGreaterThan(100);
+  });
+});
--- a/packages/relay/src/decisions/createSlotSharingPolicy.ts
+++ b/packages/relay/src/decisions/createSlotSharingPolicy.ts
@@ -20,12 +20,20 @@
  * fresh requests of their tier go first.
  */
 const RETURNING_HEADROOM_FACTOR = 1.6;
+/**
+ * Below this fraction of a pool's slots that the limits of its servers let requests hold, slots are
+ * not what is scarce: tiers share the grants instead.
+ */
+const LIMITED_FRACTION = 0.5;
+/** Weight of one grant in the shares of the tiers. */
+const GRANT_WEIGHT = 0.05;
 const INITIAL_DURATION: Milliseconds = 400;
 const DURATION_WEIGHT = 0.05;
 
 interface SlotSharingPolicy {
   recordDuration(tier: TierRank, duration: Milliseconds): void;
   getDuration(tier: TierRank): Milliseconds;
+  recordGrant(tier: TierRank): void;
   /** Returns whether a request of this group may take a slot. */
   evaluate(group: SlotRequester, counts: SlotCounts): SlotEligibility;
 }
@@ -37,6 +45,7 @@
  */
 export default function createSlotSharingPolicy(): SlotSharingPolicy {
   const durations = new Map<TierRank, MovingAverage>();
+  const grantShares = new Map<TierRank, MovingAverage>();
 
   function getAverageDuration(tier: TierRank): MovingAverage {
     let average = durations.get(tier);
@@ -61,8 +70,17 @@
   return {
     recordDuration: (tier, duration) => getAverageDuration(tier).add(duration),
     getDuration: (tier) => getAverageDuration(tier).get(),
-    evaluate({ tier, isReturning }, { total, inUse, getTierInUse }) {
+    recordGrant(tier) {
+      if (!grantShares.has(tier)) {
+        grantShares.set(tier, createMovingAverage({ initial: 0, weight: GRANT_WEIGHT }));
+      }
+      grantShares.forEach((share, other) => share.add(other === tier ? 1 : 0));
+    },
+    evaluate({ tier, isReturning }, { total, inUse, sustained, getTierInUse }) {
       const floorShare = FLOOR_SHARE * (isReturning ? RETURNING_FLOOR_FRACTION : 1);
+      if (sustained < total * LIMITED_FRACTION) {
+        return (grantShares.get(tier)?.get() ?? 0) < floorShare ? 'belowFloor' : 'free';
+      }
       if (getTierInUse(tier) + 1 <= total * floorShare) {
         return 'belowFloor';
       }
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -95,6 +95,7 @@
     const { request, server } = grant;
     queue.remove(request);
     tracker.acquireSlot(server, request.priority.tier);
+    policy.recordGrant(request.priority.tier);
     request.onGranted(server);
     return true;
   }
