--- a/packages/relay/src/testing/headerNames.ts
+++ b/packages/relay/src/testing/headerNames.ts
@@ -12,7 +12,7 @@
   expectedServer: 'x-expected-server',
   notRun: 'x-not-run',
   load: 'x-load',
-  limit: 'x-server-limit',
+  limit: 'x-limit',
   leaving: 'x-leaving',
   retryAfter: 'retry-after',
   lastEventId: 'last-event-id',
