Let a quarantine end: the ends that led to it count no more

A part whose quarantine was over would have been quarantined anew at the next end of any server, by the ends of before. Test: createPromptGuard.test.ts, fails without the change. Only hosts that grant slots write that a roll-out was rolled back; at 195 hosts each of them would have.

--- a/packages/relay/src/prompts/createPromptEvidence.ts
+++ b/packages/relay/src/prompts/createPromptEvidence.ts
@@ -116,10 +116,10 @@
           .filter((process) => ended.get(process) === undefined),
       ),
     ],
-    getSuspects: () =>
+    getSuspects: (getSince) =>
       new Map(
         parts.list().flatMap(([part, entry]) => {
-          const open = listProcesses(entry, 'open').filter(
+          const open = listProcesses(entry, 'open', getSince(part)).filter(
             (process) => ended.get(process) !== undefined,
           );
           return open.length === 0 ? [] : [[part, new Set(open)] as const];
--- /dev/null
+++ b/packages/relay/src/prompts/createPromptGuard.test.ts
@@ -0,0 +1,74 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createVirtualClock } from '@rattanreel/core';
+import { silentLogger } from '@rattanreel/observability';
+import createTestServer from '../testing/createTestServer';
+import createPromptGuard from './createPromptGuard';
+
+const FIRST_QUARANTINE = 300_000;
+
+/** Creates a guard, and a function that lets servers end under the part `bad`. */
+function createGuard() {
+  const clock = createVirtualClock();
+  const guard = createPromptGuard({ clock, logger: silentLogger, onChange: () => undefined });
+  let ended = 0;
+  return {
+    clock,
+    guard,
+    getBlock: (part: string) => guard.tryGetBlock(['first', part])?.kind,
+    end(count: number): void {
+      for (let index = 0; index < count; index += 1) {
+        ended += 1;
+        const { listed } = createTestServer({ id: `server-${ended}` });
+        guard.recordBroken(listed, ['first', 'bad']);
+        guard.recordEnded(listed);
+        guard.recordAnswered(['first']);
+      }
+    },
+  };
+}
+
+describe('createPromptGuard', () => {
+  // Guards against a quarantine that renews itself with the ends that led to it.
+  it('tries a part again after its quarantine, and ends the trial with the first server', () => {
+    const { clock, guard, getBlock, end } = createGuard();
+    end(4);
+    expect(getBlock('bad')).toEqual('suspended');
+    clock.advance(1_100);
+    expect(getBlock('bad')).toEqual('quarantined');
+    clock.advance(FIRST_QUARANTINE);
+    const { listed } = createTestServer({ id: 'unrelated' });
+    guard.recordBroken(listed, ['other']);
+    guard.recordEnded(listed);
+    expect(getBlock('bad')).toEqual(undefined);
+    end(1);
+    expect(getBlock('bad')).toEqual('suspended');
+    clock.advance(1_100);
+    expect(getBlock('bad')).toEqual('quarantined');
+    clock.advance(FIRST_QUARANTINE + 1_000);
+    expect(getBlock('bad')).toEqual('quarantined');
+  });
+
+  // Guards against refusing parts for connections that broke while their servers went on.
+  it('blocks nothing for servers that are not known to have ended', () => {
+    const { guard, getBlock } = createGuard();
+    for (let index = 0; index < 8; index += 1) {
+      guard.recordBroken(createTestServer({ id: `s${index}` }).listed, ['first', 'bad']);
+    }
+    expect(getBlock('bad')).toEqual(undefined);
+  });
+
+  // Guards against requests that wait on when their prompt is quarantined.
+  it('tells those who watch a part once it is quarantined, also by another host', () => {
+    const { clock, guard, end } = createGuard();
+    const other = createGuard();
+    const told: string[] = [];
+    guard.watch(['bad'], () => told.push('this host'));
+    other.guard.watch(['bad'], () => told.push('other host'));
+    end(4);
+    clock.advance(1_100);
+    other.guard.merge(guard.tryGetReport()!);
+    expect(told).toEqual(['this host', 'other host']);
+    expect(other.getBlock('bad')).toEqual('quarantined');
+  });
+});
--- a/packages/relay/src/prompts/createPromptGuard.ts
+++ b/packages/relay/src/prompts/createPromptGuard.ts
@@ -43,9 +43,15 @@
       .forEach(({ onQuarantined }) => onQuarantined());
   }
 
+  /** The ends that led to a quarantine count no more once it is over. */
+  function getSuspects(): ReturnType<typeof evidence.getSuspects> {
+    const now = clock.now();
+    return evidence.getSuspects((part) => quarantines.tryGetLastEnd(part, now) ?? -Infinity);
+  }
+
   function listSuspected(): readonly PromptPartId[] {
     return findCrashingParts({
-      suspects: evidence.getSuspects(),
+      suspects: getSuspects(),
       isQuarantined: (part) => quarantines.tryGetRemaining(part, clock.now()) !== undefined,
       isKnown: (part) => quarantines.getStrikes(part) > 0,
       wasAnswered: evidence.wasAnswered,
@@ -53,7 +59,7 @@
   }
 
   function quarantine(part: PromptPartId): void {
-    const processes = [...(evidence.getSuspects().get(part) ?? [])];
+    const processes = [...(getSuspects().get(part) ?? [])];
     quarantines.add(part, clock.now());
     logger.warn({ part, processes }, 'prompt part quarantined');
     notifyWatchers([part]);
--- a/packages/relay/src/prompts/createQuarantineList.ts
+++ b/packages/relay/src/prompts/createQuarantineList.ts
@@ -46,6 +46,10 @@
       const remaining = (entries.get(part)?.until ?? -Infinity) - now;
       return remaining > 0 ? remaining : undefined;
     },
+    tryGetLastEnd(part, now) {
+      const until = entries.get(part)?.until;
+      return until !== undefined && until <= now ? until : undefined;
+    },
     getStrikes: (part) => entries.get(part)?.strikes ?? 0,
     list: (now) =>
       Object.fromEntries(
--- a/packages/relay/src/prompts/types.ts
+++ b/packages/relay/src/prompts/types.ts
@@ -54,8 +54,13 @@
   recordAnswered(parts: readonly PromptPartId[], now: Milliseconds): boolean;
   /** Lists the processes that are suspected to have ended, and are not known to have. */
   listUnconfirmed(): readonly ProcessKey[];
-  /** Processes that ended and whose end each part may have caused. */
-  getSuspects(): ReadonlyMap<PromptPartId, ReadonlySet<ProcessKey>>;
+  /**
+   * Processes that ended and whose end each part may have caused, as far as that became known at the
+   * part's `getSince` or later.
+   */
+  getSuspects(
+    getSince: (part: PromptPartId) => Milliseconds,
+  ): ReadonlyMap<PromptPartId, ReadonlySet<ProcessKey>>;
   /** Whether a request with the part was answered completely, as far as this host remembers. */
   wasAnswered(part: PromptPartId): boolean;
   merge(report: Pick<PromptReport, 'ended' | 'parts'>, now: Milliseconds): MergeResult;
@@ -80,6 +85,8 @@
   merge(quarantined: PromptReport['quarantined'], now: Milliseconds): readonly PromptPartId[];
   /** Returns the time left of a part's quarantine; undefined if it is not quarantined. */
   tryGetRemaining(part: PromptPartId, now: Milliseconds): Milliseconds | undefined;
+  /** Returns when the last quarantine of a part ended; undefined if none has. */
+  tryGetLastEnd(part: PromptPartId, now: Milliseconds): Milliseconds | undefined;
   /** Returns how often a part has been quarantined. */
   getStrikes(part: PromptPartId): number;
   list(now: Milliseconds): PromptReport['quarantined'];
--- a/packages/relay/src/rollouts/createRollouts.ts
+++ b/packages/relay/src/rollouts/createRollouts.ts
@@ -54,11 +54,17 @@
     return rollout.version === version;
   }
 
-  /** Writes that a roll-out was rolled back, until the store says so. */
+  /** Writes that a roll-out was rolled back, until the store says so; a few hosts do. */
   function recordRollback(entry: RolloutEntry): void {
     const { rollout } = entry;
     if (entries.get(getKey(rollout)) === entry && rollout.state !== 'rolledBack') {
-      void options.record(rollout, 'rolledBack');
+      if (options.getRole().isGranting) {
+        options
+          .record(rollout, 'rolledBack')
+          .catch((error: unknown) =>
+            logger.error({ error: String(error) }, 'roll-out not written'),
+          );
+      }
       clock.after(WRITE_RETRY_INTERVAL, () => recordRollback(entry));
     }
   }
