Log the content identifier of requests with each attempt

The identifier is a digest of method, target, customer and body; bodies and keys themselves stay out of logs.

--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -101,8 +101,7 @@
     handle(exchange, incoming) {
       const planResult = planRequest({
         headers: incoming.headers,
-        target: exchange.target,
-        arrivedAt: exchange.arrivedAt,
+        exchange,
         names,
         routes: options.getRoutes(),
         customersByKey: options.getCustomersByKey(),
--- a/packages/relay/src/front/createRequestObserver.ts
+++ b/packages/relay/src/front/createRequestObserver.ts
@@ -46,6 +46,7 @@
         {
           ...describe(plan),
           promptParts: plan.promptParts,
+          content: plan.contentId,
           server,
           ...view,
           attempt,
@@ -56,9 +57,9 @@
     },
     attemptEnded(plan, server, { end, duration, firstDataAfter }) {
       if (!isSuccessful(end)) {
-        const { promptParts } = plan;
+        const { promptParts, contentId: content } = plan;
         logger.info(
-          { ...describe(plan), server, promptParts, duration, firstDataAfter, end },
+          { ...describe(plan), server, promptParts, content, duration, firstDataAfter, end },
           'attempt failed',
         );
       }
--- a/packages/relay/src/front/planRequest.ts
+++ b/packages/relay/src/front/planRequest.ts
@@ -1,7 +1,8 @@
 import type { Milliseconds, Random } from '@rattanreel/core';
 import type { HeaderNames, RelayCustomer } from '../types';
+import getContentId from './getContentId';
 import parsePromptParts from './parsePromptParts';
-import type { PlanResult, RequestPlan } from './types';
+import type { CallerExchange, PlanResult, RequestPlan } from './types';
 import type { RequestClassifier, RouteTable } from '../decisions/types';
 
 /** Time after which a caller may retry at a host that has no configuration yet. */
@@ -22,8 +23,7 @@
 
 interface PlanRequestOptions {
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  readonly target: string;
-  readonly arrivedAt: Milliseconds;
+  readonly exchange: Pick<CallerExchange, 'method' | 'target' | 'body' | 'arrivedAt'>;
   readonly names: HeaderNames;
   /** Undefined until a configuration is known. */
   readonly routes: RouteTable | undefined;
@@ -59,7 +59,8 @@
   route: RequestPlan['route'],
   customer: RelayCustomer | undefined,
 ): RequestPlan {
-  const { names, arrivedAt } = options;
+  const { names, exchange } = options;
+  const { arrivedAt } = exchange;
   const tokens = tryParseTokens(getHeader(options, names.tokenCount));
   const lengthHint = tryParsePositive(getHeader(options, names.lengthHint));
   const deadline = tryParsePositive(getHeader(options, names.deadline)) ?? route.timeout;
@@ -94,20 +95,21 @@
     cost: quota?.countsTokens === true ? tokenCost : 1,
     promptTokens: tokens?.[0] ?? 0,
     promptParts: parsePromptParts(getHeader(options, names.promptParts)),
+    contentId: getContentId(exchange, customer),
     outputTokens,
     arrivedAt,
     deadlineAt: arrivedAt + timeLimit,
   };
 }
 
-/** Decides from its headers alone whether a request may be served, and what it asks for. */
+/** Decides, before any backend server is asked, whether a request may be served, and what it asks for. */
 export default function planRequest(options: PlanRequestOptions): PlanResult {
   const { routes, customersByKey, names } = options;
   if (routes === undefined) {
     const retryAfter = NO_CONFIGURATION_RETRY_AFTER;
     return { kind: 'rejected', rejection: { status: 503, code: 'noConfiguration', retryAfter } };
   }
-  const path = options.target.split('?', 1)[0]!;
+  const path = options.exchange.target.split('?', 1)[0]!;
   const route = routes.tryMatch(getHostName(options), path);
   if (route === undefined) {
     return { kind: 'rejected', rejection: { status: 404, code: 'unknownRoute' } };
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -3,6 +3,7 @@
 import type { BackendServerId, Clock, Milliseconds, PoolId } from '@rattanreel/core';
 import type {
   ClusterStateVersions,
+  ContentId,
   HeaderNames,
   PromptPartId,
   RefusalReason,
@@ -56,6 +57,7 @@
    * the request or its session.
    */
   readonly promptParts: readonly PromptPartId[];
+  readonly contentId: ContentId;
   readonly outputTokens: number;
   readonly arrivedAt: Milliseconds;
   /** The caller's deadline or the route's timeout, whichever comes first. */
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -23,6 +23,9 @@
 /** Identifier of a part of a prompt; equal parts of two prompts have the same one. */
 export type PromptPartId = string;
 
+/** Identifier of a request's content, which names it without revealing it. */
+export type ContentId = `content:${string}`;
+
 /**
  * Determines which requests may be retried after they may have run: `idempotent` calls may, `once`
  * calls may not, and a `stream` may only if its route is resumable.
