--- a/packages/relay/src/limits/serverLimit.test.ts
+++ b/packages/relay/src/limits/serverLimit.test.ts
@@ -121,7 +121,7 @@
   const engines = createTestEngines(fleet);
   const callers = createTestCallers({ fleet, engines });
   await fleet.advance(START_TIME, 20);
-  callers.sendOften(limitCase.rate, () => ['first']);
+  callers.sendOften(limitCase.rate, () => ({ promptParts: ['first'] }));
   await fleet.advance(CALM_TIME);
   return { fleet, engines, callers };
 }
--- a/packages/relay/src/prompts/crashingPromptPart.test.ts
+++ b/packages/relay/src/prompts/crashingPromptPart.test.ts
@@ -3,67 +3,34 @@
 import createTestCallers from '../testing/createTestCallers';
 import createTestEngines from '../testing/createTestEngines';
 import createTestFleet from '../testing/createTestFleet';
+import disturbances from '../testing/disturbances';
+import playCrashDay from '../testing/playCrashDay';
+import type { SeenCall } from '../testing/types';
 
-type TestFleet = Awaited<ReturnType<typeof createTestFleet>>;
-type TestHost = TestFleet['hosts'][number];
+type CrashDayOptions = Parameters<typeof playCrashDay>[0];
+type CrashDay = Awaited<ReturnType<typeof playCrashDay>>;
+
+const { cutOff, freeze, listSchedulers, restart } = disturbances;
 
-/** The platform's `stable-window-ms`, and the figures of its rules BUDGET and LOST. */
-const STABLE_WINDOW = 3_000;
-const RULE_CRASHES = 5;
-const RULE_REQUESTS = 3;
-const RULE_SOUND_SHARE = 0.5;
 /** Time after which a fleet that starts together is settled. */
 const START_TIME = 12_000;
-const CALM_TIME = 4_000;
-const CRASHING_TIME = 14_000;
 const SESSIONS = 40;
+/** Figures of the platform's rules BUDGET and LOST. */
+const RULE_CRASHES = 5;
+const RULE_REQUESTS = 3;
+const RULE_SOUND_SHARE = 0.5;
 
-interface Trouble {
-  readonly host: TestHost;
-  readonly until: number;
-}
-
-interface CrashCase {
+interface PromptCase extends Omit<CrashDayOptions, 'crashing'> {
   readonly name: string;
-  readonly hosts: number;
-  readonly domains: number;
-  readonly serversPerDomain: number;
-  /** Sound requests a second, and those with each crashing part. */
-  readonly soundRate: number;
-  readonly crashingRate: number;
   /** Prompts with a crashing part, by that part; sessions are those of sound requests. */
   readonly prompts: Readonly<Record<string, (session: string) => readonly string[]>>;
-  /** Begins a disruption of some hosts; returns them, with the time at which it ends. */
-  readonly disturb?: (fleet: TestFleet) => Promise<readonly Trouble[]>;
 }
 
 const MIDDLE = { bad1: (session: string) => ['first', 'bad1', session] };
 const SMALL = { hosts: 9, domains: 3, serversPerDomain: 2, soundRate: 30, crashingRate: 5 };
 const LARGE = { hosts: 195, domains: 6, serversPerDomain: 11, soundRate: 250, crashingRate: 10 };
 
-async function freeze(fleet: TestFleet, hosts: readonly TestHost[]): Promise<readonly Trouble[]> {
-  hosts.forEach((host) => {
-    host.isFrozen = true;
-  });
-  await fleet.advance(3_000);
-  hosts.forEach((host) => {
-    host.isFrozen = false;
-  });
-  return hosts.map((host) => ({ host, until: fleet.clock.now() }));
-}
-
-async function cutOff(fleet: TestFleet, hosts: readonly TestHost[]): Promise<readonly Trouble[]> {
-  fleet.setReachable((from, to) => hosts.includes(from) === hosts.includes(to));
-  await fleet.advance(5_000);
-  fleet.setReachable(() => true);
-  return hosts.map((host) => ({ host, until: fleet.clock.now() }));
-}
-
-function listSchedulers({ hosts }: TestFleet): readonly TestHost[] {
-  return hosts.filter(({ core, isDown }) => !isDown && core.getRole().ownHosts > 1);
-}
-
-const cases: readonly CrashCase[] = [
+const cases: readonly PromptCase[] = [
   { ...SMALL, name: '3 hosts', hosts: 3, domains: 1, serversPerDomain: 5, prompts: MIDDLE },
   { ...SMALL, name: '9 hosts', prompts: MIDDLE },
   {
@@ -86,26 +53,14 @@
     ...SMALL,
     name: '9 hosts, some of which restart',
     prompts: MIDDLE,
-    async disturb(fleet) {
-      await fleet.advance(4_000);
-      await fleet.restart(0);
-      await fleet.restart(4);
-      const hosts = [fleet.hosts[0]!, fleet.hosts[4]!];
-      return hosts.map((host) => ({ host, until: fleet.clock.now() }));
-    },
+    disturb: (fleet) => restart(fleet, 4_000, [0, 4]),
   },
   {
     ...SMALL,
     name: '9 hosts, all of which are killed at once',
     crashingRate: 1.5,
     prompts: MIDDLE,
-    async disturb(fleet) {
-      await fleet.advance(8_000);
-      for (let index = 0; index < fleet.hosts.length; index += 1) {
-        await fleet.restart(index);
-      }
-      return fleet.hosts.map((host) => ({ host, until: fleet.clock.now() }));
-    },
+    disturb: (fleet) => restart(fleet, 8_000, [...fleet.hosts.keys()]),
   },
   {
     ...SMALL,
@@ -151,68 +106,22 @@
   },
 ];
 
-/** Plays a case: calm time, then requests with crashing parts to the end. */
-async function play(crashCase: CrashCase) {
-  const { soundRate, crashingRate, prompts, disturb } = crashCase;
-  const fleet = await createTestFleet(crashCase);
-  const { clock, random } = fleet;
-  const engines = createTestEngines(fleet);
-  const callers = createTestCallers({ fleet, engines });
-  await fleet.advance(START_TIME, 20);
-  const getSession = (): string => `session${random.integer(0, SESSIONS - 1)}`;
-  callers.sendOften(soundRate, () => ['first', getSession()]);
-  await fleet.advance(CALM_TIME);
-  const begunAt = clock.now();
-  Object.entries(prompts).forEach(([part, createPrompt]) => {
-    engines.crashingParts.add(part);
-    callers.sendOften(crashingRate, () => createPrompt(getSession()));
-  });
-  const troubles = (await disturb?.(fleet)) ?? [];
-  await fleet.advance(Math.max(begunAt + CRASHING_TIME - clock.now(), 10_000));
-  callers.stop();
-  return { fleet, engines, callers, troubles, begunAt };
-}
-
-type Played = Awaited<ReturnType<typeof play>>;
-
-/** Returns the time from which the rules bind for a part: its fifth crash, or its last one. */
-function getBindingTime({ engines }: Played, part: string): number {
-  const crashes = engines.crashes.filter((crash) => crash.part === part);
-  return crashes[Math.min(crashes.length, RULE_CRASHES) - 1]?.at ?? Infinity;
-}
-
-function isInTouch({ troubles }: Played, host: TestHost, at: number): boolean {
-  return troubles.every((trouble) => trouble.host !== host || at > trouble.until + STABLE_WINDOW);
-}
-
-/** Counts the requests with a part that reached engines after all hosts had to know of it. */
-function countLateArrivals(played: Played, part: string): number {
-  const bindsFrom = getBindingTime(played, part) + STABLE_WINDOW;
-  return played.engines.arrivals.filter(
-    ({ at, host, promptParts }) =>
-      at > bindsFrom && promptParts.includes(part) && isInTouch(played, host, at),
-  ).length;
-}
-
-/** Returns the share of sound first attempts that begin in a time, at hosts in touch. */
-function getSoundShare(played: Played, from: number, until: number): number {
-  const { callers, engines } = played;
-  const sound = callers.requests.filter(
-    ({ host, sentAt, promptParts, isFirst }) =>
-      isFirst &&
-      sentAt >= from &&
-      sentAt < until &&
-      isInTouch(played, host, sentAt) &&
-      !promptParts.some((part) => engines.crashingParts.has(part)),
-  );
-  return sound.filter(({ status }) => status === 200).length / Math.max(sound.length, 1);
+function toCrashDayOptions(promptCase: PromptCase): CrashDayOptions {
+  const crashing = Object.entries(promptCase.prompts).map(([part, createPrompt]) => [
+    part,
+    {
+      createCall: (session: string) => ({ promptParts: createPrompt(session) }),
+      isCrashing: ({ promptParts }: SeenCall) => promptParts.includes(part),
+    },
+  ]);
+  return { ...promptCase, crashing: Object.fromEntries(crashing) };
 }
 
 describe('requests with a part in their prompts that ends each server', () => {
   cases.forEach((crashCase) => {
-    let day: Promise<Played> | undefined;
-    const playOnce = (): Promise<Played> => {
-      day ??= play(crashCase);
+    let day: Promise<CrashDay> | undefined;
+    const playOnce = (): Promise<CrashDay> => {
+      day ??= playCrashDay(toCrashDayOptions(crashCase));
       return day;
     };
 
@@ -220,25 +129,17 @@
     it(`reach no server once five have ended under them: ${crashCase.name}`, async () => {
       const played = await playOnce();
       Object.keys(crashCase.prompts).forEach((part) =>
-        expect(countLateArrivals(played, part)).toBeLessThanOrEqual(RULE_REQUESTS),
+        expect(played.countLateArrivals(part, RULE_CRASHES)).toBeLessThanOrEqual(RULE_REQUESTS),
       );
     });
 
     // Guards against refusing, with the crashing part, the callers and the parts beside it.
     it(`leave the sound requests beside them served: ${crashCase.name}`, async () => {
       const played = await playOnce();
-      const { begunAt, fleet } = played;
-      const bindsFrom = Math.max(
-        ...Object.keys(crashCase.prompts).map((part) => getBindingTime(played, part)),
-      );
-      const before = getSoundShare(played, begunAt - CALM_TIME, begunAt);
-      const after = getSoundShare(played, bindsFrom + 2 * STABLE_WINDOW, fleet.clock.now() - 500);
+      const { before, after } = played.getSoundShares(RULE_CRASHES);
       expect(after).toBeGreaterThanOrEqual(before * RULE_SOUND_SHARE);
       const parts = Object.keys(crashCase.prompts);
-      const quarantined = fleet.hosts.map(({ core }) =>
-        Object.keys(core.promptGuard.tryGetReport()?.quarantined ?? {}),
-      );
-      expect(quarantined.flat().filter((part) => !parts.includes(part))).toEqual([]);
+      expect(played.listQuarantined().filter((part) => !parts.includes(part))).toEqual([]);
     });
   });
 });
@@ -273,7 +174,9 @@
       const engines = createTestEngines(fleet);
       const callers = createTestCallers({ fleet, engines });
       await fleet.advance(START_TIME, 20);
-      callers.sendOften(60, () => ['first', `session${fleet.random.integer(0, SESSIONS - 1)}`]);
+      callers.sendOften(60, () => ({
+        promptParts: ['first', `session${fleet.random.integer(0, SESSIONS - 1)}`],
+      }));
       for (let round = 0; round < 12; round += 1) {
         await fleet.advance(1_300);
         disturb(engines);
@@ -294,10 +197,10 @@
       const engines = createTestEngines(fleet);
       const callers = createTestCallers({ fleet, engines });
       await fleet.advance(START_TIME, 20);
-      callers.sendOften(LARGE.soundRate, () => ['first', 'session']);
+      callers.sendOften(LARGE.soundRate, () => ({ promptParts: ['first', 'session'] }));
       if (isCrashing) {
-        engines.crashingParts.add('bad1');
-        callers.sendOften(LARGE.crashingRate, () => ['first', 'bad1']);
+        engines.crashing.set('bad1', ({ promptParts }) => promptParts.includes('bad1'));
+        callers.sendOften(LARGE.crashingRate, () => ({ promptParts: ['first', 'bad1'] }));
       }
       fleet.resetTraffic();
       await fleet.advance(6_000);
--- a/packages/relay/src/rollouts/rolloutOfBadVersion.test.ts
+++ b/packages/relay/src/rollouts/rolloutOfBadVersion.test.ts
@@ -60,7 +60,7 @@
   const engines = createTestEngines(fleet);
   const callers = createTestCallers({ fleet, engines });
   await fleet.advance(START_TIME, 20);
-  callers.sendOften(rolloutCase.rate, () => ['first']);
+  callers.sendOften(rolloutCase.rate, () => ({ promptParts: ['first'] }));
   await fleet.advance(CALM_TIME);
   const orderedAt = fleet.clock.now();
   const started = engines.startVersion('v2');
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -7,17 +7,17 @@
 import createRelayMetrics from '../front/createRelayMetrics';
 import createRequestObserver from '../front/createRequestObserver';
 import type { CallerExchange } from '../front/types';
-import type { Route } from '../types';
+import type { RelayCustomer, Route } from '../types';
 import type createTestEngines from './createTestEngines';
 import type createTestFleet from './createTestFleet';
 import headerNames from './headerNames';
-import type { TestHost } from './types';
+import type { TestCall, TestHost } from './types';
 
 type TestFleet = Awaited<ReturnType<typeof createTestFleet>>;
 
 const DEADLINE: Milliseconds = 4_000;
 const RETRY_DELAY: Milliseconds = 150;
-const ROUTE: Route = {
+const DRAFTS: Route = {
   name: 'drafts',
   hostName: 'h',
   pathPrefix: '/',
@@ -30,6 +30,26 @@
   isAnonymous: true,
   isResumable: true,
 };
+const ROUTES: readonly Route[] = [
+  DRAFTS,
+  { ...DRAFTS, name: 'lookups', pathPrefix: '/lookup/', kind: 'idempotent', isAnonymous: false },
+  {
+    ...DRAFTS,
+    name: 'orders',
+    pathPrefix: '/order/',
+    kind: 'once',
+    isAnonymous: false,
+    isResumable: false,
+  },
+];
+/** Each customer's key is its name. */
+const CUSTOMERS_BY_KEY: ReadonlyMap<string, RelayCustomer> = new Map(
+  ['customer-a', 'customer-b'].map((name) => [
+    name,
+    { name, keys: [name], tier: undefined, quota: undefined },
+  ]),
+);
+const NOT_RUN_STATUS = 503;
 
 type TestHandler = ReturnType<typeof createRequestHandler>;
 
@@ -37,7 +57,7 @@
 interface CallerRequest {
   readonly host: TestHost;
   readonly sentAt: Milliseconds;
-  readonly promptParts: readonly string[];
+  readonly call: TestCall;
   /** Whether it is the caller's first attempt. */
   readonly isFirst: boolean;
   status?: number;
@@ -54,6 +74,7 @@
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
 export default function createTestCallers({ fleet, engines }: TestCallersOptions) {
   const { clock, random } = fleet;
+  const routes = createRouteTable(ROUTES);
   const handlers = new Map<TestHost, TestHandler>();
   const requests: CallerRequest[] = [];
   let isRunning = true;
@@ -76,8 +97,8 @@
           now: clock.now,
           getBasis: () => ({ ...host.core.stateCache.getVersions(), hosts: 0, oldest: 0 }),
         }),
-        getRoutes: () => createRouteTable([ROUTE]),
-        getCustomersByKey: () => undefined,
+        getRoutes: () => routes,
+        getCustomersByKey: () => CUSTOMERS_BY_KEY,
       });
       handlers.set(host, handler);
     }
@@ -85,30 +106,38 @@
   }
 
   function retry(request: CallerRequest): void {
-    if (request.isFirst) {
-      clock.after(request.retryAfter ?? RETRY_DELAY, () => send(request.promptParts, false));
+    const isOrder = request.call.target?.startsWith('/order/') === true;
+    if (request.isFirst && (!isOrder || request.status === NOT_RUN_STATUS)) {
+      clock.after(request.retryAfter ?? RETRY_DELAY, () => send(request.call, false));
     }
   }
 
-  function send(promptParts: readonly string[], isFirst = true): void {
+  function send(call: TestCall, isFirst = true): void {
     const available = fleet.hosts.filter(({ isDown, isFrozen }) => !isDown && !isFrozen);
     const host = available[random.integer(0, available.length - 1)]!;
-    const request: CallerRequest = { host, sentAt: clock.now(), promptParts, isFirst };
+    const id = `request-${requests.length + 1}`;
+    const { promptParts = [], target = '/', body = id, customer } = call;
+    const request: CallerRequest = {
+      host,
+      sentAt: clock.now(),
+      call: { ...call, body },
+      isFirst,
+    };
     requests.push(request);
-    const id = `request-${requests.length}`;
     const ownParts = [...promptParts, `own${requests.length}`].map((part) => `${part}:100`);
     const headers = {
       host: 'h',
       [headerNames.requestId]: id,
       [headerNames.deadline]: String(DEADLINE),
       [headerNames.tokenCount]: '300,20',
-      [headerNames.promptParts]: ownParts.join(','),
+      ...(promptParts.length > 0 && { [headerNames.promptParts]: ownParts.join(',') }),
+      ...(customer !== undefined && { [headerNames.key]: customer }),
     };
     const exchange: CallerExchange = {
       method: 'POST',
-      target: '/',
+      target,
       rawHeaders: Object.entries(headers).flat(),
-      body: Buffer.alloc(0),
+      body: Buffer.from(body),
       arrivedAt: clock.now(),
       sendHead(status, rawHeaders) {
         request.status = status;
@@ -135,12 +164,12 @@
   return {
     requests,
     send,
-    /** Sends requests with prompts of `createParts` at random times, until `stop`. */
-    sendOften(ratePerSecond: number, createParts: () => readonly string[]): void {
+    /** Sends calls at random times, until `stop`. */
+    sendOften(ratePerSecond: number, createCall: () => TestCall): void {
       const scheduleNext = (): void => {
         clock.after((-Math.log(1 - random.next()) * 1_000) / ratePerSecond, () => {
           if (isRunning) {
-            send(createParts());
+            send(createCall());
             scheduleNext();
           }
         });
--- a/packages/relay/src/testing/createTestEngine.ts
+++ b/packages/relay/src/testing/createTestEngine.ts
@@ -42,9 +42,9 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly listed: ListedServer;
-  /** Returns the part of a request's prompt under which the engine ends, if it has one. */
-  readonly tryGetCrashingPart: (request: AttemptRequest) => string | undefined;
-  readonly onCrash: (part: string | undefined) => void;
+  /** Returns why the engine ends when it begins to answer a request; undefined if it does not. */
+  readonly tryGetCrashCause: (request: AttemptRequest) => string | undefined;
+  readonly onCrash: (cause: string | undefined) => void;
   /** Called with the engine's identifier when it fails to answer, or answers slowly. */
   readonly onBadAnswer: (id: string) => void;
   /** Called when the platform's list no longer has the process that ended. */
@@ -53,8 +53,8 @@
 }
 
 /**
- * Creates an engine in virtual time. It ends when it begins to answer a request with a crashing
- * part in its prompt, and starts again seconds later as a new process.
+ * Creates an engine in virtual time. It ends when it begins to answer a request that crashes it, and
+ * starts again seconds later as a new process.
  */
 export default function createTestEngine(options: TestEngineOptions) {
   const { clock, random } = options;
@@ -91,8 +91,8 @@
     options.onStarted();
   }
 
-  function crash(part: string | undefined): void {
-    options.onCrash(part);
+  function crash(cause: string | undefined): void {
+    options.onCrash(cause);
     isUp = false;
     const { id } = listed;
     reset('other side closed');
@@ -146,8 +146,8 @@
       finish(run, 500);
       return;
     }
-    const part = options.tryGetCrashingPart(run.request);
-    if (part === undefined) {
+    const cause = options.tryGetCrashCause(run.request);
+    if (cause === undefined) {
       sendHead();
       sendEvents(run, 0, slowness);
       return;
@@ -156,7 +156,7 @@
       sendHead();
       run.sink.onData(Buffer.from('id: 0\nda'));
     }
-    crash(part);
+    crash(cause);
   }
 
   function startNext(): void {
--- a/packages/relay/src/testing/createTestEngines.ts
+++ b/packages/relay/src/testing/createTestEngines.ts
@@ -4,7 +4,7 @@
 import createTestEngine from './createTestEngine';
 import type createTestFleet from './createTestFleet';
 import headerNames from './headerNames';
-import type { TestHost } from './types';
+import type { SeenCall, TestHost } from './types';
 
 type TestFleet = Awaited<ReturnType<typeof createTestFleet>>;
 type TestEngine = ReturnType<typeof createTestEngine>;
@@ -16,23 +16,31 @@
   readonly at: Milliseconds;
   readonly host: TestHost;
   readonly server: string;
-  readonly promptParts: readonly string[];
+  readonly call: SeenCall;
 }
 
-function listPromptParts(request: AttemptRequest): readonly string[] {
-  const { headers } = request;
-  const index = headers.findIndex(
-    (name, place) => place % 2 === 0 && name === headerNames.promptParts,
-  );
-  return (index < 0 ? '' : headers[index + 1]!).split(',').map((part) => part.split(':', 1)[0]!);
+function getHeader({ headers }: AttemptRequest, wanted: string): string {
+  const index = headers.findIndex((name, place) => place % 2 === 0 && name === wanted);
+  return index < 0 ? '' : headers[index + 1]!;
+}
+
+function toSeenCall(request: AttemptRequest): SeenCall {
+  const parts = getHeader(request, headerNames.promptParts).split(',');
+  return {
+    promptParts: parts.slice(0, -1).map((part) => part.split(':', 1)[0]!),
+    target: request.target,
+    body: request.body.toString(),
+    customer: getHeader(request, headerNames.customer),
+  };
 }
 
 /** Runs the engines of a test fleet in virtual time, and connects hosts with them. */
 export default function createTestEngines(fleet: TestFleet) {
   const { clock, random } = fleet;
-  const crashingParts = new Set<string>();
+  /** The calls that crash engines, by a name of their own. */
+  const crashing = new Map<string, (call: SeenCall) => boolean>();
   const arrivals: Arrival[] = [];
-  const crashes: { readonly at: Milliseconds; readonly part: string | undefined }[] = [];
+  const crashes: { readonly at: Milliseconds; readonly cause: string | undefined }[] = [];
   /** Servers of the answers that failed or were slow. */
   const badAnswers: string[] = [];
   const expired = new Set<string>();
@@ -47,11 +55,11 @@
       clock,
       random,
       listed,
-      tryGetCrashingPart: (request) =>
-        listPromptParts(request)
-          .slice(0, -1)
-          .find((part) => crashingParts.has(part)),
-      onCrash: (part) => crashes.push({ at: clock.now(), part }),
+      tryGetCrashCause(request) {
+        const call = toSeenCall(request);
+        return [...crashing].find(([, isCrashing]) => isCrashing(call))?.[0];
+      },
+      onCrash: (cause) => crashes.push({ at: clock.now(), cause }),
       onBadAnswer: (id) => badAnswers.push(id),
       onExpired(id) {
         expired.add(id);
@@ -75,8 +83,8 @@
         const run = { host, request, sink, isEnded: false };
         clock.after(LINK_DELAY, () => {
           if (!run.isEnded && engine.accept(run, server.id)) {
-            const promptParts = listPromptParts(request);
-            arrivals.push({ at: clock.now(), host, server: server.id, promptParts });
+            const call = toSeenCall(request);
+            arrivals.push({ at: clock.now(), host, server: server.id, call });
           }
         });
         return {
@@ -112,7 +120,7 @@
       return started;
     },
     connect,
-    crashingParts,
+    crashing,
     arrivals,
     badAnswers,
     crashes,
--- a/packages/relay/src/testing/types.ts
+++ b/packages/relay/src/testing/types.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from '@rattanreel/core';
 import type createHostCore from '../createHostCore';
 
 /** What one host has sent and received since the counts were last reset. */
@@ -7,6 +8,20 @@
   storeCalls: number;
 }
 
+/** What a caller asks for; the route follows from the target. */
+export interface TestCall {
+  /** Parts of the prompt that other calls may share. */
+  readonly promptParts?: readonly string[];
+  /** Begins with `/`, `/lookup/` or `/order/`. */
+  readonly target?: string;
+  readonly body?: string;
+  /** Name of the customer; calls of prompts need none. */
+  readonly customer?: string;
+}
+
+/** A call as an engine sees it. */
+export type SeenCall = Required<TestCall>;
+
 /** A host of a test fleet. */
 export interface TestHost {
   readonly name: string;
@@ -18,3 +33,9 @@
   /** Receives and runs everything later, as a suspended process does. */
   isFrozen: boolean;
 }
+
+/** A host that was disturbed, and when that ended. */
+export interface Trouble {
+  readonly host: TestHost;
+  readonly until: Milliseconds;
+}
