Name the guard after what it guards against: traits of requests under which servers end

Renames only: a part of a prompt becomes one kind of trait, so that the content of a request can be another in the same mechanism. The reason of refusals is `quarantined`, the metric rattanreel_relay_traits_quarantined. Reports between hosts change their field names with it.

--- a/packages/relay/src/addRelayGauges.ts
+++ b/packages/relay/src/addRelayGauges.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '@rattanreel/core';
 import type { GaugeReading } from '@rattanreel/observability';
 import type { RelayMetrics } from './front/types';
-import type { PromptGuard } from './prompts/types';
+import type { CrashGuard } from './crashes/types';
 import type { ClusterStateCache, PeerTable, Pools } from './types';
 
 interface RelayGaugesOptions {
@@ -9,7 +9,7 @@
   readonly pools: Pools;
   readonly stateCache: ClusterStateCache;
   readonly peerTable: PeerTable;
-  readonly promptGuard: Pick<PromptGuard, 'countQuarantined'>;
+  readonly crashGuard: Pick<CrashGuard, 'countQuarantined'>;
   readonly clock: Clock;
 }
 
@@ -20,7 +20,7 @@
 
 /** Adds gauges of the host's pools and of its known cluster state, read at each scrape. */
 export default function addRelayGauges(options: RelayGaugesOptions): void {
-  const { metrics, pools, stateCache, peerTable, promptGuard, clock } = options;
+  const { metrics, pools, stateCache, peerTable, crashGuard, clock } = options;
 
   metrics.addGauge({
     name: 'rattanreel_relay_pool',
@@ -58,9 +58,9 @@
     read: () => createUnlabelledReading(peerTable.listReachable(clock.now()).length),
   });
   metrics.addGauge({
-    name: 'rattanreel_relay_prompt_parts_quarantined',
-    help: 'Parts of prompts that are sent to no server, since servers ended under them.',
+    name: 'rattanreel_relay_traits_quarantined',
+    help: 'Traits whose requests are sent to no server, since servers ended under them.',
     labelNames: [],
-    read: () => createUnlabelledReading(promptGuard.countQuarantined()),
+    read: () => createUnlabelledReading(crashGuard.countQuarantined()),
   });
 }
--- a/packages/relay/src/prompts/crashingRequest.test.ts
+++ b/packages/relay/src/crashes/crashingRequest.test.ts
@@ -212,7 +212,7 @@
         }
         await fleet.advance(3_000);
         callers.stop();
-        const quarantined = fleet.hosts.map(({ core }) => core.promptGuard.countQuarantined());
+        const quarantined = fleet.hosts.map(({ core }) => core.crashGuard.countQuarantined());
         expect(quarantined.filter((count) => count > 0)).toEqual([]);
       });
     });
--- a/packages/relay/src/prompts/createPromptEvidence.ts
+++ b/packages/relay/src/crashes/createCrashEvidence.ts
@@ -1,22 +1,22 @@
 import type { Milliseconds } from '@rattanreel/core';
-import type { PromptPartId } from '../types';
+import type { TraitId } from '../types';
 import createRecentMap from './createRecentMap';
-import type { PartEvidence, ProcessKey, PromptEvidence } from './types';
+import type { TraitEvidence, ProcessKey, CrashEvidence } from './types';
 
 /** Bounds of what a host remembers. */
-const MAXIMUM_PARTS = 512;
+const MAXIMUM_TRAITS = 512;
 const MAXIMUM_PROCESSES = 512;
-const MAXIMUM_PROCESSES_PER_PART = 16;
-const MAXIMUM_ANSWERED_PARTS = 4_096;
+const MAXIMUM_PROCESSES_PER_TRAIT = 16;
+const MAXIMUM_ANSWERED_TRAITS = 4_096;
 const MAXIMUM_AGE: Milliseconds = 600_000;
 /**
- * An answer clears a part of the ends that become known within this time after it: reports of
+ * An answer clears a trait of the ends that become known within this time after it: reports of
  * servers that ended together arrive over the time that a report takes through the fleet.
  */
 const ANSWER_REACH: Milliseconds = 1_000;
 /** Changes are reported for this long, so that a host cut off for a moment receives them too. */
 const REPORT_TIME: Milliseconds = 6_000;
-const MAXIMUM_REPORTED_PARTS = 64;
+const MAXIMUM_REPORTED_TRAITS = 64;
 
 type EndState = 'open' | 'cleared';
 
@@ -25,10 +25,10 @@
   readonly changedAt: Milliseconds;
 }
 
-type PartEntry = Map<ProcessKey, EndEntry>;
+type TraitEntry = Map<ProcessKey, EndEntry>;
 
 function listProcesses(
-  entry: PartEntry,
+  entry: TraitEntry,
   state: EndState,
   since: Milliseconds = -Infinity,
 ): readonly ProcessKey[] {
@@ -37,9 +37,9 @@
     .map(([process]) => process);
 }
 
-/** Drops the oldest cleared end of a part that has many; returns whether there is room for one. */
-function tryMakeRoom(entry: PartEntry): boolean {
-  if (entry.size < MAXIMUM_PROCESSES_PER_PART) {
+/** Drops the oldest cleared end of a trait that has many; returns whether there is room for one. */
+function tryMakeRoom(entry: TraitEntry): boolean {
+  if (entry.size < MAXIMUM_PROCESSES_PER_TRAIT) {
     return true;
   }
   const [oldest] = listProcesses(entry, 'cleared');
@@ -47,35 +47,35 @@
 }
 
 /**
- * Holds which parts of prompts were about to be answered by processes of servers that ended. A
- * part that causes such ends is never answered, so a complete answer clears its other parts.
+ * Holds which traits the requests had that processes of servers were to begin when they ended. A
+ * trait that causes such ends is never answered, so a complete answer clears those of its request.
  */
-export default function createPromptEvidence(): PromptEvidence {
+export default function createCrashEvidence(): CrashEvidence {
   const maximumAge = MAXIMUM_AGE;
-  const parts = createRecentMap<PromptPartId, PartEntry>({
-    maximumSize: MAXIMUM_PARTS,
+  const traits = createRecentMap<TraitId, TraitEntry>({
+    maximumSize: MAXIMUM_TRAITS,
     maximumAge,
   });
   const ended = createRecentMap<ProcessKey, true>({ maximumSize: MAXIMUM_PROCESSES, maximumAge });
-  const answered = createRecentMap<PromptPartId, Milliseconds>({
-    maximumSize: MAXIMUM_ANSWERED_PARTS,
+  const answered = createRecentMap<TraitId, Milliseconds>({
+    maximumSize: MAXIMUM_ANSWERED_TRAITS,
     maximumAge,
   });
 
-  function isRecentlyAnswered(part: PromptPartId, now: Milliseconds): boolean {
-    return now - (answered.get(part) ?? -Infinity) <= ANSWER_REACH;
+  function isRecentlyAnswered(trait: TraitId, now: Milliseconds): boolean {
+    return now - (answered.get(trait) ?? -Infinity) <= ANSWER_REACH;
   }
 
-  /** Sets the state of one end under a part; returns whether it changes. */
+  /** Sets the state of one end under a trait; returns whether it changes. */
   function setState(
-    part: PromptPartId,
+    trait: TraitId,
     process: ProcessKey,
     state: EndState,
     now: Milliseconds,
   ): boolean {
-    const entry: PartEntry = parts.get(part) ?? new Map();
+    const entry: TraitEntry = traits.get(trait) ?? new Map();
     const known = entry.get(process)?.state;
-    const next = isRecentlyAnswered(part, now) ? 'cleared' : state;
+    const next = isRecentlyAnswered(trait, now) ? 'cleared' : state;
     if (known === next || known === 'cleared') {
       return false;
     }
@@ -83,13 +83,13 @@
       return false;
     }
     entry.set(process, { state: next, changedAt: now });
-    parts.set(part, entry, now);
+    traits.set(trait, entry, now);
     return true;
   }
 
   return {
     recordSuspects: (process, suspects, now) =>
-      suspects.filter((part) => setState(part, process, 'open', now)).length > 0,
+      suspects.filter((trait) => setState(trait, process, 'open', now)).length > 0,
     recordEnded(process, now) {
       const isNew = ended.get(process) === undefined;
       if (isNew) {
@@ -97,20 +97,20 @@
       }
       return isNew;
     },
-    recordAnswered(answeredParts, now) {
-      const changed = answeredParts.filter((part) => {
-        answered.set(part, now, now);
-        const entry = parts.get(part);
+    recordAnswered(answeredTraits, now) {
+      const changed = answeredTraits.filter((trait) => {
+        answered.set(trait, now, now);
+        const entry = traits.get(trait);
         const open = entry === undefined ? [] : listProcesses(entry, 'open');
-        open.forEach((process) => setState(part, process, 'cleared', now));
+        open.forEach((process) => setState(trait, process, 'cleared', now));
         return open.length > 0;
       });
       return changed.length > 0;
     },
-    wasAnswered: (part) => answered.get(part) !== undefined,
+    wasAnswered: (trait) => answered.get(trait) !== undefined,
     listUnconfirmed: () => [
       ...new Set(
-        parts
+        traits
           .list()
           .flatMap(([, entry]) => listProcesses(entry, 'open'))
           .filter((process) => ended.get(process) === undefined),
@@ -118,45 +118,45 @@
     ],
     getSuspects: (getSince) =>
       new Map(
-        parts.list().flatMap(([part, entry]) => {
-          const open = listProcesses(entry, 'open', getSince(part)).filter(
+        traits.list().flatMap(([trait, entry]) => {
+          const open = listProcesses(entry, 'open', getSince(trait)).filter(
             (process) => ended.get(process) !== undefined,
           );
-          return open.length === 0 ? [] : [[part, new Set(open)] as const];
+          return open.length === 0 ? [] : [[trait, new Set(open)] as const];
         }),
       ),
     merge(report, now) {
       const newEnds = report.ended.filter((process) => ended.get(process) === undefined);
       newEnds.forEach((process) => ended.set(process, true, now));
-      const changedParts = Object.entries(report.parts).filter(([part, { open, cleared }]) => {
-        const newCleared = cleared.filter((process) => setState(part, process, 'cleared', now));
-        const newOpen = open.filter((process) => setState(part, process, 'open', now));
+      const changedTraits = Object.entries(report.traits).filter(([trait, { open, cleared }]) => {
+        const newCleared = cleared.filter((process) => setState(trait, process, 'cleared', now));
+        const newOpen = open.filter((process) => setState(trait, process, 'open', now));
         return newCleared.length + newOpen.length > 0;
       });
       if (
-        changedParts.some(([part, { open }]) => open.length > 0 && isRecentlyAnswered(part, now))
+        changedTraits.some(([trait, { open }]) => open.length > 0 && isRecentlyAnswered(trait, now))
       ) {
         return 'cleared';
       }
-      return newEnds.length + changedParts.length > 0 ? 'learnt' : 'nothing';
+      return newEnds.length + changedTraits.length > 0 ? 'learnt' : 'nothing';
     },
     getRecent(now) {
       const since = now - REPORT_TIME;
-      const recent = parts
+      const recent = traits
         .list(since)
-        .map(([part, entry]): readonly [PromptPartId, PartEvidence] => [
-          part,
+        .map(([trait, entry]): readonly [TraitId, TraitEvidence] => [
+          trait,
           {
             open: listProcesses(entry, 'open', since),
             cleared: listProcesses(entry, 'cleared', since),
           },
         ])
         .sort(([, left], [, right]) => right.open.length - left.open.length)
-        .slice(0, MAXIMUM_REPORTED_PARTS);
+        .slice(0, MAXIMUM_REPORTED_TRAITS);
       const reported = new Set(recent.flatMap(([, { open }]) => open));
       return {
         ended: [...reported].filter((process) => ended.get(process) !== undefined),
-        parts: Object.fromEntries(recent),
+        traits: Object.fromEntries(recent),
       };
     },
   };
--- a/packages/relay/src/prompts/createPromptGuard.test.ts
+++ b/packages/relay/src/crashes/createCrashGuard.test.ts
@@ -3,19 +3,19 @@
 import { createVirtualClock } from '@rattanreel/core';
 import { silentLogger } from '@rattanreel/observability';
 import createTestServer from '../testing/createTestServer';
-import createPromptGuard from './createPromptGuard';
+import createCrashGuard from './createCrashGuard';
 
 const FIRST_QUARANTINE = 300_000;
 
-/** Creates a guard, and a function that lets servers end under the part `bad`. */
+/** Creates a guard, and a function that lets servers end under the trait `bad`. */
 function createGuard() {
   const clock = createVirtualClock();
-  const guard = createPromptGuard({ clock, logger: silentLogger, onChange: () => undefined });
+  const guard = createCrashGuard({ clock, logger: silentLogger, onChange: () => undefined });
   let ended = 0;
   return {
     clock,
     guard,
-    getBlock: (part: string) => guard.tryGetBlock(['first', part])?.kind,
+    getBlock: (trait: string) => guard.tryGetBlock(['first', trait])?.kind,
     end(count: number): void {
       for (let index = 0; index < count; index += 1) {
         ended += 1;
@@ -28,9 +28,9 @@
   };
 }
 
-describe('createPromptGuard', () => {
+describe('createCrashGuard', () => {
   // Guards against a quarantine that renews itself with the ends that led to it.
-  it('tries a part again after its quarantine, and ends the trial with the first server', () => {
+  it('tries a trait again after its quarantine, and ends the trial with the first server', () => {
     const { clock, guard, getBlock, end } = createGuard();
     end(4);
     expect(getBlock('bad')).toEqual('suspended');
@@ -49,7 +49,7 @@
     expect(getBlock('bad')).toEqual('quarantined');
   });
 
-  // Guards against refusing parts for connections that broke while their servers went on.
+  // Guards against refusing traits for connections that broke while their servers went on.
   it('blocks nothing for servers that are not known to have ended', () => {
     const { guard, getBlock } = createGuard();
     for (let index = 0; index < 8; index += 1) {
@@ -59,7 +59,7 @@
   });
 
   // Guards against requests that wait on when their prompt is quarantined.
-  it('tells those who watch a part once it is quarantined, also by another host', () => {
+  it('tells those who watch a trait once it is quarantined, also by another host', () => {
     const { clock, guard, end } = createGuard();
     const other = createGuard();
     const told: string[] = [];
--- a/packages/relay/src/prompts/createPromptGuard.ts
+++ b/packages/relay/src/crashes/createCrashGuard.ts
@@ -1,19 +1,19 @@
 import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
-import type { PromptPartId } from '../types';
-import createPromptEvidence from './createPromptEvidence';
+import type { TraitId } from '../types';
+import createCrashEvidence from './createCrashEvidence';
 import createQuarantineList from './createQuarantineList';
-import findCrashingParts from './findCrashingParts';
+import findCrashingTraits from './findCrashingTraits';
 import getProcessKey from './getProcessKey';
-import type { PromptGuard } from './types';
+import type { CrashGuard } from './types';
 
 /**
- * Time for which a part stays suspected before it is quarantined. Answers that clear it, and the
- * ends that tell it from the parts beside it, reach all hosts of a fleet within this time.
+ * Time for which a trait stays suspected before it is quarantined. Answers that clear it, and the
+ * ends that tell it from the traits beside it, reach all hosts of a fleet within this time.
  */
 const SUSPENSION: Milliseconds = 1_000;
 
-interface PromptGuardOptions {
+interface CrashGuardOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   /** Called when other hosts should know of a change: of what this host found, or learnt. */
@@ -21,53 +21,53 @@
 }
 
 interface Watcher {
-  readonly parts: readonly PromptPartId[];
+  readonly traits: readonly TraitId[];
   readonly onQuarantined: () => void;
 }
 
 /**
- * Refuses requests with a part of a prompt under which one server after the other ends: first for a
- * moment, then, if nothing clears the part, for the time of its quarantine.
+ * Refuses requests with a trait under which one server after the other ends: first for a moment,
+ * then, if nothing clears the trait, for the time of its quarantine.
  */
-export default function createPromptGuard(options: PromptGuardOptions): PromptGuard {
+export default function createCrashGuard(options: CrashGuardOptions): CrashGuard {
   const { clock, logger } = options;
-  const evidence = createPromptEvidence();
+  const evidence = createCrashEvidence();
   const quarantines = createQuarantineList();
   const watchers = new Set<Watcher>();
-  let suspendedSince = new Map<PromptPartId, Milliseconds>();
+  let suspendedSince = new Map<TraitId, Milliseconds>();
   let judgeTimer: Timer | undefined;
 
-  function notifyWatchers(quarantined: readonly PromptPartId[]): void {
+  function notifyWatchers(quarantined: readonly TraitId[]): void {
     [...watchers]
-      .filter(({ parts }) => parts.some((part) => quarantined.includes(part)))
+      .filter(({ traits }) => traits.some((trait) => quarantined.includes(trait)))
       .forEach(({ onQuarantined }) => onQuarantined());
   }
 
   /** The ends that led to a quarantine count no more once it is over. */
   function getSuspects(): ReturnType<typeof evidence.getSuspects> {
     const now = clock.now();
-    return evidence.getSuspects((part) => quarantines.tryGetLastEnd(part, now) ?? -Infinity);
+    return evidence.getSuspects((trait) => quarantines.tryGetLastEnd(trait, now) ?? -Infinity);
   }
 
-  function listSuspected(): readonly PromptPartId[] {
-    return findCrashingParts({
+  function listSuspected(): readonly TraitId[] {
+    return findCrashingTraits({
       suspects: getSuspects(),
-      isQuarantined: (part) => quarantines.tryGetRemaining(part, clock.now()) !== undefined,
-      isKnown: (part) => quarantines.getStrikes(part) > 0,
+      isQuarantined: (trait) => quarantines.tryGetRemaining(trait, clock.now()) !== undefined,
+      isKnown: (trait) => quarantines.getStrikes(trait) > 0,
       wasAnswered: evidence.wasAnswered,
     });
   }
 
-  function quarantine(part: PromptPartId): void {
-    const processes = [...(getSuspects().get(part) ?? [])];
-    quarantines.add(part, clock.now());
-    logger.warn({ part, processes }, 'prompt part quarantined');
-    notifyWatchers([part]);
+  function quarantine(trait: TraitId): void {
+    const processes = [...(getSuspects().get(trait) ?? [])];
+    quarantines.add(trait, clock.now());
+    logger.warn({ trait, processes }, 'requests quarantined');
+    notifyWatchers([trait]);
     options.onChange('found');
   }
 
   /**
-   * Suspends the parts that are suspected and quarantines the first of them once its time is over.
+   * Suspends the traits that are suspected and quarantines the first of them once its time is over.
    * The others are judged anew, since the quarantined one may explain their ends.
    */
   function judge(): void {
@@ -75,16 +75,16 @@
     judgeTimer = undefined;
     const now = clock.now();
     let suspected = listSuspected();
-    const getSince = (part: PromptPartId): Milliseconds => suspendedSince.get(part) ?? now;
+    const getSince = (trait: TraitId): Milliseconds => suspendedSince.get(trait) ?? now;
     while (suspected.length > 0 && now - getSince(suspected[0]!) >= SUSPENSION) {
       quarantine(suspected[0]!);
       suspected = listSuspected();
     }
     const before = suspendedSince;
-    suspendedSince = new Map(suspected.map((part) => [part, getSince(part)]));
+    suspendedSince = new Map(suspected.map((trait) => [trait, getSince(trait)]));
     suspected
-      .filter((part) => !before.has(part))
-      .forEach((part) => logger.info({ part }, 'prompt part suspended'));
+      .filter((trait) => !before.has(trait))
+      .forEach((trait) => logger.info({ trait }, 'requests suspended'));
     if (suspected.length > 0) {
       const dueIn = getSince(suspected[0]!) + SUSPENSION - now;
       judgeTimer = clock.after(Math.max(dueIn, 1), judge);
@@ -99,25 +99,25 @@
   }
 
   return {
-    tryGetBlock(parts) {
+    tryGetBlock(traits) {
       const now = clock.now();
-      for (const part of parts) {
-        const remaining = quarantines.tryGetRemaining(part, now);
+      for (const trait of traits) {
+        const remaining = quarantines.tryGetRemaining(trait, now);
         if (remaining !== undefined) {
-          return { kind: 'quarantined', part, remaining };
+          return { kind: 'quarantined', trait, remaining };
         }
-        const since = suspendedSince.get(part);
+        const since = suspendedSince.get(trait);
         if (since !== undefined) {
-          return { kind: 'suspended', part, remaining: Math.max(since + SUSPENSION - now, 0) };
+          return { kind: 'suspended', trait, remaining: Math.max(since + SUSPENSION - now, 0) };
         }
       }
       return undefined;
     },
-    recordAnswered(parts) {
-      handleFound(evidence.recordAnswered(parts, clock.now()));
+    recordAnswered(traits) {
+      handleFound(evidence.recordAnswered(traits, clock.now()));
     },
-    recordBroken(server, parts) {
-      handleFound(evidence.recordSuspects(getProcessKey(server), parts, clock.now()));
+    recordBroken(server, traits) {
+      handleFound(evidence.recordSuspects(getProcessKey(server), traits, clock.now()));
     },
     recordEnded(server) {
       handleFound(evidence.recordEnded(getProcessKey(server), clock.now()));
@@ -132,8 +132,8 @@
         handleFound(ended.length > 0);
       }
     },
-    watch(parts, onQuarantined) {
-      const watcher = { parts, onQuarantined };
+    watch(traits, onQuarantined) {
+      const watcher = { traits, onQuarantined };
       watchers.add(watcher);
       return () => watchers.delete(watcher);
     },
@@ -141,7 +141,7 @@
       const now = clock.now();
       const quarantined = quarantines.merge(report.quarantined, now);
       const result = evidence.merge(report, now);
-      quarantined.forEach((part) => logger.warn({ part, from: 'host' }, 'prompt part quarantined'));
+      quarantined.forEach((trait) => logger.warn({ trait, from: 'host' }, 'requests quarantined'));
       notifyWatchers(quarantined);
       if (result !== 'nothing' || quarantined.length > 0) {
         judge();
@@ -150,12 +150,12 @@
     },
     tryGetReport() {
       const now = clock.now();
-      const { ended, parts } = evidence.getRecent(now);
+      const { ended, traits } = evidence.getRecent(now);
       const quarantined = quarantines.list(now);
-      const isEmpty = [ended, Object.keys(parts), Object.keys(quarantined)].every(
+      const isEmpty = [ended, Object.keys(traits), Object.keys(quarantined)].every(
         ({ length }) => length === 0,
       );
-      return isEmpty ? undefined : { ended, parts, quarantined };
+      return isEmpty ? undefined : { ended, traits, quarantined };
     },
     countQuarantined: () => Object.keys(quarantines.list(clock.now())).length,
   };
--- a/packages/relay/src/prompts/findCrashingParts.test.ts
+++ b/packages/relay/src/crashes/findCrashingTraits.test.ts
@@ -1,10 +1,10 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
-import findCrashingParts from './findCrashingParts';
+import findCrashingTraits from './findCrashingTraits';
 
 interface Case {
   readonly name: string;
-  /** Processes that ended, by the parts under which they may have. */
+  /** Processes that ended, by the traits under which they may have. */
   readonly suspects: Readonly<Record<string, readonly string[]>>;
   readonly quarantined?: readonly string[];
   readonly known?: readonly string[];
@@ -14,9 +14,9 @@
 
 const cases: readonly Case[] = [
   { name: 'too few ends', suspects: { a: ['1', '2', '3'] }, found: [] },
-  { name: 'a part under which four ended', suspects: { a: ['1', '2', '3', '4'] }, found: ['a'] },
+  { name: 'a trait under which four ended', suspects: { a: ['1', '2', '3', '4'] }, found: ['a'] },
   {
-    name: 'parts beside one that explains all ends',
+    name: 'traits beside one that explains all ends',
     suspects: {
       first: ['1', '2', '3', '4'],
       bad: ['1', '2', '3', '4', '5'],
@@ -25,47 +25,47 @@
     found: ['bad'],
   },
   {
-    name: 'equal parts, one of which was answered before',
+    name: 'equal traits, one of which was answered before',
     suspects: { first: ['1', '2', '3', '4', '5'], bad: ['1', '2', '3', '4', '5'] },
     answered: ['first'],
     found: ['bad'],
   },
   {
-    name: 'an answered part with ends for which a new one would be suspected',
+    name: 'an answered trait with ends for which a new one would be suspected',
     suspects: { first: ['1', '2', '3', '4'] },
     answered: ['first'],
     found: [],
   },
   {
-    name: 'two parts that end servers at the same time',
+    name: 'two traits that end servers at the same time',
     suspects: { bad1: ['1', '2', '3', '4', '5', '6'], bad2: ['3', '4', '5', '6', '7'] },
     found: ['bad1', 'bad2'],
   },
   {
-    name: 'ends that a quarantined part explains',
+    name: 'ends that a quarantined trait explains',
     suspects: { bad: ['1', '2', '3', '4'], session: ['1', '2', '3', '4'] },
     quarantined: ['bad'],
     found: [],
   },
   {
-    name: 'a part that was quarantined before',
+    name: 'a trait that was quarantined before',
     suspects: { bad: ['1'] },
     known: ['bad'],
     found: ['bad'],
   },
 ];
 
-describe('findCrashingParts', () => {
+describe('findCrashingTraits', () => {
   cases.forEach(({ name, suspects, quarantined = [], known = [], answered = [], found }) => {
-    // Guards against blaming a part for the ends that another part beside it causes.
-    it(`tells crashing parts from sound ones: ${name}`, () => {
-      const result = findCrashingParts({
+    // Guards against blaming a trait for the ends that another trait beside it causes.
+    it(`tells crashing traits from sound ones: ${name}`, () => {
+      const result = findCrashingTraits({
         suspects: new Map(
-          Object.entries(suspects).map(([part, processes]) => [part, new Set(processes)]),
+          Object.entries(suspects).map(([trait, processes]) => [trait, new Set(processes)]),
         ),
-        isQuarantined: (part) => quarantined.includes(part),
-        isKnown: (part) => known.includes(part),
-        wasAnswered: (part) => answered.includes(part),
+        isQuarantined: (trait) => quarantined.includes(trait),
+        isKnown: (trait) => known.includes(trait),
+        wasAnswered: (trait) => answered.includes(trait),
       });
       expect(result).toEqual([...found]);
     });
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -13,7 +13,7 @@
 import createPeerTable from './peers/createPeerTable';
 import openPeerLink from './peers/openPeerLink';
 import type { OpenTransport } from './peers/types';
-import type { PromptGuard } from './prompts/types';
+import type { CrashGuard } from './crashes/types';
 import registerHost from './registerHost';
 import type {
   ClusterStateCache,
@@ -50,7 +50,7 @@
 interface HostCore {
   readonly admission: Admission;
   readonly embargo: ServerEmbargo;
-  readonly promptGuard: PromptGuard;
+  readonly crashGuard: CrashGuard;
   readonly serverLimits: ServerLimits;
   readonly pools: Pools;
   readonly stateCache: ClusterStateCache;
@@ -93,7 +93,7 @@
     record: source.recordRollout,
     onChange: (origin) => link.announceFindings(origin),
   });
-  const { promptGuard, serverLimits, rollouts } = findings;
+  const { crashGuard, serverLimits, rollouts } = findings;
   let storeWatcher: ReturnType<typeof createStoreWatcher> | undefined;
   let hasAskedSeeds = false;
   let isStopping = false;
@@ -111,7 +111,7 @@
     onServers(servers) {
       const serversById = new Map(servers.map((server) => [server.id, server]));
       embargo.retainServers(serversById);
-      promptGuard.recordListed(servers);
+      crashGuard.recordListed(servers);
       options.onServers(serversById);
       pools.setServers(servers);
     },
@@ -197,7 +197,7 @@
   return {
     admission: scheduling.admission,
     embargo,
-    promptGuard,
+    crashGuard,
     serverLimits,
     pools,
     stateCache,
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -92,7 +92,7 @@
     names: options.names,
     admission: core.admission,
     embargo: core.embargo,
-    promptGuard: core.promptGuard,
+    crashGuard: core.crashGuard,
     serverLimits: core.serverLimits,
     classifier,
     connections,
@@ -118,7 +118,7 @@
     address: options.metricsAddress,
     scrape: metrics.scrape,
   });
-  addRelayGauges({ metrics, pools, stateCache, peerTable, promptGuard: core.promptGuard, clock });
+  addRelayGauges({ metrics, pools, stateCache, peerTable, crashGuard: core.crashGuard, clock });
 
   await callerEndpoint.listen(options.callerAddress);
   isReady = true;
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -10,7 +10,7 @@
 import type { Admission } from './admission/types';
 import type { RequestClassifier, RouteTable, ServerEmbargo } from './decisions/types';
 import type { ServerLimits } from './limits/types';
-import type { PromptGuard } from './prompts/types';
+import type { CrashGuard } from './crashes/types';
 import type { ServerConnections } from './servers/types';
 
 /** Callers honour a `retry-after` of at most this fraction of their remaining time. */
@@ -21,7 +21,7 @@
   readonly names: HeaderNames;
   readonly admission: Admission;
   readonly embargo: ServerEmbargo;
-  readonly promptGuard: PromptGuard;
+  readonly crashGuard: CrashGuard;
   readonly serverLimits: ServerLimits;
   readonly classifier: RequestClassifier;
   readonly connections: ServerConnections;
@@ -64,7 +64,7 @@
       remainingTime * MAXIMUM_RETRY_FRACTION,
     );
     // A quarantined request is no sign that its route's callers return.
-    if (reason !== 'quarantinedPrompt') {
+    if (reason !== 'quarantined') {
       classifier.recordRefusal(plan.route.name, clock.now());
     }
     observer.refused(plan, reason, Math.round(retryAfter), pool);
@@ -84,7 +84,7 @@
       pool: chooseTarget(plan.route.targets, random),
       admission: options.admission,
       embargo: options.embargo,
-      promptGuard: options.promptGuard,
+      crashGuard: options.crashGuard,
       serverLimits: options.serverLimits,
       connections: options.connections,
       names,
--- a/packages/relay/src/front/brokenOffStream.test.ts
+++ b/packages/relay/src/front/brokenOffStream.test.ts
@@ -8,7 +8,7 @@
 import createRequestClassifier from '../decisions/createRequestClassifier';
 import createRouteTable from '../decisions/createRouteTable';
 import createServerEmbargo from '../decisions/createServerEmbargo';
-import createPromptGuard from '../prompts/createPromptGuard';
+import createCrashGuard from '../crashes/createCrashGuard';
 import type { ServerConnections } from '../servers/types';
 import createTestServer from '../testing/createTestServer';
 import headerNames from '../testing/headerNames';
@@ -107,7 +107,7 @@
       recordRequest: () => undefined,
     },
     embargo: createServerEmbargo(),
-    promptGuard: createPromptGuard({ clock, logger: silentLogger, onChange: () => undefined }),
+    crashGuard: createCrashGuard({ clock, logger: silentLogger, onChange: () => undefined }),
     serverLimits: {
       record: () => undefined,
       tryGetRate: () => undefined,
--- a/packages/relay/src/front/failRequest.ts
+++ b/packages/relay/src/front/failRequest.ts
@@ -11,7 +11,7 @@
   const { exchange, plan, response, end, observer } = options;
   const isQuarantined = end.kind === 'aborted' && end.reason === 'quarantined';
   const isTimeout = end.kind === 'aborted' && end.reason === 'timeout';
-  const failure = isQuarantined ? 'quarantinedPrompt' : 'serverBroke';
+  const failure = isQuarantined ? 'quarantined' : 'serverBroke';
   const reason = isTimeout ? 'timeout' : failure;
   if (response.isCommitted()) {
     observer.brokenOff(plan, reason);
--- a/packages/relay/src/front/recordPromptOutcome.ts
+++ b/packages/relay/src/front/recordCrashEvidence.ts
@@ -1,8 +1,8 @@
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { AttemptFigures } from '../pools/types';
-import type { PromptGuard } from '../prompts/types';
+import type { CrashGuard } from '../crashes/types';
 import type { ServerConnections } from '../servers/types';
-import type { ListedServer, PromptPartId } from '../types';
+import type { ListedServer, TraitId } from '../types';
 
 /** A request that has received data for this long is not the one under which its server ended. */
 const BEGINNING: Milliseconds = 250;
@@ -14,12 +14,12 @@
 const HTTP_OK = 200;
 const HTTP_MULTIPLE_CHOICES = 300;
 
-interface PromptOutcomeOptions {
+interface CrashEvidenceOptions {
   readonly clock: Clock;
-  readonly promptGuard: PromptGuard;
+  readonly crashGuard: CrashGuard;
   readonly connections: Pick<ServerConnections, 'checkListening'>;
   readonly server: ListedServer;
-  readonly parts: readonly PromptPartId[];
+  readonly traits: readonly TraitId[];
   readonly figures: AttemptFigures;
 }
 
@@ -36,26 +36,26 @@
   return end.kind === 'broken' && duration - firstDataAfter <= BEGINNING;
 }
 
-/** Records what the end of an attempt says about the parts of its prompt. */
-export default function recordPromptOutcome(options: PromptOutcomeOptions): void {
-  const { clock, promptGuard, connections, server, parts, figures } = options;
-  if (parts.length === 0) {
+/** Records what the end of an attempt says about the traits of its request. */
+export default function recordCrashEvidence(options: CrashEvidenceOptions): void {
+  const { clock, crashGuard, connections, server, traits, figures } = options;
+  if (traits.length === 0) {
     return;
   }
   if (isAnswered(figures)) {
-    promptGuard.recordAnswered(parts);
+    crashGuard.recordAnswered(traits);
     return;
   }
-  // The end of a server that leaves as announced has no cause in a prompt.
+  // The end of a server that leaves as announced has no cause in a request.
   if (!isBrokenAtBeginning(figures) || server.isDraining) {
     return;
   }
-  promptGuard.recordBroken(server, parts);
+  crashGuard.recordBroken(server, traits);
   CHECK_TIMES.forEach((time) =>
     clock.after(time, () =>
       connections.checkListening(server, (isListening) => {
         if (!isListening) {
-          promptGuard.recordEnded(server);
+          crashGuard.recordEnded(server);
         }
       }),
     ),
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -8,7 +8,7 @@
 import createAttemptHistory from './createAttemptHistory';
 import createDispatchMark from './createDispatchMark';
 import createFirstDataWait from './createFirstDataWait';
-import createPromptWatch from './createPromptWatch';
+import createQuarantineWatch from './createQuarantineWatch';
 import createQuotaCharge from './createQuotaCharge';
 import createResponseRelay from './createResponseRelay';
 import decideAfterAttempt from './decideAfterAttempt';
@@ -32,9 +32,9 @@
     endEarly({ reason: 'deadlinePassed' }, 'timeout'),
   );
   const firstDataWait = createFirstDataWait(clock, route, () => attempt?.abort('silent'));
-  const promptWatch = createPromptWatch({
-    promptGuard: options.promptGuard,
-    parts: plan.promptParts,
+  const quarantineWatch = createQuarantineWatch({
+    crashGuard: options.crashGuard,
+    traits: plan.promptParts,
     onQuarantined(refusal) {
       // A server that has not begun to answer would end when it does.
       if (!firstDataWait.hasData()) {
@@ -47,7 +47,7 @@
     isDone = true;
     deadlineTimer.cancel();
     firstDataWait.end();
-    promptWatch.stop();
+    quarantineWatch.stop();
     dispatchMark.end();
   }
 
@@ -72,7 +72,7 @@
   }
 
   function requestSlot(): void {
-    const refusal = promptWatch.tryGetRefusal();
+    const refusal = quarantineWatch.tryGetRefusal();
     if (refusal !== undefined) {
       giveUp(refusal);
       return;
@@ -91,7 +91,7 @@
   function dispatch(grant: SlotGrant): void {
     const { id } = grant.server;
     charge.recordCharged();
-    const refusal = promptWatch.tryGetRefusal();
+    const refusal = quarantineWatch.tryGetRefusal();
     if (refusal !== undefined) {
       grant.release();
       giveUp(refusal);
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -5,7 +5,7 @@
 import createAttemptMeter from './createAttemptMeter';
 import createEventBoundary from './createEventBoundary';
 import tryParseLimit from '../limits/tryParseLimit';
-import recordPromptOutcome from './recordPromptOutcome';
+import recordCrashEvidence from './recordCrashEvidence';
 import tryParseLoad from './tryParseLoad';
 import type { AttemptOutcome } from '../types';
 import type { ResponseRelay, RelayRequestOptions } from './types';
@@ -92,7 +92,7 @@
           embargo.recordTurnedAway(server, end.retryAfter, clock.now());
         }
         const figures = meter.getFigures(getOutcome(end));
-        recordPromptOutcome({ ...options, server, parts: plan.promptParts, figures });
+        recordCrashEvidence({ ...options, server, traits: plan.promptParts, figures });
         options.onEnd(figures);
       },
     },
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -15,7 +15,7 @@
 import type { ServerEmbargo } from '../decisions/types';
 import type { AttemptFigures, PoolState } from '../pools/types';
 import type { ServerLimits } from '../limits/types';
-import type { PromptGuard } from '../prompts/types';
+import type { CrashGuard } from '../crashes/types';
 import type { ResponseHead, ServerConnections } from '../servers/types';
 
 /** A caller's request with its complete body, and the operations that respond to it. */
@@ -94,7 +94,7 @@
   attemptEnded(plan: RequestPlan, server: BackendServerId, figures: AttemptFigures): void;
   completed(plan: RequestPlan, server: BackendServerId, figures: AttemptFigures): void;
   failed(plan: RequestPlan, status: number, code: string): void;
-  brokenOff(plan: RequestPlan, reason: 'timeout' | 'serverBroke' | 'quarantinedPrompt'): void;
+  brokenOff(plan: RequestPlan, reason: 'timeout' | 'serverBroke' | 'quarantined'): void;
   callerGone(plan: RequestPlan): void;
 }
 
@@ -138,7 +138,7 @@
   readonly pool: PoolId;
   readonly admission: Admission;
   readonly embargo: ServerEmbargo;
-  readonly promptGuard: PromptGuard;
+  readonly crashGuard: CrashGuard;
   readonly serverLimits: Pick<ServerLimits, 'record'>;
   readonly connections: ServerConnections;
   readonly names: HeaderNames;
--- a/packages/relay/src/limits/createServerLimits.ts
+++ b/packages/relay/src/limits/createServerLimits.ts
@@ -1,7 +1,7 @@
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
-import createRecentMap from '../prompts/createRecentMap';
-import getProcessKey from '../prompts/getProcessKey';
+import createRecentMap from '../crashes/createRecentMap';
+import getProcessKey from '../crashes/getProcessKey';
 import type { NamedLimit, ServerLimits } from './types';
 
 const MAXIMUM_LIMITS = 2_048;
--- a/packages/relay/src/peers/createFindings.ts
+++ b/packages/relay/src/peers/createFindings.ts
@@ -1,7 +1,7 @@
 import createServerLimits from '../limits/createServerLimits';
 import type { ServerLimits } from '../limits/types';
-import createPromptGuard from '../prompts/createPromptGuard';
-import type { PromptGuard } from '../prompts/types';
+import createCrashGuard from '../crashes/createCrashGuard';
+import type { CrashGuard } from '../crashes/types';
 import createRollouts from '../rollouts/createRollouts';
 import type { Rollouts } from '../rollouts/types';
 import type { Findings } from './types';
@@ -12,24 +12,24 @@
 }
 
 interface FindingsParts extends Findings {
-  readonly promptGuard: PromptGuard;
+  readonly crashGuard: CrashGuard;
   readonly serverLimits: ServerLimits;
   readonly rollouts: Rollouts;
 }
 
-/** Joins what hosts tell each other about prompts, servers and versions, so that it needs one message. */
+/** Joins what hosts tell each other about requests, servers and versions, so that it needs one message. */
 export default function createFindings(options: FindingsOptions): FindingsParts {
-  const promptGuard = createPromptGuard(options);
+  const crashGuard = createCrashGuard(options);
   const serverLimits = createServerLimits(options);
   const rollouts = createRollouts({ ...options, onFound: () => options.onChange('found') });
 
   return {
-    promptGuard,
+    crashGuard,
     serverLimits,
     rollouts,
     merge(report) {
-      if (report.prompts !== undefined) {
-        promptGuard.merge(report.prompts);
+      if (report.crashes !== undefined) {
+        crashGuard.merge(report.crashes);
       }
       if (report.limits !== undefined) {
         serverLimits.merge(report.limits);
@@ -40,7 +40,7 @@
     },
     tryGetReport() {
       const parts = {
-        prompts: promptGuard.tryGetReport(),
+        crashes: crashGuard.tryGetReport(),
         limits: serverLimits.tryGetReport(),
         rollouts: rollouts.tryGetReport(),
       };
--- a/packages/relay/src/peers/createFindingsSync.ts
+++ b/packages/relay/src/peers/createFindingsSync.ts
@@ -33,7 +33,7 @@
 }
 
 /**
- * Tells other hosts what was found about prompts and servers: changes at once, all of it periodically. Each host passes
+ * Tells other hosts what was found about requests and servers: changes at once, all of it periodically. Each host passes
  * on what it has learnt, so a report also reaches hosts that its origin cannot reach.
  */
 export default function createFindingsSync(options: FindingsSyncOptions): FindingsSync {
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -87,7 +87,7 @@
         names: headerNames,
         admission: host.core.admission,
         embargo: host.core.embargo,
-        promptGuard: host.core.promptGuard,
+        crashGuard: host.core.crashGuard,
         serverLimits: host.core.serverLimits,
         classifier: createRequestClassifier(),
         connections: engines.connect(host),
--- a/packages/relay/src/testing/playCrashDay.ts
+++ b/packages/relay/src/testing/playCrashDay.ts
@@ -102,7 +102,7 @@
     },
     listQuarantined: (): readonly string[] =>
       fleet.hosts.flatMap(({ core }) =>
-        Object.keys(core.promptGuard.tryGetReport()?.quarantined ?? {}),
+        Object.keys(core.crashGuard.tryGetReport()?.quarantined ?? {}),
       ),
   };
 }
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -17,12 +17,15 @@
 import type { SchedulerRequest, SchedulerResponse } from './admission/types';
 import type { LimitReport } from './limits/types';
 import type { PoolQueue } from './pools/types';
-import type { PromptReport } from './prompts/types';
+import type { CrashReport } from './crashes/types';
 import type { RolloutReport } from './rollouts/types';
 
 /** Identifier of a part of a prompt; equal parts of two prompts have the same one. */
 export type PromptPartId = string;
 
+/** Identifier of what a request shares with others, and what may be why servers end under it. */
+export type TraitId = PromptPartId;
+
 /** Identifier of a request's content, which names it without revealing it. */
 export type ContentId = `content:${string}`;
 
@@ -236,8 +239,8 @@
   | 'noServer'
   | 'serverFull'
   | 'notConnected'
-  /** A part of the prompt has ended several servers. */
-  | 'quarantinedPrompt';
+  /** Several servers have ended under one of the request's traits. */
+  | 'quarantined';
 
 /** Priority of a queued request. */
 export interface Priority {
@@ -351,7 +354,7 @@
  */
 export interface FindingsReport {
   readonly kind: 'findings';
-  readonly prompts?: PromptReport;
+  readonly crashes?: CrashReport;
   readonly limits?: LimitReport;
   readonly rollouts?: RolloutReport;
 }
