--- a/packages/relay/src/testing/createTestEngines.ts
+++ b/packages/relay/src/testing/createTestEngines.ts
@@ -4,7 +4,8 @@
 import createTestEngine from './createTestEngine';
 import type createTestFleet from './createTestFleet';
 import headerNames from './headerNames';
-import type { SeenCall, TestHost } from './types';
+import createTestPaths from './createTestPaths';
+import type { EngineCut, SeenCall, TestHost } from './types';
 
 type TestFleet = Awaited<ReturnType<typeof createTestFleet>>;
 type TestEngine = ReturnType<typeof createTestEngine>;
@@ -16,6 +17,7 @@
   readonly at: Milliseconds;
   readonly host: TestHost;
   readonly server: string;
+  readonly id: string;
   readonly call: SeenCall;
 }
 
@@ -75,31 +77,41 @@
     return engines.find((engine) => engine.getListed().address === address)!;
   }
 
+  const paths = createTestPaths(clock);
+
   /** Creates the connections of one host to the engines. */
   function connect(host: TestHost): ServerConnections {
     return {
       send(server, request, sink) {
         const engine = getEngine(server);
-        const run = { host, request, sink, isEnded: false };
+        const path = paths.open(host, server, sink);
+        const run = { host, request, sink: path.sink, isEnded: false };
         clock.after(LINK_DELAY, () => {
-          if (!run.isEnded && engine.accept(run, server.id)) {
+          if (path.isConnected() && !run.isEnded && engine.accept(run, server.id)) {
             const call = toSeenCall(request);
-            arrivals.push({ at: clock.now(), host, server: server.id, call });
+            arrivals.push({
+              at: clock.now(),
+              host,
+              server: server.id,
+              id: request.requestId,
+              call,
+            });
           }
         });
         return {
           abort(reason) {
+            path.recordAborted();
             engine.cancel(run);
             if (!run.isEnded) {
               run.isEnded = true;
-              sink.onEnd({ kind: 'aborted', reason });
+              path.sink.onEnd({ kind: 'aborted', reason });
             }
           },
           resume: () => undefined,
         };
       },
       checkListening(server, onChecked) {
-        clock.after(LINK_DELAY, () => onChecked(getEngine(server).isUp()));
+        paths.check(host, (isOpen) => onChecked(isOpen ?? getEngine(server).isUp()));
       },
       retainServers: () => undefined,
       close: async () => undefined,
@@ -132,5 +144,7 @@
       }
     },
     resetConnections: () => engines.forEach((engine) => engine.resetConnections()),
+    /** Cuts hosts off from all engines; undefined ends that. */
+    cut: (hosts: readonly TestHost[], how: EngineCut | undefined) => paths.cut(hosts, how),
   };
 }
--- a/packages/relay/src/testing/types.ts
+++ b/packages/relay/src/testing/types.ts
@@ -34,6 +34,12 @@
   isFrozen: boolean;
 }
 
+/**
+ * How a host is cut off from engines: nothing passes; connections are reset and new ones refused; or
+ * the connections that exist live on and new ones are refused.
+ */
+export type EngineCut = 'hang' | 'reset' | 'refuseNew';
+
 /** A host that was disturbed, and when that ended. */
 export interface Trouble {
   readonly host: TestHost;
