Accuse fewer sound requests beside those that end servers

Traced: a refused content absorbed the ends of the part that it shares a prompt with, so that the part lagged behind; a single call which was on four servers counted as certain; equal traits were ordered by their place in a report. Two cases of findCrashingTraits.test.ts name what was traced; the case of two contents that end servers together needs a fifth end of the second now.

--- a/packages/relay/src/crashes/createCrashEvidence.ts
+++ b/packages/relay/src/crashes/createCrashEvidence.ts
@@ -82,16 +82,21 @@
   return open.length > 0 || cleared.length > 1;
 }
 
-/** Returns the most suspected traits of one kind, the newest first among equals. */
+/** Returns the most suspected traits of one kind, or the newest of equal ones, in their order. */
 function chooseReported(
   recent: readonly (readonly [TraitId, TraitEvidence])[],
   kind: TraitKind,
 ): readonly (readonly [TraitId, TraitEvidence])[] {
-  return recent
-    .filter(([trait, evidence]) => getTraitKind(trait) === kind && isReported(evidence))
-    .toReversed()
-    .sort(([, left], [, right]) => right.open.length - left.open.length)
-    .slice(0, MAXIMUM_REPORTED[kind]);
+  const candidates = recent.filter(
+    ([trait, evidence]) => getTraitKind(trait) === kind && isReported(evidence),
+  );
+  const chosen = new Set(
+    candidates
+      .toReversed()
+      .sort(([, left], [, right]) => right.open.length - left.open.length)
+      .slice(0, MAXIMUM_REPORTED[kind]),
+  );
+  return candidates.filter((candidate) => chosen.has(candidate));
 }
 
 /**
@@ -148,6 +153,16 @@
     return isNewlyAnswered || newCleared.length + newOpen.length > 0;
   }
 
+  /** Lists the ends that these traits explain. */
+  function listExplained(explaining: readonly TraitId[]): ReadonlySet<ProcessKey> {
+    return new Set(
+      explaining.flatMap((trait) => {
+        const entry = traits.get(trait);
+        return entry === undefined ? [] : listProcesses(entry, 'open');
+      }),
+    );
+  }
+
   return {
     recordSuspects: (process, suspects, now) =>
       suspects.filter((trait) => setState(trait, process, 'open', now)).length > 0,
@@ -204,15 +219,14 @@
     },
     getRecent(now, blocked) {
       const since = now - REPORT_TIME;
-      const explained = new Set(
-        blocked.flatMap((trait) => {
-          const entry = traits.get(trait);
-          return entry === undefined ? [] : listProcesses(entry, 'open');
-        }),
+      const explained = listExplained(blocked);
+      const explainedByParts = listExplained(
+        blocked.filter((trait) => getTraitKind(trait) === 'promptPart'),
       );
       const all = traits.list(since).map(([trait, entry]): readonly [TraitId, TraitEvidence] => {
+        const hidden = getTraitKind(trait) === 'content' ? explained : explainedByParts;
         const open = listProcesses(entry, 'open', since).filter(
-          (process) => blocked.includes(trait) || !explained.has(process),
+          (process) => blocked.includes(trait) || !hidden.has(process),
         );
         const cleared = listProcesses(entry, 'cleared', since);
         return [
--- a/packages/relay/src/crashes/createCrashGuard.ts
+++ b/packages/relay/src/crashes/createCrashGuard.ts
@@ -5,6 +5,7 @@
 import createQuarantineList from './createQuarantineList';
 import findCrashingTraits from './findCrashingTraits';
 import getProcessKey from './getProcessKey';
+import getTraitKind from './getTraitKind';
 import type { CrashGuard, RequestBlock } from './types';
 
 /**
@@ -119,9 +120,12 @@
       handleFound(evidence.recordAnswered(traits, clock.now()));
     },
     recordBroken(server, traits) {
-      // A trait that is refused already explains the end, so that the others need not be suspected.
-      const block = tryGetBlock(traits);
-      const suspects = block === undefined ? traits : [block.trait];
+      // A part that is refused already explains the end, so that the rest need not be suspected. A
+      // content that is refused does not: its request may have a part that ends servers.
+      const refusedParts = traits.filter(
+        (trait) => getTraitKind(trait) === 'promptPart' && tryGetBlock([trait]) !== undefined,
+      );
+      const suspects = refusedParts.length > 0 ? refusedParts : traits;
       handleFound(evidence.recordSuspects(getProcessKey(server), suspects, clock.now()));
     },
     recordEnded(server) {
--- a/packages/relay/src/crashes/findCrashingTraits.test.ts
+++ b/packages/relay/src/crashes/findCrashingTraits.test.ts
@@ -52,7 +52,7 @@
     suspects: {
       first: ['1', '2', '3', '4', '5', '6'],
       'content:bad1': ['1', '2', '3', '4', '5'],
-      'content:bad2': ['4', '5', '6', '7'],
+      'content:bad2': ['3', '4', '5', '6', '7'],
     },
     answered: ['first'],
     found: ['content:bad1', 'content:bad2'],
@@ -67,6 +67,20 @@
     suspects: { 'content:own': ['1', '2'] },
     found: [],
   },
+  {
+    name: 'a single call that was on four servers which others ended',
+    suspects: {
+      bad1: ['1', '2', '3', '4'],
+      'content:own': ['1', '2', '3', '5'],
+      bad2: ['5'],
+    },
+    found: ['bad1'],
+  },
+  {
+    name: 'a content beside the part of its prompt with the same ends',
+    suspects: { 'content:own': ['1', '2', '3', '4'], bad: ['1', '2', '3', '4'] },
+    found: ['bad'],
+  },
   {
     name: 'an answered content with ends for which a new one would be suspected',
     suspects: { 'content:popular': ['1', '2', '3', '4'] },
--- a/packages/relay/src/crashes/findCrashingTraits.ts
+++ b/packages/relay/src/crashes/findCrashingTraits.ts
@@ -7,8 +7,12 @@
  * of a request is shared by fewer sound ones than a part of a prompt.
  */
 const MINIMUM_ENDS: Readonly<Record<TraitKind, number>> = { promptPart: 4, content: 3 };
-/** Ends that are enough although the trait was answered before. */
-const ANSWERED_ENDS = 5;
+/**
+ * Ends that are enough although the trait was answered before. A trait that never was is suspected
+ * with so many ends as soon as one of them is unexplained: two traits that end servers at the same
+ * time explain each other's ends in part. A single call, sent twice at two servers each, has fewer.
+ */
+const CERTAIN_ENDS = 5;
 /** Further ends with which such a trait is as likely to cause them as one that never was. */
 const ANSWERED_PENALTY = 3;
 
@@ -40,12 +44,9 @@
       return 1;
     }
     if (wasAnswered(trait)) {
-      return ANSWERED_ENDS;
+      return CERTAIN_ENDS;
     }
-    // Two traits that end servers at the same time explain each other's ends in part, so one end
-    // beyond the minimum leaves no doubt about a trait as soon as one of them is unexplained.
-    const minimum = MINIMUM_ENDS[getTraitKind(trait)];
-    return ends > minimum ? 1 : minimum;
+    return ends >= CERTAIN_ENDS ? 1 : MINIMUM_ENDS[getTraitKind(trait)];
   }
 
   /** Returns how likely a trait causes its ends; what was answered may share those of several. */
@@ -56,7 +57,7 @@
   function compareLikelihood(left: TraitId, right: TraitId): number {
     const byLikelihood = getLikelihood(right) - getLikelihood(left);
     const byAnswers = Number(wasAnswered(left)) - Number(wasAnswered(right));
-    const byMinimum = MINIMUM_ENDS[getTraitKind(left)] - MINIMUM_ENDS[getTraitKind(right)];
+    const byMinimum = MINIMUM_ENDS[getTraitKind(right)] - MINIMUM_ENDS[getTraitKind(left)];
     return byLikelihood || byAnswers || byMinimum;
   }
 
