Let other hosts send the attempts of a host that is cut off from servers

What callers saw: hosts that had lost their links to all servers refused their callers, while others served theirs. Cause: a host could reach servers by its own links only. An attempt whose server this host does not reach, although peers do, is sent by a peer now, over the hosts' own transport. It stays one attempt of the host that took the request: one dispatch, quota, deadline and retry budget, all where they were; the peer uses its own links only, so that nothing loops. Another peer is asked only while nothing can have been sent.

A server that is silent, slow, full or down is reached by no peer either, so none of these counts as a cut; the same check keeps a cut host from reporting all servers as ended to the guard of crashing requests.

--- a/packages/relay/src/addRelayGauges.ts
+++ b/packages/relay/src/addRelayGauges.ts
@@ -2,6 +2,7 @@
 import type { GaugeReading } from '@rattanreel/observability';
 import type { RelayMetrics } from './front/types';
 import type { CrashGuard } from './crashes/types';
+import type { ForwardingConnections } from './forwarding/types';
 import type { ClusterStateCache, PeerTable, Pools } from './types';
 
 interface RelayGaugesOptions {
@@ -10,6 +11,7 @@
   readonly stateCache: ClusterStateCache;
   readonly peerTable: PeerTable;
   readonly crashGuard: Pick<CrashGuard, 'countQuarantined'>;
+  readonly connections: Pick<ForwardingConnections, 'countCut'>;
   readonly clock: Clock;
 }
 
@@ -20,7 +22,7 @@
 
 /** Adds gauges of the host's pools and of its known cluster state, read at each scrape. */
 export default function addRelayGauges(options: RelayGaugesOptions): void {
-  const { metrics, pools, stateCache, peerTable, crashGuard, clock } = options;
+  const { metrics, pools, stateCache, peerTable, crashGuard, connections, clock } = options;
 
   metrics.addGauge({
     name: 'rattanreel_relay_pool',
@@ -63,4 +65,10 @@
     labelNames: [],
     read: () => createUnlabelledReading(crashGuard.countQuarantined()),
   });
+  metrics.addGauge({
+    name: 'rattanreel_relay_servers_cut',
+    help: 'Backend servers that this host reaches only through other hosts.',
+    labelNames: [],
+    read: () => createUnlabelledReading(connections.countCut()),
+  });
 }
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -1,4 +1,4 @@
-import type { BackendServerId, EntryHostId, FailureDomainId, Incarnation } from '@rattanreel/core';
+import type { EntryHostId, FailureDomainId, Incarnation } from '@rattanreel/core';
 import createLocalAdmission from './admission/createLocalAdmission';
 import createScheduling from './admission/createScheduling';
 import type { Admission } from './admission/types';
@@ -9,17 +9,19 @@
 import createSharedQuota from './decisions/createSharedQuota';
 import type { ServerEmbargo } from './decisions/types';
 import type { ServerLimits } from './limits/types';
+import createForwarding from './forwarding/createForwarding';
+import type { Forwarding } from './forwarding/types';
 import createFindings from './peers/createFindings';
 import createPeerTable from './peers/createPeerTable';
 import openPeerLink from './peers/openPeerLink';
 import type { OpenTransport } from './peers/types';
 import type { CrashGuard } from './crashes/types';
 import registerHost from './registerHost';
+import type { ServerConnections } from './servers/types';
 import type {
   ClusterStateCache,
   ClusterStateSource,
   FleetRole,
-  ListedServer,
   PeerTable,
   Pools,
   Quota,
@@ -43,12 +45,14 @@
   /** Addresses of some entry hosts, possibly out of date. */
   readonly seedAddresses: readonly string[];
   readonly openTransport: OpenTransport;
+  /** This host's own links to the backend servers. */
+  readonly direct: ServerConnections;
   readonly onConfiguration: (configuration: RelayConfiguration) => void;
-  readonly onServers: (servers: ReadonlyMap<BackendServerId, ListedServer>) => void;
 }
 
 interface HostCore {
   readonly admission: Admission;
+  readonly forwarding: Forwarding;
   readonly embargo: ServerEmbargo;
   readonly crashGuard: CrashGuard;
   readonly serverLimits: ServerLimits;
@@ -73,6 +77,11 @@
   );
 }
 
+function knowsClusterState(stateCache: ClusterStateCache): boolean {
+  const { configurationVersion, serversVersion } = stateCache.getVersions();
+  return configurationVersion >= 0 && serversVersion >= 0;
+}
+
 /**
  * Creates the part of an entry host that serves no callers: its cluster state, pools and quotas,
  * and its connections to peers.
@@ -112,7 +121,7 @@
       const serversById = new Map(servers.map((server) => [server.id, server]));
       embargo.retainServers(serversById);
       crashGuard.recordListed(servers);
-      options.onServers(serversById);
+      forwarding.connections.retainServers(serversById);
       pools.setServers(servers);
     },
     onEvacuated(_evacuated, returned) {
@@ -150,12 +159,19 @@
     embargo,
     stateCache,
     peerTable,
-    hasClusterState,
+    hasClusterState: () => knowsClusterState(stateCache),
     send: (host, message) => link.send(host, message),
     onVersions: (host) => link.handleVersions(host),
     onRoleChange: () => link.announceChange(false),
   });
 
+  const forwarding = createForwarding({
+    ...context,
+    direct: options.direct,
+    isServing: () => !isStopping,
+    getLink: () => link,
+  });
+
   const link = await openPeerLink({
     clock,
     logger,
@@ -173,13 +189,9 @@
     onSchedulerRequest: scheduling.handleRequest,
     onSchedulerResponse: scheduling.handleResponse,
     onReachableChange: scheduling.updateSharing,
+    onTask: forwarding.tasks.begin,
   });
 
-  function hasClusterState(): boolean {
-    const { configurationVersion, serversVersion } = stateCache.getVersions();
-    return configurationVersion >= 0 && serversVersion >= 0;
-  }
-
   function register(isOptional: boolean): void {
     const isStoppingNow = (): boolean => isStopping;
     registerHost({ context, source, self, isBootstrap, isOptional, isStopping: isStoppingNow });
@@ -187,7 +199,7 @@
 
   /** Asks the hosts named in the settings for the cluster state, once. */
   function askSeeds(): void {
-    if (!hasAskedSeeds && !hasClusterState()) {
+    if (!hasAskedSeeds && !knowsClusterState(stateCache)) {
       hasAskedSeeds = true;
       const seeds = options.seedAddresses.filter((address) => address !== peerAddress);
       void link.fetchClusterStateFrom(seeds);
@@ -196,6 +208,7 @@
 
   return {
     admission: scheduling.admission,
+    forwarding,
     embargo,
     crashGuard,
     serverLimits,
@@ -203,7 +216,7 @@
     stateCache,
     peerTable,
     getRole: scheduling.getRole,
-    hasClusterState,
+    hasClusterState: () => knowsClusterState(stateCache),
     start() {
       storeWatcher = createStoreWatcher({
         context,
@@ -229,7 +242,7 @@
       link.stop();
       storeWatcher?.stop();
       stateCache.stop();
-      await Promise.all([link.close(), source.close()]);
+      await Promise.all([link.close(), source.close(), forwarding.connections.close()]);
     },
   };
 }
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -31,7 +31,7 @@
 
 interface RelayHostOptions extends Omit<
   Parameters<typeof createHostCore>[0],
-  'openTransport' | 'onConfiguration' | 'onServers'
+  'openTransport' | 'direct' | 'onConfiguration'
 > {
   readonly names: HeaderNames;
   /** Listening addresses as HOST:PORT, for callers, readiness checks and metrics. */
@@ -58,7 +58,6 @@
   const startedAt = clock.now();
   const metrics = createRelayMetrics();
   const classifier = createRequestClassifier();
-  const connections = createServerConnections({ clock });
   let routes: RouteTable | undefined;
   let customersByKey: ReadonlyMap<string, RelayCustomer> | undefined;
   let limits = INITIAL_LIMITS;
@@ -69,6 +68,7 @@
     ...options,
     bounds,
     openTransport: openRelayTransport,
+    direct: createServerConnections({ clock }),
     onConfiguration(configuration) {
       routes = createRouteTable(configuration.routes);
       classifier.retainRoutes(new Set(configuration.routes.map(({ name }) => name)));
@@ -76,7 +76,6 @@
       limits = configuration.limits;
       callerEndpoint.applyLimits();
     },
-    onServers: connections.retainServers,
   });
   const { pools, stateCache, peerTable } = core;
 
@@ -95,7 +94,7 @@
     crashGuard: core.crashGuard,
     serverLimits: core.serverLimits,
     classifier,
-    connections,
+    connections: core.forwarding.connections,
     observer,
     getRoutes: () => routes,
     getCustomersByKey: () => customersByKey,
@@ -118,7 +117,16 @@
     address: options.metricsAddress,
     scrape: metrics.scrape,
   });
-  addRelayGauges({ metrics, pools, stateCache, peerTable, crashGuard: core.crashGuard, clock });
+  const { connections } = core.forwarding;
+  addRelayGauges({
+    metrics,
+    pools,
+    stateCache,
+    peerTable,
+    crashGuard: core.crashGuard,
+    connections,
+    clock,
+  });
 
   await callerEndpoint.listen(options.callerAddress);
   isReady = true;
@@ -135,13 +143,16 @@
       await drainCallerEndpoint({
         clock,
         logger,
-        endpoint: callerEndpoint,
+        endpoint: {
+          ...callerEndpoint,
+          countActive: () => callerEndpoint.countActive() + core.forwarding.tasks.countActive(),
+        },
         gracePeriod: bounds.shutdownGracePeriod,
       });
       callerEndpoint.close();
       readiness.close();
       metricsEndpoint.close();
-      await Promise.all([core.stop(), connections.close()]);
+      await core.stop();
     },
   };
 }
--- /dev/null
+++ b/packages/relay/src/forwarding/createForwardedTasks.ts
@@ -0,0 +1,71 @@
+import type { Attempt, ServerConnections } from '../servers/types';
+import type { ListedServer } from '../types';
+import type { ForwardReporter, ForwardTask, ForwardedTasks } from './types';
+
+interface ForwardedTasksOptions {
+  /** This host's own links; a task is never forwarded again. */
+  readonly direct: Pick<ServerConnections, 'send' | 'checkListening'>;
+  /** Whether this host accepts tasks for a server. */
+  readonly canServe: (server: ListedServer) => boolean;
+}
+
+/** Performs attempts and checks that peers cannot make themselves. */
+export default function createForwardedTasks(options: ForwardedTasksOptions): ForwardedTasks {
+  const { direct } = options;
+  let active = 0;
+
+  function beginAttempt(
+    { server, request }: Extract<ForwardTask, { kind: 'attempt' }>,
+    reporter: ForwardReporter,
+  ): () => void {
+    let attempt: Attempt | undefined;
+    let isEnded = false;
+    active += 1;
+    reporter.onDrain(() => attempt?.resume());
+    attempt = direct.send(
+      server,
+      { ...request, body: Buffer.from(request.body) },
+      {
+        onHead(head) {
+          reporter.report({ kind: 'head', head });
+        },
+        onData: (chunk) => reporter.report({ kind: 'data', chunk }),
+        onEnd(outcome) {
+          isEnded = true;
+          active -= 1;
+          reporter.report({ kind: 'end', outcome });
+          reporter.end();
+        },
+      },
+    );
+    return () => {
+      if (!isEnded) {
+        attempt?.abort('callerGone');
+      }
+    };
+  }
+
+  return {
+    begin(task, reporter) {
+      if (!options.canServe(task.server)) {
+        // Nothing has been sent, so that the peer may ask another host.
+        reporter.report({ kind: 'end', outcome: { kind: 'notConnected' } });
+        reporter.end();
+        return () => undefined;
+      }
+      switch (task.kind) {
+        case 'attempt':
+          return beginAttempt(task, reporter);
+        case 'check':
+          direct.checkListening(task.server, (listening) => {
+            reporter.report({ kind: 'checked', listening });
+            reporter.end();
+          });
+          return () => undefined;
+        default:
+          return task satisfies never;
+      }
+    },
+    countActive: () => active,
+  };
+}
--- /dev/null
+++ b/packages/relay/src/forwarding/createForwarding.ts
@@ -0,0 +1,18 @@
+import createForwardedTasks from './createForwardedTasks';
+import createForwardingConnections from './createForwardingConnections';
+import type { Forwarding } from './types';
+
+type ForwardingOptions = Parameters<typeof createForwardingConnections>[0] & {
+  /** Whether this host still accepts tasks of peers. */
+  readonly isServing: () => boolean;
+};
+
+/** Joins both sides of forwarding: what this host forwards, and what it does for its peers. */
+export default function createForwarding(options: ForwardingOptions): Forwarding {
+  const connections = createForwardingConnections(options);
+  const tasks = createForwardedTasks({
+    direct: options.direct,
+    canServe: (server) => options.isServing() && !connections.isCut(server),
+  });
+  return { connections, tasks };
+}
--- a/packages/relay/src/front/brokenOffStream.test.ts
+++ b/packages/relay/src/front/brokenOffStream.test.ts
@@ -80,7 +80,8 @@
       });
       return { abort: () => undefined, resume: () => undefined };
     },
-    checkListening: (_, onChecked) => onChecked(true),
+    checkListening: (_, onChecked) => onChecked('accepting'),
+    renew: () => undefined,
     retainServers: () => undefined,
     close: async () => undefined,
   };
--- a/packages/relay/src/front/recordCrashEvidence.ts
+++ b/packages/relay/src/front/recordCrashEvidence.ts
@@ -50,8 +50,8 @@
   crashGuard.recordBroken(server, traits);
   CHECK_TIMES.forEach((time) =>
     clock.after(time, () =>
-      connections.checkListening(server, (isListening) => {
-        if (!isListening) {
+      connections.checkListening(server, (listening) => {
+        if (listening === 'refused') {
           crashGuard.recordEnded(server);
         }
       }),
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -21,7 +21,8 @@
 import createPeerSync from './createPeerSync';
 import createFindingsSync from './createFindingsSync';
 import createStateFetcher from './createStateFetcher';
-import type { Findings, OpenTransport } from './types';
+import listLikelyPeers from './listLikelyPeers';
+import type { Findings, OpenTransport, RelayTransport, RelayTransportOptions } from './types';
 
 /** Minimum time between two pool updates, since hundreds of messages may arrive per second. */
 const POOL_UPDATE_INTERVAL: Milliseconds = 5;
@@ -55,6 +56,8 @@
   readonly sendToScheduled: (report: FindingsReport) => number;
   /** Called after a message changed which hosts are reachable. */
   readonly onReachableChange: () => void;
+  /** Begins a task of a peer; returns the function that cancels it. */
+  readonly onTask: RelayTransportOptions['onTask'];
 }
 
 interface PeerLink {
@@ -67,6 +70,10 @@
   /** Announces what this host found out, or learnt from another one. */
   announceFindings(origin: 'found' | 'learnt'): void;
   send(host: PeerAddress, message: HostMessage): void;
+  /** Lets a peer perform a task. */
+  readonly perform: RelayTransport['perform'];
+  /** Lists the peers that are likely to be reachable. */
+  listPeers(): readonly PeerAddress[];
   /** Fetches the cluster state of a host if its versions are newer than those of this host. */
   handleVersions(host: Pick<PeerAddress, 'entryHost' | 'address'> & ClusterStateVersions): void;
   /** Fetches the cluster state from hosts whose addresses may be out of date. */
@@ -168,6 +175,7 @@
     listenAddress: self.address,
     onMessage: handleMessage,
     getClusterState: (query) => stateCache.getSince(query),
+    onTask: options.onTask,
   });
   const stateFetcher = createStateFetcher({
     clock,
@@ -222,6 +230,9 @@
     },
     announceFindings: findingsSync.announceChange,
     send: (host, message) => transport.send(host.address, message),
+    perform: transport.perform,
+    listPeers: () =>
+      listLikelyPeers({ role: options.getRole(), peers, peerTable, now: clock.now() }),
     handleVersions: stateFetcher.handleVersions,
     fetchClusterStateFrom: stateFetcher.fetchFrom,
     stop() {
--- a/packages/relay/src/peers/openRelayTransport.ts
+++ b/packages/relay/src/peers/openRelayTransport.ts
@@ -1,4 +1,5 @@
 import { createPeerTransport } from '@rattanreel/transport';
+import type { ForwardProgress, ForwardTask } from '../forwarding/types';
 import type { ClusterState, HostMessage, PeerQuery } from '../types';
 import type { RelayTransport, RelayTransportOptions } from './types';
 
@@ -6,12 +7,19 @@
 export default async function openRelayTransport(
   options: RelayTransportOptions,
 ): Promise<RelayTransport> {
-  const opened = await createPeerTransport<HostMessage, PeerQuery, ClusterState>({
+  const opened = await createPeerTransport<
+    HostMessage,
+    PeerQuery,
+    ClusterState,
+    ForwardTask,
+    ForwardProgress
+  >({
     identity: options.identity,
     listenAddress: options.listenAddress,
     security: { kind: 'plainTrustedNetwork' },
     onMessage: ({ from, body }, respond) => options.onMessage(from, body, respond),
     onQuestion: async ({ body }) => options.getClusterState(body),
+    onTask: ({ body }, reporter) => options.onTask(body, reporter),
   });
   if (opened.kind === 'error') {
     throw new Error(`cannot listen on peer address ${opened.error.address}: ${opened.error.kind}`);
--- a/packages/relay/src/peers/types.ts
+++ b/packages/relay/src/peers/types.ts
@@ -1,7 +1,14 @@
 import type { PeerIdentity, PeerTransport } from '@rattanreel/transport';
+import type { ForwardProgress, ForwardReporter, ForwardTask } from '../forwarding/types';
 import type { ClusterState, FindingsReport, HostMessage, PeerQuery } from '../types';
 
-export type RelayTransport = PeerTransport<HostMessage, PeerQuery, ClusterState>;
+export type RelayTransport = PeerTransport<
+  HostMessage,
+  PeerQuery,
+  ClusterState,
+  ForwardTask,
+  ForwardProgress
+>;
 
 export interface RelayTransportOptions {
   readonly identity: PeerIdentity;
@@ -13,6 +20,8 @@
     respond: (response: HostMessage) => void,
   ) => void;
   readonly getClusterState: (query: PeerQuery) => ClusterState;
+  /** Begins a task of a peer; returns the function that cancels it. */
+  readonly onTask: (task: ForwardTask, reporter: ForwardReporter) => () => void;
 }
 
 /** Opens the transport between hosts. Rejects if it cannot listen on the address. */
--- a/packages/relay/src/servers/checkListening.test.ts
+++ b/packages/relay/src/servers/checkListening.test.ts
@@ -4,8 +4,9 @@
 import { expect } from 'earl';
 import createTestServer from '../testing/createTestServer';
 import checkListening from './checkListening';
+import type { Listening } from './types';
 
-function check(port: number): Promise<boolean> {
+function check(port: number): Promise<Listening> {
   const { listed } = createTestServer({ address: `127.0.0.1:${port}` });
   return new Promise((resolve) => {
     checkListening(listed, resolve);
@@ -20,10 +21,10 @@
       server.listen(0, '127.0.0.1', resolve);
     });
     const { port } = server.address() as AddressInfo;
-    expect(await check(port)).toEqual(true);
+    expect(await check(port)).toEqual('accepting');
     await new Promise((resolve) => {
       server.close(resolve);
     });
-    expect(await check(port)).toEqual(false);
+    expect(await check(port)).toEqual('refused');
   });
 });
--- a/packages/relay/src/servers/createServerConnections.ts
+++ b/packages/relay/src/servers/createServerConnections.ts
@@ -74,6 +74,13 @@
         isConnectionFailing: resetDetector.isFailing,
       }),
     checkListening,
+    renew({ id }) {
+      const known = connectionsByServer.get(id);
+      if (known !== undefined) {
+        connectionsByServer.delete(id);
+        closeGracefully(known);
+      }
+    },
     retainServers(servers) {
       connectionsByServer.forEach((server, id) => {
         const listed = servers.get(id);
--- a/packages/relay/src/servers/types.ts
+++ b/packages/relay/src/servers/types.ts
@@ -40,13 +40,18 @@
   resume(): void;
 }
 
+/**
+ * Whether a server accepts connections. One that refuses them has ended, unless it is the path to it
+ * that refuses them; an unreachable one may be running.
+ */
+export type Listening = 'accepting' | 'refused' | 'unreachable';
+
 export interface ServerConnections {
   send(server: ListedServer, request: AttemptRequest, sink: AttemptSink): Attempt;
-  /**
-   * Checks whether a server accepts connections; calls back with `false` only if they are refused,
-   * so that its process has ended.
-   */
-  checkListening(server: ListedServer, onChecked: (isListening: boolean) => void): void;
+  /** Checks whether a server accepts connections; calls back once. */
+  checkListening(server: ListedServer, onChecked: (listening: Listening) => void): void;
+  /** Replaces the connections to a server; attempts in flight complete on the old ones. */
+  renew(server: ListedServer): void;
   /** Closes the connections to servers that are no longer listed, once they are idle. */
   retainServers(servers: ReadonlyMap<BackendServerId, ListedServer>): void;
   close(): Promise<void>;
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -72,7 +72,7 @@
 }
 
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
-export default function createTestCallers({ fleet, engines }: TestCallersOptions) {
+export default function createTestCallers({ fleet }: TestCallersOptions) {
   const { clock, random } = fleet;
   const routes = createRouteTable(ROUTES);
   const handlers = new Map<TestHost, TestHandler>();
@@ -90,7 +90,7 @@
         crashGuard: host.core.crashGuard,
         serverLimits: host.core.serverLimits,
         classifier: createRequestClassifier(),
-        connections: engines.connect(host),
+        connections: host.core.forwarding.connections,
         observer: createRequestObserver({
           logger: silentLogger,
           metrics: createRelayMetrics(),
--- a/packages/relay/src/testing/createTestEngines.ts
+++ b/packages/relay/src/testing/createTestEngines.ts
@@ -111,13 +111,17 @@
         };
       },
       checkListening(server, onChecked) {
-        paths.check(host, (isOpen) => onChecked(isOpen ?? getEngine(server).isUp()));
+        paths.check(host, (result) =>
+          onChecked(result ?? (getEngine(server).isUp() ? 'accepting' : 'refused')),
+        );
       },
+      renew: (server) => paths.renew(host, server),
       retainServers: () => undefined,
       close: async () => undefined,
     };
   }
 
+  fleet.setConnect(connect);
   return {
     engines,
     /** Starts an engine of another version beside each one. */
@@ -131,7 +135,6 @@
       publish();
       return started;
     },
-    connect,
     crashing,
     arrivals,
     badAnswers,
--- a/packages/relay/src/testing/createTestFleet.ts
+++ b/packages/relay/src/testing/createTestFleet.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
 import { silentLogger } from '@rattanreel/observability';
 import createHostCore from '../createHostCore';
+import type { ServerConnections } from '../servers/types';
 import type { ListedServer, RelayBounds, RelayConfiguration } from '../types';
 import createTestNetwork from './createTestNetwork';
 import createTestStore from './createTestStore';
@@ -85,8 +86,27 @@
   const servers = createServers(domains * serversPerDomain, getDomain);
   const configuration = { ...EMPTY_CONFIGURATION, ...options.configuration };
   const network = createTestNetwork(clock);
+  let connect = (host: TestHost): ServerConnections => {
+    throw new Error(`host ${host.name} has no engines`);
+  };
   const store = createTestStore({ clock, configuration, servers });
 
+  /** Creates a host's own links, which are connected once there are engines. */
+  function createDirect(getHost: () => TestHost | undefined): ServerConnections {
+    let connections: ServerConnections | undefined;
+    const get = (): ServerConnections => {
+      connections ??= connect(getHost()!);
+      return connections;
+    };
+    return {
+      send: (...attempt) => get().send(...attempt),
+      checkListening: (...check) => get().checkListening(...check),
+      renew: (server) => get().renew(server),
+      retainServers: () => undefined,
+      close: async () => undefined,
+    };
+  }
+
   async function startHost(index: number, isBootstrap: boolean): Promise<TestHost> {
     const name = `host-${index}`;
     const domain = getDomain(index);
@@ -104,8 +124,8 @@
       peerAddress: `10.0.${Math.floor(index / 250)}.${index % 250}:1`,
       seedAddresses: ['10.0.0.0:1', '10.0.0.1:1', '10.0.0.2:1'],
       openTransport: network.createOpenTransport(getHost),
+      direct: createDirect(getHost),
       onConfiguration: () => undefined,
-      onServers: () => undefined,
     });
     const traffic = { messages: 0, bytes: 0, storeCalls: 0 };
     host = { name, domain, core, traffic, isDown: false, isFrozen: false };
@@ -135,6 +155,10 @@
     servers,
     advance,
     setReachable: network.setReachable,
+    /** Sets how hosts are connected with engines. */
+    setConnect(next: (host: TestHost) => ServerConnections): void {
+      connect = next;
+    },
     setServers: store.setServers,
     setRollouts: store.setRollouts,
     getRollouts: store.getRollouts,
--- a/packages/relay/src/testing/createTestNetwork.ts
+++ b/packages/relay/src/testing/createTestNetwork.ts
@@ -7,6 +7,7 @@
 const IN_DOMAIN_DELAY: Milliseconds = 0.2;
 const CROSS_DOMAIN_DELAY: Milliseconds = 0.6;
 const QUERY_TIMEOUT: Milliseconds = 700;
+const PEER_CHECK_INTERVAL: Milliseconds = 50;
 /** Interval at which a message for a frozen host is tried again. */
 const FROZEN_RETRY_INTERVAL: Milliseconds = 10;
 
@@ -86,6 +87,69 @@
               });
             }
           }),
+        perform(address, task, listener, connectTimeout) {
+          const target = endpoints.get(address);
+          let cancel: (() => void) | undefined;
+          let isOpen = true;
+          const end = (how: 'unreachable' | 'ended'): void => {
+            if (isOpen) {
+              isOpen = false;
+              listener.onEnd(how);
+            }
+          };
+          const isConnected = (): boolean => {
+            const source = getHost();
+            const peer = target?.getHost();
+            return (
+              source !== undefined &&
+              peer !== undefined &&
+              !peer.isDown &&
+              !peer.isFrozen &&
+              isReachable(source, peer)
+            );
+          };
+          /** Ends the task once its peer is down, as the connection does. */
+          const watchPeer = (): void => {
+            if (target?.getHost()?.isDown === true) {
+              end('ended');
+            } else if (isOpen) {
+              clock.after(PEER_CHECK_INTERVAL, watchPeer);
+            }
+          };
+          if (target === undefined || !isConnected()) {
+            clock.after(connectTimeout, () => end('unreachable'));
+          } else {
+            watchPeer();
+            deliver(getHost, target.getHost, task, () => {
+              if (!isOpen) {
+                return;
+              }
+              cancel = target.options.onTask(task, {
+                report(progress) {
+                  deliver(target.getHost, getHost, progress, () => {
+                    if (isOpen) {
+                      listener.onProgress(progress);
+                    }
+                  });
+                  return true;
+                },
+                onDrain: () => undefined,
+                end: () => deliver(target.getHost, getHost, {}, () => end('ended')),
+              });
+            });
+          }
+          const ignore = (): void => undefined;
+          return {
+            cancel() {
+              isOpen = false;
+              if (target !== undefined) {
+                deliver(getHost, target.getHost, {}, () => cancel?.());
+              }
+            },
+            pause: ignore,
+            resume: ignore,
+          };
+        },
         traffic: () => ({ messagesSent: 0, bytesSent: 0, messagesReceived: 0, bytesReceived: 0 }),
         close: async () => undefined,
       };
--- a/packages/relay/src/testing/createTestPaths.ts
+++ b/packages/relay/src/testing/createTestPaths.ts
@@ -1,5 +1,5 @@
 import type { Clock, Milliseconds } from '@rattanreel/core';
-import type { AttemptSink } from '../servers/types';
+import type { AttemptSink, Listening } from '../servers/types';
 import type { AttemptOutcome, ListedServer } from '../types';
 import type { EngineCut, TestHost } from './types';
 
@@ -82,13 +82,15 @@
         recordAborted: () => openPaths.delete(path),
       };
     },
+    /** Forgets the idle connections of a host to a server. */
+    renew: (host: TestHost, server: ListedServer) => idleUntil.delete(`${host.name} ${server.id}`),
     /** Checks a path; calls back with undefined if it leads to the engine. */
-    check(host: TestHost, onChecked: (isOpen: boolean | undefined) => void): void {
+    check(host: TestHost, onChecked: (listening: Listening | undefined) => void): void {
       const cut = cuts.get(host);
       if (cut === 'hang') {
-        clock.after(CONNECT_TIMEOUT, () => onChecked(true));
+        clock.after(CONNECT_TIMEOUT, () => onChecked('unreachable'));
       } else {
-        clock.after(REFUSAL_DELAY, () => onChecked(cut === undefined ? undefined : false));
+        clock.after(REFUSAL_DELAY, () => onChecked(cut === undefined ? undefined : 'refused'));
       }
     },
     cut(hosts: readonly TestHost[], how: EngineCut | undefined): void {
--- a/packages/transport/src/createPeerConnection.ts
+++ b/packages/transport/src/createPeerConnection.ts
@@ -1,8 +1,14 @@
 import { makeGenericClientConstructor, status } from '@grpc/grpc-js';
-import type { ChannelCredentials, ClientDuplexStream, ServiceError } from '@grpc/grpc-js';
+import type {
+  ChannelCredentials,
+  ClientDuplexStream,
+  ClientReadableStream,
+  ServiceError,
+} from '@grpc/grpc-js';
 import { fail, ok } from '@rattanreel/core';
 import type { Milliseconds, Outcome } from '@rattanreel/core';
-import type { Envelope, PeerConnection, PeerError, PeerService } from './types';
+import maximumMessageBytes from './maximumMessageBytes';
+import type { Envelope, PeerConnection, PeerError, PeerService, TaskListener } from './types';
 
 const KEEPALIVE_INTERVAL_MS = 1_000;
 const KEEPALIVE_TIMEOUT_MS = 1_000;
@@ -36,6 +42,8 @@
     'grpc.max_reconnect_backoff_ms': MAXIMUM_RECONNECT_BACKOFF_MS,
     // A retry by the library could deliver a question twice.
     'grpc.enable_retries': 0,
+    'grpc.max_receive_message_length': maximumMessageBytes,
+    'grpc.max_send_message_length': maximumMessageBytes,
   });
   let stream: ClientDuplexStream<Envelope<unknown>, Envelope<unknown>> | undefined;
 
@@ -70,6 +78,41 @@
         );
       });
     },
+    perform(envelope, listener: TaskListener<unknown>, connectTimeout) {
+      let call: ClientReadableStream<Envelope<unknown>> | undefined;
+      let isEnded = false;
+      const end = (how: 'unreachable' | 'ended'): void => {
+        if (!isEnded) {
+          isEnded = true;
+          listener.onEnd(how);
+        }
+      };
+      client.waitForReady(Date.now() + connectTimeout, (error) => {
+        if (isEnded) {
+          return;
+        }
+        if (error !== undefined) {
+          end('unreachable');
+          return;
+        }
+        call = client.perform!(envelope) as ClientReadableStream<Envelope<unknown>>;
+        call.on('data', ({ body }: Envelope<unknown>) => {
+          if (!isEnded) {
+            listener.onProgress(body);
+          }
+        });
+        call.on('error', () => end('ended'));
+        call.on('end', () => end('ended'));
+      });
+      return {
+        cancel() {
+          isEnded = true;
+          call?.cancel();
+        },
+        pause: () => call?.pause(),
+        resume: () => call?.resume(),
+      };
+    },
     close() {
       stream?.end();
       client.close();
--- a/packages/transport/src/createPeerService.ts
+++ b/packages/transport/src/createPeerService.ts
@@ -30,5 +30,6 @@
   return {
     exchange,
     ask: { ...exchange, path: '/rattanreel.Peer/Ask', requestStream: false, responseStream: false },
+    perform: { ...exchange, path: '/rattanreel.Peer/Perform', requestStream: false },
   };
 }
--- a/packages/transport/src/createPeerTransport.test.ts
+++ b/packages/transport/src/createPeerTransport.test.ts
@@ -4,6 +4,9 @@
 import createPeerTransport from './createPeerTransport';
 import type { Envelope, PeerTransport } from './types';
 
+/** More than gRPC lets pass by default. */
+const LARGE_TASK = 6_000_000;
+
 async function startTransport(
   entryHost: string,
   received: Envelope<string>[],
@@ -85,3 +88,65 @@
     });
   });
 });
+
+interface TaskCase {
+  readonly name: string;
+  /** What the peer reports before it ends the task. */
+  readonly reports: readonly string[];
+  readonly isListening: boolean;
+  readonly end: 'ended' | 'unreachable';
+}
+
+const taskCases: readonly TaskCase[] = [
+  {
+    name: 'all reports in order',
+    reports: ['one', 'two', 'three'],
+    isListening: true,
+    end: 'ended',
+  },
+  { name: 'the end of a task without reports', reports: [], isListening: true, end: 'ended' },
+  {
+    name: 'that a peer does not listen',
+    reports: [],
+    isListening: false,
+    end: 'unreachable',
+  },
+];
+
+describe('tasks of createPeerTransport', () => {
+  taskCases.forEach(({ name, reports, isListening, end }) => {
+    it(`delivers ${name}`, async () => {
+      const create = async (entryHost: string) => {
+        const outcome = await createPeerTransport<string, string, string, Uint8Array, string>({
+          identity: { entryHost, incarnation: `${entryHost}-1` },
+          listenAddress: '127.0.0.1:0',
+          security: { kind: 'plainLoopback' },
+          onMessage: () => undefined,
+          onQuestion: async () => '',
+          onTask({ body }, reporter) {
+            expect(body.length).toEqual(LARGE_TASK);
+            reports.forEach((report) => reporter.report(report));
+            reporter.end();
+            return () => undefined;
+          },
+        });
+        return Debug.checkDefined(outcome.kind === 'ok' ? outcome.value : undefined, 'transport');
+      };
+      const left = await create('left');
+      const right = await create('right');
+      const received: string[] = [];
+      const ended = await new Promise<string>((resolve) => {
+        left.perform(
+          isListening ? right.address : '127.0.0.1:1',
+          new Uint8Array(LARGE_TASK),
+          { onProgress: (progress) => received.push(progress), onEnd: resolve },
+          1_000,
+        );
+      });
+      expect(ended).toEqual(end);
+      expect(received).toEqual([...reports]);
+      await left.close();
+      await right.close();
+    });
+  });
+});
--- a/packages/transport/src/createPeerTransport.ts
+++ b/packages/transport/src/createPeerTransport.ts
@@ -3,6 +3,7 @@
   sendUnaryData,
   ServerDuplexStream,
   ServerUnaryCall,
+  ServerWritableStream,
   UntypedServiceImplementation,
 } from '@grpc/grpc-js';
 import { fail, ok } from '@rattanreel/core';
@@ -11,6 +12,7 @@
 import createPeerCredentials from './createPeerCredentials';
 import isLoopbackAddress from './isLoopbackAddress';
 import createPeerService from './createPeerService';
+import maximumMessageBytes from './maximumMessageBytes';
 import type {
   Envelope,
   PeerConnection,
@@ -32,9 +34,17 @@
  * Creates a transport that listens for peers and connects to them on first use. Fails with
  * `plainTextOffLoopback` when plain text is configured for an address that is not loopback.
  */
-export default async function createPeerTransport<Message, Question, Answer>(
-  options: PeerTransportOptions<Message, Question, Answer>,
-): Promise<Outcome<PeerTransport<Message, Question, Answer>, TransportSettingsError>> {
+export default async function createPeerTransport<
+  Message,
+  Question,
+  Answer,
+  Task = never,
+  Progress = never,
+>(
+  options: PeerTransportOptions<Message, Question, Answer, Task, Progress>,
+): Promise<
+  Outcome<PeerTransport<Message, Question, Answer, Task, Progress>, TransportSettingsError>
+> {
   const { identity, listenAddress, security, onMessage, onQuestion } = options;
   if (security.kind === 'plainLoopback' && !isLoopbackAddress(listenAddress)) {
     return fail({ kind: 'plainTextOffLoopback', address: listenAddress });
@@ -87,6 +97,19 @@
         (error: Error) => reply(error),
       );
     },
+    perform(call: ServerWritableStream<Envelope<unknown>, Envelope<unknown>>) {
+      if (options.onTask === undefined) {
+        call.end();
+        return;
+      }
+      const cancel = options.onTask(call.request as Envelope<Task>, {
+        report: (progress) => call.destroyed || call.write({ from: identity, body: progress }),
+        onDrain: (listener) => call.on('drain', listener),
+        end: () => call.end(),
+      });
+      call.on('cancelled', cancel);
+      call.on('error', cancel);
+    },
   };
 
   const server = new Server({
@@ -94,6 +117,8 @@
     'grpc.keepalive_timeout_ms': 1_000,
     // Peers send a keepalive ping on idle connections once a second.
     'grpc.http2.min_ping_interval_without_data_ms': 500,
+    'grpc.max_receive_message_length': maximumMessageBytes,
+    'grpc.max_send_message_length': maximumMessageBytes,
   });
   server.addService({ ...service }, implementation);
   const port = await new Promise<number>((resolve, reject) => {
@@ -124,6 +149,18 @@
       );
       return outcome as Outcome<Answer, PeerError>;
     },
+    perform(peerAddress, task, listener, connectTimeout) {
+      if (closed) {
+        listener.onEnd('unreachable');
+        const ignore = (): void => undefined;
+        return { cancel: ignore, pause: ignore, resume: ignore };
+      }
+      return getOrCreateConnection(peerAddress).perform(
+        { from: identity, body: task },
+        listener,
+        connectTimeout,
+      );
+    },
     traffic: () => ({ ...traffic }),
     async close() {
       closed = true;
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -4,9 +4,12 @@
   PeerError,
   PeerIdentity,
   PeerSecurity,
+  PeerTask,
   PeerTraffic,
   PeerTransport,
   PeerTransportOptions,
+  TaskListener,
+  TaskReporter,
   TransportSettingsError,
 } from './types';
 export { default as createPeerTransport } from './createPeerTransport';
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -45,7 +45,31 @@
   readonly address: string;
 }
 
-export interface PeerTransportOptions<Message, Question, Answer> {
+/** A task at a peer. */
+export interface PeerTask {
+  cancel(): void;
+  /** Stops reading what the peer reports until `resume` is called. */
+  pause(): void;
+  resume(): void;
+}
+
+/** Receives what a peer reports of a task; `onEnd` is called once, as the last one. */
+export interface TaskListener<Progress> {
+  onProgress(progress: Progress): void;
+  /** Called with `unreachable` only if the peer has certainly not received the task. */
+  onEnd(end: 'unreachable' | 'ended'): void;
+}
+
+/** Reports the progress of a task to the peer that asked for it. */
+export interface TaskReporter<Progress> {
+  /** Returns false when the peer reads more slowly than this host reports. */
+  report(progress: Progress): boolean;
+  /** Registers a listener that is called each time that the peer can accept more. */
+  onDrain(listener: () => void): void;
+  end(): void;
+}
+
+export interface PeerTransportOptions<Message, Question, Answer, Task = never, Progress = never> {
   readonly identity: PeerIdentity;
   /** Address to listen on, as host:port; port 0 chooses any free port. */
   readonly listenAddress: string;
@@ -56,11 +80,13 @@
    */
   readonly onMessage: (envelope: Envelope<Message>, respond: (message: Message) => void) => void;
   readonly onQuestion: (envelope: Envelope<Question>) => Promise<Answer>;
+  /** Begins a task of a peer; returns the function that is called if the peer cancels it. */
+  readonly onTask?: (envelope: Envelope<Task>, reporter: TaskReporter<Progress>) => () => void;
   /** Longest wait for an answer. */
   readonly answerTimeout?: Milliseconds;
 }
 
-export interface PeerTransport<Message, Question, Answer> {
+export interface PeerTransport<Message, Question, Answer, Task = never, Progress = never> {
   /** Address in use, as host:port. */
   readonly address: string;
   /**
@@ -73,6 +99,16 @@
     question: Question,
     timeout?: Milliseconds,
   ): Promise<Outcome<Answer, PeerError>>;
+  /**
+   * Lets a peer perform a task. The task is sent once, after the connection was established within
+   * `connectTimeout`.
+   */
+  perform(
+    peerAddress: string,
+    task: Task,
+    listener: TaskListener<Progress>,
+    connectTimeout: Milliseconds,
+  ): PeerTask;
   /** Returns the number of messages and encoded bytes sent and received so far. */
   traffic(): PeerTraffic;
   close(): Promise<void>;
@@ -95,6 +131,11 @@
 export interface PeerConnection {
   send(envelope: Envelope<unknown>): void;
   ask(envelope: Envelope<unknown>, timeout: Milliseconds): Promise<Outcome<unknown, PeerError>>;
+  perform(
+    envelope: Envelope<unknown>,
+    listener: TaskListener<unknown>,
+    connectTimeout: Milliseconds,
+  ): PeerTask;
   close(): void;
 }
 
@@ -108,4 +149,5 @@
 export interface PeerService {
   readonly exchange: MethodDefinition<Envelope<unknown>, Envelope<unknown>>;
   readonly ask: MethodDefinition<Envelope<unknown>, Envelope<unknown>>;
+  readonly perform: MethodDefinition<Envelope<unknown>, Envelope<unknown>>;
 }
