--- a/packages/relay/src/crashes/crashingPromptPart.test.ts
+++ b/packages/relay/src/crashes/crashingPromptPart.test.ts
@@ -172,7 +172,7 @@
     it(`are not quarantined when ${name}`, async () => {
       const fleet = await createTestFleet({ ...SMALL, serversPerDomain: 4 });
       const engines = createTestEngines(fleet);
-      const callers = createTestCallers({ fleet, engines });
+      const callers = createTestCallers({ fleet });
       await fleet.advance(START_TIME, 20);
       callers.sendOften(60, () => ({
         promptParts: ['first', `session${fleet.random.integer(0, SESSIONS - 1)}`],
@@ -195,7 +195,7 @@
     const measure = async (isCrashing: boolean): Promise<{ most: number; mostBytes: number }> => {
       const fleet = await createTestFleet(LARGE);
       const engines = createTestEngines(fleet);
-      const callers = createTestCallers({ fleet, engines });
+      const callers = createTestCallers({ fleet });
       await fleet.advance(START_TIME, 20);
       callers.sendOften(LARGE.soundRate, () => ({ promptParts: ['first', 'session'] }));
       if (isCrashing) {
--- a/packages/relay/src/crashes/crashingRequest.test.ts
+++ b/packages/relay/src/crashes/crashingRequest.test.ts
@@ -204,7 +204,7 @@
       it(`are not quarantined while servers end by themselves: ${name}, seed ${seed}`, async () => {
         const fleet = await createTestFleet({ ...SMALL, seed });
         const engines = createTestEngines(fleet);
-        const callers = createTestCallers({ fleet, engines });
+        const callers = createTestCallers({ fleet });
         await fleet.advance(START_TIME, 20);
         callers.sendOften(rate, () => createCall(fleet.random.integer(0, 59)));
         for (let round = 0; round < 12; round += 1) {
--- a/packages/relay/src/forwarding/hostsCutFromServers.test.ts
+++ b/packages/relay/src/forwarding/hostsCutFromServers.test.ts
@@ -97,7 +97,7 @@
   const fleet = await createTestFleet(cutCase);
   const { clock, random } = fleet;
   const engines = createTestEngines(fleet);
-  const callers = createTestCallers({ fleet, engines });
+  const callers = createTestCallers({ fleet });
   await fleet.advance(START_TIME, 20);
   callers.sendOften(cutCase.rate, () =>
     CALLS[random.integer(0, CALLS.length - 1)]!(`session${random.integer(0, SESSIONS - 1)}`),
--- a/packages/relay/src/limits/serverLimit.test.ts
+++ b/packages/relay/src/limits/serverLimit.test.ts
@@ -119,7 +119,7 @@
 ) {
   const fleet = await createTestFleet(limitCase);
   const engines = createTestEngines(fleet);
-  const callers = createTestCallers({ fleet, engines });
+  const callers = createTestCallers({ fleet });
   await fleet.advance(START_TIME, 20);
   callers.sendOften(limitCase.rate, () => ({ promptParts: ['first'] }));
   await fleet.advance(CALM_TIME);
--- a/packages/relay/src/rollouts/rolloutOfBadVersion.test.ts
+++ b/packages/relay/src/rollouts/rolloutOfBadVersion.test.ts
@@ -58,7 +58,7 @@
 async function play(rolloutCase: RolloutCase) {
   const fleet = await createTestFleet(rolloutCase);
   const engines = createTestEngines(fleet);
-  const callers = createTestCallers({ fleet, engines });
+  const callers = createTestCallers({ fleet });
   await fleet.advance(START_TIME, 20);
   callers.sendOften(rolloutCase.rate, () => ({ promptParts: ['first'] }));
   await fleet.advance(CALM_TIME);
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -8,7 +8,6 @@
 import createRequestObserver from '../front/createRequestObserver';
 import type { CallerExchange } from '../front/types';
 import type { RelayCustomer, Route } from '../types';
-import type createTestEngines from './createTestEngines';
 import type createTestFleet from './createTestFleet';
 import headerNames from './headerNames';
 import type { TestCall, TestHost } from './types';
@@ -68,7 +67,6 @@
 
 interface TestCallersOptions {
   readonly fleet: TestFleet;
-  readonly engines: ReturnType<typeof createTestEngines>;
 }
 
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
--- a/packages/relay/src/testing/createTestEngine.ts
+++ b/packages/relay/src/testing/createTestEngine.ts
@@ -1,11 +1,10 @@
 import type { Clock, Milliseconds, Random } from '@rattanreel/core';
 import type { AttemptRequest, AttemptSink } from '../servers/types';
 import type { AttemptOutcome, ListedServer } from '../types';
+import createTestRoom from './createTestRoom';
 import headerNames from './headerNames';
 import type { TestHost } from './types';
 
-/** Requests that wait at an engine beyond its slots. */
-const MAXIMUM_WAITING = 4;
 const MINIMUM_PREFILL: Milliseconds = 40;
 const PREFILL_SPREAD: Milliseconds = 60;
 const EVENTS = 4;
@@ -45,6 +44,8 @@
   /** Returns why the engine ends when it begins to answer a request; undefined if it does not. */
   readonly tryGetCrashCause: (request: AttemptRequest) => string | undefined;
   readonly onCrash: (cause: string | undefined) => void;
+  /** Called when the engine falls over since it turned away too many requests. */
+  readonly onFall: () => void;
   /** Called with the engine's identifier when it fails to answer, or answers slowly. */
   readonly onBadAnswer: (id: string) => void;
   /** Called when the platform's list no longer has the process that ended. */
@@ -52,6 +53,10 @@
   readonly onStarted: () => void;
 }
 
+function sendHead({ sink }: TestRun, headers: Record<string, string>, status = 200): void {
+  sink.onHead({ status, headers, isDelimitedByClose: false });
+}
+
 /**
  * Creates an engine in virtual time. It ends when it begins to answer a request that crashes it, and
  * starts again seconds later as a new process.
@@ -64,6 +69,7 @@
   let running = new Set<TestRun>();
   let waiting: TestRun[] = [];
   let behaviour: BadBehaviour = { failShare: 0, slowShare: 0, slowness: 1 };
+  const room = createTestRoom(clock);
   const limits: LimitChange[] = [];
   /** When each host first received an answer that names a limit. */
   const toldAt = new Map<TestHost, Milliseconds>();
@@ -101,7 +107,10 @@
   }
 
   function createHeaders({ host, request }: TestRun): Record<string, string> {
-    const headers = { [headerNames.requestId]: request.requestId };
+    const headers: Record<string, string> = {
+      [headerNames.requestId]: request.requestId,
+      ...room.getHeaders(),
+    };
     const limit = limits.at(-1)?.limit;
     if (limit === undefined) {
       return headers;
@@ -135,25 +144,23 @@
       return;
     }
     const headers = createHeaders(run);
-    const sendHead = (status = 200): void =>
-      run.sink.onHead({ status, headers, isDelimitedByClose: false });
     if (slowness > 1) {
       options.onBadAnswer(listed.id);
     }
     if (random.next() < behaviour.failShare) {
       options.onBadAnswer(listed.id);
-      sendHead(500);
+      sendHead(run, headers, 500);
       finish(run, 500);
       return;
     }
     const cause = options.tryGetCrashCause(run.request);
     if (cause === undefined) {
-      sendHead();
+      sendHead(run, headers);
       sendEvents(run, 0, slowness);
       return;
     }
     if (random.next() < PARTIAL_ANSWER_SHARE) {
-      sendHead();
+      sendHead(run, headers);
       run.sink.onData(Buffer.from('id: 0\nda'));
     }
     crash(cause);
@@ -169,6 +176,16 @@
     }
   }
 
+  /** Turns a request away; a brittle engine falls over once that happens too often in a second. */
+  function turnAway(run: TestRun): void {
+    sendHead(run, createHeaders(run), 503);
+    end(run, { kind: 'notRun', status: 503 });
+    if (room.turnAway()) {
+      options.onFall();
+      crash(undefined);
+    }
+  }
+
   return {
     getListed: () => listed,
     isUp: () => isUp,
@@ -184,8 +201,8 @@
         end(run, { kind: 'notRun', status: 421 });
         return false;
       }
-      if (waiting.length >= MAXIMUM_WAITING) {
-        end(run, { kind: 'notRun', status: 503 });
+      if (room.isFull(waiting.length) && running.size >= listed.slots) {
+        turnAway(run);
       } else {
         waiting.push(run);
         startNext();
@@ -203,6 +220,7 @@
     setBehaviour(next: BadBehaviour): void {
       behaviour = next;
     },
+    room,
     /** Makes the engine name another limit, or none, in its answers. */
     setLimit(limit: number | undefined): void {
       limits.push({ at: clock.now(), limit });
--- a/packages/relay/src/testing/createTestEngines.ts
+++ b/packages/relay/src/testing/createTestEngines.ts
@@ -43,6 +43,8 @@
   const crashing = new Map<string, (call: SeenCall) => boolean>();
   const arrivals: Arrival[] = [];
   const crashes: { readonly at: Milliseconds; readonly cause: string | undefined }[] = [];
+  /** When engines fell over. */
+  const falls: Milliseconds[] = [];
   /** Servers of the answers that failed or were slow. */
   const badAnswers: string[] = [];
   const expired = new Set<string>();
@@ -62,6 +64,7 @@
         return [...crashing].find(([, isCrashing]) => isCrashing(call))?.[0];
       },
       onCrash: (cause) => crashes.push({ at: clock.now(), cause }),
+      onFall: () => falls.push(clock.now()),
       onBadAnswer: (id) => badAnswers.push(id),
       onExpired(id) {
         expired.add(id);
@@ -139,6 +142,7 @@
     arrivals,
     badAnswers,
     crashes,
+    falls,
     /** Ends an engine for a reason that no request has. */
     crashAtRandom(): void {
       const up = engines.filter((engine) => engine.isUp());
--- a/packages/relay/src/testing/headerNames.ts
+++ b/packages/relay/src/testing/headerNames.ts
@@ -13,6 +13,7 @@
   notRun: 'x-not-run',
   load: 'x-load',
   limit: 'x-limit',
+  brittle: 'x-brittle',
   leaving: 'x-leaving',
   retryAfter: 'retry-after',
   lastEventId: 'last-event-id',
--- a/packages/relay/src/testing/playCrashDay.ts
+++ b/packages/relay/src/testing/playCrashDay.ts
@@ -54,7 +54,7 @@
   const fleet = await createTestFleet(options);
   const { clock, random } = fleet;
   const engines = createTestEngines(fleet);
-  const callers = createTestCallers({ fleet, engines });
+  const callers = createTestCallers({ fleet });
   await fleet.advance(START_TIME, 20);
   const getSession = (): string => `session${random.integer(0, SESSIONS - 1)}`;
   callers.sendOften(soundRate, () => createSoundCall(getSession()));
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -201,6 +201,11 @@
   readonly load: string;
   /** Requests per second that the responding backend server takes from all hosts together. */
   readonly limit: string;
+  /**
+   * Requests that the responding backend server may turn away for want of room in a second before it
+   * falls over; present while the servers of its pool are brittle.
+   */
+  readonly brittle: string;
   /** Present in the responses of a backend server that is leaving. */
   readonly leaving: string;
   /** Seconds for which a backend server that turned a request away wants no other one. */
