--- a/packages/relay/src/forwarding/createForwardingConnections.ts
+++ b/packages/relay/src/forwarding/createForwardingConnections.ts
@@ -9,7 +9,7 @@
 import type { ForwardingConnections, ForwardingLink } from './types';
 
 /** Time without a response after which the path to a server is checked. */
-const SILENCE: Milliseconds = 600;
+const SILENCE: Milliseconds = 1_000;
 /** A connection that fails so soon was refused, which leaves time to ask peers. */
 const QUICK_FAILURE: Milliseconds = 150;
 
--- a/packages/relay/src/forwarding/createServerPaths.ts
+++ b/packages/relay/src/forwarding/createServerPaths.ts
@@ -11,7 +11,7 @@
 /** Time for a connection of this host's own; a server that is in reach accepts within milliseconds. */
 const OWN_CONNECT_TIMEOUT: Milliseconds = 200;
 /** A server that has answered this host so lately need not be checked. */
-const REACHED_TIME: Milliseconds = 500;
+const REACHED_TIME: Milliseconds = 1_000;
 
 interface ServerPathsOptions {
   readonly clock: Clock;
