Divide the slots of brittle servers among the hosts that grant them

While a pool is brittle each of its slots belongs to one granting host, so that all hosts together never send more than there is room for, whoever reaches whom; what hosts know of the servers' load still holds besides.

--- a/packages/relay/src/admission/createScheduling.ts
+++ b/packages/relay/src/admission/createScheduling.ts
@@ -14,6 +14,7 @@
 import createSchedulerClient from './createSchedulerClient';
 import createSchedulerSelector from './createSchedulerSelector';
 import createSlotLedger from './createSlotLedger';
+import listSlotOwners from './listSlotOwners';
 import listSchedulerCandidates from './listSchedulerCandidates';
 import type {
   Admission,
@@ -124,8 +125,9 @@
     const others = isLarge ? reachable : peers;
     const names = others.map(({ entryHost }) => entryHost);
     const grantingHosts = isGranting() ? [self.entryHost, ...names] : names;
+    const fleet = { isLarge, self, peers, reachable, grantingHosts, ownHosts, fleetHosts };
     quota.setFleet({ fleetHosts, ownHosts });
-    pools.setSharing({ grantingHosts, fleetHosts, ownHosts });
+    pools.setSharing({ ...fleet, slotOwners: listSlotOwners(fleet) });
   }
 
   function getStatus(): SchedulerStatus {
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -8,7 +8,7 @@
 import createServerEmbargo from './decisions/createServerEmbargo';
 import createSharedQuota from './decisions/createSharedQuota';
 import type { ServerEmbargo } from './decisions/types';
-import type { ServerLimits } from './limits/types';
+import type { BrittlePools, ServerLimits } from './limits/types';
 import createForwarding from './forwarding/createForwarding';
 import type { Forwarding } from './forwarding/types';
 import createFindings from './peers/createFindings';
@@ -56,6 +56,7 @@
   readonly embargo: ServerEmbargo;
   readonly crashGuard: CrashGuard;
   readonly serverLimits: ServerLimits;
+  readonly brittlePools: BrittlePools;
   readonly pools: Pools;
   readonly stateCache: ClusterStateCache;
   readonly peerTable: PeerTable;
@@ -102,7 +103,7 @@
     record: source.recordRollout,
     onChange: (origin) => link.announceFindings(origin),
   });
-  const { crashGuard, serverLimits, rollouts } = findings;
+  const { crashGuard, serverLimits, brittlePools, rollouts } = findings;
   let storeWatcher: ReturnType<typeof createStoreWatcher> | undefined;
   let hasAskedSeeds = false;
   let isStopping = false;
@@ -145,6 +146,7 @@
     embargo,
     rollouts,
     serverLimits,
+    brittlePools,
     getEvacuated: () => stateCache.evacuated,
     onInFlightChange: (isScarce) => link.announceChange(isScarce),
   });
@@ -210,8 +212,7 @@
     admission: scheduling.admission,
     forwarding,
     embargo,
-    crashGuard,
-    serverLimits,
+    ...findings,
     pools,
     stateCache,
     peerTable,
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -13,7 +13,8 @@
 import type { Rollouts } from './rollouts/types';
 import type { ServerEmbargo } from './decisions/types';
 import updatePacing from './limits/updatePacing';
-import type { ServerLimits } from './limits/types';
+import countOwnSlots from './limits/countOwnSlots';
+import type { BrittlePools, ServerLimits } from './limits/types';
 import type {
   LimitPacing,
   PoolSettings,
@@ -32,6 +33,7 @@
   readonly embargo: ServerEmbargo;
   readonly rollouts: Rollouts;
   readonly serverLimits: Pick<ServerLimits, 'tryGetRate'>;
+  readonly brittlePools: Pick<BrittlePools, 'isBrittle'>;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
   /**
    * Called when the requests in flight change, with whether capacity is scarce, and with true when a
@@ -50,7 +52,12 @@
   const { clock, ownName } = options;
   const poolsById = new Map<PoolId, PoolEntry>();
   let settingsByPool = new Map<PoolId, PoolSettings>();
-  let sharing: SlotSharing = { grantingHosts: [ownName], fleetHosts: 1, ownHosts: 1 };
+  let sharing: SlotSharing = {
+    grantingHosts: [ownName],
+    slotOwners: [ownName],
+    fleetHosts: 1,
+    ownHosts: 1,
+  };
 
   function getPacing({ listed, pacing }: ServerState): LimitPacing | undefined {
     const rate = options.serverLimits.tryGetRate(listed);
@@ -61,6 +68,15 @@
 
   function createPoolEntry(pool: PoolId): PoolEntry {
     const serverStates = createServerStateMap();
+    const getOwnSlots = ({ listed }: ServerState): number | undefined =>
+      options.brittlePools.isBrittle(pool)
+        ? countOwnSlots({
+            server: listed,
+            servers: [...serverStates.byId.values()].map((state) => state.listed),
+            host: ownName,
+            owners: sharing.slotOwners,
+          })
+        : undefined;
     const queue = createPoolQueue({
       clock,
       random: options.random,
@@ -75,6 +91,7 @@
       rollouts: options.rollouts,
       onInFlightChange: options.onInFlightChange,
       getPacing,
+      getOwnSlots,
       getSettings: () => settingsByPool.get(pool),
       getColdRequestInterval: (server, rate) =>
         getColdRequestInterval({ server, host: ownName, hosts: sharing.grantingHosts, rate }),
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -93,6 +93,7 @@
     embargo: core.embargo,
     crashGuard: core.crashGuard,
     serverLimits: core.serverLimits,
+    brittlePools: core.brittlePools,
     classifier,
     connections: core.forwarding.connections,
     observer,
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -9,7 +9,7 @@
 import type { HeaderNames, RefusalReason, RelayContext, RelayCustomer, RouteTarget } from './types';
 import type { Admission } from './admission/types';
 import type { RequestClassifier, RouteTable, ServerEmbargo } from './decisions/types';
-import type { ServerLimits } from './limits/types';
+import type { BrittlePools, ServerLimits } from './limits/types';
 import type { CrashGuard } from './crashes/types';
 import type { ServerConnections } from './servers/types';
 
@@ -23,6 +23,7 @@
   readonly embargo: ServerEmbargo;
   readonly crashGuard: CrashGuard;
   readonly serverLimits: ServerLimits;
+  readonly brittlePools: Pick<BrittlePools, 'record'>;
   readonly classifier: RequestClassifier;
   readonly connections: ServerConnections;
   readonly observer: RequestObserver;
@@ -86,6 +87,7 @@
       embargo: options.embargo,
       crashGuard: options.crashGuard,
       serverLimits: options.serverLimits,
+      brittlePools: options.brittlePools,
       connections: options.connections,
       names,
       observer,
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -3,6 +3,7 @@
 import type { ServerState } from '../types';
 import type { ServerEmbargo } from './types';
 import getOccupancy from './getOccupancy';
+import hasRoom from './hasRoom';
 import isUsableServer from './isUsableServer';
 
 /**
@@ -59,11 +60,10 @@
   let best: ServerState | undefined;
   let bestCost = Infinity;
   (inTime.length > 0 ? inTime : usable).forEach((server) => {
-    const occupancy = getOccupancy(server, now);
-    if (occupancy >= server.listed.slots + server.extraSlots) {
+    if (!hasRoom(server, now)) {
       return;
     }
-    const loadFactor = 1 + occupancy / server.listed.slots;
+    const loadFactor = 1 + getOccupancy(server, now) / server.listed.slots;
     const remotePenalty = server.listed.failureDomain === options.ownDomain ? 0 : REMOTE_PENALTY;
     const failureFactor = 1 + FAILURE_WEIGHT * server.failureRate;
     const cost =
--- a/packages/relay/src/front/brokenOffStream.test.ts
+++ b/packages/relay/src/front/brokenOffStream.test.ts
@@ -115,6 +115,7 @@
       merge: () => undefined,
       tryGetReport: () => undefined,
     },
+    brittlePools: { record: () => undefined },
     classifier: createRequestClassifier(),
     connections,
     observer: createRequestObserver({
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -69,6 +69,7 @@
         // Another server, at an address that was used again, says nothing about this one.
         if (head.status !== HTTP_MISDIRECTED) {
           options.serverLimits.record(server, tryParseLimit(head.headers[names.limit]));
+          options.brittlePools.record(server, tryParseLimit(head.headers[names.brittle]));
         }
         if (head.headers[names.leaving] !== undefined) {
           embargo.recordLeaving(server, clock.now());
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -15,7 +15,7 @@
 import type { Admission, ServerView } from '../admission/types';
 import type { ServerEmbargo } from '../decisions/types';
 import type { AttemptFigures, PoolState } from '../pools/types';
-import type { ServerLimits } from '../limits/types';
+import type { BrittlePools, ServerLimits } from '../limits/types';
 import type { CrashGuard } from '../crashes/types';
 import type { ResponseHead, ServerConnections } from '../servers/types';
 
@@ -143,6 +143,7 @@
   readonly embargo: ServerEmbargo;
   readonly crashGuard: CrashGuard;
   readonly serverLimits: Pick<ServerLimits, 'record'>;
+  readonly brittlePools: Pick<BrittlePools, 'record'>;
   readonly connections: ServerConnections;
   readonly names: HeaderNames;
   readonly observer: RequestObserver;
--- a/packages/relay/src/peers/createFindings.ts
+++ b/packages/relay/src/peers/createFindings.ts
@@ -1,5 +1,6 @@
+import createBrittlePools from '../limits/createBrittlePools';
 import createServerLimits from '../limits/createServerLimits';
-import type { ServerLimits } from '../limits/types';
+import type { BrittlePools, ServerLimits } from '../limits/types';
 import createCrashGuard from '../crashes/createCrashGuard';
 import type { CrashGuard } from '../crashes/types';
 import createRollouts from '../rollouts/createRollouts';
@@ -14,6 +15,7 @@
 interface FindingsParts extends Findings {
   readonly crashGuard: CrashGuard;
   readonly serverLimits: ServerLimits;
+  readonly brittlePools: BrittlePools;
   readonly rollouts: Rollouts;
 }
 
@@ -21,11 +23,13 @@
 export default function createFindings(options: FindingsOptions): FindingsParts {
   const crashGuard = createCrashGuard(options);
   const serverLimits = createServerLimits(options);
+  const brittlePools = createBrittlePools(options);
   const rollouts = createRollouts({ ...options, onFound: () => options.onChange('found') });
 
   return {
     crashGuard,
     serverLimits,
+    brittlePools,
     rollouts,
     merge(report) {
       if (report.crashes !== undefined) {
@@ -34,6 +38,9 @@
       if (report.limits !== undefined) {
         serverLimits.merge(report.limits);
       }
+      if (report.brittle !== undefined) {
+        brittlePools.merge(report.brittle);
+      }
       if (report.rollouts !== undefined) {
         rollouts.merge(report.rollouts);
       }
@@ -42,6 +49,7 @@
       const parts = {
         crashes: crashGuard.tryGetReport(),
         limits: serverLimits.tryGetReport(),
+        brittle: brittlePools.tryGetReport(),
         rollouts: rollouts.tryGetReport(),
       };
       const isEmpty = Object.values(parts).every((part) => part === undefined);
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -8,6 +8,7 @@
 import recordAttempt from './recordAttempt';
 import createPoolAverages from './createPoolAverages';
 import type { PoolAverages, SlotTrackerOptions, PoolQueue } from './types';
+import createSlotRelease from './createSlotRelease';
 import createSlotTracker from './createSlotTracker';
 
 /** Time between two checks of the queue; covers changes that no message announces. */
@@ -22,19 +23,19 @@
   readonly server: ServerState;
 }
 
-function getDeadlineOptions(
+function isInTime(
   averages: PoolAverages,
   { slowness }: ServerState,
   { outputTokens, priority }: QueuedRequest,
   now: Milliseconds,
-): Parameters<typeof canMeetDeadline>[0] {
-  return {
+): boolean {
+  return canMeetDeadline({
     outputTokens,
     timeToFirstData: averages.timeToFirstData.get(),
     timePerToken: averages.timePerToken.get(),
     slowness,
     timeLeft: priority.deadlineAt - now,
-  };
+  });
 }
 
 /**
@@ -49,9 +50,9 @@
   const tracker = createSlotTracker({
     ...options,
     getMeanDuration: averages.duration.get,
-    canMeetDeadline: (server, request) =>
-      canMeetDeadline(getDeadlineOptions(averages, server, request, clock.now())),
+    canMeetDeadline: (server, request) => isInTime(averages, server, request, clock.now()),
   });
+  const releaseSlot = createSlotRelease({ clock, tracker, onReleased: () => grantSlots() });
   let peerQueuedByRank: ReadonlyMap<number, number> = new Map();
   let sharingHosts = 1;
   let isCheckScheduled = false;
@@ -166,7 +167,7 @@
       grantSlots();
     },
     completeAttempt(server, tier, figures) {
-      tracker.releaseSlot(server, tier);
+      releaseSlot(server, tier, figures);
       if (figures.end.kind === 'whole') {
         policy.recordDuration(tier, figures.duration);
       }
--- a/packages/relay/src/pools/createServerState.ts
+++ b/packages/relay/src/pools/createServerState.ts
@@ -20,6 +20,7 @@
     backoffUntil: 0,
     coldUntil: now + listed.coldFor,
     nextColdRequestAt: undefined,
+    ownSlots: undefined,
     pacing: undefined,
   };
 }
--- a/packages/relay/src/pools/createSlotTracker.ts
+++ b/packages/relay/src/pools/createSlotTracker.ts
@@ -1,6 +1,7 @@
 import type { BackendServerId, Milliseconds, TierRank } from '@rattanreel/core';
 import chooseServer from '../decisions/chooseServer';
 import getOccupancy from '../decisions/getOccupancy';
+import hasRoom from '../decisions/hasRoom';
 import isUsableServer from '../decisions/isUsableServer';
 import type { SlotCounts } from '../decisions/types';
 import isDue from '../limits/isDue';
@@ -54,11 +55,17 @@
     }
   }
 
+  /** Updates what the server lets this host send. */
+  function updateAllowance(server: ServerState): void {
+    server.pacing = options.getPacing(server);
+    server.ownSlots = options.getOwnSlots(server);
+  }
+
   function selectServer(request: QueuedRequest): ServerState | undefined {
     const now = clock.now();
     serverStates.byId.forEach((server) => {
       scheduleColdRequests(server, now);
-      server.pacing = options.getPacing(server);
+      updateAllowance(server);
     });
     return chooseServer({
       servers: [...serverStates.byId.values()],
@@ -127,9 +134,9 @@
     const now = clock.now();
     const evacuated = options.getEvacuated();
     return [...serverStates.byId.values()].some((server) => {
-      server.pacing = options.getPacing(server);
+      updateAllowance(server);
       return (
-        getOccupancy(server, now) < server.listed.slots + server.extraSlots &&
+        hasRoom(server, now) &&
         isDue(server, now) &&
         isUsableServer(server, { now, evacuated, embargo: options.embargo })
       );
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -117,6 +117,8 @@
   readonly canMeetDeadline: (server: ServerState, request: QueuedRequest) => boolean;
   /** Returns the pacing of requests to a server; undefined while it names no limit. */
   readonly getPacing: (server: ServerState) => LimitPacing | undefined;
+  /** Returns the slots of a server that this host may use; undefined if hosts share them. */
+  readonly getOwnSlots: (server: ServerState) => number | undefined;
   /** The roll-outs in force. */
   readonly rollouts: Pick<Rollouts, 'getUse' | 'mayTry' | 'recordGrant' | 'recordAttempt'>;
   /** Mean time for which a request holds its slot. */
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -87,6 +87,7 @@
         embargo: host.core.embargo,
         crashGuard: host.core.crashGuard,
         serverLimits: host.core.serverLimits,
+        brittlePools: host.core.brittlePools,
         classifier: createRequestClassifier(),
         connections: host.core.forwarding.connections,
         observer: createRequestObserver({
--- a/packages/relay/src/testing/createTestQueue.ts
+++ b/packages/relay/src/testing/createTestQueue.ts
@@ -36,6 +36,7 @@
     onInFlightChange: () => undefined,
     getColdRequestInterval: () => 0,
     getPacing: () => undefined,
+    getOwnSlots: () => undefined,
     rollouts: {
       getUse: () => 'free',
       mayTry: () => true,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -307,6 +307,11 @@
    * Earliest time of the next request while cold; undefined until the server is seen to be cold.
    */
   nextColdRequestAt: Milliseconds | undefined;
+  /**
+   * Slots of the server that this host may use; undefined while its pool is not brittle, so that
+   * hosts share all slots.
+   */
+  ownSlots: number | undefined;
   /** When this host may send requests; undefined while the server names no limit. */
   pacing: LimitPacing | undefined;
 }
@@ -361,6 +366,8 @@
   readonly kind: 'findings';
   readonly crashes?: CrashReport;
   readonly limits?: LimitReport;
+  /** The pools whose servers are brittle. */
+  readonly brittle?: LimitReport;
   readonly rollouts?: RolloutReport;
 }
 
@@ -467,6 +474,8 @@
 export interface SlotSharing {
   /** Hosts that grant slots, this one included if it does. */
   readonly grantingHosts: readonly EntryHostId[];
+  /** Hosts among which the slots of brittle servers are divided. */
+  readonly slotOwners: readonly EntryHostId[];
   readonly fleetHosts: number;
   /** Number of hosts for whose requests this one grants slots, including itself. */
   readonly ownHosts: number;
