--- a/packages/relay/src/forwarding/createForwardingConnections.ts
+++ b/packages/relay/src/forwarding/createForwardingConnections.ts
@@ -42,15 +42,19 @@
 
   function sendByPeer(server: ListedServer, request: AttemptRequest, sink: AttemptSink): Attempt {
     return forwardAttempt({
+      clock,
+      peers: paths.isDown(server) ? [] : forwarders.choose(),
       server,
       request,
       sink,
       forwarders,
       perform,
       onReached({ entryHost }) {
-        if (!paths.isCut(server)) {
-          logger.info({ request: request.requestId, peer: entryHost }, 'attempt forwarded');
-        }
+        const { requestId } = request;
+        logger.info(
+          { request: requestId, server: server.id, peer: entryHost },
+          'attempt forwarded',
+        );
         paths.recordCut(server);
       },
       onUnreached: () => paths.recordDown(server),
--- a/packages/relay/src/forwarding/createServerPaths.test.ts
+++ b/packages/relay/src/forwarding/createServerPaths.test.ts
@@ -59,14 +59,14 @@
   },
 ];
 
-function createPaths(direct: () => Listening, byPeers: Listening) {
+function createPaths(direct: () => Listening, byPeers: () => Listening) {
   const clock = createVirtualClock();
   const { listed: server } = createTestServer();
   const paths = createServerPaths({
     clock,
     logger: silentLogger,
     direct: { checkListening: (_, onChecked) => onChecked(direct()), renew: () => undefined },
-    checkByPeers: (_, onChecked) => onChecked(byPeers),
+    checkByPeers: (_, onChecked) => onChecked(byPeers()),
   });
   paths.retainServers([server]);
   return { clock, paths, server };
@@ -76,7 +76,10 @@
   cases.forEach(({ name, direct, byPeers, listening, isCut }) => {
     // Guards against taking a server in trouble for a cut path, or a cut path for a server that ended.
     it(`tells paths from servers: ${name}`, () => {
-      const { paths, server } = createPaths(() => direct, byPeers);
+      const { paths, server } = createPaths(
+        () => direct,
+        () => byPeers,
+      );
       const checked: Listening[] = [];
       paths.check(server, (result) => checked.push(result));
       expect(checked).toEqual([listening]);
@@ -87,9 +90,27 @@
     });
   });
 
+  // Guards against missing that a server has ended under a request which a peer has sent.
+  it('trusts peers about a server whose path is cut', () => {
+    let byPeers: Listening = 'accepting';
+    const { paths, server } = createPaths(
+      () => 'unreachable',
+      () => byPeers,
+    );
+    paths.recordSilent(server);
+    byPeers = 'refused';
+    const checked: Listening[] = [];
+    paths.check(server, (result) => checked.push(result));
+    expect(checked).toEqual(['refused']);
+    paths.stop();
+  });
+
   it('uses a path again once it leads to its server', () => {
     let direct: Listening = 'unreachable';
-    const { clock, paths, server } = createPaths(() => direct, 'accepting');
+    const { clock, paths, server } = createPaths(
+      () => direct,
+      () => 'accepting',
+    );
     paths.recordSilent(server);
     clock.advance(2_500);
     expect(paths.isCut(server)).toEqual(true);
--- a/packages/relay/src/forwarding/createServerPaths.ts
+++ b/packages/relay/src/forwarding/createServerPaths.ts
@@ -122,8 +122,11 @@
       options.checkByPeers(server, (byPeers) => {
         if (byPeers === 'accepting') {
           recordCut(server);
+          onChecked('unreachable');
+        } else {
+          // What a cut path shows says nothing of its server.
+          onChecked(getState(server).isCut ? byPeers : listening);
         }
-        onChecked(listening === 'refused' && byPeers !== 'accepting' ? 'refused' : 'unreachable');
       });
     });
   }
--- a/packages/relay/src/forwarding/forwardAttempt.test.ts
+++ b/packages/relay/src/forwarding/forwardAttempt.test.ts
@@ -1,5 +1,6 @@
 import { describe, it } from 'node:test';
 import { expect } from 'earl';
+import { createVirtualClock } from '@rattanreel/core';
 import type { TaskListener } from '@rattanreel/transport';
 import createTestServer from '../testing/createTestServer';
 import type { AttemptOutcome, PeerAddress } from '../types';
@@ -14,6 +15,8 @@
   readonly peers: readonly Answer[];
   readonly end: AttemptOutcome['kind'] | 'open';
   readonly asked: number;
+  /** Whether the server counts as reached by no one. */
+  readonly isUnreached?: boolean;
 }
 
 const cases: readonly Case[] = [
@@ -25,7 +28,13 @@
     end: 'whole',
     asked: 3,
   },
-  { name: 'no peer that reaches it', peers: ['notConnected'], end: 'notConnected', asked: 1 },
+  {
+    name: 'no peer that reaches it',
+    peers: ['notConnected'],
+    end: 'notConnected',
+    asked: 1,
+    isUnreached: true,
+  },
   { name: 'no peer at all', peers: [], end: 'notConnected', asked: 0 },
   { name: 'a server that turns it away', peers: ['full', 'whole'], end: 'notRun', asked: 1 },
   { name: 'a peer that is lost with it', peers: ['lost', 'whole'], end: 'broken', asked: 1 },
@@ -66,12 +75,21 @@
 }
 
 describe('forwardAttempt', () => {
-  cases.forEach(({ name, peers, end, asked }) => {
+  cases.forEach(({ name, peers, end, asked, isUnreached = false }) => {
     // Guards against sending an attempt at a second peer that a first one may have sent.
     it(`asks the next peer only while nothing was sent: ${name}`, () => {
       const ends: AttemptOutcome['kind'][] = [];
       let askedPeers = 0;
+      let wasUnreached = false;
+      const clock = createVirtualClock();
       forwardAttempt({
+        clock,
+        peers: peers.map((_, index): PeerAddress => ({
+          entryHost: `host-${index}`,
+          address: String(index),
+          failureDomain: 'domain',
+          capacity: 1,
+        })),
         server: createTestServer().listed,
         request: {
           requestId: 'r1',
@@ -89,13 +107,6 @@
           onEnd: (outcome) => ends.push(outcome.kind),
         },
         forwarders: {
-          choose: () =>
-            peers.map((_, index): PeerAddress => ({
-              entryHost: `host-${index}`,
-              address: String(index),
-              failureDomain: 'domain',
-              capacity: 1,
-            })),
           recordWorking: () => undefined,
           recordFailed: () => undefined,
         },
@@ -106,10 +117,14 @@
           return { cancel: ignore, pause: ignore, resume: ignore };
         },
         onReached: () => undefined,
-        onUnreached: () => undefined,
+        onUnreached() {
+          wasUnreached = true;
+        },
       });
+      clock.advance(1);
       expect(ends).toEqual(end === 'open' ? [] : [end]);
       expect(askedPeers).toEqual(asked);
+      expect(wasUnreached).toEqual(isUnreached);
     });
   });
 });
--- a/packages/relay/src/forwarding/forwardAttempt.ts
+++ b/packages/relay/src/forwarding/forwardAttempt.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from '@rattanreel/core';
+import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { PeerTask } from '@rattanreel/transport';
 import type { Attempt, AttemptRequest, AttemptSink } from '../servers/types';
 import type { AttemptOutcome, ListedServer, PeerAddress } from '../types';
@@ -8,17 +8,20 @@
 /** Longest wait for the connection to a peer. */
 const PEER_CONNECT_TIMEOUT: Milliseconds = 200;
 /** Peers that are asked before a server counts as down. */
-const MAXIMUM_PEERS = 6;
+const MAXIMUM_PEERS = 4;
 
 interface ForwardAttemptOptions {
+  readonly clock: Clock;
+  /** The peers to try, the best first. */
+  readonly peers: readonly PeerAddress[];
   readonly server: ListedServer;
   readonly request: AttemptRequest;
   readonly sink: AttemptSink;
-  readonly forwarders: ForwarderList;
+  readonly forwarders: Pick<ForwarderList, 'recordWorking' | 'recordFailed'>;
   readonly perform: RelayTransport['perform'];
   /** Called once a peer has reached the server. */
   readonly onReached: (peer: PeerAddress) => void;
-  /** Called if no peer could connect to the server. */
+  /** Called if peers were asked and none could connect to the server. */
   readonly onUnreached: () => void;
 }
 
@@ -27,8 +30,8 @@
  * certainly not been sent; once a peer may have sent it, its end is the end of the attempt.
  */
 export default function forwardAttempt(options: ForwardAttemptOptions): Attempt {
-  const { server, request, sink, forwarders } = options;
-  const peers = forwarders.choose().slice(0, MAXIMUM_PEERS);
+  const { clock, server, request, sink, forwarders } = options;
+  const peers = options.peers.slice(0, MAXIMUM_PEERS);
   let task: PeerTask | undefined;
   let isEnded = false;
 
@@ -42,8 +45,11 @@
   function tryPeer(index: number): void {
     const peer = peers[index];
     if (peer === undefined) {
-      options.onUnreached();
-      end({ kind: 'notConnected' });
+      if (index > 0) {
+        options.onUnreached();
+      }
+      // Later, since the caller does not have the attempt yet.
+      clock.after(0, () => end({ kind: 'notConnected' }));
       return;
     }
     let isMovedOn = false;
