--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -45,6 +45,8 @@
 interface PoolEntry {
   readonly queue: PoolQueue;
   readonly serverStates: ServerStateMap;
+  /** This host's slots at servers, until the servers or the hosts change. */
+  readonly ownSlots: Map<BackendServerId, number>;
 }
 
 /** Creates the pools of this host; each pool is created on its first use. */
@@ -68,15 +70,26 @@
 
   function createPoolEntry(pool: PoolId): PoolEntry {
     const serverStates = createServerStateMap();
-    const getOwnSlots = ({ listed }: ServerState): number | undefined =>
-      options.brittlePools.isBrittle(pool)
-        ? countOwnSlots({
-            server: listed,
-            servers: [...serverStates.byId.values()].map((state) => state.listed),
-            host: ownName,
-            owners: sharing.slotOwners,
-          })
-        : undefined;
+    const ownSlots = new Map<BackendServerId, number>();
+
+    function getOwnSlots({ listed }: ServerState): number | undefined {
+      if (!options.brittlePools.isBrittle(pool)) {
+        return undefined;
+      }
+      let count = ownSlots.get(listed.id);
+      if (count === undefined) {
+        const servers = [...serverStates.byId.values()].map((state) => state.listed);
+        count = countOwnSlots({
+          server: listed,
+          servers,
+          host: ownName,
+          owners: sharing.slotOwners,
+        });
+        ownSlots.set(listed.id, count);
+      }
+      return count;
+    }
+
     const queue = createPoolQueue({
       clock,
       random: options.random,
@@ -97,7 +110,7 @@
         getColdRequestInterval({ server, host: ownName, hosts: sharing.grantingHosts, rate }),
     });
     queue.setSharing(sharing);
-    return { queue, serverStates };
+    return { queue, serverStates, ownSlots };
   }
 
   function getPoolEntry(pool: PoolId): PoolEntry {
@@ -117,7 +130,8 @@
     setServers(servers) {
       const now = clock.now();
       servers.forEach(({ pool }) => getPoolEntry(pool));
-      poolsById.forEach(({ serverStates, queue }, pool) => {
+      poolsById.forEach(({ serverStates, queue, ownSlots }, pool) => {
+        ownSlots.clear();
         serverStates.replaceServers(
           servers.filter((server) => server.pool === pool),
           now,
@@ -127,7 +141,10 @@
     },
     setSharing(next) {
       sharing = next;
-      poolsById.forEach(({ queue }) => queue.setSharing(sharing));
+      poolsById.forEach(({ queue, ownSlots }) => {
+        ownSlots.clear();
+        queue.setSharing(sharing);
+      });
     },
     markLeaving(servers) {
       poolsById.forEach(({ serverStates }) =>
