Let each folder of the relay own its types; the shared types import from none

Cause: packages/relay/src/types.ts took types from admission, crashes, limits, pools and rollouts, a circle of seven files; forwarding and peers tied another. Change: messages between hosts are typed in peers/types.ts, what hosts find out together in findings/types.ts, the pools of a host in pools/types.ts, an attempt's figures beside its outcome. A link that performs tasks is typed by the transport instead of by the folder peers. No code that runs has changed. Ruled out: one file of types for messages of all folders, which would tie the same folders again.

--- a/packages/relay/src/addRelayGauges.ts
+++ b/packages/relay/src/addRelayGauges.ts
@@ -3,7 +3,8 @@
 import type { RelayMetrics } from './front/types';
 import type { CrashGuard } from './crashes/types';
 import type { ForwardingConnections } from './forwarding/types';
-import type { ClusterStateCache, PeerTable, Pools } from './types';
+import type { ClusterStateCache, PeerTable } from './types';
+import type { Pools } from './pools/types';
 
 interface RelayGaugesOptions {
   readonly metrics: RelayMetrics;
--- a/packages/relay/src/admission/createLocalAdmission.ts
+++ b/packages/relay/src/admission/createLocalAdmission.ts
@@ -1,8 +1,8 @@
 import type { Clock, PoolId, Random } from '@rattanreel/core';
 import getRetryDelay from '../decisions/getRetryDelay';
 import type { SharedQuota } from '../decisions/types';
-import type { PoolQueue } from '../pools/types';
-import type { Pools, QueuedRequest, RefusalReason, ServerState } from '../types';
+import type { PoolQueue, Pools } from '../pools/types';
+import type { QueuedRequest, RefusalReason, ServerState } from '../types';
 import type { LocalAdmission, ServerView, SlotGrant, SlotRequest } from './types';
 
 interface LocalAdmissionOptions {
--- a/packages/relay/src/admission/createScheduling.ts
+++ b/packages/relay/src/admission/createScheduling.ts
@@ -3,14 +3,7 @@
 import createFleetSize from '../decisions/createFleetSize';
 import isLargeFleet from '../decisions/isLargeFleet';
 import type { ServerEmbargo, SharedQuota } from '../decisions/types';
-import type {
-  ClusterStateCache,
-  FindingsReport,
-  FleetRole,
-  PeerAddress,
-  PeerTable,
-  Pools,
-} from '../types';
+import type { ClusterStateCache, FleetRole, PeerAddress, PeerTable } from '../types';
 import createSchedulerClient from './createSchedulerClient';
 import createSchedulerSelector from './createSchedulerSelector';
 import createSlotLedger from './createSlotLedger';
@@ -26,6 +19,8 @@
   SchedulerStatus,
   Sender,
 } from './types';
+import type { FindingsReport } from '../findings/types';
+import type { Pools } from '../pools/types';
 
 /** A scheduler without its store for this long is replaced as the watcher of its domain. */
 const STORE_LOSS_PATIENCE: Milliseconds = 300;
--- a/packages/relay/src/admission/createSlotLedger.ts
+++ b/packages/relay/src/admission/createSlotLedger.ts
@@ -1,6 +1,5 @@
 import type { Clock, EntryHostId, Milliseconds, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
-import type { FindingsReport } from '../types';
 import createServedHost from './createServedHost';
 import type {
   LocalAdmission,
@@ -10,6 +9,7 @@
   Sender,
   ServedHost,
 } from './types';
+import type { FindingsReport } from '../findings/types';
 
 /**
  * A host without a message for this long is considered lost and its slots are released. Hosts
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -11,15 +11,16 @@
   RequestId,
   TierRank,
 } from '@rattanreel/core';
-import type { AttemptFigures, PoolState } from '../pools/types';
+import type { PoolState } from '../pools/types';
 import type {
   ClusterStateVersions,
-  FindingsReport,
   ListedServer,
   PeerAddress,
   Priority,
   RefusalReason,
+  AttemptFigures,
 } from '../types';
+import type { FindingsReport } from '../findings/types';
 
 /** What the scheduling host knew about a server when it granted a slot there. */
 export interface ServerView {
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -23,12 +23,12 @@
   ClusterStateSource,
   FleetRole,
   PeerTable,
-  Pools,
   Quota,
   RelayBounds,
   RelayConfiguration,
   RelayContext,
 } from './types';
+import type { Pools } from './pools/types';
 
 interface HostCoreOptions {
   readonly context: RelayContext;
--- a/packages/relay/src/createHostSummary.ts
+++ b/packages/relay/src/createHostSummary.ts
@@ -1,5 +1,6 @@
 import type { PoolId } from '@rattanreel/core';
-import type { ClusterStateVersions, HostSummary, Pools } from './types';
+import type { ClusterStateVersions, HostSummary } from './types';
+import type { Pools } from './pools/types';
 
 interface HostSummaryOptions extends Pick<
   HostSummary,
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -9,20 +9,13 @@
 import getColdRequestInterval from './decisions/getColdRequestInterval';
 import createPoolQueue from './pools/createPoolQueue';
 import createServerStateMap from './pools/createServerStateMap';
-import type { PoolQueue, ServerStateMap } from './pools/types';
+import type { PoolQueue, ServerStateMap, Pools } from './pools/types';
 import type { Rollouts } from './rollouts/types';
 import type { ServerEmbargo } from './decisions/types';
 import updatePacing from './limits/updatePacing';
 import countOwnSlots from './limits/countOwnSlots';
 import type { BrittlePools, ServerLimits } from './limits/types';
-import type {
-  LimitPacing,
-  PoolSettings,
-  Pools,
-  RelayBounds,
-  ServerState,
-  SlotSharing,
-} from './types';
+import type { LimitPacing, PoolSettings, RelayBounds, ServerState, SlotSharing } from './types';
 
 interface PoolsOptions {
   readonly clock: Clock;
--- a/packages/relay/src/forwarding/types.ts
+++ b/packages/relay/src/forwarding/types.ts
@@ -1,6 +1,5 @@
 /** Types of attempts that another host sends, since this one cannot reach the backend server. */
-import type { TaskReporter } from '@rattanreel/transport';
-import type { RelayTransport } from '../peers/types';
+import type { PeerTransport, TaskReporter } from '@rattanreel/transport';
 import type { AttemptRequest, Listening, ResponseHead, ServerConnections } from '../servers/types';
 import type { AttemptOutcome, ListedServer, PeerAddress } from '../types';
 
@@ -40,7 +39,13 @@
 
 /** The link to the peers that may send attempts for this host. */
 export interface ForwardingLink {
-  readonly perform: RelayTransport['perform'];
+  readonly perform: PeerTransport<
+    unknown,
+    unknown,
+    unknown,
+    ForwardTask,
+    ForwardProgress
+  >['perform'];
   /** Lists the peers that are likely to be reachable. */
   listPeers(): readonly PeerAddress[];
 }
--- a/packages/relay/src/front/createAttemptMeter.ts
+++ b/packages/relay/src/front/createAttemptMeter.ts
@@ -1,6 +1,5 @@
 import type { Clock } from '@rattanreel/core';
-import type { AttemptFigures } from '../pools/types';
-import type { AttemptOutcome } from '../types';
+import type { AttemptOutcome, AttemptFigures } from '../types';
 
 interface AttemptMeter {
   recordChunk(): void;
--- a/packages/relay/src/front/recordCrashEvidence.ts
+++ b/packages/relay/src/front/recordCrashEvidence.ts
@@ -1,8 +1,7 @@
 import type { Clock, Milliseconds } from '@rattanreel/core';
-import type { AttemptFigures } from '../pools/types';
 import type { CrashGuard } from '../crashes/types';
 import type { ServerConnections } from '../servers/types';
-import type { ListedServer, TraitId } from '../types';
+import type { ListedServer, TraitId, AttemptFigures } from '../types';
 
 /** A request that has received data for this long is not the one under which its server ended. */
 const BEGINNING: Milliseconds = 250;
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -1,7 +1,6 @@
 import type { BackendServerId } from '@rattanreel/core';
-import type { AttemptFigures } from '../pools/types';
 import type { Attempt } from '../servers/types';
-import type { AbortReason } from '../types';
+import type { AbortReason, AttemptFigures } from '../types';
 import type { SlotGrant } from '../admission/types';
 import failRequest from './failRequest';
 import refuseOrFail from './refuseOrFail';
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -1,5 +1,4 @@
 import type { Attempt } from '../servers/types';
-import type { AttemptFigures } from '../pools/types';
 import type { SlotGrant } from '../admission/types';
 import createAttemptHeaders from './createAttemptHeaders';
 import createAttemptMeter from './createAttemptMeter';
@@ -7,7 +6,7 @@
 import tryParseLimit from '../limits/tryParseLimit';
 import recordCrashEvidence from './recordCrashEvidence';
 import tryParseLoad from './tryParseLoad';
-import type { AttemptOutcome } from '../types';
+import type { AttemptOutcome, AttemptFigures } from '../types';
 import type { ResponseRelay, RelayRequestOptions } from './types';
 
 const HTTP_OK = 200;
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -11,10 +11,11 @@
   Route,
   Priority,
   TraitId,
+  AttemptFigures,
 } from '../types';
 import type { Admission, ServerView } from '../admission/types';
 import type { ServerEmbargo } from '../decisions/types';
-import type { AttemptFigures, PoolState } from '../pools/types';
+import type { PoolState } from '../pools/types';
 import type { BrittlePools, ServerLimits } from '../limits/types';
 import type { CrashGuard } from '../crashes/types';
 import type { ResponseHead, ServerConnections } from '../servers/types';
--- a/packages/relay/src/peers/createFindings.ts
+++ b/packages/relay/src/peers/createFindings.ts
@@ -5,7 +5,7 @@
 import type { CrashGuard } from '../crashes/types';
 import createRollouts from '../rollouts/createRollouts';
 import type { Rollouts } from '../rollouts/types';
-import type { Findings } from './types';
+import type { Findings } from '../findings/types';
 
 interface FindingsOptions extends Omit<Parameters<typeof createRollouts>[0], 'onFound'> {
   /** Called when other hosts should know of a change: of what this host found, or learnt. */
--- a/packages/relay/src/peers/createFindingsSync.ts
+++ b/packages/relay/src/peers/createFindingsSync.ts
@@ -1,7 +1,8 @@
 import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
 import type chooseSummaryRecipients from '../decisions/chooseSummaryRecipients';
-import type { FindingsReport, FleetRole, PeerAddress } from '../types';
+import type { FleetRole, PeerAddress } from '../types';
 import type { RelayTransport } from './types';
+import type { FindingsReport } from '../findings/types';
 
 /** Minimum time between two reports, and the time that each further recipient adds to it. */
 const MINIMUM_INTERVAL: Milliseconds = 100;
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -8,21 +8,20 @@
 import type {
   ClusterStateCache,
   ClusterStateVersions,
-  FindingsReport,
   FleetRole,
   HostChange,
-  HostMessage,
   HostSummary,
   PeerAddress,
   PeerTable,
-  Pools,
 } from '../types';
 import createPeerReachabilityLog from './createPeerReachabilityLog';
 import createPeerSync from './createPeerSync';
 import createFindingsSync from './createFindingsSync';
 import createStateFetcher from './createStateFetcher';
 import listLikelyPeers from './listLikelyPeers';
-import type { Findings, OpenTransport, RelayTransport, RelayTransportOptions } from './types';
+import type { OpenTransport, RelayTransport, RelayTransportOptions, HostMessage } from './types';
+import type { FindingsReport, Findings } from '../findings/types';
+import type { Pools } from '../pools/types';
 
 /** Minimum time between two pool updates, since hundreds of messages may arrive per second. */
 const POOL_UPDATE_INTERVAL: Milliseconds = 5;
--- a/packages/relay/src/peers/openRelayTransport.ts
+++ b/packages/relay/src/peers/openRelayTransport.ts
@@ -1,7 +1,7 @@
 import { createPeerTransport } from '@rattanreel/transport';
 import type { ForwardProgress, ForwardTask } from '../forwarding/types';
-import type { ClusterState, HostMessage, PeerQuery } from '../types';
-import type { RelayTransport, RelayTransportOptions } from './types';
+import type { ClusterState, PeerQuery } from '../types';
+import type { RelayTransport, RelayTransportOptions, HostMessage } from './types';
 
 /** Opens the transport between hosts. Throws if it cannot listen on the address. */
 export default async function openRelayTransport(
--- a/packages/relay/src/peers/types.ts
+++ b/packages/relay/src/peers/types.ts
@@ -1,6 +1,8 @@
 import type { PeerIdentity, PeerTransport } from '@rattanreel/transport';
 import type { ForwardProgress, ForwardReporter, ForwardTask } from '../forwarding/types';
-import type { ClusterState, FindingsReport, HostMessage, PeerQuery } from '../types';
+import type { SchedulerRequest, SchedulerResponse } from '../admission/types';
+import type { ClusterState, HostChange, HostSummary, PeerQuery } from '../types';
+import type { FindingsReport } from '../findings/types';
 
 export type RelayTransport = PeerTransport<
   HostMessage,
@@ -27,9 +29,6 @@
 /** Opens the transport between hosts. Rejects if it cannot listen on the address. */
 export type OpenTransport = (options: RelayTransportOptions) => Promise<RelayTransport>;
 
-/** What this host has found out, or learnt from others. */
-export interface Findings {
-  merge(report: FindingsReport): void;
-  /** Returns what other hosts should know; undefined if there is nothing. */
-  tryGetReport(): FindingsReport | undefined;
-}
+/** Messages between hosts; kinds that a host does not know are ignored. */
+export type HostMessage =
+  HostSummary | HostChange | SchedulerRequest | SchedulerResponse | FindingsReport;
--- a/packages/relay/src/pools/createSlotRelease.ts
+++ b/packages/relay/src/pools/createSlotRelease.ts
@@ -1,6 +1,5 @@
 import type { Clock, Milliseconds, TierRank } from '@rattanreel/core';
-import type { ServerState } from '../types';
-import type { AttemptFigures } from './types';
+import type { ServerState, AttemptFigures } from '../types';
 
 /** Time for which a slot counts as taken if its server may still be at work. */
 const UNSURE_SLOT_TIME: Milliseconds = 500;
--- a/packages/relay/src/pools/recordAttempt.ts
+++ b/packages/relay/src/pools/recordAttempt.ts
@@ -1,6 +1,6 @@
 import type { Milliseconds } from '@rattanreel/core';
-import type { ServerState } from '../types';
-import type { AttemptFigures, PoolAverages } from './types';
+import type { ServerState, AttemptFigures } from '../types';
+import type { PoolAverages } from './types';
 import type { MovingAverage } from '../decisions/types';
 
 /** Weight of one attempt in the moving averages of a server. */
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -6,9 +6,9 @@
   Milliseconds,
   Random,
   TierRank,
+  PoolId,
 } from '@rattanreel/core';
 import type {
-  AttemptOutcome,
   LimitPacing,
   ListedServer,
   PoolSettings,
@@ -16,23 +16,13 @@
   ServerState,
   Priority,
   QueuedRequest,
+  ServerProcess,
   SlotSharing,
+  AttemptFigures,
 } from '../types';
 import type { MovingAverage, ServerEmbargo } from '../decisions/types';
 import type { Rollouts } from '../rollouts/types';
 
-/** Measurements of one attempt. */
-export interface AttemptFigures {
-  readonly end: AttemptOutcome;
-  readonly duration: Milliseconds;
-  readonly firstDataAfter: Milliseconds | undefined;
-  /** Number of data chunks after the first, and the time over which they arrived. */
-  readonly laterChunks: number;
-  readonly laterTime: Milliseconds;
-  /** Tokens of the response: the maximum, or the caller's estimate. */
-  readonly outputTokens: number;
-}
-
 export type AdmissionDecision =
   { readonly kind: 'waiting' } | { readonly kind: 'refused'; readonly reason: RefusalReason };
 
@@ -126,3 +116,21 @@
   /** Returns the time between two requests of this host to a cold server. */
   readonly getColdRequestInterval: (server: BackendServerId, rate: number) => Milliseconds;
 }
+
+/** The pools of a host. */
+export interface Pools {
+  getQueue(pool: PoolId): PoolQueue;
+  setSettings(settings: readonly PoolSettings[]): void;
+  setServers(servers: readonly ListedServer[]): void;
+  /** Sets which hosts share the slots and the rates of cold servers, and the size of the fleet. */
+  setSharing(sharing: SlotSharing): void;
+  /** Marks servers as leaving, as another host has seen. */
+  markLeaving(servers: readonly ServerProcess[]): void;
+  /** Lists the servers that announced in a response that they are leaving. */
+  listLeaving(): readonly ServerProcess[];
+  /** This host's requests in flight, by backend server. */
+  countOwnInFlight(): ReadonlyMap<BackendServerId, number>;
+  /** Marks the servers of these failure domains as cold, since they may have been idle. */
+  markCold(failureDomains: readonly FailureDomainId[]): void;
+  forEachQueue(action: (queue: PoolQueue, pool: PoolId) => void): void;
+}
--- a/packages/relay/src/rollouts/createAnswerComparison.ts
+++ b/packages/relay/src/rollouts/createAnswerComparison.ts
@@ -1,8 +1,8 @@
 import type { TierRank } from '@rattanreel/core';
 import createMovingAverage from '../decisions/createMovingAverage';
 import type { MovingAverage } from '../decisions/types';
-import type { AttemptFigures } from '../pools/types';
 import type { AnswerComparison, VersionCounts } from './types';
+import type { AttemptFigures } from '../types';
 
 const AVERAGE_WEIGHT = 0.05;
 /** An answer is slow if one of its times is this multiple of what the other versions need. */
--- a/packages/relay/src/rollouts/types.ts
+++ b/packages/relay/src/rollouts/types.ts
@@ -1,7 +1,6 @@
 /** Types of roll-outs: the move of a pool's requests to another version of its servers. */
 import type { EntryHostId, TierRank } from '@rattanreel/core';
-import type { AttemptFigures } from '../pools/types';
-import type { ListedServer, Rollout } from '../types';
+import type { ListedServer, Rollout, AttemptFigures } from '../types';
 
 /** Answers of the servers of one version, and those that failed or were slow. */
 export interface AnswerCounts {
--- a/packages/relay/src/testing/createTestNetwork.ts
+++ b/packages/relay/src/testing/createTestNetwork.ts
@@ -1,7 +1,6 @@
 import { fail, ok } from '@rattanreel/core';
 import type { Clock, Milliseconds } from '@rattanreel/core';
-import type { OpenTransport, RelayTransportOptions } from '../peers/types';
-import type { HostMessage } from '../types';
+import type { OpenTransport, RelayTransportOptions, HostMessage } from '../peers/types';
 import type { TestHost } from './types';
 
 const IN_DOMAIN_DELAY: Milliseconds = 0.2;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -14,11 +14,6 @@
   VersionId,
 } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
-import type { SchedulerRequest, SchedulerResponse } from './admission/types';
-import type { LimitReport } from './limits/types';
-import type { PoolQueue } from './pools/types';
-import type { CrashReport } from './crashes/types';
-import type { RolloutReport } from './rollouts/types';
 
 /** Identifier of a part of a prompt; equal parts of two prompts have the same one. */
 export type PromptPartId = string;
@@ -236,6 +231,18 @@
 
 export type AbortReason = 'callerGone' | 'timeout' | 'silent' | 'stop' | 'quarantined';
 
+/** Measurements of one attempt. */
+export interface AttemptFigures {
+  readonly end: AttemptOutcome;
+  readonly duration: Milliseconds;
+  readonly firstDataAfter: Milliseconds | undefined;
+  /** Number of data chunks after the first, and the time over which they arrived. */
+  readonly laterChunks: number;
+  readonly laterTime: Milliseconds;
+  /** Tokens of the response: the maximum, or the caller's estimate. */
+  readonly outputTokens: number;
+}
+
 /** Why a request was not sent to a backend server. */
 export type RefusalReason =
   | 'overQuota'
@@ -358,22 +365,6 @@
   readonly waiting: HostSummary['waiting'];
 }
 
-/**
- * What hosts have found out about requests and servers, and agree on without the store. Each host
- * merges what it receives and passes it on.
- */
-export interface FindingsReport {
-  readonly kind: 'findings';
-  readonly crashes?: CrashReport;
-  readonly limits?: LimitReport;
-  /** The pools whose servers are brittle. */
-  readonly brittle?: LimitReport;
-  readonly rollouts?: RolloutReport;
-}
-
-export type HostMessage =
-  HostSummary | HostChange | SchedulerRequest | SchedulerResponse | FindingsReport;
-
 /** Versions of the state known to a host. They never decrease; -1 means nothing is known yet. */
 export interface ClusterStateVersions {
   readonly configurationVersion: number;
@@ -453,23 +444,6 @@
   readonly logger: Logger;
 }
 
-export interface Pools {
-  getQueue(pool: PoolId): PoolQueue;
-  setSettings(settings: readonly PoolSettings[]): void;
-  setServers(servers: readonly ListedServer[]): void;
-  /** Sets which hosts share the slots and the rates of cold servers, and the size of the fleet. */
-  setSharing(sharing: SlotSharing): void;
-  /** Marks servers as leaving, as another host has seen. */
-  markLeaving(servers: readonly ServerProcess[]): void;
-  /** Lists the servers that announced in a response that they are leaving. */
-  listLeaving(): readonly ServerProcess[];
-  /** This host's requests in flight, by backend server. */
-  countOwnInFlight(): ReadonlyMap<BackendServerId, number>;
-  /** Marks the servers of these failure domains as cold, since they may have been idle. */
-  markCold(failureDomains: readonly FailureDomainId[]): void;
-  forEachQueue(action: (queue: PoolQueue, pool: PoolId) => void): void;
-}
-
 /** The hosts that grant slots, and the size of the fleet. */
 export interface SlotSharing {
   /** Hosts that grant slots, this one included if it does. */
