Send a second copy of requests that are slower than nearly all, within a limit of operators

Change: packages/relay/src/hedging. A quantile of the class's times to first data sets the delay; each host earns hedges with its own requests, so the limit holds over all hosts without messages; whoever grants slots refuses a hedge near saturation. The first complete response wins, the other copy is cancelled. Off unless RATTANREEL_HEDGE_LIMIT is set. Failed try: spending the retry budget before the slot was granted; hedges that are refused near saturation would have used it up for retries.

--- a/packages/relay/src/admission/createLocalAdmission.ts
+++ b/packages/relay/src/admission/createLocalAdmission.ts
@@ -1,6 +1,7 @@
 import type { Clock, PoolId, Random } from '@rattanreel/core';
 import getRetryDelay from '../decisions/getRetryDelay';
 import type { SharedQuota } from '../decisions/types';
+import hasSpareCapacity from '../hedging/hasSpareCapacity';
 import type { PoolQueue, Pools } from '../pools/types';
 import type { QueuedRequest, RefusalReason, ServerState } from '../types';
 import type { LocalAdmission, ServerView, SlotGrant, SlotRequest } from './types';
@@ -62,6 +63,7 @@
       }
       const { priority, customer, cost } = request;
       const queue = pools.getQueue(request.pool);
+      const isSpeculative = request.isSpeculative === true;
       let isOpen = true;
 
       function refuse(reason: RefusalReason): void {
@@ -85,9 +87,16 @@
         },
         onRefused: refuse,
       };
+      if (isSpeculative && !hasSpareCapacity(queue.getState(priority))) {
+        refuse('noSpareCapacity');
+        return () => undefined;
+      }
       const decision = queue.enqueue(queued);
       if (decision.kind === 'refused') {
         refuse(decision.reason);
+      } else if (isSpeculative && isOpen) {
+        queue.cancel(queued);
+        refuse('noSpareCapacity');
       }
       return () => {
         if (isOpen) {
--- a/packages/relay/src/admission/createServedHost.ts
+++ b/packages/relay/src/admission/createServedHost.ts
@@ -52,6 +52,7 @@
         deadlineAt: now + message.deadlineWithin,
       },
       outputTokens: message.outputTokens,
+      isSpeculative: message.isSpeculative,
       excludedServers: new Set(message.excludedServers),
       onGranted(grant) {
         isAnswered = true;
--- a/packages/relay/src/admission/createSlotAsk.ts
+++ b/packages/relay/src/admission/createSlotAsk.ts
@@ -22,6 +22,7 @@
     customer: request.customer,
     cost: request.cost,
     outputTokens: request.outputTokens,
+    ...(request.isSpeculative === true && { isSpeculative: true }),
     priority,
     serveWithin: serveBy - now,
     deadlineWithin: deadlineAt - now,
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -65,6 +65,8 @@
   readonly outputTokens: number;
   /** Servers that this request must not be sent to; read when a slot is chosen. */
   readonly excludedServers: ReadonlySet<BackendServerId>;
+  /** Whether the request can do without the slot: it is refused rather than queued. */
+  readonly isSpeculative?: boolean;
   onGranted(grant: SlotGrant): void;
   /** The cost that this request was charged for has been refunded. */
   onRefused(refusal: SlotRefusal): void;
@@ -107,7 +109,7 @@
 /** Asks the scheduler for a slot. Repeated if the scheduler may not have received it. */
 export interface SlotAsk extends Pick<
   SlotRequest,
-  'requestId' | 'pool' | 'customer' | 'cost' | 'outputTokens'
+  'requestId' | 'pool' | 'customer' | 'cost' | 'outputTokens' | 'isSpeculative'
 > {
   readonly kind: 'ask';
   readonly ticket: Ticket;
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -16,6 +16,7 @@
 import openPeerLink from './peers/openPeerLink';
 import type { OpenTransport } from './peers/types';
 import type { CrashGuard } from './crashes/types';
+import type { Rollouts } from './rollouts/types';
 import registerHost from './registerHost';
 import type { ServerConnections } from './servers/types';
 import type {
@@ -55,6 +56,7 @@
   readonly forwarding: Forwarding;
   readonly embargo: ServerEmbargo;
   readonly crashGuard: CrashGuard;
+  readonly rollouts: Rollouts;
   readonly serverLimits: ServerLimits;
   readonly brittlePools: BrittlePools;
   readonly pools: Pools;
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -11,6 +11,7 @@
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
 import drainCallerEndpoint from './front/drainCallerEndpoint';
+import createHedging from './hedging/createHedging';
 import openRelayTransport from './peers/openRelayTransport';
 import createServerConnections from './servers/createServerConnections';
 import type {
@@ -34,6 +35,8 @@
   'openTransport' | 'direct' | 'onConfiguration'
 > {
   readonly names: HeaderNames;
+  /** Share of the requests that may be sent twice to cut the slowest responses; 0 for none. */
+  readonly hedgeLimit: number;
   /** Listening addresses as HOST:PORT, for callers, readiness checks and metrics. */
   readonly callerAddress: string;
   readonly readinessAddress: string;
@@ -86,6 +89,13 @@
     getBasis: () => ({ ...stateCache.getVersions(), ...peerTable.getFreshness(clock.now()) }),
   });
 
+  const hedging = createHedging({
+    limit: options.hedgeLimit,
+    isInvestigating: () =>
+      core.crashGuard.tryGetReport() !== undefined || core.rollouts.tryGetReport() !== undefined,
+    count: metrics.countHedge,
+    observeDelay: metrics.observeHedgeDelay,
+  });
   const requestHandler = createRequestHandler({
     context,
     names: options.names,
@@ -96,6 +106,7 @@
     brittlePools: core.brittlePools,
     classifier,
     connections: core.forwarding.connections,
+    hedging,
     observer,
     getRoutes: () => routes,
     getCustomersByKey: () => customersByKey,
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -11,6 +11,8 @@
 import type { RequestClassifier, RouteTable, ServerEmbargo } from './decisions/types';
 import type { BrittlePools, ServerLimits } from './limits/types';
 import type { CrashGuard } from './crashes/types';
+import createHedging from './hedging/createHedging';
+import type { Hedging } from './hedging/types';
 import type { ServerConnections } from './servers/types';
 
 /** Callers honour a `retry-after` of at most this fraction of their remaining time. */
@@ -26,6 +28,8 @@
   readonly brittlePools: Pick<BrittlePools, 'record'>;
   readonly classifier: RequestClassifier;
   readonly connections: ServerConnections;
+  /** Off unless given. */
+  readonly hedging?: Hedging;
   readonly observer: RequestObserver;
   readonly getRoutes: () => RouteTable | undefined;
   readonly getCustomersByKey: () => ReadonlyMap<string, RelayCustomer> | undefined;
@@ -51,6 +55,7 @@
 export default function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
   const { context, names, classifier, observer } = options;
   const { clock, random } = context;
+  const hedging = options.hedging ?? createHedging({ limit: 0 });
 
   function refuse(
     exchange: CallerExchange,
@@ -89,6 +94,7 @@
       serverLimits: options.serverLimits,
       brittlePools: options.brittlePools,
       connections: options.connections,
+      hedging,
       names,
       observer,
       refuse: ({ reason, retryAfter, pool }) => refuse(exchange, plan, reason, retryAfter, pool),
--- a/packages/relay/src/front/createRelayMetrics.ts
+++ b/packages/relay/src/front/createRelayMetrics.ts
@@ -29,7 +29,22 @@
     registers,
   });
 
+  const hedgeCounter = new Counter({
+    name: 'rattanreel_relay_hedges_total',
+    help: 'Second copies of slow requests that were sent, won and lost, and those not sent, by reason.',
+    labelNames: ['result'],
+    registers,
+  });
+  const hedgeDelayHistogram = new Histogram({
+    name: 'rattanreel_relay_hedge_delay_seconds',
+    help: 'Time for which the first copy had been silent when the second one was sent.',
+    buckets: DURATION_BUCKETS_SECONDS,
+    registers,
+  });
+
   return {
+    countHedge: (result) => hedgeCounter.inc({ result }),
+    observeHedgeDelay: (delay) => hedgeDelayHistogram.observe(delay / MILLISECONDS_PER_SECOND),
     countRequest: (outcome, reason) => requestCounter.inc({ outcome, reason }),
     countAttempt: (attempt) => attemptCounter.inc({ attempt: attempt > 1 ? 'repeat' : 'first' }),
     observeDuration(plan, now) {
--- a/packages/relay/src/front/createRequestObserver.ts
+++ b/packages/relay/src/front/createRequestObserver.ts
@@ -55,6 +55,12 @@
         'request dispatched',
       );
     },
+    hedged(plan, server, delay) {
+      logger.info({ ...describe(plan), server, delay: Math.round(delay) }, 'request hedged');
+    },
+    hedgeSkipped(plan, reason, delay) {
+      logger.info({ ...describe(plan), reason, delay: Math.round(delay) }, 'request not hedged');
+    },
     attemptEnded(plan, server, { end, duration, firstDataAfter }) {
       if (!isSuccessful(end)) {
         const { promptParts, contentId: content } = plan;
--- a/packages/relay/src/front/decideAfterAttempt.ts
+++ b/packages/relay/src/front/decideAfterAttempt.ts
@@ -55,6 +55,7 @@
     case 'aborted':
       switch (end.reason) {
         case 'callerGone':
+        case 'superseded':
           return 'nothing';
         case 'silent':
           return decideAfterFailure(options);
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -1,7 +1,7 @@
-import type { BackendServerId } from '@rattanreel/core';
-import type { Attempt } from '../servers/types';
-import type { AbortReason, AttemptFigures } from '../types';
+import type { AbortReason } from '../types';
 import type { SlotGrant } from '../admission/types';
+import createHedgedAttempts from '../hedging/createHedgedAttempts';
+import type { FinalCopy } from '../hedging/types';
 import failRequest from './failRequest';
 import refuseOrFail from './refuseOrFail';
 import createAttemptHistory from './createAttemptHistory';
@@ -23,20 +23,31 @@
   const response = createResponseRelay(plan, exchange);
   const attempts = createAttemptHistory(route);
   const charge = createQuotaCharge(admission, plan);
-  let attempt: Attempt | undefined;
   let isDone = false;
   let cancelSlotRequest = (): void => undefined;
 
   const deadlineTimer = clock.after(Math.max(plan.deadlineAt - clock.now(), 0), () =>
     endEarly({ reason: 'deadlinePassed' }, 'timeout'),
   );
-  const firstDataWait = createFirstDataWait(clock, route, () => attempt?.abort('silent'));
+  const copies = createHedgedAttempts({
+    ...options,
+    response,
+    attempts,
+    startCopy: (copy) => startAttempt({ ...options, ...copy }),
+    onSend({ server, view }) {
+      observer.dispatched(plan, server.id, view, attempts.begin(server.id));
+      firstDataWait.start(isRetryable && attempts.getRemaining().hasAttemptsLeft);
+    },
+    onData: () => firstDataWait.recordData(),
+    onEnd: handleEnd,
+  });
+  const firstDataWait = createFirstDataWait(clock, route, () => copies.abort('silent'));
   const quarantineWatch = createQuarantineWatch({
     crashGuard: options.crashGuard,
     traits: plan.traits,
     onQuarantined(refusal) {
       // A server that has not begun to answer would end when it does.
-      if (!firstDataWait.hasData()) {
+      if (!copies.hasData()) {
         endEarly(refusal, 'quarantined');
       }
     },
@@ -46,6 +57,7 @@
     isDone = true;
     deadlineTimer.cancel();
     firstDataWait.end();
+    copies.stop();
     quarantineWatch.stop();
     dispatchMark.end();
   }
@@ -62,11 +74,11 @@
 
   /** Gives up a request that waits, or aborts its attempt. */
   function endEarly(refusal: Refusal, reason: AbortReason): void {
-    if (attempt === undefined) {
+    if (copies.isRunning()) {
+      copies.abort(reason);
+    } else {
       cancelSlotRequest();
       giveUp(refusal);
-    } else {
-      attempt.abort(reason);
     }
   }
 
@@ -88,7 +100,6 @@
   }
 
   function dispatch(grant: SlotGrant): void {
-    const { id } = grant.server;
     charge.recordCharged();
     const refusal = quarantineWatch.tryGetRefusal();
     if (refusal !== undefined) {
@@ -102,32 +113,18 @@
       options.sendFailure(502, 'dispatchedTwice');
       return;
     }
-    observer.dispatched(plan, id, grant.view, attempts.begin(id));
-    firstDataWait.start(isRetryable && attempts.getRemaining().hasAttemptsLeft);
-    attempt = startAttempt({
-      ...options,
-      grant,
-      response,
-      onData: firstDataWait.recordData,
-      onEnd(figures) {
-        firstDataWait.end();
-        attempt = undefined;
-        grant.complete(figures);
-        handleAttemptEnd(id, figures);
-      },
-    });
+    copies.start(grant);
     if (isDone) {
-      attempt?.abort('callerGone');
+      copies.abort('callerGone');
     }
   }
 
-  function handleAttemptEnd(server: BackendServerId, figures: AttemptFigures): void {
-    observer.attemptEnded(plan, server, figures);
+  function handleEnd({ server, figures, open }: FinalCopy): void {
+    firstDataWait.end();
     if (isDone) {
       return;
     }
     const { end } = figures;
-    attempts.end(end);
     const next = decideAfterAttempt({
       end,
       isRetryable,
@@ -139,6 +136,7 @@
     switch (next) {
       case 'complete':
         finish();
+        open();
         response.finish();
         observer.completed(plan, server, figures);
         return;
@@ -162,7 +160,7 @@
     }
   }
 
-  exchange.onDrain(() => attempt?.resume());
+  exchange.onDrain(copies.resume);
   exchange.onDisconnect(() => {
     if (isDone) {
       return;
@@ -170,7 +168,7 @@
     finish();
     observer.callerGone(plan);
     cancelSlotRequest();
-    attempt?.abort('callerGone');
+    copies.abort('callerGone');
   });
   admission.recordRequest(pool);
   requestSlot();
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -18,6 +18,7 @@
 import type { PoolState } from '../pools/types';
 import type { BrittlePools, ServerLimits } from '../limits/types';
 import type { CrashGuard } from '../crashes/types';
+import type { HedgeResult, HedgeSkipReason, Hedging } from '../hedging/types';
 import type { ResponseHead, ServerConnections } from '../servers/types';
 
 /** A caller's request with its complete body, and the operations that respond to it. */
@@ -95,6 +96,9 @@
     poolState?: PoolState,
   ): void;
   dispatched(plan: RequestPlan, server: BackendServerId, view: ServerView, attempt: number): void;
+  /** A second copy is sent, since the first one has been silent for `delay`. */
+  hedged(plan: RequestPlan, server: BackendServerId, delay: Milliseconds): void;
+  hedgeSkipped(plan: RequestPlan, reason: HedgeSkipReason, delay: Milliseconds): void;
   attemptEnded(plan: RequestPlan, server: BackendServerId, figures: AttemptFigures): void;
   completed(plan: RequestPlan, server: BackendServerId, figures: AttemptFigures): void;
   failed(plan: RequestPlan, status: number, code: string): void;
@@ -123,6 +127,8 @@
   countAttempt(attempt: number): void;
   observeDuration(plan: RequestPlan, now: number): void;
   addGauge(gauge: GaugeDefinition): void;
+  countHedge(result: HedgeResult): void;
+  observeHedgeDelay(delay: Milliseconds): void;
   scrape(): Promise<string>;
 }
 
@@ -146,6 +152,7 @@
   readonly serverLimits: Pick<ServerLimits, 'record'>;
   readonly brittlePools: Pick<BrittlePools, 'record'>;
   readonly connections: ServerConnections;
+  readonly hedging: Hedging;
   readonly names: HeaderNames;
   readonly observer: RequestObserver;
   /** Refuses the request and reports that it has not run. */
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -9,6 +9,7 @@
 import type { CallerExchange } from '../front/types';
 import type { RelayCustomer, Route } from '../types';
 import type createTestFleet from './createTestFleet';
+import createHedging from '../hedging/createHedging';
 import headerNames from './headerNames';
 import type { TestCall, TestHost } from './types';
 
@@ -67,10 +68,12 @@
 
 interface TestCallersOptions {
   readonly fleet: TestFleet;
+  /** Share of the requests that hosts may send twice. */
+  readonly hedgeLimit?: number;
 }
 
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
-export default function createTestCallers({ fleet }: TestCallersOptions) {
+export default function createTestCallers({ fleet, hedgeLimit = 0 }: TestCallersOptions) {
   const { clock, random } = fleet;
   const routes = createRouteTable(ROUTES);
   const handlers = new Map<TestHost, TestHandler>();
@@ -89,6 +92,7 @@
         serverLimits: host.core.serverLimits,
         brittlePools: host.core.brittlePools,
         classifier: createRequestClassifier(),
+        hedging: createHedging({ limit: hedgeLimit }),
         connections: host.core.forwarding.connections,
         observer: createRequestObserver({
           logger: silentLogger,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -229,7 +229,14 @@
   /** This host aborted the attempt. */
   | { readonly kind: 'aborted'; readonly reason: AbortReason };
 
-export type AbortReason = 'callerGone' | 'timeout' | 'silent' | 'stop' | 'quarantined';
+export type AbortReason =
+  | 'callerGone'
+  | 'timeout'
+  | 'silent'
+  | 'stop'
+  | 'quarantined'
+  /** Another copy of the request was answered first. */
+  | 'superseded';
 
 /** Measurements of one attempt. */
 export interface AttemptFigures {
@@ -251,6 +258,8 @@
   | 'noServer'
   | 'serverFull'
   | 'notConnected'
+  /** A second copy was not granted a slot, since servers have no capacity to spare. */
+  | 'noSpareCapacity'
   /** Several servers have ended under one of the request's traits. */
   | 'quarantined';
 
