--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -64,6 +64,7 @@
   retryAfter?: Milliseconds;
   answeredAt?: Milliseconds;
   isBroken?: boolean;
+  isComplete?: boolean;
 }
 
 interface TestCallersOptions {
@@ -150,7 +151,8 @@
       },
       sendData: () => true,
       finish() {
-        if (request.status !== 200) {
+        request.isComplete = request.status === 200;
+        if (!request.isComplete) {
           retry(request);
         }
       },
