Serve retries of requests whose objective has passed instead of failing them

Cause: a request waits for a slot until its objective, counted from its arrival. When its first attempt broke after that, or was aborted as silent, the retry was refused as late before a slot was looked for; since it may have run, the caller got 502 or a broken stream. Change: the next attempt of a request that may have run waits for up to two objectives from now, within the deadline. Requests that have not run keep their objective: they can be refused truthfully. Ruled out: the retry budget and the maximum of attempts (both allowed the retry in the trace).

--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -9,6 +9,7 @@
 import createFirstDataWait from './createFirstDataWait';
 import createQuarantineWatch from './createQuarantineWatch';
 import createQuotaCharge from './createQuotaCharge';
+import getAttemptPriority from './getAttemptPriority';
 import createResponseRelay from './createResponseRelay';
 import decideAfterAttempt from './decideAfterAttempt';
 import startAttempt from './startAttempt';
@@ -88,8 +89,10 @@
       giveUp(refusal);
       return;
     }
+    const mayHaveRun = attempts.mayHaveRun();
     cancelSlotRequest = admission.requestSlot({
       ...plan,
+      priority: getAttemptPriority({ plan, mayHaveRun, now: clock.now() }),
       pool,
       customer: plan.customer?.name,
       cost: charge.getDue(),
