--- a/packages/relay/src/admission/createLocalAdmission.ts
+++ b/packages/relay/src/admission/createLocalAdmission.ts
@@ -1,9 +1,10 @@
 import type { Clock, PoolId, Random } from '@rattanreel/core';
 import getRetryDelay from '../decisions/getRetryDelay';
+import tryGetLatePriority from '../decisions/tryGetLatePriority';
 import type { SharedQuota } from '../decisions/types';
 import hasSpareCapacity from '../hedging/hasSpareCapacity';
 import type { PoolQueue, Pools } from '../pools/types';
-import type { QueuedRequest, RefusalReason, ServerState } from '../types';
+import type { Priority, QueuedRequest, RefusalReason, ServerState } from '../types';
 import type { LocalAdmission, ServerView, SlotGrant, SlotRequest } from './types';
 
 interface LocalAdmissionOptions {
@@ -65,6 +66,7 @@
       const queue = pools.getQueue(request.pool);
       const isSpeculative = request.isSpeculative === true;
       let isOpen = true;
+      let queued: QueuedRequest | undefined;
 
       function refuse(reason: RefusalReason): void {
         isOpen = false;
@@ -76,35 +78,54 @@
         });
       }
 
-      const queued: QueuedRequest = {
-        id: request.requestId,
-        priority,
-        outputTokens: request.outputTokens,
-        excludedServers: request.excludedServers,
-        onGranted(server) {
-          isOpen = false;
-          request.onGranted(createGrant(queue, server, priority.tier));
-        },
-        onRefused: refuse,
-      };
+      /** Refuses a request, unless its caller waits for a late response. */
+      function refuseOrWait(reason: RefusalReason, current: Priority): void {
+        const late =
+          reason === 'expectedLate' && !isSpeculative
+            ? tryGetLatePriority(current, clock.now())
+            : undefined;
+        if (late === undefined) {
+          refuse(reason);
+        } else {
+          enqueue(late);
+        }
+      }
+
+      function enqueue(current: Priority): void {
+        queued = {
+          id: request.requestId,
+          priority: current,
+          outputTokens: request.outputTokens,
+          excludedServers: request.excludedServers,
+          onGranted(server) {
+            isOpen = false;
+            request.onGranted(createGrant(queue, server, priority.tier));
+          },
+          onRefused: (reason) => refuseOrWait(reason, current),
+        };
+        const decision = queue.enqueue(queued);
+        if (decision.kind === 'refused') {
+          refuseOrWait(decision.reason, current);
+        }
+      }
+
       if (isSpeculative && !hasSpareCapacity(queue.getState(priority))) {
         refuse('noSpareCapacity');
         return () => undefined;
       }
-      const decision = queue.enqueue(queued);
-      if (decision.kind === 'refused') {
-        refuse(decision.reason);
-      } else if (isSpeculative && isOpen) {
-        queue.cancel(queued);
-        refuse('noSpareCapacity');
-      }
-      return () => {
-        if (isOpen) {
+      enqueue(priority);
+      const cancel = (): void => {
+        if (isOpen && queued !== undefined) {
           isOpen = false;
           queue.cancel(queued);
           refund(customer, cost);
         }
       };
+      if (isSpeculative && isOpen) {
+        cancel();
+        request.onRefused({ reason: 'noSpareCapacity', retryAfter: 0 });
+      }
+      return cancel;
     },
     refund,
     trySpendRetry: (pool: PoolId) => pools.getQueue(pool).trySpendRetry(),
--- a/packages/relay/src/admission/createServedHost.ts
+++ b/packages/relay/src/admission/createServedHost.ts
@@ -49,6 +49,8 @@
       priority: {
         ...message.priority,
         serveBy: now + message.serveWithin,
+        serveLateBy:
+          message.serveLateWithin === undefined ? undefined : now + message.serveLateWithin,
         deadlineAt: now + message.deadlineWithin,
       },
       outputTokens: message.outputTokens,
--- a/packages/relay/src/admission/createSlotAsk.ts
+++ b/packages/relay/src/admission/createSlotAsk.ts
@@ -13,7 +13,7 @@
   request: SlotRequest,
   { now, embargoed }: SlotAskOptions,
 ): SlotAsk {
-  const { serveBy, deadlineAt, ...priority } = request.priority;
+  const { serveBy, serveLateBy, deadlineAt, ...priority } = request.priority;
   return {
     kind: 'ask',
     ticket,
@@ -25,6 +25,7 @@
     ...(request.isSpeculative === true && { isSpeculative: true }),
     priority,
     serveWithin: serveBy - now,
+    ...(serveLateBy !== undefined && { serveLateWithin: serveLateBy - now }),
     deadlineWithin: deadlineAt - now,
     excludedServers: [...request.excludedServers, ...embargoed],
   };
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -114,8 +114,10 @@
   readonly kind: 'ask';
   readonly ticket: Ticket;
   /** Clocks of two hosts are never compared, so times are sent as what is left of them. */
-  readonly priority: Omit<Priority, 'serveBy' | 'deadlineAt'>;
+  readonly priority: Omit<Priority, 'serveBy' | 'serveLateBy' | 'deadlineAt'>;
   readonly serveWithin: Milliseconds;
+  /** Absent if the request is refused when it cannot be served within `serveWithin`. */
+  readonly serveLateWithin?: Milliseconds;
   readonly deadlineWithin: Milliseconds;
   readonly excludedServers: readonly BackendServerId[];
 }
--- a/packages/relay/src/front/planRequest.ts
+++ b/packages/relay/src/front/planRequest.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds, Random } from '@rattanreel/core';
 import type { HeaderNames, RelayCustomer } from '../types';
+import RETURNING_RANK_STEP from '../decisions/returningRankStep';
 import getContentId from './getContentId';
 import parsePromptParts from './parsePromptParts';
 import type { CallerExchange, PlanResult, RequestPlan } from './types';
@@ -8,8 +9,6 @@
 /** Time after which a caller may retry at a host that has no configuration yet. */
 const NO_CONFIGURATION_RETRY_AFTER: Milliseconds = 500;
 const DEFAULT_OUTPUT_TOKENS = 50;
-/** A returning request is late already: it ranks after fresh ones of its tier and of the next. */
-const RETURNING_RANK_STEP = 1.5;
 /** A long response ranks after the shorter ones of its tier: it uses the slot time of several. */
 const LONG_RANK_STEP = 0.4;
 /** Larger than the rank of any route: a customer's tier takes precedence over the route's. */
@@ -92,6 +91,8 @@
       isReturning,
       tier: route.tier,
       serveBy: arrivedAt + (isReturning ? returningWait : route.objective),
+      serveLateBy:
+        isReturning || returningWait <= route.objective ? undefined : arrivedAt + returningWait,
       deadlineAt: arrivedAt + timeLimit,
     },
     cost: quota?.countsTokens === true ? tokenCost : 1,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -275,6 +275,11 @@
   readonly tier: TierRank;
   /** Latest time of the first response data at which the request is still worth serving. */
   readonly serveBy: Milliseconds;
+  /**
+   * Latest time of the first response data of a request that misses `serveBy`, as its caller waits
+   * for it; undefined if such a request is refused instead.
+   */
+  readonly serveLateBy?: Milliseconds;
   /** Time after which the response is useless to the caller. */
   readonly deadlineAt: Milliseconds;
 }
