--- a/packages/relay/src/addRelayGauges.ts
+++ b/packages/relay/src/addRelayGauges.ts
@@ -3,9 +3,13 @@
 import type { RelayMetrics } from './front/types';
 import type { CrashGuard } from './crashes/types';
 import type { ForwardingConnections } from './forwarding/types';
+import isLate from './lateness/isLate';
+import type { LoopDelay } from './lateness/types';
 import type { ClusterStateCache, PeerTable } from './types';
 import type { Pools } from './pools/types';
 
+const MILLISECONDS_PER_SECOND = 1_000;
+
 interface RelayGaugesOptions {
   readonly metrics: RelayMetrics;
   readonly pools: Pools;
@@ -14,6 +18,7 @@
   readonly crashGuard: Pick<CrashGuard, 'countQuarantined'>;
   readonly connections: Pick<ForwardingConnections, 'countCut'>;
   readonly clock: Clock;
+  readonly loopDelay: Pick<LoopDelay, 'get'>;
 }
 
 /** Creates the reading of a gauge without labels. */
@@ -23,7 +28,8 @@
 
 /** Adds gauges of the host's pools and of its known cluster state, read at each scrape. */
 export default function addRelayGauges(options: RelayGaugesOptions): void {
-  const { metrics, pools, stateCache, peerTable, crashGuard, connections, clock } = options;
+  const { metrics, pools, stateCache, peerTable, crashGuard, connections, clock, loopDelay } =
+    options;
 
   metrics.addGauge({
     name: 'rattanreel_relay_pool',
@@ -72,4 +78,16 @@
     labelNames: [],
     read: () => createUnlabelledReading(connections.countCut()),
   });
+  metrics.addGauge({
+    name: 'rattanreel_relay_event_loop_delay_seconds',
+    help: 'Time that events of this host are expected to wait for its event loop.',
+    labelNames: [],
+    read: () => createUnlabelledReading(loopDelay.get() / MILLISECONDS_PER_SECOND),
+  });
+  metrics.addGauge({
+    name: 'rattanreel_relay_hosts_late',
+    help: 'Reachable other entry hosts with a high event loop delay.',
+    labelNames: [],
+    read: () => createUnlabelledReading(peerTable.listReachable(clock.now()).filter(isLate).length),
+  });
 }
--- a/packages/relay/src/admission/createSchedulerSelector.ts
+++ b/packages/relay/src/admission/createSchedulerSelector.ts
@@ -1,8 +1,10 @@
 import type { Clock, EntryHostId, Milliseconds, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
+import isLate from '../lateness/isLate';
+import type { LoopDelay } from '../lateness/types';
 import type { PeerAddress } from '../types';
+import createCandidateList from './createCandidateList';
 import createCandidateProbe from './createCandidateProbe';
-import createExclusions from './createExclusions';
 import type { SchedulerChoice, SchedulerSelector } from './types';
 
 /** Interval of the reports to the scheduler. */
@@ -20,10 +22,15 @@
 const RESPONSE_TIMEOUT: Milliseconds = 120;
 /** Time for which a scheduler that announced its stop is not used. */
 const STOP_EXCLUSION: Milliseconds = 20_000;
+
+/** Reason for the change from a scheduler with a high event loop delay. */
+const LATE = 'event loop late';
+
 interface SchedulerSelectorOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly ownName: EntryHostId;
+  readonly loopDelay: Pick<LoopDelay, 'get' | 'afterSilence'>;
   readonly sendReport: (host: PeerAddress) => void;
   readonly sendProbe: (host: PeerAddress) => void;
   readonly sendLeave: (host: PeerAddress) => void;
@@ -42,9 +49,8 @@
   options: SchedulerSelectorOptions,
 ): SchedulerSelector {
   const { clock, logger, ownName } = options;
-  const exclusions = createExclusions();
+  const candidates = createCandidateList(options);
   const probe = createCandidateProbe(options);
-  let candidates: readonly PeerAddress[] = [];
   let choice: SchedulerChoice = { kind: 'self' };
   let reportTimer: Timer | undefined;
   let responseTimer: Timer | undefined;
@@ -56,15 +62,6 @@
     return choice.kind === 'self' ? ownName : choice.host.entryHost;
   }
 
-  function getRank(host: EntryHostId): number {
-    const index = candidates.findIndex(({ entryHost }) => entryHost === host);
-    return index < 0 ? Infinity : index;
-  }
-
-  function isExcluded(host: EntryHostId): boolean {
-    return host !== ownName && exclusions.has(host, clock.now());
-  }
-
   function setChoice(next: SchedulerChoice, reason: string): void {
     const previous = choice;
     choice = next;
@@ -81,7 +78,9 @@
   function expectResponse(): void {
     if (choice.kind !== 'self') {
       const host = getChosenName();
-      responseTimer ??= clock.after(RESPONSE_TIMEOUT, () => exclude(host, 'silent'));
+      responseTimer ??= options.loopDelay.afterSilence(RESPONSE_TIMEOUT, () =>
+        exclude(host, 'silent'),
+      );
     }
   }
 
@@ -93,9 +92,9 @@
     }
   }
 
-  /** Chooses the first candidate that is not excluded. */
+  /** Chooses the first candidate that is not excluded, if possible one that is not late. */
   function choose(reason: string): void {
-    const host = candidates.find(({ entryHost }) => !isExcluded(entryHost));
+    const host = candidates.tryChoose();
     if (host === undefined || host.entryHost === ownName) {
       if (choice.kind !== 'self') {
         setChoice({ kind: 'self' }, reason);
@@ -109,7 +108,7 @@
   }
 
   function exclude(host: EntryHostId, reason: string, duration?: Milliseconds): void {
-    exclusions.add(host, clock.now(), duration);
+    candidates.exclude(host, reason === LATE ? 'late' : 'lost', duration);
     if (getChosenName() === host) {
       choose(reason);
     }
@@ -117,11 +116,10 @@
 
   /** Probes the best candidate that precedes the scheduler in use. */
   function probeBetter(): void {
-    const ownRank = getRank(getChosenName());
-    const better = candidates.find(
-      ({ entryHost }, rank) => rank < ownRank && !isExcluded(entryHost),
-    );
-    if (better !== undefined) {
+    const better = candidates.tryFindBetter(getChosenName());
+    if (better?.entryHost === ownName) {
+      setChoice({ kind: 'self' }, 'better candidate');
+    } else if (better !== undefined) {
       probe.send(better);
     }
   }
@@ -136,6 +134,9 @@
     if (isStopped) {
       return;
     }
+    if (isLate({ loopDelay: options.loopDelay.get() })) {
+      exclude(ownName, LATE);
+    }
     if (choice.kind === 'pending' && clock.now() - choice.since > MAXIMUM_PENDING) {
       exclude(choice.host.entryHost, 'not serving', MAXIMUM_PENDING);
     }
@@ -151,9 +152,9 @@
     getChoice: () => choice,
     tryGetScheduler: () => (choice.kind === 'self' ? undefined : choice.host),
     setCandidates(next) {
-      candidates = next;
+      candidates.set(next);
       if (
-        getRank(getChosenName()) === Infinity ||
+        candidates.getRank(getChosenName()) === Infinity ||
         (choice.kind === 'self' && next[0]?.entryHost !== ownName)
       ) {
         choose('candidates changed');
@@ -166,7 +167,8 @@
         responseTimer = undefined;
       }
     },
-    handleStatus({ entryHost, address, failureDomain, capacity, isServing, isStopping }) {
+    handleStatus(status) {
+      const { entryHost, address, failureDomain, capacity, isServing, isStopping } = status;
       if (isStopping) {
         exclude(entryHost, 'scheduler stops', STOP_EXCLUSION);
         return;
@@ -174,12 +176,19 @@
       if (!isServing) {
         return;
       }
+      if (isLate(status)) {
+        exclude(entryHost, LATE);
+      }
       const host = { entryHost, address, failureDomain, capacity };
       if (choice.kind === 'pending' && choice.host.entryHost === entryHost) {
         setChoice({ kind: 'remote', host: choice.host }, 'responded');
       }
       const isPrompt = probe.tryComplete(entryHost);
-      if (isPrompt && getRank(entryHost) < getRank(getChosenName())) {
+      if (
+        isPrompt &&
+        !isLate(status) &&
+        candidates.getRank(entryHost) < candidates.getRank(getChosenName())
+      ) {
         setChoice({ kind: 'remote', host }, 'better candidate');
         report();
       }
--- a/packages/relay/src/admission/createScheduling.ts
+++ b/packages/relay/src/admission/createScheduling.ts
@@ -3,6 +3,7 @@
 import createFleetSize from '../decisions/createFleetSize';
 import isLargeFleet from '../decisions/isLargeFleet';
 import type { ServerEmbargo, SharedQuota } from '../decisions/types';
+import type { LoopDelay } from '../lateness/types';
 import type { ClusterStateCache, FleetRole, PeerAddress, PeerTable } from '../types';
 import createSchedulerClient from './createSchedulerClient';
 import createSchedulerSelector from './createSchedulerSelector';
@@ -35,6 +36,7 @@
   readonly embargo: ServerEmbargo;
   readonly stateCache: ClusterStateCache;
   readonly peerTable: PeerTable;
+  readonly loopDelay: Pick<LoopDelay, 'get' | 'getArrivalTime' | 'afterSilence'>;
   /** Whether this host knows a configuration and the backend servers. */
   readonly hasClusterState: () => boolean;
   readonly send: (host: PeerAddress, message: SchedulerRequest) => void;
@@ -69,7 +71,7 @@
  * In a small fleet it is neither: each host grants its own slots.
  */
 export default function createScheduling(options: SchedulingOptions): Scheduling {
-  const { clock, logger, self, local, pools, quota, embargo, stateCache, peerTable } = options;
+  const { clock, self, local, pools, quota, stateCache, peerTable } = options;
   const fleetSize = createFleetSize();
   let peers: readonly PeerAddress[] = [];
   let isLarge = false;
@@ -134,6 +136,7 @@
       isStopping: isResigning,
       isStoreReachable: stateCache.isStoreReachable,
       fleetHosts: countFleetHosts(),
+      loopDelay: options.loopDelay.get(),
     };
   }
 
@@ -143,15 +146,13 @@
   }
 
   const ledger = createSlotLedger({
-    clock,
-    logger,
+    ...options,
     admission: local,
     getStatus,
     onHostsChange: handleRoleChange,
   });
   const selector = createSchedulerSelector({
-    clock,
-    logger,
+    ...options,
     ownName: self.entryHost,
     sendReport: (host) =>
       options.send(host, {
@@ -160,6 +161,7 @@
         kind: 'report',
         held: client.listHeld(),
         waiting: client.listWaiting(),
+        loopDelay: options.loopDelay.get(),
       }),
     sendProbe: (host) => options.send(host, { kind: 'probe' }),
     sendLeave: (host) => options.send(host, { kind: 'leave' }),
@@ -169,13 +171,7 @@
       handleRoleChange();
     },
   });
-  const client = createSchedulerClient({
-    clock,
-    local,
-    selector,
-    embargo,
-    send: options.send,
-  });
+  const client = createSchedulerClient({ ...options, selector });
 
   function isScheduler({ entryHost }: Sender): boolean {
     return selector.tryGetScheduler()?.entryHost === entryHost;
--- a/packages/relay/src/admission/createServedHost.ts
+++ b/packages/relay/src/admission/createServedHost.ts
@@ -1,4 +1,5 @@
 import type { Clock } from '@rattanreel/core';
+import type { LoopDelay } from '../lateness/types';
 import type {
   HeldSlot,
   LocalAdmission,
@@ -14,6 +15,7 @@
   readonly clock: Clock;
   readonly admission: LocalAdmission;
   readonly respond: Respond;
+  readonly loopDelay: Pick<LoopDelay, 'getArrivalTime'>;
 }
 
 type LedgerEntry =
@@ -39,7 +41,7 @@
 
   function admit(message: SlotAsk): void {
     const { ticket } = message;
-    const now = clock.now();
+    const arrivedAt = options.loopDelay.getArrivalTime();
     let isAnswered = false;
     const cancel = admission.requestSlot({
       requestId: message.requestId,
@@ -48,8 +50,8 @@
       cost: message.cost,
       priority: {
         ...message.priority,
-        serveBy: now + message.serveWithin,
-        deadlineAt: now + message.deadlineWithin,
+        serveBy: arrivedAt + message.serveWithin,
+        deadlineAt: arrivedAt + message.deadlineWithin,
       },
       outputTokens: message.outputTokens,
       excludedServers: new Set(message.excludedServers),
--- a/packages/relay/src/admission/createSlotLedger.ts
+++ b/packages/relay/src/admission/createSlotLedger.ts
@@ -1,5 +1,6 @@
 import type { Clock, EntryHostId, Milliseconds, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
+import type { LoopDelay } from '../lateness/types';
 import createServedHost from './createServedHost';
 import type {
   LocalAdmission,
@@ -22,6 +23,7 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly admission: LocalAdmission;
+  readonly loopDelay: Pick<LoopDelay, 'getArrivalTime'>;
   readonly getStatus: () => SchedulerStatus;
   /** Called when the number of hosts changes. */
   readonly onHostsChange: () => void;
@@ -44,7 +46,7 @@
  * lost messages and a change of the scheduler correct themselves with the next report.
  */
 export default function createSlotLedger(options: SlotLedgerOptions): SlotLedger {
-  const { clock, logger, admission } = options;
+  const { clock, logger, admission, loopDelay } = options;
   const hosts = new Map<EntryHostId, ServedHost>();
   let timer: Timer | undefined;
 
@@ -67,7 +69,7 @@
       if (previous !== undefined) {
         removeHost(previous, 'restarted');
       }
-      host = createServedHost({ ...sender, clock, admission, respond });
+      host = createServedHost({ ...sender, clock, admission, respond, loopDelay });
       hosts.set(sender.entryHost, host);
       logger.info({ peer: sender.entryHost, hosts: hosts.size }, 'host scheduled');
       options.onHostsChange();
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -150,6 +150,8 @@
   readonly kind: 'report';
   readonly held: readonly HeldSlot[];
   readonly waiting: readonly Ticket[];
+  /** Event loop delay of the host; absent if unknown. */
+  readonly loopDelay?: Milliseconds;
 }
 
 /** Asks whether a host could be this host's scheduler; answered by a status. */
@@ -206,6 +208,8 @@
   readonly isStoreReachable: boolean;
   /** Number of hosts in the fleet, as far as known. */
   readonly fleetHosts: number;
+  /** Event loop delay of the scheduler; absent if unknown. */
+  readonly loopDelay?: Milliseconds;
 }
 
 /** Messages of a scheduler to a host. */
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -14,6 +14,7 @@
 import createFindings from './peers/createFindings';
 import createPeerTable from './peers/createPeerTable';
 import openPeerLink from './peers/openPeerLink';
+import type { LoopDelay } from './lateness/types';
 import type { OpenTransport } from './peers/types';
 import type { CrashGuard } from './crashes/types';
 import registerHost from './registerHost';
@@ -32,6 +33,8 @@
 
 interface HostCoreOptions {
   readonly context: RelayContext;
+  /** Measures the delay by the timers of the context's clock. */
+  readonly loopDelay: LoopDelay;
   readonly bounds: RelayBounds;
   readonly source: ClusterStateSource;
   readonly entryHost: EntryHostId;
@@ -61,6 +64,8 @@
   readonly stateCache: ClusterStateCache;
   readonly peerTable: PeerTable;
   getRole(): FleetRole;
+  /** Whether another host grants the slots of this one. */
+  isScheduledByOther(): boolean;
   /** Whether this host knows a configuration and the backend servers. */
   hasClusterState(): boolean;
   /** Begins to follow the platform's store and registers this host. */
@@ -89,8 +94,8 @@
  */
 export default async function createHostCore(options: HostCoreOptions): Promise<HostCore> {
   const { context, source, bounds, entryHost, incarnation, failureDomain, peerAddress } = options;
-  const { clock, logger, random } = context;
-  const { capacity, isBootstrap } = options;
+  const { clock, random } = context;
+  const { capacity, isBootstrap, loopDelay } = options;
   const self = { entryHost, failureDomain, address: peerAddress, capacity };
   const quota = createSharedQuota({ now: clock.now(), random, bounds });
   const embargo = createServerEmbargo();
@@ -109,8 +114,7 @@
   let isStopping = false;
 
   const stateCache = createClusterStateCache({
-    clock,
-    logger,
+    ...context,
     ownName: entryHost,
     onConfiguration(configuration) {
       quota.setQuotas(listQuotas(configuration), clock.now());
@@ -138,8 +142,7 @@
   });
 
   const pools = createPools({
-    clock,
-    random,
+    ...context,
     ownName: entryHost,
     ownDomain: failureDomain,
     bounds,
@@ -152,8 +155,7 @@
   });
 
   const scheduling = createScheduling({
-    clock,
-    logger,
+    ...context,
     self,
     local: createLocalAdmission({ clock, random, pools, quota }),
     pools,
@@ -161,6 +163,7 @@
     embargo,
     stateCache,
     peerTable,
+    loopDelay,
     hasClusterState: () => knowsClusterState(stateCache),
     send: (host, message) => link.send(host, message),
     onVersions: (host) => link.handleVersions(host),
@@ -171,12 +174,12 @@
     ...context,
     direct: options.direct,
     isServing: () => !isStopping,
+    loopDelay,
     getLink: () => link,
   });
 
   const link = await openPeerLink({
-    clock,
-    logger,
+    ...context,
     openTransport: options.openTransport,
     self: { ...self, incarnation },
     stateCache,
@@ -184,6 +187,7 @@
     pools,
     quota,
     getRole: scheduling.getRole,
+    loopDelay,
     isWatchingStore: () => storeWatcher?.isWatching() ?? false,
     findings,
     tryGetScheduler: scheduling.tryGetScheduler,
@@ -217,6 +221,7 @@
     stateCache,
     peerTable,
     getRole: scheduling.getRole,
+    isScheduledByOther: () => scheduling.tryGetScheduler() !== undefined,
     hasClusterState: () => knowsClusterState(stateCache),
     start() {
       storeWatcher = createStoreWatcher({
--- a/packages/relay/src/createHostSummary.ts
+++ b/packages/relay/src/createHostSummary.ts
@@ -4,7 +4,14 @@
 
 interface HostSummaryOptions extends Pick<
   HostSummary,
-  'entryHost' | 'incarnation' | 'failureDomain' | 'address' | 'capacity' | 'spent' | 'hosts'
+  | 'entryHost'
+  | 'incarnation'
+  | 'failureDomain'
+  | 'address'
+  | 'capacity'
+  | 'spent'
+  | 'hosts'
+  | 'loopDelay'
 > {
   readonly pools: Pools;
   readonly versions: ClusterStateVersions;
@@ -29,6 +36,7 @@
     capacity,
     spent: options.spent,
     hosts: options.hosts,
+    loopDelay: options.loopDelay,
     leaving: pools.listLeaving(),
     inFlight: Object.fromEntries(pools.countOwnInFlight()),
     tiers,
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -8,8 +8,10 @@
 } from '@rattanreel/core';
 import getColdRequestInterval from './decisions/getColdRequestInterval';
 import createPoolQueue from './pools/createPoolQueue';
+import createPoolAverages from './pools/createPoolAverages';
+import getExpectedDuration from './pools/getExpectedDuration';
 import createServerStateMap from './pools/createServerStateMap';
-import type { PoolQueue, ServerStateMap, Pools } from './pools/types';
+import type { PoolAverages, PoolQueue, ServerStateMap, Pools } from './pools/types';
 import type { Rollouts } from './rollouts/types';
 import type { ServerEmbargo } from './decisions/types';
 import updatePacing from './limits/updatePacing';
@@ -38,6 +40,7 @@
 interface PoolEntry {
   readonly queue: PoolQueue;
   readonly serverStates: ServerStateMap;
+  readonly averages: PoolAverages;
   /** This host's slots at servers, until the servers or the hosts change. */
   readonly ownSlots: Map<BackendServerId, number>;
 }
@@ -63,6 +66,7 @@
 
   function createPoolEntry(pool: PoolId): PoolEntry {
     const serverStates = createServerStateMap();
+    const averages = createPoolAverages();
     const ownSlots = new Map<BackendServerId, number>();
 
     function getOwnSlots({ listed }: ServerState): number | undefined {
@@ -89,6 +93,7 @@
       ownDomain: options.ownDomain,
       bounds: options.bounds,
       serverStates,
+      averages,
       getEvacuated: options.getEvacuated,
       embargo: {
         isEmbargoed: (server, now) =>
@@ -103,7 +108,7 @@
         getColdRequestInterval({ server, host: ownName, hosts: sharing.grantingHosts, rate }),
     });
     queue.setSharing(sharing);
-    return { queue, serverStates, ownSlots };
+    return { queue, serverStates, averages, ownSlots };
   }
 
   function getPoolEntry(pool: PoolId): PoolEntry {
@@ -117,6 +122,8 @@
 
   return {
     getQueue: (pool) => getPoolEntry(pool).queue,
+    getExpectedDuration: (pool, outputTokens) =>
+      getExpectedDuration(getPoolEntry(pool).averages, outputTokens),
     setSettings(settings) {
       settingsByPool = new Map(settings.map((each) => [each.name, each]));
     },
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -11,6 +11,9 @@
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
 import drainCallerEndpoint from './front/drainCallerEndpoint';
+import createLoopDelay from './lateness/createLoopDelay';
+import createStopDeadline from './lateness/createStopDeadline';
+import createTimeCheck from './lateness/createTimeCheck';
 import openRelayTransport from './peers/openRelayTransport';
 import createServerConnections from './servers/createServerConnections';
 import type {
@@ -31,7 +34,7 @@
 
 interface RelayHostOptions extends Omit<
   Parameters<typeof createHostCore>[0],
-  'openTransport' | 'direct' | 'onConfiguration'
+  'openTransport' | 'direct' | 'onConfiguration' | 'loopDelay'
 > {
   readonly names: HeaderNames;
   /** Listening addresses as HOST:PORT, for callers, readiness checks and metrics. */
@@ -52,8 +55,17 @@
 
 /** Runs the relay on one entry host: connects cluster state, pools, peers and callers. */
 export default async function createRelayHost(options: RelayHostOptions): Promise<RelayHost> {
-  const { context, entryHost, incarnation } = options;
+  const { entryHost, incarnation } = options;
+  const loopDelay = createLoopDelay({
+    clock: options.context.clock,
+    onChange({ isHigh, loopDelay: delay }) {
+      const message = isHigh ? 'event loop late' : 'event loop punctual';
+      options.context.logger.info({ loopDelay: delay }, message);
+    },
+  });
+  const context = { ...options.context, clock: loopDelay.clock };
   const { clock, logger } = context;
+  const stopDeadline = createStopDeadline();
   const bounds = { ...options.bounds };
   const startedAt = clock.now();
   const metrics = createRelayMetrics();
@@ -66,9 +78,11 @@
 
   const core = await createHostCore({
     ...options,
+    context,
+    loopDelay,
     bounds,
     openTransport: openRelayTransport,
-    direct: createServerConnections({ clock }),
+    direct: createServerConnections({ loopDelay }),
     onConfiguration(configuration) {
       routes = createRouteTable(configuration.routes);
       classifier.retainRoutes(new Set(configuration.routes.map(({ name }) => name)));
@@ -96,6 +110,15 @@
     brittlePools: core.brittlePools,
     classifier,
     connections: core.forwarding.connections,
+    timeCheck: createTimeCheck({
+      clock,
+      random: context.random,
+      loopDelay,
+      stopDeadline,
+      getExpectedDuration: ({ pool, outputTokens }) =>
+        pools.getExpectedDuration(pool, outputTokens),
+      isScheduledByOther: core.isScheduledByOther,
+    }),
     observer,
     getRoutes: () => routes,
     getCustomersByKey: () => customersByKey,
@@ -103,6 +126,8 @@
 
   const callerEndpoint = createCallerEndpoint({
     clock,
+    getArrivalTime: loopDelay.getArrivalTime,
+    onConnection: loopDelay.recordConnection,
     getLimits: () => limits,
     onRequest: requestHandler.handle,
     onTooLarge: requestHandler.rejectTooLarge,
@@ -127,6 +152,7 @@
     crashGuard: core.crashGuard,
     connections,
     clock,
+    loopDelay,
   });
 
   await callerEndpoint.listen(options.callerAddress);
@@ -148,6 +174,7 @@
           ...callerEndpoint,
           countActive: () => callerEndpoint.countActive() + core.forwarding.tasks.countActive(),
         },
+        stopDeadline,
         gracePeriod: bounds.shutdownGracePeriod,
       });
       callerEndpoint.close();
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -11,6 +11,7 @@
 import type { RequestClassifier, RouteTable, ServerEmbargo } from './decisions/types';
 import type { BrittlePools, ServerLimits } from './limits/types';
 import type { CrashGuard } from './crashes/types';
+import type { TimeCheck } from './lateness/types';
 import type { ServerConnections } from './servers/types';
 
 /** Callers honour a `retry-after` of at most this fraction of their remaining time. */
@@ -26,6 +27,7 @@
   readonly brittlePools: Pick<BrittlePools, 'record'>;
   readonly classifier: RequestClassifier;
   readonly connections: ServerConnections;
+  readonly timeCheck: TimeCheck;
   readonly observer: RequestObserver;
   readonly getRoutes: () => RouteTable | undefined;
   readonly getCustomersByKey: () => ReadonlyMap<string, RelayCustomer> | undefined;
@@ -89,6 +91,7 @@
       serverLimits: options.serverLimits,
       brittlePools: options.brittlePools,
       connections: options.connections,
+      timeCheck: options.timeCheck,
       names,
       observer,
       refuse: ({ reason, retryAfter, pool }) => refuse(exchange, plan, reason, retryAfter, pool),
--- a/packages/relay/src/forwarding/createForwardedTasks.ts
+++ b/packages/relay/src/forwarding/createForwardedTasks.ts
@@ -1,3 +1,4 @@
+import type { Milliseconds } from '@rattanreel/core';
 import type { Attempt, ServerConnections } from '../servers/types';
 import type { ListedServer } from '../types';
 import type { ForwardReporter, ForwardTask, ForwardedTasks } from './types';
@@ -7,6 +8,8 @@
   readonly direct: Pick<ServerConnections, 'send' | 'checkListening'>;
   /** Whether this host accepts tasks for a server. */
   readonly canServe: (server: ListedServer) => boolean;
+  /** Returns the estimated time at which the message that is handled now arrived. */
+  readonly getArrivalTime: () => Milliseconds;
 }
 
 /** Performs attempts and checks that peers cannot make themselves. */
@@ -15,16 +18,21 @@
   let active = 0;
 
   function beginAttempt(
-    { server, request }: Extract<ForwardTask, { kind: 'attempt' }>,
+    { server, request, deadline }: Extract<ForwardTask, { kind: 'attempt' }>,
     reporter: ForwardReporter,
   ): () => void {
     let attempt: Attempt | undefined;
     let isEnded = false;
+    const deadlineAt = options.getArrivalTime() + (deadline?.timeLeft ?? Infinity);
     active += 1;
     reporter.onDrain(() => attempt?.resume());
     attempt = direct.send(
       server,
-      { ...request, body: Buffer.from(request.body) },
+      {
+        ...request,
+        body: Buffer.from(request.body),
+        ...(deadline !== undefined && { deadline: { header: deadline.header, at: deadlineAt } }),
+      },
       {
         onHead(head) {
           reporter.report({ kind: 'head', head });
@@ -33,7 +41,9 @@
         onEnd(outcome) {
           isEnded = true;
           active -= 1;
-          reporter.report({ kind: 'end', outcome });
+          // A host of an earlier version knows no other word for a request that was not sent.
+          const isUnsent = outcome.kind === 'notSent';
+          reporter.report({ kind: 'end', outcome: isUnsent ? { kind: 'notConnected' } : outcome });
           reporter.end();
         },
       },
--- a/packages/relay/src/forwarding/createForwarderList.ts
+++ b/packages/relay/src/forwarding/createForwarderList.ts
@@ -12,6 +12,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly listPeers: () => readonly PeerAddress[];
+  /** Lists the peers whose event loop is late; the others are asked first. */
+  readonly listLatePeers: () => ReadonlySet<EntryHostId>;
 }
 
 type Rating = 'working' | 'unknown' | 'failed';
@@ -38,9 +40,12 @@
       const shuffled = peers
         .map((peer) => ({ peer, rating: getRating(peer), draw: random.next() }))
         .sort((left, right) => left.draw - right.draw);
-      return order.flatMap((wanted) =>
+      const ordered = order.flatMap((wanted) =>
         shuffled.filter(({ rating }) => rating === wanted).map(({ peer }) => peer),
       );
+      const latePeers = options.listLatePeers();
+      const isLate = ({ entryHost }: PeerAddress): boolean => latePeers.has(entryHost);
+      return [...ordered.filter((peer) => !isLate(peer)), ...ordered.filter(isLate)];
     },
     recordWorking({ entryHost }) {
       ratings.set(entryHost, { rating: 'working', until: clock.now() + WORKING_TIME });
--- a/packages/relay/src/forwarding/createForwarding.ts
+++ b/packages/relay/src/forwarding/createForwarding.ts
@@ -1,3 +1,4 @@
+import type { LoopDelay } from '../lateness/types';
 import createForwardedTasks from './createForwardedTasks';
 import createForwardingConnections from './createForwardingConnections';
 import type { Forwarding } from './types';
@@ -5,12 +6,14 @@
 type ForwardingOptions = Parameters<typeof createForwardingConnections>[0] & {
   /** Whether this host still accepts tasks of peers. */
   readonly isServing: () => boolean;
+  readonly loopDelay: Pick<LoopDelay, 'getArrivalTime'>;
 };
 
 /** Joins both sides of forwarding: what this host forwards, and what it does for its peers. */
 export default function createForwarding(options: ForwardingOptions): Forwarding {
   const connections = createForwardingConnections(options);
   const tasks = createForwardedTasks({
+    getArrivalTime: options.loopDelay.getArrivalTime,
     direct: options.direct,
     canServe: (server) => options.isServing() && !connections.isCut(server),
   });
--- a/packages/relay/src/forwarding/createForwardingConnections.ts
+++ b/packages/relay/src/forwarding/createForwardingConnections.ts
@@ -1,7 +1,8 @@
-import type { Clock, Milliseconds, Random } from '@rattanreel/core';
+import type { Clock, EntryHostId, Milliseconds, Random } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import type { Attempt, AttemptRequest, AttemptSink, ServerConnections } from '../servers/types';
 import type { AttemptOutcome, ListedServer, PeerAddress } from '../types';
+import toUnsentOutcome from '../lateness/toUnsentOutcome';
 import checkByPeers from './checkByPeers';
 import createForwarderList from './createForwarderList';
 import createServerPaths from './createServerPaths';
@@ -32,7 +33,8 @@
   const { clock, logger, random, direct, getLink } = options;
   const perform: ForwardingLink['perform'] = (...task) => getLink().perform(...task);
   const listPeers = (): readonly PeerAddress[] => getLink().listPeers();
-  const forwarders = createForwarderList({ clock, random, listPeers });
+  const listLatePeers = (): ReadonlySet<EntryHostId> => getLink().listLatePeers();
+  const forwarders = createForwarderList({ clock, random, listPeers, listLatePeers });
   const paths = createServerPaths({
     clock,
     logger,
@@ -70,6 +72,8 @@
     const silenceTimer = clock.after(SILENCE, () => paths.recordSilent(server));
     let forwarded: Attempt | undefined;
     let isEnded = false;
+    /** Whether no connection was established, and the attempt waits for the check of the path. */
+    let isUnconnected = false;
 
     function end(outcome: AttemptOutcome): void {
       if (!isEnded) {
@@ -98,7 +102,8 @@
       onData: sink.onData,
       onEnd(outcome) {
         silenceTimer.cancel();
-        if (outcome.kind !== 'notConnected') {
+        isUnconnected = outcome.kind === 'notConnected';
+        if (!isUnconnected) {
           end(outcome);
         } else if (clock.now() - startedAt < QUICK_FAILURE && !paths.isDown(server)) {
           paths.check(server, (listening) => {
@@ -120,7 +125,7 @@
           return;
         }
         attempt.abort(reason);
-        end({ kind: 'aborted', reason });
+        end(isUnconnected ? toUnsentOutcome(reason) : { kind: 'aborted', reason });
       },
       resume: () => (forwarded ?? attempt).resume(),
     };
--- a/packages/relay/src/forwarding/forwardAttempt.ts
+++ b/packages/relay/src/forwarding/forwardAttempt.ts
@@ -44,6 +44,13 @@
 
   function tryPeer(index: number): void {
     const peer = peers[index];
+    const { deadline, ...unbound } = request;
+    const timeLeft = deadline === undefined ? Infinity : deadline.at - clock.now();
+    if (timeLeft <= 0) {
+      // Later, since the caller does not have the attempt yet.
+      clock.after(0, () => end({ kind: 'notSent', reason: 'deadlinePassed' }));
+      return;
+    }
     if (peer === undefined) {
       if (index > 0) {
         options.onUnreached();
@@ -90,7 +97,12 @@
     };
     task = options.perform(
       peer.address,
-      { kind: 'attempt', server, request },
+      {
+        kind: 'attempt',
+        server,
+        request: unbound,
+        ...(deadline !== undefined && { deadline: { header: deadline.header, timeLeft } }),
+      },
       {
         onProgress: handleProgress,
         onEnd(how) {
--- a/packages/relay/src/forwarding/types.ts
+++ b/packages/relay/src/forwarding/types.ts
@@ -1,4 +1,5 @@
 /** Types of attempts that another host sends, since this one cannot reach the backend server. */
+import type { EntryHostId, Milliseconds } from '@rattanreel/core';
 import type { PeerTransport, TaskReporter } from '@rattanreel/transport';
 import type { AttemptRequest, Listening, ResponseHead, ServerConnections } from '../servers/types';
 import type { AttemptOutcome, ListedServer, PeerAddress } from '../types';
@@ -8,7 +9,12 @@
   | {
       readonly kind: 'attempt';
       readonly server: ListedServer;
-      readonly request: Omit<AttemptRequest, 'body'> & { readonly body: Uint8Array };
+      readonly request: Omit<AttemptRequest, 'body' | 'deadline'> & { readonly body: Uint8Array };
+      /**
+       * Header of the deadline and the time left until it, since clocks of two hosts are never
+       * compared; absent in tasks of earlier versions.
+       */
+      readonly deadline?: { readonly header: string; readonly timeLeft: Milliseconds };
     }
   | { readonly kind: 'check'; readonly server: ListedServer };
 
@@ -48,6 +54,8 @@
   >['perform'];
   /** Lists the peers that are likely to be reachable. */
   listPeers(): readonly PeerAddress[];
+  /** Lists the peers whose event loop is late. */
+  listLatePeers(): ReadonlySet<EntryHostId>;
 }
 
 export interface Forwarding {
--- a/packages/relay/src/front/brokenOffStream.test.ts
+++ b/packages/relay/src/front/brokenOffStream.test.ts
@@ -118,6 +118,11 @@
     brittlePools: { record: () => undefined },
     classifier: createRequestClassifier(),
     connections,
+    timeCheck: {
+      tryRefuseAdmission: () => undefined,
+      tryRefuseDispatch: () => undefined,
+      watchStop: () => () => undefined,
+    },
     observer: createRequestObserver({
       logger: silentLogger,
       metrics: createRelayMetrics(),
--- a/packages/relay/src/front/createAttemptHistory.ts
+++ b/packages/relay/src/front/createAttemptHistory.ts
@@ -32,6 +32,8 @@
       if (kind === 'notConnected') {
         sent -= 1;
         connectFailures += 1;
+      } else if (kind === 'notSent') {
+        sent -= 1;
       } else if (kind !== 'notRun') {
         isPossiblyRun = true;
       }
--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -1,6 +1,6 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import type { Clock } from '@rattanreel/core';
+import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { CallerLimits } from '../types';
 import splitAddress from '../splitAddress';
 import createCallerExchange from './createCallerExchange';
@@ -11,7 +11,10 @@
 const MAXIMUM_HEADER_BYTES = 65_536;
 
 interface CallerEndpointOptions {
-  readonly clock: Clock;
+  readonly clock: Pick<Clock, 'now'>;
+  /** Returns the estimated time at which the bytes that are handled now arrived. */
+  readonly getArrivalTime?: () => Milliseconds;
+  readonly onConnection?: () => void;
   readonly getLimits: () => CallerLimits;
   /** Handles a request whose body is complete. */
   readonly onRequest: (exchange: CallerExchange, incoming: IncomingMessage) => void;
@@ -20,12 +23,12 @@
 
 /** Creates the HTTP endpoint for callers; a body is read completely before it is handled. */
 export default function createCallerEndpoint(options: CallerEndpointOptions): CallerEndpoint {
-  const { clock, getLimits } = options;
+  const { getArrivalTime = options.clock.now, getLimits } = options;
   let isDraining = false;
   let active = 0;
 
   function handle(incoming: IncomingMessage, outgoing: ServerResponse): void {
-    const arrivedAt = clock.now();
+    const arrivedAt = getArrivalTime();
     active += 1;
     outgoing.once('close', () => {
       active -= 1;
@@ -53,6 +56,7 @@
   }
 
   const server: Server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, handle);
+  server.on('connection', () => options.onConnection?.());
   server.requestTimeout = 0;
   server.timeout = 0;
 
--- a/packages/relay/src/front/createQuotaCharge.ts
+++ b/packages/relay/src/front/createQuotaCharge.ts
@@ -1,4 +1,5 @@
 import type { Admission } from '../admission/types';
+import type { AttemptOutcome } from '../types';
 import type { RequestPlan } from './types';
 
 interface QuotaCharge {
@@ -8,6 +9,8 @@
   recordCharged(): void;
   /** Refunds the cost of a request that has not run. */
   refund(): void;
+  /** Refunds the cost of a request whose caller has gone if it was never sent. */
+  refundUnsent(end: AttemptOutcome, mayHaveRun: boolean): void;
 }
 
 /** Makes sure that a request is charged to its customer's quota once. */
@@ -17,14 +20,21 @@
 ): QuotaCharge {
   let isCharged = false;
 
+  function refund(): void {
+    if (isCharged && customer !== undefined) {
+      admission.refund(customer.name, cost);
+    }
+  }
+
   return {
     getDue: () => (isCharged ? 0 : cost),
     recordCharged() {
       isCharged = true;
     },
-    refund() {
-      if (isCharged && customer !== undefined) {
-        admission.refund(customer.name, cost);
+    refund,
+    refundUnsent({ kind }, mayHaveRun) {
+      if (kind === 'notSent' && !mayHaveRun) {
+        refund();
       }
     },
   };
--- a/packages/relay/src/front/createRelayMetrics.ts
+++ b/packages/relay/src/front/createRelayMetrics.ts
@@ -21,6 +21,12 @@
     labelNames: ['attempt'],
     registers,
   });
+  const unsentCounter = new Counter({
+    name: 'rattanreel_relay_attempts_unsent_total',
+    help: 'Attempts that were stopped before their first byte was written.',
+    labelNames: ['reason'],
+    registers,
+  });
   const durationHistogram = new Histogram({
     name: 'rattanreel_relay_answer_seconds',
     help: "Time from a request's arrival to the end of its response.",
@@ -32,6 +38,7 @@
   return {
     countRequest: (outcome, reason) => requestCounter.inc({ outcome, reason }),
     countAttempt: (attempt) => attemptCounter.inc({ attempt: attempt > 1 ? 'repeat' : 'first' }),
+    countUnsent: (reason) => unsentCounter.inc({ reason }),
     observeDuration(plan, now) {
       durationHistogram.observe(
         { kind: plan.route.kind, tier: String(plan.priority.tier) },
--- a/packages/relay/src/front/createRequestObserver.ts
+++ b/packages/relay/src/front/createRequestObserver.ts
@@ -56,6 +56,9 @@
       );
     },
     attemptEnded(plan, server, { end, duration, firstDataAfter }) {
+      if (end.kind === 'notSent') {
+        metrics.countUnsent(end.reason);
+      }
       if (!isSuccessful(end)) {
         const { promptParts, contentId: content } = plan;
         logger.info(
--- a/packages/relay/src/front/decideAfterAttempt.test.ts
+++ b/packages/relay/src/front/decideAfterAttempt.test.ts
@@ -29,6 +29,8 @@
   { end: full, hasBudget: false, next: 'refuse' },
   { end: { kind: 'notConnected' }, hasAttemptsLeft: false, next: 'repeatUnsent' },
   { end: { kind: 'notConnected' }, hasConnectAttemptsLeft: false, next: 'refuse' },
+  { end: { kind: 'notSent', reason: 'deadlinePassed' }, isRetryable: true, next: 'refuse' },
+  { end: { kind: 'notSent', reason: 'callerGone' }, isRetryable: true, next: 'nothing' },
   { end: broken, next: 'fail' },
   { end: broken, isRetryable: true, next: 'repeat' },
   { end: broken, isRetryable: true, isCommitted: true, next: 'fail' },
--- a/packages/relay/src/front/decideAfterAttempt.ts
+++ b/packages/relay/src/front/decideAfterAttempt.ts
@@ -46,6 +46,8 @@
       const isFailure = end.status >= HTTP_SERVER_ERROR && isRetryable && !isCommitted;
       return isFailure && hasAttemptsLeft && options.trySpendRetry() ? 'repeat' : 'complete';
     }
+    case 'notSent':
+      return end.reason === 'callerGone' ? 'nothing' : 'refuse';
     case 'notRun':
       return hasAttemptsLeft && options.trySpendRetry() ? 'repeatUnsent' : 'refuse';
     case 'notConnected':
--- a/packages/relay/src/front/drainCallerEndpoint.ts
+++ b/packages/relay/src/front/drainCallerEndpoint.ts
@@ -1,6 +1,7 @@
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import { sleep } from '@rattanreel/platform';
 import type { Logger } from '@rattanreel/observability';
+import type { StopDeadline } from '../lateness/types';
 import type { CallerEndpoint } from './types';
 
 /**
@@ -11,23 +12,28 @@
 /** Part of the grace period reserved for closing the process. */
 const SHUTDOWN_MARGIN: Milliseconds = 700;
 const DRAIN_CHECK_INTERVAL: Milliseconds = 50;
+/** Part of the margin in which requests that were not answered are ended with a response. */
+const FINAL_ANSWER_TIME: Milliseconds = 200;
 
 interface DrainEndpointOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly endpoint: CallerEndpoint;
+  readonly stopDeadline: Pick<StopDeadline, 'begin' | 'expire'>;
   /** Time from the stop signal within which the process must have ended. */
   readonly gracePeriod: Milliseconds;
 }
 
 /**
  * Drains an endpoint without aborting requests: accepts connections until the load balancer has
- * removed this host, then closes connections as they become idle. Resolves when no request is
+ * removed this host, then closes connections as they become idle. Requests that would not be answered
+ * within the grace period are refused when they arrive. Resolves when no request is
  * active or the grace period is nearly over.
  */
 export default async function drainCallerEndpoint(options: DrainEndpointOptions): Promise<void> {
-  const { clock, logger, endpoint } = options;
+  const { clock, logger, endpoint, stopDeadline } = options;
   const stoppedAt = clock.now();
+  const endsAt = stoppedAt + options.gracePeriod - SHUTDOWN_MARGIN;
 
   /**
    * Returns whether no request is active. Closes idle connections on each call: a response whose
@@ -40,12 +46,14 @@
 
   logger.info({ active: endpoint.countActive() }, 'host stopping');
   endpoint.startDraining();
+  stopDeadline.begin(endsAt);
   await sleep(clock, ACCEPT_DURATION_AFTER_STOP);
-  while (
-    !closeIdleConnections() &&
-    clock.now() < stoppedAt + options.gracePeriod - SHUTDOWN_MARGIN
-  ) {
+  while (!closeIdleConnections() && clock.now() < endsAt) {
     await sleep(clock, DRAIN_CHECK_INTERVAL);
   }
+  if (endpoint.countActive() > 0) {
+    stopDeadline.expire();
+    await sleep(clock, FINAL_ANSWER_TIME);
+  }
   logger.info({ active: endpoint.countActive() }, 'host stopped');
 }
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -7,10 +7,12 @@
 import createAttemptHistory from './createAttemptHistory';
 import createDispatchMark from './createDispatchMark';
 import createFirstDataWait from './createFirstDataWait';
-import createQuarantineWatch from './createQuarantineWatch';
+import createRequestGuard from './createRequestGuard';
 import createQuotaCharge from './createQuotaCharge';
 import createResponseRelay from './createResponseRelay';
 import decideAfterAttempt from './decideAfterAttempt';
+import getRefusalReason from './getRefusalReason';
+import returnSlot from './returnSlot';
 import startAttempt from './startAttempt';
 import type { Refusal, RelayRequestOptions } from './types';
 
@@ -31,13 +33,12 @@
     endEarly({ reason: 'deadlinePassed' }, 'timeout'),
   );
   const firstDataWait = createFirstDataWait(clock, route, () => attempt?.abort('silent'));
-  const quarantineWatch = createQuarantineWatch({
-    crashGuard: options.crashGuard,
-    traits: plan.traits,
-    onQuarantined(refusal) {
+  const guard = createRequestGuard({
+    ...options,
+    onRefused(refusal, reason) {
       // A server that has not begun to answer would end when it does.
       if (!firstDataWait.hasData()) {
-        endEarly(refusal, 'quarantined');
+        endEarly(refusal, reason);
       }
     },
   });
@@ -46,7 +47,7 @@
     isDone = true;
     deadlineTimer.cancel();
     firstDataWait.end();
-    quarantineWatch.stop();
+    guard.stop();
     dispatchMark.end();
   }
 
@@ -71,7 +72,7 @@
   }
 
   function requestSlot(): void {
-    const refusal = quarantineWatch.tryGetRefusal();
+    const refusal = guard.tryRefuseAdmission();
     if (refusal !== undefined) {
       giveUp(refusal);
       return;
@@ -90,7 +91,7 @@
   function dispatch(grant: SlotGrant): void {
     const { id } = grant.server;
     charge.recordCharged();
-    const refusal = quarantineWatch.tryGetRefusal();
+    const refusal = guard.tryRefuseDispatch();
     if (refusal !== undefined) {
       grant.release();
       giveUp(refusal);
@@ -112,7 +113,7 @@
       onEnd(figures) {
         firstDataWait.end();
         attempt = undefined;
-        grant.complete(figures);
+        returnSlot(grant, figures);
         handleAttemptEnd(id, figures);
       },
     });
@@ -123,11 +124,12 @@
 
   function handleAttemptEnd(server: BackendServerId, figures: AttemptFigures): void {
     observer.attemptEnded(plan, server, figures);
+    const { end } = figures;
+    attempts.end(end);
     if (isDone) {
+      charge.refundUnsent(end, attempts.mayHaveRun());
       return;
     }
-    const { end } = figures;
-    attempts.end(end);
     const next = decideAfterAttempt({
       end,
       isRetryable,
@@ -148,7 +150,8 @@
         requestSlot();
         return;
       case 'refuse':
-        giveUp({ reason: end.kind === 'notRun' ? 'serverFull' : 'notConnected' });
+        dispatchMark.tryRemoveUnsent();
+        giveUp({ reason: getRefusalReason(end) });
         return;
       case 'fail':
         finish();
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -58,6 +58,7 @@
       requestIdHeader: names.requestId,
       notRunHeader: names.notRun,
       retryAfterHeader: names.retryAfter,
+      deadline: { at: plan.deadlineAt, header: names.deadline },
     },
     {
       onHead(head) {
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -16,6 +16,7 @@
 import type { Admission, ServerView } from '../admission/types';
 import type { ServerEmbargo } from '../decisions/types';
 import type { PoolState } from '../pools/types';
+import type { TimeCheck } from '../lateness/types';
 import type { BrittlePools, ServerLimits } from '../limits/types';
 import type { CrashGuard } from '../crashes/types';
 import type { ResponseHead, ServerConnections } from '../servers/types';
@@ -121,6 +122,8 @@
 export interface RelayMetrics {
   countRequest(outcome: RequestOutcome, reason: string): void;
   countAttempt(attempt: number): void;
+  /** Counts an attempt that was stopped before its first byte was written. */
+  countUnsent(reason: string): void;
   observeDuration(plan: RequestPlan, now: number): void;
   addGauge(gauge: GaugeDefinition): void;
   scrape(): Promise<string>;
@@ -146,6 +149,7 @@
   readonly serverLimits: Pick<ServerLimits, 'record'>;
   readonly brittlePools: Pick<BrittlePools, 'record'>;
   readonly connections: ServerConnections;
+  readonly timeCheck: TimeCheck;
   readonly names: HeaderNames;
   readonly observer: RequestObserver;
   /** Refuses the request and reports that it has not run. */
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds } from '@rattanreel/core';
+import type { Clock, EntryHostId, Milliseconds } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import type { Respond, SchedulerRequest, SchedulerResponse, Sender } from '../admission/types';
 import listDomainCandidates from '../admission/listDomainCandidates';
@@ -14,10 +14,12 @@
   PeerAddress,
   PeerTable,
 } from '../types';
+import type { LoopDelay } from '../lateness/types';
 import createPeerReachabilityLog from './createPeerReachabilityLog';
 import createPeerSync from './createPeerSync';
 import createFindingsSync from './createFindingsSync';
 import createStateFetcher from './createStateFetcher';
+import listLatePeers from './listLatePeers';
 import listLikelyPeers from './listLikelyPeers';
 import type { OpenTransport, RelayTransport, RelayTransportOptions, HostMessage } from './types';
 import type { FindingsReport, Findings } from '../findings/types';
@@ -42,6 +44,7 @@
   readonly quota: SharedQuota;
   readonly getRole: () => FleetRole;
   readonly isWatchingStore: () => boolean;
+  readonly loopDelay: Pick<LoopDelay, 'get'>;
   readonly onSchedulerRequest: (
     sender: Sender,
     message: SchedulerRequest,
@@ -73,6 +76,8 @@
   readonly perform: RelayTransport['perform'];
   /** Lists the peers that are likely to be reachable. */
   listPeers(): readonly PeerAddress[];
+  /** Lists the reachable peers whose event loop is late. */
+  listLatePeers(): ReadonlySet<EntryHostId>;
   /** Fetches the cluster state of a host if its versions are newer than those of this host. */
   handleVersions(host: Pick<PeerAddress, 'entryHost' | 'address'> & ClusterStateVersions): void;
   /** Fetches the cluster state from hosts whose addresses may be out of date. */
@@ -84,7 +89,7 @@
 
 /** Connects this host with its peers to share load, spending and cluster state. */
 export default async function openPeerLink(options: PeerLinkOptions): Promise<PeerLink> {
-  const { clock, logger, self, stateCache, peerTable, pools, quota } = options;
+  const { clock, self, stateCache, peerTable, pools, quota } = options;
   let peers: readonly PeerAddress[] = [];
   let candidates: readonly PeerAddress[] = [];
   let isUpdateScheduled = false;
@@ -177,12 +182,10 @@
     onTask: options.onTask,
   });
   const stateFetcher = createStateFetcher({
-    clock,
-    logger,
+    ...options,
     transport,
     getVersions: stateCache.getVersions,
     onClusterState: stateCache.merge,
-    isWatchingStore: options.isWatchingStore,
     isGranting: () => options.getRole().isGranting,
   });
   const peerSync = createPeerSync({
@@ -194,6 +197,7 @@
         pools,
         spent: quota.getSpent(),
         hosts: options.getRole().ownHosts,
+        loopDelay: options.loopDelay.get(),
         versions: stateCache.getVersions(),
       }),
     listRecipients: listSummaryRecipients,
@@ -209,8 +213,7 @@
   });
 
   const reachabilityLog = createPeerReachabilityLog({
-    clock,
-    logger,
+    ...options,
     listReachable: () => peerTable.listReachable(clock.now()).map(({ entryHost }) => entryHost),
   });
 
@@ -232,6 +235,7 @@
     perform: transport.perform,
     listPeers: () =>
       listLikelyPeers({ role: options.getRole(), peers, peerTable, now: clock.now() }),
+    listLatePeers: () => listLatePeers(peerTable, clock.now()),
     handleVersions: stateFetcher.handleVersions,
     fetchClusterStateFrom: stateFetcher.fetchFrom,
     stop() {
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -6,7 +6,6 @@
 import createRequestQueue from '../decisions/createRequestQueue';
 import type { RelayBounds, ServerState, QueuedRequest } from '../types';
 import recordAttempt from './recordAttempt';
-import createPoolAverages from './createPoolAverages';
 import type { PoolAverages, SlotTrackerOptions, PoolQueue } from './types';
 import createSlotRelease from './createSlotRelease';
 import createSlotTracker from './createSlotTracker';
@@ -16,6 +15,7 @@
 
 interface PoolQueueOptions extends Omit<SlotTrackerOptions, 'canMeetDeadline' | 'getMeanDuration'> {
   readonly bounds: RelayBounds;
+  readonly averages: PoolAverages;
 }
 
 interface Grant {
@@ -42,8 +42,7 @@
  * Queues and orders a pool's requests before dispatch, so that the servers' own queues stay short.
  */
 export default function createPoolQueue(options: PoolQueueOptions): PoolQueue {
-  const { clock, bounds, serverStates } = options;
-  const averages = createPoolAverages();
+  const { clock, bounds, serverStates, averages } = options;
   const queue = createRequestQueue({ getExpectedTimeToFirstData: averages.timeToFirstData.get });
   const retryBudget = createRetryBudget({ bounds });
   const policy = createSlotSharingPolicy();
--- a/packages/relay/src/pools/createSlotRelease.ts
+++ b/packages/relay/src/pools/createSlotRelease.ts
@@ -16,7 +16,8 @@
  * response, or be full of others.
  */
 function mayStillHoldSlot({ ownSlots }: ServerState, { end }: AttemptFigures): boolean {
-  return ownSlots !== undefined && end.kind !== 'whole' && end.kind !== 'notConnected';
+  const isUnsent = end.kind === 'notConnected' || end.kind === 'notSent';
+  return ownSlots !== undefined && end.kind !== 'whole' && !isUnsent;
 }
 
 /** Creates the function that releases the slot of an attempt which has ended. */
--- a/packages/relay/src/pools/recordAttempt.ts
+++ b/packages/relay/src/pools/recordAttempt.ts
@@ -87,6 +87,8 @@
       server.extraSlots = end.status === HTTP_MISDIRECTED ? server.extraSlots : 0;
       server.backoffUntil = now + getNotRunBackoff(end.status, end.retryAfter);
       return;
+    case 'notSent':
+      return;
     case 'notConnected':
       recordFailure(server, now, 1);
       return;
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -120,6 +120,8 @@
 /** The pools of a host. */
 export interface Pools {
   getQueue(pool: PoolId): PoolQueue;
+  /** Returns the time that a request of a pool is expected to take by the length of its response. */
+  getExpectedDuration(pool: PoolId, outputTokens: number): Milliseconds;
   setSettings(settings: readonly PoolSettings[]): void;
   setServers(servers: readonly ListedServer[]): void;
   /** Sets which hosts share the slots and the rates of cold servers, and the size of the fleet. */
--- a/packages/relay/src/rollouts/createAnswerComparison.ts
+++ b/packages/relay/src/rollouts/createAnswerComparison.ts
@@ -36,6 +36,7 @@
       return end.reason !== 'quarantined' && end.reason !== 'stop' && firstDataAfter === undefined;
     case 'notRun':
     case 'notConnected':
+    case 'notSent':
       return false;
     default:
       return end satisfies never;
--- a/packages/relay/src/servers/createServerConnections.test.ts
+++ b/packages/relay/src/servers/createServerConnections.test.ts
@@ -3,6 +3,7 @@
 import { afterEach, describe, it } from 'node:test';
 import { expect } from 'earl';
 import { createSystemClock } from '@rattanreel/core';
+import createLoopDelay from '../lateness/createLoopDelay';
 import type { AttemptOutcome, ListedServer } from '../types';
 import createServerConnections from './createServerConnections';
 
@@ -72,7 +73,9 @@
 }
 
 async function send(port: number): Promise<AttemptOutcome> {
-  const connections = createServerConnections({ clock: createSystemClock() });
+  const connections = createServerConnections({
+    loopDelay: createLoopDelay({ clock: createSystemClock() }),
+  });
   const end = await new Promise<AttemptOutcome>((resolve) => {
     connections.send(
       createListed(port),
--- a/packages/relay/src/servers/createServerConnections.ts
+++ b/packages/relay/src/servers/createServerConnections.ts
@@ -1,5 +1,6 @@
 import { Pool } from 'undici';
-import type { BackendServerId, Clock, Milliseconds } from '@rattanreel/core';
+import type { BackendServerId, Milliseconds } from '@rattanreel/core';
+import type { LoopDelay } from '../lateness/types';
 import createResetDetector from './createResetDetector';
 import checkListening from './checkListening';
 import sendOnce from './sendOnce';
@@ -14,7 +15,7 @@
 const CONNECTIONS_PER_SLOT = 3;
 
 interface ServerConnectionsOptions {
-  readonly clock: Clock;
+  readonly loopDelay: Pick<LoopDelay, 'clock' | 'afterPendingEvents' | 'afterSilence'>;
 }
 
 interface ServerConnection {
@@ -70,8 +71,9 @@
         dispatcher: getPool(server),
         request,
         sink,
-        clock: options.clock,
+        clock: options.loopDelay.clock,
         isConnectionFailing: resetDetector.isFailing,
+        loopDelay: options.loopDelay,
       }),
     checkListening,
     renew({ id }) {
--- a/packages/relay/src/servers/sendOnce.ts
+++ b/packages/relay/src/servers/sendOnce.ts
@@ -1,6 +1,9 @@
 import type { Dispatcher } from 'undici';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { AbortReason, AttemptOutcome } from '../types';
+import type { LoopDelay } from '../lateness/types';
+import toUnsentOutcome from '../lateness/toUnsentOutcome';
+import updateDeadlineHeader from '../lateness/updateDeadlineHeader';
 import tryParseRetryAfter from './tryParseRetryAfter';
 import type { ResponseHead, Attempt, AttemptRequest, AttemptSink } from './types';
 
@@ -8,6 +11,13 @@
  * Maximum wait until the request can be written; a reachable server accepts within milliseconds.
  */
 const SEND_TIMEOUT: Milliseconds = 400;
+/**
+ * Longest time from dispatch to write. The client takes the headers, with the time left, at dispatch,
+ * before it waits for a connection or for the event loop; a request that waited longer is dispatched
+ * again, after the disconnects that are pending.
+ */
+const MAXIMUM_DISPATCH_AGE: Milliseconds = 20;
+const MAXIMUM_DISPATCHES = 4;
 const HTTP_OK = 200;
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_MISDIRECTED = 421;
@@ -21,6 +31,7 @@
   readonly clock: Clock;
   /** Returns whether the response that ends now ends because its connection failed. */
   readonly isConnectionFailing: () => boolean;
+  readonly loopDelay: Pick<LoopDelay, 'afterPendingEvents' | 'afterSilence'>;
 }
 
 /** Returns why a response does not belong to the request; undefined if it does. */
@@ -46,17 +57,20 @@
 }
 
 /**
- * Sends a request to one backend server, once. A response that names another request is discarded
- * together with its connection, since further data on it cannot be attributed to any request.
+ * Sends a request to one backend server, once. Nothing is written after its deadline or its abort. A
+ * response that names another request is discarded together with its connection, since further data
+ * on it cannot be attributed to any request.
  */
 export default function sendOnce(options: SendOnceOptions): Attempt {
-  const { dispatcher, request, sink, clock } = options;
+  const { dispatcher, request, sink, clock, loopDelay } = options;
   let controller: Dispatcher.DispatchController | undefined;
   let head: ResponseHead | undefined;
   let isNotRun = false;
   let isEnded = false;
+  let dispatches = 0;
+  let isOutdated = false;
 
-  const sendTimer = clock.after(SEND_TIMEOUT, () => end({ kind: 'notConnected' }));
+  const sendTimer = loopDelay.afterSilence(SEND_TIMEOUT, () => end({ kind: 'notConnected' }));
 
   function end(outcome: AttemptOutcome): void {
     if (isEnded) {
@@ -83,64 +97,103 @@
     controller?.abort(new Error(outcome.kind));
   }
 
-  dispatcher.dispatch(
-    {
-      method: request.method,
-      path: request.target,
-      headers: [...request.headers],
-      body: request.body.length === 0 ? null : request.body,
-      idempotent: false,
-    },
-    {
-      onRequestStart(started) {
-        controller = started;
-        sendTimer.cancel();
-        if (isEnded) {
-          started.abort(new Error('attempt ended before the request was sent'));
-        }
-      },
-      onResponseStart(_, status, headers) {
-        if (status < HTTP_OK || isEnded) {
-          return;
-        }
-        head = { status, headers, isDelimitedByClose: isDelimitedByClose(status, headers) };
-        const mismatch = tryGetMismatch(head, request);
-        if (mismatch !== undefined) {
-          abortWith({ kind: 'broken', reason: mismatch });
-          return;
-        }
-        isNotRun = hasNotRunMark(head, request);
-        sink.onHead(head);
-      },
-      onResponseData(_, chunk) {
-        if (!isEnded && !isNotRun && !sink.onData(chunk)) {
-          controller?.pause();
-        }
-      },
-      onResponseEnd() {
-        if (head === undefined) {
-          return;
-        }
-        if (!isNotRun && options.isConnectionFailing()) {
-          end({ kind: 'broken', reason: 'reset before the end' });
-          return;
-        }
-        end(isNotRun ? createNotRun(head) : { kind: 'whole', status: head.status });
+  function createHeaders(): string[] {
+    const { headers, deadline } = request;
+    return deadline === undefined
+      ? [...headers]
+      : updateDeadlineHeader(headers, deadline.header, deadline.at - clock.now());
+  }
+
+  /**
+   * Stops a request whose time is over before its first byte is written: an error that is thrown in
+   * `onRequestStart` leaves the connection open and unused.
+   */
+  function checkBeforeWrite(dispatchedAt: Milliseconds): void {
+    const { deadline } = request;
+    if (deadline !== undefined && clock.now() >= deadline.at) {
+      end({ kind: 'notSent', reason: 'deadlinePassed' });
+    }
+    if (isEnded) {
+      throw new Error('attempt ended before the request was sent');
+    }
+    const isOld = clock.now() - dispatchedAt > MAXIMUM_DISPATCH_AGE;
+    isOutdated = deadline !== undefined && isOld && dispatches < MAXIMUM_DISPATCHES;
+    if (isOutdated) {
+      throw new Error('deadline header out of date');
+    }
+  }
+
+  function dispatch(): void {
+    if (isEnded) {
+      return;
+    }
+    const dispatchedAt = clock.now();
+    dispatches += 1;
+    dispatcher.dispatch(
+      {
+        method: request.method,
+        path: request.target,
+        headers: createHeaders(),
+        body: request.body.length === 0 ? null : request.body,
+        idempotent: false,
       },
-      onResponseError(_, error) {
-        if (controller === undefined) {
-          end({ kind: 'notConnected' });
-        } else if (isNotRun && head !== undefined) {
-          end(createNotRun(head));
-        } else {
-          end({ kind: 'broken', reason: error.message });
-        }
+      {
+        onRequestStart(started) {
+          checkBeforeWrite(dispatchedAt);
+          controller = started;
+          sendTimer.cancel();
+        },
+        onResponseStart(_, status, headers) {
+          if (status < HTTP_OK || isEnded) {
+            return;
+          }
+          head = { status, headers, isDelimitedByClose: isDelimitedByClose(status, headers) };
+          const mismatch = tryGetMismatch(head, request);
+          if (mismatch !== undefined) {
+            abortWith({ kind: 'broken', reason: mismatch });
+            return;
+          }
+          isNotRun = hasNotRunMark(head, request);
+          sink.onHead(head);
+        },
+        onResponseData(_, chunk) {
+          if (!isEnded && !isNotRun && !sink.onData(chunk)) {
+            controller?.pause();
+          }
+        },
+        onResponseEnd() {
+          if (head === undefined) {
+            return;
+          }
+          if (!isNotRun && options.isConnectionFailing()) {
+            end({ kind: 'broken', reason: 'reset before the end' });
+            return;
+          }
+          end(isNotRun ? createNotRun(head) : { kind: 'whole', status: head.status });
+        },
+        onResponseError(_, error) {
+          if (isOutdated) {
+            isOutdated = false;
+            loopDelay.afterPendingEvents(dispatch, true);
+          } else if (controller === undefined) {
+            end({ kind: 'notConnected' });
+          } else if (isNotRun && head !== undefined) {
+            end(createNotRun(head));
+          } else {
+            end({ kind: 'broken', reason: error.message });
+          }
+        },
       },
-    },
-  );
+    );
+  }
+
+  loopDelay.afterPendingEvents(dispatch);
 
   return {
-    abort: (reason: AbortReason) => abortWith({ kind: 'aborted', reason }),
+    abort(reason: AbortReason) {
+      const isUnsent = controller === undefined && !isEnded;
+      abortWith(isUnsent ? toUnsentOutcome(reason) : { kind: 'aborted', reason });
+    },
     resume: () => controller?.resume(),
   };
 }
--- a/packages/relay/src/servers/types.ts
+++ b/packages/relay/src/servers/types.ts
@@ -1,7 +1,13 @@
 /** Types of one attempt to send a request to one backend server. */
-import type { BackendServerId } from '@rattanreel/core';
+import type { BackendServerId, Milliseconds } from '@rattanreel/core';
 import type { AbortReason, AttemptOutcome, ListedServer } from '../types';
 
+/** Time after which a request must not be sent, and the header that tells the server what is left. */
+export interface AttemptDeadline {
+  readonly at: Milliseconds;
+  readonly header: string;
+}
+
 export interface AttemptRequest {
   readonly requestId: string;
   readonly method: string;
@@ -16,6 +22,8 @@
   readonly notRunHeader: string;
   /** Header with the seconds for which a server that is full wants no other request. */
   readonly retryAfterHeader: string;
+  /** Checked right before the request is written; undefined if it may be sent at any time. */
+  readonly deadline?: AttemptDeadline;
 }
 
 export interface ResponseHead {
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -7,6 +7,8 @@
 import createRelayMetrics from '../front/createRelayMetrics';
 import createRequestObserver from '../front/createRequestObserver';
 import type { CallerExchange } from '../front/types';
+import createStopDeadline from '../lateness/createStopDeadline';
+import createTimeCheck from '../lateness/createTimeCheck';
 import type { RelayCustomer, Route } from '../types';
 import type createTestFleet from './createTestFleet';
 import headerNames from './headerNames';
@@ -63,6 +65,8 @@
   retryAfter?: Milliseconds;
   answeredAt?: Milliseconds;
   isBroken?: boolean;
+  /** When the caller gave up. */
+  goneAt?: Milliseconds;
 }
 
 interface TestCallersOptions {
@@ -81,7 +85,7 @@
     let handler = handlers.get(host);
     if (handler === undefined) {
       handler = createRequestHandler({
-        context: { clock, random, logger: silentLogger },
+        context: { clock: host.loopDelay.clock, random, logger: silentLogger },
         names: headerNames,
         admission: host.core.admission,
         embargo: host.core.embargo,
@@ -90,6 +94,15 @@
         brittlePools: host.core.brittlePools,
         classifier: createRequestClassifier(),
         connections: host.core.forwarding.connections,
+        timeCheck: createTimeCheck({
+          clock,
+          random,
+          loopDelay: host.loopDelay,
+          stopDeadline: createStopDeadline(),
+          getExpectedDuration: ({ pool, outputTokens }) =>
+            host.core.pools.getExpectedDuration(pool, outputTokens),
+          isScheduledByOther: host.core.isScheduledByOther,
+        }),
         observer: createRequestObserver({
           logger: silentLogger,
           metrics: createRelayMetrics(),
@@ -115,7 +128,7 @@
     const available = fleet.hosts.filter(({ isDown, isFrozen }) => !isDown && !isFrozen);
     const host = available[random.integer(0, available.length - 1)]!;
     const id = `request-${requests.length + 1}`;
-    const { promptParts = [], target = '/', body = id, customer } = call;
+    const { promptParts = [], target = '/', body = id, customer, deadline = DEADLINE } = call;
     const request: CallerRequest = {
       host,
       sentAt: clock.now(),
@@ -127,17 +140,18 @@
     const headers = {
       host: 'h',
       [headerNames.requestId]: id,
-      [headerNames.deadline]: String(DEADLINE),
+      [headerNames.deadline]: String(deadline),
       [headerNames.tokenCount]: '300,20',
       ...(promptParts.length > 0 && { [headerNames.promptParts]: ownParts.join(',') }),
       ...(customer !== undefined && { [headerNames.key]: customer }),
     };
-    const exchange: CallerExchange = {
+    let isEnded = false;
+    const createExchange = (): CallerExchange => ({
       method: 'POST',
       target,
       rawHeaders: Object.entries(headers).flat(),
       body: Buffer.from(body),
-      arrivedAt: clock.now(),
+      arrivedAt: host.loopDelay.getArrivalTime(),
       sendHead(status, rawHeaders) {
         request.status = status;
         request.answeredAt = clock.now();
@@ -146,18 +160,35 @@
       },
       sendData: () => true,
       finish() {
+        isEnded = true;
         if (request.status !== 200) {
           retry(request);
         }
       },
       abort() {
+        isEnded = true;
         request.isBroken = true;
         retry(request);
       },
-      onDisconnect: () => undefined,
+      onDisconnect(listener) {
+        disconnect = listener;
+      },
       onDrain: () => undefined,
-    };
-    getHandler(host).handle(exchange, { headers } as unknown as IncomingMessage);
+    });
+    let disconnect = (): void => undefined;
+    host.loop.run('arrival', () =>
+      getHandler(host).handle(createExchange(), { headers } as unknown as IncomingMessage),
+    );
+    if (call.deadline !== undefined) {
+      clock.after(call.deadline, () => {
+        if (!isEnded) {
+          request.goneAt = clock.now();
+          if (call.isLeftOpen !== true) {
+            host.loop.run('arrival', () => disconnect());
+          }
+        }
+      });
+    }
   }
 
   return {
--- a/packages/relay/src/testing/createTestEngines.ts
+++ b/packages/relay/src/testing/createTestEngines.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@rattanreel/core';
-import type { AttemptRequest, ServerConnections } from '../servers/types';
+import type { AttemptRequest, AttemptSink, ServerConnections } from '../servers/types';
 import type { ListedServer } from '../types';
 import createTestEngine from './createTestEngine';
 import type createTestFleet from './createTestFleet';
@@ -82,13 +82,25 @@
 
   const paths = createTestPaths(clock);
 
+  /** Delivers what an engine sends, once the event loop of the host is not blocked. */
+  function deliverTo({ loop }: TestHost, sink: AttemptSink): AttemptSink {
+    return {
+      onHead: (head) => loop.run('arrival', () => sink.onHead(head)),
+      onData(chunk) {
+        loop.run('arrival', () => sink.onData(chunk));
+        return true;
+      },
+      onEnd: (outcome) => loop.run('arrival', () => sink.onEnd(outcome)),
+    };
+  }
+
   /** Creates the connections of one host to the engines. */
   function connect(host: TestHost): ServerConnections {
     return {
       send(server, request, sink) {
         const engine = getEngine(server);
         const path = paths.open(host, server, sink);
-        const run = { host, request, sink: path.sink, isEnded: false };
+        const run = { host, request, sink: deliverTo(host, path.sink), isEnded: false };
         clock.after(LINK_DELAY, () => {
           if (path.isConnected() && !run.isEnded && engine.accept(run, server.id)) {
             const call = toSeenCall(request);
--- a/packages/relay/src/testing/createTestFleet.ts
+++ b/packages/relay/src/testing/createTestFleet.ts
@@ -4,14 +4,18 @@
 import createHostCore from '../createHostCore';
 import type { ServerConnections } from '../servers/types';
 import type { ListedServer, RelayBounds, RelayConfiguration } from '../types';
+import createLoopDelay from '../lateness/createLoopDelay';
+import createTestLoop from './createTestLoop';
 import createTestNetwork from './createTestNetwork';
 import createTestStore from './createTestStore';
-import type { TestHost } from './types';
+import type { TestHost, TestLoop } from './types';
 
 const SMALL_CAPACITY = 0.3;
 const LARGE_CAPACITY = 1.4;
 /** Hosts of each failure domain with more capacity than the others. */
 const LARGE_HOSTS_PER_DOMAIN = 3;
+/** Time of a poll; short, so that the turns of a host that is not blocked count as punctual. */
+const POLL_TIME: Milliseconds = 2;
 const BOUNDS: RelayBounds = {
   retryRatio: 0.2,
   retryWindow: 10_000,
@@ -39,8 +43,11 @@
   readonly seed?: number;
 }
 
-/** Clock of one host: its timers wait while the host is frozen and do not run while it is down. */
-function createHostClock(clock: Clock, getHost: () => TestHost | undefined): Clock {
+/**
+ * Clock of one host: its timers wait while the host is frozen or its event loop blocked, and do not
+ * run while it is down.
+ */
+function createHostClock(clock: Clock, loop: TestLoop, getHost: () => TestHost | undefined): Clock {
   return {
     ...clock,
     after(delay, callback) {
@@ -53,8 +60,20 @@
           callback();
         }
       };
-      timer = clock.after(delay, run);
-      return { cancel: () => timer.cancel() };
+      let isCancelled = false;
+      timer = clock.after(delay, () =>
+        loop.run('timer', () => {
+          if (!isCancelled) {
+            run();
+          }
+        }),
+      );
+      return {
+        cancel() {
+          isCancelled = true;
+          timer.cancel();
+        },
+      };
     },
   };
 }
@@ -112,8 +131,15 @@
     const domain = getDomain(index);
     let host: TestHost | undefined;
     const getHost = (): TestHost | undefined => host;
+    const loop = createTestLoop(clock);
+    const hostClock = createHostClock(clock, loop, getHost);
+    const loopDelay = createLoopDelay({
+      clock: hostClock,
+      afterPoll: (callback) => hostClock.after(POLL_TIME, callback),
+    });
     const core = await createHostCore({
-      context: { clock: createHostClock(clock, getHost), random, logger: silentLogger },
+      context: { clock: loopDelay.clock, random, logger: silentLogger },
+      loopDelay,
       bounds: BOUNDS,
       source: store.createSource(getHost),
       entryHost: name,
@@ -128,7 +154,7 @@
       onConfiguration: () => undefined,
     });
     const traffic = { messages: 0, bytes: 0, storeCalls: 0 };
-    host = { name, domain, core, traffic, isDown: false, isFrozen: false };
+    host = { name, domain, core, traffic, isDown: false, isFrozen: false, loop, loopDelay };
     hosts[index] = host;
     core.start();
     return host;
--- a/packages/relay/src/testing/createTestNetwork.ts
+++ b/packages/relay/src/testing/createTestNetwork.ts
@@ -42,8 +42,12 @@
     const arrive = (): void => {
       if (target.isFrozen) {
         clock.after(FROZEN_RETRY_INTERVAL, arrive);
-      } else if (!target.isDown) {
-        receive();
+      } else {
+        target.loop.run('arrival', () => {
+          if (!target.isDown) {
+            receive();
+          }
+        });
       }
     };
     clock.after(source.domain === target.domain ? IN_DOMAIN_DELAY : CROSS_DOMAIN_DELAY, arrive);
--- a/packages/relay/src/testing/createTestQueue.ts
+++ b/packages/relay/src/testing/createTestQueue.ts
@@ -1,6 +1,7 @@
 import { createRandom } from '@rattanreel/core';
 import type { Clock } from '@rattanreel/core';
 import createPoolQueue from '../pools/createPoolQueue';
+import createPoolAverages from '../pools/createPoolAverages';
 import createServerStateMap from '../pools/createServerStateMap';
 import type { PoolQueue } from '../pools/types';
 import createTestServer from './createTestServer';
@@ -30,6 +31,7 @@
     random: createRandom(3),
     ownDomain: 'near',
     serverStates,
+    averages: createPoolAverages(),
     getEvacuated: () => new Set(),
     embargo: { isEmbargoed: () => false },
     getSettings: () => undefined,
--- a/packages/relay/src/testing/types.ts
+++ b/packages/relay/src/testing/types.ts
@@ -1,4 +1,5 @@
 import type { Milliseconds } from '@rattanreel/core';
+import type { LoopDelay } from '../lateness/types';
 import type createHostCore from '../createHostCore';
 
 /** What one host has sent and received since the counts were last reset. */
@@ -17,10 +18,14 @@
   readonly body?: string;
   /** Name of the customer; calls of prompts need none. */
   readonly customer?: string;
+  /** Time after which the caller gives up and disconnects; without it, it waits for ever. */
+  readonly deadline?: Milliseconds;
+  /** Whether a caller that gives up leaves its connection open. */
+  readonly isLeftOpen?: boolean;
 }
 
 /** A call as an engine sees it. */
-export type SeenCall = Required<TestCall>;
+export type SeenCall = Required<Omit<TestCall, 'deadline' | 'isLeftOpen'>>;
 
 /** A host of a test fleet. */
 export interface TestHost {
@@ -32,6 +37,16 @@
   isDown: boolean;
   /** Receives and runs everything later, as a suspended process does. */
   isFrozen: boolean;
+  readonly loop: TestLoop;
+  readonly loopDelay: LoopDelay;
+}
+
+/** Event loop of a test host, which can be blocked. */
+export interface TestLoop {
+  /** Holds timers and arrivals back for a time; afterwards timers run first. */
+  block(span: Milliseconds): void;
+  /** Runs a callback, once the loop is not blocked. */
+  run(kind: 'timer' | 'arrival', callback: () => void): void;
 }
 
 /**
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -213,6 +213,8 @@
 
 /** How one attempt at a backend server ended. */
 export type AttemptOutcome =
+  /** The request was stopped before its first byte was written. */
+  | { readonly kind: 'notSent'; readonly reason: 'deadlinePassed' | 'callerGone' | 'stopping' }
   /** No connection was established, so no byte was written. */
   | { readonly kind: 'notConnected' }
   /** The backend server reported that it did not run the request. */
@@ -251,6 +253,10 @@
   | 'noServer'
   | 'serverFull'
   | 'notConnected'
+  /** This host's event loop is so late that the request could not begin before its deadline. */
+  | 'hostLate'
+  /** This host stops before the response could be complete. */
+  | 'stopping'
   /** Several servers have ended under one of the request's traits. */
   | 'quarantined';
 
@@ -353,6 +359,8 @@
   readonly hosts: number;
   /** Backend servers that announced in a response that they are leaving. */
   readonly leaving?: readonly ServerProcess[];
+  /** Event loop delay of the host; absent if unknown. */
+  readonly loopDelay?: Milliseconds;
 }
 
 /** Changes at a host since its last message; sent more often than complete summaries. */
