--- a/packages/relay/src/forwarding/forwardAttempt.test.ts
+++ b/packages/relay/src/forwarding/forwardAttempt.test.ts
@@ -127,4 +127,45 @@
       expect(wasUnreached).toEqual(isUnreached);
     });
   });
+
+  const deadlineCases = [
+    { name: 'tells a peer what is left of the deadline', left: 300, end: undefined, told: [300] },
+    { name: 'asks no peer after the deadline', left: 0, end: 'notSent', told: [] },
+  ];
+  deadlineCases.forEach(({ name, left, end, told }) => {
+    // Guards against a peer that sends an attempt whose deadline has passed.
+    it(name, () => {
+      const clock = createVirtualClock();
+      const ends: AttemptOutcome['kind'][] = [];
+      const toldTimes: (number | undefined)[] = [];
+      const ignore = (): void => undefined;
+      forwardAttempt({
+        clock,
+        peers: [{ entryHost: 'host-0', address: '0', failureDomain: 'domain', capacity: 1 }],
+        server: createTestServer().listed,
+        request: {
+          requestId: 'r1',
+          method: 'POST',
+          target: '/',
+          headers: [],
+          body: Buffer.alloc(0),
+          requestIdHeader: 'x-id',
+          notRunHeader: 'x-not-run',
+          retryAfterHeader: 'retry-after',
+          deadline: { at: clock.now() + left, header: 'x-deadline' },
+        },
+        sink: { onHead: ignore, onData: () => true, onEnd: (outcome) => ends.push(outcome.kind) },
+        forwarders: { recordWorking: ignore, recordFailed: ignore },
+        perform(_, task) {
+          toldTimes.push(task.kind === 'attempt' ? task.deadline?.timeLeft : undefined);
+          return { cancel: ignore, pause: ignore, resume: ignore };
+        },
+        onReached: ignore,
+        onUnreached: ignore,
+      });
+      clock.advance(1);
+      expect(ends.map(String)).toEqual(end === undefined ? [] : [end]);
+      expect(toldTimes).toEqual(told);
+    });
+  });
 });
--- /dev/null
+++ b/packages/relay/src/lateness/createTimeCheck.test.ts
@@ -0,0 +1,47 @@
+import { describe, it } from 'node:test';
+import { expect } from 'earl';
+import { createRandom, createVirtualClock } from '@rattanreel/core';
+import createTimeCheck from './createTimeCheck';
+
+const cases = [
+  { name: 'a punctual host', delay: 0, timeLeft: 50, isScheduled: true, reason: undefined },
+  { name: 'an answer in time', delay: 400, timeLeft: 500, isScheduled: false, reason: undefined },
+  { name: 'an answer too late', delay: 500, timeLeft: 500, isScheduled: false, reason: 'hostLate' },
+  {
+    name: 'two answers too late',
+    delay: 400,
+    timeLeft: 500,
+    isScheduled: true,
+    reason: 'hostLate',
+  },
+  {
+    name: 'no time left',
+    delay: 0,
+    timeLeft: 0,
+    isScheduled: false,
+    reason: 'deadlinePassed',
+  },
+];
+
+describe('createTimeCheck', () => {
+  cases.forEach(({ name, delay, timeLeft, isScheduled, reason }) => {
+    // Guards against keeping what cannot begin in time, and against refusing what can.
+    it(`decides on admission: ${name}`, () => {
+      const clock = createVirtualClock(1_000);
+      const check = createTimeCheck({
+        clock,
+        random: createRandom(1),
+        loopDelay: { get: () => delay },
+        stopDeadline: { canFinish: () => true, watch: () => () => undefined },
+        getExpectedDuration: () => 0,
+        isScheduledByOther: () => isScheduled,
+      });
+      const deadlineAt = clock.now() + timeLeft;
+      const refusal = check.tryRefuseAdmission({ pool: 'pool', outputTokens: 1, deadlineAt });
+      expect<string | undefined>(refusal?.reason).toEqual(reason);
+      if (refusal?.reason === 'hostLate') {
+        expect(refusal.retryAfter!).toBeGreaterThanOrEqual(delay);
+      }
+    });
+  });
+});
