Begin the duties: a lease over eras of the store, fenced calls, usage reports

Failed: rows that were lost in a cut were never sent again; a receiver now names hosts whose totals exceed its counts.

--- a/packages/platform/src/createLease.ts
+++ b/packages/platform/src/createLease.ts
@@ -1,14 +1,16 @@
 import { Debug } from '@rattanreel/core';
 import type { Generation, Milliseconds, Random, Timer } from '@rattanreel/core';
+import createEraTracker from './createEraTracker';
 import createSleeper from './createSleeper';
 import decideLeaseStep from './decideLeaseStep';
 import writeLease from './writeLease';
 import type {
-  Lease,
+  LeaseHolding,
   LeaseObservation,
   LeaseOptions,
   LeaseRecord,
   LeaseState,
+  TimedLease,
   ConditionalWriteResult,
   StoredObject,
 } from './types';
@@ -21,11 +23,13 @@
 const POLLS_PER_DURATION = 2;
 const MINIMUM_POLL_INTERVAL: Milliseconds = 20;
 
-interface HeldLease {
+interface HeldLease extends LeaseHolding {
   readonly object: StoredObject<LeaseRecord>;
-  readonly generation: Generation;
-  /** Time from which this holder must no longer act. */
-  readonly expiresAt: Milliseconds;
+}
+
+interface SentAt {
+  readonly time: Milliseconds;
+  readonly wallTime: number;
 }
 
 const NOT_HELD: LeaseState = { kind: 'notHeld' };
@@ -42,10 +46,11 @@
 }
 
 /** Tries to acquire a lease until stopped, and renews it while it is held. */
-export default function createLease(options: LeaseOptions): Lease {
+export default function createLease(options: LeaseOptions): TimedLease {
   const { store, name, holder, clock, random } = options;
   const duration = options.duration ?? DEFAULT_DURATION;
   const sleeper = createSleeper(clock);
+  const eras = createEraTracker(options);
   let heldLease: HeldLease | undefined;
   let observation: LeaseObservation | undefined;
   let highestGeneration: Generation = 0;
@@ -53,10 +58,21 @@
   let reported: LeaseState = NOT_HELD;
   let expiryTimer: Timer | undefined;
 
+  function isValid(held: HeldLease): boolean {
+    return (
+      clock.now() < held.expiresAt &&
+      (!eras.isTracking || clock.wallTime().getTime() < held.wallExpiresAt) &&
+      !eras.isOutdated(held.era)
+    );
+  }
+
+  function tryGetHolding(): HeldLease | undefined {
+    return heldLease !== undefined && !isStopped && isValid(heldLease) ? heldLease : undefined;
+  }
+
   function state(): LeaseState {
-    return heldLease !== undefined && !isStopped && clock.now() < heldLease.expiresAt
-      ? { kind: 'held', generation: heldLease.generation }
-      : NOT_HELD;
+    const held = tryGetHolding();
+    return held === undefined ? NOT_HELD : { kind: 'held', generation: held.generation };
   }
 
   function report(): void {
@@ -67,21 +83,37 @@
     }
   }
 
-  function recordHeldLease(object: StoredObject<LeaseRecord>, sentAt: Milliseconds): void {
+  function recordHeldLease(object: StoredObject<LeaseRecord>, sentAt: SentAt): void {
     const { generation } = object.value;
+    if (!eras.tryRecordWrite(object.version)) {
+      // The store returned from an older copy, which may lack the lease of another holder.
+      heldLease = undefined;
+      highestGeneration = generation;
+      report();
+      return;
+    }
     Debug.invariant(
       generation >= highestGeneration,
       'lease-generation-fell',
       () => `${name}: ${generation} after ${highestGeneration}`,
     );
     highestGeneration = Math.max(highestGeneration, generation);
-    heldLease = { object, generation, expiresAt: sentAt + duration };
+    heldLease = {
+      object,
+      generation,
+      era: eras.getEra(object.version),
+      acquiredAt: heldLease?.generation === generation ? heldLease.acquiredAt : clock.now(),
+      renewedAt: sentAt.time,
+      expiresAt: sentAt.time + duration,
+      wallExpiresAt: sentAt.wallTime + duration,
+    };
     expiryTimer?.cancel();
     expiryTimer = clock.after(Math.max(0, heldLease.expiresAt - clock.now()), report);
     report();
   }
 
   function observe(object: StoredObject | undefined): void {
+    eras.observe(object);
     if (object === undefined) {
       observation = undefined;
     } else if (object.version !== observation?.object.version) {
@@ -95,8 +127,7 @@
     isReleased = false,
   ): Promise<ConditionalWriteResult<LeaseRecord>> {
     const shouldContinue = () => !isStopped || isReleased;
-    const shared = { store, name, holder, clock, random, duration };
-    return writeLease({ ...shared, generation, version, isReleased, shouldContinue });
+    return writeLease({ ...options, duration, generation, version, isReleased, shouldContinue });
   }
 
   /**
@@ -107,12 +138,12 @@
     generation: Generation,
     version: number | undefined,
   ): Promise<void> {
-    const sentAt = clock.now();
+    const sentAt = { time: clock.now(), wallTime: clock.wallTime().getTime() };
     const result = await write(generation, version);
     switch (result.kind) {
       case 'written':
-        observe(result.object);
         recordHeldLease(result.object, sentAt);
+        observe(result.object);
         return;
       case 'superseded':
         heldLease = undefined;
@@ -135,7 +166,9 @@
       return;
     }
     observe(found.kind === 'ok' ? found.value : undefined);
-    const step = decideLeaseStep({ now: clock.now(), holder, observation });
+    const settledSince = eras.getSettledSince();
+    const known = { holder, duration, observation, settledSince };
+    const step = decideLeaseStep({ ...known, now: clock.now() });
     if (step.kind === 'wait') {
       const longest = jitter(random, duration / POLLS_PER_DURATION);
       await sleeper.sleep(Math.max(MINIMUM_POLL_INTERVAL, Math.min(step.delay, longest)));
@@ -153,8 +186,9 @@
 
   async function run(): Promise<void> {
     while (!isStopped) {
-      if (heldLease !== undefined && state().kind === 'held') {
-        await renew(heldLease);
+      const held = tryGetHolding();
+      if (held !== undefined) {
+        await renew(held);
       } else {
         report();
         await tryAcquire();
@@ -165,8 +199,9 @@
   const running = run();
   return {
     state,
+    tryGetHolding,
     async stop() {
-      const last = state().kind === 'held' ? heldLease : undefined;
+      const last = options.isReleasedOnStop === false ? undefined : tryGetHolding();
       isStopped = true;
       expiryTimer?.cancel();
       sleeper.stop();
--- a/packages/platform/src/decideLeaseStep.ts
+++ b/packages/platform/src/decideLeaseStep.ts
@@ -14,6 +14,13 @@
    * there is none.
    */
   readonly observation: LeaseObservation | undefined;
+  /**
+   * Time since which this process has known the store as it is: its era, and that it holds no lease
+   * if there is none. A lease is neither created nor acquired until its whole duration after it.
+   */
+  readonly settledSince?: Milliseconds | undefined;
+  /** Duration of a lease that the store does not contain. */
+  readonly duration?: Milliseconds;
 }
 
 function getTakeoverTime(observation: LeaseObservation, record: LeaseRecord): Milliseconds {
@@ -23,10 +30,15 @@
 /**
  * Decides the next step of a candidate for a lease that it does not hold. A lease may be taken over
  * once its holder has released it, when the candidate itself was the holder, or once its version
- * has stayed unchanged for its whole duration by the candidate's own clock.
+ * has stayed unchanged for its whole duration by the candidate's own clock. A store that may have
+ * returned from an older copy may lack the lease on which a holder acts, hence `settledSince`.
  */
 export default function decideLeaseStep(options: LeaseStepOptions): LeaseStep {
-  const { now, holder, observation } = options;
+  const { now, holder, observation, settledSince, duration = 0 } = options;
+  const settledAt = settledSince === undefined ? now : settledSince + duration * CLOCK_DRIFT_FACTOR;
+  if (now < settledAt) {
+    return { kind: 'wait', delay: settledAt - now };
+  }
   if (observation === undefined) {
     return { kind: 'create', generation: 1 };
   }
--- a/packages/platform/src/types.ts
+++ b/packages/platform/src/types.ts
@@ -103,10 +103,30 @@
    * expired.
    */
   state(): LeaseState;
-  /** Releases the lease and stops trying to acquire it. */
+  /** Releases the lease, unless `isReleasedOnStop` is false, and stops trying to acquire it. */
   stop(): Promise<void>;
 }
 
+/** Lease whose holder checks its times before each act. */
+export interface TimedLease extends Lease {
+  /** Returns the times and the era of the lease while `state()` is `held`. */
+  tryGetHolding(): LeaseHolding | undefined;
+}
+
+/** A lease that is held now. */
+export interface LeaseHolding {
+  readonly generation: Generation;
+  /** Era of the store in which it was acquired; 0 without `getEra`. */
+  readonly era: number;
+  readonly acquiredAt: Milliseconds;
+  /** When the last successful renewal was sent. */
+  readonly renewedAt: Milliseconds;
+  /** Time from which the holder must no longer act, by the monotonic clock. */
+  readonly expiresAt: Milliseconds;
+  /** The same in Unix milliseconds: the monotonic clock stands still while a machine is suspended. */
+  readonly wallExpiresAt: number;
+}
+
 /** Client of the object API and of the platform's list of hosts. */
 export interface PlatformClient extends ObjectStore {
   /** Returns the platform's list of hosts, which lags behind the actual state. */
@@ -252,7 +272,7 @@
   | { readonly kind: 'wait'; readonly delay: Milliseconds };
 
 export interface LeaseOptions {
-  readonly store: ObjectStore;
+  readonly store: Pick<ObjectStore, 'get' | 'create' | 'update'>;
   /** Name of the lease object. */
   readonly name: string;
   /** Incarnation that acquires the lease. */
@@ -266,6 +286,17 @@
    * `state()` shows it at once.
    */
   readonly onChange?: (state: LeaseState) => void;
+  /**
+   * Returns the era of a store's version. With it the lease survives a store that returns from an
+   * older copy: it ends at once when the era rises, and a candidate that finds no lease, or learns
+   * of another era, waits a whole duration first, since a holder may act on a lease that the copy
+   * does not contain. The lease then also expires by the wall clock.
+   */
+  readonly getEra?: (version: number) => number;
+  /** Returns the highest era that this process knows from other sources. */
+  readonly getKnownEra?: () => number | undefined;
+  /** Whether `stop` releases the lease, so that another candidate acquires it at once. */
+  readonly isReleasedOnStop?: boolean;
 }
 
 /** HTTP call. */
--- a/packages/platform/src/writeLease.ts
+++ b/packages/platform/src/writeLease.ts
@@ -4,7 +4,9 @@
 
 const LEASE_KIND = 'lease';
 
-interface LeaseWrite extends Required<Omit<LeaseOptions, 'onChange'>> {
+interface LeaseWrite extends Required<
+  Pick<LeaseOptions, 'store' | 'name' | 'holder' | 'clock' | 'random' | 'duration'>
+> {
   readonly generation: Generation;
   /** Version to replace; undefined to create the object. */
   readonly version: number | undefined;
--- a/packages/relay/src/admission/createScheduling.ts
+++ b/packages/relay/src/admission/createScheduling.ts
@@ -3,6 +3,7 @@
 import createFleetSize from '../decisions/createFleetSize';
 import isLargeFleet from '../decisions/isLargeFleet';
 import type { ServerEmbargo, SharedQuota } from '../decisions/types';
+import type { DutyFields } from '../duties/types';
 import type { ClusterStateCache, FleetRole, PeerAddress, PeerTable } from '../types';
 import createSchedulerClient from './createSchedulerClient';
 import createSchedulerSelector from './createSchedulerSelector';
@@ -42,6 +43,8 @@
   readonly onVersions: (host: SchedulerStatus | HostReport) => void;
   /** Called when this host starts or stops granting slots. */
   readonly onRoleChange: () => void;
+  /** The duties' part of this host's reports and statuses; absent where there are no duties. */
+  readonly dutyFields: DutyFields;
 }
 
 interface Scheduling {
@@ -134,6 +137,7 @@
       isStopping: isResigning,
       isStoreReachable: stateCache.isStoreReachable,
       fleetHosts: countFleetHosts(),
+      windowTime: options.dutyFields.tryGetWindowTime(),
     };
   }
 
@@ -160,6 +164,7 @@
         kind: 'report',
         held: client.listHeld(),
         waiting: client.listWaiting(),
+        usage: options.dutyFields.tryGetReport('scheduler'),
       }),
     sendProbe: (host) => options.send(host, { kind: 'probe' }),
     sendLeave: (host) => options.send(host, { kind: 'leave' }),
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -19,6 +19,7 @@
   Priority,
   RefusalReason,
   AttemptFigures,
+  UsageReport,
 } from '../types';
 import type { FindingsReport } from '../findings/types';
 
@@ -150,6 +151,8 @@
   readonly kind: 'report';
   readonly held: readonly HeldSlot[];
   readonly waiting: readonly Ticket[];
+  /** Usage that changed; absent where no usage is reported, or none is due. */
+  readonly usage?: UsageReport;
 }
 
 /** Asks whether a host could be this host's scheduler; answered by a status. */
@@ -206,6 +209,8 @@
   readonly isStoreReachable: boolean;
   /** Number of hosts in the fleet, as far as known. */
   readonly fleetHosts: number;
+  /** Time by which the windows of usage advance there; absent where no usage is reported. */
+  readonly windowTime?: number;
 }
 
 /** Messages of a scheduler to a host. */
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -16,6 +16,8 @@
 import openPeerLink from './peers/openPeerLink';
 import type { OpenTransport } from './peers/types';
 import type { CrashGuard } from './crashes/types';
+import createDutyLink from './duties/createDutyLink';
+import type { Duties, DutyOptions } from './duties/types';
 import registerHost from './registerHost';
 import type { ServerConnections } from './servers/types';
 import type {
@@ -48,6 +50,8 @@
   /** This host's own links to the backend servers. */
   readonly direct: ServerConnections;
   readonly onConfiguration: (configuration: RelayConfiguration) => void;
+  /** Absent where the deployment has no duties. */
+  readonly duties?: DutyOptions | undefined;
 }
 
 interface HostCore {
@@ -60,6 +64,8 @@
   readonly pools: Pools;
   readonly stateCache: ClusterStateCache;
   readonly peerTable: PeerTable;
+  /** Undefined where the deployment has no duties. */
+  readonly duties: Duties | undefined;
   getRole(): FleetRole;
   /** Whether this host knows a configuration and the backend servers. */
   hasClusterState(): boolean;
@@ -94,6 +100,7 @@
   const self = { entryHost, failureDomain, address: peerAddress, capacity };
   const quota = createSharedQuota({ now: clock.now(), random, bounds });
   const embargo = createServerEmbargo();
+  const dutyLink = createDutyLink();
   const peerTable = createPeerTable();
   const findings = createFindings({
     ...context,
@@ -165,6 +172,7 @@
     send: (host, message) => link.send(host, message),
     onVersions: (host) => link.handleVersions(host),
     onRoleChange: () => link.announceChange(false),
+    dutyFields: dutyLink,
   });
 
   const forwarding = createForwarding({
@@ -192,12 +200,14 @@
     onSchedulerResponse: scheduling.handleResponse,
     onReachableChange: scheduling.updateSharing,
     onTask: forwarding.tasks.begin,
+    tryGetUsage: () => dutyLink.tryGetReport('peers'),
+    onMessage: dutyLink.merge,
   });
 
-  function register(isOptional: boolean): void {
-    const isStoppingNow = (): boolean => isStopping;
-    registerHost({ context, source, self, isBootstrap, isOptional, isStopping: isStoppingNow });
-  }
+  const register = (isOptional: boolean): void =>
+    registerHost({ ...options, self, isOptional, isStopping: () => isStopping });
+
+  const parts = { forwarding, embargo, ...findings, pools, stateCache, peerTable };
 
   /** Asks the hosts named in the settings for the cluster state, once. */
   function askSeeds(): void {
@@ -210,12 +220,8 @@
 
   return {
     admission: scheduling.admission,
-    forwarding,
-    embargo,
-    ...findings,
-    pools,
-    stateCache,
-    peerTable,
+    ...parts,
+    duties: dutyLink.tryStart({ ...options, ...scheduling, self, stateCache }),
     getRole: scheduling.getRole,
     hasClusterState: () => knowsClusterState(stateCache),
     start() {
@@ -239,6 +245,7 @@
       scheduling.resign();
     },
     async stop() {
+      await dutyLink.stop();
       scheduling.stop();
       link.stop();
       storeWatcher?.stop();
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -7,6 +7,7 @@
 import createRequestClassifier from './decisions/createRequestClassifier';
 import createRouteTable from './decisions/createRouteTable';
 import type { RouteTable } from './decisions/types';
+import addDutyGauges from './duties/addDutyGauges';
 import createCallerEndpoint from './front/createCallerEndpoint';
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
@@ -96,6 +97,7 @@
     brittlePools: core.brittlePools,
     classifier,
     connections: core.forwarding.connections,
+    onBegun: (customer) => core.duties?.recordBegun(customer),
     observer,
     getRoutes: () => routes,
     getCustomersByKey: () => customersByKey,
@@ -128,6 +130,9 @@
     connections,
     clock,
   });
+  if (core.duties !== undefined) {
+    addDutyGauges(metrics, core.duties);
+  }
 
   await callerEndpoint.listen(options.callerAddress);
   isReady = true;
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import type { PoolId, Random } from '@rattanreel/core';
+import type { CustomerId, PoolId, Random } from '@rattanreel/core';
 import getRetryDelay from './decisions/getRetryDelay';
 import planRequest from './front/planRequest';
 import relayRequest from './front/relayRequest';
@@ -27,6 +27,8 @@
   readonly classifier: RequestClassifier;
   readonly connections: ServerConnections;
   readonly observer: RequestObserver;
+  /** Called once when a request begins to run; absent where nobody counts. */
+  readonly onBegun?: (customer: CustomerId | undefined) => void;
   readonly getRoutes: () => RouteTable | undefined;
   readonly getCustomersByKey: () => ReadonlyMap<string, RelayCustomer> | undefined;
 }
@@ -47,6 +49,17 @@
   return (chosen ?? targets.at(-1)!).pool;
 }
 
+/** Creates a function that calls `action` the first time only. */
+function createSingleCall(action: () => void): () => void {
+  let isCalled = false;
+  return () => {
+    if (!isCalled) {
+      isCalled = true;
+      action();
+    }
+  };
+}
+
 /** Creates the handler that rejects, refuses or relays each caller's request. */
 export default function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
   const { context, names, classifier, observer } = options;
@@ -91,6 +104,7 @@
       connections: options.connections,
       names,
       observer,
+      onBegun: createSingleCall(() => options.onBegun?.(plan.customer?.name)),
       refuse: ({ reason, retryAfter, pool }) => refuse(exchange, plan, reason, retryAfter, pool),
       sendFailure(status, code) {
         observer.failed(plan, status, code);
--- /dev/null
+++ b/packages/relay/src/duties/createDutyLink.ts
@@ -0,0 +1,62 @@
+import type { HostMessage } from '../peers/types';
+import type { ClusterStateCache } from '../types';
+import createDuties from './createDuties';
+import type { Duties, DutyFields, DutyOptions } from './types';
+
+type DutiesOptions = Parameters<typeof createDuties>[0];
+
+interface StartOptions extends Pick<
+  DutiesOptions,
+  'context' | 'self' | 'incarnation' | 'getRole' | 'tryGetScheduler'
+> {
+  readonly duties?: DutyOptions | undefined;
+  readonly stateCache: Pick<ClusterStateCache, 'get' | 'getVersions' | 'isRegistered'>;
+}
+
+interface DutyLink extends DutyFields {
+  /** Starts the duties; undefined where the deployment has none. */
+  tryStart(options: StartOptions): Duties | undefined;
+  /** Takes the duties' part of a message. */
+  merge(message: HostMessage): void;
+  stop(): Promise<void>;
+}
+
+/**
+ * Connects the duties with this host's messages, which are set up before them. Without duties all
+ * messages are as they were.
+ */
+export default function createDutyLink(): DutyLink {
+  let duties: Duties | undefined;
+  return {
+    tryStart({ stateCache, self, ...options }) {
+      duties =
+        options.duties &&
+        createDuties({
+          ...options,
+          ...options.duties,
+          self,
+          getStoreEra: () => stateCache.getVersions().storeEra,
+          tryGetPeers: () =>
+            stateCache.isRegistered
+              ? stateCache.get().peers?.filter(({ entryHost }) => entryHost !== self.entryHost)
+              : undefined,
+        });
+      return duties;
+    },
+    merge(message) {
+      if (message.kind === 'status' && message.windowTime !== undefined) {
+        duties?.recordPeerTime(message.entryHost, message.windowTime);
+      }
+      const isCarrier = message.kind === 'report' || message.kind === 'summary';
+      if (isCarrier && message.usage !== undefined) {
+        const origin = message.kind === 'report' ? 'scheduled' : 'peer';
+        duties?.merge(message.entryHost, message.usage, origin);
+      }
+    },
+    tryGetReport: (recipient) => duties?.tryGetReport(recipient),
+    tryGetWindowTime: () => duties?.tryGetWindowTime(),
+    async stop() {
+      await duties?.stop();
+    },
+  };
+}
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -4,6 +4,7 @@
 import createAttemptMeter from './createAttemptMeter';
 import createEventBoundary from './createEventBoundary';
 import tryParseLimit from '../limits/tryParseLimit';
+import isBegunBy from './isBegunBy';
 import recordCrashEvidence from './recordCrashEvidence';
 import tryParseLoad from './tryParseLoad';
 import type { AttemptOutcome, AttemptFigures } from '../types';
@@ -74,6 +75,9 @@
           embargo.recordLeaving(server, clock.now());
           grant.recordLeaving();
         }
+        if (isBegunBy(head, { isStream: plan.route.kind === 'stream', names })) {
+          options.onBegun();
+        }
         boundary.recordHead(head);
         // Only a 200 response continues a resumed stream; any other is not part of it.
         isAccepted = !response.isCommitted() || head.status === HTTP_OK;
@@ -85,6 +89,7 @@
         meter.recordChunk();
         boundary.recordData(chunk);
         options.onData();
+        options.onBegun();
         return isAccepted ? response.onData(chunk) : true;
       },
       onEnd(end) {
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -148,6 +148,8 @@
   readonly connections: ServerConnections;
   readonly names: HeaderNames;
   readonly observer: RequestObserver;
+  /** Called when the request begins to run; all calls but the first have no effect. */
+  readonly onBegun: () => void;
   /** Refuses the request and reports that it has not run. */
   readonly refuse: (refusal: Refusal) => void;
   /** Responds that the request failed and may have run. */
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -4,3 +4,4 @@
  */
 export type * from './types';
 export { default as createRelayHost } from './createRelayHost';
+export type * from './duties/types';
--- a/packages/relay/src/peers/createPeerSync.ts
+++ b/packages/relay/src/peers/createPeerSync.ts
@@ -1,6 +1,6 @@
 import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
 import type chooseSummaryRecipients from '../decisions/chooseSummaryRecipients';
-import type { HostChange, HostSummary } from '../types';
+import type { HostChange, HostSummary, UsageReport } from '../types';
 import type { RelayTransport } from './types';
 
 /** Time between two complete summaries. */
@@ -18,6 +18,8 @@
   readonly clock: Clock;
   readonly transport: Pick<RelayTransport, 'send'>;
   readonly getSummary: () => HostSummary;
+  /** Returns the usage to send with a complete summary; undefined if none is due. */
+  readonly tryGetUsage: () => UsageReport | undefined;
   readonly listRecipients: () => ReturnType<typeof chooseSummaryRecipients>;
 }
 
@@ -70,9 +72,10 @@
     if (direct.length + standby.length > 0) {
       const summary = options.getSummary();
       const change = tryGetChange(summary);
-      direct.forEach(({ address }) => transport.send(address, change ?? summary));
+      const message = change ?? { ...summary, usage: options.tryGetUsage() };
+      direct.forEach(({ address }) => transport.send(address, message));
       if (change === undefined) {
-        standby.forEach(({ address }) => transport.send(address, summary));
+        standby.forEach(({ address }) => transport.send(address, message));
       }
       lastSummary = summary;
       lastSummaryAt = change === undefined ? clock.now() : lastSummaryAt;
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -13,6 +13,7 @@
   HostSummary,
   PeerAddress,
   PeerTable,
+  UsageReport,
 } from '../types';
 import createPeerReachabilityLog from './createPeerReachabilityLog';
 import createPeerSync from './createPeerSync';
@@ -57,6 +58,10 @@
   readonly onReachableChange: () => void;
   /** Begins a task of a peer; returns the function that cancels it. */
   readonly onTask: RelayTransportOptions['onTask'];
+  /** Returns the usage to send with a complete summary; undefined if none is due. */
+  readonly tryGetUsage: () => UsageReport | undefined;
+  /** Called with every message. */
+  readonly onMessage: (message: HostMessage) => void;
 }
 
 interface PeerLink {
@@ -130,6 +135,7 @@
   }
 
   function handleMessage(sender: Sender, message: HostMessage, respond: Respond): void {
+    options.onMessage(message);
     switch (message.kind) {
       case 'summary':
       case 'change':
@@ -186,7 +192,7 @@
     isGranting: () => options.getRole().isGranting,
   });
   const peerSync = createPeerSync({
-    clock,
+    ...options,
     transport,
     getSummary: () =>
       createHostSummary({
@@ -199,13 +205,10 @@
     listRecipients: listSummaryRecipients,
   });
   const findingsSync = createFindingsSync({
-    clock,
+    ...options,
     transport,
-    getRole: options.getRole,
     tryGetReport: options.findings.tryGetReport,
     listRecipients: listSummaryRecipients,
-    tryGetScheduler: options.tryGetScheduler,
-    sendToScheduled: options.sendToScheduled,
   });
 
   const reachabilityLog = createPeerReachabilityLog({
--- a/packages/relay/src/testing/createTestFleet.ts
+++ b/packages/relay/src/testing/createTestFleet.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
 import { silentLogger } from '@rattanreel/observability';
 import createHostCore from '../createHostCore';
+import type { DutyOptions } from '../duties/types';
 import type { ServerConnections } from '../servers/types';
 import type { ListedServer, RelayBounds, RelayConfiguration } from '../types';
 import createTestNetwork from './createTestNetwork';
@@ -36,13 +37,20 @@
   readonly domains: number;
   readonly serversPerDomain: number;
   readonly configuration?: Partial<RelayConfiguration>;
-  readonly seed?: number;
+  readonly seed?: number | undefined;
+  /** Creates what a host needs for duties; absent where the fleet has none. */
+  readonly createDuties?: (
+    clock: Clock,
+    hostClock: Clock,
+    getHost: () => TestHost | undefined,
+  ) => DutyOptions;
 }
 
 /** Clock of one host: its timers wait while the host is frozen and do not run while it is down. */
 function createHostClock(clock: Clock, getHost: () => TestHost | undefined): Clock {
   return {
     ...clock,
+    wallTime: () => new Date(clock.wallTime().getTime() + (getHost()?.wallOffset ?? 0)),
     after(delay, callback) {
       let timer: Timer;
       const run = (): void => {
@@ -112,8 +120,9 @@
     const domain = getDomain(index);
     let host: TestHost | undefined;
     const getHost = (): TestHost | undefined => host;
+    const hostClock = createHostClock(clock, getHost);
     const core = await createHostCore({
-      context: { clock: createHostClock(clock, getHost), random, logger: silentLogger },
+      context: { clock: hostClock, random, logger: silentLogger },
       bounds: BOUNDS,
       source: store.createSource(getHost),
       entryHost: name,
@@ -126,6 +135,7 @@
       openTransport: network.createOpenTransport(getHost),
       direct: createDirect(getHost),
       onConfiguration: () => undefined,
+      duties: options.createDuties?.(clock, hostClock, getHost),
     });
     const traffic = { messages: 0, bytes: 0, storeCalls: 0 };
     host = { name, domain, core, traffic, isDown: false, isFrozen: false };
--- a/packages/relay/src/testing/types.ts
+++ b/packages/relay/src/testing/types.ts
@@ -32,6 +32,8 @@
   isDown: boolean;
   /** Receives and runs everything later, as a suspended process does. */
   isFrozen: boolean;
+  /** How far the host's wall clock is ahead; absent if it is right. */
+  wallOffset?: number;
 }
 
 /**
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -353,6 +353,31 @@
   readonly hosts: number;
   /** Backend servers that announced in a response that they are leaving. */
   readonly leaving?: readonly ServerProcess[];
+  /** Usage that changed; absent where no usage is reported, or none is due. */
+  readonly usage?: UsageReport;
+}
+
+/** Requests that began to run, as one host counted them. Counts of a window only rise. */
+export interface UsageRow {
+  readonly host: EntryHostId;
+  readonly incarnation: Incarnation;
+  /** Unix milliseconds at which the host began to count. */
+  readonly since: number;
+  /** Window in which the host counts; it counts no more in earlier ones. */
+  readonly current: number;
+  /** All requests of each of the last windows, changed or not; a window without any is absent. */
+  readonly totals: Readonly<Record<string, number>>;
+  /** Requests by customer, only of windows whose counts changed. */
+  readonly windows: Readonly<Record<string, Readonly<Record<CustomerId, number>>>>;
+}
+
+/** Usage counted by the sender and by hosts whose counts it passes on. */
+export interface UsageReport {
+  /** The sender's time by which its windows advance, in Unix milliseconds. */
+  readonly time: number;
+  readonly rows: readonly UsageRow[];
+  /** Hosts whose totals the sender knows but not all of their counts; absent if there are none. */
+  readonly incomplete?: readonly EntryHostId[] | undefined;
 }
 
 /** Changes at a host since its last message; sent more often than complete summaries. */
