--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -221,7 +221,7 @@
   return {
     admission: scheduling.admission,
     ...parts,
-    duties: dutyLink.tryStart({ ...options, ...scheduling, self, stateCache }),
+    duties: dutyLink.tryStart({ ...options, ...scheduling, ...parts, self }),
     getRole: scheduling.getRole,
     hasClusterState: () => knowsClusterState(stateCache),
     start() {
--- a/packages/relay/src/duties/createDuties.ts
+++ b/packages/relay/src/duties/createDuties.ts
@@ -3,13 +3,14 @@
 import createDutyLease from './createDutyLease';
 import createFencedCaller from './createFencedCaller';
 import createPauseDetector from './createPauseDetector';
+import createScaleOrders from './createScaleOrders';
 import createUsageRecords from './createUsageRecords';
 import createUsageReporter from './createUsageReporter';
 import createUsageSharing from './createUsageSharing';
 import createUsageTable from './createUsageTable';
 import createWindowClock from './createWindowClock';
 import isDutyCandidate from './isDutyCandidate';
-import type { Duties, DutyHolding, DutyOptions, DutyReply } from './types';
+import type { Duties, DutyHolding, DutyOptions, DutyReply, ScaleDemand } from './types';
 
 const TICK_INTERVAL: Milliseconds = 100;
 /** Longest time of a call: a third of the lease, so that it fits between two renewals. */
@@ -26,6 +27,8 @@
   readonly tryGetScheduler: () => PeerAddress | undefined;
   /** Returns the registered hosts other than this one; undefined unless this one is registered. */
   readonly tryGetPeers: () => readonly PeerAddress[] | undefined;
+  /** Measures the demand for servers as this host knows it. */
+  readonly measure: () => readonly ScaleDemand[];
   /** Returns the era of the store as this host knows it from its cluster state. */
   readonly getStoreEra: () => number | undefined;
 }
@@ -36,7 +39,9 @@
   const { clock, logger } = context;
   const timeout = settings.leaseDuration / CALLS_PER_LEASE;
   const pauseDetector = createPauseDetector({ clock, interval: TICK_INTERVAL });
-  const windowClock = createWindowClock(clock);
+  const windowClock = createWindowClock(clock, (isStepped) =>
+    logger.warn({ isStepped }, 'wall clock step'),
+  );
   const calls: Record<DutyReply['kind'], number> = { accepted: 0, refused: 0, lost: 0, notSent: 0 };
   const isReporting = settings.duties.includes('usage');
   let era: number | undefined;
@@ -108,11 +113,21 @@
     onEra: learnEra,
   });
 
+  const scaleOrders = createScaleOrders({
+    ...options,
+    now: clock.now,
+    logger,
+    tryCall: caller.tryCall,
+  });
+
   function startStep(holding: DutyHolding): void {
     if (isStepping) {
       return;
     }
     isStepping = true;
+    if (settings.duties.includes('scale')) {
+      scaleOrders.step(holding.token);
+    }
     (isReporting ? reporter.step(holding) : Promise.resolve())
       .catch((error: unknown) => logger.error({ error: String(error) }, 'duty failed'))
       .finally(() => {
@@ -120,15 +135,6 @@
       });
   }
 
-  function checkClock(): void {
-    const wasStepped = windowClock.isStepped();
-    windowClock.now();
-    if (windowClock.isStepped() !== wasStepped) {
-      const isStepped = windowClock.isStepped();
-      logger.warn({ isStepped, windowTime: windowClock.now() }, 'wall clock step');
-    }
-  }
-
   /** Lets a new scheduler, or the other schedulers, have all counts. */
   function checkScheduler(): void {
     const next = options.tryGetScheduler()?.entryHost;
@@ -144,7 +150,8 @@
     }
     timer = clock.after(TICK_INTERVAL, tick);
     pauseDetector.tick();
-    checkClock();
+    // Samples the wall clock, so that a step of it is found although nothing is counted.
+    windowClock.now();
     checkScheduler();
     learnEra(options.getStoreEra());
     const peers = options.tryGetPeers();
--- a/packages/relay/src/duties/createDutyLink.ts
+++ b/packages/relay/src/duties/createDutyLink.ts
@@ -1,6 +1,8 @@
 import type { HostMessage } from '../peers/types';
-import type { ClusterStateCache } from '../types';
+import type { Pools } from '../pools/types';
+import type { ClusterStateCache, PeerTable } from '../types';
 import createDuties from './createDuties';
+import measureScaleDemand from './measureScaleDemand';
 import type { Duties, DutyFields, DutyOptions } from './types';
 
 type DutiesOptions = Parameters<typeof createDuties>[0];
@@ -11,6 +13,8 @@
 > {
   readonly duties?: DutyOptions | undefined;
   readonly stateCache: Pick<ClusterStateCache, 'get' | 'getVersions' | 'isRegistered'>;
+  readonly pools: Pools;
+  readonly peerTable: PeerTable;
 }
 
 interface DutyLink extends DutyFields {
@@ -28,13 +32,21 @@
 export default function createDutyLink(): DutyLink {
   let duties: Duties | undefined;
   return {
-    tryStart({ stateCache, self, ...options }) {
+    tryStart({ stateCache, pools, peerTable, self, ...options }) {
       duties =
         options.duties &&
         createDuties({
           ...options,
           ...options.duties,
           self,
+          measure: () =>
+            measureScaleDemand({
+              now: options.context.clock.now(),
+              self,
+              pools,
+              peerTable,
+              stateCache,
+            }),
           getStoreEra: () => stateCache.getVersions().storeEra,
           tryGetPeers: () =>
             stateCache.isRegistered
--- a/packages/relay/src/duties/createWindowClock.ts
+++ b/packages/relay/src/duties/createWindowClock.ts
@@ -13,7 +13,10 @@
  * the wall clock was stepped, until most other hosts agree with it. Handles steps in both
  * directions. A suspension looks the same: it ends once the other hosts' times arrive.
  */
-export default function createWindowClock(clock: Clock): WindowClock {
+export default function createWindowClock(
+  clock: Clock,
+  onChange: (isStepped: boolean) => void,
+): WindowClock {
   const peerOffsets = new Map<EntryHostId, { offset: number; at: Milliseconds }>();
   let goodWall = clock.wallTime().getTime();
   let goodMonotonic = clock.now();
@@ -26,6 +29,13 @@
     return agreeing.length * 2 > fresh.length;
   }
 
+  function setStepped(next: boolean): void {
+    if (next !== isStepped) {
+      isStepped = next;
+      onChange(next);
+    }
+  }
+
   return {
     now() {
       const wall = clock.wallTime().getTime();
@@ -34,10 +44,10 @@
       if (isOnTime || isConfirmed(wall)) {
         goodWall = wall;
         goodMonotonic = clock.now();
-        isStepped = false;
+        setStepped(false);
         return wall;
       }
-      isStepped = true;
+      setStepped(true);
       return predicted;
     },
     isStepped: () => isStepped,
--- a/packages/relay/src/duties/types.ts
+++ b/packages/relay/src/duties/types.ts
@@ -7,7 +7,7 @@
   PoolId,
 } from '@rattanreel/core';
 import type { ObjectStore } from '@rattanreel/platform';
-import type { UsageReport } from '../types';
+import type { AutoscaleSettings, UsageReport } from '../types';
 
 export type DutyName = 'usage' | 'scale';
 
@@ -158,6 +158,41 @@
   remove(window: number): Promise<void>;
 }
 
+/** Demand for servers of a pool in one failure domain, over all hosts. */
+export interface ScaleDemand {
+  readonly pool: PoolId;
+  readonly failureDomain: FailureDomainId;
+  readonly settings: AutoscaleSettings;
+  /** Requests in flight at the servers of the domain, and those that wait at its hosts. */
+  readonly inFlight: number;
+  readonly waiting: number;
+  readonly ready: number;
+  readonly draining: number;
+  /** Slots of one server. */
+  readonly slots: number;
+  /** Whether a host of the domain is heard, so that its demand is known. */
+  readonly isKnown: boolean;
+}
+
+/** What is remembered of the orders for a pool in one failure domain. */
+export interface ScaleState {
+  /** Moving average of the requests in flight and waiting. */
+  readonly load: number;
+  readonly updatedAt: Milliseconds;
+  /** Servers that were ordered last, and when; undefined before the first order. */
+  readonly ordered: number | undefined;
+  readonly orderedAt: Milliseconds;
+  /** Since when fewer servers than ordered are needed, and how many at most in this time. */
+  readonly lowSince: Milliseconds | undefined;
+  readonly neededSince: number;
+}
+
+export interface ScaleDecision {
+  readonly state: ScaleState;
+  /** Servers to order; undefined if none are ordered now. */
+  readonly desired: number | undefined;
+}
+
 /** Figures for the metrics. */
 export interface DutyFigures {
   readonly isHolder: boolean;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -67,6 +67,17 @@
   readonly coldRate: number;
   /** Capacity of a model engine's memory in tokens; undefined for a plain service. */
   readonly memoryTokens: number | undefined;
+  /** Absent if the number of backend servers is not this system's to order. */
+  readonly autoscale?: AutoscaleSettings | undefined;
+}
+
+/** Limits of the number of backend servers that are ordered for a pool. */
+export interface AutoscaleSettings {
+  /** Smallest and largest number of servers in each failure domain. */
+  readonly minimum: number;
+  readonly maximum: number;
+  /** Time until a new server serves. */
+  readonly bootTime: Milliseconds;
 }
 
 /** Token bucket limit of one customer, over all hosts together. */
