Give servers up in one step once the load has settled

Cause: the average still falls when demand ends, and its first values counted as need; the order of them was then repeated at each decision.

--- a/packages/relay/src/duties/createScaleOrders.ts
+++ b/packages/relay/src/duties/createScaleOrders.ts
@@ -36,7 +36,8 @@
         logger.info({ ...demand, desired, token, reply: reply.kind }, 'servers ordered');
         const state = states.get(subject);
         if (reply.kind === 'accepted' && state !== undefined) {
-          states.set(subject, { ...state, ordered: desired, orderedAt: now() });
+          const orderedAt = now();
+          states.set(subject, { ...state, ordered: desired, orderedAt, lowSince: undefined });
         }
       },
       (error: unknown) => logger.error({ error: String(error) }, 'duty failed'),
--- a/packages/relay/src/duties/decideScale.test.ts
+++ b/packages/relay/src/duties/decideScale.test.ts
@@ -39,11 +39,8 @@
   let overloaded = 0;
   for (let now = 0; now < length; now += STEP) {
     const time = now;
-    booting
-      .filter(({ at }) => at <= time)
-      .forEach(({ target }) => {
-        ready = Math.max(ready, target);
-      });
+    const booted = booting.filter(({ at }) => at <= time);
+    ready = Math.max(ready, ...booted.map(({ target }) => target));
     booting = booting.filter(({ at }) => at > time);
     const load = getLoad(now);
     const inFlight = Math.min(load, ready * SLOTS);
@@ -62,7 +59,7 @@
     state = decision.state;
     if (decision.desired !== undefined) {
       orders.push({ at: now, desired: decision.desired });
-      state = { ...state, ordered: decision.desired, orderedAt: now };
+      state = { ...state, ordered: decision.desired, orderedAt: now, lowSince: undefined };
       if (decision.desired > ready) {
         booting.push({ at: now + BOOT_TIME, target: decision.desired });
       } else {
--- a/packages/relay/src/duties/decideScale.ts
+++ b/packages/relay/src/duties/decideScale.ts
@@ -5,6 +5,7 @@
 const TARGET_OCCUPANCY = 0.75;
 /** Time over which the load is averaged, longer than a request and shorter than a boot. */
 const LOAD_TIME: Milliseconds = 1_500;
+const SETTLING_TIME: Milliseconds = 3 * LOAD_TIME;
 /** Time beyond a boot for which demand must stay low before servers are given up. */
 const LOW_MARGIN: Milliseconds = 10_000;
 
@@ -54,7 +55,9 @@
     return { desired: undefined, state: next };
   }
   const lowSince = state?.lowSince ?? now;
-  const neededSince = Math.max(needed, state?.neededSince ?? 0);
+  // The average still falls at first; what it needs then says nothing of the time after it.
+  const isSettled = now - lowSince > SETTLING_TIME;
+  const neededSince = isSettled ? Math.max(needed, state?.neededSince ?? 0) : 0;
   const next = { ...base, ordered: state?.ordered, lowSince, neededSince };
   const isOver = now - lowSince > demand.settings.bootTime + LOW_MARGIN;
   return { desired: isOver ? neededSince : undefined, state: next };
