--- a/specification/src/models.ts
+++ b/specification/src/models.ts
@@ -1,5 +1,6 @@
 import configurationModel from './models/configurationModel';
 import createLeaseModel from './models/createLeaseModel';
+import dutyLeaseModel from './models/dutyLeaseModel';
 import moveVerdictModel from './models/moveVerdictModel';
 import ordersModel from './models/ordersModel';
 import type { ModelDefinition } from './types';
@@ -9,6 +10,7 @@
   ordersModel,
   createLeaseModel({ name: 'lease-fenced', checksFence: true }),
   createLeaseModel({ name: 'lease-unfenced', checksFence: false }),
+  dutyLeaseModel,
   configurationModel,
   moveVerdictModel,
 ];
