Hold a lease only in the era that was known when its write was sent; document the duties

Cause: a holder that learnt of a new era by another way while its renewal was on its way took the answer of that era as a renewal, without the wait.

--- a/packages/platform/src/createEraTracker.ts
+++ b/packages/platform/src/createEraTracker.ts
@@ -9,8 +9,13 @@
   isOutdated(era: number): boolean;
   /** Records a read of the lease object; undefined if there is none. */
   observe(object: StoredObject | undefined): void;
-  /** Records a write; returns false if it took effect in an era that was not known before it. */
-  tryRecordWrite(version: number): boolean;
+  /** Returns the era that is known now; undefined before the first. */
+  getKnown(): number | undefined;
+  /**
+   * Records a write that was sent while `sentIn` was known; returns false if it took effect in
+   * another era, whose wait its sender has not kept.
+   */
+  tryRecordWrite(version: number, sentIn: number | undefined): boolean;
   /** Returns since when the era, and the absence of a lease, are known; undefined without eras. */
   getSettledSince(): Milliseconds | undefined;
 }
@@ -24,14 +29,11 @@
   let knownSince = clock.now();
   let absentSince: Milliseconds | undefined;
 
-  /** Returns whether the era is a newly learnt one. */
-  function learn(next: number | undefined): boolean {
-    if (next === undefined || (era !== undefined && next <= era)) {
-      return false;
+  function learn(next: number | undefined): void {
+    if (next !== undefined && (era === undefined || next > era)) {
+      era = next;
+      knownSince = clock.now();
     }
-    era = next;
-    knownSince = clock.now();
-    return true;
   }
 
   function getEra(version: number): number {
@@ -57,7 +59,18 @@
         learn(getEra(object.version));
       }
     },
-    tryRecordWrite: (version) => options.getEra === undefined || !learn(getEra(version)),
+    getKnown() {
+      learn(options.getKnownEra?.());
+      return era;
+    },
+    tryRecordWrite(version, sentIn) {
+      if (options.getEra === undefined) {
+        return true;
+      }
+      const writtenIn = getEra(version);
+      learn(writtenIn);
+      return writtenIn === sentIn;
+    },
     getSettledSince: () =>
       options.getEra === undefined ? undefined : Math.max(knownSince, absentSince ?? knownSince),
   };
--- a/packages/platform/src/createLease.ts
+++ b/packages/platform/src/createLease.ts
@@ -29,7 +29,8 @@
 
 interface SentAt {
   readonly time: Milliseconds;
-  readonly wallTime: number;
+  readonly wallTime: Date;
+  readonly era: number | undefined;
 }
 
 const NOT_HELD: LeaseState = { kind: 'notHeld' };
@@ -85,7 +86,7 @@
 
   function recordHeldLease(object: StoredObject<LeaseRecord>, sentAt: SentAt): void {
     const { generation } = object.value;
-    if (!eras.tryRecordWrite(object.version)) {
+    if (!eras.tryRecordWrite(object.version, sentAt.era)) {
       // The store returned from an older copy, which may lack the lease of another holder.
       heldLease = undefined;
       highestGeneration = generation;
@@ -105,7 +106,7 @@
       acquiredAt: heldLease?.generation === generation ? heldLease.acquiredAt : clock.now(),
       renewedAt: sentAt.time,
       expiresAt: sentAt.time + duration,
-      wallExpiresAt: sentAt.wallTime + duration,
+      wallExpiresAt: sentAt.wallTime.getTime() + duration,
     };
     expiryTimer?.cancel();
     expiryTimer = clock.after(Math.max(0, heldLease.expiresAt - clock.now()), report);
@@ -138,7 +139,7 @@
     generation: Generation,
     version: number | undefined,
   ): Promise<void> {
-    const sentAt = { time: clock.now(), wallTime: clock.wallTime().getTime() };
+    const sentAt = { time: clock.now(), wallTime: clock.wallTime(), era: eras.getKnown() };
     const result = await write(generation, version);
     switch (result.kind) {
       case 'written':
--- a/packages/platform/src/createLeaseOfEras.test.ts
+++ b/packages/platform/src/createLeaseOfEras.test.ts
@@ -17,6 +17,7 @@
   let object: StoredObject | undefined;
   let revision = 0;
   let era = 1;
+  let beforeNextUpdate: (() => Promise<void>) | undefined;
 
   function put<Value>(value: unknown): Result<Value> {
     revision += 1;
@@ -30,13 +31,20 @@
     create: async <Value>(_kind: string, _name: string, value: Value) =>
       object === undefined ? put<Value>(value) : fail({ kind: 'conflict', current: object }),
     // Revisions are given out again, so a write for an object of the last era may succeed.
-    update: async <Value>(_kind: string, _name: string, value: Value, version: number) =>
-      object !== undefined && version % REVISIONS_PER_ERA === object.version % REVISIONS_PER_ERA
+    async update<Value>(_kind: string, _name: string, value: Value, version: number) {
+      await beforeNextUpdate?.();
+      beforeNextUpdate = undefined;
+      return object !== undefined &&
+        version % REVISIONS_PER_ERA === object.version % REVISIONS_PER_ERA
         ? put<Value>(value)
-        : fail({ kind: 'conflict', current: object }),
+        : fail({ kind: 'conflict', current: object });
+    },
   };
   return {
     store,
+    setBeforeNextUpdate(next: () => Promise<void>): void {
+      beforeNextUpdate = next;
+    },
     takeCopy: () => ({ object, revision }),
     returnFrom(copy: {
       readonly object: StoredObject | undefined;
@@ -53,8 +61,13 @@
   const clock = createVirtualClock();
   const stand = createEraStore();
   let seed = 0;
+  let knownEra: number | undefined;
   return {
     clock,
+    /** Lets the candidates learn of an era by another way than the lease. */
+    setKnownEra(next: number): void {
+      knownEra = next;
+    },
     ...stand,
     candidate(holder: string, ownClock: Clock = clock) {
       seed += 1;
@@ -66,6 +79,7 @@
         random: createRandom(seed),
         duration: DURATION,
         getEra: (version) => Math.floor(version / REVISIONS_PER_ERA),
+        getKnownEra: () => knownEra,
         isReleasedOnStop: false,
       });
     },
@@ -95,6 +109,22 @@
     expect(lease.tryGetHolding()?.era).toEqual(2);
   });
 
+  it('ends when a renewal takes effect in an era of which its holder learnt while it was sent', async () => {
+    const bench = createBench();
+    const lease = bench.candidate('first');
+    await bench.wait(4 * DURATION);
+    bench.setBeforeNextUpdate(async () => {
+      bench.returnFrom(bench.takeCopy());
+      bench.setKnownEra(2);
+      // The holder looks at its lease while the renewal is on its way.
+      expect(lease.state().kind).toEqual('notHeld');
+    });
+    await bench.wait(DURATION / 2);
+    expect(lease.state().kind).toEqual('notHeld');
+    await bench.wait(2 * DURATION);
+    expect(lease.tryGetHolding()?.era).toEqual(2);
+  });
+
   it('is held by one candidate at a time when the copy has no lease', async () => {
     const bench = createBench();
     const copy = bench.takeCopy();
