--- a/packages/relay/src/admission/createScheduling.ts
+++ b/packages/relay/src/admission/createScheduling.ts
@@ -4,6 +4,7 @@
 import isLargeFleet from '../decisions/isLargeFleet';
 import type { ServerEmbargo, SharedQuota } from '../decisions/types';
 import type { LoopDelay } from '../lateness/types';
+import type { DutyFields } from '../duties/types';
 import type { ClusterStateCache, FleetRole, PeerAddress, PeerTable } from '../types';
 import createSchedulerClient from './createSchedulerClient';
 import createSchedulerSelector from './createSchedulerSelector';
@@ -44,6 +45,8 @@
   readonly onVersions: (host: SchedulerStatus | HostReport) => void;
   /** Called when this host starts or stops granting slots. */
   readonly onRoleChange: () => void;
+  /** The duties' part of this host's reports and statuses; absent where there are no duties. */
+  readonly dutyFields: DutyFields;
 }
 
 interface Scheduling {
@@ -137,6 +140,7 @@
       isStoreReachable: stateCache.isStoreReachable,
       fleetHosts: countFleetHosts(),
       loopDelay: options.loopDelay.get(),
+      windowTime: options.dutyFields.tryGetWindowTime(),
     };
   }
 
@@ -162,6 +166,7 @@
         held: client.listHeld(),
         waiting: client.listWaiting(),
         loopDelay: options.loopDelay.get(),
+        usage: options.dutyFields.tryGetReport('scheduler'),
       }),
     sendProbe: (host) => options.send(host, { kind: 'probe' }),
     sendLeave: (host) => options.send(host, { kind: 'leave' }),
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -19,6 +19,7 @@
   Priority,
   RefusalReason,
   AttemptFigures,
+  UsageReport,
 } from '../types';
 import type { FindingsReport } from '../findings/types';
 
@@ -156,6 +157,8 @@
   readonly waiting: readonly Ticket[];
   /** Event loop delay of the host; absent if unknown. */
   readonly loopDelay?: Milliseconds;
+  /** Usage that changed; absent where no usage is reported, or none is due. */
+  readonly usage?: UsageReport;
 }
 
 /** Asks whether a host could be this host's scheduler; answered by a status. */
@@ -214,6 +217,8 @@
   readonly fleetHosts: number;
   /** Event loop delay of the scheduler; absent if unknown. */
   readonly loopDelay?: Milliseconds;
+  /** Time by which the windows of usage advance there; absent where no usage is reported. */
+  readonly windowTime?: number;
 }
 
 /** Messages of a scheduler to a host. */
--- a/packages/relay/src/testing/createTestFleet.ts
+++ b/packages/relay/src/testing/createTestFleet.ts
@@ -2,6 +2,7 @@
 import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
 import { silentLogger } from '@rattanreel/observability';
 import createHostCore from '../createHostCore';
+import type { DutyOptions } from '../duties/types';
 import type { ServerConnections } from '../servers/types';
 import type { ListedServer, RelayBounds, RelayConfiguration } from '../types';
 import createLoopDelay from '../lateness/createLoopDelay';
@@ -40,7 +41,13 @@
   readonly domains: number;
   readonly serversPerDomain: number;
   readonly configuration?: Partial<RelayConfiguration>;
-  readonly seed?: number;
+  readonly seed?: number | undefined;
+  /** Creates what a host needs for duties; absent where the fleet has none. */
+  readonly createDuties?: (
+    clock: Clock,
+    hostClock: Clock,
+    getHost: () => TestHost | undefined,
+  ) => DutyOptions;
 }
 
 /**
@@ -50,6 +57,7 @@
 function createHostClock(clock: Clock, loop: TestLoop, getHost: () => TestHost | undefined): Clock {
   return {
     ...clock,
+    wallTime: () => new Date(clock.wallTime().getTime() + (getHost()?.wallOffset ?? 0)),
     after(delay, callback) {
       let timer: Timer;
       const run = (): void => {
@@ -152,6 +160,7 @@
       openTransport: network.createOpenTransport(getHost),
       direct: createDirect(getHost),
       onConfiguration: () => undefined,
+      duties: options.createDuties?.(clock, hostClock, getHost),
     });
     const traffic = { messages: 0, bytes: 0, storeCalls: 0 };
     host = { name, domain, core, traffic, isDown: false, isFrozen: false, loop, loopDelay };
--- a/packages/relay/src/testing/types.ts
+++ b/packages/relay/src/testing/types.ts
@@ -39,6 +39,8 @@
   isFrozen: boolean;
   readonly loop: TestLoop;
   readonly loopDelay: LoopDelay;
+  /** How far the host's wall clock is ahead; absent if it is right. */
+  wallOffset?: number;
 }
 
 /** Event loop of a test host, which can be blocked. */
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -67,6 +67,17 @@
   readonly coldRate: number;
   /** Capacity of a model engine's memory in tokens; undefined for a plain service. */
   readonly memoryTokens: number | undefined;
+  /** Absent if the number of backend servers is not this system's to order. */
+  readonly autoscale?: AutoscaleSettings | undefined;
+}
+
+/** Limits of the number of backend servers that are ordered for a pool. */
+export interface AutoscaleSettings {
+  /** Smallest and largest number of servers in each failure domain. */
+  readonly minimum: number;
+  readonly maximum: number;
+  /** Time until a new server serves. */
+  readonly bootTime: Milliseconds;
 }
 
 /** Token bucket limit of one customer, over all hosts together. */
@@ -375,6 +386,31 @@
   readonly leaving?: readonly ServerProcess[];
   /** Event loop delay of the host; absent if unknown. */
   readonly loopDelay?: Milliseconds;
+  /** Usage that changed; absent where no usage is reported, or none is due. */
+  readonly usage?: UsageReport;
+}
+
+/** Requests that began to run, as one host counted them. Counts of a window only rise. */
+export interface UsageRow {
+  readonly host: EntryHostId;
+  readonly incarnation: Incarnation;
+  /** Unix milliseconds at which the host began to count. */
+  readonly since: number;
+  /** Window in which the host counts; it counts no more in earlier ones. */
+  readonly current: number;
+  /** All requests of each of the last windows, changed or not; a window without any is absent. */
+  readonly totals: Readonly<Record<string, number>>;
+  /** Requests by customer, only of windows whose counts changed. */
+  readonly windows: Readonly<Record<string, Readonly<Record<CustomerId, number>>>>;
+}
+
+/** Usage counted by the sender and by hosts whose counts it passes on. */
+export interface UsageReport {
+  /** The sender's time by which its windows advance, in Unix milliseconds. */
+  readonly time: number;
+  readonly rows: readonly UsageRow[];
+  /** Hosts whose totals the sender knows but not all of their counts; absent if there are none. */
+  readonly incomplete?: readonly EntryHostId[] | undefined;
 }
 
 /** Changes at a host since its last message; sent more often than complete summaries. */
