Leave a scheduler candidate that was sent a report and did not answer

Cause: a candidate that is still pending has got the report of the host's slots. When the next candidate replaces it, no `leave` was sent, so once it runs again it adopts the slots and counts them for 1.6 s beside the new scheduler. Change: `leave` is sent to a pending candidate too. Measured: createSchedulerSelector.test.ts (leave before the next report). Found beside it, not changed: the test network delivers what a suspended host missed out of order, so that requests for slots are handled after the `leave` and hold slots at the former scheduler.

--- a/packages/relay/src/admission/createSchedulerSelector.ts
+++ b/packages/relay/src/admission/createSchedulerSelector.ts
@@ -72,7 +72,8 @@
     responseTimer = undefined;
     const scheduler = getChosenName();
     logger.info({ scheduler, state: next.kind, reason }, 'scheduler changed');
-    if (previous.kind === 'remote' && scheduler !== previous.host.entryHost) {
+    // A candidate that has not responded yet may still adopt the slots of the report sent to it.
+    if (previous.kind !== 'self' && scheduler !== previous.host.entryHost) {
       options.sendLeave(previous.host);
     }
     options.onChange(next);
