Let the first responses replace the assumed duration of a tier

Cause: the expected wait of a request uses the mean duration of its tier, which begins at 400 ms and moves by a twentieth with each response. A service of 57 ms is refused by it (`expectedLate`, expected wait 219 to 229 ms, 7 to 10 waiting) in the first 260 ms. Change: until twenty responses have come the average is their mean.

--- a/packages/relay/src/decisions/createSlotSharingPolicy.ts
+++ b/packages/relay/src/decisions/createSlotSharingPolicy.ts
@@ -50,7 +50,13 @@
   function getAverageDuration(tier: TierRank): MovingAverage {
     let average = durations.get(tier);
     if (average === undefined) {
-      average = createMovingAverage({ initial: INITIAL_DURATION, weight: DURATION_WEIGHT });
+      // The expected wait follows from it: held against short requests for tens of responses, the
+      // initial value refuses what can be served in time.
+      average = createMovingAverage({
+        initial: INITIAL_DURATION,
+        weight: DURATION_WEIGHT,
+        isInitialAssumed: true,
+      });
       durations.set(tier, average);
     }
     return average;
