--- a/packages/relay/src/addRelayGauges.ts
+++ b/packages/relay/src/addRelayGauges.ts
@@ -66,6 +66,12 @@
     labelNames: [],
     read: () => createUnlabelledReading(crashGuard.countQuarantined()),
   });
+  metrics.addGauge({
+    name: 'rattanreel_relay_servers_slow',
+    help: 'Backend servers that are expected to be slow, by what they reported of late.',
+    labelNames: [],
+    read: () => createUnlabelledReading(pools.speeds.countSlow(clock.now())),
+  });
   metrics.addGauge({
     name: 'rattanreel_relay_servers_cut',
     help: 'Backend servers that this host reaches only through other hosts.',
--- a/packages/relay/src/admission/createHeldSlots.ts
+++ b/packages/relay/src/admission/createHeldSlots.ts
@@ -1,6 +1,9 @@
+import type { Clock, Milliseconds } from '@rattanreel/core';
+import type { AgedServerLoad } from '../speed/types';
 import type { HeldSlot, SchedulerRequest, SlotGrant, SlotRequest, Ticket } from './types';
 
 interface HeldSlotsOptions {
+  readonly clock: Clock;
   /** Sends a message to the scheduler in use, if there is one. */
   readonly sendToScheduler: (message: SchedulerRequest) => void;
 }
@@ -21,11 +24,13 @@
 }
 
 /** Holds the slots in use at this host, whoever granted them. */
-export default function createHeldSlots({ sendToScheduler }: HeldSlotsOptions): HeldSlots {
+export default function createHeldSlots({ clock, sendToScheduler }: HeldSlotsOptions): HeldSlots {
   const held = new Map<Ticket, HeldSlot>();
 
   return {
     hold(ticket, { pool, priority }, { server, view }, own) {
+      let lastLoad: AgedServerLoad | undefined;
+      let lastLoadAt: Milliseconds = 0;
       held.set(ticket, { ticket, pool, server: server.id, tier: priority.tier });
       return {
         server,
@@ -37,10 +42,15 @@
         },
         complete(figures) {
           held.delete(ticket);
-          sendToScheduler({ kind: 'return', ticket, figures });
+          const load = lastLoad && { ...lastLoad, age: clock.now() - lastLoadAt };
+          sendToScheduler({ kind: 'return', ticket, figures, load });
           own?.complete(figures);
         },
-        recordLoad: (running, waiting) => own?.recordLoad(running, waiting),
+        recordLoad(load) {
+          lastLoad = load;
+          lastLoadAt = clock.now() - load.age;
+          own?.recordLoad(load);
+        },
         recordLeaving() {
           sendToScheduler({ kind: 'serverReport', ticket, isLeaving: true });
           own?.recordLeaving();
--- a/packages/relay/src/admission/createLocalAdmission.ts
+++ b/packages/relay/src/admission/createLocalAdmission.ts
@@ -1,8 +1,9 @@
-import type { Clock, PoolId, Random } from '@rattanreel/core';
+import type { Clock, Milliseconds, PoolId, Random } from '@rattanreel/core';
 import getRetryDelay from '../decisions/getRetryDelay';
 import type { SharedQuota } from '../decisions/types';
 import type { PoolQueue, Pools } from '../pools/types';
 import type { QueuedRequest, RefusalReason, ServerState } from '../types';
+import type { SpeedObservation } from '../speed/types';
 import type { LocalAdmission, ServerView, SlotGrant, SlotRequest } from './types';
 
 interface LocalAdmissionOptions {
@@ -12,23 +13,37 @@
   readonly quota: SharedQuota;
 }
 
-function createServerView(server: ServerState): ServerView {
+function createServerView(
+  server: ServerState,
+  speed: SpeedObservation | undefined,
+  now: Milliseconds,
+): ServerView {
   return {
     own: server.ownInFlight,
     others: server.peerInFlight,
     slowness: Number(server.slowness.toFixed(2)),
     failures: server.consecutiveFailures,
     limit: server.pacing?.rate,
+    ...(speed !== undefined && {
+      slowdown: speed.slowdown,
+      slowdownAge: Math.round(now - speed.observedAt),
+    }),
   };
 }
 
-function createGrant(queue: PoolQueue, server: ServerState, tier: number): SlotGrant {
+function createGrant(
+  { pools, clock }: Pick<LocalAdmissionOptions, 'pools' | 'clock'>,
+  queue: PoolQueue,
+  server: ServerState,
+  tier: number,
+): SlotGrant {
+  const speed = pools.speeds.tryGetLatest(server.listed.id);
   return {
     server: server.listed,
-    view: createServerView(server),
+    view: createServerView(server, speed, clock.now()),
     release: () => queue.releaseUnusedSlot(server, tier),
     complete: (figures) => queue.completeAttempt(server, tier, figures),
-    recordLoad: (running, waiting) => queue.recordLoadReport(server, running, waiting),
+    recordLoad: (load) => queue.recordLoadReport(server, load),
     recordLeaving: () => queue.recordLeaving(server),
   };
 }
@@ -81,7 +96,7 @@
         excludedServers: request.excludedServers,
         onGranted(server) {
           isOpen = false;
-          request.onGranted(createGrant(queue, server, priority.tier));
+          request.onGranted(createGrant(options, queue, server, priority.tier));
         },
         onRefused: refuse,
       };
@@ -103,7 +118,7 @@
     tryAdoptSlot({ pool, server, tier }) {
       const queue = pools.getQueue(pool);
       const state = queue.tryAdoptSlot(server, tier);
-      return state === undefined ? undefined : createGrant(queue, state, tier);
+      return state === undefined ? undefined : createGrant(options, queue, state, tier);
     },
   };
 }
--- a/packages/relay/src/admission/createSchedulerClient.ts
+++ b/packages/relay/src/admission/createSchedulerClient.ts
@@ -66,7 +66,7 @@
     }
   }
 
-  const heldSlots = createHeldSlots({ sendToScheduler });
+  const heldSlots = createHeldSlots({ clock, sendToScheduler });
 
   function askScheduler(ticket: Ticket, entry: WaitingTicket): void {
     entry.cancelLocal = undefined;
--- a/packages/relay/src/admission/createServedHost.ts
+++ b/packages/relay/src/admission/createServedHost.ts
@@ -109,12 +109,15 @@
         host.respond({ kind: 'queued', ticket: message.ticket });
       }
     },
-    returnSlot({ ticket, figures }) {
+    returnSlot({ ticket, figures, load }) {
       const entry = entries.get(ticket);
       if (entry === undefined) {
         return;
       }
       entries.delete(ticket);
+      if (entry.kind === 'granted' && load !== undefined) {
+        entry.grant.recordLoad(load);
+      }
       if (entry.kind === 'granted' && figures !== undefined) {
         entry.grant.complete(figures);
       } else {
@@ -127,7 +130,7 @@
         return;
       }
       if (load !== undefined) {
-        entry.grant.recordLoad(load.running, load.waiting);
+        entry.grant.recordLoad({ ...load, age: 0 });
       }
       if (isLeaving === true) {
         entry.grant.recordLeaving();
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -21,6 +21,7 @@
   AttemptFigures,
 } from '../types';
 import type { FindingsReport } from '../findings/types';
+import type { AgedServerLoad, ServerLoad } from '../speed/types';
 
 /** What the scheduling host knew about a server when it granted a slot there. */
 export interface ServerView {
@@ -29,6 +30,9 @@
   readonly others: number;
   readonly slowness: number;
   readonly failures: number;
+  /** Multiple of the usual time that work took, when the server last said so; absent if never. */
+  readonly slowdown?: number;
+  readonly slowdownAge?: Milliseconds;
   /** Requests per second that the server takes from all hosts; undefined if it names no limit. */
   readonly limit?: number;
 }
@@ -42,7 +46,7 @@
   /** Returns the slot after an attempt. */
   complete(figures: AttemptFigures): void;
   /** Records the load that the server reported with its response. */
-  recordLoad(running: number, waiting: number): void;
+  recordLoad(load: AgedServerLoad): void;
   /** Records that the server announced that it is leaving. */
   recordLeaving(): void;
 }
@@ -129,13 +133,15 @@
   readonly kind: 'return';
   readonly ticket: Ticket;
   readonly figures?: AttemptFigures;
+  /** What the server reported with its response; absent if it reported nothing. */
+  readonly load?: AgedServerLoad;
 }
 
 /** What a server reported with a response, sent while the request is still in flight. */
 export interface ServerReport {
   readonly kind: 'serverReport';
   readonly ticket: Ticket;
-  readonly load?: { readonly running: number; readonly waiting: number };
+  readonly load?: ServerLoad;
   readonly isLeaving?: boolean;
 }
 
@@ -231,7 +237,7 @@
   /** Admits a request; repeats the response if the ticket is known. */
   ask(message: SlotAsk): void;
   /** Ends a ticket: returns its slot, or cancels its request. */
-  returnSlot(message: Pick<SlotReturn, 'ticket' | 'figures'>): void;
+  returnSlot(message: Omit<SlotReturn, 'kind'>): void;
   recordServerReport(message: ServerReport): void;
   /** Corrects the tickets by a report of the host, which is authoritative. */
   reconcile(report: HostReport): void;
--- a/packages/relay/src/createHostSummary.ts
+++ b/packages/relay/src/createHostSummary.ts
@@ -1,4 +1,4 @@
-import type { PoolId } from '@rattanreel/core';
+import type { Milliseconds, PoolId } from '@rattanreel/core';
 import type { ClusterStateVersions, HostSummary } from './types';
 import type { Pools } from './pools/types';
 
@@ -8,6 +8,7 @@
 > {
   readonly pools: Pools;
   readonly versions: ClusterStateVersions;
+  readonly now: Milliseconds;
 }
 
 /** Creates the current summary of this host for its peers. */
@@ -33,5 +34,6 @@
     inFlight: Object.fromEntries(pools.countOwnInFlight()),
     tiers,
     waiting,
+    speeds: pools.speeds.tryGetReports(options.now),
   };
 }
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -9,6 +9,7 @@
 import getColdRequestInterval from './decisions/getColdRequestInterval';
 import createPoolQueue from './pools/createPoolQueue';
 import createServerStateMap from './pools/createServerStateMap';
+import createServerSpeeds from './speed/createServerSpeeds';
 import type { PoolQueue, ServerStateMap, Pools } from './pools/types';
 import type { Rollouts } from './rollouts/types';
 import type { ServerEmbargo } from './decisions/types';
@@ -46,6 +47,7 @@
 export default function createPools(options: PoolsOptions): Pools {
   const { clock, ownName } = options;
   const poolsById = new Map<PoolId, PoolEntry>();
+  const speeds = createServerSpeeds();
   let settingsByPool = new Map<PoolId, PoolSettings>();
   let sharing: SlotSharing = {
     grantingHosts: [ownName],
@@ -95,6 +97,7 @@
           options.rollouts.getUse(server) === 'none' || options.embargo.isEmbargoed(server, now),
       },
       rollouts: options.rollouts,
+      speeds,
       onInFlightChange: options.onInFlightChange,
       getPacing,
       getOwnSlots,
@@ -116,6 +119,7 @@
   }
 
   return {
+    speeds,
     getQueue: (pool) => getPoolEntry(pool).queue,
     setSettings(settings) {
       settingsByPool = new Map(settings.map((each) => [each.name, each]));
@@ -123,6 +127,7 @@
     setServers(servers) {
       const now = clock.now();
       servers.forEach(({ pool }) => getPoolEntry(pool));
+      speeds.retainServers(new Set(servers.map(({ id }) => id)));
       poolsById.forEach(({ serverStates, queue, ownSlots }, pool) => {
         ownSlots.clear();
         serverStates.replaceServers(
--- a/packages/relay/src/decisions/chooseServer.test.ts
+++ b/packages/relay/src/decisions/chooseServer.test.ts
@@ -14,6 +14,8 @@
   readonly tooSlow?: readonly string[];
   /** Servers that asked this host to send nothing. */
   readonly embargoed?: readonly string[];
+  /** Slowdowns to expect of servers. */
+  readonly slowdowns?: Readonly<Record<string, number>>;
   readonly chosen: string | undefined;
 }
 
@@ -61,6 +63,18 @@
     chosen: 'slow',
   },
   { name: 'the faster one', servers: [slow, idle], chosen: 'idle' },
+  {
+    name: 'the one that is slower in general but not slowed down now',
+    servers: [slow, idle],
+    slowdowns: { idle: 4 },
+    chosen: 'slow',
+  },
+  {
+    name: 'one that is slowed down when no other has a free slot',
+    servers: [idle, overfull],
+    slowdowns: { idle: 4 },
+    chosen: 'idle',
+  },
   { name: 'the same-domain one', servers: [remote, idle], chosen: 'idle' },
   { name: 'the one that does not fail', servers: [failing, idle], chosen: 'idle' },
   {
@@ -111,6 +125,7 @@
       excludedServers = [],
       tooSlow = [],
       embargoed = [],
+      slowdowns = {},
       chosen,
     }) => {
       it(`chooses ${name}`, () => {
@@ -122,6 +137,7 @@
           evacuated: new Set(evacuated),
           excludedServers: new Set(excludedServers),
           embargo: { isEmbargoed: ({ id }) => embargoed.includes(id) },
+          getSlowdown: ({ listed }) => slowdowns[listed.id] ?? 1,
           canMeetDeadline: ({ listed }) => !tooSlow.includes(listed.id),
         });
         expect(server?.listed.id).toEqual(chosen);
--- a/packages/relay/src/decisions/chooseServer.ts
+++ b/packages/relay/src/decisions/chooseServer.ts
@@ -1,10 +1,9 @@
 import type { BackendServerId, FailureDomainId, Milliseconds, Random } from '@rattanreel/core';
-import isDue from '../limits/isDue';
 import type { ServerState } from '../types';
 import type { ServerEmbargo } from './types';
 import getOccupancy from './getOccupancy';
 import hasRoom from './hasRoom';
-import isUsableServer from './isUsableServer';
+import isReadyServer from './isReadyServer';
 
 /**
  * Added to the cost of a server in another failure domain, in units of an average request. Traffic
@@ -28,6 +27,8 @@
   /** Servers that asked this host to send nothing. */
   readonly embargo: Pick<ServerEmbargo, 'isEmbargoed'>;
   readonly excludedServers: ReadonlySet<BackendServerId>;
+  /** Returns the slowdown to expect of a server; 1 is usual. */
+  readonly getSlowdown?: (server: ServerState) => number;
   /** Returns whether a server whose version is on trial may get a request now. */
   readonly mayTry?: (server: ServerState) => boolean;
   /**
@@ -37,25 +38,16 @@
   readonly canMeetDeadline?: (server: ServerState) => boolean;
 }
 
-function isUsableNow(server: ServerState, options: ChooseServerOptions): boolean {
-  const { now, excludedServers, mayTry = () => true } = options;
-  return (
-    isUsableServer(server, options) &&
-    !excludedServers.has(server.listed.id) &&
-    isDue(server, now) &&
-    mayTry(server) &&
-    (server.coldUntil <= now || (server.nextColdRequestAt ?? Infinity) <= now)
-  );
-}
-
 /**
  * Returns the server with a free slot and the lowest cost by speed, load, failure rate and failure
  * domain, among those expected to meet the deadline if there are any; undefined if none has a free
  * slot.
  */
 export default function chooseServer(options: ChooseServerOptions): ServerState | undefined {
-  const { now, random, canMeetDeadline = () => true } = options;
-  const usable = options.servers.filter((server) => isUsableNow(server, options));
+  const { now, random, canMeetDeadline = () => true, getSlowdown = () => 1 } = options;
+  const usable = options.servers.filter(
+    (server) => !options.excludedServers.has(server.listed.id) && isReadyServer(server, options),
+  );
   const inTime = usable.filter(canMeetDeadline);
   let best: ServerState | undefined;
   let bestCost = Infinity;
@@ -67,7 +59,9 @@
     const remotePenalty = server.listed.failureDomain === options.ownDomain ? 0 : REMOTE_PENALTY;
     const failureFactor = 1 + FAILURE_WEIGHT * server.failureRate;
     const cost =
-      server.slowness * loadFactor * failureFactor + remotePenalty + random.next() * RANDOM_SPREAD;
+      server.slowness * getSlowdown(server) * loadFactor * failureFactor +
+      remotePenalty +
+      random.next() * RANDOM_SPREAD;
     if (cost < bestCost) {
       best = server;
       bestCost = cost;
--- a/packages/relay/src/decisions/createRequestQueue.ts
+++ b/packages/relay/src/decisions/createRequestQueue.ts
@@ -1,5 +1,6 @@
 import type { Milliseconds, TierRank } from '@rattanreel/core';
 import type { Priority, QueuedRequest } from '../types';
+import type { SlotRequester } from './types';
 
 interface RequestQueue {
   readonly size: number;
@@ -14,6 +15,8 @@
   tryFindByFloorRank(isServable: (request: QueuedRequest) => boolean): QueuedRequest | undefined;
   /** Removes and returns the requests that would be late even if they were dispatched now. */
   removeExpired(now: Milliseconds): readonly QueuedRequest[];
+  /** Lists the groups that share slots and have queued requests. */
+  listGroups(): readonly SlotRequester[];
   /** Counts the queued requests by rank. */
   countByRank(): ReadonlyMap<number, number>;
   /** Sums `getWork` over the requests that would be served before a new one of this rank. */
@@ -81,6 +84,8 @@
       expired.forEach((request) => getLevel(request).requests.delete(request));
       return expired;
     },
+    listGroups: () =>
+      levels.filter(({ requests }) => requests.size > 0).map(({ priority }) => priority),
     countByRank() {
       const counts = new Map<number, number>();
       levels.forEach(({ priority: { rank }, requests }) => {
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -5,7 +5,7 @@
 import createEventBoundary from './createEventBoundary';
 import tryParseLimit from '../limits/tryParseLimit';
 import recordCrashEvidence from './recordCrashEvidence';
-import tryParseLoad from './tryParseLoad';
+import tryParseLoad from '../speed/tryParseLoad';
 import type { AttemptOutcome, AttemptFigures } from '../types';
 import type { ResponseRelay, RelayRequestOptions } from './types';
 
@@ -63,7 +63,7 @@
       onHead(head) {
         const load = tryParseLoad(head.headers[names.load]);
         if (load !== undefined) {
-          grant.recordLoad(load.running, load.waiting);
+          grant.recordLoad({ ...load, age: 0 });
         }
         // Another server, at an address that was used again, says nothing about this one.
         if (head.status !== HTTP_MISDIRECTED) {
--- a/packages/relay/src/peers/createPeerSync.ts
+++ b/packages/relay/src/peers/createPeerSync.ts
@@ -1,4 +1,5 @@
 import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
+import selectChangedSpeeds from '../speed/selectChangedSpeeds';
 import type chooseSummaryRecipients from '../decisions/chooseSummaryRecipients';
 import type { HostChange, HostSummary } from '../types';
 import type { RelayTransport } from './types';
@@ -61,7 +62,8 @@
     const ids = new Set([...Object.keys(before), ...Object.keys(summary.inFlight)]);
     const changed = [...ids].filter((id) => before[id] !== summary.inFlight[id]);
     const inFlight = Object.fromEntries(changed.map((id) => [id, summary.inFlight[id] ?? 0]));
-    return { kind: 'change', entryHost, inFlight, tiers, waiting };
+    const speeds = selectChangedSpeeds(lastSummary.speeds, summary.speeds);
+    return { kind: 'change', entryHost, inFlight, tiers, waiting, speeds };
   }
 
   function sendUpdate(): void {
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -19,6 +19,7 @@
 import createFindingsSync from './createFindingsSync';
 import createStateFetcher from './createStateFetcher';
 import listLikelyPeers from './listLikelyPeers';
+import updatePeerLoad from './updatePeerLoad';
 import type { OpenTransport, RelayTransport, RelayTransportOptions, HostMessage } from './types';
 import type { FindingsReport, Findings } from '../findings/types';
 import type { Pools } from '../pools/types';
@@ -89,21 +90,12 @@
   let candidates: readonly PeerAddress[] = [];
   let isUpdateScheduled = false;
 
-  /** Updates the pools with the load of the other hosts. */
-  function updatePools(): void {
-    const now = clock.now();
-    const counts = peerTable.countInFlight(now);
-    pools.forEachQueue((queue, pool) =>
-      queue.setPeerLoad(counts, peerTable.countByTier(pool, now), peerTable.countQueued(pool, now)),
-    );
-  }
-
   function scheduleUpdate(): void {
     if (!isUpdateScheduled) {
       isUpdateScheduled = true;
       clock.after(POOL_UPDATE_INTERVAL, () => {
         isUpdateScheduled = false;
-        updatePools();
+        updatePeerLoad(options);
       });
     }
   }
@@ -111,6 +103,7 @@
   function handleSummary(message: HostSummary | HostChange): void {
     const now = clock.now();
     const isNew = peerTable.record(message, now);
+    pools.speeds.merge(message.speeds ?? {}, now);
     if (message.kind === 'summary') {
       if (!options.getRole().isLarge) {
         stateCache.upsertPeer(message);
@@ -125,7 +118,7 @@
     if (options.getRole().isLarge) {
       scheduleUpdate();
     } else {
-      updatePools();
+      updatePeerLoad(options);
     }
   }
 
@@ -195,6 +188,7 @@
         spent: quota.getSpent(),
         hosts: options.getRole().ownHosts,
         versions: stateCache.getVersions(),
+        now: clock.now(),
       }),
     listRecipients: listSummaryRecipients,
   });
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -2,14 +2,14 @@
 import createSlotSharingPolicy from '../decisions/createSlotSharingPolicy';
 import createRetryBudget from '../decisions/createRetryBudget';
 import canMeetDeadline from '../decisions/canMeetDeadline';
-import shouldDeferToPeers from '../decisions/shouldDeferToPeers';
 import createRequestQueue from '../decisions/createRequestQueue';
-import type { RelayBounds, ServerState, QueuedRequest } from '../types';
+import type { RelayBounds, QueuedRequest } from '../types';
 import recordAttempt from './recordAttempt';
 import createPoolAverages from './createPoolAverages';
 import type { PoolAverages, SlotTrackerOptions, PoolQueue } from './types';
 import createSlotRelease from './createSlotRelease';
 import createSlotTracker from './createSlotTracker';
+import tryFindGrant from './tryFindGrant';
 
 /** Time between two checks of the queue; covers changes that no message announces. */
 const QUEUE_CHECK_INTERVAL: Milliseconds = 20;
@@ -18,14 +18,9 @@
   readonly bounds: RelayBounds;
 }
 
-interface Grant {
-  readonly request: QueuedRequest;
-  readonly server: ServerState;
-}
-
 function isInTime(
   averages: PoolAverages,
-  { slowness }: ServerState,
+  slowness: number,
   { outputTokens, priority }: QueuedRequest,
   now: Milliseconds,
 ): boolean {
@@ -42,7 +37,7 @@
  * Queues and orders a pool's requests before dispatch, so that the servers' own queues stay short.
  */
 export default function createPoolQueue(options: PoolQueueOptions): PoolQueue {
-  const { clock, bounds, serverStates } = options;
+  const { clock, bounds, serverStates, speeds } = options;
   const averages = createPoolAverages();
   const queue = createRequestQueue({ getExpectedTimeToFirstData: averages.timeToFirstData.get });
   const retryBudget = createRetryBudget({ bounds });
@@ -50,46 +45,16 @@
   const tracker = createSlotTracker({
     ...options,
     getMeanDuration: averages.duration.get,
-    canMeetDeadline: (server, request) => isInTime(averages, server, request, clock.now()),
+    canMeetDeadline: (slowness, request) => isInTime(averages, slowness, request, clock.now()),
   });
   const releaseSlot = createSlotRelease({ clock, tracker, onReleased: () => grantSlots() });
   let peerQueuedByRank: ReadonlyMap<number, number> = new Map();
   let sharingHosts = 1;
   let isCheckScheduled = false;
 
-  /**
-   * Returns the next request that may take a slot, and its server; tiers below their floor go
-   * first.
-   */
-  function tryFindGrant(): Grant | undefined {
-    if (!tracker.hasFreeSlot()) {
-      return undefined;
-    }
-    const counts = tracker.countSlots();
-    let server: ServerState | undefined;
-    const canServe = (request: QueuedRequest): boolean => {
-      server = tracker.selectServer(request);
-      return server !== undefined;
-    };
-    const belowFloor = queue.tryFindByFloorRank(
-      (request) => policy.evaluate(request.priority, counts) === 'belowFloor' && canServe(request),
-    );
-    if (belowFloor !== undefined && server !== undefined) {
-      return { request: belowFloor, server };
-    }
-    const next = queue.tryFind(
-      (request) => policy.evaluate(request.priority, counts) !== 'kept' && canServe(request),
-    );
-    if (next === undefined || server === undefined) {
-      return undefined;
-    }
-    const freeSlots = counts.total - counts.inUse;
-    const mustDefer = shouldDeferToPeers({ rank: next.priority.rank, freeSlots, peerQueuedByRank });
-    return mustDefer ? undefined : { request: next, server };
-  }
-
   function grantNextSlot(): boolean {
-    const grant = queue.size === 0 ? undefined : tryFindGrant();
+    const grant =
+      queue.size === 0 ? undefined : tryFindGrant({ queue, policy, tracker, peerQueuedByRank });
     if (grant === undefined) {
       return false;
     }
@@ -168,19 +133,26 @@
     },
     completeAttempt(server, tier, figures) {
       releaseSlot(server, tier, figures);
-      if (figures.end.kind === 'whole') {
+      const now = clock.now();
+      // Times at a server that was slow say nothing of its usual ones.
+      const isUsualSpeed = !speeds.wasSlowSince(server.listed.id, now - figures.duration);
+      if (figures.end.kind === 'whole' && isUsualSpeed) {
         policy.recordDuration(tier, figures.duration);
       }
-      recordAttempt({ server, figures, averages, now: clock.now() });
+      recordAttempt({ server, figures, averages, isUsualSpeed, now });
       // A server that has just started is slow whatever its version.
-      if (server.coldUntil <= clock.now() - figures.duration) {
+      if (server.coldUntil <= now - figures.duration) {
         options.rollouts.recordAttempt(server.listed, tier, figures);
       }
       grantSlots();
     },
-    recordLoadReport(server, running, waiting) {
+    recordLoadReport(server, { running, waiting, slowdown, age }) {
+      const observedAt = clock.now() - age;
       server.reportedPeerInFlight = Math.max(running + waiting - server.ownInFlight, 0);
-      server.reportedAt = clock.now();
+      server.reportedAt = observedAt;
+      if (slowdown !== undefined && speeds.record(server.listed.id, { slowdown, observedAt })) {
+        options.onInFlightChange(true);
+      }
     },
     trySpendRetry: () => retryBudget.trySpendRetry(clock.now()),
     recordRequest: () => retryBudget.recordRequest(clock.now()),
--- a/packages/relay/src/pools/createSlotTracker.ts
+++ b/packages/relay/src/pools/createSlotTracker.ts
@@ -2,9 +2,11 @@
 import chooseServer from '../decisions/chooseServer';
 import getOccupancy from '../decisions/getOccupancy';
 import hasRoom from '../decisions/hasRoom';
+import isReadyServer from '../decisions/isReadyServer';
 import isUsableServer from '../decisions/isUsableServer';
 import type { SlotCounts } from '../decisions/types';
 import isDue from '../limits/isDue';
+import createServableCheck from '../speed/createServableCheck';
 import type { ServerState, QueuedRequest } from '../types';
 import type { SlotTrackerOptions } from './types';
 
@@ -16,6 +18,11 @@
    * first.
    */
   hasFreeSlot(): boolean;
+  /**
+   * Creates a check, valid at this moment, whether `selectServer` finds a server for a request that
+   * excludes none. It examines the servers once, however many requests are checked.
+   */
+  createServableCheck(): (request: QueuedRequest) => boolean;
   /** Selects the server for a request; undefined if none has a free slot for it. */
   selectServer(request: QueuedRequest): ServerState | undefined;
   acquireSlot(server: ServerState, tier: TierRank): void;
@@ -61,22 +68,50 @@
     server.ownSlots = options.getOwnSlots(server);
   }
 
-  function selectServer(request: QueuedRequest): ServerState | undefined {
-    const now = clock.now();
-    serverStates.byId.forEach((server) => {
+  function listServers(now: Milliseconds): readonly ServerState[] {
+    const servers = [...serverStates.byId.values()];
+    servers.forEach((server) => {
       scheduleColdRequests(server, now);
       updateAllowance(server);
     });
+    return servers;
+  }
+
+  function mayTry({ listed }: ServerState): boolean {
+    return options.rollouts.mayTry(listed);
+  }
+
+  function getSlowness(server: ServerState, now: Milliseconds): number {
+    return server.slowness * options.speeds.getSlowdown(server.listed.id, now);
+  }
+
+  function selectServer(request: QueuedRequest): ServerState | undefined {
+    const now = clock.now();
     return chooseServer({
-      servers: [...serverStates.byId.values()],
+      servers: listServers(now),
       embargo: options.embargo,
       now,
       random,
       ownDomain,
       evacuated: options.getEvacuated(),
       excludedServers: request.excludedServers,
-      mayTry: ({ listed }) => options.rollouts.mayTry(listed),
-      canMeetDeadline: (server) => options.canMeetDeadline(server, request),
+      mayTry,
+      getSlowdown: ({ listed }) => options.speeds.getSlowdown(listed.id, now),
+      canMeetDeadline: (server) => options.canMeetDeadline(getSlowness(server, now), request),
+    });
+  }
+
+  function createCheck(): (request: QueuedRequest) => boolean {
+    const now = clock.now();
+    const evacuated = options.getEvacuated();
+    const { embargo, canMeetDeadline } = options;
+    return createServableCheck({
+      usable: listServers(now).filter((server) =>
+        isReadyServer(server, { now, evacuated, embargo, mayTry }),
+      ),
+      now,
+      getSlowness: (server) => getSlowness(server, now),
+      canMeetDeadline,
     });
   }
 
@@ -105,10 +140,13 @@
     };
   }
 
-  /** Returns the slots of a server that requests can hold on average within its limit. */
+  /**
+   * Returns the slots of a server that requests can hold on average within its limit, as slots of
+   * a server of usual speed.
+   */
   function getSustainedSlots({ listed, pacing }: ServerState): number {
     const held = (pacing?.rate ?? Infinity) * (options.getMeanDuration() / MILLISECONDS_PER_SECOND);
-    return Math.min(listed.slots, held);
+    return Math.min(listed.slots / options.speeds.getSlowdown(listed.id, clock.now()), held);
   }
 
   function countSlots(): SlotCounts {
@@ -146,6 +184,7 @@
   return {
     hasFreeSlot,
     countSlots,
+    createServableCheck: createCheck,
     selectServer,
     acquireSlot,
     releaseSlot(server, tier) {
--- a/packages/relay/src/pools/recordAttempt.ts
+++ b/packages/relay/src/pools/recordAttempt.ts
@@ -1,5 +1,5 @@
 import type { Milliseconds } from '@rattanreel/core';
-import type { ServerState, AttemptFigures } from '../types';
+import type { AttemptFigures, AttemptOutcome, ServerState } from '../types';
 import type { PoolAverages } from './types';
 import type { MovingAverage } from '../decisions/types';
 
@@ -14,8 +14,10 @@
 const MAXIMUM_BACKOFF: Milliseconds = 1_500;
 /** Number of consecutive failures after which a server gets a backoff. */
 const CONSECUTIVE_FAILURE_THRESHOLD = 4;
-/** Backoff after a server reported that it is full. */
+/** Longest backoff after a server reported that it is full, if it named no time. */
 const SERVER_FULL_BACKOFF: Milliseconds = 60;
+/** Peers tell within this time how many requests they have sent to a full server. */
+const MINIMUM_FULL_BACKOFF: Milliseconds = 20;
 const MAXIMUM_FULL_BACKOFF: Milliseconds = 500;
 /** Backoff after another server, or one of another version, responded at the address. */
 const MISDIRECTED_BACKOFF: Milliseconds = 1_000;
@@ -26,6 +28,8 @@
   readonly server: ServerState;
   readonly figures: AttemptFigures;
   readonly averages: PoolAverages;
+  /** Whether the server worked at its usual speed, as far as it reports that. */
+  readonly isUsualSpeed: boolean;
   readonly now: Milliseconds;
 }
 
@@ -38,13 +42,22 @@
 
 /**
  * Returns the backoff after a server turned a request away. The time that it asked for binds the
- * host which sent the request; to the others it is a sign that the server is full.
+ * host which sent the request; to the others it is a sign that the server is full, and it is full
+ * for about as long as it takes until one of its requests ends. A small pool whose full servers are
+ * avoided for longer refuses what it could serve. Servers that fall over when they turn requests
+ * away are avoided for longer.
  */
-function getNotRunBackoff(status: number, retryAfter: Milliseconds | undefined): Milliseconds {
+function getNotRunBackoff(
+  { listed, ownSlots }: ServerState,
+  { duration }: Pick<PoolAverages, 'duration'>,
+  { status, retryAfter }: Extract<AttemptOutcome, { kind: 'notRun' }>,
+): Milliseconds {
   if (status === HTTP_MISDIRECTED) {
     return MISDIRECTED_BACKOFF;
   }
-  return Math.max(SERVER_FULL_BACKOFF, Math.min(retryAfter ?? 0, MAXIMUM_FULL_BACKOFF));
+  const longest = Math.max(SERVER_FULL_BACKOFF, Math.min(retryAfter ?? 0, MAXIMUM_FULL_BACKOFF));
+  const untilFree = Math.max(duration.get() / listed.slots, MINIMUM_FULL_BACKOFF);
+  return ownSlots === undefined ? Math.min(longest, untilFree) : longest;
 }
 
 function recordFailure(server: ServerState, now: Milliseconds, threshold: number): void {
@@ -56,9 +69,13 @@
   }
 }
 
-function recordSuccess({ server, figures, averages }: RecordAttemptOptions): void {
+function recordSuccess(options: RecordAttemptOptions): void {
+  const { server, figures, averages } = options;
   server.consecutiveFailures = 0;
   server.failureRate -= ATTEMPT_WEIGHT * server.failureRate;
+  if (!options.isUsualSpeed) {
+    return;
+  }
   averages.duration.add(figures.duration);
   if (figures.firstDataAfter !== undefined) {
     averages.timeToFirstData.add(figures.firstDataAfter);
@@ -85,7 +102,7 @@
       return;
     case 'notRun':
       server.extraSlots = end.status === HTTP_MISDIRECTED ? server.extraSlots : 0;
-      server.backoffUntil = now + getNotRunBackoff(end.status, end.retryAfter);
+      server.backoffUntil = now + getNotRunBackoff(server, options.averages, end);
       return;
     case 'notConnected':
       recordFailure(server, now, 1);
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -22,6 +22,7 @@
 } from '../types';
 import type { MovingAverage, ServerEmbargo } from '../decisions/types';
 import type { Rollouts } from '../rollouts/types';
+import type { AgedServerLoad, ServerSpeeds } from '../speed/types';
 
 export type AdmissionDecision =
   { readonly kind: 'waiting' } | { readonly kind: 'refused'; readonly reason: RefusalReason };
@@ -44,8 +45,8 @@
   releaseUnusedSlot(server: ServerState, tier: TierRank): void;
   /** Releases the slot of an attempt and records its measurements. */
   completeAttempt(server: ServerState, tier: TierRank, figures: AttemptFigures): void;
-  /** Records the load that a server reported with a response. */
-  recordLoadReport(server: ServerState, running: number, queued: number): void;
+  /** Records the load and the speed that a server reported with a response. */
+  recordLoadReport(server: ServerState, load: AgedServerLoad): void;
   trySpendRetry(): boolean;
   recordRequest(): void;
   /** Records that a server announced in a response that it is leaving. */
@@ -103,14 +104,19 @@
   readonly getSettings: () => PoolSettings | undefined;
   /** Called when the requests in flight change, with whether capacity is scarce. */
   readonly onInFlightChange: (isScarce: boolean) => void;
-  /** Returns whether a server is expected to complete a response within the request's deadline. */
-  readonly canMeetDeadline: (server: ServerState, request: QueuedRequest) => boolean;
+  /**
+   * Returns whether a server of this slowness, 1 being average, is expected to complete a response
+   * within the request's deadline.
+   */
+  readonly canMeetDeadline: (slowness: number, request: QueuedRequest) => boolean;
   /** Returns the pacing of requests to a server; undefined while it names no limit. */
   readonly getPacing: (server: ServerState) => LimitPacing | undefined;
   /** Returns the slots of a server that this host may use; undefined if hosts share them. */
   readonly getOwnSlots: (server: ServerState) => number | undefined;
   /** The roll-outs in force. */
   readonly rollouts: Pick<Rollouts, 'getUse' | 'mayTry' | 'recordGrant' | 'recordAttempt'>;
+  /** The reported speeds of the servers. */
+  readonly speeds: ServerSpeeds;
   /** Mean time for which a request holds its slot. */
   readonly getMeanDuration: () => Milliseconds;
   /** Returns the time between two requests of this host to a cold server. */
@@ -119,6 +125,8 @@
 
 /** The pools of a host. */
 export interface Pools {
+  /** The reported speeds of the servers of all pools. */
+  readonly speeds: ServerSpeeds;
   getQueue(pool: PoolId): PoolQueue;
   setSettings(settings: readonly PoolSettings[]): void;
   setServers(servers: readonly ListedServer[]): void;
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -67,12 +67,19 @@
 
 interface TestCallersOptions {
   readonly fleet: TestFleet;
+  /** Routes in place of the usual ones. */
+  readonly routes?: readonly Partial<Route>[];
+  /** Time for which callers wait. */
+  readonly deadline?: Milliseconds;
 }
 
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
-export default function createTestCallers({ fleet }: TestCallersOptions) {
+export default function createTestCallers(options: TestCallersOptions) {
+  const { fleet, deadline = DEADLINE } = options;
   const { clock, random } = fleet;
-  const routes = createRouteTable(ROUTES);
+  const routes = createRouteTable(
+    options.routes?.map((route) => ({ ...DRAFTS, ...route })) ?? ROUTES,
+  );
   const handlers = new Map<TestHost, TestHandler>();
   const requests: CallerRequest[] = [];
   let isRunning = true;
@@ -127,7 +134,7 @@
     const headers = {
       host: 'h',
       [headerNames.requestId]: id,
-      [headerNames.deadline]: String(DEADLINE),
+      [headerNames.deadline]: String(deadline),
       [headerNames.tokenCount]: '300,20',
       ...(promptParts.length > 0 && { [headerNames.promptParts]: ownParts.join(',') }),
       ...(customer !== undefined && { [headerNames.key]: customer }),
--- a/packages/relay/src/testing/createTestEngine.ts
+++ b/packages/relay/src/testing/createTestEngine.ts
@@ -1,7 +1,9 @@
 import type { Clock, Milliseconds, Random } from '@rattanreel/core';
 import type { AttemptRequest, AttemptSink } from '../servers/types';
 import type { AttemptOutcome, ListedServer } from '../types';
+import createTestLimits from './createTestLimits';
 import createTestRoom from './createTestRoom';
+import createTestSpeed from './createTestSpeed';
 import headerNames from './headerNames';
 import type { TestHost } from './types';
 
@@ -23,12 +25,6 @@
   isEnded: boolean;
 }
 
-/** A limit that an engine names from a time on; undefined if it names none. */
-interface LimitChange {
-  readonly at: Milliseconds;
-  readonly limit: number | undefined;
-}
-
 /** How an engine answers badly. */
 interface BadBehaviour {
   readonly failShare: number;
@@ -41,6 +37,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly listed: ListedServer;
+  /** Mean work of a plain service, whose response is one chunk; undefined for a model engine. */
+  readonly serviceWork?: Milliseconds | undefined;
   /** Returns why the engine ends when it begins to answer a request; undefined if it does not. */
   readonly tryGetCrashCause: (request: AttemptRequest) => string | undefined;
   readonly onCrash: (cause: string | undefined) => void;
@@ -62,17 +60,16 @@
  * starts again seconds later as a new process.
  */
 export default function createTestEngine(options: TestEngineOptions) {
-  const { clock, random } = options;
+  const { clock, random, serviceWork } = options;
   let { listed } = options;
   let isUp = true;
   let starts = 0;
   let running = new Set<TestRun>();
   let waiting: TestRun[] = [];
   let behaviour: BadBehaviour = { failShare: 0, slowShare: 0, slowness: 1 };
+  const speed = createTestSpeed(clock);
   const room = createTestRoom(clock);
-  const limits: LimitChange[] = [];
-  /** When each host first received an answer that names a limit. */
-  const toldAt = new Map<TestHost, Milliseconds>();
+  const limits = createTestLimits(clock);
 
   function end(run: TestRun, outcome: AttemptOutcome): void {
     if (!run.isEnded) {
@@ -107,18 +104,12 @@
   }
 
   function createHeaders({ host, request }: TestRun): Record<string, string> {
-    const headers: Record<string, string> = {
+    return {
       [headerNames.requestId]: request.requestId,
       ...room.getHeaders(),
+      ...speed.getHeaders(running.size, waiting.length, listed.slots),
+      ...limits.getHeaders(host),
     };
-    const limit = limits.at(-1)?.limit;
-    if (limit === undefined) {
-      return headers;
-    }
-    if (!toldAt.has(host)) {
-      toldAt.set(host, clock.now());
-    }
-    return { ...headers, [headerNames.limit]: String(limit) };
   }
 
   function finish(run: TestRun, status: number): void {
@@ -131,9 +122,11 @@
     if (!running.has(run)) {
       return;
     }
-    if (sent < EVENTS) {
+    if (serviceWork !== undefined) {
+      run.sink.onData(Buffer.from('text'));
+    } else if (sent < EVENTS) {
       run.sink.onData(Buffer.from(`id: ${sent}\ndata: text\n\n`));
-      clock.after(EVENT_INTERVAL * slowness, () => sendEvents(run, sent + 1, slowness));
+      speed.work(EVENT_INTERVAL * slowness, () => sendEvents(run, sent + 1, slowness));
       return;
     }
     finish(run, 200);
@@ -171,15 +164,19 @@
       const run = waiting.shift()!;
       running.add(run);
       const slowness = random.next() < behaviour.slowShare ? behaviour.slowness : 1;
-      const prefill = MINIMUM_PREFILL + random.next() * PREFILL_SPREAD;
-      clock.after(prefill * slowness, () => answer(run, slowness));
+      const usual =
+        serviceWork === undefined
+          ? MINIMUM_PREFILL + random.next() * PREFILL_SPREAD
+          : serviceWork * (0.5 + random.next());
+      speed.work(usual * slowness, () => answer(run, slowness));
     }
   }
 
   /** Turns a request away; a brittle engine falls over once that happens too often in a second. */
   function turnAway(run: TestRun): void {
     sendHead(run, createHeaders(run), 503);
-    end(run, { kind: 'notRun', status: 503 });
+    const retryAfter = room.getRetryAfter();
+    end(run, { kind: 'notRun', status: 503, ...(retryAfter !== undefined && { retryAfter }) });
     if (room.turnAway()) {
       options.onFall();
       crash(undefined);
@@ -189,8 +186,8 @@
   return {
     getListed: () => listed,
     isUp: () => isUp,
-    limits,
-    toldAt,
+    limits: limits.limits,
+    toldAt: limits.toldAt,
     /** Accepts a request that was sent to the server `id`; returns whether it reached the engine. */
     accept(run: TestRun, id: string): boolean {
       if (!isUp) {
@@ -220,10 +217,10 @@
     setBehaviour(next: BadBehaviour): void {
       behaviour = next;
     },
+    countRunning: () => running.size,
+    speed,
     room,
     /** Makes the engine name another limit, or none, in its answers. */
-    setLimit(limit: number | undefined): void {
-      limits.push({ at: clock.now(), limit });
-    },
+    setLimit: limits.set,
   };
 }
--- a/packages/relay/src/testing/createTestEngines.ts
+++ b/packages/relay/src/testing/createTestEngines.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from '@rattanreel/core';
+import type { Milliseconds, PoolId } from '@rattanreel/core';
 import type { AttemptRequest, ServerConnections } from '../servers/types';
 import type { ListedServer } from '../types';
 import createTestEngine from './createTestEngine';
@@ -36,8 +36,15 @@
   };
 }
 
+interface TestEnginesOptions {
+  /** Mean work of plain services, by pool; all other pools have model engines. */
+  readonly serviceWork?: Readonly<Record<PoolId, Milliseconds>>;
+  /** Called when a request reaches an engine, before the engine accepts it. */
+  readonly onArrival?: (id: string) => void;
+}
+
 /** Runs the engines of a test fleet in virtual time, and connects hosts with them. */
-export default function createTestEngines(fleet: TestFleet) {
+export default function createTestEngines(fleet: TestFleet, options: TestEnginesOptions = {}) {
   const { clock, random } = fleet;
   /** The calls that crash engines, by a name of their own. */
   const crashing = new Map<string, (call: SeenCall) => boolean>();
@@ -59,6 +66,7 @@
       clock,
       random,
       listed,
+      serviceWork: options.serviceWork?.[listed.pool],
       tryGetCrashCause(request) {
         const call = toSeenCall(request);
         return [...crashing].find(([, isCrashing]) => isCrashing(call))?.[0];
@@ -90,6 +98,7 @@
         const path = paths.open(host, server, sink);
         const run = { host, request, sink: path.sink, isEnded: false };
         clock.after(LINK_DELAY, () => {
+          options.onArrival?.(server.id);
           if (path.isConnected() && !run.isEnded && engine.accept(run, server.id)) {
             const call = toSeenCall(request);
             arrivals.push({
--- a/packages/relay/src/testing/createTestFleet.ts
+++ b/packages/relay/src/testing/createTestFleet.ts
@@ -35,6 +35,8 @@
   readonly hosts: number;
   readonly domains: number;
   readonly serversPerDomain: number;
+  /** Backend servers in place of `serversPerDomain` equal ones. */
+  readonly servers?: readonly Partial<ListedServer>[];
   readonly configuration?: Partial<RelayConfiguration>;
   readonly seed?: number;
 }
@@ -83,7 +85,11 @@
   const random = createRandom(options.seed ?? 5);
   const hosts: TestHost[] = [];
   const getDomain = (index: number): string => `domain-${index % domains}`;
-  const servers = createServers(domains * serversPerDomain, getDomain);
+  const count = options.servers?.length ?? domains * serversPerDomain;
+  const servers = createServers(count, getDomain).map((server, index) => ({
+    ...server,
+    ...options.servers?.[index],
+  }));
   const configuration = { ...EMPTY_CONFIGURATION, ...options.configuration };
   const network = createTestNetwork(clock);
   let connect = (host: TestHost): ServerConnections => {
--- a/packages/relay/src/testing/createTestQueue.ts
+++ b/packages/relay/src/testing/createTestQueue.ts
@@ -3,6 +3,7 @@
 import createPoolQueue from '../pools/createPoolQueue';
 import createServerStateMap from '../pools/createServerStateMap';
 import type { PoolQueue } from '../pools/types';
+import createServerSpeeds from '../speed/createServerSpeeds';
 import createTestServer from './createTestServer';
 
 interface TestQueueOptions {
@@ -10,13 +11,20 @@
   readonly servers: number;
   /** Requests that each server runs at once. */
   readonly slots: number;
+  /** Called each time that a server is examined for a decision. */
+  readonly onExamined?: () => void;
 }
 
 /**
  * Creates the queue of a pool at a host without peers; its servers are all in the same domain, warm
  * and equally fast.
  */
-export default function createTestQueue({ clock, servers, slots }: TestQueueOptions): PoolQueue {
+export default function createTestQueue({
+  clock,
+  servers,
+  slots,
+  onExamined = () => undefined,
+}: TestQueueOptions): PoolQueue {
   const serverStates = createServerStateMap();
   serverStates.replaceServers(
     Array.from(
@@ -31,7 +39,12 @@
     ownDomain: 'near',
     serverStates,
     getEvacuated: () => new Set(),
-    embargo: { isEmbargoed: () => false },
+    embargo: {
+      isEmbargoed() {
+        onExamined();
+        return false;
+      },
+    },
     getSettings: () => undefined,
     onInFlightChange: () => undefined,
     getColdRequestInterval: () => 0,
@@ -43,6 +56,7 @@
       recordGrant: () => undefined,
       recordAttempt: () => undefined,
     },
+    speeds: createServerSpeeds(),
     bounds: {
       retryRatio: 0.2,
       retryWindow: 10_000,
--- a/packages/relay/src/testing/createTestRoom.ts
+++ b/packages/relay/src/testing/createTestRoom.ts
@@ -10,6 +10,7 @@
   /** Requests that may be turned away in a second; undefined while the engine is not brittle. */
   let brittleness: number | undefined;
   let maximumWaiting = MAXIMUM_WAITING;
+  let retryAfter: Milliseconds | undefined;
   let turnedAwayAt: Milliseconds[] = [];
 
   return {
@@ -29,6 +30,11 @@
     setBrittle(turnAways: number | undefined): void {
       brittleness = turnAways;
     },
+    /** Time for which an engine that turned a request away wants no other one of that host. */
+    getRetryAfter: () => retryAfter,
+    setRetryAfter(time: Milliseconds): void {
+      retryAfter = time;
+    },
     setMaximumWaiting(maximum: number): void {
       maximumWaiting = maximum;
     },
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -353,6 +353,13 @@
   readonly hosts: number;
   /** Backend servers that announced in a response that they are leaving. */
   readonly leaving?: readonly ServerProcess[];
+  /**
+   * Slowdowns that backend servers reported, with their age, of servers that were slow of late;
+   * absent if none is known.
+   */
+  readonly speeds?: Readonly<
+    Record<BackendServerId, readonly [slowdown: number, age: Milliseconds]>
+  >;
 }
 
 /** Changes at a host since its last message; sent more often than complete summaries. */
@@ -363,6 +370,8 @@
   readonly inFlight: Readonly<Record<BackendServerId, number>>;
   readonly tiers: HostSummary['tiers'];
   readonly waiting: HostSummary['waiting'];
+  /** Only slowdowns that changed. */
+  readonly speeds?: HostSummary['speeds'];
 }
 
 /** Versions of the state known to a host. They never decrease; -1 means nothing is known yet. */
