--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -11,6 +11,7 @@
 import createPoolAverages from './pools/createPoolAverages';
 import getExpectedDuration from './pools/getExpectedDuration';
 import createServerStateMap from './pools/createServerStateMap';
+import createServerSpeeds from './speed/createServerSpeeds';
 import type { PoolAverages, PoolQueue, ServerStateMap, Pools } from './pools/types';
 import type { Rollouts } from './rollouts/types';
 import type { ServerEmbargo } from './decisions/types';
@@ -49,6 +50,7 @@
 export default function createPools(options: PoolsOptions): Pools {
   const { clock, ownName } = options;
   const poolsById = new Map<PoolId, PoolEntry>();
+  const speeds = createServerSpeeds();
   let settingsByPool = new Map<PoolId, PoolSettings>();
   let sharing: SlotSharing = {
     grantingHosts: [ownName],
@@ -100,6 +102,7 @@
           options.rollouts.getUse(server) === 'none' || options.embargo.isEmbargoed(server, now),
       },
       rollouts: options.rollouts,
+      speeds,
       onInFlightChange: options.onInFlightChange,
       getPacing,
       getOwnSlots,
@@ -121,6 +124,7 @@
   }
 
   return {
+    speeds,
     getQueue: (pool) => getPoolEntry(pool).queue,
     getExpectedDuration: (pool, outputTokens) =>
       getExpectedDuration(getPoolEntry(pool).averages, outputTokens),
@@ -130,6 +134,7 @@
     setServers(servers) {
       const now = clock.now();
       servers.forEach(({ pool }) => getPoolEntry(pool));
+      speeds.retainServers(new Set(servers.map(({ id }) => id)));
       poolsById.forEach(({ serverStates, queue, ownSlots }, pool) => {
         ownSlots.clear();
         serverStates.replaceServers(
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -6,7 +6,7 @@
 import tryParseLimit from '../limits/tryParseLimit';
 import isBegunBy from './isBegunBy';
 import recordCrashEvidence from './recordCrashEvidence';
-import tryParseLoad from './tryParseLoad';
+import tryParseLoad from '../speed/tryParseLoad';
 import type { AttemptOutcome, AttemptFigures } from '../types';
 import type { ResponseRelay, RelayRequestOptions } from './types';
 
@@ -65,7 +65,7 @@
       onHead(head) {
         const load = tryParseLoad(head.headers[names.load]);
         if (load !== undefined) {
-          grant.recordLoad(load.running, load.waiting);
+          grant.recordLoad({ ...load, age: 0 });
         }
         // Another server, at an address that was used again, says nothing about this one.
         if (head.status !== HTTP_MISDIRECTED) {
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -22,6 +22,7 @@
 import createStateFetcher from './createStateFetcher';
 import listLatePeers from './listLatePeers';
 import listLikelyPeers from './listLikelyPeers';
+import updatePeerLoad from './updatePeerLoad';
 import type { OpenTransport, RelayTransport, RelayTransportOptions, HostMessage } from './types';
 import type { FindingsReport, Findings } from '../findings/types';
 import type { Pools } from '../pools/types';
@@ -99,21 +100,12 @@
   let candidates: readonly PeerAddress[] = [];
   let isUpdateScheduled = false;
 
-  /** Updates the pools with the load of the other hosts. */
-  function updatePools(): void {
-    const now = clock.now();
-    const counts = peerTable.countInFlight(now);
-    pools.forEachQueue((queue, pool) =>
-      queue.setPeerLoad(counts, peerTable.countByTier(pool, now), peerTable.countQueued(pool, now)),
-    );
-  }
-
   function scheduleUpdate(): void {
     if (!isUpdateScheduled) {
       isUpdateScheduled = true;
       clock.after(POOL_UPDATE_INTERVAL, () => {
         isUpdateScheduled = false;
-        updatePools();
+        updatePeerLoad(options);
       });
     }
   }
@@ -121,6 +113,7 @@
   function handleSummary(message: HostSummary | HostChange): void {
     const now = clock.now();
     const isNew = peerTable.record(message, now);
+    pools.speeds.merge(message.speeds ?? {}, now);
     if (message.kind === 'summary') {
       if (!options.getRole().isLarge) {
         stateCache.upsertPeer(message);
@@ -135,7 +128,7 @@
     if (options.getRole().isLarge) {
       scheduleUpdate();
     } else {
-      updatePools();
+      updatePeerLoad(options);
     }
   }
 
@@ -205,6 +198,7 @@
         hosts: options.getRole().ownHosts,
         loopDelay: options.loopDelay.get(),
         versions: stateCache.getVersions(),
+        now: clock.now(),
       }),
     listRecipients: listSummaryRecipients,
   });
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -75,12 +75,19 @@
   readonly fleet: TestFleet;
   /** Share of the requests that hosts may send twice. */
   readonly hedgeLimit?: number;
+  /** Routes in place of the usual ones. */
+  readonly routes?: readonly Partial<Route>[];
+  /** Time for which callers wait. */
+  readonly deadline?: Milliseconds;
 }
 
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
-export default function createTestCallers({ fleet, hedgeLimit = 0 }: TestCallersOptions) {
+export default function createTestCallers(options: TestCallersOptions) {
+  const { fleet, hedgeLimit = 0, deadline: usualDeadline = DEADLINE } = options;
   const { clock, random } = fleet;
-  const routes = createRouteTable(ROUTES);
+  const routes = createRouteTable(
+    options.routes?.map((route) => ({ ...DRAFTS, ...route })) ?? ROUTES,
+  );
   const handlers = new Map<TestHost, TestHandler>();
   const requests: CallerRequest[] = [];
   let isRunning = true;
@@ -133,7 +140,7 @@
     const available = fleet.hosts.filter(({ isDown, isFrozen }) => !isDown && !isFrozen);
     const host = available[random.integer(0, available.length - 1)]!;
     const id = `request-${requests.length + 1}`;
-    const { promptParts = [], target = '/', body = id, customer, deadline = DEADLINE } = call;
+    const { promptParts = [], target = '/', body = id, customer, deadline = usualDeadline } = call;
     const request: CallerRequest = {
       host,
       sentAt: clock.now(),
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -386,6 +386,13 @@
   readonly leaving?: readonly ServerProcess[];
   /** Event loop delay of the host; absent if unknown. */
   readonly loopDelay?: Milliseconds;
+  /**
+   * Slowdowns that backend servers reported, with their age, of servers that were slow of late;
+   * absent if none is known.
+   */
+  readonly speeds?: Readonly<
+    Record<BackendServerId, readonly [slowdown: number, age: Milliseconds]>
+  >;
   /** Usage that changed; absent where no usage is reported, or none is due. */
   readonly usage?: UsageReport;
 }
@@ -421,6 +428,8 @@
   readonly inFlight: Readonly<Record<BackendServerId, number>>;
   readonly tiers: HostSummary['tiers'];
   readonly waiting: HostSummary['waiting'];
+  /** Only slowdowns that changed. */
+  readonly speeds?: HostSummary['speeds'];
 }
 
 /** Versions of the state known to a host. They never decrease; -1 means nothing is known yet. */
