Tell a crashing content from a sound one at the same servers by which arrives again

Change: contents with exactly the same ends are suspended together. Parts of prompts arrive together and are decided as before. Ruled out: broken attempts by content, since the crashing call may have ended all three servers with one request and its retry, as the sound one; the order of ends, which does not differ.

--- a/packages/relay/src/crashes/crashingRequest.test.ts
+++ b/packages/relay/src/crashes/crashingRequest.test.ts
@@ -49,6 +49,16 @@
 
 const cases: readonly RequestCase[] = [
   { ...SMALL, name: '3 hosts', hosts: 3, domains: 1, serversPerDomain: 3, calls: { LOOKUP } },
+  // With these seeds, a sound call is at each of the servers that the crashing one ends.
+  ...[31, 35].map((seed) => ({
+    ...SMALL,
+    seed,
+    name: `3 hosts, seed ${seed}`,
+    hosts: 3,
+    domains: 1,
+    serversPerDomain: 3,
+    calls: { LOOKUP },
+  })),
   { ...SMALL, name: '9 hosts, an idempotent call', calls: { LOOKUP } },
   { ...SMALL, name: '9 hosts, a call that may run once', calls: { ORDER } },
   { ...SMALL, name: '9 hosts, a stream', calls: { DRAFT } },
--- a/packages/relay/src/crashes/createCrashGuard.test.ts
+++ b/packages/relay/src/crashes/createCrashGuard.test.ts
@@ -71,4 +71,41 @@
     expect(told).toEqual(['this host', 'other host']);
     expect(other.getBlock('bad')).toEqual('quarantined');
   });
+
+  // Guards against blaming a sound request that was at the very servers which another one ended.
+  it('tells contents with the same ends apart by which arrives again, at any host', () => {
+    const { clock, guard, getBlock } = createGuard();
+    const other = createGuard();
+    for (let index = 0; index < 3; index += 1) {
+      const { listed } = createTestServer({ id: `server-${index}` });
+      guard.recordBroken(listed, ['content:sound']);
+      guard.recordBroken(listed, ['content:crashing']);
+      guard.recordEnded(listed);
+    }
+    expect(getBlock('content:sound')).toEqual('suspended');
+    expect(getBlock('content:crashing')).toEqual('suspended');
+    other.guard.merge(guard.tryGetReport()!);
+    guard.recordArrival(['content:sound'], 'retry');
+    ['one', 'two', 'two'].forEach((id) => other.guard.recordArrival(['content:crashing'], id));
+    guard.recordArrival(['content:crashing'], 'three');
+    clock.advance(1_100);
+    expect(getBlock('content:crashing')).toEqual('suspended');
+    guard.merge(other.guard.tryGetReport()!);
+    expect(getBlock('content:crashing')).toEqual('quarantined');
+    expect(getBlock('content:sound')).toEqual(undefined);
+  });
+
+  // Guards against refusing contents without end that nothing tells apart.
+  it('quarantines one of two contents in the end that arrive equally often', () => {
+    const { clock, guard, getBlock } = createGuard();
+    for (let index = 0; index < 3; index += 1) {
+      const { listed } = createTestServer({ id: `server-${index}` });
+      guard.recordBroken(listed, ['content:a', 'content:b']);
+      guard.recordEnded(listed);
+    }
+    clock.advance(3_900);
+    expect([getBlock('content:a'), getBlock('content:b')]).toEqual(['suspended', 'suspended']);
+    clock.advance(200);
+    expect([getBlock('content:a'), getBlock('content:b')]).toEqual(['quarantined', undefined]);
+  });
 });
--- a/packages/relay/src/crashes/createCrashGuard.ts
+++ b/packages/relay/src/crashes/createCrashGuard.ts
@@ -6,6 +6,8 @@
 import findCrashingTraits from './findCrashingTraits';
 import getProcessKey from './getProcessKey';
 import getTraitKind from './getTraitKind';
+import createSuspensionList from './createSuspensionList';
+import listRivals from './listRivals';
 import type { CrashGuard, RequestBlock } from './types';
 
 /**
@@ -13,6 +15,14 @@
  * ends that tell it from the traits beside it, reach all hosts of a fleet within this time.
  */
 const SUSPENSION: Milliseconds = 1_000;
+/**
+ * A content that crashes servers has callers who send it again; a sound one that was at the same
+ * servers by chance comes again at most once, when its caller retries it. Of contents with the same
+ * ends, one is quarantined when it has arrived this many times more often than the others.
+ */
+const ARRIVALS_LEAD = 2;
+/** Time after which one of them is quarantined without such a lead. */
+const MAXIMUM_SUSPENSION: Milliseconds = 4_000;
 
 interface CrashGuardOptions {
   readonly clock: Clock;
@@ -35,7 +45,7 @@
   const evidence = createCrashEvidence();
   const quarantines = createQuarantineList();
   const watchers = new Set<Watcher>();
-  let suspendedSince = new Map<TraitId, Milliseconds>();
+  const suspensions = createSuspensionList();
   let judgeTimer: Timer | undefined;
 
   function notifyWatchers(quarantined: readonly TraitId[]): void {
@@ -50,19 +60,39 @@
     return evidence.getSuspects((trait) => quarantines.tryGetLastEnd(trait, now) ?? -Infinity);
   }
 
-  function listSuspected(): readonly TraitId[] {
-    return findCrashingTraits({
-      suspects: getSuspects(),
-      isQuarantined: (trait) => quarantines.tryGetRemaining(trait, clock.now()) !== undefined,
-      isKnown: (trait) => quarantines.getStrikes(trait) > 0,
-      wasAnswered: evidence.wasAnswered,
-    });
+  function isQuarantined(trait: TraitId): boolean {
+    return quarantines.tryGetRemaining(trait, clock.now()) !== undefined;
+  }
+
+  /** Lists the suspected traits, the most likely first, each with those that explain its ends as well. */
+  function listSuspected(): readonly (readonly TraitId[])[] {
+    const view = { suspects: getSuspects(), isQuarantined, wasAnswered: evidence.wasAnswered };
+    const isKnown = (trait: TraitId): boolean => quarantines.getStrikes(trait) > 0;
+    return findCrashingTraits({ ...view, isKnown }).map((trait) =>
+      isKnown(trait) ? [trait] : listRivals(trait, view),
+    );
+  }
+
+  /** Returns the trait to be quarantined, or when one of the rivals is to be. */
+  function decide(rivals: readonly TraitId[]): TraitId | Milliseconds {
+    const now = clock.now();
+    const since = Math.min(...rivals.map((trait) => suspensions.tryGetSince(trait) ?? now));
+    const ordered = [...rivals].sort(
+      (left, right) =>
+        suspensions.countArrivals(right) - suspensions.countArrivals(left) ||
+        (left < right ? -1 : 1),
+    );
+    const [first, second] = ordered.map((trait) => suspensions.countArrivals(trait));
+    const isClear = second === undefined || first! - second >= ARRIVALS_LEAD;
+    const decidedAt = since + (isClear ? SUSPENSION : MAXIMUM_SUSPENSION);
+    return now >= decidedAt ? ordered[0]! : decidedAt;
   }
 
   function quarantine(trait: TraitId): void {
     const processes = [...(getSuspects().get(trait) ?? [])];
     quarantines.add(trait, clock.now());
-    logger.warn({ trait, processes }, 'requests quarantined');
+    const arrivals = suspensions.countArrivals(trait);
+    logger.warn({ trait, processes, arrivals }, 'requests quarantined');
     notifyWatchers([trait]);
     options.onChange('found');
   }
@@ -74,22 +104,19 @@
   function judge(): void {
     judgeTimer?.cancel();
     judgeTimer = undefined;
-    const now = clock.now();
     let suspected = listSuspected();
-    const getSince = (trait: TraitId): Milliseconds => suspendedSince.get(trait) ?? now;
-    while (suspected.length > 0 && now - getSince(suspected[0]!) >= SUSPENSION) {
-      quarantine(suspected[0]!);
+    while (suspected.length > 0) {
+      const decision = decide(suspected[0]!);
+      if (typeof decision === 'number') {
+        judgeTimer = clock.after(Math.max(decision - clock.now(), 1), judge);
+        break;
+      }
+      quarantine(decision);
       suspected = listSuspected();
     }
-    const before = suspendedSince;
-    suspendedSince = new Map(suspected.map((trait) => [trait, getSince(trait)]));
-    suspected
-      .filter((trait) => !before.has(trait))
+    suspensions
+      .retain([...new Set(suspected.flat())], clock.now())
       .forEach((trait) => logger.info({ trait }, 'requests suspended'));
-    if (suspected.length > 0) {
-      const dueIn = getSince(suspected[0]!) + SUSPENSION - now;
-      judgeTimer = clock.after(Math.max(dueIn, 1), judge);
-    }
   }
 
   function handleFound(isNew: boolean): void {
@@ -106,9 +133,11 @@
       if (remaining !== undefined) {
         return { kind: 'quarantined', trait, remaining };
       }
-      const since = suspendedSince.get(trait);
+      const since = suspensions.tryGetSince(trait);
       if (since !== undefined) {
-        return { kind: 'suspended', trait, remaining: Math.max(since + SUSPENSION - now, 0) };
+        const isOverdue = now >= since + SUSPENSION;
+        const until = since + (isOverdue ? MAXIMUM_SUSPENSION : SUSPENSION);
+        return { kind: 'suspended', trait, remaining: Math.max(until - now, 0) };
       }
     }
     return undefined;
@@ -116,6 +145,9 @@
 
   return {
     tryGetBlock,
+    recordArrival(traits, request) {
+      handleFound(suspensions.recordArrival(traits, request));
+    },
     recordAnswered(traits) {
       handleFound(evidence.recordAnswered(traits, clock.now()));
     },
@@ -156,16 +188,22 @@
         judge();
         options.onChange(result === 'cleared' ? 'found' : 'learnt');
       }
+      // Suspended by what the same report says, if at all.
+      if (suspensions.merge(report.arrivals ?? {})) {
+        judge();
+        options.onChange('learnt');
+      }
     },
     tryGetReport() {
       const now = clock.now();
       const quarantined = quarantines.list(now);
-      const blocked = [...suspendedSince.keys(), ...Object.keys(quarantined)];
+      const blocked = [...suspensions.list(), ...Object.keys(quarantined)];
+      const arrivals = suspensions.listArrivals();
       const { ended, traits } = evidence.getRecent(now, blocked);
       const isEmpty = [ended, Object.keys(traits), Object.keys(quarantined)].every(
         ({ length }) => length === 0,
       );
-      return isEmpty ? undefined : { ended, traits, quarantined };
+      return isEmpty ? undefined : { ended, traits, quarantined, arrivals };
     },
     countQuarantined: () => Object.keys(quarantines.list(clock.now())).length,
   };
--- a/packages/relay/src/crashes/types.ts
+++ b/packages/relay/src/crashes/types.ts
@@ -1,5 +1,5 @@
 /** Types of the guard against requests under which backend servers end. */
-import type { Milliseconds } from '@rattanreel/core';
+import type { Milliseconds, RequestId } from '@rattanreel/core';
 import type { ListedServer, TraitId } from '../types';
 
 /** A part of a prompt, or all of a request's content. */
@@ -33,6 +33,8 @@
   readonly ended: readonly ProcessKey[];
   readonly traits: Readonly<Record<TraitId, TraitEvidence>>;
   readonly quarantined: Readonly<Record<TraitId, Quarantine>>;
+  /** Digests of requests that arrived while their trait was suspended; absent if there are none. */
+  readonly arrivals?: Readonly<Record<TraitId, readonly string[]>>;
 }
 
 /** Why requests with a trait are refused, and for how long at most. */
@@ -100,7 +102,24 @@
   list(now: Milliseconds): CrashReport['quarantined'];
 }
 
+export interface SuspensionList {
+  /** Replaces the suspended traits; returns those that were not suspended before. */
+  retain(traits: readonly TraitId[], now: Milliseconds): readonly TraitId[];
+  /** Returns since when a trait is suspended; undefined if it is not. */
+  tryGetSince(trait: TraitId): Milliseconds | undefined;
+  /** Counts the requests that arrived while the trait was suspended, up to a bound. */
+  countArrivals(trait: TraitId): number;
+  /** Records the arrival of a request; returns whether that is new for a suspended trait. */
+  recordArrival(traits: readonly TraitId[], request: RequestId): boolean;
+  /** Merges the arrivals at other hosts; returns whether any is new. */
+  merge(arrivals: NonNullable<CrashReport['arrivals']>): boolean;
+  list(): readonly TraitId[];
+  listArrivals(): NonNullable<CrashReport['arrivals']>;
+}
+
 export interface CrashGuard {
+  /** Records that a caller's request with these traits arrived. */
+  recordArrival(traits: readonly TraitId[], request: RequestId): void;
   /** Returns why requests with these traits must not be sent; undefined if they may. */
   tryGetBlock(traits: readonly TraitId[]): RequestBlock | undefined;
   /** Records that a request with these traits was answered completely. */
--- a/packages/relay/src/front/createQuarantineWatch.ts
+++ b/packages/relay/src/front/createQuarantineWatch.ts
@@ -1,9 +1,11 @@
+import type { RequestId } from '@rattanreel/core';
 import type { CrashGuard } from '../crashes/types';
 import type { TraitId } from '../types';
 import type { Refusal } from './types';
 
 interface QuarantineWatchOptions {
-  readonly crashGuard: Pick<CrashGuard, 'tryGetBlock' | 'watch'>;
+  readonly crashGuard: Pick<CrashGuard, 'recordArrival' | 'tryGetBlock' | 'watch'>;
+  readonly requestId: RequestId;
   readonly traits: readonly TraitId[];
   /** Called each time that a trait is quarantined. */
   readonly onQuarantined: (refusal: Refusal) => void;
@@ -24,6 +26,7 @@
     return block && { reason: 'quarantined', retryAfter: block.remaining };
   }
 
+  crashGuard.recordArrival(traits, options.requestId);
   const stop = crashGuard.watch(traits, () =>
     options.onQuarantined(tryGetRefusal() ?? { reason: 'quarantined' }),
   );
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -34,6 +34,7 @@
   const quarantineWatch = createQuarantineWatch({
     crashGuard: options.crashGuard,
     traits: plan.traits,
+    requestId: plan.requestId,
     onQuarantined(refusal) {
       // A server that has not begun to answer would end when it does.
       if (!firstDataWait.hasData()) {
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -67,10 +67,13 @@
 
 interface TestCallersOptions {
   readonly fleet: TestFleet;
+  /** Whether callers are connected to a host; by default to all. */
+  readonly isCalled?: (host: TestHost) => boolean;
 }
 
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
-export default function createTestCallers({ fleet }: TestCallersOptions) {
+export default function createTestCallers(options: TestCallersOptions) {
+  const { fleet, isCalled = () => true } = options;
   const { clock, random } = fleet;
   const routes = createRouteTable(ROUTES);
   const handlers = new Map<TestHost, TestHandler>();
@@ -112,7 +115,9 @@
   }
 
   function send(call: TestCall, isFirst = true): void {
-    const available = fleet.hosts.filter(({ isDown, isFrozen }) => !isDown && !isFrozen);
+    const available = fleet.hosts.filter(
+      (each) => !each.isDown && !each.isFrozen && isCalled(each),
+    );
     const host = available[random.integer(0, available.length - 1)]!;
     const id = `request-${requests.length + 1}`;
     const { promptParts = [], target = '/', body = id, customer } = call;
