Lend free slots of brittle servers to the hosts at which requests wait

Cause: each slot of a brittle pool belongs to one owner and never moves, so a host with all callers uses only its own. In a large fleet schedulers divided the slots among those in reach, so both sides of a partition used some. Change: an owner without waiting requests lends free slots to the host with the most, which returns them. Both sides of a pair keep counts that only rise (optional field of summaries and changes), so no message loss or partition makes two hosts use one slot. In a large fleet the owners are failure domains, by the registered hosts. Ruled out: loans with an expiry, since a request outlasts it.

--- a/packages/relay/src/addRelayGauges.ts
+++ b/packages/relay/src/addRelayGauges.ts
@@ -72,4 +72,11 @@
     labelNames: [],
     read: () => createUnlabelledReading(connections.countCut()),
   });
+  metrics.addGauge({
+    name: 'rattanreel_relay_brittle_slots',
+    help: "Slots of brittle servers: this host's that others hold (lent), and others' that it holds (borrowed).",
+    labelNames: ['figure'],
+    read: () =>
+      Object.entries(pools.loans.count()).map(([figure, value]) => ({ labels: { figure }, value })),
+  });
 }
--- a/packages/relay/src/admission/createScheduling.ts
+++ b/packages/relay/src/admission/createScheduling.ts
@@ -120,9 +120,10 @@
     const others = isLarge ? reachable : peers;
     const names = others.map(({ entryHost }) => entryHost);
     const grantingHosts = isGranting() ? [self.entryHost, ...names] : names;
-    const fleet = { isLarge, self, peers, reachable, grantingHosts, ownHosts, fleetHosts };
+    const fleet = { isLarge, self, peers, grantingHosts, ownHosts, fleetHosts };
     quota.setFleet({ fleetHosts, ownHosts });
-    pools.setSharing({ ...fleet, slotOwners: listSlotOwners(fleet) });
+    const registeredHosts = peers.map(({ entryHost }) => entryHost);
+    pools.setSharing({ ...fleet, ...listSlotOwners(fleet), registeredHosts });
   }
 
   function getStatus(): SchedulerStatus {
--- a/packages/relay/src/admission/listSlotOwners.ts
+++ b/packages/relay/src/admission/listSlotOwners.ts
@@ -1,22 +1,36 @@
-import type { EntryHostId } from '@rattanreel/core';
-import type { HostSummary, PeerAddress } from '../types';
+import type { EntryHostId, FailureDomainId } from '@rattanreel/core';
+import type { PeerAddress, SlotSharing } from '../types';
 
 interface SlotOwnersOptions {
   readonly isLarge: boolean;
   readonly self: PeerAddress;
+  /** The registered hosts other than this one. */
   readonly peers: readonly PeerAddress[];
-  readonly reachable: readonly Pick<HostSummary, 'hosts'>[];
   readonly grantingHosts: readonly EntryHostId[];
+  /** Hosts for which this one schedules, including itself. */
   readonly ownHosts: number;
-  readonly fleetHosts: number;
 }
 
-/** Lists the hosts among which the slots of brittle servers are divided. */
-export default function listSlotOwners(options: SlotOwnersOptions): readonly EntryHostId[] {
-  const { isLarge, self, peers, reachable, grantingHosts, ownHosts, fleetHosts } = options;
-  const served = ownHosts + reachable.reduce((sum, { hosts }) => sum + hosts, 0);
-  // Without most of the others, this host cannot know who grants their slots.
-  return isLarge && served < fleetHosts / 2
-    ? [self.entryHost, ...peers.map(({ entryHost }) => entryHost)]
-    : grantingHosts;
+/**
+ * Lists among whom the slots of brittle servers are divided: hosts in a small fleet, failure domains
+ * in a large one, whose scheduler uses the slots of its domain. Both follow from the registered
+ * hosts, so that a partition moves no slot. A host of a large fleet that nobody schedules owns none
+ * unless it is alone in its domain: it cannot know which other host uses the slots.
+ */
+export default function listSlotOwners(
+  options: SlotOwnersOptions,
+): Pick<SlotSharing, 'slotOwners' | 'ownSlotOwner'> {
+  const { isLarge, self, peers, grantingHosts, ownHosts } = options;
+  if (!isLarge) {
+    return { slotOwners: grantingHosts, ownSlotOwner: self.entryHost };
+  }
+  const domains = new Set<FailureDomainId>(
+    [self, ...peers].map(({ failureDomain }) => failureDomain),
+  );
+  const hasNeighbours = peers.some(({ failureDomain }) => failureDomain === self.failureDomain);
+  const isScheduling = ownHosts > 1 || !hasNeighbours;
+  return {
+    slotOwners: [...domains],
+    ownSlotOwner: isScheduling ? self.failureDomain : undefined,
+  };
 }
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -138,9 +138,9 @@
   });
 
   const pools = createPools({
-    clock,
-    random,
+    ...context,
     ownName: entryHost,
+    incarnation,
     ownDomain: failureDomain,
     bounds,
     embargo,
--- a/packages/relay/src/createHostSummary.ts
+++ b/packages/relay/src/createHostSummary.ts
@@ -33,5 +33,6 @@
     inFlight: Object.fromEntries(pools.countOwnInFlight()),
     tiers,
     waiting,
+    loans: pools.loans.tryGetReport(),
   };
 }
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -3,6 +3,7 @@
   Clock,
   EntryHostId,
   FailureDomainId,
+  Incarnation,
   PoolId,
   Random,
 } from '@rattanreel/core';
@@ -14,13 +15,24 @@
 import type { ServerEmbargo } from './decisions/types';
 import updatePacing from './limits/updatePacing';
 import countOwnSlots from './limits/countOwnSlots';
+import createLoanExchange from './limits/createLoanExchange';
+import createPoolLoans from './limits/createPoolLoans';
+import createSlotLoans from './limits/createSlotLoans';
 import type { BrittlePools, ServerLimits } from './limits/types';
-import type { LimitPacing, PoolSettings, RelayBounds, ServerState, SlotSharing } from './types';
+import type {
+  LimitPacing,
+  ListedServer,
+  PoolSettings,
+  RelayBounds,
+  ServerState,
+  SlotSharing,
+} from './types';
 
 interface PoolsOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly ownName: EntryHostId;
+  readonly incarnation: Incarnation;
   readonly ownDomain: FailureDomainId;
   readonly bounds: RelayBounds;
   readonly embargo: ServerEmbargo;
@@ -40,16 +52,20 @@
   readonly serverStates: ServerStateMap;
   /** This host's slots at servers, until the servers or the hosts change. */
   readonly ownSlots: Map<BackendServerId, number>;
+  readonly loans: ReturnType<typeof createPoolLoans>;
 }
 
 /** Creates the pools of this host; each pool is created on its first use. */
 export default function createPools(options: PoolsOptions): Pools {
   const { clock, ownName } = options;
   const poolsById = new Map<PoolId, PoolEntry>();
+  const slotLoans = createSlotLoans({ ...options, startedAt: clock.now() });
   let settingsByPool = new Map<PoolId, PoolSettings>();
   let sharing: SlotSharing = {
     grantingHosts: [ownName],
     slotOwners: [ownName],
+    ownSlotOwner: ownName,
+    registeredHosts: [],
     fleetHosts: 1,
     ownHosts: 1,
   };
@@ -65,17 +81,14 @@
     const serverStates = createServerStateMap();
     const ownSlots = new Map<BackendServerId, number>();
 
-    function getOwnSlots({ listed }: ServerState): number | undefined {
-      if (!options.brittlePools.isBrittle(pool)) {
-        return undefined;
-      }
+    function countHomeSlots(listed: ListedServer): number {
       let count = ownSlots.get(listed.id);
       if (count === undefined) {
         const servers = [...serverStates.byId.values()].map((state) => state.listed);
         count = countOwnSlots({
           server: listed,
           servers,
-          host: ownName,
+          owner: sharing.ownSlotOwner,
           owners: sharing.slotOwners,
         });
         ownSlots.set(listed.id, count);
@@ -83,6 +96,12 @@
       return count;
     }
 
+    const loans = createPoolLoans({ pool, clock, slotLoans, serverStates, countHomeSlots });
+
+    function getOwnSlots({ listed }: ServerState): number | undefined {
+      return options.brittlePools.isBrittle(pool) ? loans.countUsable(listed) : undefined;
+    }
+
     const queue = createPoolQueue({
       clock,
       random: options.random,
@@ -103,7 +122,7 @@
         getColdRequestInterval({ server, host: ownName, hosts: sharing.grantingHosts, rate }),
     });
     queue.setSharing(sharing);
-    return { queue, serverStates, ownSlots };
+    return { queue, serverStates, ownSlots, loans };
   }
 
   function getPoolEntry(pool: PoolId): PoolEntry {
@@ -116,6 +135,13 @@
   }
 
   return {
+    loans: createLoanExchange({
+      clock,
+      slotLoans,
+      pools: poolsById,
+      brittlePools: options.brittlePools,
+      onChange: () => options.onInFlightChange(true),
+    }),
     getQueue: (pool) => getPoolEntry(pool).queue,
     setSettings(settings) {
       settingsByPool = new Map(settings.map((each) => [each.name, each]));
@@ -134,6 +160,7 @@
     },
     setSharing(next) {
       sharing = next;
+      slotLoans.setOwners(sharing.slotOwners, sharing.registeredHosts, clock.now());
       poolsById.forEach(({ queue, ownSlots }) => {
         ownSlots.clear();
         queue.setSharing(sharing);
--- a/packages/relay/src/limits/brittleServers.test.ts
+++ b/packages/relay/src/limits/brittleServers.test.ts
@@ -3,6 +3,7 @@
 import createTestCallers from '../testing/createTestCallers';
 import createTestEngines from '../testing/createTestEngines';
 import createTestFleet from '../testing/createTestFleet';
+import disturbances from '../testing/disturbances';
 
 type TestFleet = Awaited<ReturnType<typeof createTestFleet>>;
 type TestEngines = ReturnType<typeof createTestEngines>;
@@ -84,3 +85,124 @@
     });
   });
 });
+
+/** Multiple of the usual 190 ms of a run: four servers of four slots then run 53 requests a second. */
+const SLOWNESS = 1.58;
+const SERVED_PER_SECOND = 53;
+const UNEVEN_RATE = 140;
+/** Part of what the servers can run that is served at least. */
+const UNEVEN_SHARE = 0.9;
+const UNEVEN_TIME = 10_000;
+
+interface UnevenCase {
+  readonly name: string;
+  readonly hosts: number;
+  readonly domains: number;
+  readonly serversPerDomain: number;
+  /** Hosts that callers are connected to. */
+  readonly calledHosts: number;
+}
+
+const SIXTEEN = { hosts: 16, domains: 1, serversPerDomain: 4 };
+const DOMAINS = { hosts: 16, domains: 4, serversPerDomain: 1 };
+const SIX = { hosts: 6, domains: 2, serversPerDomain: 2 };
+
+const unevenCases: readonly UnevenCase[] = [
+  { ...SIXTEEN, name: '16 hosts of one domain, one called', calledHosts: 1 },
+  { ...SIXTEEN, name: '16 hosts of one domain, all called', calledHosts: 16 },
+  { ...DOMAINS, name: '16 hosts under schedulers, one called', calledHosts: 1 },
+  { ...DOMAINS, name: '16 hosts under schedulers, three called', calledHosts: 3 },
+  { ...DOMAINS, name: '16 hosts under schedulers, all called', calledHosts: 16 },
+  { ...SIX, name: '6 hosts, one called', calledHosts: 1 },
+  { ...SIX, name: '6 hosts, all called', calledHosts: 6 },
+];
+
+/** Starts a fleet before brittle servers without waiting room, whose brittleness all hosts know. */
+async function startUneven({ calledHosts, ...options }: UnevenCase) {
+  const fleet = await createTestFleet(options);
+  const engines = createTestEngines(fleet);
+  const isCalled = ({ name }: { readonly name: string }): boolean =>
+    Number(name.slice('host-'.length)) < calledHosts;
+  const callers = createTestCallers({ fleet, isCalled });
+  await fleet.advance(START_TIME, 20);
+  engines.engines.forEach((engine) => {
+    engine.setBehaviour({ failShare: 0, slowShare: 1, slowness: SLOWNESS });
+    engine.room.setBrittle(1);
+  });
+  callers.sendOften(UNEVEN_RATE, () => ({ target: '/lookup/1', customer: 'customer-a' }));
+  await fleet.advance(STABLE_WINDOW);
+  engines.engines.forEach((engine) => engine.room.setMaximumWaiting(0));
+  await fleet.advance(1_000);
+  const begunAt = fleet.clock.now();
+  const turnedAway = (): number =>
+    engines.engines.reduce((sum, { room }) => sum + room.countTurnAways(), 0);
+  const turnedAwayBefore = turnedAway();
+  return {
+    fleet,
+    engines,
+    callers,
+    countServed: () =>
+      callers.requests.filter(
+        ({ status, answeredAt = 0 }) => status === 200 && answeredAt >= begunAt,
+      ).length,
+    countTurnedAway: () => turnedAway() - turnedAwayBefore,
+  };
+}
+
+describe('brittle servers before hosts with unequal numbers of callers', () => {
+  unevenCases.forEach((unevenCase) => {
+    // Guards against slots that lie idle at hosts without requests, and against slots used twice.
+    it(`serve what their slots can run: ${unevenCase.name}`, async () => {
+      const { fleet, engines, callers, countServed, countTurnedAway } =
+        await startUneven(unevenCase);
+      await fleet.advance(UNEVEN_TIME);
+      callers.stop();
+      expect(engines.falls.length).toEqual(0);
+      expect(countTurnedAway()).toEqual(0);
+      expect(countServed()).toBeGreaterThanOrEqual(
+        (SERVED_PER_SECOND * UNEVEN_SHARE * UNEVEN_TIME) / 1_000,
+      );
+    });
+  });
+
+  const partitions: readonly { readonly name: string; readonly cut: readonly number[] }[] = [
+    { name: 'the borrower', cut: [0] },
+    { name: 'half of the owners', cut: [1, 3, 5] },
+    { name: 'the borrower and an owner', cut: [0, 2] },
+  ];
+  partitions.forEach(({ name, cut }) => {
+    // Guards against an owner that uses a slot again while its borrower, out of reach, does too.
+    it(`have no slot used by two hosts while a partition cuts off ${name}`, async () => {
+      const { fleet, callers, countTurnedAway } = await startUneven({
+        ...SIX,
+        name,
+        calledHosts: 2,
+      });
+      await fleet.advance(2_000);
+      await disturbances.cutOff(
+        fleet,
+        cut.map((index) => fleet.hosts[index]!),
+      );
+      await fleet.advance(3_000);
+      callers.stop();
+      expect(countTurnedAway()).toEqual(0);
+    });
+  });
+
+  // Guards against schedulers that divide the slots of a domain out of reach, which still uses them.
+  it('have no slot used by two hosts while a partition cuts off a scheduled domain', async () => {
+    const { fleet, callers, countTurnedAway } = await startUneven({
+      ...DOMAINS,
+      name: 'a domain cut off',
+      calledHosts: 16,
+    });
+    await fleet.advance(2_000);
+    await disturbances.cutOff(
+      fleet,
+      fleet.hosts.filter(({ domain }) => domain === 'domain-0'),
+    );
+    await fleet.advance(3_000);
+    callers.stop();
+    expect(countTurnedAway()).toEqual(0);
+  });
+});
--- a/packages/relay/src/limits/countOwnSlots.ts
+++ b/packages/relay/src/limits/countOwnSlots.ts
@@ -1,24 +1,24 @@
-import type { EntryHostId } from '@rattanreel/core';
 import type { ListedServer } from '../types';
 
 interface OwnSlotsOptions {
   readonly server: ListedServer;
   /** All servers of the pool. */
   readonly servers: readonly ListedServer[];
-  readonly host: EntryHostId;
-  /** The hosts among which all slots of the pool are divided. */
-  readonly owners: readonly EntryHostId[];
+  /** Whose slots are counted; undefined counts none. */
+  readonly owner: string | undefined;
+  /** The hosts, or failure domains, among which all slots of the pool are divided. */
+  readonly owners: readonly string[];
 }
 
 /**
- * Counts the slots of a server that belong to a host. Each slot of a pool belongs to one host, so
+ * Counts the slots of a server that belong to an owner. Each slot of a pool belongs to one, so
  * that hosts together never send a server more than it has room for, whoever reaches whom. The slots
  * are dealt out in turn by address, which a server keeps when it starts again.
  */
 export default function countOwnSlots(options: OwnSlotsOptions): number {
-  const { server, servers, host, owners } = options;
+  const { server, servers, owner, owners } = options;
   const ordered = [...new Set(owners)].sort();
-  const index = ordered.indexOf(host);
+  const index = owner === undefined ? -1 : ordered.indexOf(owner);
   if (index < 0) {
     return 0;
   }
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -93,6 +93,7 @@
   function updatePools(): void {
     const now = clock.now();
     const counts = peerTable.countInFlight(now);
+    pools.loans.balance(peerTable.listReachable(now));
     pools.forEachQueue((queue, pool) =>
       queue.setPeerLoad(counts, peerTable.countByTier(pool, now), peerTable.countQueued(pool, now)),
     );
@@ -111,6 +112,7 @@
   function handleSummary(message: HostSummary | HostChange): void {
     const now = clock.now();
     const isNew = peerTable.record(message, now);
+    pools.loans.merge(message);
     if (message.kind === 'summary') {
       if (!options.getRole().isLarge) {
         stateCache.upsertPeer(message);
@@ -122,11 +124,8 @@
     if (isNew) {
       options.onReachableChange();
     }
-    if (options.getRole().isLarge) {
-      scheduleUpdate();
-    } else {
-      updatePools();
-    }
+    const update = options.getRole().isLarge ? scheduleUpdate : updatePools;
+    update();
   }
 
   function handleMessage(sender: Sender, message: HostMessage, respond: Respond): void {
@@ -192,7 +191,7 @@
       createHostSummary({
         ...self,
         pools,
-        spent: quota.getSpent(),
+        spent: quota.getSpent(clock.now()),
         hosts: options.getRole().ownHosts,
         versions: stateCache.getVersions(),
       }),
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -21,6 +21,7 @@
   AttemptFigures,
 } from '../types';
 import type { MovingAverage, ServerEmbargo } from '../decisions/types';
+import type { LoanExchange } from '../limits/types';
 import type { Rollouts } from '../rollouts/types';
 
 export type AdmissionDecision =
@@ -132,5 +133,7 @@
   countOwnInFlight(): ReadonlyMap<BackendServerId, number>;
   /** Marks the servers of these failure domains as cold, since they may have been idle. */
   markCold(failureDomains: readonly FailureDomainId[]): void;
+  /** The slots of brittle servers that are lent between hosts. */
+  readonly loans: LoanExchange;
   forEachQueue(action: (queue: PoolQueue, pool: PoolId) => void): void;
 }
--- a/packages/relay/src/testing/createTestRoom.ts
+++ b/packages/relay/src/testing/createTestRoom.ts
@@ -11,11 +11,14 @@
   let brittleness: number | undefined;
   let maximumWaiting = MAXIMUM_WAITING;
   let turnedAwayAt: Milliseconds[] = [];
+  let turnAwayCount = 0;
 
   return {
+    countTurnAways: () => turnAwayCount,
     isFull: (waiting: number): boolean => waiting >= maximumWaiting,
     /** Records that a request is turned away; returns whether the engine falls over. */
     turnAway(): boolean {
+      turnAwayCount += 1;
       const now = clock.now();
       turnedAwayAt = [...turnedAwayAt.filter((at) => at > now - TURN_AWAY_WINDOW), now];
       if (brittleness === undefined || turnedAwayAt.length <= brittleness) {
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -163,6 +163,10 @@
   readonly retrySlack: number;
   /** Cost by which the spending of one customer may exceed its quota in a window. */
   readonly quotaSlack: number;
+  /** Share of a quota by which that spending may exceed it as well; absent: 0. */
+  readonly quotaOver?: number;
+  /** Time over which spending is counted against a quota; used with `quotaOver`. */
+  readonly quotaWindow?: Milliseconds;
   /** Share of a pool's requests, and requests beyond it, that a version on trial may get. */
   readonly exposeShare: number;
   readonly exposeSlack: number;
@@ -243,6 +247,19 @@
   readonly outputTokens: number;
 }
 
+/** The figures of a quota on which a refusal is based, in its cost units. */
+export interface QuotaFigures {
+  /** Cost that the customer may still spend, as this host estimates it. */
+  readonly level: number;
+  readonly rate: number;
+  readonly burst: number;
+  readonly cost: number;
+  /** Estimated spending of the other hosts within the window of the quota. */
+  readonly othersSpent: number;
+  /** Share of the quota that this host and those in reach may use. */
+  readonly share: number;
+}
+
 /** Why a request was not sent to a backend server. */
 export type RefusalReason =
   | 'overQuota'
@@ -333,6 +350,25 @@
   readonly nextAt: Milliseconds;
 }
 
+/** Slots of brittle servers lent between hosts. Counts only rise, so that the highest one holds. */
+export interface SlotLoanReport {
+  readonly incarnation: Incarnation;
+  /** Digest of the hosts among which the sender divides all slots. */
+  readonly owners: string;
+  readonly partners: Readonly<
+    Record<
+      EntryHostId,
+      {
+        readonly incarnation: Incarnation;
+        /** Slots that the sender has ever lent to the host, by address of the server. */
+        readonly lent: Readonly<Record<string, number>>;
+        /** Slots of the host that the sender has ever returned to it. */
+        readonly returned: Readonly<Record<string, number>>;
+      }
+    >
+  >;
+}
+
 /** State that a host sends to its peers several times per second. */
 export interface HostSummary extends ClusterStateVersions {
   readonly kind: 'summary';
@@ -353,6 +389,8 @@
   readonly hosts: number;
   /** Backend servers that announced in a response that they are leaving. */
   readonly leaving?: readonly ServerProcess[];
+  /** Slots of brittle servers that are lent; absent if no pool is brittle. */
+  readonly loans?: SlotLoanReport;
 }
 
 /** Changes at a host since its last message; sent more often than complete summaries. */
@@ -363,6 +401,7 @@
   readonly inFlight: Readonly<Record<BackendServerId, number>>;
   readonly tiers: HostSummary['tiers'];
   readonly waiting: HostSummary['waiting'];
+  readonly loans?: SlotLoanReport;
 }
 
 /** Versions of the state known to a host. They never decrease; -1 means nothing is known yet. */
@@ -448,8 +487,12 @@
 export interface SlotSharing {
   /** Hosts that grant slots, this one included if it does. */
   readonly grantingHosts: readonly EntryHostId[];
-  /** Hosts among which the slots of brittle servers are divided. */
-  readonly slotOwners: readonly EntryHostId[];
+  /** Among whom the slots of brittle servers are divided: hosts, or failure domains. */
+  readonly slotOwners: readonly string[];
+  /** Which of them this host is; undefined if none of these slots is its own. */
+  readonly ownSlotOwner: string | undefined;
+  /** The other registered hosts. */
+  readonly registeredHosts: readonly EntryHostId[];
   readonly fleetHosts: number;
   /** Number of hosts for whose requests this one grants slots, including itself. */
   readonly ownHosts: number;
