Use the allowed excess of quotas, so that bursts within them are not refused; log the figures

Cause: the bucket starts empty, keeps 0.8 of the burst, gives up the rate of hosts silent for 600 ms, and nothing of the allowed excess covers this. One refusal says nothing of the bucket. Change: a refusal for quota is logged with level, rate, burst, cost, the other hosts' spending within 8 s and the share in reach. With bounds.quota-over set, the excess is divided: 0.45 to overdraw the bucket by the share in reach, 0.3 for what all hosts may spend at once before they hear of each other (each its part of what is left; before, each could spend the whole bucket within a report), 0.15 to use a silent host's rate for longer. Without it nothing changes.

--- a/packages/relay/src/admission/createLocalAdmission.ts
+++ b/packages/relay/src/admission/createLocalAdmission.ts
@@ -50,7 +50,8 @@
     }
     const decision = quota.trySpend(customer, cost, clock.now());
     if (decision.kind === 'over') {
-      onRefused({ reason: 'overQuota', retryAfter: decision.retryAfter });
+      const { retryAfter, figures } = decision;
+      onRefused({ reason: 'overQuota', retryAfter, quota: figures });
     }
     return decision.kind === 'within';
   }
--- a/packages/relay/src/admission/createSchedulerClient.ts
+++ b/packages/relay/src/admission/createSchedulerClient.ts
@@ -182,8 +182,8 @@
           const entry = waiting.get(message.ticket);
           if (entry !== undefined && entry.cancelLocal === undefined) {
             waiting.delete(message.ticket);
-            const { reason, retryAfter, pool } = message;
-            entry.request.onRefused({ reason, retryAfter, pool });
+            const { reason, retryAfter, pool, quota } = message;
+            entry.request.onRefused({ reason, retryAfter, pool, quota });
           }
           return;
         }
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -16,6 +16,7 @@
   ClusterStateVersions,
   ListedServer,
   PeerAddress,
+  QuotaFigures,
   Priority,
   RefusalReason,
   AttemptFigures,
@@ -52,6 +53,8 @@
   /** Time after which the caller may return. */
   readonly retryAfter: Milliseconds;
   readonly pool?: PoolState;
+  /** Present if the customer's quota is the reason. */
+  readonly quota?: QuotaFigures;
 }
 
 /** A request for a slot at one of a pool's servers. */
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -4,9 +4,8 @@
 import planRequest from './front/planRequest';
 import relayRequest from './front/relayRequest';
 import sendProblem from './front/sendProblem';
-import type { CallerExchange, RequestObserver, RequestPlan } from './front/types';
-import type { PoolState } from './pools/types';
-import type { HeaderNames, RefusalReason, RelayContext, RelayCustomer, RouteTarget } from './types';
+import type { CallerExchange, Refusal, RequestObserver, RequestPlan } from './front/types';
+import type { HeaderNames, RelayContext, RelayCustomer, RouteTarget } from './types';
 import type { Admission } from './admission/types';
 import type { RequestClassifier, RouteTable, ServerEmbargo } from './decisions/types';
 import type { BrittlePools, ServerLimits } from './limits/types';
@@ -55,9 +54,7 @@
   function refuse(
     exchange: CallerExchange,
     plan: RequestPlan,
-    reason: RefusalReason,
-    requestedDelay: number | undefined,
-    pool?: PoolState,
+    { reason, retryAfter: requestedDelay, pool, quota }: Refusal,
   ): void {
     const remainingTime = plan.deadlineAt - clock.now();
     const retryAfter = Math.min(
@@ -68,7 +65,7 @@
     if (reason !== 'quarantined') {
       classifier.recordRefusal(plan.route.name, clock.now());
     }
-    observer.refused(plan, reason, Math.round(retryAfter), pool);
+    observer.refused(plan, reason, Math.round(retryAfter), { pool, quota });
     sendProblem(exchange, {
       status: reason === 'overQuota' ? 429 : 503,
       code: reason,
@@ -91,7 +88,7 @@
       connections: options.connections,
       names,
       observer,
-      refuse: ({ reason, retryAfter, pool }) => refuse(exchange, plan, reason, retryAfter, pool),
+      refuse: (refusal) => refuse(exchange, plan, refusal),
       sendFailure(status, code) {
         observer.failed(plan, status, code);
         sendProblem(exchange, { status, code, execution: 'may-have-run' });
--- a/packages/relay/src/decisions/createSharedQuota.ts
+++ b/packages/relay/src/decisions/createSharedQuota.ts
@@ -1,29 +1,27 @@
 import type { CustomerId, EntryHostId, Milliseconds, Random } from '@rattanreel/core';
-import type { Quota, RelayBounds } from '../types';
-import type { SharedQuota } from './types';
+import type { Quota, QuotaFigures, RelayBounds } from '../types';
+import createQuotaLimits from './createQuotaLimits';
+import createSpendingWindow from './createSpendingWindow';
+import type { SharedQuota, SpendingWindow } from './types';
 
 const MILLISECONDS_PER_SECOND = 1_000;
-/**
- * Share of the burst that hosts use; the rest covers what two hosts spend before each receives the
- * other's report.
- */
-const USABLE_BURST_SHARE = 0.8;
 /**
  * A host without a summary for this long counts as unreachable: its part of every quota is left to
  * it. Summaries are sent every 200 ms, or less often by a host with many recipients.
  */
 const UNREACHABLE_AFTER: Milliseconds = 600;
-/**
- * Part of the allowed excess that hosts whose share is smaller than a request may overdraw
- * together.
- */
-const OVERDRAWN_SLACK_SHARE = 0.75;
+/** Longest time for which the rate of a silent host is used on top of the usual one. */
+const MAXIMUM_SILENCE_EXTENSION: Milliseconds = 2_000;
+/** Time after which others have heard of what is spent now, as a rule. */
+const HEARD_AFTER: Milliseconds = 200;
+/** Reports that are kept until all others have heard them: those of about two seconds. */
+const MAXIMUM_REPORTS = 10;
 
 interface SharedQuotaOptions {
   readonly now: Milliseconds;
   readonly random: Random;
-  /** Read on each use, since a reload of the settings may change the value. */
-  readonly bounds: Pick<RelayBounds, 'quotaSlack'>;
+  /** Read on each use, since a reload of the settings may change the values. */
+  readonly bounds: Pick<RelayBounds, 'quotaSlack' | 'quotaOver' | 'quotaWindow'>;
 }
 
 interface Bucket {
@@ -31,6 +29,9 @@
   level: number;
   refilledAt: Milliseconds;
   spent: number;
+  /** What this process had spent when it last sent a report that all others have heard. */
+  heard: number;
+  readonly others: SpendingWindow;
   /** Random position of this host among those of the fleet, in [0, 1). */
   readonly position: number;
 }
@@ -42,36 +43,53 @@
   spent: Readonly<Record<CustomerId, number>>;
 }
 
+interface SentReport {
+  readonly at: Milliseconds;
+  readonly spent: Readonly<Record<CustomerId, number>>;
+}
+
 /**
  * Maintains one token bucket per customer, shared by all hosts. Each host keeps the whole bucket
  * and deducts what the others report as spent. The share of unreachable hosts is left to them, so
  * that the total stays within the quota during a network partition. A new process starts with empty
- * buckets. In a large fleet the hosts that schedule a failure domain spend for all of its hosts.
+ * buckets, which it may overdraw by part of the allowed excess. In a large fleet the hosts that
+ * schedule a failure domain spend for all of its hosts. Handles bursts within a customer's quota
+ * that arrive at any of the hosts.
  */
 export default function createSharedQuota(options: SharedQuotaOptions): SharedQuota {
   const { random, bounds } = options;
+  const limits = createQuotaLimits(bounds);
   const buckets = new Map<CustomerId, Bucket>();
   const spendingByHost = new Map<EntryHostId, HostSpending>();
+  let reports: SentReport[] = [];
   let fleetHosts = 1;
   let ownHosts = 1;
 
-  /** Returns the share of each quota that this host and the reachable ones may use together. */
-  function getReachableShare(now: Milliseconds): number {
+  /** Counts the other hosts that spend and may not have heard of each other's spending. */
+  function countSpenders(): number {
+    return [...spendingByHost.values()].filter(({ hosts }) => hosts > 0).length;
+  }
+
+  function getUnreachableAfter(bucket: Bucket): Milliseconds {
+    const rate = Math.max(bucket.quota.ratePerSecond, 1) * Math.max(countSpenders(), 1);
+    const extension = (limits.getSilenceExcess(bucket.quota) * MILLISECONDS_PER_SECOND) / rate;
+    return UNREACHABLE_AFTER + Math.min(extension, MAXIMUM_SILENCE_EXTENSION);
+  }
+
+  /** Returns the share of a quota that this host and the reachable ones may use together. */
+  function getReachableShare(bucket: Bucket, now: Milliseconds): number {
+    const unreachableAfter = getUnreachableAfter(bucket);
     let reachable = ownHosts;
     spendingByHost.forEach(({ receivedAt, hosts }) => {
-      reachable += now - receivedAt <= UNREACHABLE_AFTER ? hosts : 0;
+      reachable += now - receivedAt <= unreachableAfter ? hosts : 0;
     });
     return Math.min(reachable / fleetHosts, 1);
   }
 
-  function getMaximumLevel({ quota }: Bucket, share: number): number {
-    return quota.burst * USABLE_BURST_SHARE * share;
-  }
-
   function refill(bucket: Bucket, now: Milliseconds, share: number): void {
     const refilled =
       (bucket.quota.ratePerSecond * share * (now - bucket.refilledAt)) / MILLISECONDS_PER_SECOND;
-    const maximumLevel = getMaximumLevel(bucket, share);
+    const maximumLevel = limits.getMaximumLevel(bucket.quota, share);
     bucket.level = Math.min(
       Math.max(bucket.level, Math.min(bucket.level + refilled, maximumLevel)),
       maximumLevel,
@@ -79,17 +97,37 @@
     bucket.refilledAt = now;
   }
 
-  /**
-   * Returns the level from which a request may be served; the level may become negative. A host on
-   * its own in a large fleet has a share smaller than one request: of those hosts, as many may
-   * overdraw as the allowed excess covers.
-   */
-  function getRequiredLevel(bucket: Bucket, cost: number, share: number): number {
-    const required = Math.min(cost, getMaximumLevel(bucket, 1)) / 2;
-    const available = getMaximumLevel(bucket, share) / 2;
-    const overdrawingHosts = (bounds.quotaSlack * OVERDRAWN_SLACK_SHARE) / Math.max(cost, 1);
-    const mayOverdraw = bucket.position < overdrawingHosts / fleetHosts;
-    return mayOverdraw ? Math.min(required, available) : required;
+  /** Updates what all others have heard: they have when each has sent something since. */
+  function updateHeard(now: Milliseconds): void {
+    const receivedAt = [...spendingByHost.values()]
+      .filter((host) => host.hosts > 0 && now - host.receivedAt <= MAXIMUM_SILENCE_EXTENSION)
+      .map((host) => host.receivedAt);
+    const heardAt = Math.min(...receivedAt);
+    const heard = reports.filter(({ at }) => at < heardAt);
+    reports = reports.slice(heard.length);
+    Object.entries(heard.at(-1)?.spent ?? {}).forEach(([customer, spent]) => {
+      const bucket = buckets.get(customer);
+      if (bucket !== undefined) {
+        bucket.heard = spent;
+      }
+    });
+  }
+
+  function getFigures(
+    bucket: Bucket,
+    cost: number,
+    share: number,
+    now: Milliseconds,
+  ): QuotaFigures {
+    const { quota, level, others } = bucket;
+    return {
+      level: Math.round(level),
+      rate: quota.ratePerSecond,
+      burst: quota.burst,
+      cost,
+      othersSpent: Math.round(others.get(now)),
+      share: Number(share.toFixed(3)),
+    };
   }
 
   return {
@@ -101,12 +139,14 @@
         const bucket = buckets.get(customer);
         if (bucket === undefined) {
           const position = random.next();
-          buckets.set(customer, { quota, level: 0, refilledAt: now, spent: 0, position });
+          const others = createSpendingWindow();
+          const counts = { level: 0, spent: 0, heard: 0 };
+          buckets.set(customer, { quota, ...counts, refilledAt: now, others, position });
           return;
         }
-        refill(bucket, now, getReachableShare(now));
+        refill(bucket, now, getReachableShare(bucket, now));
         bucket.quota = quota;
-        bucket.level = Math.min(bucket.level, quota.burst * USABLE_BURST_SHARE);
+        bucket.level = Math.min(bucket.level, limits.getMaximumLevel(quota, 1));
       });
     },
     setFleet(next) {
@@ -122,24 +162,31 @@
           const countedTotal = isSameIncarnation ? (before.spent[customer] ?? 0) : 0;
           if (bucket !== undefined) {
             bucket.level -= total - countedTotal;
+            bucket.others.add(total - countedTotal, now);
             // The spending of a host that this one schedules is reported as this host's own.
             bucket.spent += hosts === 0 ? total - countedTotal : 0;
           }
         });
       }
       spendingByHost.set(from, { incarnation, receivedAt: now, hosts, spent });
+      updateHeard(now);
     },
     trySpend(customer, cost, now) {
       const bucket = buckets.get(customer);
       if (bucket === undefined) {
         return { kind: 'within' };
       }
-      const share = getReachableShare(now);
+      const share = getReachableShare(bucket, now);
       refill(bucket, now, share);
-      if (bucket.level < getRequiredLevel(bucket, cost, share)) {
-        const missing = cost / 2 - bucket.level;
+      const required = limits.getRequiredLevel({ ...bucket, cost, share, fleetHosts });
+      const isUnheard =
+        bucket.spent - bucket.heard + cost > limits.getUnheardLimit(bucket, countSpenders());
+      if (bucket.level < required || isUnheard) {
+        const missing = Math.max(Math.min(required, cost / 2) - bucket.level, 0);
         const rate = Math.max(bucket.quota.ratePerSecond, 1);
-        return { kind: 'over', retryAfter: (missing / rate) * MILLISECONDS_PER_SECOND };
+        const refillTime = (missing / rate) * MILLISECONDS_PER_SECOND;
+        const retryAfter = Math.max(refillTime, isUnheard ? HEARD_AFTER : 0);
+        return { kind: 'over', retryAfter, figures: getFigures(bucket, cost, share, now) };
       }
       bucket.level -= cost;
       bucket.spent += cost;
@@ -152,7 +199,14 @@
         bucket.spent -= cost;
       }
     },
-    getSpent: () =>
-      Object.fromEntries([...buckets].map(([customer, bucket]) => [customer, bucket.spent])),
+    getSpent(now) {
+      const spent = Object.fromEntries(
+        [...buckets].map(([customer, bucket]) => [customer, bucket.spent]),
+      );
+      if (now !== undefined) {
+        reports = [...reports, { at: now, spent }].slice(-MAXIMUM_REPORTS);
+      }
+      return spent;
+    },
   };
 }
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -1,4 +1,4 @@
-import type { ListedServer, Priority, Quota, Route } from '../types';
+import type { ListedServer, Priority, Quota, QuotaFigures, Route } from '../types';
 import type {
   BackendServerId,
   CustomerId,
@@ -18,7 +18,8 @@
 }
 
 export type QuotaDecision =
-  { readonly kind: 'within' } | { readonly kind: 'over'; readonly retryAfter: Milliseconds };
+  | { readonly kind: 'within' }
+  | { readonly kind: 'over'; readonly retryAfter: Milliseconds; readonly figures: QuotaFigures };
 
 export interface ServerEmbargo {
   /** Records that a server announced that it is leaving. */
@@ -47,8 +48,17 @@
   trySpend(customer: CustomerId, cost: number, now: Milliseconds): QuotaDecision;
   /** Refunds the cost of a request that did not run. */
   refund(customer: CustomerId, cost: number): void;
-  /** Returns what this process has spent since its start, by customer. */
-  getSpent(): Readonly<Record<CustomerId, number>>;
+  /**
+   * Returns what this process has spent since its start, by customer. `now` is given if it is then
+   * sent to the other hosts.
+   */
+  getSpent(now?: Milliseconds): Readonly<Record<CustomerId, number>>;
+}
+
+/** What was spent within the last seconds. */
+export interface SpendingWindow {
+  add(cost: number, now: Milliseconds): void;
+  get(now: Milliseconds): number;
 }
 
 export interface SlotCounts {
--- a/packages/relay/src/front/createRequestObserver.ts
+++ b/packages/relay/src/front/createRequestObserver.ts
@@ -33,10 +33,10 @@
       metrics.countRequest('rejected', rejection.code);
       logger.info({ request: requestId, ...rejection, basis: getBasis() }, 'request rejected');
     },
-    refused(plan, reason, retryAfter, pool) {
+    refused(plan, reason, retryAfter, figures) {
       metrics.countRequest('refused', reason);
       logger.info(
-        { ...describe(plan), reason, retryAfter, pool, basis: getBasis() },
+        { ...describe(plan), reason, retryAfter, ...figures, basis: getBasis() },
         'request refused',
       );
     },
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -2,6 +2,7 @@
 import type { Gauge as GaugeDefinition } from '@rattanreel/observability';
 import type { BackendServerId, Clock, Milliseconds, PoolId } from '@rattanreel/core';
 import type {
+  QuotaFigures,
   ClusterStateVersions,
   ContentId,
   HeaderNames,
@@ -92,7 +93,7 @@
     plan: RequestPlan,
     reason: RefusalReason,
     retryAfter: number,
-    poolState?: PoolState,
+    figures?: Pick<Refusal, 'pool' | 'quota'>,
   ): void;
   dispatched(plan: RequestPlan, server: BackendServerId, view: ServerView, attempt: number): void;
   attemptEnded(plan: RequestPlan, server: BackendServerId, figures: AttemptFigures): void;
@@ -132,6 +133,8 @@
   /** Time after which the caller may return; a part of its remaining time if undefined. */
   readonly retryAfter?: Milliseconds;
   readonly pool?: PoolState;
+  /** Present if the customer's quota is the reason. */
+  readonly quota?: QuotaFigures;
 }
 
 /** A planned request and what relaying it needs. */
--- a/packages/relay/src/testing/createTestFleet.ts
+++ b/packages/relay/src/testing/createTestFleet.ts
@@ -17,6 +17,8 @@
   retryWindow: 10_000,
   retrySlack: 430,
   quotaSlack: 110_000,
+  quotaOver: 0.1,
+  quotaWindow: 8_000,
   exposeShare: 0.1,
   exposeSlack: 50,
   coldFactor: 1.5,
