Let requests wait for a quota that has run short for a moment

Cause: a request beyond the level of its customer's bucket was refused and sent again by its caller, although the bucket is refilled, or the other hosts have heard of the spending, within a fraction of its objective. Change: a request waits at the granting host if it can be charged within half of the time to its objective, by level, rate and the requests ahead; 64 at most for a customer, charged by rank and then by arrival; otherwise it is refused at once. The slack, which is in tokens, no longer counts as excess for quotas that count requests; a request larger than the overdraft needs what is missing instead of half of its cost, if that is less. Measured: admission/createQuotaWait.test.ts (virtual time): order, refusal at once, giving up, cancelling. Quota tests pass. Not measured: waiting in a whole fleet; there is no metric of requests that wait for quota.

--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -1,5 +1,5 @@
 import type { EntryHostId, FailureDomainId, Incarnation } from '@rattanreel/core';
-import createLocalAdmission from './admission/createLocalAdmission';
+import createQuotaAdmission from './admission/createQuotaAdmission';
 import createScheduling from './admission/createScheduling';
 import type { Admission } from './admission/types';
 import createClusterStateCache from './createClusterStateCache';
@@ -155,7 +155,7 @@
     clock,
     logger,
     self,
-    local: createLocalAdmission({ clock, random, pools, quota }),
+    local: createQuotaAdmission({ clock, random, pools, quota }),
     pools,
     quota,
     embargo,
--- a/packages/relay/src/decisions/createQuotaLimits.ts
+++ b/packages/relay/src/decisions/createQuotaLimits.ts
@@ -50,14 +50,20 @@
 export default function createQuotaLimits(
   bounds: Pick<RelayBounds, 'quotaSlack' | 'quotaOver' | 'quotaWindow'>,
 ): QuotaLimits {
-  /** Returns by how much spending in a window may exceed the quota; 0 unless `quotaOver` is set. */
+  /**
+   * Returns by how much spending in a window may exceed the quota; 0 unless `quotaOver` is set. The
+   * slack is in tokens, so it says nothing of quotas that count requests.
+   */
   function getExcess(quota: Quota): number {
     const { quotaOver = 0, quotaWindow = 0, quotaSlack } = bounds;
     if (quotaOver === 0) {
       return 0;
     }
     const windowSeconds = quotaWindow / MILLISECONDS_PER_SECOND;
-    return quotaOver * (quota.ratePerSecond * windowSeconds + quota.burst) + quotaSlack;
+    return (
+      quotaOver * (quota.ratePerSecond * windowSeconds + quota.burst) +
+      (quota.countsTokens ? quotaSlack : 0)
+    );
   }
 
   function getMaximumLevel(quota: Quota, share: number): number {
@@ -73,10 +79,8 @@
     // many may overdraw as the allowed excess covers.
     getRequiredLevel({ quota, cost, share, fleetHosts, position }) {
       const overdraft = OVERDRAFT_PART * getExcess(quota) * share;
-      if (overdraft >= cost) {
-        return cost - overdraft;
-      }
-      const required = Math.min(cost, getMaximumLevel(quota, 1)) / 2;
+      const half = Math.min(cost, getMaximumLevel(quota, 1)) / 2;
+      const required = overdraft > 0 ? Math.min(half, cost - overdraft) : half;
       const available = getMaximumLevel(quota, share) / 2;
       const slackShare =
         overdraft > 0 ? OVERDRAWN_SLACK_SHARE_BESIDE_OVERDRAFT : OVERDRAWN_SLACK_SHARE;
