--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -1,5 +1,5 @@
 import type { EntryHostId, FailureDomainId, Incarnation } from '@rattanreel/core';
-import createLocalAdmission from './admission/createLocalAdmission';
+import createQuotaAdmission from './admission/createQuotaAdmission';
 import createScheduling from './admission/createScheduling';
 import type { Admission } from './admission/types';
 import createClusterStateCache from './createClusterStateCache';
@@ -153,6 +153,7 @@
   const pools = createPools({
     ...context,
     ownName: entryHost,
+    incarnation,
     ownDomain: failureDomain,
     bounds,
     embargo,
@@ -166,7 +167,7 @@
   const scheduling = createScheduling({
     ...context,
     self,
-    local: createLocalAdmission({ clock, random, pools, quota }),
+    local: createQuotaAdmission({ clock, random, pools, quota }),
     pools,
     quota,
     embargo,
--- a/packages/relay/src/createHostSummary.ts
+++ b/packages/relay/src/createHostSummary.ts
@@ -43,5 +43,6 @@
     tiers,
     waiting,
     speeds: pools.speeds.tryGetReports(options.now),
+    loans: pools.loans.tryGetReport(),
   };
 }
--- a/packages/relay/src/front/createRequestGuard.ts
+++ b/packages/relay/src/front/createRequestGuard.ts
@@ -27,6 +27,7 @@
   const quarantineWatch = createQuarantineWatch({
     crashGuard,
     traits: plan.traits,
+    requestId: plan.requestId,
     onQuarantined: (refusal) => onRefused(refusal, 'quarantined'),
   });
   const stopWatching = timeCheck.watchStop(() => onRefused({ reason: 'stopping' }, 'stop'));
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -114,6 +114,7 @@
     const now = clock.now();
     const isNew = peerTable.record(message, now);
     pools.speeds.merge(message.speeds ?? {}, now);
+    pools.loans.merge(message);
     if (message.kind === 'summary') {
       if (!options.getRole().isLarge) {
         stateCache.upsertPeer(message);
@@ -194,7 +195,7 @@
       createHostSummary({
         ...self,
         pools,
-        spent: quota.getSpent(),
+        spent: quota.getSpent(clock.now()),
         hosts: options.getRole().ownHosts,
         loopDelay: options.loopDelay.get(),
         versions: stateCache.getVersions(),
--- a/packages/relay/src/peers/updatePeerLoad.ts
+++ b/packages/relay/src/peers/updatePeerLoad.ts
@@ -12,6 +12,7 @@
 export default function updatePeerLoad({ clock, pools, peerTable }: PeerLoadOptions): void {
   const now = clock.now();
   const counts = peerTable.countInFlight(now);
+  pools.loans.balance(peerTable.listReachable(now));
   pools.forEachQueue((queue, pool) =>
     queue.setPeerLoad(counts, peerTable.countByTier(pool, now), peerTable.countQueued(pool, now)),
   );
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -79,11 +79,18 @@
   readonly routes?: readonly Partial<Route>[];
   /** Time for which callers wait. */
   readonly deadline?: Milliseconds;
+  /** Whether callers are connected to a host; by default to all. */
+  readonly isCalled?: (host: TestHost) => boolean;
 }
 
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
 export default function createTestCallers(options: TestCallersOptions) {
-  const { fleet, hedgeLimit = 0, deadline: usualDeadline = DEADLINE } = options;
+  const {
+    fleet,
+    hedgeLimit = 0,
+    deadline: usualDeadline = DEADLINE,
+    isCalled = () => true,
+  } = options;
   const { clock, random } = fleet;
   const routes = createRouteTable(
     options.routes?.map((route) => ({ ...DRAFTS, ...route })) ?? ROUTES,
@@ -137,7 +144,9 @@
   }
 
   function send(call: TestCall, isFirst = true): void {
-    const available = fleet.hosts.filter(({ isDown, isFrozen }) => !isDown && !isFrozen);
+    const available = fleet.hosts.filter(
+      (each) => !each.isDown && !each.isFrozen && isCalled(each),
+    );
     const host = available[random.integer(0, available.length - 1)]!;
     const id = `request-${requests.length + 1}`;
     const { promptParts = [], target = '/', body = id, customer, deadline = usualDeadline } = call;
