Reproduce a hot customer that displaces the others: failing test

Cause: neither the queue nor the slots know whose a request is, so the excess of one customer is refused to all. The test callers take names of customers, an objective per route and a keyed stream route, and may keep their deadline when they retry. The test engines can be partitioned by failure domain.

--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -31,6 +31,7 @@
 };
 const ROUTES: readonly Route[] = [
   DRAFTS,
+  { ...DRAFTS, name: 'chats', pathPrefix: '/chat/', isAnonymous: false },
   { ...DRAFTS, name: 'lookups', pathPrefix: '/lookup/', kind: 'idempotent', isAnonymous: false },
   {
     ...DRAFTS,
@@ -41,13 +42,7 @@
     isResumable: false,
   },
 ];
-/** Each customer's key is its name. */
-const CUSTOMERS_BY_KEY: ReadonlyMap<string, RelayCustomer> = new Map(
-  ['customer-a', 'customer-b'].map((name) => [
-    name,
-    { name, keys: [name], tier: undefined, quota: undefined },
-  ]),
-);
+const CUSTOMERS = ['customer-a', 'customer-b'];
 const NOT_RUN_STATUS = 503;
 
 type TestHandler = ReturnType<typeof createRequestHandler>;
@@ -56,6 +51,8 @@
 interface CallerRequest {
   readonly host: TestHost;
   readonly sentAt: Milliseconds;
+  /** When the caller sent its first attempt. */
+  readonly firstSentAt: Milliseconds;
   readonly call: TestCall;
   /** Whether it is the caller's first attempt. */
   readonly isFirst: boolean;
@@ -67,12 +64,24 @@
 
 interface TestCallersOptions {
   readonly fleet: TestFleet;
+  /** Names of the customers; each one's key is its name. */
+  readonly customers?: readonly string[];
+  /** Objectives by the name of the route, where they differ from the usual one. */
+  readonly objectives?: Readonly<Record<string, Milliseconds>>;
+  /** Whether a second attempt waits only for what the first has left of the deadline. */
+  readonly isDeadlineKept?: boolean;
 }
 
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
-export default function createTestCallers({ fleet }: TestCallersOptions) {
+export default function createTestCallers(options: TestCallersOptions) {
+  const { fleet, customers = CUSTOMERS, objectives = {}, isDeadlineKept = false } = options;
   const { clock, random } = fleet;
-  const routes = createRouteTable(ROUTES);
+  const routes = createRouteTable(
+    ROUTES.map((route) => ({ ...route, objective: objectives[route.name] ?? route.objective })),
+  );
+  const customersByKey: ReadonlyMap<string, RelayCustomer> = new Map(
+    customers.map((name) => [name, { name, keys: [name], tier: undefined, quota: undefined }]),
+  );
   const handlers = new Map<TestHost, TestHandler>();
   const requests: CallerRequest[] = [];
   let isRunning = true;
@@ -97,7 +106,7 @@
           getBasis: () => ({ ...host.core.stateCache.getVersions(), hosts: 0, oldest: 0 }),
         }),
         getRoutes: () => routes,
-        getCustomersByKey: () => CUSTOMERS_BY_KEY,
+        getCustomersByKey: () => customersByKey,
       });
       handlers.set(host, handler);
     }
@@ -107,11 +116,11 @@
   function retry(request: CallerRequest): void {
     const isOrder = request.call.target?.startsWith('/order/') === true;
     if (request.isFirst && (!isOrder || request.status === NOT_RUN_STATUS)) {
-      clock.after(request.retryAfter ?? RETRY_DELAY, () => send(request.call, false));
+      clock.after(request.retryAfter ?? RETRY_DELAY, () => send(request.call, request.firstSentAt));
     }
   }
 
-  function send(call: TestCall, isFirst = true): void {
+  function send(call: TestCall, firstSentAt: Milliseconds = clock.now()): void {
     const available = fleet.hosts.filter(({ isDown, isFrozen }) => !isDown && !isFrozen);
     const host = available[random.integer(0, available.length - 1)]!;
     const id = `request-${requests.length + 1}`;
@@ -119,15 +128,16 @@
     const request: CallerRequest = {
       host,
       sentAt: clock.now(),
+      firstSentAt,
       call: { ...call, body },
-      isFirst,
+      isFirst: firstSentAt === clock.now(),
     };
     requests.push(request);
     const ownParts = [...promptParts, `own${requests.length}`].map((part) => `${part}:100`);
     const headers = {
       host: 'h',
       [headerNames.requestId]: id,
-      [headerNames.deadline]: String(DEADLINE),
+      [headerNames.deadline]: String(DEADLINE - (isDeadlineKept ? clock.now() - firstSentAt : 0)),
       [headerNames.tokenCount]: '300,20',
       ...(promptParts.length > 0 && { [headerNames.promptParts]: ownParts.join(',') }),
       ...(customer !== undefined && { [headerNames.key]: customer }),
@@ -162,7 +172,7 @@
 
   return {
     requests,
-    send,
+    send: (call: TestCall) => send(call),
     /** Sends calls at random times, until `stop`. */
     sendOften(ratePerSecond: number, createCall: () => TestCall): void {
       const scheduleNext = (): void => {
--- a/packages/relay/src/testing/createTestEngines.ts
+++ b/packages/relay/src/testing/createTestEngines.ts
@@ -114,7 +114,7 @@
         };
       },
       checkListening(server, onChecked) {
-        paths.check(host, (result) =>
+        paths.check(host, server, (result) =>
           onChecked(result ?? (getEngine(server).isUp() ? 'accepting' : 'refused')),
         );
       },
@@ -151,6 +151,7 @@
       }
     },
     resetConnections: () => engines.forEach((engine) => engine.resetConnections()),
+    partition: paths.partition,
     /** Cuts hosts off from all engines; undefined ends that. */
     cut: (hosts: readonly TestHost[], how: EngineCut | undefined) => paths.cut(hosts, how),
   };
--- a/packages/relay/src/testing/createTestPaths.ts
+++ b/packages/relay/src/testing/createTestPaths.ts
@@ -26,6 +26,8 @@
 export default function createTestPaths(clock: Clock) {
   const cuts = new Map<TestHost, EngineCut>();
   const openPaths = new Set<OpenPath>();
+  /** A failure domain that is cut off from the others; undefined if there is none. */
+  let partitionedDomain: string | undefined;
   /** When the idle connections of a host to a server are closed. */
   const idleUntil = new Map<string, Milliseconds[]>();
 
@@ -36,15 +38,26 @@
     return isKept;
   }
 
+  function getCut(host: TestHost, { failureDomain }: ListedServer): EngineCut | undefined {
+    const isSeparated =
+      partitionedDomain !== undefined &&
+      (host.domain === partitionedDomain) !== (failureDomain === partitionedDomain);
+    return isSeparated ? 'hang' : cuts.get(host);
+  }
+
   return {
+    /** Cuts a failure domain off from the engines and hosts of the others; undefined ends that. */
+    partition(domain: string | undefined): void {
+      partitionedDomain = domain;
+    },
     open(host: TestHost, server: ListedServer, sink: AttemptSink): TestPath {
       const key = `${host.name} ${server.id}`;
-      const cut = cuts.get(host);
+      const cut = getCut(host, server);
       const isKept = tryTakeIdle(key);
       const isRefused = cut === 'reset' || (cut === 'refuseNew' && !isKept);
       const isUnconnected = isRefused || (cut === 'hang' && !isKept);
       let isEnded = false;
-      const canPass = (): boolean => cuts.get(host) !== 'hang';
+      const canPass = (): boolean => getCut(host, server) !== 'hang';
 
       function end(outcome: AttemptOutcome): void {
         if (!isEnded) {
@@ -85,8 +98,12 @@
     /** Forgets the idle connections of a host to a server. */
     renew: (host: TestHost, server: ListedServer) => idleUntil.delete(`${host.name} ${server.id}`),
     /** Checks a path; calls back with undefined if it leads to the engine. */
-    check(host: TestHost, onChecked: (listening: Listening | undefined) => void): void {
-      const cut = cuts.get(host);
+    check(
+      host: TestHost,
+      server: ListedServer,
+      onChecked: (listening: Listening | undefined) => void,
+    ): void {
+      const cut = getCut(host, server);
       if (cut === 'hang') {
         clock.after(CONNECT_TIMEOUT, () => onChecked('unreachable'));
       } else {
--- a/packages/relay/src/testing/types.ts
+++ b/packages/relay/src/testing/types.ts
@@ -12,7 +12,7 @@
 export interface TestCall {
   /** Parts of the prompt that other calls may share. */
   readonly promptParts?: readonly string[];
-  /** Begins with `/`, `/lookup/` or `/order/`. */
+  /** Begins with `/`, `/chat/`, `/lookup/` or `/order/`. */
   readonly target?: string;
   readonly body?: string;
   /** Name of the customer; calls of prompts need none. */
