Share scarce slots among customers by the slots that they use

Cause: the queue is served in order of arrival, so a customer that asks for most gets most. Change: each pool counts slots in use by customer and route tier; within a tier the customer that uses the fewest slots for its weight goes first. The expected wait of a request is that of its customer. The largest users of a host travel in its summaries and changes while slots are scarce.

--- a/packages/relay/src/admission/createHeldSlots.ts
+++ b/packages/relay/src/admission/createHeldSlots.ts
@@ -25,8 +25,8 @@
   const held = new Map<Ticket, HeldSlot>();
 
   return {
-    hold(ticket, { pool, priority }, { server, view }, own) {
-      held.set(ticket, { ticket, pool, server: server.id, tier: priority.tier });
+    hold(ticket, { pool, priority, customer }, { server, view }, own) {
+      held.set(ticket, { ticket, pool, server: server.id, tier: priority.tier, customer });
       return {
         server,
         view,
--- a/packages/relay/src/admission/createLocalAdmission.ts
+++ b/packages/relay/src/admission/createLocalAdmission.ts
@@ -22,12 +22,17 @@
   };
 }
 
-function createGrant(queue: PoolQueue, server: ServerState, tier: number): SlotGrant {
+function createGrant(
+  queue: PoolQueue,
+  server: ServerState,
+  tier: number,
+  customer: string | undefined,
+): SlotGrant {
   return {
     server: server.listed,
     view: createServerView(server),
-    release: () => queue.releaseUnusedSlot(server, tier),
-    complete: (figures) => queue.completeAttempt(server, tier, figures),
+    release: () => queue.releaseUnusedSlot(server, tier, customer),
+    complete: (figures) => queue.completeAttempt(server, tier, figures, customer),
     recordLoad: (running, waiting) => queue.recordLoadReport(server, running, waiting),
     recordLeaving: () => queue.recordLeaving(server),
   };
@@ -70,18 +75,19 @@
         request.onRefused({
           reason,
           retryAfter: getRetryDelay(priority.deadlineAt - clock.now(), random),
-          pool: queue.getState(priority),
+          pool: queue.getRequestState(request),
         });
       }
 
       const queued: QueuedRequest = {
         id: request.requestId,
+        customer,
         priority,
         outputTokens: request.outputTokens,
         excludedServers: request.excludedServers,
         onGranted(server) {
           isOpen = false;
-          request.onGranted(createGrant(queue, server, priority.tier));
+          request.onGranted(createGrant(queue, server, priority.tier, customer));
         },
         onRefused: refuse,
       };
@@ -100,10 +106,10 @@
     refund,
     trySpendRetry: (pool: PoolId) => pools.getQueue(pool).trySpendRetry(),
     recordRequest: (pool: PoolId) => pools.getQueue(pool).recordRequest(),
-    tryAdoptSlot({ pool, server, tier }) {
+    tryAdoptSlot({ pool, server, tier, customer }) {
       const queue = pools.getQueue(pool);
-      const state = queue.tryAdoptSlot(server, tier);
-      return state === undefined ? undefined : createGrant(queue, state, tier);
+      const state = queue.tryAdoptSlot(server, tier, customer);
+      return state === undefined ? undefined : createGrant(queue, state, tier, customer);
     },
   };
 }
--- a/packages/relay/src/admission/createSchedulerClient.ts
+++ b/packages/relay/src/admission/createSchedulerClient.ts
@@ -136,8 +136,8 @@
     }
     waiting.delete(ticket);
     const { request } = entry;
-    const { pool, priority } = request;
-    const own = local.tryAdoptSlot({ pool, server: server.id, tier: priority.tier });
+    const { pool, priority, customer } = request;
+    const own = local.tryAdoptSlot({ pool, server: server.id, tier: priority.tier, customer });
     request.onGranted(heldSlots.hold(ticket, request, { server, view }, own));
   }
 
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -102,6 +102,8 @@
   readonly pool: PoolId;
   readonly server: BackendServerId;
   readonly tier: TierRank;
+  /** Undefined if the request has none, or its host does not report it. */
+  readonly customer?: CustomerId | undefined;
 }
 
 /** Asks the scheduler for a slot. Repeated if the scheduler may not have received it. */
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -115,6 +115,7 @@
     onConfiguration(configuration) {
       quota.setQuotas(listQuotas(configuration), clock.now());
       pools.setSettings(configuration.pools);
+      pools.setCustomers(configuration.customers);
       options.onConfiguration(configuration);
       scheduling.announceStatus();
     },
--- a/packages/relay/src/createHostSummary.ts
+++ b/packages/relay/src/createHostSummary.ts
@@ -1,5 +1,5 @@
 import type { PoolId } from '@rattanreel/core';
-import type { ClusterStateVersions, HostSummary } from './types';
+import type { ClusterStateVersions, CustomerUse, HostSummary } from './types';
 import type { Pools } from './pools/types';
 
 interface HostSummaryOptions extends Pick<
@@ -15,9 +15,14 @@
   const { pools, versions, entryHost, incarnation, failureDomain, address, capacity } = options;
   const tiers: Record<PoolId, Record<string, number>> = {};
   const waiting: Record<PoolId, Record<string, number>> = {};
+  const customers: Record<PoolId, CustomerUse> = {};
   pools.forEachQueue((queue, pool) => {
     tiers[pool] = Object.fromEntries(queue.getOwnInFlightByTier());
     waiting[pool] = Object.fromEntries(queue.getQueuedByRank());
+    const use = queue.tryGetCustomerUse();
+    if (use !== undefined) {
+      customers[pool] = use;
+    }
   });
   return {
     ...versions,
@@ -33,5 +38,6 @@
     inFlight: Object.fromEntries(pools.countOwnInFlight()),
     tiers,
     waiting,
+    ...(Object.keys(customers).length > 0 && { customers }),
   };
 }
--- a/packages/relay/src/decisions/createRequestQueue.ts
+++ b/packages/relay/src/decisions/createRequestQueue.ts
@@ -3,6 +3,8 @@
 
 interface RequestQueue {
   readonly size: number;
+  /** Lists the requests by rank, and by arrival within a rank. */
+  list(): readonly QueuedRequest[];
   add(request: QueuedRequest): void;
   remove(request: QueuedRequest): void;
   /** Returns the first request by rank for which `isServable` holds, without removing it. */
@@ -23,6 +25,8 @@
 interface RequestQueueOptions {
   /** Expected time from dispatch to the first response data. */
   readonly getExpectedTimeToFirstData: () => Milliseconds;
+  /** Changes the order of service between customers; keeps that of one customer's requests. */
+  readonly arrange?: (requests: readonly QueuedRequest[]) => readonly QueuedRequest[];
 }
 
 interface PriorityLevel {
@@ -41,6 +45,7 @@
  * not delay work that is not, or a burst would keep every later request late (metastable overload).
  */
 export default function createRequestQueue(options: RequestQueueOptions): RequestQueue {
+  const { arrange = (requests) => requests } = options;
   const levelsByKey = new Map<string, PriorityLevel>();
   let levels: PriorityLevel[] = [];
 
@@ -71,8 +76,10 @@
     remove(request) {
       getLevel(request).requests.delete(request);
     },
-    tryFind: (isServable) => listAll().find(isServable),
-    tryFindByFloorRank: (isServable) => [...listAll()].sort(compareByFloorRank).find(isServable),
+    list: listAll,
+    tryFind: (isServable) => arrange(listAll()).find(isServable),
+    tryFindByFloorRank: (isServable) =>
+      arrange([...listAll()].sort(compareByFloorRank)).find(isServable),
     removeExpired(now) {
       const expectedAt = now + options.getExpectedTimeToFirstData();
       const expired = levels.flatMap((level) =>
--- a/packages/relay/src/peers/createPeerSync.ts
+++ b/packages/relay/src/peers/createPeerSync.ts
@@ -56,12 +56,12 @@
     if (lastSummary === undefined || clock.now() - lastSummaryAt >= getInterval(SUMMARY_INTERVAL)) {
       return undefined;
     }
-    const { entryHost, tiers, waiting } = summary;
+    const { entryHost, tiers, waiting, customers } = summary;
     const before = lastSummary.inFlight;
     const ids = new Set([...Object.keys(before), ...Object.keys(summary.inFlight)]);
     const changed = [...ids].filter((id) => before[id] !== summary.inFlight[id]);
     const inFlight = Object.fromEntries(changed.map((id) => [id, summary.inFlight[id] ?? 0]));
-    return { kind: 'change', entryHost, inFlight, tiers, waiting };
+    return { kind: 'change', entryHost, inFlight, tiers, waiting, customers };
   }
 
   function sendUpdate(): void {
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -1,6 +1,6 @@
 import type { EntryHostId, Milliseconds } from '@rattanreel/core';
 import sumCounts from '../decisions/sumCounts';
-import type { HostSummary, PeerTable } from '../types';
+import type { HostSummary, PeerTable, ShareKey } from '../types';
 
 /**
  * A host without a message for this long counts as unreachable; its summary no longer shows what it
@@ -41,10 +41,10 @@
       }
       const known = received?.summary;
       if (known !== undefined) {
-        const { tiers, waiting } = message;
+        const { tiers, waiting, customers } = message;
         const inFlight = { ...known.inFlight, ...message.inFlight };
         receivedByHost.set(entryHost, {
-          summary: { ...known, inFlight, tiers, waiting },
+          summary: { ...known, inFlight, tiers, waiting, customers },
           receivedAt: now,
         });
       }
@@ -56,6 +56,13 @@
       sumCounts(listReachable(now).map(({ tiers }) => parseCounts(tiers[pool]))),
     countQueued: (pool, now) =>
       sumCounts(listReachable(now).map(({ waiting }) => parseCounts(waiting[pool]))),
+    countByCustomer: (pool, now) =>
+      sumCounts(
+        listReachable(now).map(
+          ({ customers }) =>
+            Object.entries(customers?.[pool]?.largest ?? {}) as [ShareKey, number][],
+        ),
+      ),
     listReachable,
     getFreshness(now) {
       let hosts = 0;
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -94,7 +94,12 @@
     const now = clock.now();
     const counts = peerTable.countInFlight(now);
     pools.forEachQueue((queue, pool) =>
-      queue.setPeerLoad(counts, peerTable.countByTier(pool, now), peerTable.countQueued(pool, now)),
+      queue.setPeerLoad(
+        counts,
+        peerTable.countByTier(pool, now),
+        peerTable.countQueued(pool, now),
+        peerTable.countByCustomer(pool, now),
+      ),
     );
   }
 
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -4,18 +4,27 @@
 import canMeetDeadline from '../decisions/canMeetDeadline';
 import shouldDeferToPeers from '../decisions/shouldDeferToPeers';
 import createRequestQueue from '../decisions/createRequestQueue';
-import type { RelayBounds, ServerState, QueuedRequest } from '../types';
+import type { Priority, RelayBounds, ServerState, QueuedRequest, ShareKey } from '../types';
+import arrangeByShare from '../fairness/arrangeByShare';
+import createSlotShares from '../fairness/createSlotShares';
+import estimateFairWait from '../fairness/estimateFairWait';
+import getShareKey from '../fairness/getShareKey';
+import isContended from '../fairness/isContended';
 import recordAttempt from './recordAttempt';
 import createPoolAverages from './createPoolAverages';
-import type { PoolAverages, SlotTrackerOptions, PoolQueue } from './types';
+import type { PoolAverages, PoolState, SlotTrackerOptions, PoolQueue } from './types';
 import createSlotRelease from './createSlotRelease';
 import createSlotTracker from './createSlotTracker';
 
 /** Time between two checks of the queue; covers changes that no message announces. */
 const QUEUE_CHECK_INTERVAL: Milliseconds = 20;
+/** Share of slots in use from which on peers are told which customers use them. */
+const SCARCE_UTILIZATION = 0.6;
 
 interface PoolQueueOptions extends Omit<SlotTrackerOptions, 'canMeetDeadline' | 'getMeanDuration'> {
   readonly bounds: RelayBounds;
+  /** Returns the weight of a customer; all are equal if absent. */
+  readonly getWeight?: (key: ShareKey) => number;
 }
 
 interface Grant {
@@ -42,9 +51,13 @@
  * Queues and orders a pool's requests before dispatch, so that the servers' own queues stay short.
  */
 export default function createPoolQueue(options: PoolQueueOptions): PoolQueue {
-  const { clock, bounds, serverStates } = options;
+  const { clock, bounds, serverStates, getWeight = () => 1 } = options;
   const averages = createPoolAverages();
-  const queue = createRequestQueue({ getExpectedTimeToFirstData: averages.timeToFirstData.get });
+  const shares = createSlotShares({ getWeight });
+  const queue = createRequestQueue({
+    getExpectedTimeToFirstData: averages.timeToFirstData.get,
+    arrange: (requests) => arrangeByShare(requests, shares),
+  });
   const retryBudget = createRetryBudget({ bounds });
   const policy = createSlotSharingPolicy();
   const tracker = createSlotTracker({
@@ -97,6 +110,7 @@
     queue.remove(request);
     tracker.acquireSlot(server, request.priority.tier);
     policy.recordGrant(request.priority.tier);
+    shares.recordGrant(getShareKey(request));
     request.onGranted(server);
     return true;
   }
@@ -120,36 +134,72 @@
     scheduleCheck();
   }
 
+  /** Under load, a host refills the slots that its own requests release. */
+  function countRefilledSlots(): number {
+    return Math.max(tracker.countSlots().sustained / sharingHosts, tracker.countOwnInFlight());
+  }
+
+  /** Returns the expected wait of a new request of a customer. */
+  function getFairWait(request: Pick<QueuedRequest, 'customer' | 'priority'>): Milliseconds {
+    const queued = queue.list();
+    const slots = countRefilledSlots();
+    if (slots === 0 || !isContended([...queued, request])) {
+      return getExpectedWait(request.priority.rank);
+    }
+    const { getDuration } = policy;
+    return estimateFairWait({
+      request,
+      queued,
+      shares,
+      getWeight,
+      getDuration,
+      slots,
+      hosts: sharingHosts,
+    });
+  }
+
   /** Returns the expected wait of a new request of this rank. */
   function getExpectedWait(rank: number): Milliseconds {
-    // Under load, a host refills the slots that its own requests release.
-    const slots = Math.max(
-      tracker.countSlots().sustained / sharingHosts,
-      tracker.countOwnInFlight(),
-    );
+    const slots = countRefilledSlots();
     return slots === 0 ? Infinity : queue.sumWorkAhead(rank, policy.getDuration) / slots;
   }
 
+  function getState({ rank, tier }: Pick<Priority, 'rank' | 'tier'>): PoolState {
+    const { total: places, inUse: taken, getTierInUse } = tracker.countSlots();
+    const expectedWait = Math.round(getExpectedWait(rank));
+    return { waiting: queue.size, places, taken, takenByTier: getTierInUse(tier), expectedWait };
+  }
+
   return {
     get size() {
       return queue.size;
     },
-    getState({ rank, tier }) {
-      const { total: places, inUse: taken, getTierInUse } = tracker.countSlots();
-      const expectedWait = Math.round(getExpectedWait(rank));
-      return { waiting: queue.size, places, taken, takenByTier: getTierInUse(tier), expectedWait };
+    getState,
+    getRequestState(request) {
+      const state = getState(request.priority);
+      const queued = queue.list();
+      if (!isContended([...queued, request])) {
+        return state;
+      }
+      const { share, use } = shares.getState(getShareKey(request), queued.map(getShareKey));
+      const customer = { share: Number(share.toFixed(2)), use: Number(use.toFixed(2)) };
+      return { ...state, expectedWait: Math.round(getFairWait(request)), customer };
+    },
+    tryGetCustomerUse() {
+      const { total, inUse } = tracker.countSlots();
+      return inUse < total * SCARCE_UTILIZATION ? undefined : shares.getOwnUse();
     },
     getOwnInFlightByTier: tracker.getOwnInFlightByTier,
     getQueuedByRank: queue.countByRank,
     enqueue(request) {
       const now = clock.now();
-      const { rank, serveBy } = request.priority;
+      const { serveBy } = request.priority;
       const longestWait = serveBy - now - averages.timeToFirstData.get();
       // A tier below its floor goes before all others, so their requests do not delay it.
       const isUndelayed =
         queue.size === 0 ||
         policy.evaluate(request.priority, tracker.countSlots()) === 'belowFloor';
-      const expectedDelay = isUndelayed ? 0 : getExpectedWait(rank);
+      const expectedDelay = isUndelayed ? 0 : getFairWait(request);
       if (expectedDelay > longestWait) {
         return { kind: 'refused', reason: 'expectedLate' };
       }
@@ -162,11 +212,13 @@
       return { kind: 'waiting' };
     },
     cancel: (request) => queue.remove(request),
-    releaseUnusedSlot(server, tier) {
+    releaseUnusedSlot(server, tier, customer) {
+      shares.recordRelease(getShareKey({ customer, priority: { tier } }));
       tracker.releaseSlot(server, tier);
       grantSlots();
     },
-    completeAttempt(server, tier, figures) {
+    completeAttempt(server, tier, figures, customer) {
+      shares.recordRelease(getShareKey({ customer, priority: { tier } }));
       releaseSlot(server, tier, figures);
       if (figures.end.kind === 'whole') {
         policy.recordDuration(tier, figures.duration);
@@ -187,14 +239,16 @@
     recordLeaving(server) {
       server.isLeaving = true;
     },
-    tryAdoptSlot(id, tier) {
+    tryAdoptSlot(id, tier, customer) {
       const server = serverStates.byId.get(id);
       if (server !== undefined) {
+        shares.recordGrant(getShareKey({ customer, priority: { tier } }));
         tracker.acquireSlot(server, tier);
       }
       return server;
     },
-    setPeerLoad(inFlight, byTier, waiting) {
+    setPeerLoad(inFlight, byTier, waiting, byCustomer = new Map()) {
+      shares.setPeerUse(byCustomer);
       peerQueuedByRank = waiting;
       tracker.setPeerLoad(inFlight, byTier);
       grantSlots();
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -2,6 +2,7 @@
 import type {
   BackendServerId,
   Clock,
+  CustomerId,
   FailureDomainId,
   Milliseconds,
   Random,
@@ -10,17 +11,21 @@
 } from '@rattanreel/core';
 import type {
   LimitPacing,
+  CustomerUse,
   ListedServer,
   PoolSettings,
+  RelayCustomer,
   RefusalReason,
   ServerState,
   Priority,
   QueuedRequest,
+  ShareKey,
   ServerProcess,
   SlotSharing,
   AttemptFigures,
 } from '../types';
 import type { MovingAverage, ServerEmbargo } from '../decisions/types';
+import type { ShareState } from '../fairness/types';
 import type { Rollouts } from '../rollouts/types';
 
 export type AdmissionDecision =
@@ -34,6 +39,8 @@
   readonly taken: number;
   readonly takenByTier: number;
   readonly expectedWait: Milliseconds;
+  /** The customer's share of its tier's slots and its use; absent while customers don't compete. */
+  readonly customer?: ShareState;
 }
 
 export interface PoolQueue {
@@ -41,9 +48,14 @@
   enqueue(request: QueuedRequest): AdmissionDecision;
   cancel(request: QueuedRequest): void;
   /** Releases a granted slot that was not used. */
-  releaseUnusedSlot(server: ServerState, tier: TierRank): void;
+  releaseUnusedSlot(server: ServerState, tier: TierRank, customer?: CustomerId): void;
   /** Releases the slot of an attempt and records its measurements. */
-  completeAttempt(server: ServerState, tier: TierRank, figures: AttemptFigures): void;
+  completeAttempt(
+    server: ServerState,
+    tier: TierRank,
+    figures: AttemptFigures,
+    customer?: CustomerId,
+  ): void;
   /** Records the load that a server reported with a response. */
   recordLoadReport(server: ServerState, running: number, queued: number): void;
   trySpendRetry(): boolean;
@@ -51,26 +63,35 @@
   /** Records that a server announced in a response that it is leaving. */
   recordLeaving(server: ServerState): void;
   /** Takes over a slot that another host granted; undefined if the server is unknown. */
-  tryAdoptSlot(server: BackendServerId, tier: TierRank): ServerState | undefined;
+  tryAdoptSlot(
+    server: BackendServerId,
+    tier: TierRank,
+    customer?: CustomerId,
+  ): ServerState | undefined;
   /**
-   * Sets the requests of the other hosts: in flight by server and by route tier, and queued by
-   * rank.
+   * Sets the requests of the other hosts: in flight by server and by route tier, queued by rank,
+   * and in flight by customer.
    */
   setPeerLoad(
     inFlight: ReadonlyMap<BackendServerId, number>,
     byTier: ReadonlyMap<TierRank, number>,
     queuedByRank: ReadonlyMap<number, number>,
+    byCustomer?: ReadonlyMap<ShareKey, number>,
   ): void;
   /** Returns this host's requests in flight, by route tier. */
   getOwnInFlightByTier(): ReadonlyMap<TierRank, number>;
   /** Returns this host's queued requests, by rank. */
   getQueuedByRank(): ReadonlyMap<number, number>;
+  /** Returns this host's slots in use by customer; undefined unless slots are scarce. */
+  tryGetCustomerUse(): CustomerUse | undefined;
   setSharing(sharing: SlotSharing): void;
   /** Grants free slots to queued requests. */
   grantSlots(): void;
   readonly size: number;
   /** Returns the state on which a decision about a request of this priority is based. */
   getState(priority: Pick<Priority, 'rank' | 'tier'>): PoolState;
+  /** Returns that state for a request of a customer, with the customer's share. */
+  getRequestState(request: Pick<QueuedRequest, 'customer' | 'priority'>): PoolState;
 }
 
 /** Averages over a pool, against which a server is compared. */
@@ -121,6 +142,8 @@
 export interface Pools {
   getQueue(pool: PoolId): PoolQueue;
   setSettings(settings: readonly PoolSettings[]): void;
+  /** Sets the customers, whose weights determine their shares of scarce slots. */
+  setCustomers(customers: readonly RelayCustomer[] | undefined): void;
   setServers(servers: readonly ListedServer[]): void;
   /** Sets which hosts share the slots and the rates of cold servers, and the size of the fleet. */
   setSharing(sharing: SlotSharing): void;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -86,6 +86,8 @@
   /** Takes precedence over the route's tier in the order of service. */
   readonly tier: TierRank | undefined;
   readonly quota: Quota | undefined;
+  /** Share of scarce slots relative to the other customers; 1 if absent. */
+  readonly weight?: number;
 }
 
 /** Limits on the size of a caller's request and on how long its connection may stay idle. */
@@ -273,6 +275,8 @@
 /** A request that waits for a slot at a backend server. */
 export interface QueuedRequest {
   readonly id: RequestId;
+  /** Undefined if requests carry no keys. */
+  readonly customer?: CustomerId | undefined;
   readonly priority: Priority;
   /** Tokens of the response: the maximum, or the caller's estimate. */
   readonly outputTokens: number;
@@ -333,6 +337,15 @@
   readonly nextAt: Milliseconds;
 }
 
+/** A route tier and the name of a customer, between which there is a space. */
+export type ShareKey = `${number} ${CustomerId}`;
+
+/** Slots in use by customer: the largest users, and the sum of the others. */
+export interface CustomerUse {
+  readonly largest: Readonly<Record<ShareKey, number>>;
+  readonly others: number;
+}
+
 /** State that a host sends to its peers several times per second. */
 export interface HostSummary extends ClusterStateVersions {
   readonly kind: 'summary';
@@ -353,6 +366,8 @@
   readonly hosts: number;
   /** Backend servers that announced in a response that they are leaving. */
   readonly leaving?: readonly ServerProcess[];
+  /** Slots in use by customer, for the pools whose slots are scarce. */
+  readonly customers?: Readonly<Record<PoolId, CustomerUse>>;
 }
 
 /** Changes at a host since its last message; sent more often than complete summaries. */
@@ -363,6 +378,7 @@
   readonly inFlight: Readonly<Record<BackendServerId, number>>;
   readonly tiers: HostSummary['tiers'];
   readonly waiting: HostSummary['waiting'];
+  readonly customers?: HostSummary['customers'];
 }
 
 /** Versions of the state known to a host. They never decrease; -1 means nothing is known yet. */
@@ -512,6 +528,8 @@
   countByTier(pool: PoolId, now: Milliseconds): ReadonlyMap<TierRank, number>;
   /** Counts the queued requests of the other hosts in a pool, by rank. */
   countQueued(pool: PoolId, now: Milliseconds): ReadonlyMap<number, number>;
+  /** Counts the requests in flight of the other hosts in a pool, by customer. */
+  countByCustomer(pool: PoolId, now: Milliseconds): ReadonlyMap<ShareKey, number>;
   /** Returns the last summaries of the hosts that are reachable. */
   listReachable(now: Milliseconds): readonly HostSummary[];
   /** Returns the number of reachable hosts and the age of the oldest of their last messages. */
