Leave free slots to customers that use less and wait at other hosts

Change: summaries carry the queued requests by customer; a host defers to those that go first by tier and use of slots.

--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -13,7 +13,7 @@
 import type { Rollouts } from './rollouts/types';
 import type { ServerEmbargo } from './decisions/types';
 import updatePacing from './limits/updatePacing';
-import createShareWeights from './fairness/createShareWeights';
+import createShareTerms from './fairness/createShareTerms';
 import countOwnSlots from './limits/countOwnSlots';
 import type { BrittlePools, ServerLimits } from './limits/types';
 import type { LimitPacing, PoolSettings, RelayBounds, ServerState, SlotSharing } from './types';
@@ -48,7 +48,7 @@
   const { clock, ownName } = options;
   const poolsById = new Map<PoolId, PoolEntry>();
   let settingsByPool = new Map<PoolId, PoolSettings>();
-  let getWeight = createShareWeights(undefined);
+  let shareTerms = createShareTerms();
   let sharing: SlotSharing = {
     grantingHosts: [ownName],
     slotOwners: [ownName],
@@ -100,7 +100,7 @@
       onInFlightChange: options.onInFlightChange,
       getPacing,
       getOwnSlots,
-      getWeight: (key) => getWeight(key),
+      getShareTerms: () => shareTerms,
       getSettings: () => settingsByPool.get(pool),
       getColdRequestInterval: (server, rate) =>
         getColdRequestInterval({ server, host: ownName, hosts: sharing.grantingHosts, rate }),
@@ -124,7 +124,7 @@
       settingsByPool = new Map(settings.map((each) => [each.name, each]));
     },
     setCustomers(customers) {
-      getWeight = createShareWeights(customers);
+      shareTerms = createShareTerms(customers);
     },
     setServers(servers) {
       const now = clock.now();
--- a/packages/relay/src/fairness/createSlotShares.ts
+++ b/packages/relay/src/fairness/createSlotShares.ts
@@ -1,15 +1,24 @@
-import type { ShareKey } from '../types';
-import selectLargestUsers from './selectLargestUsers';
-import type { SlotShares } from './types';
+import type { PeerCustomerUse, QueuedRequest, ShareKey } from '../types';
+import getShareKey from './getShareKey';
+import selectLargest from './selectLargest';
+import type { ShareTerms, SlotShares } from './types';
 
-interface SlotSharesOptions {
-  readonly getWeight: (key: ShareKey) => number;
-}
+const NO_USE: PeerCustomerUse = { inUse: new Map(), waiting: new Map() };
 
 function isSameTier(left: ShareKey, right: ShareKey): boolean {
   return left.slice(0, left.indexOf(' ')) === right.slice(0, right.indexOf(' '));
 }
 
+/** Counts the requests by share key that were not refused before. */
+function countFresh(queued: readonly QueuedRequest[]): ReadonlyMap<ShareKey, number> {
+  const counts = new Map<ShareKey, number>();
+  queued
+    .filter(({ priority }) => !priority.isReturning)
+    .map(getShareKey)
+    .forEach((key) => counts.set(key, (counts.get(key) ?? 0) + 1));
+  return counts;
+}
+
 /**
  * Counts the slots in use by customer, exactly for this host and as last reported for the others.
  * By Little's law the slots in use measure the work of a customer: long responses hold their slots
@@ -17,12 +26,16 @@
  * fewest slots for its weight goes first, so idle shares are lent out, and are returned with the
  * next slot that is released.
  */
-export default function createSlotShares({ getWeight }: SlotSharesOptions): SlotShares {
+export default function createSlotShares({ getWeight, getTierRank }: ShareTerms): SlotShares {
   const ownUse = new Map<ShareKey, number>();
-  let peerUse: ReadonlyMap<ShareKey, number> = new Map();
+  let peers = NO_USE;
 
   function getUse(key: ShareKey): number {
-    return (ownUse.get(key) ?? 0) + (peerUse.get(key) ?? 0);
+    return (ownUse.get(key) ?? 0) + (peers.inUse.get(key) ?? 0);
+  }
+
+  function getLevel(key: ShareKey): number {
+    return getUse(key) / getWeight(key);
   }
 
   return {
@@ -36,16 +49,32 @@
       }
     },
     setPeerUse(use) {
-      peerUse = use;
+      peers = use;
     },
-    getLevel: (key) => getUse(key) / getWeight(key),
+    getLevel,
     getState(key, waiting) {
-      const keys = new Set([...ownUse.keys(), ...peerUse.keys(), ...waiting, key]);
+      const keys = new Set([...ownUse.keys(), ...peers.inUse.keys(), ...waiting, key]);
       const competing = [...keys].filter((other) => isSameTier(other, key));
       const weights = competing.reduce((sum, other) => sum + getWeight(other), 0);
       const used = competing.reduce((sum, other) => sum + getUse(other), 0);
       return { share: getWeight(key) / weights, use: used === 0 ? 0 : getUse(key) / used };
     },
-    getOwnUse: () => selectLargestUsers(ownUse),
+    summarize: (queued) => ({
+      ...selectLargest(ownUse),
+      waiting: selectLargest(countFresh(queued)).largest,
+    }),
+    countPeersAhead(request) {
+      const key = getShareKey(request);
+      const rank = getTierRank(key);
+      const level = getLevel(key);
+      let count = 0;
+      peers.waiting.forEach((waiting, other) => {
+        if (other !== key && getTierRank(other) <= rank) {
+          const below = Math.floor((level - getLevel(other)) * getWeight(other));
+          count += Math.min(waiting, Math.max(below, 0));
+        }
+      });
+      return count;
+    },
   };
 }
--- a/packages/relay/src/fairness/types.ts
+++ b/packages/relay/src/fairness/types.ts
@@ -1,6 +1,6 @@
 /** Types of fair sharing: how customers share the scarce slots of a pool. */
 import type { CustomerId, Milliseconds, TierRank } from '@rattanreel/core';
-import type { CustomerUse, Priority, QueuedRequest, ShareKey } from '../types';
+import type { CustomerUse, PeerCustomerUse, Priority, QueuedRequest, ShareKey } from '../types';
 
 /** What determines with whom a request shares slots. */
 export interface Sharer {
@@ -20,21 +20,33 @@
 export interface SlotShares {
   recordGrant(key: ShareKey): void;
   recordRelease(key: ShareKey): void;
-  /** Sets the slots in use by the requests of other hosts. */
-  setPeerUse(use: ReadonlyMap<ShareKey, number>): void;
+  /** Sets the slots in use by the requests of other hosts, and the requests that wait there. */
+  setPeerUse(use: PeerCustomerUse): void;
   /** Slots in use relative to the customer's weight; the customer with the least goes first. */
   getLevel(key: ShareKey): number;
   /** Returns the state of a customer among those that use slots and those that wait. */
   getState(key: ShareKey, waiting: Iterable<ShareKey>): ShareState;
-  /** Returns the largest users among this host's own requests, and the sum of the others. */
-  getOwnUse(): CustomerUse;
+  /** Summarizes this host's slots in use and its queued requests for the other hosts. */
+  summarize(queued: readonly QueuedRequest[]): CustomerUse;
+  /**
+   * Counts the requests at other hosts that go before a queued one: of the same tier or a higher
+   * one, and of customers that use fewer slots for their weight.
+   */
+  countPeersAhead(request: QueuedRequest): number;
+}
+
+/** What the configuration says of a customer, by share key. */
+export interface ShareTerms {
+  getWeight(key: ShareKey): number;
+  /** Order of the tier among the customers' and routes' tiers; lower ranks are served first. */
+  getTierRank(key: ShareKey): number;
 }
 
 export interface FairWaitOptions {
   readonly request: Pick<QueuedRequest, 'customer' | 'priority'>;
   readonly queued: readonly QueuedRequest[];
   readonly shares: Pick<SlotShares, 'getLevel' | 'getState'>;
-  readonly getWeight: (key: ShareKey) => number;
+  readonly getWeight: ShareTerms['getWeight'];
   /** Mean time for which a request of a tier holds its slot. */
   readonly getDuration: (tier: TierRank) => Milliseconds;
   /** Slots that this host refills. */
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -56,13 +56,12 @@
       sumCounts(listReachable(now).map(({ tiers }) => parseCounts(tiers[pool]))),
     countQueued: (pool, now) =>
       sumCounts(listReachable(now).map(({ waiting }) => parseCounts(waiting[pool]))),
-    countByCustomer: (pool, now) =>
-      sumCounts(
-        listReachable(now).map(
-          ({ customers }) =>
-            Object.entries(customers?.[pool]?.largest ?? {}) as [ShareKey, number][],
-        ),
-      ),
+    sumCustomerUse(pool, now) {
+      const uses = listReachable(now).map(({ customers }) => customers?.[pool]);
+      const sum = (part: 'largest' | 'waiting'): ReadonlyMap<ShareKey, number> =>
+        sumCounts(uses.map((use) => Object.entries(use?.[part] ?? {}) as [ShareKey, number][]));
+      return { inUse: sum('largest'), waiting: sum('waiting') };
+    },
     listReachable,
     getFreshness(now) {
       let hosts = 0;
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -98,7 +98,7 @@
         counts,
         peerTable.countByTier(pool, now),
         peerTable.countQueued(pool, now),
-        peerTable.countByCustomer(pool, now),
+        peerTable.sumCustomerUse(pool, now),
       ),
     );
   }
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -4,12 +4,14 @@
 import canMeetDeadline from '../decisions/canMeetDeadline';
 import shouldDeferToPeers from '../decisions/shouldDeferToPeers';
 import createRequestQueue from '../decisions/createRequestQueue';
-import type { Priority, RelayBounds, ServerState, QueuedRequest, ShareKey } from '../types';
+import type { Priority, RelayBounds, ServerState, QueuedRequest } from '../types';
 import arrangeByShare from '../fairness/arrangeByShare';
+import createShareTerms from '../fairness/createShareTerms';
 import createSlotShares from '../fairness/createSlotShares';
 import estimateFairWait from '../fairness/estimateFairWait';
 import getShareKey from '../fairness/getShareKey';
 import isContended from '../fairness/isContended';
+import type { ShareTerms } from '../fairness/types';
 import recordAttempt from './recordAttempt';
 import createPoolAverages from './createPoolAverages';
 import type { PoolAverages, PoolState, SlotTrackerOptions, PoolQueue } from './types';
@@ -23,8 +25,8 @@
 
 interface PoolQueueOptions extends Omit<SlotTrackerOptions, 'canMeetDeadline' | 'getMeanDuration'> {
   readonly bounds: RelayBounds;
-  /** Returns the weight of a customer; all are equal if absent. */
-  readonly getWeight?: (key: ShareKey) => number;
+  /** Returns the terms on which customers share slots; all are equal if absent. */
+  readonly getShareTerms?: () => ShareTerms;
 }
 
 interface Grant {
@@ -51,9 +53,12 @@
  * Queues and orders a pool's requests before dispatch, so that the servers' own queues stay short.
  */
 export default function createPoolQueue(options: PoolQueueOptions): PoolQueue {
-  const { clock, bounds, serverStates, getWeight = () => 1 } = options;
+  const { clock, bounds, serverStates, getShareTerms = () => createShareTerms() } = options;
   const averages = createPoolAverages();
-  const shares = createSlotShares({ getWeight });
+  const shares = createSlotShares({
+    getWeight: (key) => getShareTerms().getWeight(key),
+    getTierRank: (key) => getShareTerms().getTierRank(key),
+  });
   const queue = createRequestQueue({
     getExpectedTimeToFirstData: averages.timeToFirstData.get,
     arrange: (requests) => arrangeByShare(requests, shares),
@@ -97,10 +102,18 @@
       return undefined;
     }
     const freeSlots = counts.total - counts.inUse;
-    const mustDefer = shouldDeferToPeers({ rank: next.priority.rank, freeSlots, peerQueuedByRank });
+    const mustDefer =
+      shouldDeferToPeers({ rank: next.priority.rank, freeSlots, peerQueuedByRank }) ||
+      shouldDeferToShares(next, freeSlots);
     return mustDefer ? undefined : { request: next, server };
   }
 
+  /** Returns whether the free slots are left to customers that use less and wait elsewhere. */
+  function shouldDeferToShares(request: QueuedRequest, freeSlots: number): boolean {
+    const ahead = shares.countPeersAhead(request);
+    return ahead > 0 && freeSlots <= ahead;
+  }
+
   function grantNextSlot(): boolean {
     const grant = queue.size === 0 ? undefined : tryFindGrant();
     if (grant === undefined) {
@@ -151,7 +164,7 @@
       request,
       queued,
       shares,
-      getWeight,
+      getWeight: getShareTerms().getWeight,
       getDuration,
       slots,
       hosts: sharingHosts,
@@ -187,7 +200,7 @@
     },
     tryGetCustomerUse() {
       const { total, inUse } = tracker.countSlots();
-      return inUse < total * SCARCE_UTILIZATION ? undefined : shares.getOwnUse();
+      return inUse < total * SCARCE_UTILIZATION ? undefined : shares.summarize(queue.list());
     },
     getOwnInFlightByTier: tracker.getOwnInFlightByTier,
     getQueuedByRank: queue.countByRank,
@@ -247,8 +260,10 @@
       }
       return server;
     },
-    setPeerLoad(inFlight, byTier, waiting, byCustomer = new Map()) {
-      shares.setPeerUse(byCustomer);
+    setPeerLoad(inFlight, byTier, waiting, byCustomer) {
+      if (byCustomer !== undefined) {
+        shares.setPeerUse(byCustomer);
+      }
       peerQueuedByRank = waiting;
       tracker.setPeerLoad(inFlight, byTier);
       grantSlots();
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -13,13 +13,13 @@
   LimitPacing,
   CustomerUse,
   ListedServer,
+  PeerCustomerUse,
   PoolSettings,
   RelayCustomer,
   RefusalReason,
   ServerState,
   Priority,
   QueuedRequest,
-  ShareKey,
   ServerProcess,
   SlotSharing,
   AttemptFigures,
@@ -70,13 +70,13 @@
   ): ServerState | undefined;
   /**
    * Sets the requests of the other hosts: in flight by server and by route tier, queued by rank,
-   * and in flight by customer.
+   * and both by customer.
    */
   setPeerLoad(
     inFlight: ReadonlyMap<BackendServerId, number>,
     byTier: ReadonlyMap<TierRank, number>,
     queuedByRank: ReadonlyMap<number, number>,
-    byCustomer?: ReadonlyMap<ShareKey, number>,
+    byCustomer?: PeerCustomerUse,
   ): void;
   /** Returns this host's requests in flight, by route tier. */
   getOwnInFlightByTier(): ReadonlyMap<TierRank, number>;
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -70,11 +70,19 @@
   readonly objectives?: Readonly<Record<string, Milliseconds>>;
   /** Whether a second attempt waits only for what the first has left of the deadline. */
   readonly isDeadlineKept?: boolean;
+  /** Whether each customer's connections all lead to one host. */
+  readonly isSticky?: boolean;
 }
 
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
 export default function createTestCallers(options: TestCallersOptions) {
-  const { fleet, customers = CUSTOMERS, objectives = {}, isDeadlineKept = false } = options;
+  const {
+    fleet,
+    customers = CUSTOMERS,
+    objectives = {},
+    isDeadlineKept = false,
+    isSticky = false,
+  } = options;
   const { clock, random } = fleet;
   const routes = createRouteTable(
     ROUTES.map((route) => ({ ...route, objective: objectives[route.name] ?? route.objective })),
@@ -122,7 +130,10 @@
 
   function send(call: TestCall, firstSentAt: Milliseconds = clock.now()): void {
     const available = fleet.hosts.filter(({ isDown, isFrozen }) => !isDown && !isFrozen);
-    const host = available[random.integer(0, available.length - 1)]!;
+    const index = isSticky
+      ? Math.max(customers.indexOf(call.customer ?? ''), 0) % available.length
+      : random.integer(0, available.length - 1);
+    const host = available[index]!;
     const id = `request-${requests.length + 1}`;
     const { promptParts = [], target = '/', body = id, customer } = call;
     const request: CallerRequest = {
--- a/packages/relay/src/testing/playHotCustomer.ts
+++ b/packages/relay/src/testing/playHotCustomer.ts
@@ -24,6 +24,8 @@
   readonly usualShare?: number;
   /** Share of the capacity that the hot customer asks for. */
   readonly hotShare?: number;
+  /** Whether each customer's connections all lead to one host. */
+  readonly isSticky?: boolean;
   readonly disturb?: (fleet: TestFleet, engines: TestEngines) => Promise<void>;
 }
 
@@ -44,6 +46,7 @@
     customers: [...usual, HOT],
     objectives: { chats: OBJECTIVE },
     isDeadlineKept: true,
+    isSticky: options.isSticky,
   });
   await fleet.advance(START_TIME, 20);
   const capacity = fleet.servers.length * ENGINE_RATE;
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -344,6 +344,14 @@
 export interface CustomerUse {
   readonly largest: Readonly<Record<ShareKey, number>>;
   readonly others: number;
+  /** Queued requests that were not refused before, of the customers that use fewest slots. */
+  readonly waiting: Readonly<Record<ShareKey, number>>;
+}
+
+/** Slots in use and queued requests of the other hosts, by customer. */
+export interface PeerCustomerUse {
+  readonly inUse: ReadonlyMap<ShareKey, number>;
+  readonly waiting: ReadonlyMap<ShareKey, number>;
 }
 
 /** State that a host sends to its peers several times per second. */
@@ -528,8 +536,8 @@
   countByTier(pool: PoolId, now: Milliseconds): ReadonlyMap<TierRank, number>;
   /** Counts the queued requests of the other hosts in a pool, by rank. */
   countQueued(pool: PoolId, now: Milliseconds): ReadonlyMap<number, number>;
-  /** Counts the requests in flight of the other hosts in a pool, by customer. */
-  countByCustomer(pool: PoolId, now: Milliseconds): ReadonlyMap<ShareKey, number>;
+  /** Sums the slots in use and the queued requests of the other hosts in a pool, by customer. */
+  sumCustomerUse(pool: PoolId, now: Milliseconds): PeerCustomerUse;
   /** Returns the last summaries of the hosts that are reachable. */
   listReachable(now: Milliseconds): readonly HostSummary[];
   /** Returns the number of reachable hosts and the age of the oldest of their last messages. */
