Forget the load and the queues of hosts that are cut off

Cause: a host updates its pools only when a message of another host arrives. One that hears from none keeps what it last heard as taken for as long as it is alone, so half of its own servers' slots stay idle, and it waits for requests queued elsewhere. Ruled out: the order of service and the rank of returning requests; most of those lost had waited 300 ms at the host alone.

--- a/packages/relay/src/fairness/createSlotShares.ts
+++ b/packages/relay/src/fairness/createSlotShares.ts
@@ -1,10 +1,18 @@
+import type { Milliseconds } from '@rattanreel/core';
 import type { PeerCustomerUse, QueuedRequest, ShareKey } from '../types';
 import getShareKey from './getShareKey';
 import selectLargest from './selectLargest';
+import WAITING_TIME_TO_LIVE from './waitingTimeToLive';
 import type { ShareTerms, SlotShares } from './types';
 
+/** What peers reported is dropped after this time; hosts send a message at least every 200 ms. */
+const USE_TTL: Milliseconds = 1_000;
 const NO_USE: PeerCustomerUse = { inUse: new Map(), waiting: new Map() };
 
+interface SlotSharesOptions extends ShareTerms {
+  readonly now: () => Milliseconds;
+}
+
 function isSameTier(left: ShareKey, right: ShareKey): boolean {
   return left.slice(0, left.indexOf(' ')) === right.slice(0, right.indexOf(' '));
 }
@@ -26,12 +34,17 @@
  * fewest slots for its weight goes first, so idle shares are lent out, and are returned with the
  * next slot that is released.
  */
-export default function createSlotShares({ getWeight, getTierRank }: ShareTerms): SlotShares {
+export default function createSlotShares(options: SlotSharesOptions): SlotShares {
+  const { getWeight, getTierRank, now } = options;
   const ownUse = new Map<ShareKey, number>();
-  let peers = NO_USE;
+  let received = { use: NO_USE, at: -Infinity };
+
+  function getPeerUse(timeToLive: Milliseconds): PeerCustomerUse {
+    return now() - received.at < timeToLive ? received.use : NO_USE;
+  }
 
   function getUse(key: ShareKey): number {
-    return (ownUse.get(key) ?? 0) + (peers.inUse.get(key) ?? 0);
+    return (ownUse.get(key) ?? 0) + (getPeerUse(USE_TTL).inUse.get(key) ?? 0);
   }
 
   function getLevel(key: ShareKey): number {
@@ -49,11 +62,16 @@
       }
     },
     setPeerUse(use) {
-      peers = use;
+      received = { use, at: now() };
     },
     getLevel,
     getState(key, waiting) {
-      const keys = new Set([...ownUse.keys(), ...peers.inUse.keys(), ...waiting, key]);
+      const keys = new Set([
+        ...ownUse.keys(),
+        ...getPeerUse(USE_TTL).inUse.keys(),
+        ...waiting,
+        key,
+      ]);
       const competing = [...keys].filter((other) => isSameTier(other, key));
       const weights = competing.reduce((sum, other) => sum + getWeight(other), 0);
       const used = competing.reduce((sum, other) => sum + getUse(other), 0);
@@ -68,7 +86,7 @@
       const rank = getTierRank(key);
       const level = getLevel(key);
       let count = 0;
-      peers.waiting.forEach((waiting, other) => {
+      getPeerUse(WAITING_TIME_TO_LIVE).waiting.forEach((waiting, other) => {
         if (other !== key && getTierRank(other) <= rank) {
           const below = Math.floor((level - getLevel(other)) * getWeight(other));
           count += Math.min(waiting, Math.max(below, 0));
--- a/packages/relay/src/fairness/hotCustomer.test.ts
+++ b/packages/relay/src/fairness/hotCustomer.test.ts
@@ -16,6 +16,8 @@
   readonly hosts: number;
   readonly domains: number;
   readonly serversPerDomain: number;
+  /** Whether each customer's connections all lead to one host. */
+  readonly isSticky?: boolean;
   readonly disturb?: (fleet: TestFleet, engines: TestEngines) => Promise<void>;
 }
 
@@ -40,6 +42,8 @@
 const cases: readonly HotCustomerCase[] = [
   { ...SMALL, name: '3 hosts' },
   { ...LARGE, name: '16 hosts' },
+  { ...SMALL, name: '3 hosts, one for each customer', isSticky: true },
+  { ...LARGE, name: '16 hosts, one for each customer', isSticky: true },
   { ...SMALL, name: '3 hosts, one is killed', disturb: killHost },
   { ...LARGE, name: '16 hosts, a scheduler is killed', disturb: killHost },
   { ...SMALL, name: '3 hosts, a domain is partitioned off', disturb: partitionDomain },
--- a/packages/relay/src/peers/createPeerReachabilityLog.ts
+++ b/packages/relay/src/peers/createPeerReachabilityLog.ts
@@ -9,6 +9,8 @@
   readonly logger: Logger;
   /** Lists the reachable hosts. */
   readonly listReachable: () => readonly EntryHostId[];
+  /** Called after hosts were lost: from then on no message of theirs tells of their load. */
+  readonly onLost?: () => void;
 }
 
 interface PeerReachabilityLog {
@@ -26,12 +28,16 @@
 
   function checkPeers(): void {
     const reachable = new Set(options.listReachable());
+    const lostBefore = unreachable.size;
     knownHosts.forEach((host) => {
       if (!reachable.has(host) && !unreachable.has(host)) {
         unreachable.add(host);
         logger.warn({ peer: host, heard: reachable.size }, 'host lost');
       }
     });
+    if (unreachable.size > lostBefore) {
+      options.onLost?.();
+    }
     reachable.forEach((host) => {
       knownHosts.add(host);
       if (unreachable.delete(host)) {
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -1,5 +1,6 @@
 import type { EntryHostId, Milliseconds } from '@rattanreel/core';
 import sumCounts from '../decisions/sumCounts';
+import WAITING_TIME_TO_LIVE from '../fairness/waitingTimeToLive';
 import type { HostSummary, PeerTable, ShareKey } from '../types';
 
 /**
@@ -57,10 +58,17 @@
     countQueued: (pool, now) =>
       sumCounts(listReachable(now).map(({ waiting }) => parseCounts(waiting[pool]))),
     sumCustomerUse(pool, now) {
-      const uses = listReachable(now).map(({ customers }) => customers?.[pool]);
-      const sum = (part: 'largest' | 'waiting'): ReadonlyMap<ShareKey, number> =>
-        sumCounts(uses.map((use) => Object.entries(use?.[part] ?? {}) as [ShareKey, number][]));
-      return { inUse: sum('largest'), waiting: sum('waiting') };
+      const sum = (
+        part: 'largest' | 'waiting',
+        timeToLive: Milliseconds,
+      ): ReadonlyMap<ShareKey, number> =>
+        sumCounts(
+          [...receivedByHost.values()]
+            .filter(({ receivedAt }) => now - receivedAt < timeToLive)
+            .map(({ summary: { customers } }) => customers?.[pool]?.[part] ?? {})
+            .map((counts) => Object.entries(counts) as [ShareKey, number][]),
+        );
+      return { inUse: sum('largest', SUMMARY_TTL), waiting: sum('waiting', WAITING_TIME_TO_LIVE) };
     },
     listReachable,
     getFreshness(now) {
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -217,6 +217,7 @@
     clock,
     logger,
     listReachable: () => peerTable.listReachable(clock.now()).map(({ entryHost }) => entryHost),
+    onLost: updatePools,
   });
 
   return {
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -56,6 +56,7 @@
   const { clock, bounds, serverStates, getShareTerms = () => createShareTerms() } = options;
   const averages = createPoolAverages();
   const shares = createSlotShares({
+    now: clock.now,
     getWeight: (key) => getShareTerms().getWeight(key),
     getTierRank: (key) => getShareTerms().getTierRank(key),
   });
--- a/packages/relay/src/testing/playHotCustomer.ts
+++ b/packages/relay/src/testing/playHotCustomer.ts
@@ -73,6 +73,8 @@
   }
 
   return {
+    callers,
+    begunAt,
     usual: usual.map((name) => measure((customer) => customer === name)),
     hot: measure((customer) => customer === HOT),
     all: measure(() => true),
