Tell refused callers when capacity is expected, and serve late what harms nobody

Cause: a refused caller was told a random part of its time; a returning request was refused after 0.3 of what it had left, although it goes after all fresh ones of its tier. Change: with customers in the configuration, the retry delay follows from the queued work, the rate of arrivals and those told before, by tier and with jitter, between a sixth and a third of the time left; callers for whom that is too late return in the last quarter of it. A customer's returning request is served until a third of its time is left. The configuration's customer may have a weight. The pool's gauge shows waiting customers and the largest use.

--- a/packages/relay/src/addRelayGauges.ts
+++ b/packages/relay/src/addRelayGauges.ts
@@ -3,7 +3,7 @@
 import type { RelayMetrics } from './front/types';
 import type { CrashGuard } from './crashes/types';
 import type { ForwardingConnections } from './forwarding/types';
-import type { ClusterStateCache, PeerTable } from './types';
+import type { ClusterStateCache, PeerTable, Priority } from './types';
 import type { Pools } from './pools/types';
 
 interface RelayGaugesOptions {
@@ -16,6 +16,15 @@
   readonly clock: Clock;
 }
 
+const TOP_PRIORITY: Priority = {
+  rank: 0,
+  floorRank: 0,
+  isReturning: false,
+  tier: 0,
+  serveBy: 0,
+  deadlineAt: 0,
+};
+
 /** Creates the reading of a gauge without labels. */
 function createUnlabelledReading(value: number): readonly GaugeReading[] {
   return [{ labels: {}, value }];
@@ -27,16 +36,19 @@
 
   metrics.addGauge({
     name: 'rattanreel_relay_pool',
-    help: 'Queued requests, slots of usable servers and occupied slots, by pool.',
+    help: 'Queued requests, slots, occupied slots, waiting customers and the largest use, by pool.',
     labelNames: ['pool', 'figure'],
     read() {
       const readings: GaugeReading[] = [];
       pools.forEachQueue((queue, pool) => {
-        const { waiting, places, taken } = queue.getState({ rank: 0, tier: 0 });
+        const { waiting, places, taken } = queue.getState({ priority: TOP_PRIORITY });
+        const { waitingCustomers, largestUse } = queue.sharing.getFigures();
         readings.push(
           { labels: { pool, figure: 'waiting' }, value: waiting },
           { labels: { pool, figure: 'places' }, value: places },
           { labels: { pool, figure: 'taken' }, value: taken },
+          { labels: { pool, figure: 'waitingCustomers' }, value: waitingCustomers },
+          { labels: { pool, figure: 'largestUse' }, value: largestUse },
         );
       });
       return readings;
--- a/packages/relay/src/admission/createLocalAdmission.ts
+++ b/packages/relay/src/admission/createLocalAdmission.ts
@@ -74,8 +74,10 @@
         refund(customer, cost);
         request.onRefused({
           reason,
-          retryAfter: getRetryDelay(priority.deadlineAt - clock.now(), random),
-          pool: queue.getRequestState(request),
+          retryAfter:
+            queue.sharing.tryGetRetryDelay(request) ??
+            getRetryDelay(priority.deadlineAt - clock.now(), random),
+          pool: queue.getState(request),
         });
       }
 
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -114,8 +114,7 @@
     ownName: entryHost,
     onConfiguration(configuration) {
       quota.setQuotas(listQuotas(configuration), clock.now());
-      pools.setSettings(configuration.pools);
-      pools.setCustomers(configuration.customers);
+      pools.setSettings(configuration.pools, configuration.customers);
       options.onConfiguration(configuration);
       scheduling.announceStatus();
     },
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -120,11 +120,9 @@
 
   return {
     getQueue: (pool) => getPoolEntry(pool).queue,
-    setSettings(settings) {
-      settingsByPool = new Map(settings.map((each) => [each.name, each]));
-    },
-    setCustomers(customers) {
+    setSettings(settings, customers) {
       shareTerms = createShareTerms(customers);
+      settingsByPool = new Map(settings.map((each) => [each.name, each]));
     },
     setServers(servers) {
       const now = clock.now();
--- a/packages/relay/src/fairness/createSlotShares.ts
+++ b/packages/relay/src/fairness/createSlotShares.ts
@@ -9,7 +9,7 @@
 const USE_TTL: Milliseconds = 1_000;
 const NO_USE: PeerCustomerUse = { inUse: new Map(), waiting: new Map() };
 
-interface SlotSharesOptions extends ShareTerms {
+interface SlotSharesOptions extends Omit<ShareTerms, 'hasCustomers'> {
   readonly now: () => Milliseconds;
 }
 
@@ -77,6 +77,12 @@
       const used = competing.reduce((sum, other) => sum + getUse(other), 0);
       return { share: getWeight(key) / weights, use: used === 0 ? 0 : getUse(key) / used };
     },
+    getLargestUse() {
+      const keys = new Set([...ownUse.keys(), ...getPeerUse(USE_TTL).inUse.keys()]);
+      const uses = [...keys].map(getUse);
+      const sum = uses.reduce((total, use) => total + use, 0);
+      return sum === 0 ? 0 : Math.max(...uses) / sum;
+    },
     summarize: (queued) => ({
       ...selectLargest(ownUse),
       waiting: selectLargest(countFresh(queued)).largest,
--- a/packages/relay/src/front/planRequest.ts
+++ b/packages/relay/src/front/planRequest.ts
@@ -19,6 +19,11 @@
  * of the route's objective, since callers wait at least that long.
  */
 const RETURNING_WAIT_FRACTION = 0.3;
+/**
+ * The same for a customer's request. It is served after all fresh ones, so it delays none of them;
+ * a third of its time is left, which is as long as callers wait before they return.
+ */
+const CUSTOMER_WAIT_FRACTION = 2 / 3;
 const RETURNING_WAIT_OBJECTIVES = 4;
 
 interface PlanRequestOptions {
@@ -75,7 +80,7 @@
     now: arrivedAt,
   });
   const returningWait = Math.min(
-    timeLimit * RETURNING_WAIT_FRACTION,
+    timeLimit * (customer === undefined ? RETURNING_WAIT_FRACTION : CUSTOMER_WAIT_FRACTION),
     route.objective * RETURNING_WAIT_OBJECTIVES,
   );
   const customerRank = (customer?.tier ?? route.tier) * CUSTOMER_RANK_STEP;
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -1,4 +1,4 @@
-import type { Clock, Milliseconds } from '@rattanreel/core';
+import type { Clock } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import type { Respond, SchedulerRequest, SchedulerResponse, Sender } from '../admission/types';
 import listDomainCandidates from '../admission/listDomainCandidates';
@@ -15,6 +15,7 @@
   PeerTable,
 } from '../types';
 import createPeerReachabilityLog from './createPeerReachabilityLog';
+import createPoolUpdate from './createPoolUpdate';
 import createPeerSync from './createPeerSync';
 import createFindingsSync from './createFindingsSync';
 import createStateFetcher from './createStateFetcher';
@@ -23,8 +24,6 @@
 import type { FindingsReport, Findings } from '../findings/types';
 import type { Pools } from '../pools/types';
 
-/** Minimum time between two pool updates, since hundreds of messages may arrive per second. */
-const POOL_UPDATE_INTERVAL: Milliseconds = 5;
 /**
  * Candidates of each failure domain that receive summaries although nothing is heard from them:
  * the scheduler and the host that would replace it.
@@ -87,31 +86,7 @@
   const { clock, logger, self, stateCache, peerTable, pools, quota } = options;
   let peers: readonly PeerAddress[] = [];
   let candidates: readonly PeerAddress[] = [];
-  let isUpdateScheduled = false;
-
-  /** Updates the pools with the load of the other hosts. */
-  function updatePools(): void {
-    const now = clock.now();
-    const counts = peerTable.countInFlight(now);
-    pools.forEachQueue((queue, pool) =>
-      queue.setPeerLoad(
-        counts,
-        peerTable.countByTier(pool, now),
-        peerTable.countQueued(pool, now),
-        peerTable.sumCustomerUse(pool, now),
-      ),
-    );
-  }
-
-  function scheduleUpdate(): void {
-    if (!isUpdateScheduled) {
-      isUpdateScheduled = true;
-      clock.after(POOL_UPDATE_INTERVAL, () => {
-        isUpdateScheduled = false;
-        updatePools();
-      });
-    }
-  }
+  const poolUpdate = createPoolUpdate({ clock, pools, peerTable });
 
   function handleSummary(message: HostSummary | HostChange): void {
     const now = clock.now();
@@ -128,9 +103,9 @@
       options.onReachableChange();
     }
     if (options.getRole().isLarge) {
-      scheduleUpdate();
+      poolUpdate.schedule();
     } else {
-      updatePools();
+      poolUpdate.run();
     }
   }
 
@@ -217,7 +192,7 @@
     clock,
     logger,
     listReachable: () => peerTable.listReachable(clock.now()).map(({ entryHost }) => entryHost),
-    onLost: updatePools,
+    onLost: poolUpdate.run,
   });
 
   return {
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -18,14 +18,13 @@
   RelayCustomer,
   RefusalReason,
   ServerState,
-  Priority,
   QueuedRequest,
   ServerProcess,
   SlotSharing,
   AttemptFigures,
 } from '../types';
 import type { MovingAverage, ServerEmbargo } from '../decisions/types';
-import type { ShareState } from '../fairness/types';
+import type { FairSharing, ShareState } from '../fairness/types';
 import type { Rollouts } from '../rollouts/types';
 
 export type AdmissionDecision =
@@ -76,7 +75,7 @@
     inFlight: ReadonlyMap<BackendServerId, number>,
     byTier: ReadonlyMap<TierRank, number>,
     queuedByRank: ReadonlyMap<number, number>,
-    byCustomer?: PeerCustomerUse,
+    byCustomer: PeerCustomerUse,
   ): void;
   /** Returns this host's requests in flight, by route tier. */
   getOwnInFlightByTier(): ReadonlyMap<TierRank, number>;
@@ -88,10 +87,9 @@
   /** Grants free slots to queued requests. */
   grantSlots(): void;
   readonly size: number;
-  /** Returns the state on which a decision about a request of this priority is based. */
-  getState(priority: Pick<Priority, 'rank' | 'tier'>): PoolState;
-  /** Returns that state for a request of a customer, with the customer's share. */
-  getRequestState(request: Pick<QueuedRequest, 'customer' | 'priority'>): PoolState;
+  /** Returns the state on which a decision about a request is based. */
+  getState(request: Pick<QueuedRequest, 'customer' | 'priority'>): PoolState;
+  readonly sharing: FairSharing;
 }
 
 /** Averages over a pool, against which a server is compared. */
@@ -141,9 +139,8 @@
 /** The pools of a host. */
 export interface Pools {
   getQueue(pool: PoolId): PoolQueue;
-  setSettings(settings: readonly PoolSettings[]): void;
-  /** Sets the customers, whose weights determine their shares of scarce slots. */
-  setCustomers(customers: readonly RelayCustomer[] | undefined): void;
+  /** Sets the pools' settings, and the customers that share their slots. */
+  setSettings(settings: readonly PoolSettings[], customers?: readonly RelayCustomer[]): void;
   setServers(servers: readonly ListedServer[]): void;
   /** Sets which hosts share the slots and the rates of cold servers, and the size of the fleet. */
   setSharing(sharing: SlotSharing): void;
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -130,10 +130,10 @@
 
   function send(call: TestCall, firstSentAt: Milliseconds = clock.now()): void {
     const available = fleet.hosts.filter(({ isDown, isFrozen }) => !isDown && !isFrozen);
-    const index = isSticky
+    const hostIndex = isSticky
       ? Math.max(customers.indexOf(call.customer ?? ''), 0) % available.length
       : random.integer(0, available.length - 1);
-    const host = available[index]!;
+    const host = available[hostIndex]!;
     const id = `request-${requests.length + 1}`;
     const { promptParts = [], target = '/', body = id, customer } = call;
     const request: CallerRequest = {
--- a/packages/relay/src/testing/createTestQueue.ts
+++ b/packages/relay/src/testing/createTestQueue.ts
@@ -1,8 +1,10 @@
 import { createRandom } from '@rattanreel/core';
 import type { Clock } from '@rattanreel/core';
+import createShareTerms from '../fairness/createShareTerms';
 import createPoolQueue from '../pools/createPoolQueue';
 import createServerStateMap from '../pools/createServerStateMap';
 import type { PoolQueue } from '../pools/types';
+import type { RelayCustomer } from '../types';
 import createTestServer from './createTestServer';
 
 interface TestQueueOptions {
@@ -10,13 +12,16 @@
   readonly servers: number;
   /** Requests that each server runs at once. */
   readonly slots: number;
+  readonly customers?: readonly RelayCustomer[];
 }
 
 /**
  * Creates the queue of a pool at a host without peers; its servers are all in the same domain, warm
  * and equally fast.
  */
-export default function createTestQueue({ clock, servers, slots }: TestQueueOptions): PoolQueue {
+export default function createTestQueue(options: TestQueueOptions): PoolQueue {
+  const { clock, servers, slots } = options;
+  const terms = createShareTerms(options.customers);
   const serverStates = createServerStateMap();
   serverStates.replaceServers(
     Array.from(
@@ -37,6 +42,7 @@
     getColdRequestInterval: () => 0,
     getPacing: () => undefined,
     getOwnSlots: () => undefined,
+    getShareTerms: () => terms,
     rollouts: {
       getUse: () => 'free',
       mayTry: () => true,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -87,7 +87,7 @@
   readonly tier: TierRank | undefined;
   readonly quota: Quota | undefined;
   /** Share of scarce slots relative to the other customers; 1 if absent. */
-  readonly weight?: number;
+  readonly weight?: number | undefined;
 }
 
 /** Limits on the size of a caller's request and on how long its connection may stay idle. */
