--- a/packages/relay/src/admission/createHeldSlots.ts
+++ b/packages/relay/src/admission/createHeldSlots.ts
@@ -28,10 +28,10 @@
   const held = new Map<Ticket, HeldSlot>();
 
   return {
-    hold(ticket, { pool, priority }, { server, view }, own) {
+    hold(ticket, { pool, priority, customer }, { server, view }, own) {
       let lastLoad: AgedServerLoad | undefined;
       let lastLoadAt: Milliseconds = 0;
-      held.set(ticket, { ticket, pool, server: server.id, tier: priority.tier });
+      held.set(ticket, { ticket, pool, server: server.id, tier: priority.tier, customer });
       return {
         server,
         view,
--- a/packages/relay/src/admission/createLocalAdmission.ts
+++ b/packages/relay/src/admission/createLocalAdmission.ts
@@ -15,6 +15,12 @@
   readonly quota: SharedQuota;
 }
 
+/** Whose request uses a slot. */
+interface SlotUser {
+  readonly tier: number;
+  readonly customer: string | undefined;
+}
+
 function createServerView(
   server: ServerState,
   speed: SpeedObservation | undefined,
@@ -37,14 +43,14 @@
   { pools, clock }: Pick<LocalAdmissionOptions, 'pools' | 'clock'>,
   queue: PoolQueue,
   server: ServerState,
-  tier: number,
+  { tier, customer }: SlotUser,
 ): SlotGrant {
   const speed = pools.speeds.tryGetLatest(server.listed.id);
   return {
     server: server.listed,
     view: createServerView(server, speed, clock.now()),
-    release: () => queue.releaseUnusedSlot(server, tier),
-    complete: (figures) => queue.completeAttempt(server, tier, figures),
+    release: () => queue.releaseUnusedSlot(server, tier, customer),
+    complete: (figures) => queue.completeAttempt(server, tier, figures, customer),
     recordLoad: (load) => queue.recordLoadReport(server, load),
     recordLeaving: () => queue.recordLeaving(server),
   };
@@ -89,8 +95,10 @@
         refund(customer, cost);
         request.onRefused({
           reason,
-          retryAfter: getRetryDelay(priority.deadlineAt - clock.now(), random),
-          pool: queue.getState(priority),
+          retryAfter:
+            queue.sharing.tryGetRetryDelay(request) ??
+            getRetryDelay(priority.deadlineAt - clock.now(), random),
+          pool: queue.getState(request),
         });
       }
 
@@ -110,12 +118,15 @@
       function enqueue(current: Priority): void {
         queued = {
           id: request.requestId,
+          customer,
           priority: current,
           outputTokens: request.outputTokens,
           excludedServers: request.excludedServers,
           onGranted(server) {
             isOpen = false;
-            request.onGranted(createGrant(options, queue, server, priority.tier));
+            request.onGranted(
+              createGrant(options, queue, server, { tier: priority.tier, customer }),
+            );
           },
           onRefused: (reason) => refuseOrWait(reason, current),
         };
@@ -125,7 +136,7 @@
         }
       }
 
-      if (isSpeculative && !hasSpareCapacity(queue.getState(priority))) {
+      if (isSpeculative && !hasSpareCapacity(queue.getState(request))) {
         refuse('noSpareCapacity');
         return () => undefined;
       }
@@ -146,10 +157,12 @@
     refund,
     trySpendRetry: (pool: PoolId) => pools.getQueue(pool).trySpendRetry(),
     recordRequest: (pool: PoolId) => pools.getQueue(pool).recordRequest(),
-    tryAdoptSlot({ pool, server, tier }) {
+    tryAdoptSlot({ pool, server, tier, customer }) {
       const queue = pools.getQueue(pool);
-      const state = queue.tryAdoptSlot(server, tier);
-      return state === undefined ? undefined : createGrant(options, queue, state, tier);
+      const state = queue.tryAdoptSlot(server, tier, customer);
+      return state === undefined
+        ? undefined
+        : createGrant(options, queue, state, { tier, customer });
     },
   };
 }
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -91,6 +91,10 @@
   );
 }
 
+function listOtherSeeds({ seedAddresses, peerAddress }: HostCoreOptions): readonly string[] {
+  return seedAddresses.filter((address) => address !== peerAddress);
+}
+
 function knowsClusterState(stateCache: ClusterStateCache): boolean {
   const { configurationVersion, serversVersion } = stateCache.getVersions();
   return configurationVersion >= 0 && serversVersion >= 0;
@@ -127,7 +131,7 @@
     ownName: entryHost,
     onConfiguration(configuration) {
       quota.setQuotas(listQuotas(configuration), clock.now());
-      pools.setSettings(configuration.pools);
+      pools.setSettings(configuration.pools, configuration.customers);
       options.onConfiguration(configuration);
       scheduling.announceStatus();
     },
@@ -220,8 +224,7 @@
   function askSeeds(): void {
     if (!hasAskedSeeds && !knowsClusterState(stateCache)) {
       hasAskedSeeds = true;
-      const seeds = options.seedAddresses.filter((address) => address !== peerAddress);
-      void link.fetchClusterStateFrom(seeds);
+      void link.fetchClusterStateFrom(listOtherSeeds(options));
     }
   }
 
--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -17,6 +17,7 @@
 import type { Rollouts } from './rollouts/types';
 import type { ServerEmbargo } from './decisions/types';
 import updatePacing from './limits/updatePacing';
+import createShareTerms from './fairness/createShareTerms';
 import countOwnSlots from './limits/countOwnSlots';
 import createLoanExchange from './limits/createLoanExchange';
 import createPoolLoans from './limits/createPoolLoans';
@@ -59,14 +60,9 @@
   readonly loans: ReturnType<typeof createPoolLoans>;
 }
 
-/** Creates the pools of this host; each pool is created on its first use. */
-export default function createPools(options: PoolsOptions): Pools {
-  const { clock, ownName } = options;
-  const poolsById = new Map<PoolId, PoolEntry>();
-  const speeds = createServerSpeeds();
-  const slotLoans = createSlotLoans({ ...options, startedAt: clock.now() });
-  let settingsByPool = new Map<PoolId, PoolSettings>();
-  let sharing: SlotSharing = {
+/** Creates the sharing of slots that applies until other hosts are known. */
+function createInitialSharing(ownName: EntryHostId): SlotSharing {
+  return {
     grantingHosts: [ownName],
     slotOwners: [ownName],
     ownSlotOwner: ownName,
@@ -74,6 +70,17 @@
     fleetHosts: 1,
     ownHosts: 1,
   };
+}
+
+/** Creates the pools of this host; each pool is created on its first use. */
+export default function createPools(options: PoolsOptions): Pools {
+  const { clock, ownName } = options;
+  const poolsById = new Map<PoolId, PoolEntry>();
+  const speeds = createServerSpeeds();
+  const slotLoans = createSlotLoans({ ...options, startedAt: clock.now() });
+  let settingsByPool = new Map<PoolId, PoolSettings>();
+  let shareTerms = createShareTerms();
+  let sharing = createInitialSharing(ownName);
 
   function getPacing({ listed, pacing }: ServerState): LimitPacing | undefined {
     const rate = options.serverLimits.tryGetRate(listed);
@@ -125,6 +132,7 @@
       onInFlightChange: options.onInFlightChange,
       getPacing,
       getOwnSlots,
+      getShareTerms: () => shareTerms,
       getSettings: () => settingsByPool.get(pool),
       getColdRequestInterval: (server, rate) =>
         getColdRequestInterval({ server, host: ownName, hosts: sharing.grantingHosts, rate }),
@@ -154,7 +162,8 @@
     getQueue: (pool) => getPoolEntry(pool).queue,
     getExpectedDuration: (pool, outputTokens) =>
       getExpectedDuration(getPoolEntry(pool).averages, outputTokens),
-    setSettings(settings) {
+    setSettings(settings, customers) {
+      shareTerms = createShareTerms(customers);
       settingsByPool = new Map(settings.map((each) => [each.name, each]));
     },
     setServers(servers) {
--- a/packages/relay/src/peers/createPeerSync.ts
+++ b/packages/relay/src/peers/createPeerSync.ts
@@ -59,13 +59,13 @@
     if (lastSummary === undefined || clock.now() - lastSummaryAt >= getInterval(SUMMARY_INTERVAL)) {
       return undefined;
     }
-    const { entryHost, tiers, waiting, loans } = summary;
+    const { entryHost, tiers, waiting, loans, customers } = summary;
     const before = lastSummary.inFlight;
     const ids = new Set([...Object.keys(before), ...Object.keys(summary.inFlight)]);
     const changed = [...ids].filter((id) => before[id] !== summary.inFlight[id]);
     const inFlight = Object.fromEntries(changed.map((id) => [id, summary.inFlight[id] ?? 0]));
     const speeds = selectChangedSpeeds(lastSummary.speeds, summary.speeds);
-    return { kind: 'change', entryHost, inFlight, tiers, waiting, speeds, loans };
+    return { kind: 'change', entryHost, inFlight, tiers, waiting, speeds, loans, customers };
   }
 
   function sendUpdate(): void {
--- a/packages/relay/src/peers/createPeerTable.ts
+++ b/packages/relay/src/peers/createPeerTable.ts
@@ -1,6 +1,7 @@
 import type { EntryHostId, Milliseconds } from '@rattanreel/core';
 import sumCounts from '../decisions/sumCounts';
-import type { HostSummary, PeerTable } from '../types';
+import WAITING_TIME_TO_LIVE from '../fairness/waitingTimeToLive';
+import type { HostSummary, PeerTable, ShareKey } from '../types';
 
 /**
  * A host without a message for this long counts as unreachable; its summary no longer shows what it
@@ -41,10 +42,10 @@
       }
       const known = received?.summary;
       if (known !== undefined) {
-        const { tiers, waiting } = message;
+        const { tiers, waiting, customers } = message;
         const inFlight = { ...known.inFlight, ...message.inFlight };
         receivedByHost.set(entryHost, {
-          summary: { ...known, inFlight, tiers, waiting },
+          summary: { ...known, inFlight, tiers, waiting, customers },
           receivedAt: now,
         });
       }
@@ -56,6 +57,19 @@
       sumCounts(listReachable(now).map(({ tiers }) => parseCounts(tiers[pool]))),
     countQueued: (pool, now) =>
       sumCounts(listReachable(now).map(({ waiting }) => parseCounts(waiting[pool]))),
+    sumCustomerUse(pool, now) {
+      const sum = (
+        part: 'largest' | 'waiting',
+        timeToLive: Milliseconds,
+      ): ReadonlyMap<ShareKey, number> =>
+        sumCounts(
+          [...receivedByHost.values()]
+            .filter(({ receivedAt }) => now - receivedAt < timeToLive)
+            .map(({ summary: { customers } }) => customers?.[pool]?.[part] ?? {})
+            .map((counts) => Object.entries(counts) as [ShareKey, number][]),
+        );
+      return { inUse: sum('largest', SUMMARY_TTL), waiting: sum('waiting', WAITING_TIME_TO_LIVE) };
+    },
     listReachable,
     getFreshness(now) {
       let hosts = 0;
--- a/packages/relay/src/peers/openPeerLink.ts
+++ b/packages/relay/src/peers/openPeerLink.ts
@@ -1,4 +1,4 @@
-import type { Clock, EntryHostId, Milliseconds } from '@rattanreel/core';
+import type { Clock, EntryHostId } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import type { Respond, SchedulerRequest, SchedulerResponse, Sender } from '../admission/types';
 import listDomainCandidates from '../admission/listDomainCandidates';
@@ -17,18 +17,16 @@
 } from '../types';
 import type { LoopDelay } from '../lateness/types';
 import createPeerReachabilityLog from './createPeerReachabilityLog';
+import createPoolUpdate from './createPoolUpdate';
 import createPeerSync from './createPeerSync';
 import createFindingsSync from './createFindingsSync';
 import createStateFetcher from './createStateFetcher';
 import listLatePeers from './listLatePeers';
 import listLikelyPeers from './listLikelyPeers';
-import updatePeerLoad from './updatePeerLoad';
 import type { OpenTransport, RelayTransport, RelayTransportOptions, HostMessage } from './types';
 import type { FindingsReport, Findings } from '../findings/types';
 import type { Pools } from '../pools/types';
 
-/** Minimum time between two pool updates, since hundreds of messages may arrive per second. */
-const POOL_UPDATE_INTERVAL: Milliseconds = 5;
 /**
  * Candidates of each failure domain that receive summaries although nothing is heard from them:
  * the scheduler and the host that would replace it.
@@ -98,17 +96,7 @@
   const { clock, self, stateCache, peerTable, pools, quota } = options;
   let peers: readonly PeerAddress[] = [];
   let candidates: readonly PeerAddress[] = [];
-  let isUpdateScheduled = false;
-
-  function scheduleUpdate(): void {
-    if (!isUpdateScheduled) {
-      isUpdateScheduled = true;
-      clock.after(POOL_UPDATE_INTERVAL, () => {
-        isUpdateScheduled = false;
-        updatePeerLoad(options);
-      });
-    }
-  }
+  const poolUpdate = createPoolUpdate({ clock, pools, peerTable });
 
   function handleSummary(message: HostSummary | HostChange): void {
     const now = clock.now();
@@ -127,9 +115,9 @@
       options.onReachableChange();
     }
     if (options.getRole().isLarge) {
-      scheduleUpdate();
+      poolUpdate.schedule();
     } else {
-      updatePeerLoad(options);
+      poolUpdate.run();
     }
   }
 
@@ -213,6 +201,7 @@
   const reachabilityLog = createPeerReachabilityLog({
     ...options,
     listReachable: () => peerTable.listReachable(clock.now()).map(({ entryHost }) => entryHost),
+    onLost: poolUpdate.run,
   });
 
   return {
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -4,8 +4,12 @@
 import canMeetDeadline from '../decisions/canMeetDeadline';
 import createRequestQueue from '../decisions/createRequestQueue';
 import type { RelayBounds, QueuedRequest } from '../types';
+import createFairSharing from '../fairness/createFairSharing';
+import createShareTerms from '../fairness/createShareTerms';
+import type { ShareTerms } from '../fairness/types';
 import recordAttempt from './recordAttempt';
 import type { PoolAverages, SlotTrackerOptions, PoolQueue } from './types';
+import recordServerLoad from './recordServerLoad';
 import createSlotRelease from './createSlotRelease';
 import createSlotTracker from './createSlotTracker';
 import tryFindGrant from './tryFindGrant';
@@ -16,6 +20,8 @@
 interface PoolQueueOptions extends Omit<SlotTrackerOptions, 'canMeetDeadline' | 'getMeanDuration'> {
   readonly bounds: RelayBounds;
   readonly averages: PoolAverages;
+  /** Returns the terms on which customers share slots; all are equal if absent. */
+  readonly getShareTerms?: () => ShareTerms;
 }
 
 function isInTime(
@@ -38,7 +44,10 @@
  */
 export default function createPoolQueue(options: PoolQueueOptions): PoolQueue {
   const { clock, bounds, serverStates, speeds, averages } = options;
-  const queue = createRequestQueue({ getExpectedTimeToFirstData: averages.timeToFirstData.get });
+  const queue = createRequestQueue({
+    getExpectedTimeToFirstData: averages.timeToFirstData.get,
+    arrange: (requests) => sharing.arrange(requests),
+  });
   const retryBudget = createRetryBudget({ bounds });
   const policy = createSlotSharingPolicy();
   const tracker = createSlotTracker({
@@ -46,14 +55,20 @@
     getMeanDuration: averages.duration.get,
     canMeetDeadline: (slowness, request) => isInTime(averages, slowness, request, clock.now()),
   });
+  const sharing = createFairSharing({
+    ...options,
+    getTerms: options.getShareTerms ?? createShareTerms,
+    listQueued: queue.list,
+    getDuration: policy.getDuration,
+    countRefilledSlots,
+  });
   const releaseSlot = createSlotRelease({ clock, tracker, onReleased: () => grantSlots() });
   let peerQueuedByRank: ReadonlyMap<number, number> = new Map();
   let sharingHosts = 1;
   let isCheckScheduled = false;
 
   function grantNextSlot(): boolean {
-    const grant =
-      queue.size === 0 ? undefined : tryFindGrant({ queue, policy, tracker, peerQueuedByRank });
+    const grant = tryFindGrant({ queue, policy, tracker, sharing, peerQueuedByRank });
     if (grant === undefined) {
       return false;
     }
@@ -61,6 +76,7 @@
     queue.remove(request);
     tracker.acquireSlot(server, request.priority.tier);
     policy.recordGrant(request.priority.tier);
+    sharing.recordGrant(request);
     request.onGranted(server);
     return true;
   }
@@ -84,37 +100,46 @@
     scheduleCheck();
   }
 
-  /** Returns the expected wait of a new request of this rank. */
-  function getExpectedWait(rank: number): Milliseconds {
-    // Under load, a host refills the slots that its own requests release.
-    const slots = Math.max(
-      tracker.countSlots().sustained / sharingHosts,
-      tracker.countOwnInFlight(),
-    );
-    return slots === 0 ? Infinity : queue.sumWorkAhead(rank, policy.getDuration) / slots;
+  /** Under load, a host refills the slots that its own requests release. */
+  function countRefilledSlots(): number {
+    return Math.max(tracker.countSlots().sustained / sharingHosts, tracker.countOwnInFlight());
+  }
+
+  /** Returns the expected wait of a new request. */
+  function getExpectedWait(request: Pick<QueuedRequest, 'customer' | 'priority'>): Milliseconds {
+    const slots = countRefilledSlots();
+    const work = queue.sumWorkAhead(request.priority.rank, policy.getDuration);
+    return sharing.tryGetExpectedWait(request) ?? (slots === 0 ? Infinity : work / slots);
   }
 
   return {
     get size() {
       return queue.size;
     },
-    getState({ rank, tier }) {
+    sharing,
+    getState(request) {
       const { total: places, inUse: taken, getTierInUse } = tracker.countSlots();
-      const expectedWait = Math.round(getExpectedWait(rank));
-      return { waiting: queue.size, places, taken, takenByTier: getTierInUse(tier), expectedWait };
+      return {
+        waiting: queue.size,
+        places,
+        taken,
+        takenByTier: getTierInUse(request.priority.tier),
+        expectedWait: Math.round(getExpectedWait(request)),
+        customer: sharing.tryGetState(request),
+      };
     },
+    tryGetCustomerUse: () => sharing.trySummarize(tracker.countSlots()),
     getOwnInFlightByTier: tracker.getOwnInFlightByTier,
     getQueuedByRank: queue.countByRank,
     enqueue(request) {
-      const now = clock.now();
-      const { rank, serveBy } = request.priority;
-      const longestWait = serveBy - now - averages.timeToFirstData.get();
+      sharing.recordArrival(request);
+      const timeLeft = request.priority.serveBy - clock.now();
+      const longestWait = timeLeft - averages.timeToFirstData.get();
       // A tier below its floor goes before all others, so their requests do not delay it.
       const isUndelayed =
         queue.size === 0 ||
         policy.evaluate(request.priority, tracker.countSlots()) === 'belowFloor';
-      const expectedDelay = isUndelayed ? 0 : getExpectedWait(rank);
-      if (expectedDelay > longestWait) {
+      if ((isUndelayed ? 0 : getExpectedWait(request)) > longestWait) {
         return { kind: 'refused', reason: 'expectedLate' };
       }
       if (serverStates.byId.size === 0) {
@@ -126,11 +151,13 @@
       return { kind: 'waiting' };
     },
     cancel: (request) => queue.remove(request),
-    releaseUnusedSlot(server, tier) {
+    releaseUnusedSlot(server, tier, customer) {
+      sharing.recordRelease(customer, tier);
       tracker.releaseSlot(server, tier);
       grantSlots();
     },
-    completeAttempt(server, tier, figures) {
+    completeAttempt(server, tier, figures, customer) {
+      sharing.recordRelease(customer, tier);
       releaseSlot(server, tier, figures);
       const now = clock.now();
       // Times at a server that was slow say nothing of its usual ones.
@@ -145,11 +172,8 @@
       }
       grantSlots();
     },
-    recordLoadReport(server, { running, waiting, slowdown, age }) {
-      const observedAt = clock.now() - age;
-      server.reportedPeerInFlight = Math.max(running + waiting - server.ownInFlight, 0);
-      server.reportedAt = observedAt;
-      if (slowdown !== undefined && speeds.record(server.listed.id, { slowdown, observedAt })) {
+    recordLoadReport(server, load) {
+      if (recordServerLoad({ server, load, speeds, now: clock.now() })) {
         options.onInFlightChange(true);
       }
     },
@@ -158,20 +182,23 @@
     recordLeaving(server) {
       server.isLeaving = true;
     },
-    tryAdoptSlot(id, tier) {
+    tryAdoptSlot(id, tier, customer) {
       const server = serverStates.byId.get(id);
       if (server !== undefined) {
+        sharing.recordGrant({ customer, priority: { tier } });
         tracker.acquireSlot(server, tier);
       }
       return server;
     },
-    setPeerLoad(inFlight, byTier, waiting) {
+    setPeerLoad(inFlight, byTier, waiting, byCustomer) {
+      sharing.setPeerUse(byCustomer);
       peerQueuedByRank = waiting;
       tracker.setPeerLoad(inFlight, byTier);
       grantSlots();
     },
     setSharing({ grantingHosts, fleetHosts }) {
       sharingHosts = Math.max(grantingHosts.length, 1);
+      sharing.setHosts(sharingHosts);
       retryBudget.setHosts(fleetHosts);
     },
     grantSlots,
--- a/packages/relay/src/pools/tryFindGrant.ts
+++ b/packages/relay/src/pools/tryFindGrant.ts
@@ -1,6 +1,7 @@
 import type createRequestQueue from '../decisions/createRequestQueue';
 import type createSlotSharingPolicy from '../decisions/createSlotSharingPolicy';
 import shouldDeferToPeers from '../decisions/shouldDeferToPeers';
+import type { FairSharing } from '../fairness/types';
 import type { QueuedRequest, ServerState } from '../types';
 import createEligibilityCache from './createEligibilityCache';
 import type createSlotTracker from './createSlotTracker';
@@ -9,6 +10,7 @@
   readonly queue: ReturnType<typeof createRequestQueue>;
   readonly policy: ReturnType<typeof createSlotSharingPolicy>;
   readonly tracker: ReturnType<typeof createSlotTracker>;
+  readonly sharing: Pick<FairSharing, 'shouldDefer'>;
   /** Queued requests of the other hosts, by rank. */
   readonly peerQueuedByRank: ReadonlyMap<number, number>;
 }
@@ -22,8 +24,8 @@
  * Returns the next request that may take a slot, and its server; tiers below their floor go first.
  */
 export default function tryFindGrant(options: FindGrantOptions): Grant | undefined {
-  const { queue, policy, tracker, peerQueuedByRank } = options;
-  if (!tracker.hasFreeSlot()) {
+  const { queue, policy, tracker, sharing, peerQueuedByRank } = options;
+  if (queue.size === 0 || !tracker.hasFreeSlot()) {
     return undefined;
   }
   const counts = tracker.countSlots();
@@ -52,6 +54,8 @@
     return undefined;
   }
   const freeSlots = counts.total - counts.inUse;
-  const mustDefer = shouldDeferToPeers({ rank: next.priority.rank, freeSlots, peerQueuedByRank });
+  const mustDefer =
+    shouldDeferToPeers({ rank: next.priority.rank, freeSlots, peerQueuedByRank }) ||
+    sharing.shouldDefer(next, freeSlots);
   return mustDefer ? undefined : { request: next, server };
 }
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -2,6 +2,7 @@
 import type {
   BackendServerId,
   Clock,
+  CustomerId,
   FailureDomainId,
   Milliseconds,
   Random,
@@ -10,11 +11,13 @@
 } from '@rattanreel/core';
 import type {
   LimitPacing,
+  CustomerUse,
   ListedServer,
+  PeerCustomerUse,
   PoolSettings,
+  RelayCustomer,
   RefusalReason,
   ServerState,
-  Priority,
   QueuedRequest,
   ServerProcess,
   SlotSharing,
@@ -22,6 +25,7 @@
 } from '../types';
 import type { MovingAverage, ServerEmbargo } from '../decisions/types';
 import type { LoanExchange } from '../limits/types';
+import type { FairSharing, ShareState } from '../fairness/types';
 import type { Rollouts } from '../rollouts/types';
 import type { AgedServerLoad, ServerSpeeds } from '../speed/types';
 
@@ -36,6 +40,8 @@
   readonly taken: number;
   readonly takenByTier: number;
   readonly expectedWait: Milliseconds;
+  /** The customer's share of its tier's slots and its use; absent while customers don't compete. */
+  readonly customer?: ShareState;
 }
 
 export interface PoolQueue {
@@ -43,9 +49,14 @@
   enqueue(request: QueuedRequest): AdmissionDecision;
   cancel(request: QueuedRequest): void;
   /** Releases a granted slot that was not used. */
-  releaseUnusedSlot(server: ServerState, tier: TierRank): void;
+  releaseUnusedSlot(server: ServerState, tier: TierRank, customer?: CustomerId): void;
   /** Releases the slot of an attempt and records its measurements. */
-  completeAttempt(server: ServerState, tier: TierRank, figures: AttemptFigures): void;
+  completeAttempt(
+    server: ServerState,
+    tier: TierRank,
+    figures: AttemptFigures,
+    customer?: CustomerId,
+  ): void;
   /** Records the load and the speed that a server reported with a response. */
   recordLoadReport(server: ServerState, load: AgedServerLoad): void;
   trySpendRetry(): boolean;
@@ -53,26 +64,34 @@
   /** Records that a server announced in a response that it is leaving. */
   recordLeaving(server: ServerState): void;
   /** Takes over a slot that another host granted; undefined if the server is unknown. */
-  tryAdoptSlot(server: BackendServerId, tier: TierRank): ServerState | undefined;
+  tryAdoptSlot(
+    server: BackendServerId,
+    tier: TierRank,
+    customer?: CustomerId,
+  ): ServerState | undefined;
   /**
-   * Sets the requests of the other hosts: in flight by server and by route tier, and queued by
-   * rank.
+   * Sets the requests of the other hosts: in flight by server and by route tier, queued by rank,
+   * and both by customer.
    */
   setPeerLoad(
     inFlight: ReadonlyMap<BackendServerId, number>,
     byTier: ReadonlyMap<TierRank, number>,
     queuedByRank: ReadonlyMap<number, number>,
+    byCustomer: PeerCustomerUse,
   ): void;
   /** Returns this host's requests in flight, by route tier. */
   getOwnInFlightByTier(): ReadonlyMap<TierRank, number>;
   /** Returns this host's queued requests, by rank. */
   getQueuedByRank(): ReadonlyMap<number, number>;
+  /** Returns this host's slots in use by customer; undefined unless slots are scarce. */
+  tryGetCustomerUse(): CustomerUse | undefined;
   setSharing(sharing: SlotSharing): void;
   /** Grants free slots to queued requests. */
   grantSlots(): void;
   readonly size: number;
-  /** Returns the state on which a decision about a request of this priority is based. */
-  getState(priority: Pick<Priority, 'rank' | 'tier'>): PoolState;
+  /** Returns the state on which a decision about a request is based. */
+  getState(request: Pick<QueuedRequest, 'customer' | 'priority'>): PoolState;
+  readonly sharing: FairSharing;
 }
 
 /** Averages over a pool, against which a server is compared. */
@@ -131,7 +150,8 @@
   getQueue(pool: PoolId): PoolQueue;
   /** Returns the time that a request of a pool is expected to take by the length of its response. */
   getExpectedDuration(pool: PoolId, outputTokens: number): Milliseconds;
-  setSettings(settings: readonly PoolSettings[]): void;
+  /** Sets the pools' settings, and the customers that share their slots. */
+  setSettings(settings: readonly PoolSettings[], customers?: readonly RelayCustomer[]): void;
   setServers(servers: readonly ListedServer[]): void;
   /** Sets which hosts share the slots and the rates of cold servers, and the size of the fleet. */
   setSharing(sharing: SlotSharing): void;
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -34,6 +34,7 @@
 };
 const ROUTES: readonly Route[] = [
   DRAFTS,
+  { ...DRAFTS, name: 'chats', pathPrefix: '/chat/', isAnonymous: false },
   { ...DRAFTS, name: 'lookups', pathPrefix: '/lookup/', kind: 'idempotent', isAnonymous: false },
   {
     ...DRAFTS,
@@ -44,13 +45,7 @@
     isResumable: false,
   },
 ];
-/** Each customer's key is its name. */
-const CUSTOMERS_BY_KEY: ReadonlyMap<string, RelayCustomer> = new Map(
-  ['customer-a', 'customer-b'].map((name) => [
-    name,
-    { name, keys: [name], tier: undefined, quota: undefined },
-  ]),
-);
+const CUSTOMERS = ['customer-a', 'customer-b'];
 const NOT_RUN_STATUS = 503;
 
 type TestHandler = ReturnType<typeof createRequestHandler>;
@@ -59,6 +54,8 @@
 interface CallerRequest {
   readonly host: TestHost;
   readonly sentAt: Milliseconds;
+  /** When the caller sent its first attempt. */
+  readonly firstSentAt: Milliseconds;
   readonly call: TestCall;
   /** Whether it is the caller's first attempt. */
   readonly isFirst: boolean;
@@ -81,6 +78,28 @@
   readonly deadline?: Milliseconds;
   /** Whether callers are connected to a host; by default to all. */
   readonly isCalled?: (host: TestHost) => boolean;
+  /** Names of the customers; each one's key is its name. */
+  readonly customers?: readonly string[];
+  /** Objectives by the name of the route, where they differ from the usual one. */
+  readonly objectives?: Readonly<Record<string, Milliseconds>>;
+  /** Whether a second attempt waits only for what the first has left of the deadline. */
+  readonly isDeadlineKept?: boolean;
+  /** Whether each customer's connections all lead to one host. */
+  readonly isSticky?: boolean;
+}
+
+/** Creates customers by key; each one's key is its name. */
+function createCustomers(names: readonly string[]): ReadonlyMap<string, RelayCustomer> {
+  return new Map(
+    names.map((name) => [name, { name, keys: [name], tier: undefined, quota: undefined }]),
+  );
+}
+
+function createRoutes({ routes, objectives = {} }: TestCallersOptions) {
+  const all = routes?.map((route) => ({ ...DRAFTS, ...route })) ?? ROUTES;
+  return createRouteTable(
+    all.map((route) => ({ ...route, objective: objectives[route.name] ?? route.objective })),
+  );
 }
 
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
@@ -90,11 +109,13 @@
     hedgeLimit = 0,
     deadline: usualDeadline = DEADLINE,
     isCalled = () => true,
+    customers = CUSTOMERS,
+    isDeadlineKept = false,
+    isSticky = false,
   } = options;
   const { clock, random } = fleet;
-  const routes = createRouteTable(
-    options.routes?.map((route) => ({ ...DRAFTS, ...route })) ?? ROUTES,
-  );
+  const routes = createRoutes(options);
+  const customersByKey = createCustomers(customers);
   const handlers = new Map<TestHost, TestHandler>();
   const requests: CallerRequest[] = [];
   let isRunning = true;
@@ -129,7 +150,7 @@
           getBasis: () => ({ ...host.core.stateCache.getVersions(), hosts: 0, oldest: 0 }),
         }),
         getRoutes: () => routes,
-        getCustomersByKey: () => CUSTOMERS_BY_KEY,
+        getCustomersByKey: () => customersByKey,
       });
       handlers.set(host, handler);
     }
@@ -139,29 +160,33 @@
   function retry(request: CallerRequest): void {
     const isOrder = request.call.target?.startsWith('/order/') === true;
     if (request.isFirst && (!isOrder || request.status === NOT_RUN_STATUS)) {
-      clock.after(request.retryAfter ?? RETRY_DELAY, () => send(request.call, false));
+      clock.after(request.retryAfter ?? RETRY_DELAY, () => send(request.call, request.firstSentAt));
     }
   }
 
-  function send(call: TestCall, isFirst = true): void {
+  function send(call: TestCall, firstSentAt: Milliseconds = clock.now()): void {
     const available = fleet.hosts.filter(
       (each) => !each.isDown && !each.isFrozen && isCalled(each),
     );
-    const host = available[random.integer(0, available.length - 1)]!;
+    const hostIndex = isSticky
+      ? Math.max(customers.indexOf(call.customer ?? ''), 0) % available.length
+      : random.integer(0, available.length - 1);
+    const host = available[hostIndex]!;
     const id = `request-${requests.length + 1}`;
     const { promptParts = [], target = '/', body = id, customer, deadline = usualDeadline } = call;
     const request: CallerRequest = {
       host,
       sentAt: clock.now(),
+      firstSentAt,
       call: { ...call, body },
-      isFirst,
+      isFirst: firstSentAt === clock.now(),
     };
     requests.push(request);
     const ownParts = [...promptParts, `own${requests.length}`].map((part) => `${part}:100`);
     const headers = {
       host: 'h',
       [headerNames.requestId]: id,
-      [headerNames.deadline]: String(deadline),
+      [headerNames.deadline]: String(deadline - (isDeadlineKept ? clock.now() - firstSentAt : 0)),
       [headerNames.tokenCount]: '300,20',
       ...(promptParts.length > 0 && { [headerNames.promptParts]: ownParts.join(',') }),
       ...(customer !== undefined && { [headerNames.key]: customer }),
@@ -215,7 +240,7 @@
 
   return {
     requests,
-    send,
+    send: (call: TestCall) => send(call),
     /** Sends calls at random times, until `stop`. */
     sendOften(ratePerSecond: number, createCall: () => TestCall): void {
       const scheduleNext = (): void => {
--- a/packages/relay/src/testing/createTestEngines.ts
+++ b/packages/relay/src/testing/createTestEngines.ts
@@ -135,7 +135,7 @@
         };
       },
       checkListening(server, onChecked) {
-        paths.check(host, (result) =>
+        paths.check(host, server, (result) =>
           onChecked(result ?? (getEngine(server).isUp() ? 'accepting' : 'refused')),
         );
       },
@@ -172,6 +172,7 @@
       }
     },
     resetConnections: () => engines.forEach((engine) => engine.resetConnections()),
+    partition: paths.partition,
     /** Cuts hosts off from all engines; undefined ends that. */
     cut: (hosts: readonly TestHost[], how: EngineCut | undefined) => paths.cut(hosts, how),
   };
--- a/packages/relay/src/testing/createTestQueue.ts
+++ b/packages/relay/src/testing/createTestQueue.ts
@@ -1,10 +1,12 @@
 import { createRandom } from '@rattanreel/core';
 import type { Clock } from '@rattanreel/core';
+import createShareTerms from '../fairness/createShareTerms';
 import createPoolQueue from '../pools/createPoolQueue';
 import createPoolAverages from '../pools/createPoolAverages';
 import createServerStateMap from '../pools/createServerStateMap';
 import type { PoolQueue } from '../pools/types';
 import createServerSpeeds from '../speed/createServerSpeeds';
+import type { RelayCustomer } from '../types';
 import createTestServer from './createTestServer';
 
 interface TestQueueOptions {
@@ -12,6 +14,7 @@
   readonly servers: number;
   /** Requests that each server runs at once. */
   readonly slots: number;
+  readonly customers?: readonly RelayCustomer[];
   /** Called each time that a server is examined for a decision. */
   readonly onExamined?: () => void;
 }
@@ -20,12 +23,9 @@
  * Creates the queue of a pool at a host without peers; its servers are all in the same domain, warm
  * and equally fast.
  */
-export default function createTestQueue({
-  clock,
-  servers,
-  slots,
-  onExamined = () => undefined,
-}: TestQueueOptions): PoolQueue {
+export default function createTestQueue(options: TestQueueOptions): PoolQueue {
+  const { clock, servers, slots, onExamined = () => undefined } = options;
+  const terms = createShareTerms(options.customers);
   const serverStates = createServerStateMap();
   serverStates.replaceServers(
     Array.from(
@@ -52,6 +52,7 @@
     getColdRequestInterval: () => 0,
     getPacing: () => undefined,
     getOwnSlots: () => undefined,
+    getShareTerms: () => terms,
     rollouts: {
       getUse: () => 'free',
       mayTry: () => true,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -97,6 +97,8 @@
   /** Takes precedence over the route's tier in the order of service. */
   readonly tier: TierRank | undefined;
   readonly quota: Quota | undefined;
+  /** Share of scarce slots relative to the other customers; 1 if absent. */
+  readonly weight?: number | undefined;
 }
 
 /** Limits on the size of a caller's request and on how long its connection may stay idle. */
@@ -321,6 +323,8 @@
 /** A request that waits for a slot at a backend server. */
 export interface QueuedRequest {
   readonly id: RequestId;
+  /** Undefined if requests carry no keys. */
+  readonly customer?: CustomerId | undefined;
   readonly priority: Priority;
   /** Tokens of the response: the maximum, or the caller's estimate. */
   readonly outputTokens: number;
@@ -400,6 +404,23 @@
   >;
 }
 
+/** A route tier and the name of a customer, between which there is a space. */
+export type ShareKey = `${number} ${CustomerId}`;
+
+/** Slots in use by customer: the largest users, and the sum of the others. */
+export interface CustomerUse {
+  readonly largest: Readonly<Record<ShareKey, number>>;
+  readonly others: number;
+  /** Queued requests that were not refused before, of the customers that use fewest slots. */
+  readonly waiting: Readonly<Record<ShareKey, number>>;
+}
+
+/** Slots in use and queued requests of the other hosts, by customer. */
+export interface PeerCustomerUse {
+  readonly inUse: ReadonlyMap<ShareKey, number>;
+  readonly waiting: ReadonlyMap<ShareKey, number>;
+}
+
 /** State that a host sends to its peers several times per second. */
 export interface HostSummary extends ClusterStateVersions {
   readonly kind: 'summary';
@@ -420,6 +441,8 @@
   readonly hosts: number;
   /** Backend servers that announced in a response that they are leaving. */
   readonly leaving?: readonly ServerProcess[];
+  /** Slots in use by customer, for the pools whose slots are scarce. */
+  readonly customers?: Readonly<Record<PoolId, CustomerUse>>;
   /** Slots of brittle servers that are lent; absent if no pool is brittle. */
   readonly loans?: SlotLoanReport;
   /** Event loop delay of the host; absent if unknown. */
@@ -469,6 +492,7 @@
   readonly loans?: SlotLoanReport;
   /** Only slowdowns that changed. */
   readonly speeds?: HostSummary['speeds'];
+  readonly customers?: HostSummary['customers'];
 }
 
 /** Versions of the state known to a host. They never decrease; -1 means nothing is known yet. */
@@ -622,6 +646,8 @@
   countByTier(pool: PoolId, now: Milliseconds): ReadonlyMap<TierRank, number>;
   /** Counts the queued requests of the other hosts in a pool, by rank. */
   countQueued(pool: PoolId, now: Milliseconds): ReadonlyMap<number, number>;
+  /** Sums the slots in use and the queued requests of the other hosts in a pool, by customer. */
+  sumCustomerUse(pool: PoolId, now: Milliseconds): PeerCustomerUse;
   /** Returns the last summaries of the hosts that are reachable. */
   listReachable(now: Milliseconds): readonly HostSummary[];
   /** Returns the number of reachable hosts and the age of the oldest of their last messages. */
