--- a/packages/relay/src/admission/lateService.test.ts
+++ b/packages/relay/src/admission/lateService.test.ts
@@ -3,6 +3,7 @@
 import { createRandom, createVirtualClock } from '@rattanreel/core';
 import createTestQueue from '../testing/createTestQueue';
 import type { Pools } from '../pools/types';
+import createServerSpeeds from '../speed/createServerSpeeds';
 import createLocalAdmission from './createLocalAdmission';
 import type { SlotGrant } from './types';
 
@@ -30,7 +31,7 @@
   const admission = createLocalAdmission({
     clock,
     random,
-    pools: { getQueue: () => queue } as unknown as Pools,
+    pools: { getQueue: () => queue, speeds: createServerSpeeds() } as unknown as Pools,
     quota: {
       trySpend: () => ({ kind: 'within' }),
       refund: () => undefined,
