Complete roll-outs of good versions

Cause: a version that proved good stayed on trial and its roll-out was never completed; rolloutOfGoodVersion.test.ts failed at 3 and 16 hosts (state undefined at the deadline).

Ruled out: a gradual move after the trial, by reasoning only: a version bad at full load would exceed the exposure.

--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -17,6 +17,7 @@
 import type { LoopDelay } from './lateness/types';
 import type { OpenTransport } from './peers/types';
 import type { CrashGuard } from './crashes/types';
+import getFleetLoad from './rollouts/getFleetLoad';
 import type { Rollouts } from './rollouts/types';
 import createDutyLink from './duties/createDutyLink';
 import type { Duties, DutyOptions } from './duties/types';
@@ -107,18 +108,19 @@
 export default async function createHostCore(options: HostCoreOptions): Promise<HostCore> {
   const { context, source, bounds, entryHost, incarnation, failureDomain, peerAddress } = options;
   const { clock, random } = context;
-  const { capacity, isBootstrap, loopDelay } = options;
+  const { capacity, loopDelay } = options;
   const self = { entryHost, failureDomain, address: peerAddress, capacity };
   const quota = createSharedQuota({ now: clock.now(), random, bounds });
   const embargo = createServerEmbargo();
   const dutyLink = createDutyLink();
   const peerTable = createPeerTable();
   const findings = createFindings({
+    ...options,
     ...context,
     ownName: entryHost,
-    bounds,
     getRole: () => scheduling.getRole(),
     record: source.recordRollout,
+    getFleetLoad: (role, now) => getFleetLoad({ peerTable, pools, stateCache, role, now }),
     onChange: (origin) => link.announceFindings(origin),
   });
   const { crashGuard, serverLimits, brittlePools, rollouts } = findings;
@@ -237,11 +239,9 @@
     hasClusterState: () => knowsClusterState(stateCache),
     start() {
       storeWatcher = createStoreWatcher({
-        context,
-        source,
+        ...options,
         stateCache,
         getRole: scheduling.getRole,
-        isBootstrap,
         onListed(isListed) {
           // In a large fleet the scheduler has the state, and the seeds would get hundreds of calls.
           if (!isListed || !scheduling.getRole().isLarge) {
--- a/packages/relay/src/pools/createSlotTracker.ts
+++ b/packages/relay/src/pools/createSlotTracker.ts
@@ -87,8 +87,8 @@
 
   function selectServer(request: QueuedRequest): ServerState | undefined {
     const now = clock.now();
-    return chooseServer({
-      servers: listServers(now),
+    const servers = listServers(now);
+    const chooseOptions = {
       embargo: options.embargo,
       now,
       random,
@@ -96,9 +96,15 @@
       evacuated: options.getEvacuated(),
       excludedServers: request.excludedServers,
       mayTry,
-      getSlowdown: ({ listed }) => options.speeds.getSlowdown(listed.id, now),
-      canMeetDeadline: (server) => options.canMeetDeadline(getSlowness(server, now), request),
-    });
+      getSlowdown: ({ listed }: ServerState) => options.speeds.getSlowdown(listed.id, now),
+      canMeetDeadline: (server: ServerState) =>
+        options.canMeetDeadline(getSlowness(server, now), request),
+    };
+    const preferred = servers.filter(({ listed }) => options.rollouts.isPreferred(listed));
+    return (
+      (preferred.length > 0 ? chooseServer({ ...chooseOptions, servers: preferred }) : undefined) ??
+      chooseServer({ ...chooseOptions, servers })
+    );
   }
 
   function createCheck(): (request: QueuedRequest) => boolean {
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -134,7 +134,10 @@
   /** Returns the slots of a server that this host may use; undefined if hosts share them. */
   readonly getOwnSlots: (server: ServerState) => number | undefined;
   /** The roll-outs in force. */
-  readonly rollouts: Pick<Rollouts, 'getUse' | 'mayTry' | 'recordGrant' | 'recordAttempt'>;
+  readonly rollouts: Pick<
+    Rollouts,
+    'getUse' | 'isPreferred' | 'mayTry' | 'recordGrant' | 'recordAttempt'
+  >;
   /** The reported speeds of the servers. */
   readonly speeds: ServerSpeeds;
   /** Mean time for which a request holds its slot. */
--- a/packages/relay/src/rollouts/createRolloutTrial.ts
+++ b/packages/relay/src/rollouts/createRolloutTrial.ts
@@ -9,6 +9,9 @@
 /** Part of the allowed extra requests with which all hosts together begin. */
 const INITIAL_PART = 0.3;
 
+/** Part of the exposure up to now that a test under load may use up. */
+const LOAD_TEST_PART = 0.9;
+
 interface RolloutTrialOptions {
   readonly ownName: EntryHostId;
   readonly bounds: Pick<RelayBounds, 'exposeShare' | 'exposeSlack'>;
@@ -31,6 +34,7 @@
   const comparison = createAnswerComparison();
   const countsByHost = new Map<EntryHostId, CountsByTier>();
   let credit = options.bounds.exposeSlack * INITIAL_PART * options.ownShare;
+  let grants = 0;
   let isBad = false;
 
   function judge(): void {
@@ -40,7 +44,14 @@
   return {
     isBad: () => isBad,
     mayTry: () => !isBad && credit >= 1,
+    allowLoadTest() {
+      const { exposeShare, exposeSlack } = options.bounds;
+      credit +=
+        exposeShare * (LOAD_TEST_PART - USED_PART) * grants +
+        exposeSlack * (LOAD_TEST_PART - INITIAL_PART) * options.ownShare;
+    },
     recordGrant(isTarget) {
+      grants += 1;
       credit += options.bounds.exposeShare * USED_PART - (isTarget ? 1 : 0);
     },
     recordAttempt(isTarget, tier, figures) {
--- a/packages/relay/src/rollouts/isBadVersion.ts
+++ b/packages/relay/src/rollouts/isBadVersion.ts
@@ -1,4 +1,5 @@
-import type { AnswerCounts, CountsByTier, VersionCounts } from './types';
+import sumAnswerCounts from './sumAnswerCounts';
+import type { CountsByTier, VersionCounts } from './types';
 
 /** Bad answers below which a version is never bad. */
 const MINIMUM_BAD = 4;
@@ -9,12 +10,6 @@
 /** Answers that every version is taken to have had, one of them bad. */
 const PRIOR_ANSWERS = 20;
 
-const NONE: AnswerCounts = { answers: 0, bad: 0 };
-
-function add(left: AnswerCounts, right: AnswerCounts): AnswerCounts {
-  return { answers: left.answers + right.answers, bad: left.bad + right.bad };
-}
-
 /** Compares the shares of bad answers by a binomial test. */
 function isSignificant({ target, others }: VersionCounts): boolean {
   if (target.bad < MINIMUM_BAD) {
@@ -31,15 +26,7 @@
  * tier, by the counts of all hosts.
  */
 export default function isBadVersion(countsOfHosts: readonly CountsByTier[]): boolean {
-  const total = { target: NONE, others: NONE };
-  const byTier = new Map<string, VersionCounts>();
-  countsOfHosts.forEach((counts) =>
-    Object.entries(counts).forEach(([tier, { target, others }]) => {
-      const known = byTier.get(tier) ?? { target: NONE, others: NONE };
-      byTier.set(tier, { target: add(known.target, target), others: add(known.others, others) });
-      total.target = add(total.target, target);
-      total.others = add(total.others, others);
-    }),
-  );
-  return isSignificant(total) || [...byTier.values()].some(isSignificant);
+  const tiers = [...sumAnswerCounts(countsOfHosts).values()];
+  const total = sumAnswerCounts(tiers.map((counts) => ({ all: counts }))).get('all');
+  return (total !== undefined && isSignificant(total)) || tiers.some(isSignificant);
 }
--- a/packages/relay/src/testing/createTestEngine.ts
+++ b/packages/relay/src/testing/createTestEngine.ts
@@ -31,8 +31,12 @@
   readonly slowShare: number;
   /** Multiple of the usual times that a slow answer takes. */
   readonly slowness: number;
+  /** Whether it affects a request to a target while so many run; all are affected if absent. */
+  readonly isAffected?: (target: string, running: number) => boolean;
 }
 
+const USUAL: BadBehaviour = { failShare: 0, slowShare: 0, slowness: 1 };
+
 interface TestEngineOptions {
   readonly clock: Clock;
   readonly random: Random;
@@ -55,6 +59,12 @@
   sink.onHead({ status, headers, isDelimitedByClose: false });
 }
 
+/** Returns how a request is answered while a number of requests run. */
+function getBehaviourFor(behaviour: BadBehaviour, run: TestRun, running: number): BadBehaviour {
+  const { isAffected = () => true } = behaviour;
+  return isAffected(run.request.target, running) ? behaviour : USUAL;
+}
+
 /**
  * Creates an engine in virtual time. It ends when it begins to answer a request that crashes it, and
  * starts again seconds later as a new process.
@@ -66,7 +76,7 @@
   let starts = 0;
   let running = new Set<TestRun>();
   let waiting: TestRun[] = [];
-  let behaviour: BadBehaviour = { failShare: 0, slowShare: 0, slowness: 1 };
+  let behaviour = USUAL;
   const speed = createTestSpeed(clock);
   const room = createTestRoom(clock);
   const limits = createTestLimits(clock);
@@ -140,7 +150,7 @@
     if (slowness > 1) {
       options.onBadAnswer(listed.id);
     }
-    if (random.next() < behaviour.failShare) {
+    if (random.next() < getBehaviourFor(behaviour, run, running.size).failShare) {
       options.onBadAnswer(listed.id);
       sendHead(run, headers, 500);
       finish(run, 500);
@@ -163,7 +173,8 @@
     while (isUp && running.size < listed.slots && waiting.length > 0) {
       const run = waiting.shift()!;
       running.add(run);
-      const slowness = random.next() < behaviour.slowShare ? behaviour.slowness : 1;
+      const { slowShare, slowness: badSlowness } = getBehaviourFor(behaviour, run, running.size);
+      const slowness = random.next() < slowShare ? badSlowness : 1;
       const usual =
         serviceWork === undefined
           ? MINIMUM_PREFILL + random.next() * PREFILL_SPREAD
--- a/packages/relay/src/testing/createTestFleet.ts
+++ b/packages/relay/src/testing/createTestFleet.ts
@@ -205,6 +205,8 @@
     setServers: store.setServers,
     setRollouts: store.setRollouts,
     getRollouts: store.getRollouts,
+    rolloutWrites: store.rolloutWrites,
+    setStoreDown: store.setDown,
     countWatchers: store.countWatchers,
     countRegistered: store.countRegistered,
     /** Stops a host without notice and starts its process again. */
--- a/packages/relay/src/testing/createTestQueue.ts
+++ b/packages/relay/src/testing/createTestQueue.ts
@@ -55,6 +55,7 @@
     getShareTerms: () => terms,
     rollouts: {
       getUse: () => 'free',
+      isPreferred: () => false,
       mayTry: () => true,
       recordGrant: () => undefined,
       recordAttempt: () => undefined,
--- a/packages/relay/src/testing/createTestStore.ts
+++ b/packages/relay/src/testing/createTestStore.ts
@@ -6,6 +6,7 @@
   PeerAddress,
   RelayConfiguration,
   Rollout,
+  RolloutState,
 } from '../types';
 import type { TestHost } from './types';
 
@@ -29,6 +30,9 @@
   let serversVersion = 1;
   let rollouts: readonly Rollout[] = [];
   let rolloutsVersion = 1;
+  let isDown = false;
+  /** States of roll-outs that hosts have written. */
+  const writes: RolloutState[] = [];
 
   function createSource(getHost: () => TestHost | undefined): ClusterStateSource {
     const countCall = (): void => {
@@ -66,9 +70,10 @@
       async recordRollout(rollout, state) {
         countCall();
         const known = rollouts.find(({ name }) => name === rollout.name);
-        if (known?.objectVersion !== rollout.objectVersion) {
+        if (isDown || known?.objectVersion !== rollout.objectVersion) {
           return false;
         }
+        writes.push(state);
         setRollouts([{ ...known, state }]);
         return true;
       },
@@ -98,6 +103,11 @@
     createSource,
     setRollouts,
     getRollouts: () => rollouts,
+    rolloutWrites: writes as readonly RolloutState[],
+    /** Makes writes of roll-outs fail. */
+    setDown(next: boolean): void {
+      isDown = next;
+    },
     /** Replaces the list of servers. */
     setServers(next: readonly ListedServer[]): void {
       listedServers = next;
