Split routing decisions from their effects

Cause: an explanation of a routing decision must run the deciding code on a host's present state without changing it, and quota, classifier, retry plan, tier durations and slot tracker decided and changed state in one step.

A tier's average duration is created when a request of the tier is queued, no longer when the average is read; reading the spending window clears nothing.

The cost of a decision was not measured.

Ruled out: copying the decision into the explanation.

--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -82,11 +82,11 @@
   let shareTerms = createShareTerms();
   let sharing = createInitialSharing(ownName);
 
-  function getPacing({ listed, pacing }: ServerState): LimitPacing | undefined {
+  function getPacing({ listed, pacing }: ServerState, random: Random): LimitPacing | undefined {
     const rate = options.serverLimits.tryGetRate(listed);
     return rate === undefined
       ? undefined
-      : updatePacing(pacing, { ...sharing, rate, now: clock.now(), random: options.random });
+      : updatePacing(pacing, { ...sharing, rate, now: clock.now(), random });
   }
 
   function createPoolEntry(pool: PoolId): PoolEntry {
@@ -160,6 +160,7 @@
       onChange: () => options.onInFlightChange(true),
     }),
     getQueue: (pool) => getPoolEntry(pool).queue,
+    hasPool: (pool) => poolsById.has(pool),
     getExpectedDuration: (pool, outputTokens) =>
       getExpectedDuration(getPoolEntry(pool).averages, outputTokens),
     setSettings(settings, customers) {
--- a/packages/relay/src/decisions/createRequestClassifier.ts
+++ b/packages/relay/src/decisions/createRequestClassifier.ts
@@ -1,7 +1,7 @@
 import type { Milliseconds } from '@rattanreel/core';
 import createMovingAverage from './createMovingAverage';
 import MINIMUM_RETRY_FRACTION from './minimumRetryFraction';
-import type { MovingAverage, RequestClassifier } from './types';
+import type { ClassifiedRequest, MovingAverage, RequestClass, RequestClassifier } from './types';
 
 /**
  * The longest deadline of a route is kept for at least this time, and for at most twice this time.
@@ -52,6 +52,30 @@
     return statistics;
   }
 
+  /** Returns the longest deadline of the route, that of a request which arrives now included. */
+  function getLongestDeadline(
+    statistics: RouteStatistics,
+    deadline: Milliseconds,
+    now: Milliseconds,
+  ): Milliseconds {
+    const isOver = now - statistics.windowStart >= DEADLINE_WINDOW;
+    const previous = isOver ? 0 : statistics.previousLongestDeadline;
+    return Math.max(statistics.longestDeadline, previous, deadline);
+  }
+
+  function decide({ route, deadline, outputTokens, now }: ClassifiedRequest): RequestClass {
+    const statistics = statisticsByRoute.get(route);
+    if (statistics === undefined) {
+      return { isReturning: false, isLong: false };
+    }
+    const longest = getLongestDeadline(statistics, deadline, now);
+    const mayBeReturning = now - statistics.lastRefusedAt <= longest;
+    return {
+      isReturning: mayBeReturning && deadline <= longest * (1 - MINIMUM_RETRY_FRACTION),
+      isLong: outputTokens > statistics.averageOutputTokens.get() * LONG_RESPONSE_FACTOR,
+    };
+  }
+
   function recordDeadline(
     statistics: RouteStatistics,
     deadline: Milliseconds,
@@ -66,18 +90,15 @@
   }
 
   return {
-    classify({ route, deadline, outputTokens, now }) {
+    classify(request) {
+      const { route, deadline, outputTokens, now } = request;
+      const decision = decide(request);
       const statistics = getStatistics(route, outputTokens, now);
-      const isLong = outputTokens > statistics.averageOutputTokens.get() * LONG_RESPONSE_FACTOR;
       statistics.averageOutputTokens.add(outputTokens);
       recordDeadline(statistics, deadline, now);
-      const longest = Math.max(statistics.longestDeadline, statistics.previousLongestDeadline);
-      const mayBeReturning = now - statistics.lastRefusedAt <= longest;
-      return {
-        isReturning: mayBeReturning && deadline <= longest * (1 - MINIMUM_RETRY_FRACTION),
-        isLong,
-      };
+      return decision;
     },
+    preview: decide,
     recordRefusal(route, now) {
       const statistics = statisticsByRoute.get(route);
       if (statistics !== undefined) {
--- a/packages/relay/src/decisions/createSharedQuota.test.ts
+++ b/packages/relay/src/decisions/createSharedQuota.test.ts
@@ -264,6 +264,24 @@
     expect(quota.trySpend('customer', 800, 1_000).kind).toEqual('within');
   });
 
+  it('previews what it decides; guards against a preview that spends or refills', () => {
+    const play = (previews: number): readonly unknown[] => {
+      const { quota } = createHost(0, 0, { hosts: 1 });
+      return Array.from({ length: 200 }, (_, index) => {
+        const now = index * 37;
+        const foretold = Array.from({ length: previews }, () =>
+          quota.preview('customer', 60, now - (index % 3)),
+        );
+        const { decision } = quota.preview('customer', 60, now);
+        const decided = quota.trySpend('customer', 60, now);
+        expect(decision).toEqual(decided);
+        expect(foretold.length).toEqual(previews);
+        return [decided, quota.getSpent()];
+      });
+    };
+    expect(play(5)).toEqual(play(0));
+  });
+
   it('does not limit a customer without a quota', () => {
     const { quota } = createHost(0, 0, { hosts: 1 });
     expect(quota.trySpend('other', 1e9, 0).kind).toEqual('within');
--- a/packages/relay/src/decisions/createSharedQuota.ts
+++ b/packages/relay/src/decisions/createSharedQuota.ts
@@ -2,7 +2,7 @@
 import type { Quota, QuotaFigures, RelayBounds } from '../types';
 import createQuotaLimits from './createQuotaLimits';
 import createSpendingWindow from './createSpendingWindow';
-import type { SharedQuota, SpendingWindow } from './types';
+import type { QuotaDecision, SharedQuota, SpendingWindow } from './types';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /**
@@ -48,6 +48,22 @@
   readonly spent: Readonly<Record<CustomerId, number>>;
 }
 
+function getFigures(
+  { quota, level, others }: Bucket,
+  cost: number,
+  share: number,
+  now: Milliseconds,
+): QuotaFigures {
+  return {
+    level: Math.round(level),
+    rate: quota.ratePerSecond,
+    burst: quota.burst,
+    cost,
+    othersSpent: Math.round(others.get(now)),
+    share: Number(share.toFixed(3)),
+  };
+}
+
 /**
  * Maintains one token bucket per customer, shared by all hosts. Each host keeps the whole bucket
  * and deducts what the others report as spent. The share of unreachable hosts is left to them, so
@@ -86,14 +102,18 @@
     return Math.min(reachable / fleetHosts, 1);
   }
 
-  function refill(bucket: Bucket, now: Milliseconds, share: number): void {
+  function getRefilledLevel(bucket: Bucket, now: Milliseconds, share: number): number {
     const refilled =
       (bucket.quota.ratePerSecond * share * (now - bucket.refilledAt)) / MILLISECONDS_PER_SECOND;
     const maximumLevel = limits.getMaximumLevel(bucket.quota, share);
-    bucket.level = Math.min(
+    return Math.min(
       Math.max(bucket.level, Math.min(bucket.level + refilled, maximumLevel)),
       maximumLevel,
     );
+  }
+
+  function refill(bucket: Bucket, now: Milliseconds, share: number): void {
+    bucket.level = getRefilledLevel(bucket, now, share);
     bucket.refilledAt = now;
   }
 
@@ -113,24 +133,34 @@
     });
   }
 
-  function getFigures(
-    bucket: Bucket,
-    cost: number,
-    share: number,
-    now: Milliseconds,
-  ): QuotaFigures {
-    const { quota, level, others } = bucket;
-    return {
-      level: Math.round(level),
-      rate: quota.ratePerSecond,
-      burst: quota.burst,
-      cost,
-      othersSpent: Math.round(others.get(now)),
-      share: Number(share.toFixed(3)),
-    };
+  /** Decides about a bucket whose level is that of now. */
+  function decide(bucket: Bucket, cost: number, share: number, now: Milliseconds): QuotaDecision {
+    const required = limits.getRequiredLevel({ ...bucket, cost, share, fleetHosts });
+    const isUnheard =
+      bucket.spent - bucket.heard + cost > limits.getUnheardLimit(bucket, countSpenders());
+    if (bucket.level >= required && !isUnheard) {
+      return { kind: 'within' };
+    }
+    const missing = Math.max(Math.min(required, cost / 2) - bucket.level, 0);
+    const rate = Math.max(bucket.quota.ratePerSecond, 1);
+    const refillTime = (missing / rate) * MILLISECONDS_PER_SECOND;
+    const retryAfter = Math.max(refillTime, isUnheard ? HEARD_AFTER : 0);
+    return { kind: 'over', retryAfter, figures: getFigures(bucket, cost, share, now) };
   }
 
   return {
+    preview(customer, cost, now) {
+      const bucket = buckets.get(customer);
+      if (bucket === undefined) {
+        return { decision: { kind: 'within' }, figures: undefined };
+      }
+      const share = getReachableShare(bucket, now);
+      const current = { ...bucket, level: getRefilledLevel(bucket, now, share) };
+      return {
+        decision: decide(current, cost, share, now),
+        figures: getFigures(current, cost, share, now),
+      };
+    },
     setQuotas(quotas, now) {
       [...buckets.keys()]
         .filter((customer) => !quotas.has(customer))
@@ -178,19 +208,12 @@
       }
       const share = getReachableShare(bucket, now);
       refill(bucket, now, share);
-      const required = limits.getRequiredLevel({ ...bucket, cost, share, fleetHosts });
-      const isUnheard =
-        bucket.spent - bucket.heard + cost > limits.getUnheardLimit(bucket, countSpenders());
-      if (bucket.level < required || isUnheard) {
-        const missing = Math.max(Math.min(required, cost / 2) - bucket.level, 0);
-        const rate = Math.max(bucket.quota.ratePerSecond, 1);
-        const refillTime = (missing / rate) * MILLISECONDS_PER_SECOND;
-        const retryAfter = Math.max(refillTime, isUnheard ? HEARD_AFTER : 0);
-        return { kind: 'over', retryAfter, figures: getFigures(bucket, cost, share, now) };
+      const decision = decide(bucket, cost, share, now);
+      if (decision.kind === 'within') {
+        bucket.level -= cost;
+        bucket.spent += cost;
       }
-      bucket.level -= cost;
-      bucket.spent += cost;
-      return { kind: 'within' };
+      return decision;
     },
     refund(customer, cost) {
       const bucket = buckets.get(customer);
--- a/packages/relay/src/decisions/createSlotSharingPolicy.ts
+++ b/packages/relay/src/decisions/createSlotSharingPolicy.ts
@@ -31,6 +31,8 @@
 const DURATION_WEIGHT = 0.05;
 
 interface SlotSharingPolicy {
+  /** Records a tier that has requests; its duration counts as the initial one until measured. */
+  recordArrival(tier: TierRank): void;
   recordDuration(tier: TierRank, duration: Milliseconds): void;
   getDuration(tier: TierRank): Milliseconds;
   recordGrant(tier: TierRank): void;
@@ -47,6 +49,11 @@
   const durations = new Map<TierRank, MovingAverage>();
   const grantShares = new Map<TierRank, MovingAverage>();
 
+  /** Returns the average duration; reading it records nothing. */
+  function getDuration(tier: TierRank): Milliseconds {
+    return durations.get(tier)?.get() ?? INITIAL_DURATION;
+  }
+
   function getAverageDuration(tier: TierRank): MovingAverage {
     let average = durations.get(tier);
     if (average === undefined) {
@@ -69,13 +76,16 @@
       return 0;
     }
     const shortest = Math.min(...above.map(([, average]) => average.get()));
-    const multiple = getAverageDuration(tier).get() / Math.max(shortest, 1) - 1;
+    const multiple = getDuration(tier) / Math.max(shortest, 1) - 1;
     return Math.min(Math.max(multiple * HEADROOM_PER_MULTIPLE, 0), MAXIMUM_HEADROOM);
   }
 
   return {
+    recordArrival(tier) {
+      getAverageDuration(tier);
+    },
     recordDuration: (tier, duration) => getAverageDuration(tier).add(duration),
-    getDuration: (tier) => getAverageDuration(tier).get(),
+    getDuration,
     recordGrant(tier) {
       if (!grantShares.has(tier)) {
         grantShares.set(tier, createMovingAverage({ initial: 0, weight: GRANT_WEIGHT }));
--- a/packages/relay/src/decisions/createSpendingWindow.ts
+++ b/packages/relay/src/decisions/createSpendingWindow.ts
@@ -9,14 +9,18 @@
   const sums = new Array<number>(SLOTS).fill(0);
   let latest = -Infinity;
 
+  function getIndex(slot: number): number {
+    return ((slot % SLOTS) + SLOTS) % SLOTS;
+  }
+
   function advance(now: Milliseconds): number {
     const slot = Math.floor(now / SLOT_TIME);
     const passed = Math.min(slot - latest, SLOTS);
     for (let index = 0; index < passed; index += 1) {
-      sums[(((slot - index) % SLOTS) + SLOTS) % SLOTS] = 0;
+      sums[getIndex(slot - index)] = 0;
     }
     latest = Math.max(latest, slot);
-    return ((slot % SLOTS) + SLOTS) % SLOTS;
+    return getIndex(slot);
   }
 
   return {
@@ -25,8 +29,13 @@
       sums[index] = sums[index]! + cost;
     },
     get(now) {
-      advance(now);
-      return sums.reduce((total, sum) => total + sum, 0);
+      // Reading changes nothing, since decisions are also made without being applied.
+      const passed = Math.max(Math.floor(now / SLOT_TIME) - latest, 0);
+      let total = 0;
+      for (let age = passed; age < SLOTS; age += 1) {
+        total += sums[getIndex(latest + passed - age)]!;
+      }
+      return total;
     },
   };
 }
--- a/packages/relay/src/fairness/createFairSharing.ts
+++ b/packages/relay/src/fairness/createFairSharing.ts
@@ -6,7 +6,7 @@
 import estimateFairWait from './estimateFairWait';
 import getShareKey from './getShareKey';
 import isContended from './isContended';
-import type { FairSharing, ShareTerms, Sharer } from './types';
+import type { FairSharing, RetryOptions, ShareTerms, Sharer } from './types';
 
 const SHARE_DIGITS = 2;
 /** Part of the slots in use from which on peers are told which customers use them. */
@@ -41,6 +41,18 @@
     return isContended([...listQueued(), request]);
   }
 
+  function getRetryOptions({ priority }: Pick<QueuedRequest, 'priority'>): RetryOptions {
+    const now = clock.now();
+    return {
+      rank: priority.floorRank,
+      timeLeft: priority.deadlineAt - now,
+      queuedWork: listQueued().reduce((sum, other) => sum + getDuration(other.priority.tier), 0),
+      work: getDuration(priority.tier),
+      slots: countRefilledSlots(),
+      now,
+    };
+  }
+
   return {
     arrange: (requests) => arrangeByShare(requests, shares),
     recordArrival({ priority }) {
@@ -89,19 +101,11 @@
       const keys = listQueued().map(getShareKey);
       return { waitingCustomers: new Set(keys).size, largestUse: shares.getLargestUse() };
     },
-    tryGetRetryDelay({ priority }) {
-      if (!getTerms().hasCustomers) {
-        return undefined;
-      }
-      const now = clock.now();
-      return retryPlan.getDelay({
-        rank: priority.floorRank,
-        timeLeft: priority.deadlineAt - now,
-        queuedWork: listQueued().reduce((sum, other) => sum + getDuration(other.priority.tier), 0),
-        work: getDuration(priority.tier),
-        slots: countRefilledSlots(),
-        now,
-      });
-    },
+    tryGetRetryDelay: (request) =>
+      getTerms().hasCustomers ? retryPlan.getDelay(getRetryOptions(request)) : undefined,
+    tryPreviewRetryDelay: (request, random) =>
+      getTerms().hasCustomers
+        ? retryPlan.previewDelay(getRetryOptions(request), random)
+        : undefined,
   };
 }
--- a/packages/relay/src/fairness/createRetryPlan.ts
+++ b/packages/relay/src/fairness/createRetryPlan.ts
@@ -13,6 +13,12 @@
 /** The same for callers whose time is not enough. */
 const LATE_JITTER = 0.25;
 
+interface RetryDecision {
+  readonly delay: Milliseconds;
+  /** Undefined if the caller returns too late to be planned for. */
+  readonly bookUntil: Milliseconds | undefined;
+}
+
 /**
  * Decides when a refused request may return. Handles a burst that is refused: each caller is told
  * the time at which the queue is expected to be empty and those told before it have been served, at
@@ -25,8 +31,12 @@
   let recentWork = 0;
   let recordedAt: Milliseconds = 0;
 
+  function getRecentWork(now: Milliseconds): number {
+    return recentWork * Math.exp(-(now - recordedAt) / LOAD_TIME_CONSTANT);
+  }
+
   function decayRecentWork(now: Milliseconds): void {
-    recentWork *= Math.exp(-(now - recordedAt) / LOAD_TIME_CONSTANT);
+    recentWork = getRecentWork(now);
     recordedAt = now;
   }
 
@@ -46,23 +56,33 @@
     bookedUntil.set(rank, until);
   }
 
+  /** Decides the delay, and up to when the returning request is expected to take capacity. */
+  function decide(options: RetryOptions, ownRandom: Random): RetryDecision {
+    const { rank, timeLeft, queuedWork, work, slots, now } = options;
+    const shortest = timeLeft * MINIMUM_RETRY_FRACTION;
+    const longest = timeLeft * MAXIMUM_RETRY_FRACTION;
+    const load = getRecentWork(now) / LOAD_TIME_CONSTANT / slots;
+    const spare = slots * Math.max(1 - load, MINIMUM_SPARE);
+    const startAt = Math.max(now + queuedWork / spare, getBookedUntil(rank));
+    const delay = Math.max(startAt - now, shortest) * (1 + ownRandom.next() * JITTER);
+    return slots === 0 || delay > longest
+      ? { delay: longest * (1 - ownRandom.next() * LATE_JITTER), bookUntil: undefined }
+      : { delay, bookUntil: startAt + work / spare };
+  }
+
   return {
     recordArrival(work, now) {
       decayRecentWork(now);
       recentWork += work;
     },
-    getDelay({ rank, timeLeft, queuedWork, work, slots, now }: RetryOptions) {
-      decayRecentWork(now);
-      const shortest = timeLeft * MINIMUM_RETRY_FRACTION;
-      const longest = timeLeft * MAXIMUM_RETRY_FRACTION;
-      const spare = slots * Math.max(1 - recentWork / LOAD_TIME_CONSTANT / slots, MINIMUM_SPARE);
-      const startAt = Math.max(now + queuedWork / spare, getBookedUntil(rank));
-      const delay = Math.max(startAt - now, shortest) * (1 + random.next() * JITTER);
-      if (slots === 0 || delay > longest) {
-        return longest * (1 - random.next() * LATE_JITTER);
+    getDelay(options) {
+      decayRecentWork(options.now);
+      const { delay, bookUntil } = decide(options, random);
+      if (bookUntil !== undefined) {
+        book(options.rank, bookUntil, options.now);
       }
-      book(rank, startAt + work / spare, now);
       return delay;
     },
+    previewDelay: (options, ownRandom) => decide(options, ownRandom).delay,
   };
 }
--- a/packages/relay/src/fairness/types.ts
+++ b/packages/relay/src/fairness/types.ts
@@ -1,5 +1,5 @@
 /** Types of fair sharing: how customers share the scarce slots of a pool. */
-import type { CustomerId, Milliseconds, TierRank } from '@rattanreel/core';
+import type { CustomerId, Milliseconds, Random, TierRank } from '@rattanreel/core';
 import type { SlotCounts } from '../decisions/types';
 import type { CustomerUse, PeerCustomerUse, Priority, QueuedRequest, ShareKey } from '../types';
 
@@ -79,6 +79,8 @@
   recordArrival(work: Milliseconds, now: Milliseconds): void;
   /** Returns the time after which a request that is refused now may return. */
   getDelay(options: RetryOptions): Milliseconds;
+  /** Returns what `getDelay` would with these random numbers, and plans for no return. */
+  previewDelay(options: RetryOptions, random: Random): Milliseconds;
 }
 
 export interface SharingFigures {
@@ -112,4 +114,9 @@
   getFigures(): SharingFigures;
   /** Returns when a refused request may return; undefined without customers. */
   tryGetRetryDelay(request: Pick<QueuedRequest, 'priority'>): Milliseconds | undefined;
+  /** The same with these random numbers, without planning for the return. */
+  tryPreviewRetryDelay(
+    request: Pick<QueuedRequest, 'priority'>,
+    random: Random,
+  ): Milliseconds | undefined;
 }
--- a/packages/relay/src/pools/createPoolQueue.ts
+++ b/packages/relay/src/pools/createPoolQueue.ts
@@ -8,7 +8,9 @@
 import createShareTerms from '../fairness/createShareTerms';
 import type { ShareTerms } from '../fairness/types';
 import recordAttempt from './recordAttempt';
-import type { PoolAverages, SlotTrackerOptions, PoolQueue } from './types';
+import type { PoolAverages, PoolQueue, SlotTrackerOptions } from './types';
+import createPoolDecisions from './createPoolDecisions';
+import previewRequest from './previewRequest';
 import recordServerLoad from './recordServerLoad';
 import createSlotRelease from './createSlotRelease';
 import createSlotTracker from './createSlotTracker';
@@ -43,11 +45,12 @@
  * Queues and orders a pool's requests before dispatch, so that the servers' own queues stay short.
  */
 export default function createPoolQueue(options: PoolQueueOptions): PoolQueue {
-  const { clock, bounds, serverStates, speeds, averages } = options;
-  const queue = createRequestQueue({
+  const { clock, bounds, speeds, averages } = options;
+  const queueOptions: Parameters<typeof createRequestQueue>[0] = {
     getExpectedTimeToFirstData: averages.timeToFirstData.get,
     arrange: (requests) => sharing.arrange(requests),
-  });
+  };
+  const queue = createRequestQueue(queueOptions);
   const retryBudget = createRetryBudget({ bounds });
   const policy = createSlotSharingPolicy();
   const tracker = createSlotTracker({
@@ -60,7 +63,15 @@
     getTerms: options.getShareTerms ?? createShareTerms,
     listQueued: queue.list,
     getDuration: policy.getDuration,
-    countRefilledSlots,
+    countRefilledSlots: () => decisions.countRefilledSlots(),
+  });
+  const decisions = createPoolDecisions({
+    ...options,
+    queue,
+    policy,
+    tracker,
+    sharing,
+    getSharingHosts: () => sharingHosts,
   });
   const releaseSlot = createSlotRelease({ clock, tracker, onReleased: () => grantSlots() });
   let peerQueuedByRank: ReadonlyMap<number, number> = new Map();
@@ -100,50 +111,30 @@
     scheduleCheck();
   }
 
-  /** Under load, a host refills the slots that its own requests release. */
-  function countRefilledSlots(): number {
-    return Math.max(tracker.countSlots().sustained / sharingHosts, tracker.countOwnInFlight());
-  }
-
-  /** Returns the expected wait of a new request. */
-  function getExpectedWait(request: Pick<QueuedRequest, 'customer' | 'priority'>): Milliseconds {
-    const slots = countRefilledSlots();
-    const work = queue.sumWorkAhead(request.priority.rank, policy.getDuration);
-    return sharing.tryGetExpectedWait(request) ?? (slots === 0 ? Infinity : work / slots);
-  }
-
   return {
     get size() {
       return queue.size;
     },
     sharing,
-    getState(request) {
-      const { total: places, inUse: taken, getTierInUse } = tracker.countSlots();
-      return {
-        waiting: queue.size,
-        places,
-        taken,
-        takenByTier: getTierInUse(request.priority.tier),
-        expectedWait: Math.round(getExpectedWait(request)),
-        customer: sharing.tryGetState(request),
-      };
+    getState: decisions.getState,
+    preview(request, random) {
+      const copy = createRequestQueue(queueOptions);
+      queue.list().forEach(copy.add);
+      const refusal = decisions.tryGetRefusal(request);
+      const snapshot = tracker.createSnapshot(random);
+      const parts = { policy, sharing, peerQueuedByRank, queue: copy, tracker: snapshot };
+      const state = decisions.getState(request);
+      return previewRequest({ ...parts, request, refusal, state, now: clock.now() });
     },
     tryGetCustomerUse: () => sharing.trySummarize(tracker.countSlots()),
     getOwnInFlightByTier: tracker.getOwnInFlightByTier,
     getQueuedByRank: queue.countByRank,
     enqueue(request) {
+      policy.recordArrival(request.priority.tier);
       sharing.recordArrival(request);
-      const timeLeft = request.priority.serveBy - clock.now();
-      const longestWait = timeLeft - averages.timeToFirstData.get();
-      // A tier below its floor goes before all others, so their requests do not delay it.
-      const isUndelayed =
-        queue.size === 0 ||
-        policy.evaluate(request.priority, tracker.countSlots()) === 'belowFloor';
-      if ((isUndelayed ? 0 : getExpectedWait(request)) > longestWait) {
-        return { kind: 'refused', reason: 'expectedLate' };
-      }
-      if (serverStates.byId.size === 0) {
-        return { kind: 'refused', reason: 'noServer' };
+      const reason = decisions.tryGetRefusal(request);
+      if (reason !== undefined) {
+        return { kind: 'refused', reason };
       }
       queue.add(request);
       grantSlots();
@@ -183,7 +174,7 @@
       server.isLeaving = true;
     },
     tryAdoptSlot(id, tier, customer) {
-      const server = serverStates.byId.get(id);
+      const server = options.serverStates.byId.get(id);
       if (server !== undefined) {
         sharing.recordGrant({ customer, priority: { tier } });
         tracker.acquireSlot(server, tier);
--- a/packages/relay/src/pools/createSlotTracker.ts
+++ b/packages/relay/src/pools/createSlotTracker.ts
@@ -1,10 +1,11 @@
-import type { BackendServerId, Milliseconds, TierRank } from '@rattanreel/core';
+import type { BackendServerId, Milliseconds, Random, TierRank } from '@rattanreel/core';
+import assessServers from '../decisions/assessServers';
 import chooseServer from '../decisions/chooseServer';
 import getOccupancy from '../decisions/getOccupancy';
 import hasRoom from '../decisions/hasRoom';
 import isReadyServer from '../decisions/isReadyServer';
 import isUsableServer from '../decisions/isUsableServer';
-import type { SlotCounts } from '../decisions/types';
+import type { ChooseServerOptions, ServerAssessment, SlotCounts } from '../decisions/types';
 import isDue from '../limits/isDue';
 import createServableCheck from '../speed/createServableCheck';
 import type { ServerState, QueuedRequest } from '../types';
@@ -25,6 +26,13 @@
   createServableCheck(): (request: QueuedRequest) => boolean;
   /** Selects the server for a request; undefined if none has a free slot for it. */
   selectServer(request: QueuedRequest): ServerState | undefined;
+  /** Returns what `selectServer` sees of each server. */
+  assessServers(request: QueuedRequest): readonly ServerAssessment[];
+  /**
+   * Creates a tracker on copies of the servers' states, which decides as this one would with these
+   * random numbers and changes nothing here.
+   */
+  createSnapshot(random: Random): SlotTracker;
   acquireSlot(server: ServerState, tier: TierRank): void;
   releaseSlot(server: ServerState, tier: TierRank): void;
   /** Counts this host's requests in flight. */
@@ -40,11 +48,31 @@
 /** Share of slots in use from which on peers must be informed of each change at once. */
 const SCARCE_UTILIZATION = 0.6;
 
+/** Requests in flight by tier. */
+interface TierCounts {
+  readonly own: ReadonlyMap<TierRank, number>;
+  readonly peers: ReadonlyMap<TierRank, number>;
+}
+
+function createSnapshotOptions(options: SlotTrackerOptions, random: Random): SlotTrackerOptions {
+  const copies = [...options.serverStates.byId].map(([id, server]) => [id, { ...server }] as const);
+  return {
+    ...options,
+    random,
+    serverStates: { byId: new Map(copies) },
+    rollouts: { ...options.rollouts, recordGrant: () => undefined },
+    onInFlightChange: () => undefined,
+  };
+}
+
 /** Tracks the slots of a pool's servers: exactly for this host, as last reported for the others. */
-export default function createSlotTracker(options: SlotTrackerOptions): SlotTracker {
+export default function createSlotTracker(
+  options: SlotTrackerOptions,
+  initial: TierCounts = { own: new Map(), peers: new Map() },
+): SlotTracker {
   const { clock, random, ownDomain, serverStates } = options;
-  const ownInFlightByTier = new Map<TierRank, number>();
-  let peerInFlightByTier: ReadonlyMap<TierRank, number> = new Map();
+  const ownInFlightByTier = new Map(initial.own);
+  let peerInFlightByTier = initial.peers;
 
   function getColdRequestInterval(server: ServerState): Milliseconds {
     return options.getColdRequestInterval(server.listed.id, options.getSettings()?.coldRate ?? 0);
@@ -64,7 +92,7 @@
 
   /** Updates what the server lets this host send. */
   function updateAllowance(server: ServerState): void {
-    server.pacing = options.getPacing(server);
+    server.pacing = options.getPacing(server, random);
     server.ownSlots = options.getOwnSlots(server);
   }
 
@@ -85,9 +113,9 @@
     return server.slowness * options.speeds.getSlowdown(server.listed.id, now);
   }
 
-  function selectServer(request: QueuedRequest): ServerState | undefined {
+  function getChoice(request: QueuedRequest): ChooseServerOptions {
     const now = clock.now();
-    return chooseServer({
+    return {
       servers: listServers(now),
       embargo: options.embargo,
       now,
@@ -98,7 +126,7 @@
       mayTry,
       getSlowdown: ({ listed }) => options.speeds.getSlowdown(listed.id, now),
       canMeetDeadline: (server) => options.canMeetDeadline(getSlowness(server, now), request),
-    });
+    };
   }
 
   function createCheck(): (request: QueuedRequest) => boolean {
@@ -133,7 +161,7 @@
     if (server.coldUntil > now) {
       server.nextColdRequestAt = now + getColdRequestInterval(server);
     }
-    const pacing = options.getPacing(server);
+    const pacing = options.getPacing(server, random);
     server.pacing = pacing && {
       ...pacing,
       nextAt: Math.min(pacing.nextAt, now) + pacing.interval,
@@ -185,7 +213,13 @@
     hasFreeSlot,
     countSlots,
     createServableCheck: createCheck,
-    selectServer,
+    selectServer: (request) => chooseServer(getChoice(request)),
+    assessServers: (request) => assessServers(getChoice(request)),
+    createSnapshot: (ownRandom) =>
+      createSlotTracker(createSnapshotOptions(options, ownRandom), {
+        own: ownInFlightByTier,
+        peers: peerInFlightByTier,
+      }),
     acquireSlot,
     releaseSlot(server, tier) {
       server.ownInFlight -= 1;
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -23,7 +23,12 @@
   SlotSharing,
   AttemptFigures,
 } from '../types';
-import type { MovingAverage, ServerEmbargo } from '../decisions/types';
+import type {
+  MovingAverage,
+  ServerAssessment,
+  ServerEmbargo,
+  SlotEligibility,
+} from '../decisions/types';
 import type { LoanExchange } from '../limits/types';
 import type { FairSharing, ShareState } from '../fairness/types';
 import type { Rollouts } from '../rollouts/types';
@@ -44,10 +49,33 @@
   readonly customer?: ShareState;
 }
 
+/** How a pool would decide about a request. */
+export interface PoolPreview {
+  readonly outcome:
+    | { readonly kind: 'granted'; readonly server: BackendServerId }
+    | { readonly kind: 'waiting'; readonly cause: WaitingCause }
+    | { readonly kind: 'refused'; readonly reason: RefusalReason };
+  readonly state: PoolState;
+  /** Whether the request's tier may take a slot. */
+  readonly eligibility: SlotEligibility;
+  readonly servers: readonly ServerAssessment[];
+}
+
+/** Why a request would wait in a pool's queue. */
+export type WaitingCause =
+  /** No server with a free slot may get the request now. */
+  | 'noFreeServer'
+  /** The free slots are kept for tiers of higher priority. */
+  | 'keptForOtherTiers'
+  /** Requests that go first, here or at other hosts, take the free slots. */
+  | 'othersFirst';
+
 export interface PoolQueue {
   /** Queues a request, or refuses it if it cannot be served in time. */
   enqueue(request: QueuedRequest): AdmissionDecision;
   cancel(request: QueuedRequest): void;
+  /** Returns what `enqueue` would lead to now with these random numbers; changes nothing. */
+  preview(request: QueuedRequest, random: Random): PoolPreview;
   /** Releases a granted slot that was not used. */
   releaseUnusedSlot(server: ServerState, tier: TierRank, customer?: CustomerId): void;
   /** Releases the slot of an attempt and records its measurements. */
@@ -117,7 +145,7 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly ownDomain: FailureDomainId;
-  readonly serverStates: ServerStateMap;
+  readonly serverStates: Pick<ServerStateMap, 'byId'>;
   readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
   /** Servers that asked this host to send nothing. */
   readonly embargo: Pick<ServerEmbargo, 'isEmbargoed'>;
@@ -130,7 +158,7 @@
    */
   readonly canMeetDeadline: (slowness: number, request: QueuedRequest) => boolean;
   /** Returns the pacing of requests to a server; undefined while it names no limit. */
-  readonly getPacing: (server: ServerState) => LimitPacing | undefined;
+  readonly getPacing: (server: ServerState, random: Random) => LimitPacing | undefined;
   /** Returns the slots of a server that this host may use; undefined if hosts share them. */
   readonly getOwnSlots: (server: ServerState) => number | undefined;
   /** The roll-outs in force. */
@@ -148,6 +176,8 @@
   /** The reported speeds of the servers of all pools. */
   readonly speeds: ServerSpeeds;
   getQueue(pool: PoolId): PoolQueue;
+  /** Whether a pool is known; `getQueue` creates those that are not. */
+  hasPool(pool: PoolId): boolean;
   /** Returns the time that a request of a pool is expected to take by the length of its response. */
   getExpectedDuration(pool: PoolId, outputTokens: number): Milliseconds;
   /** Sets the pools' settings, and the customers that share their slots. */
