Add the command explain-request and its operators' endpoint

Cause: operators could see past decisions in the logs, but could not ask where a given request would be sent now.

Change: POST /operator/v1/explain-request on the metrics' address, off unless RATTANREEL_OPERATOR_TOKEN is set, with a bearer token that is compared in constant time. createRequestExplainer plans the query as a request, checks quarantine and time, and previews the admission; a host that grants no slots names its scheduler and the last status heard from it. Random terms are taken at the middle of their range, so nothing is drawn from the host's generator.

--- a/packages/command-line/src/client/callAdministration.ts
+++ b/packages/command-line/src/client/callAdministration.ts
@@ -6,6 +6,15 @@
 const ADMINISTRATION_PATH = '/administration/v1';
 const CALL_TIMEOUT_MS = 15_000;
 
+/** Parses an answer; one that is not JSON, such as that of a path that is not served, is text. */
+function parseBody(text: string): unknown {
+  try {
+    return JSON.parse(text) as unknown;
+  } catch {
+    return text;
+  }
+}
+
 /** Calls the administration API; returns undefined when the entry host gives no usable answer. */
 export default async function callAdministration(
   context: CommandContext,
@@ -17,7 +26,7 @@
     bodyTimeout: CALL_TIMEOUT_MS,
   });
   try {
-    const response = await request(`${host}${ADMINISTRATION_PATH}${call.path}`, {
+    const response = await request(`${host}${call.basePath ?? ADMINISTRATION_PATH}${call.path}`, {
       method: call.method,
       dispatcher,
       headers: {
@@ -31,7 +40,7 @@
     return {
       status: response.statusCode,
       entityTag: String(response.headers.etag ?? ''),
-      body: JSON.parse(text) as unknown,
+      body: parseBody(text),
     };
   } catch {
     return undefined;
--- a/packages/command-line/src/client/types.ts
+++ b/packages/command-line/src/client/types.ts
@@ -4,6 +4,8 @@
   readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
   /** Path relative to the API's versioned path. */
   readonly path: string;
+  /** Versioned path of another API than the administration's. */
+  readonly basePath?: string;
   readonly body?: unknown;
   readonly headers?: Readonly<Record<string, string>>;
 }
--- a/packages/command-line/src/commandTable.ts
+++ b/packages/command-line/src/commandTable.ts
@@ -4,6 +4,7 @@
 import demo from './commands/demo';
 import drain from './commands/drain';
 import explain from './commands/explain';
+import explainRequest from './commands/explainRequest';
 import load from './commands/load';
 import move from './commands/move';
 import restore from './commands/restore';
@@ -24,6 +25,7 @@
   restore,
   move,
   explain,
+  explainRequest,
   load,
   demo,
 ];
--- a/packages/command-line/src/types.ts
+++ b/packages/command-line/src/types.ts
@@ -23,6 +23,14 @@
   readonly expectedRate: number | undefined;
   readonly platform: string | undefined;
   readonly to: string | undefined;
+  /** Properties of a request that is asked about. */
+  readonly routeHost: string | undefined;
+  readonly method: string | undefined;
+  readonly customer: string | undefined;
+  readonly promptTokens: number | undefined;
+  readonly outputTokens: number | undefined;
+  readonly promptPart: readonly string[];
+  readonly body: string | undefined;
   /** Log files of entry hosts. */
   readonly log: readonly string[];
 }
--- a/packages/relay/src/admission/createLocalAdmission.ts
+++ b/packages/relay/src/admission/createLocalAdmission.ts
@@ -6,6 +6,7 @@
 import type { PoolQueue, Pools } from '../pools/types';
 import type { Priority, QueuedRequest, RefusalReason, ServerState } from '../types';
 import type { SpeedObservation } from '../speed/types';
+import previewSlot from './previewSlot';
 import type { LocalAdmission, ServerView, SlotGrant, SlotRequest } from './types';
 
 interface LocalAdmissionOptions {
@@ -157,6 +158,7 @@
     refund,
     trySpendRetry: (pool: PoolId) => pools.getQueue(pool).trySpendRetry(),
     recordRequest: (pool: PoolId) => pools.getQueue(pool).recordRequest(),
+    preview: (query, ownRandom) => previewSlot(query, { clock, pools, quota, random: ownRandom }),
     tryAdoptSlot({ pool, server, tier, customer }) {
       const queue = pools.getQueue(pool);
       const state = queue.tryAdoptSlot(server, tier, customer);
--- a/packages/relay/src/admission/createQuotaWait.test.ts
+++ b/packages/relay/src/admission/createQuotaWait.test.ts
@@ -31,6 +31,9 @@
     trySpendRetry: () => true,
     recordRequest: () => undefined,
     tryAdoptSlot: () => undefined,
+    preview: () => {
+      throw new Error('nothing is only asked about here');
+    },
   };
   const admission = createQuotaWait({ clock, admission: local });
   return {
--- a/packages/relay/src/admission/createQuotaWait.ts
+++ b/packages/relay/src/admission/createQuotaWait.ts
@@ -1,5 +1,12 @@
 import type { Clock, CustomerId, Milliseconds } from '@rattanreel/core';
-import type { LocalAdmission, SlotRefusal, SlotRequest } from './types';
+import type {
+  LocalAdmission,
+  SlotOutcome,
+  SlotPreview,
+  SlotQuery,
+  SlotRefusal,
+  SlotRequest,
+} from './types';
 
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Time between two attempts to charge the first of the requests that wait. */
@@ -28,7 +35,10 @@
 }
 
 /** Returns when a new request can be charged, after the requests ahead of it. */
-function getExpectedWait({ waiting, refusal }: CustomerLine, { priority }: SlotRequest): number {
+function getExpectedWait(
+  { waiting, refusal }: CustomerLine,
+  { priority }: Pick<SlotRequest, 'priority'>,
+): number {
   const ahead = waiting
     .filter(({ request }) => request.priority.rank <= priority.rank)
     .reduce((sum, { request }) => sum + request.cost, 0);
@@ -36,6 +46,15 @@
   return refusal.retryAfter + (ahead / rate) * MILLISECONDS_PER_SECOND;
 }
 
+interface WaitDecision {
+  readonly expectedWait: Milliseconds;
+  readonly isRefused: boolean;
+}
+
+function getGiveUpTime({ priority }: SlotQuery, now: Milliseconds): Milliseconds {
+  return now + (Math.min(priority.serveBy, priority.deadlineAt) - now) * WAIT_FRACTION;
+}
+
 /**
  * Lets requests wait whose customer's quota has run short for a moment, instead of refusing them, as
  * long as they can still meet their objective. Handles bursts that are within a quota on average.
@@ -109,14 +128,20 @@
     }
   }
 
+  /** Returns for how long a request would wait, and whether it is refused instead. */
+  function decideWait(line: CustomerLine, request: SlotQuery): WaitDecision {
+    const expectedWait = getExpectedWait(line, request);
+    const isTooLong = clock.now() + expectedWait > getGiveUpTime(request, clock.now());
+    return { expectedWait, isRefused: isTooLong || line.waiting.length >= MAXIMUM_WAITING };
+  }
+
   /** Queues a request, or refuses it if it would wait for too long. */
   function wait(customer: CustomerId, entry: WaitingRequest, refusal: SlotRefusal): void {
     const { request } = entry;
     const known = lines.get(customer);
     const line = known ?? { waiting: [], refusal };
-    const expectedWait = getExpectedWait(line, request);
-    const isTooLong = clock.now() + expectedWait > entry.giveUpAt;
-    if (isTooLong || line.waiting.length >= MAXIMUM_WAITING) {
+    const { expectedWait, isRefused } = decideWait(line, request);
+    if (isRefused) {
       request.onRefused({ ...refusal, retryAfter: expectedWait });
       return;
     }
@@ -130,20 +155,41 @@
     }
   }
 
+  function previewWait(line: CustomerLine, query: SlotQuery, preview: SlotPreview): SlotPreview {
+    const { expectedWait, isRefused } = decideWait(line, query);
+    const outcome: SlotOutcome = isRefused
+      ? { kind: 'refused', ...line.refusal, retryAfter: expectedWait }
+      : { kind: 'waiting', cause: 'quotaShort', expectedWait };
+    return { ...preview, pool: undefined, outcome };
+  }
+
+  /** Returns whether requests that wait for the customer's quota go before this one. */
+  function mustWaitInLine(line: CustomerLine | undefined, { priority }: SlotQuery): boolean {
+    return line?.waiting.some((each) => each.request.priority.rank <= priority.rank) === true;
+  }
+
   return {
     ...admission,
+    preview(query, random) {
+      const preview = admission.preview(query, random);
+      const { outcome } = preview;
+      const line = query.customer === undefined ? undefined : lines.get(query.customer);
+      if (line !== undefined && query.cost > 0 && mustWaitInLine(line, query)) {
+        return previewWait(line, query, preview);
+      }
+      return outcome.kind === 'refused' && outcome.reason === 'overQuota'
+        ? previewWait(line ?? { waiting: [], refusal: outcome }, query, preview)
+        : preview;
+    },
     requestSlot(request) {
-      const { customer, cost, priority } = request;
+      const { customer, cost } = request;
       if (customer === undefined || cost === 0) {
         return admission.requestSlot(request);
       }
-      const now = clock.now();
-      const giveUpAt =
-        now + (Math.min(priority.serveBy, priority.deadlineAt) - now) * WAIT_FRACTION;
+      const giveUpAt = getGiveUpTime(request, clock.now());
       const entry: WaitingRequest = { request, giveUpAt, cancelAdmitted: undefined };
       const line = lines.get(customer);
-      const mustQueue = line?.waiting.some((each) => each.request.priority.rank <= priority.rank);
-      const refusal = mustQueue === true ? line!.refusal : tryAdmit(entry);
+      const refusal = mustWaitInLine(line, request) ? line!.refusal : tryAdmit(entry);
       if (refusal !== undefined) {
         wait(customer, entry, refusal);
       }
--- a/packages/relay/src/admission/createScheduling.ts
+++ b/packages/relay/src/admission/createScheduling.ts
@@ -8,6 +8,7 @@
 import type { ClusterStateCache, FleetRole, PeerAddress, PeerTable } from '../types';
 import createSchedulerClient from './createSchedulerClient';
 import createSchedulerSelector from './createSchedulerSelector';
+import createSchedulerView from './createSchedulerView';
 import createSlotLedger from './createSlotLedger';
 import listSlotOwners from './listSlotOwners';
 import listSchedulerCandidates from './listSchedulerCandidates';
@@ -20,6 +21,7 @@
   SchedulerResponse,
   SchedulerStatus,
   Sender,
+  SlotPreviewer,
 } from './types';
 import type { FindingsReport } from '../findings/types';
 import type { Pools } from '../pools/types';
@@ -50,7 +52,7 @@
 }
 
 interface Scheduling {
-  readonly admission: Admission;
+  readonly admission: Admission & SlotPreviewer;
   getRole(): FleetRole;
   /** Sets the registered hosts other than this one. */
   setPeers(peers: readonly PeerAddress[]): void;
@@ -178,6 +180,7 @@
     },
   });
   const client = createSchedulerClient({ ...options, selector });
+  const lastStatus = createSchedulerView({ clock, selector });
 
   function isScheduler({ entryHost }: Sender): boolean {
     return selector.tryGetScheduler()?.entryHost === entryHost;
@@ -185,6 +188,7 @@
 
   function recordStatus(sender: Sender, status: SchedulerStatus): void {
     if (isScheduler(sender)) {
+      lastStatus.record(status);
       storeLostSince = status.isStoreReachable ? undefined : (storeLostSince ?? clock.now());
       fleetSize.record(status.fleetHosts, clock.now());
       updateSharing();
@@ -194,7 +198,7 @@
   }
 
   return {
-    admission: client,
+    admission: { ...client, preview: local.preview, tryGetSchedulerView: lastStatus.tryGet },
     getRole,
     setPeers(next) {
       peers = next;
--- a/packages/relay/src/admission/types.ts
+++ b/packages/relay/src/admission/types.ts
@@ -8,10 +8,12 @@
   EntryHostId,
   Milliseconds,
   PoolId,
+  Random,
   RequestId,
   TierRank,
 } from '@rattanreel/core';
-import type { PoolState } from '../pools/types';
+import type { QuotaPreview } from '../decisions/types';
+import type { PoolPreview, PoolState, WaitingCause } from '../pools/types';
 import type {
   ClusterStateVersions,
   ListedServer,
@@ -80,6 +82,49 @@
   onRefused(refusal: SlotRefusal): void;
 }
 
+/** A request for a slot that is only asked about. */
+export type SlotQuery = Omit<SlotRequest, 'onGranted' | 'onRefused' | 'isSpeculative'>;
+
+/** What would become of a request for a slot. */
+export type SlotOutcome =
+  | { readonly kind: 'granted'; readonly server: BackendServerId }
+  | {
+      readonly kind: 'waiting';
+      readonly cause: WaitingCause | 'quotaShort';
+      readonly expectedWait: Milliseconds;
+    }
+  | ({ readonly kind: 'refused' } & SlotRefusal);
+
+/** How the admission would decide about a request, and on what basis. */
+export interface SlotPreview {
+  readonly outcome: SlotOutcome;
+  /** Undefined if the request has no customer or costs nothing. */
+  readonly quota: QuotaPreview | undefined;
+  /** Undefined if the quota ends the decision. */
+  readonly pool: PoolPreview | undefined;
+  /** Whether the request would wait for a late response, behind those that can be in time. */
+  readonly isLate: boolean;
+}
+
+/** What a host knows of the host that grants its slots. */
+export interface SchedulerView {
+  readonly host: PeerAddress;
+  /** Pending: it has not responded yet; this host grants its own slots after a short wait. */
+  readonly state: Exclude<SchedulerChoice['kind'], 'self'>;
+  /** Its last status; undefined if it has sent none. */
+  readonly status: SchedulerStatus | undefined;
+  /** Time since that status. */
+  readonly statusAge: Milliseconds | undefined;
+}
+
+/** Decides about slots without taking any. */
+export interface SlotPreviewer {
+  /** Returns what `requestSlot` would lead to now with these random numbers; changes nothing. */
+  preview(query: SlotQuery, random: Random): SlotPreview;
+  /** Returns what is known of the host that grants this host's slots; undefined if it does. */
+  tryGetSchedulerView(): SchedulerView | undefined;
+}
+
 export interface Admission {
   /**
    * Asks for a slot. Calls back once, possibly before it returns, unless the request is cancelled.
@@ -95,7 +140,7 @@
 }
 
 /** The slots of this host's own pools. */
-export interface LocalAdmission extends Admission {
+export interface LocalAdmission extends Admission, Pick<SlotPreviewer, 'preview'> {
   /**
    * Takes over a slot that another host granted; undefined if the server is unknown. It counts as
    * this host's own until it is returned.
--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -1,7 +1,7 @@
 import type { EntryHostId, FailureDomainId, Incarnation } from '@rattanreel/core';
 import createQuotaAdmission from './admission/createQuotaAdmission';
 import createScheduling from './admission/createScheduling';
-import type { Admission } from './admission/types';
+import type { Admission, SlotPreviewer } from './admission/types';
 import createClusterStateCache from './createClusterStateCache';
 import createPools from './createPools';
 import createStoreWatcher from './createStoreWatcher';
@@ -59,7 +59,7 @@
 }
 
 interface HostCore {
-  readonly admission: Admission;
+  readonly admission: Admission & SlotPreviewer;
   readonly forwarding: Forwarding;
   readonly embargo: ServerEmbargo;
   readonly crashGuard: CrashGuard;
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -12,6 +12,9 @@
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
 import drainCallerEndpoint from './front/drainCallerEndpoint';
+import tryCreateOperatorAccess from './explaining/tryCreateOperatorAccess';
+import type { DecisionBasis } from './front/types';
+import type { TimedRequest } from './lateness/types';
 import createHedging from './hedging/createHedging';
 import createLoopDelay from './lateness/createLoopDelay';
 import createStopDeadline from './lateness/createStopDeadline';
@@ -46,6 +49,8 @@
   readonly readinessAddress: string;
   readonly readyPath: string;
   readonly metricsAddress: string;
+  /** Token of operators' queries on the metrics' address; undefined where they are off. */
+  readonly operatorToken?: string | undefined;
 }
 
 function indexCustomers(
@@ -97,12 +102,11 @@
   });
   const { pools, stateCache, peerTable } = core;
 
-  const observer = createRequestObserver({
-    logger,
-    metrics,
-    now: clock.now,
-    getBasis: () => ({ ...stateCache.getVersions(), ...peerTable.getFreshness(clock.now()) }),
+  const getBasis = (): DecisionBasis => ({
+    ...stateCache.getVersions(),
+    ...peerTable.getFreshness(clock.now()),
   });
+  const observer = createRequestObserver({ logger, metrics, now: clock.now, getBasis });
 
   const hedging = createHedging({
     limit: options.hedgeLimit,
@@ -111,6 +115,14 @@
     count: metrics.countHedge,
     observeDelay: metrics.observeHedgeDelay,
   });
+  const timeCheckOptions = {
+    ...core,
+    clock,
+    loopDelay,
+    stopDeadline,
+    getExpectedDuration: (request: TimedRequest) =>
+      pools.getExpectedDuration(request.pool, request.outputTokens),
+  };
   const requestHandler = createRequestHandler({
     context,
     names: options.names,
@@ -122,15 +134,7 @@
     classifier,
     connections: core.forwarding.connections,
     hedging,
-    timeCheck: createTimeCheck({
-      clock,
-      random: context.random,
-      loopDelay,
-      stopDeadline,
-      getExpectedDuration: ({ pool, outputTokens }) =>
-        pools.getExpectedDuration(pool, outputTokens),
-      isScheduledByOther: core.isScheduledByOther,
-    }),
+    timeCheck: createTimeCheck({ ...timeCheckOptions, random: context.random }),
     onBegun: (customer) => core.duties?.recordBegun(customer),
     observer,
     getRoutes: () => routes,
@@ -155,6 +159,16 @@
   const metricsEndpoint = createMetricsEndpoint({
     address: options.metricsAddress,
     scrape: metrics.scrape,
+    operatorAccess: tryCreateOperatorAccess({
+      ...options,
+      ...core,
+      clock,
+      classifier,
+      timeCheckOptions,
+      getBasis,
+      getRoutes: () => routes,
+      getCustomersByKey: () => customersByKey,
+    }),
   });
   const { connections } = core.forwarding;
   addRelayGauges({
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { CustomerId, PoolId, Random } from '@rattanreel/core';
 import getRetryDelay from './decisions/getRetryDelay';
+import limitRetryDelay from './front/limitRetryDelay';
 import planRequest from './front/planRequest';
 import relayRequest from './front/relayRequest';
 import sendProblem from './front/sendProblem';
@@ -15,9 +16,6 @@
 import type { TimeCheck } from './lateness/types';
 import type { ServerConnections } from './servers/types';
 
-/** Callers honour a `retry-after` of at most this fraction of their remaining time. */
-const MAXIMUM_RETRY_FRACTION = 1 / 3;
-
 interface RequestHandlerOptions {
   readonly context: RelayContext;
   readonly names: HeaderNames;
@@ -77,9 +75,9 @@
     { reason, retryAfter: requestedDelay, pool, quota }: Refusal,
   ): void {
     const remainingTime = plan.deadlineAt - clock.now();
-    const retryAfter = Math.min(
+    const retryAfter = limitRetryDelay(
       requestedDelay ?? getRetryDelay(remainingTime, random),
-      remainingTime * MAXIMUM_RETRY_FRACTION,
+      remainingTime,
     );
     // A quarantined request is no sign that its route's callers return.
     if (reason !== 'quarantined') {
--- a/packages/relay/src/front/planRequest.ts
+++ b/packages/relay/src/front/planRequest.ts
@@ -34,7 +34,7 @@
   /** Customers by key; undefined when requests carry no keys. */
   readonly customersByKey: ReadonlyMap<string, RelayCustomer> | undefined;
   /** Classifies requests by the recent requests of their route. */
-  readonly classifier: RequestClassifier;
+  readonly classifier: Pick<RequestClassifier, 'classify'>;
   readonly random: Random;
 }
 
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -5,3 +5,4 @@
 export type * from './types';
 export { default as createRelayHost } from './createRelayHost';
 export type * from './duties/types';
+export type * from './explaining/types';
