--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -162,7 +162,7 @@
     operatorAccess: tryCreateOperatorAccess({
       ...options,
       ...core,
-      clock,
+      ...context,
       classifier,
       timeCheckOptions,
       getBasis,
