--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -14,7 +14,7 @@
 import { HOST_NAME, configuration, createEntry } from '../stand-ins/configuration.mjs';
 import { sleep, startHost, waitUntilReady } from '../stand-ins/hosts.mjs';
 import createRecord from '../stand-ins/record.mjs';
-import createStore, { UNREADABLE_BYTE } from '../stand-ins/store.mjs';
+import createStore from '../stand-ins/store.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const ENGINES = 4;
@@ -30,6 +30,9 @@
 const FAULT_ENDS = 3;
 const FAULT_MACHINES = 2;
 
+/** What JSON text holds in place of a byte that can't be read. */
+const UNREADABLE = '\uFFFD';
+
 const record = createRecord(path.dirname(fileURLToPath(import.meta.url)));
 const folder = mkdtempSync(path.join(tmpdir(), 'review-'));
 const store = await createStore();
@@ -173,7 +176,7 @@
   record.add('entry of another writer');
   store.put('servers', 'i-other', {
     ...createEntry({ service: 'order-book', port: 7_702, zone: 'a', born: Date.now() }),
-    addr: `127.0.0.${UNREADABLE_BYTE}:7702`,
+    addr: `127.0.0.${UNREADABLE}:7702`,
   });
 }
 await sleep(TROUBLE_MS);
--- a/review/stand-ins/hosts.mjs
+++ b/review/stand-ins/hosts.mjs
@@ -149,7 +149,7 @@
 }
 
 /** Returns the status of the answer; 0 when there is none. */
-function getStatus(url) {
+export function getStatus(url) {
   return new Promise((resolve) => {
     get(url, (incoming) => {
       incoming.resume();
--- a/review/stand-ins/store.mjs
+++ b/review/stand-ins/store.mjs
@@ -9,9 +9,6 @@
 import { createServer } from 'node:http';
 
 const PAGE_SIZE = 500;
-/** Stands in an object for a byte that is not text; the store hands it out as the byte 0xff. */
-export const UNREADABLE_BYTE = '\uE000';
-
 export default async function createStore() {
   const kinds = new Map();
   const events = [];
@@ -67,12 +64,7 @@
   };
 
   const send = (outgoing, status, body) => {
-    const text = JSON.stringify(body).split(UNREADABLE_BYTE);
-    const bytes = Buffer.concat(
-      text.flatMap((part, index) =>
-        index === 0 ? [Buffer.from(part)] : [Buffer.from([0xff]), Buffer.from(part)],
-      ),
-    );
+    const bytes = Buffer.from(JSON.stringify(body));
     outgoing.writeHead(status, {
       'content-type': 'application/json',
       'content-length': bytes.length,
