--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -18,12 +18,12 @@
 import createStore from '../stand-ins/store.mjs';
 
 const hasTrouble = process.env.TROUBLE !== '0';
-/** Within `garble` of the site file: 0.6 of the servers, 0.03 of their answers, 5.5 s. */
+/** Within `garble` of the site file: 0.6 of the servers, 0.03 of their answers, 5 s. */
 const BAD_ENGINES = 3;
 const MODEL_ENGINES = 5;
 const BOOK_ENGINES = 3;
 const SPOILT_SHARE = 0.03;
-const TROUBLE_MS = 5_500;
+const TROUBLE_MS = 5_000;
 const CALM_MS = 5_000;
 const ROUNDS = 3;
 /** The bad engine sends no faster than a link of 140 Mbit/s carries. */
