Use no entry that names no backend server

Cause: the decoder took any NAME:DIGITS for an address. The URL of the connection pool was built when the server was first chosen, in the turn of a grant or a timer, and threw with nothing above it to catch it.

Change: each entry of the list is checked where the list arrives, from the store or from another host, and where another host sends a task. What names no server is left out, logged once with its defect and counted (rattanreel_relay_servers_ignored). Hosts' entries are held to the same. parseAddress moves to core and refuses IPv6 zones, which no URL has.

--- a/packages/configuration/src/index.ts
+++ b/packages/configuration/src/index.ts
@@ -8,7 +8,6 @@
 export { default as formatDiagnostics } from './formatDiagnostics';
 export { default as isLoopbackAddress } from './isLoopbackAddress';
 export { default as parseAcceptedConfiguration } from './parseAcceptedConfiguration';
-export { default as parseAddress } from './parseAddress';
 export { default as parseDeploymentSettings } from './parseDeploymentSettings';
 export { default as parseEntryHostSettings } from './parseEntryHostSettings';
 export { default as configurationLocation } from './changes/configurationLocation';
--- a/packages/configuration/src/isLoopbackAddress.ts
+++ b/packages/configuration/src/isLoopbackAddress.ts
@@ -1,4 +1,4 @@
-import parseAddress from './parseAddress';
+import { parseAddress } from '@rattanreel/core';
 
 /** Returns whether a `host:port` address can be reached from its own machine only. */
 export default function isLoopbackAddress(address: string): boolean {
--- a/packages/configuration/src/questionnaire/answersSchema.ts
+++ b/packages/configuration/src/questionnaire/answersSchema.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod';
 import isBaseUrl from '../isBaseUrl';
-import parseAddress from '../parseAddress';
+import { parseAddress } from '@rattanreel/core';
 import type { DiagnosticName } from './types';
 
 const MAXIMUM_TEXT_LENGTH = 200;
--- a/packages/configuration/src/questionnaire/checkReferences.ts
+++ b/packages/configuration/src/questionnaire/checkReferences.ts
@@ -1,5 +1,5 @@
 import isLoopbackAddress from '../isLoopbackAddress';
-import parseAddress from '../parseAddress';
+import { parseAddress } from '@rattanreel/core';
 import createUncheckedMapping from './createUncheckedMapping';
 import type {
   DiagnosticSink,
--- a/packages/configuration/src/types.ts
+++ b/packages/configuration/src/types.ts
@@ -256,12 +256,6 @@
     }
   | { readonly kind: 'invalidSettings'; readonly problems: readonly SettingsProblem[] };
 
-/** Result of parsing a `host:port` address. */
-export type ParsedAddress =
-  | { readonly kind: 'address'; readonly host: string; readonly port: number }
-  | { readonly kind: 'invalidAddress' }
-  | { readonly kind: 'invalidPort' };
-
 /** Target that operators drain or restore. */
 export type DrainTarget =
   | { readonly kind: 'failureDomain'; readonly id: FailureDomainId }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,4 +7,6 @@
 export { default as createVirtualClock } from './createVirtualClock';
 export { default as Debug } from './Debug';
 export { default as fail } from './fail';
+export { default as isReadableName } from './isReadableName';
 export { default as ok } from './ok';
+export { default as parseAddress } from './parseAddress';
--- a/packages/core/src/types.ts
+++ b/packages/core/src/types.ts
@@ -83,3 +83,9 @@
 export type RequestId = string;
 /** A number that only increases: a configuration's generation or a lease's fencing token. */
 export type Generation = number;
+
+/** Result of parsing a `host:port` address. */
+export type ParsedAddress =
+  | { readonly kind: 'address'; readonly host: string; readonly port: number }
+  | { readonly kind: 'invalidAddress' }
+  | { readonly kind: 'invalidPort' };
--- a/packages/relay/src/addRelayGauges.ts
+++ b/packages/relay/src/addRelayGauges.ts
@@ -72,6 +72,16 @@
     labelNames: [],
     read: () => createUnlabelledReading(stateCache.isStoreReachable ? 1 : 0),
   });
+  metrics.addGauge({
+    name: 'rattanreel_relay_servers_ignored',
+    help: 'Entries of the server list that name no backend server to use, by the part at fault.',
+    labelNames: ['defect'],
+    read: () =>
+      [...stateCache.countIgnoredServers()].map(([defect, value]) => ({
+        labels: { defect },
+        value,
+      })),
+  });
   metrics.addGauge({
     name: 'rattanreel_relay_hosts_heard',
     help: 'Other entry hosts that are reachable: a message arrived within the last second.',
--- a/packages/relay/src/createClusterStateCache.ts
+++ b/packages/relay/src/createClusterStateCache.ts
@@ -1,6 +1,7 @@
 import type { Clock, EntryHostId, FailureDomainId, Timer } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import createEvacuationList from './decisions/createEvacuationList';
+import listReachablePeers from './decisions/listReachablePeers';
 import listStateChanges from './decisions/listStateChanges';
 import createVersionedValue from './decisions/createVersionedValue';
 import createRoster from './decisions/createRoster';
@@ -117,7 +118,7 @@
   }
 
   function applyRoster(hosts: readonly PeerAddress[], version: number): void {
-    if (roster.replace(hosts, version)) {
+    if (roster.replace(listReachablePeers(hosts, logger), version)) {
       publishPeers();
     }
   }
@@ -146,9 +147,7 @@
         applyConfiguration(change.configuration, from);
         return;
       case 'servers':
-        if (from === 'store' || change.version > servers.version) {
-          servers.apply(change.servers, change.version, from);
-        }
+        servers.apply(change.servers, change.version, from);
         return;
       case 'evacuated':
         applyEvacuated(change.failureDomains, change.version, from);
@@ -194,8 +193,9 @@
     get: getState,
     getSince: (known) => selectNewerState(getState(), known),
     getVersions,
+    countIgnoredServers: servers.countIgnored,
     upsertPeer(peer) {
-      if (roster.upsert(peer)) {
+      if (listReachablePeers([peer], logger).some(roster.upsert)) {
         publishPeers();
       }
     },
--- a/packages/relay/src/forwarding/createForwardedTasks.ts
+++ b/packages/relay/src/forwarding/createForwardedTasks.ts
@@ -1,6 +1,7 @@
 import type { Milliseconds } from '@rattanreel/core';
 import type { Attempt, ServerConnections } from '../servers/types';
 import type { ListedServer } from '../types';
+import tryGetServerDefect from '../decisions/tryGetServerDefect';
 import type { ForwardReporter, ForwardTask, ForwardedTasks } from './types';
 
 interface ForwardedTasksOptions {
@@ -57,7 +58,8 @@
 
   return {
     begin(task, reporter) {
-      if (!options.canServe(task.server)) {
+      // A host of another version may know servers that this one does not use.
+      if (tryGetServerDefect(task.server) !== undefined || !options.canServe(task.server)) {
         // Nothing has been sent, so that the peer may ask another host.
         reporter.report({ kind: 'end', outcome: { kind: 'notConnected' } });
         reporter.end();
--- a/packages/relay/src/servers/checkListening.ts
+++ b/packages/relay/src/servers/checkListening.ts
@@ -1,6 +1,6 @@
 import { connect } from 'node:net';
+import { parseAddress } from '@rattanreel/core';
 import type { Milliseconds } from '@rattanreel/core';
-import splitAddress from '../splitAddress';
 import type { ListedServer } from '../types';
 import type { Listening } from './types';
 
@@ -12,7 +12,14 @@
   { address }: ListedServer,
   onChecked: (listening: Listening) => void,
 ): void {
-  const socket = connect({ ...splitAddress(address), timeout: CHECK_TIMEOUT });
+  const parsed = parseAddress(address);
+  if (parsed.kind !== 'address') {
+    // Later, as for any other server.
+    setImmediate(() => onChecked('unreachable'));
+    return;
+  }
+  const { host, port } = parsed;
+  const socket = connect({ host, port, timeout: CHECK_TIMEOUT });
   let listening: Listening = 'unreachable';
   socket.once('connect', () => {
     listening = 'accepting';
--- a/packages/relay/src/testing/createTestEngines.ts
+++ b/packages/relay/src/testing/createTestEngines.ts
@@ -55,6 +55,8 @@
   /** Servers of the answers that failed or were slow. */
   const badAnswers: string[] = [];
   const expired = new Set<string>();
+  /** Number of versions that were started beside the first one. */
+  let generation = 0;
 
   function publish(): void {
     const listed = engines.map((engine) => engine.getListed());
@@ -150,11 +152,13 @@
     engines,
     /** Starts an engine of another version beside each one. */
     startVersion(version: string): readonly TestEngine[] {
-      const started = engines.map((engine) => {
+      const started = engines.map((engine, index) => {
         const listed = engine.getListed();
         const id = `${version}-${listed.id}`;
-        return createEngine({ ...listed, id, address: `${id}:1`, version, startedAt: clock.now() });
+        const address = `10.2.${generation}.${index}:1`;
+        return createEngine({ ...listed, id, address, version, startedAt: clock.now() });
       });
+      generation += 1;
       engines.push(...started);
       publish();
       return started;
--- a/packages/relay/src/testing/createTestFleet.ts
+++ b/packages/relay/src/testing/createTestFleet.ts
@@ -16,6 +16,7 @@
 /** Hosts of each failure domain with more capacity than the others. */
 const LARGE_HOSTS_PER_DOMAIN = 3;
 /** Time of a poll; short, so that the turns of a host that is not blocked count as punctual. */
+const SERVERS_PER_SUBNET = 250;
 const POLL_TIME: Milliseconds = 2;
 const BOUNDS: RelayBounds = {
   retryRatio: 0.2,
@@ -94,7 +95,7 @@
   return Array.from({ length: count }, (_, index) => ({
     id: `server-${index}`,
     pool: 'pool',
-    address: `10.1.0.${index}:1`,
+    address: `10.1.${Math.floor(index / SERVERS_PER_SUBNET)}.${index % SERVERS_PER_SUBNET}:1`,
     failureDomain: getDomain(index),
     version: 'v1',
     slots: 4,
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -136,6 +136,9 @@
   readonly startedAt: number | undefined;
 }
 
+/** Why an entry of the platform's list names no backend server to use. */
+export type ServerDefect = 'identifier' | 'address' | 'name' | 'slots';
+
 export type RolloutState = 'running' | 'complete' | 'rolledBack';
 
 /** An operator's order to move a pool's requests to servers of another version. */
@@ -627,6 +630,8 @@
   get(): ClusterState;
   /** Returns the versions of the state. Cheap: called for each message and each readiness check. */
   getVersions(): ClusterStateVersions;
+  /** Counts the entries of the server list that name no backend server to use, by defect. */
+  countIgnoredServers(): ReadonlyMap<ServerDefect, number>;
   readonly evacuated: ReadonlySet<FailureDomainId>;
   readonly isStoreReachable: boolean;
   /** Whether this host is among the registered hosts. */
