Keep serving after an exception that nothing caught

Cause: `serve-platform` handled rejections only, `serve` neither, and what a peer sent reached the handlers of a host without a guard: a message without the parts of a summary, or of no known form, threw in the event of the gRPC stream. gRPC throws for an empty address and looks up any text as a name.

Change: handlers of messages, questions, tasks and progress run in a guard of the transport; summaries without the parts that are read later are dropped; the transport sends nothing to what is no IP:PORT. As the last resort both commands log the exception with its stack, count it by origin (rattanreel_relay_unexpected_errors_total, rattanreel_unexpected_errors_total) and go on.

Ruled out: to stop the process after an uncaught exception as on SIGTERM: the same input would end it again after each start, and hosts would leave in turn. Callers lose less if one event is dropped.

--- a/packages/command-line/src/commands/serve.ts
+++ b/packages/command-line/src/commands/serve.ts
@@ -2,6 +2,7 @@
 import { parse } from 'yaml';
 import { parseEntryHostSettings } from '@rattanreel/configuration';
 import { createEntryHost } from '@rattanreel/entry-host';
+import catchUnexpectedErrors from '../catchUnexpectedErrors';
 import exitCodes from '../exitCodes';
 import type { Command } from '../types';
 
@@ -38,6 +39,7 @@
       context.printError(`${fileName}: ${JSON.stringify(entryHost.error)}`);
       return exitCodes.unavailable;
     }
+    catchUnexpectedErrors(entryHost.value.recordError);
     await waitForSignal();
     await entryHost.value.stop();
     return exitCodes.success;
--- a/packages/command-line/src/runServePlatform.ts
+++ b/packages/command-line/src/runServePlatform.ts
@@ -1,5 +1,6 @@
 import { watchFile } from 'node:fs';
 import { servePlatform as start } from '@rattanreel/platform-adapter';
+import catchUnexpectedErrors from './catchUnexpectedErrors';
 import exitCodes from './exitCodes';
 import type { ExitCode } from './types';
 
@@ -43,9 +44,7 @@
     { interval: SETTINGS_POLL_INTERVAL_MS, persistent: false },
     reloadAndLogFailure,
   );
-  process.on('unhandledRejection', (error) => {
-    logger.error({ error: String(error) }, 'unhandled rejection');
-  });
+  catchUnexpectedErrors(started.value.recordError);
   await new Promise<void>((resolve) => {
     process.once('SIGTERM', () => resolve());
     process.once('SIGINT', () => resolve());
--- a/packages/entry-host/src/createEntryHost.ts
+++ b/packages/entry-host/src/createEntryHost.ts
@@ -1,5 +1,6 @@
 import { fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
+import { createErrorRecorder } from '@rattanreel/observability';
 import { createPeerTransport } from '@rattanreel/transport';
 import addGauges from './addGauges';
 import createAdministrationServices from './administration/createAdministrationServices';
@@ -27,12 +28,18 @@
   const { settings, incarnation, admission } = context;
   const { entryHost } = settings;
 
+  const recordError = createErrorRecorder({
+    logger: context.logger,
+    countError: context.metrics.countError,
+  });
+
   const transport = await createPeerTransport<PeerMessage, PeerQuestion, PeerAnswer>({
     identity: { entryHost, incarnation },
     listenAddress: settings.peerAddress,
     security: settings.peerSecurity,
     onMessage: ({ body }) => tasks.receive(body),
     onQuestion: ({ body }) => tasks.answer(body),
+    onHandlerError: recordError,
   });
   if (transport.kind === 'error') {
     return transport;
@@ -76,6 +83,7 @@
     callerAddress: listener.value.address,
     peerAddress: transport.value.address,
     incarnation,
+    recordError,
     isReady,
     async stop() {
       tasks.membership.handle({ kind: 'leavingChanged', leaving: true });
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -35,7 +35,13 @@
   MembershipView,
 } from '@rattanreel/membership';
 import type { MoveRecord } from '@rattanreel/moves';
-import type { DecisionLog, Logger, Metrics, RecordedDecision } from '@rattanreel/observability';
+import type {
+  DecisionLog,
+  ErrorRecorder,
+  Logger,
+  Metrics,
+  RecordedDecision,
+} from '@rattanreel/observability';
 import type {
   AskOwner,
   OrderExecutor,
@@ -205,6 +211,7 @@
   readonly peerAddress: string;
   readonly incarnation: Incarnation;
   isReady(): boolean;
+  readonly recordError: ErrorRecorder;
   /** Accepts no new requests, waits for those in flight, and closes. */
   stop(): Promise<void>;
   /** Closes at once and aborts everything in flight, as a crash of the process would. */
--- a/packages/observability/src/createMetrics.ts
+++ b/packages/observability/src/createMetrics.ts
@@ -48,8 +48,15 @@
     labelNames: ['code'],
     registers,
   });
+  const unexpectedErrors = new Counter({
+    name: 'rattanreel_unexpected_errors_total',
+    help: 'Exceptions that no part of the host expected; the requests of others went on.',
+    labelNames: ['origin'],
+    registers,
+  });
 
   return {
+    countError: (origin) => unexpectedErrors.inc({ origin }),
     requestEnded({ tier, pool, outcome, duration, firstTokenAfter, ...counts }) {
       requests.inc({ tier, pool, outcome });
       durations.observe({ tier, outcome }, duration / MILLISECONDS_PER_SECOND);
--- a/packages/observability/src/types.ts
+++ b/packages/observability/src/types.ts
@@ -72,6 +72,19 @@
   error(fields: object, message: string): void;
 }
 
+/** Where an exception was caught that no part of the host expected. */
+export type ErrorOrigin =
+  /** While it handled what a peer had sent. */
+  'message' | 'question' | 'task' | 'progress' | 'uncaughtException' | 'unhandledRejection';
+
+/** Logs and counts an exception after which the host goes on. */
+export type ErrorRecorder = (origin: ErrorOrigin, error: unknown) => void;
+
+export interface ErrorRecorderOptions {
+  readonly logger: Pick<Logger, 'error'>;
+  readonly countError: (origin: ErrorOrigin) => void;
+}
+
 /** Outcome of a request, for the metrics. */
 export interface EndedRequest {
   readonly tier: string;
@@ -101,6 +114,8 @@
   requestEnded(ended: EndedRequest): void;
   decisionTaken(decision: Decision): void;
   invariantViolated(code: string): void;
+  /** Counts an exception that no part of the host expected, by where it was caught. */
+  countError(origin: ErrorOrigin): void;
   addGauge(gauge: Gauge): void;
   /** Returns the text of a scrape and its media type. */
   scrape(): Promise<{ readonly contentType: string; readonly body: string }>;
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -1,4 +1,5 @@
 import type { ServerType } from '@hono/node-server';
+import { createErrorRecorder } from '@rattanreel/observability';
 import addRelayGauges from './addRelayGauges';
 import createHostCore from './createHostCore';
 import createMetricsEndpoint from './createMetricsEndpoint';
@@ -73,6 +74,7 @@
   const bounds = { ...options.bounds };
   const startedAt = clock.now();
   const metrics = createRelayMetrics();
+  const recordError = createErrorRecorder({ logger, countError: metrics.countError });
   const classifier = createRequestClassifier();
   let routes: RouteTable | undefined;
   let customersByKey: ReadonlyMap<string, RelayCustomer> | undefined;
@@ -85,7 +87,7 @@
     context,
     loopDelay,
     bounds,
-    openTransport: openRelayTransport,
+    openTransport: (transport) => openRelayTransport({ ...transport, onHandlerError: recordError }),
     direct: createServerConnections({ loopDelay }),
     onConfiguration(configuration) {
       routes = createRouteTable(configuration.routes);
@@ -177,6 +179,7 @@
   logger.info({ entryHost, incarnation, startedIn: clock.now() - startedAt }, 'host started');
 
   return {
+    recordError,
     applyBounds(next) {
       Object.assign(bounds, next);
     },
--- a/packages/relay/src/front/createRelayMetrics.ts
+++ b/packages/relay/src/front/createRelayMetrics.ts
@@ -48,7 +48,15 @@
     registers,
   });
 
+  const errorCounter = new Counter({
+    name: 'rattanreel_relay_unexpected_errors_total',
+    help: 'Exceptions that no part of the host expected; the requests of others went on.',
+    labelNames: ['origin'],
+    registers,
+  });
+
   return {
+    countError: (origin) => errorCounter.inc({ origin }),
     countHedge: (result) => hedgeCounter.inc({ result }),
     observeHedgeDelay: (delay) => hedgeDelayHistogram.observe(delay / MILLISECONDS_PER_SECOND),
     countRequest: (outcome, reason) => requestCounter.inc({ outcome, reason }),
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -1,5 +1,5 @@
 /** Types of a caller's request and of the response to it. */
-import type { Gauge as GaugeDefinition } from '@rattanreel/observability';
+import type { ErrorOrigin, Gauge as GaugeDefinition } from '@rattanreel/observability';
 import type { BackendServerId, Clock, Milliseconds, PoolId } from '@rattanreel/core';
 import type {
   QuotaFigures,
@@ -131,6 +131,7 @@
   countUnsent(reason: string): void;
   observeDuration(plan: RequestPlan, now: number): void;
   addGauge(gauge: GaugeDefinition): void;
+  countError(origin: ErrorOrigin): void;
   countHedge(result: HedgeResult): void;
   observeHedgeDelay(delay: Milliseconds): void;
   scrape(): Promise<string>;
--- /dev/null
+++ b/packages/relay/src/peers/isHostMessage.ts
@@ -0,0 +1,24 @@
+import type { HostSummary } from '../types';
+import type { HostMessage } from './types';
+
+const SUMMARY_PARTS = ['inFlight', 'tiers', 'waiting'] as const;
+
+function isObject(value: unknown): value is object {
+  return typeof value === 'object' && value !== null;
+}
+
+/**
+ * Returns whether a peer's message has the parts that are read after its arrival, when what is
+ * missing could no longer be blamed on it. All other parts may be absent, as in other versions.
+ */
+export default function isHostMessage(body: unknown): body is HostMessage {
+  if (!isObject(body)) {
+    return false;
+  }
+  const { kind, ...parts } = body as Partial<Omit<HostSummary, 'kind'>> & { kind?: unknown };
+  return (
+    typeof kind === 'string' &&
+    ((kind !== 'summary' && kind !== 'change') ||
+      (typeof parts.entryHost === 'string' && SUMMARY_PARTS.every((part) => isObject(parts[part]))))
+  );
+}
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -13,7 +13,7 @@
   TierRank,
   VersionId,
 } from '@rattanreel/core';
-import type { Logger } from '@rattanreel/observability';
+import type { ErrorRecorder, Logger } from '@rattanreel/observability';
 
 /** Identifier of a part of a prompt; equal parts of two prompts have the same one. */
 export type PromptPartId = string;
@@ -607,6 +607,7 @@
 
 /** A running relay. */
 export interface RelayHost {
+  readonly recordError: ErrorRecorder;
   /** Applies limits that were changed by a reload of the settings. */
   applyBounds(bounds: RelayBounds): void;
   /**
--- a/packages/transport/src/createPeerConnection.ts
+++ b/packages/transport/src/createPeerConnection.ts
@@ -1,14 +1,15 @@
 import { makeGenericClientConstructor, status } from '@grpc/grpc-js';
-import type {
-  ChannelCredentials,
-  ClientDuplexStream,
-  ClientReadableStream,
-  ServiceError,
-} from '@grpc/grpc-js';
+import type { ClientDuplexStream, ClientReadableStream, ServiceError } from '@grpc/grpc-js';
 import { fail, ok } from '@rattanreel/core';
 import type { Milliseconds, Outcome } from '@rattanreel/core';
 import maximumMessageBytes from './maximumMessageBytes';
-import type { Envelope, PeerConnection, PeerError, PeerService, TaskListener } from './types';
+import type {
+  Envelope,
+  PeerConnection,
+  PeerConnectionOptions,
+  PeerError,
+  TaskListener,
+} from './types';
 
 const KEEPALIVE_INTERVAL_MS = 1_000;
 const KEEPALIVE_TIMEOUT_MS = 1_000;
@@ -25,14 +26,10 @@
 
 /**
  * Creates a connection to one peer. It reconnects automatically and detects dead connections by
- * keepalive. `onMessage` receives what the peer sends back on the stream of messages.
+ * keepalive.
  */
-export default function createPeerConnection(
-  address: string,
-  credentials: ChannelCredentials,
-  service: PeerService,
-  onMessage: (envelope: Envelope<unknown>) => void,
-): PeerConnection {
+export default function createPeerConnection(options: PeerConnectionOptions): PeerConnection {
+  const { address, credentials, service, guard, onMessage } = options;
   const PeerClient = makeGenericClientConstructor({ ...service }, 'Peer');
   const client = new PeerClient(address, credentials, {
     'grpc.keepalive_time_ms': KEEPALIVE_INTERVAL_MS,
@@ -54,7 +51,9 @@
         stream = undefined;
       }
     };
-    opened.on('data', onMessage);
+    opened.on('data', (envelope: Envelope<unknown>) =>
+      guard.tryRun('message', () => onMessage(envelope)),
+    );
     opened.on('error', forget);
     opened.on('end', forget);
     return opened;
@@ -98,7 +97,7 @@
         call = client.perform!(envelope) as ClientReadableStream<Envelope<unknown>>;
         call.on('data', ({ body }: Envelope<unknown>) => {
           if (!isEnded) {
-            listener.onProgress(body);
+            guard.tryRun('progress', () => listener.onProgress(body));
           }
         });
         call.on('error', () => end('ended'));
--- a/packages/transport/src/createPeerTransport.test.ts
+++ b/packages/transport/src/createPeerTransport.test.ts
@@ -2,11 +2,15 @@
 import { expect } from 'earl';
 import { Debug } from '@rattanreel/core';
 import createPeerTransport from './createPeerTransport';
-import type { Envelope, PeerTransport } from './types';
+import type { Envelope, HandledInput, PeerTransport } from './types';
 
 /** More than gRPC lets pass by default. */
 const LARGE_TASK = 6_000_000;
 
+function throwError(_input: HandledInput, error: unknown): never {
+  throw error;
+}
+
 async function startTransport(
   entryHost: string,
   received: Envelope<string>[],
@@ -17,6 +21,7 @@
     security: { kind: 'plainLoopback' },
     onMessage: (envelope) => received.push(envelope),
     onQuestion: async (envelope) => `${envelope.body} heard by ${entryHost}`,
+    onHandlerError: throwError,
   });
   return Debug.checkDefined(outcome.kind === 'ok' ? outcome.value : undefined, 'transport');
 }
@@ -50,6 +55,7 @@
       security: { kind: 'plainLoopback' },
       onMessage: ({ body }, respond) => respond(`${body} received`),
       onQuestion: async () => '',
+      onHandlerError: throwError,
     });
     const right = Debug.checkDefined(outcome.kind === 'ok' ? outcome.value : undefined, 'right');
     const received: Envelope<string>[] = [];
@@ -81,6 +87,7 @@
       security: { kind: 'plainLoopback' },
       onMessage: () => undefined,
       onQuestion: async () => '',
+      onHandlerError: throwError,
     });
     expect(outcome).toEqual({
       kind: 'error',
@@ -123,6 +130,7 @@
           security: { kind: 'plainLoopback' },
           onMessage: () => undefined,
           onQuestion: async () => '',
+          onHandlerError: throwError,
           onTask({ body }, reporter) {
             expect(body.length).toEqual(LARGE_TASK);
             reports.forEach((report) => reporter.report(report));
@@ -150,3 +158,80 @@
     });
   });
 });
+
+const INVALID_ADDRESSES = ['', ':', '127.0.0.1', '127.0.0.\ufffd:7', '127.0.0.1:99999', 'host:1'];
+
+// Guards against an entry of another host whose address ends each host that sends to it.
+describe('addresses of createPeerTransport', () => {
+  INVALID_ADDRESSES.forEach((address) => {
+    it(`reaches nobody at ${JSON.stringify(address)}`, async () => {
+      const left = await startTransport('left', []);
+      left.send(address, 'one');
+      const answer = await left.ask(address, 'two');
+      const end = await new Promise((resolve) => {
+        left.perform(
+          address,
+          undefined as never,
+          { onProgress: () => undefined, onEnd: resolve },
+          100,
+        );
+      });
+      expect(answer.kind === 'error' && answer.error.kind).toEqual('unreachable');
+      expect(end).toEqual('unreachable');
+      await left.close();
+    });
+  });
+});
+
+const handledInputs: readonly HandledInput[] = ['message', 'question', 'task', 'progress'];
+
+// Guards against a peer that ends this process by what it sends.
+describe('handlers of createPeerTransport', () => {
+  handledInputs.forEach((failing) => {
+    it(`outlives an exception while it handles a ${failing}`, async () => {
+      const errors: string[] = [];
+      const failIf = (input: HandledInput): void => {
+        if (input === failing) {
+          throw new Error('cannot be handled');
+        }
+      };
+      const create = async (entryHost: string) => {
+        const outcome = await createPeerTransport<string, string, string, string, string>({
+          identity: { entryHost, incarnation: `${entryHost}-1` },
+          listenAddress: '127.0.0.1:0',
+          security: { kind: 'plainLoopback' },
+          onMessage: () => failIf('message'),
+          async onQuestion() {
+            failIf('question');
+            return 'answer';
+          },
+          onTask(_, reporter) {
+            failIf('task');
+            reporter.report('one');
+            reporter.end();
+            return () => undefined;
+          },
+          onHandlerError: (input) => errors.push(input),
+        });
+        return Debug.checkDefined(outcome.kind === 'ok' ? outcome.value : undefined, 'transport');
+      };
+      const left = await create('left');
+      const right = await create('right');
+      left.send(right.address, 'one');
+      const answer = await left.ask(right.address, 'two');
+      const end = await new Promise((resolve) => {
+        left.perform(
+          right.address,
+          'three',
+          { onProgress: () => failIf('progress'), onEnd: resolve },
+          1_000,
+        );
+      });
+      expect(answer.kind).toEqual(failing === 'question' ? 'error' : 'ok');
+      expect(end).toEqual('ended');
+      expect(errors).toEqual([failing]);
+      await left.close();
+      await right.close();
+    });
+  });
+});
--- a/packages/transport/src/createPeerTransport.ts
+++ b/packages/transport/src/createPeerTransport.ts
@@ -6,9 +6,10 @@
   ServerWritableStream,
   UntypedServiceImplementation,
 } from '@grpc/grpc-js';
-import { fail, ok } from '@rattanreel/core';
+import { fail, ok, parseAddress } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import createPeerConnection from './createPeerConnection';
+import createHandlerGuard from './createHandlerGuard';
 import createPeerCredentials from './createPeerCredentials';
 import isLoopbackAddress from './isLoopbackAddress';
 import createPeerService from './createPeerService';
@@ -50,6 +51,7 @@
     return fail({ kind: 'plainTextOffLoopback', address: listenAddress });
   }
   const peerCredentials = createPeerCredentials(security);
+  const guard = createHandlerGuard(options.onHandlerError);
   const connections = new Map<string, PeerConnection>();
   let closed = false;
   const traffic = { messagesSent: 0, bytesSent: 0, messagesReceived: 0, bytesReceived: 0 };
@@ -65,13 +67,21 @@
     },
   });
 
-  function getOrCreateConnection(address: string): PeerConnection {
+  /** Returns undefined after `close`, and for an address to which nothing can be sent. */
+  function tryGetConnection(address: string): PeerConnection | undefined {
     let connection = connections.get(address);
-    if (connection === undefined) {
-      const send = (message: Message): void => connection!.send({ from: identity, body: message });
-      connection = createPeerConnection(address, peerCredentials.client, service, (envelope) =>
-        onMessage(envelope as Envelope<Message>, send),
-      );
+    if (closed) {
+      return undefined;
+    }
+    if (connection === undefined && parseAddress(address).kind === 'address') {
+      const send = (message: Message): void => connection?.send({ from: identity, body: message });
+      connection = createPeerConnection({
+        address,
+        credentials: peerCredentials.client,
+        service,
+        guard,
+        onMessage: (envelope) => onMessage(envelope as Envelope<Message>, send),
+      });
       connections.set(address, connection);
     }
     return connection;
@@ -84,7 +94,9 @@
           call.write({ from: identity, body: message });
         }
       };
-      call.on('data', (envelope: Envelope<Message>) => onMessage(envelope, respond));
+      call.on('data', (envelope: Envelope<Message>) =>
+        guard.tryRun('message', () => onMessage(envelope, respond)),
+      );
       call.on('end', () => call.end());
       call.on('error', () => call.removeAllListeners('data'));
     },
@@ -92,21 +104,30 @@
       call: ServerUnaryCall<Envelope<unknown>, Envelope<unknown>>,
       reply: sendUnaryData<Envelope<unknown>>,
     ) {
-      onQuestion(call.request as Envelope<Question>).then(
+      const answered = async (): Promise<Answer> => onQuestion(call.request as Envelope<Question>);
+      answered().then(
         (answer) => reply(null, { from: identity, body: answer }),
-        (error: Error) => reply(error),
+        (error: Error) => {
+          options.onHandlerError('question', error);
+          reply(error);
+        },
       );
     },
     perform(call: ServerWritableStream<Envelope<unknown>, Envelope<unknown>>) {
-      if (options.onTask === undefined) {
+      const { onTask } = options;
+      const cancel =
+        onTask &&
+        guard.tryRun('task', () =>
+          onTask(call.request as Envelope<Task>, {
+            report: (progress) => call.destroyed || call.write({ from: identity, body: progress }),
+            onDrain: (listener) => call.on('drain', listener),
+            end: () => call.end(),
+          }),
+        );
+      if (cancel === undefined) {
         call.end();
         return;
       }
-      const cancel = options.onTask(call.request as Envelope<Task>, {
-        report: (progress) => call.destroyed || call.write({ from: identity, body: progress }),
-        onDrain: (listener) => call.on('drain', listener),
-        end: () => call.end(),
-      });
       call.on('cancelled', cancel);
       call.on('error', cancel);
     },
@@ -134,32 +155,26 @@
   return ok({
     address: `${hostOf(listenAddress)}:${port}`,
     send(peerAddress, message) {
-      if (closed) {
-        return;
-      }
-      getOrCreateConnection(peerAddress).send({ from: identity, body: message });
+      tryGetConnection(peerAddress)?.send({ from: identity, body: message });
     },
     async ask(peerAddress, question, timeout = options.answerTimeout ?? DEFAULT_ANSWER_TIMEOUT_MS) {
-      if (closed) {
-        return fail({ kind: 'unreachable', detail: 'the transport is closed' });
+      const connection = tryGetConnection(peerAddress);
+      if (connection === undefined) {
+        const detail = closed ? 'the transport is closed' : 'the address is invalid';
+        return fail({ kind: 'unreachable', detail });
       }
-      const outcome = await getOrCreateConnection(peerAddress).ask(
-        { from: identity, body: question },
-        timeout,
-      );
+      const outcome = await connection.ask({ from: identity, body: question }, timeout);
       return outcome as Outcome<Answer, PeerError>;
     },
     perform(peerAddress, task, listener, connectTimeout) {
-      if (closed) {
-        listener.onEnd('unreachable');
+      const connection = tryGetConnection(peerAddress);
+      if (connection === undefined) {
+        // Later, since the caller does not have the task yet.
+        queueMicrotask(() => listener.onEnd('unreachable'));
         const ignore = (): void => undefined;
         return { cancel: ignore, pause: ignore, resume: ignore };
       }
-      return getOrCreateConnection(peerAddress).perform(
-        { from: identity, body: task },
-        listener,
-        connectTimeout,
-      );
+      return connection.perform({ from: identity, body: task }, listener, connectTimeout);
     },
     traffic: () => ({ ...traffic }),
     async close() {
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,6 +1,7 @@
 /** Typed messages between entry hosts, over gRPC with MessagePack bodies. */
 export type {
   Envelope,
+  HandledInput,
   PeerError,
   PeerIdentity,
   PeerSecurity,
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -69,6 +69,9 @@
   end(): void;
 }
 
+/** What a handler was called with when it threw. */
+export type HandledInput = 'message' | 'question' | 'task' | 'progress';
+
 export interface PeerTransportOptions<Message, Question, Answer, Task = never, Progress = never> {
   readonly identity: PeerIdentity;
   /** Address to listen on, as host:port; port 0 chooses any free port. */
@@ -82,6 +85,11 @@
   readonly onQuestion: (envelope: Envelope<Question>) => Promise<Answer>;
   /** Begins a task of a peer; returns the function that is called if the peer cancels it. */
   readonly onTask?: (envelope: Envelope<Task>, reporter: TaskReporter<Progress>) => () => void;
+  /**
+   * Called when a handler throws on what a peer sent. A message is dropped then, a question is
+   * answered with an error, and a task ends.
+   */
+  readonly onHandlerError: (input: HandledInput, error: unknown) => void;
   /** Longest wait for an answer. */
   readonly answerTimeout?: Milliseconds;
 }
@@ -151,3 +159,19 @@
   readonly ask: MethodDefinition<Envelope<unknown>, Envelope<unknown>>;
   readonly perform: MethodDefinition<Envelope<unknown>, Envelope<unknown>>;
 }
+
+/** Runs handlers so that an exception ends nothing but the handling of what a peer sent. */
+export interface HandlerGuard {
+  /** Returns the result of the handler; undefined if it throws. */
+  tryRun<Result>(input: HandledInput, handler: () => Result): Result | undefined;
+}
+
+export interface PeerConnectionOptions {
+  /** IP:PORT. */
+  readonly address: string;
+  readonly credentials: ChannelCredentials;
+  readonly service: PeerService;
+  readonly guard: HandlerGuard;
+  /** Receives what the peer sends back on the stream of messages. */
+  readonly onMessage: (envelope: Envelope<unknown>) => void;
+}
