Fail responses without a length that are reset

Cause: with the last bytes and the reset both there when the event loop polls, the socket emits `end` and no `error`, and the detector knew the error only.

Change: at `end`, before any other listener, the socket is asked for its peer, which it no longer has after a reset. The connector moves to the package connections, so that plain services of `serve` are held to the same.

--- a/packages/dispatch/src/createServiceClient.ts
+++ b/packages/dispatch/src/createServiceClient.ts
@@ -1,5 +1,6 @@
 import { Agent, Client } from 'undici';
 import type { Dispatcher } from 'undici';
+import { createTrackedConnector, guardResponses } from '@rattanreel/connections';
 import { fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import toBackendServerError from './toBackendServerError';
@@ -38,17 +39,20 @@
 
 /** Creates a client of plain services; it never retries a call itself. */
 export default function createServiceClient(): ServiceClient {
-  const agent = new Agent({ pipelining: 1, connect: { timeout: CONNECT_TIMEOUT_MS } });
+  const connector = createTrackedConnector({ timeout: CONNECT_TIMEOUT_MS });
+  const guard = guardResponses(connector);
+  const agent = new Agent({ pipelining: 1, connect: connector.connect });
+  const pooled = agent.compose(guard);
   return {
     async call(options) {
       if (!options.dedicatedConnection) {
-        return sendRequest(agent, options);
+        return sendRequest(pooled, options);
       }
       const client = new Client(options.address, {
         pipelining: 1,
-        connect: { timeout: CONNECT_TIMEOUT_MS },
+        connect: connector.connect,
       });
-      const outcome = await sendRequest(client, options);
+      const outcome = await sendRequest(client.compose(guard), options);
       await client.destroy();
       return outcome;
     },
--- a/packages/relay/src/servers/createServerConnections.test.ts
+++ b/packages/relay/src/servers/createServerConnections.test.ts
@@ -9,6 +9,8 @@
 
 const HEAD = 'HTTP/1.1 200 OK\r\nx-id: r1\r\n';
 
+const LARGE_BODY = Buffer.alloc(2_000_000, 'x');
+
 interface Case {
   readonly name: string;
   /** Responds to the request as the backend server. */
@@ -16,6 +18,101 @@
   readonly kind: AttemptOutcome['kind'];
 }
 
+/** Writes a response, and ends it once its last byte is written. */
+function writeAndEnd(
+  bytes: string | Buffer,
+  end: 'close' | 'reset' | 'resetLater',
+): (socket: Socket) => void {
+  return (socket) =>
+    socket.write(bytes, () => {
+      switch (end) {
+        case 'close':
+          socket.end();
+          return;
+        case 'reset':
+          socket.resetAndDestroy();
+          return;
+        case 'resetLater':
+          setTimeout(() => socket.resetAndDestroy(), 20);
+          return;
+        default:
+          end satisfies never;
+      }
+    });
+}
+
+const UNFRAMED = `${HEAD}connection: close\r\n\r\n`;
+const UNFRAMED_LARGE = Buffer.concat([Buffer.from(UNFRAMED), LARGE_BODY]);
+const CHUNKED = `${HEAD}connection: close\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n`;
+const WITH_LENGTH = `${HEAD}connection: close\r\ncontent-length: 2\r\n\r\nok`;
+
+// Guards against a response without a length that was reset and passes as whole.
+const endCases: readonly Case[] = [
+  {
+    name: 'a response without a length',
+    respond: writeAndEnd(`${UNFRAMED}ok`, 'close'),
+    kind: 'whole',
+  },
+  {
+    name: 'a response without a length or body',
+    respond: writeAndEnd(UNFRAMED, 'close'),
+    kind: 'whole',
+  },
+  {
+    name: 'a large response without a length',
+    respond: writeAndEnd(UNFRAMED_LARGE, 'close'),
+    kind: 'whole',
+  },
+  {
+    name: 'a response without a length that is reset with its last bytes',
+    respond: writeAndEnd(`${UNFRAMED}ok`, 'reset'),
+    kind: 'broken',
+  },
+  {
+    name: 'a response without a length that is reset after its head',
+    respond: writeAndEnd(UNFRAMED, 'reset'),
+    kind: 'broken',
+  },
+  {
+    name: 'a response without a length that is reset later',
+    respond: writeAndEnd(`${UNFRAMED}ok`, 'resetLater'),
+    kind: 'broken',
+  },
+  {
+    name: 'a large response without a length that is reset with its last bytes',
+    respond: writeAndEnd(UNFRAMED_LARGE, 'reset'),
+    kind: 'broken',
+  },
+  {
+    name: 'a response whose server closes with bytes that it has not read',
+    respond(socket) {
+      socket.pause();
+      socket.write(`${UNFRAMED}ok`, () => setTimeout(() => socket.resetAndDestroy(), 1));
+    },
+    kind: 'broken',
+  },
+  {
+    name: 'a chunked response that is closed',
+    respond: writeAndEnd(CHUNKED, 'close'),
+    kind: 'broken',
+  },
+  {
+    name: 'a chunked response that is reset',
+    respond: writeAndEnd(CHUNKED, 'reset'),
+    kind: 'broken',
+  },
+  {
+    name: 'a whole chunked response that is reset afterwards',
+    respond: writeAndEnd(`${CHUNKED}0\r\n\r\n`, 'reset'),
+    kind: 'whole',
+  },
+  {
+    name: 'a response of its full length that is reset afterwards',
+    respond: writeAndEnd(WITH_LENGTH, 'reset'),
+    kind: 'whole',
+  },
+];
+
 const cases: readonly Case[] = [
   {
     name: 'a response of its full length',
@@ -101,17 +198,29 @@
 
   afterEach(() => server?.close());
 
+  /** Starts a server that responds to the first request of each connection; returns its port. */
+  async function start(respond: Case['respond']): Promise<number> {
+    server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => respond(socket));
+    });
+    await new Promise<void>((resolve) => {
+      server!.listen(0, '127.0.0.1', resolve);
+    });
+    return (server.address() as AddressInfo).port;
+  }
+
   cases.forEach(({ name, respond, kind }) => {
     it(`ends an attempt as ${kind} for ${name}`, async () => {
-      server = createServer((socket) => {
-        socket.on('error', () => undefined);
-        socket.once('data', () => respond(socket));
-      });
-      await new Promise<void>((resolve) => {
-        server!.listen(0, '127.0.0.1', resolve);
-      });
-      const end = await send((server.address() as AddressInfo).port);
-      expect(end.kind).toEqual(kind);
+      expect((await send(await start(respond))).kind).toEqual(kind);
+    });
+  });
+
+  endCases.forEach(({ name, respond, kind }) => {
+    it(`ends each attempt as ${kind} for ${name}`, async () => {
+      const port = await start(respond);
+      const ends = await Promise.all(Array.from({ length: 20 }, () => send(port)));
+      expect(ends.map((end) => end.kind)).toEqual(ends.map(() => kind));
     });
   });
 
--- a/packages/relay/src/servers/createServerConnections.ts
+++ b/packages/relay/src/servers/createServerConnections.ts
@@ -1,7 +1,7 @@
 import { Pool } from 'undici';
+import { createTrackedConnector } from '@rattanreel/connections';
 import type { BackendServerId, Milliseconds } from '@rattanreel/core';
 import type { LoopDelay } from '../lateness/types';
-import createResetDetector from './createResetDetector';
 import checkListening from './checkListening';
 import sendOnce from './sendOnce';
 import type { ServerConnections } from './types';
@@ -35,7 +35,7 @@
   options: ServerConnectionsOptions,
 ): ServerConnections {
   const connectionsByServer = new Map<BackendServerId, ServerConnection>();
-  const resetDetector = createResetDetector(CONNECT_TIMEOUT);
+  const connector = createTrackedConnector({ timeout: CONNECT_TIMEOUT });
 
   function closeGracefully(server: ServerConnection): void {
     // Requests in flight complete first; a failure to close leaves nothing to clean up.
@@ -54,7 +54,7 @@
     const pool = new Pool(`http://${server.address}`, {
       connections: server.slots * CONNECTIONS_PER_SLOT,
       pipelining: 1,
-      connect: resetDetector.connect,
+      connect: connector.connect,
       keepAliveTimeout: IDLE_TIMEOUT,
       headersTimeout: 0,
       bodyTimeout: 0,
@@ -72,7 +72,7 @@
         request,
         sink,
         clock: options.loopDelay.clock,
-        isConnectionFailing: resetDetector.isFailing,
+        connector,
         loopDelay: options.loopDelay,
       }),
     checkListening,
--- a/packages/relay/src/servers/sendOnce.ts
+++ b/packages/relay/src/servers/sendOnce.ts
@@ -1,4 +1,6 @@
 import type { Dispatcher } from 'undici';
+import { isDelimitedByClose } from '@rattanreel/connections';
+import type { TrackedConnector } from '@rattanreel/connections';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { AbortReason, AttemptOutcome } from '../types';
 import type { LoopDelay } from '../lateness/types';
@@ -23,15 +25,14 @@
 const HTTP_MULTIPLE_CHOICES = 300;
 const HTTP_MISDIRECTED = 421;
 const HTTP_UNAVAILABLE = 503;
-const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
 
 interface SendOnceOptions {
   readonly dispatcher: Dispatcher;
   readonly request: AttemptRequest;
   readonly sink: AttemptSink;
   readonly clock: Clock;
-  /** Returns whether the response that ends now ends because its connection failed. */
-  readonly isConnectionFailing: () => boolean;
+  /** Opens the connections of the dispatcher. */
+  readonly connector: Pick<TrackedConnector, 'isReset'>;
   readonly loopDelay: Pick<LoopDelay, 'afterPendingEvents' | 'afterSilence'>;
 }
 
@@ -45,14 +46,6 @@
   return isSuccess ? 'success without the request identifier' : undefined;
 }
 
-function isDelimitedByClose(status: number, headers: ResponseHead['headers']): boolean {
-  return (
-    headers['content-length'] === undefined &&
-    headers['transfer-encoding'] === undefined &&
-    !BODILESS_STATUSES.has(status)
-  );
-}
-
 function hasNotRunMark(head: ResponseHead, request: AttemptRequest): boolean {
   return head.status === HTTP_MISDIRECTED || head.headers[request.notRunHeader] !== undefined;
 }
@@ -63,7 +56,7 @@
  * on it cannot be attributed to any request.
  */
 export default function sendOnce(options: SendOnceOptions): Attempt {
-  const { dispatcher, request, sink, clock, loopDelay } = options;
+  const { dispatcher, request, sink, clock, connector, loopDelay } = options;
   let controller: Dispatcher.DispatchController | undefined;
   let head: ResponseHead | undefined;
   let isNotRun = false;
@@ -166,7 +159,7 @@
           if (head === undefined) {
             return;
           }
-          if (!isNotRun && options.isConnectionFailing()) {
+          if (!isNotRun && head.isDelimitedByClose && connector.isReset()) {
             end({ kind: 'broken', reason: 'reset before the end' });
             return;
           }
--- a/scripts/undiciDispatchers.cjs
+++ b/scripts/undiciDispatchers.cjs
@@ -4,7 +4,8 @@
 const Pool = require('undici/lib/dispatcher/pool');
 const buildConnector = require('undici/lib/core/connect');
 const api = require('undici/lib/api');
+const errors = require('undici/lib/core/errors');
 
 Object.assign(Dispatcher.prototype, api);
 
-module.exports = { Client, Pool, buildConnector };
+module.exports = { Client, Pool, buildConnector, errors };
