Pause the connection of a slow reader, not undici's parser

Callers saw: the process ended, and every request in flight on it was cut, when a server ended or reset the connection of a response that a slow caller had paused and that had no length or said `connection: close`.

Cause: undici pauses its parser and asserts, in events of the socket, that it is not paused when the connection ends.

Change: the connector withholds arrived data while the reader is slow. Relay attempts and all clients of `request` that may pause use it.

--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -1,4 +1,4 @@
-/** Connections to backend servers: how they end. */
+/** Connections to backend servers: how they end, and how reading from them is paused. */
 export type * from './types';
 export { default as createTrackedConnector } from './createTrackedConnector';
 export { default as guardResponses } from './guardResponses';
--- a/packages/connections/src/types.ts
+++ b/packages/connections/src/types.ts
@@ -9,10 +9,12 @@
 
 /**
  * Opens connections for undici and tracks each one. undici calls the handler of a response while it
- * handles an event of the response's connection; `isReset` refers to that connection.
+ * handles an event of the response's connection; the methods below refer to that connection.
  */
 export interface TrackedConnector {
   readonly connect: buildConnector.connector;
   /** Returns whether the connection was reset or failed, and so not closed by the server. */
   isReset(): boolean;
+  /** Stops reading from the connection; returns the function that reads on. */
+  pause(): () => void;
 }
--- a/packages/dispatch/src/brokenResponses.test.ts
+++ b/packages/dispatch/src/brokenResponses.test.ts
@@ -1,11 +1,18 @@
 import { createServer } from 'node:net';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
+import createEngineClient from './createEngineClient';
 import createServiceClient from './createServiceClient';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nconnection: close\r\n';
 const WITH_LENGTH = `${HEAD}content-length: 6\r\n\r\nbooked`;
+const EVENT = `id: 1\ndata: ${'x'.repeat(60_000)}\n\n`;
+/** More than fits into the buffers between the server and a reader that is slow. */
+const EVENTS = 8;
+/** Time for which a slow reader takes no events. */
+const PAUSE = 100;
 
 type End = 'close' | 'reset';
 
@@ -69,4 +76,31 @@
       });
     });
   });
+
+  // Guards against a stream that ends while its reader is slow, which ended the process.
+  (['close', 'reset'] as const).forEach((end) => {
+    it(`ends a stream that is ended by a ${end} while its reader is slow`, async () => {
+      const address = await start(`${HEAD}\r\n${EVENT.repeat(EVENTS)}`, end);
+      const client = createEngineClient();
+      const opened = await client.openStream({
+        address,
+        request: 'r1',
+        body: '{}',
+        headersTimeout: 1_000,
+        idleTimeout: 1_000,
+        signal: new AbortController().signal,
+      });
+      let events = 0;
+      const read = async (): Promise<string> => {
+        for await (const batch of opened.kind === 'ok' ? opened.value : []) {
+          events += batch.length;
+          await sleep(PAUSE);
+        }
+        return 'close';
+      };
+      expect(await read().catch(() => 'reset')).toEqual(end);
+      expect(events).toEqual(end === 'close' ? EVENTS : expect.a(Number));
+      await client.close();
+    });
+  });
 });
--- a/packages/dispatch/src/createEngineClient.ts
+++ b/packages/dispatch/src/createEngineClient.ts
@@ -1,5 +1,6 @@
 import { Agent } from 'undici';
 import type { Dispatcher } from 'undici';
+import { createTrackedConnector, guardResponses } from '@rattanreel/connections';
 import { fail, ok } from '@rattanreel/core';
 import type { Milliseconds, Outcome } from '@rattanreel/core';
 import readStreamEvents from './readStreamEvents';
@@ -17,11 +18,12 @@
 
 /** Creates a client of model engines; each keep-alive connection carries one request at a time. */
 export default function createEngineClient(): EngineClient {
+  const connector = createTrackedConnector({ timeout: CONNECT_TIMEOUT_MS });
   const agent = new Agent({
     // One request per connection, so that a broken connection affects that request only.
     pipelining: 1,
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-  });
+    connect: connector.connect,
+  }).compose(guardResponses(connector));
 
   async function requestStream(
     address: string,
--- a/packages/platform/src/createHttpClient.ts
+++ b/packages/platform/src/createHttpClient.ts
@@ -1,4 +1,6 @@
 import { Pool } from 'undici';
+import type { Dispatcher } from 'undici';
+import { createTrackedConnector, guardResponses } from '@rattanreel/connections';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { HttpCall, HttpClient, HttpReply } from './types';
 
@@ -29,23 +31,24 @@
  */
 export default function createHttpClient(options: HttpClientOptions): HttpClient {
   const { url, clock } = options;
+  const connector = createTrackedConnector({ timeout: CONNECT_TIMEOUT });
   let pool = openPool();
-  const retired = new Set<Pool>();
+  const retired = new Set<Dispatcher>();
 
-  function openPool(): Pool {
+  function openPool(): Dispatcher {
     return new Pool(url, {
       connections: MAXIMUM_CONNECTIONS,
       pipelining: 1,
-      connect: { timeout: CONNECT_TIMEOUT },
+      connect: connector.connect,
       keepAliveTimeout: IDLE_TIMEOUT,
-    });
+    }).compose(guardResponses(connector));
   }
 
   /**
    * Replaces a pool whose connections may all be dead. Calls still waiting on them end by their own
    * timeouts.
    */
-  function retirePool(usedPool: Pool): void {
+  function retirePool(usedPool: Dispatcher): void {
     if (usedPool !== pool) {
       return;
     }
@@ -58,7 +61,7 @@
   }
 
   async function sendRequest(
-    usedPool: Pool,
+    usedPool: Dispatcher,
     call: HttpCall,
     signal: AbortSignal,
   ): Promise<HttpReply> {
--- a/packages/platform/src/openHttpWatch.ts
+++ b/packages/platform/src/openHttpWatch.ts
@@ -1,5 +1,6 @@
 import { createInterface } from 'node:readline';
 import { Client } from 'undici';
+import { createTrackedConnector, guardResponses } from '@rattanreel/connections';
 import type { Milliseconds } from '@rattanreel/core';
 import schemas from './schemas';
 import type { Watch, WatchLine, WatchRequest } from './types';
@@ -42,12 +43,13 @@
 /** Opens one watch on its own connection, so that a dead connection is never used again. */
 export default function openHttpWatch(options: HttpWatchOptions): Watch {
   const { listener } = options;
+  const connector = createTrackedConnector({ timeout: CONNECT_TIMEOUT });
   const client = new Client(options.url, {
-    connect: { timeout: CONNECT_TIMEOUT },
+    connect: connector.connect,
     headersTimeout: HEADERS_TIMEOUT,
     // The owner of the watch detects idle connections.
     bodyTimeout: 0,
-  });
+  }).compose(guardResponses(connector));
 
   async function readLines(): Promise<WatchLine> {
     const response = await client.request({ method: 'GET', path: getPath(options.request) });
--- a/packages/relay/src/servers/createServerConnections.test.ts
+++ b/packages/relay/src/servers/createServerConnections.test.ts
@@ -6,10 +6,13 @@
 import createLoopDelay from '../lateness/createLoopDelay';
 import type { AttemptOutcome, ListedServer } from '../types';
 import createServerConnections from './createServerConnections';
+import type { ServerConnections } from './types';
 
 const HEAD = 'HTTP/1.1 200 OK\r\nx-id: r1\r\n';
 
 const LARGE_BODY = Buffer.alloc(2_000_000, 'x');
+/** Time for which a slow caller reads nothing. */
+const PAUSE = 150;
 
 interface Case {
   readonly name: string;
@@ -169,12 +172,23 @@
   };
 }
 
-async function send(port: number): Promise<AttemptOutcome> {
-  const connections = createServerConnections({
+interface SendOptions {
+  readonly port: number;
+  /** Whether the caller reads nothing for a while after each piece. */
+  readonly isSlow?: boolean;
+  readonly connections?: ServerConnections;
+}
+
+function createConnections(): ServerConnections {
+  return createServerConnections({
     loopDelay: createLoopDelay({ clock: createSystemClock() }),
   });
+}
+
+async function send(options: SendOptions): Promise<AttemptOutcome> {
+  const { port, isSlow = false, connections = createConnections() } = options;
   const end = await new Promise<AttemptOutcome>((resolve) => {
-    connections.send(
+    const attempt = connections.send(
       createListed(port),
       {
         requestId: 'r1',
@@ -186,10 +200,21 @@
         notRunHeader: 'x-not-run',
         retryAfterHeader: 'retry-after',
       },
-      { onHead: () => undefined, onData: () => true, onEnd: resolve },
+      {
+        onHead: () => undefined,
+        onData() {
+          if (isSlow) {
+            setTimeout(() => attempt.resume(), PAUSE);
+          }
+          return !isSlow;
+        },
+        onEnd: resolve,
+      },
     );
   });
-  await connections.close();
+  if (options.connections === undefined) {
+    await connections.close();
+  }
   return end;
 }
 
@@ -212,16 +237,34 @@
 
   cases.forEach(({ name, respond, kind }) => {
     it(`ends an attempt as ${kind} for ${name}`, async () => {
-      expect((await send(await start(respond))).kind).toEqual(kind);
+      expect((await send({ port: await start(respond) })).kind).toEqual(kind);
     });
   });
 
   endCases.forEach(({ name, respond, kind }) => {
     it(`ends each attempt as ${kind} for ${name}`, async () => {
       const port = await start(respond);
-      const ends = await Promise.all(Array.from({ length: 20 }, () => send(port)));
+      const ends = await Promise.all(Array.from({ length: 20 }, () => send({ port })));
       expect(ends.map((end) => end.kind)).toEqual(ends.map(() => kind));
     });
+
+    // Guards against a connection that ends while it is paused, which ended the process.
+    it(`ends an attempt of a slow caller as ${kind} for ${name}`, async () => {
+      expect((await send({ port: await start(respond), isSlow: true })).kind).toEqual(kind);
+    });
+  });
+
+  it('reads the next response on a connection that was paused at the end of the last one', async () => {
+    const port = await start((socket) => {
+      const respond = (): boolean => socket.write(`${HEAD}content-length: 2\r\n\r\nok`);
+      socket.on('data', respond);
+      respond();
+    });
+    const connections = createConnections();
+    const first = await send({ port, isSlow: true, connections });
+    const second = await send({ port, isSlow: true, connections });
+    expect([first.kind, second.kind]).toEqual(['whole', 'whole']);
+    await connections.close();
   });
 
   it('reads for how long a full server wants no other request', async () => {
@@ -235,11 +278,11 @@
     await new Promise<void>((resolve) => {
       server!.listen(0, '127.0.0.1', resolve);
     });
-    const end = await send((server.address() as AddressInfo).port);
+    const end = await send({ port: (server.address() as AddressInfo).port });
     expect(end).toEqual({ kind: 'notRun', status: 503, retryAfter: 1_500 });
   });
 
   it('reports a refused connection as not connected', async () => {
-    expect((await send(1)).kind).toEqual('notConnected');
+    expect((await send({ port: 1 })).kind).toEqual('notConnected');
   });
 });
--- a/packages/relay/src/servers/sendOnce.ts
+++ b/packages/relay/src/servers/sendOnce.ts
@@ -32,7 +32,7 @@
   readonly sink: AttemptSink;
   readonly clock: Clock;
   /** Opens the connections of the dispatcher. */
-  readonly connector: Pick<TrackedConnector, 'isReset'>;
+  readonly connector: Pick<TrackedConnector, 'isReset' | 'pause'>;
   readonly loopDelay: Pick<LoopDelay, 'afterPendingEvents' | 'afterSilence'>;
 }
 
@@ -63,6 +63,12 @@
   let isEnded = false;
   let dispatches = 0;
   let isOutdated = false;
+  let resumeReading: (() => void) | undefined;
+
+  function resume(): void {
+    resumeReading?.();
+    resumeReading = undefined;
+  }
 
   const sendTimer = loopDelay.afterSilence(SEND_TIMEOUT, () => end({ kind: 'notConnected' }));
 
@@ -72,6 +78,8 @@
     }
     isEnded = true;
     sendTimer.cancel();
+    // The connection may be used for another request.
+    resume();
     sink.onEnd(outcome);
   }
 
@@ -152,7 +160,7 @@
         },
         onResponseData(_, chunk) {
           if (!isEnded && !isNotRun && !sink.onData(chunk)) {
-            controller?.pause();
+            resumeReading ??= connector.pause();
           }
         },
         onResponseEnd() {
@@ -188,6 +196,6 @@
       const isUnsent = controller === undefined && !isEnded;
       abortWith(isUnsent ? toUnsentOutcome(reason) : { kind: 'aborted', reason });
     },
-    resume: () => controller?.resume(),
+    resume,
   };
 }
