Search each part of a resumable stream once and keep 256 KiB of an event

Cause: the whole incomplete event was copied and searched again with each chunk, without bound.

Change: a chunk is searched with the two bytes before it. An event over 256 KiB is forwarded in parts and the stream is not resumed then. Nor is one whose last event has no identifier, or one that no header can carry: it would have begun anew, or have been refused before it was sent. Responses that are held lie in one buffer.

--- a/packages/relay/src/front/createBufferedResponse.ts
+++ b/packages/relay/src/front/createBufferedResponse.ts
@@ -1,5 +1,6 @@
 import type { ResponseHead } from '../servers/types';
 import type { ResponseRelay, CallerExchange } from './types';
+import createGrowingBuffer from './createGrowingBuffer';
 import toRawHeaders from './toRawHeaders';
 
 /**
@@ -10,37 +11,34 @@
 /** Buffers a response until it is complete; a large one is forwarded as it arrives. */
 export default function createBufferedResponse(exchange: CallerExchange): ResponseRelay {
   let head: ResponseHead | undefined;
-  let bufferedChunks: Buffer[] = [];
-  let bufferedBytes = 0;
+  const buffered = createGrowingBuffer();
   let isCommitted = false;
 
-  function commit(): void {
+  /** Returns false when the caller reads too slowly for what was sent. */
+  function commit(): boolean {
+    let isDrained = true;
     if (!isCommitted && head !== undefined) {
       isCommitted = true;
       exchange.sendHead(head.status, toRawHeaders(head.headers), head.isDelimitedByClose);
-      bufferedChunks.forEach((chunk) => exchange.sendData(chunk));
-      bufferedChunks = [];
+      isDrained = buffered.length === 0 || exchange.sendData(buffered.take());
     }
+    return isDrained;
   }
 
   return {
     isCommitted: () => isCommitted,
+    canResume: () => false,
     getLastEventId: () => undefined,
     onHead(next) {
       head = next;
-      bufferedChunks = [];
-      bufferedBytes = 0;
+      buffered.take();
     },
     onData(chunk) {
       if (isCommitted) {
         return exchange.sendData(chunk);
       }
-      bufferedChunks.push(chunk);
-      bufferedBytes += chunk.length;
-      if (bufferedBytes > MAXIMUM_BUFFERED_BYTES) {
-        commit();
-      }
-      return true;
+      buffered.append(chunk);
+      return buffered.length > MAXIMUM_BUFFERED_BYTES ? commit() : true;
     },
     finish() {
       commit();
--- /dev/null
+++ b/packages/relay/src/front/createGrowingBuffer.ts
@@ -0,0 +1,39 @@
+interface GrowingBuffer {
+  readonly length: number;
+  append(bytes: Buffer): void;
+  /** Returns all bytes and begins anew. */
+  take(): Buffer;
+}
+
+const EMPTY = Buffer.alloc(0);
+
+/**
+ * Collects bytes in one buffer, whose size is at most twice their number. A list of the pieces would
+ * hold some hundred bytes for each one, also for a piece of one byte.
+ */
+export default function createGrowingBuffer(): GrowingBuffer {
+  let buffer: Buffer = EMPTY;
+  let length = 0;
+
+  return {
+    get length() {
+      return length;
+    },
+    append(bytes) {
+      const needed = length + bytes.length;
+      if (needed > buffer.length) {
+        const larger = Buffer.allocUnsafe(Math.max(needed, buffer.length * 2));
+        buffer.copy(larger, 0, 0, length);
+        buffer = larger;
+      }
+      bytes.copy(buffer, length);
+      length = needed;
+    },
+    take() {
+      const bytes = buffer.subarray(0, length);
+      buffer = EMPTY;
+      length = 0;
+      return bytes;
+    },
+  };
+}
--- a/packages/relay/src/front/createResumableResponse.ts
+++ b/packages/relay/src/front/createResumableResponse.ts
@@ -1,25 +1,21 @@
 import type { ResponseHead } from '../servers/types';
 import type { ResponseRelay, CallerExchange } from './types';
+import createGrowingBuffer from './createGrowingBuffer';
+import findEventsEnd from './findEventsEnd';
 import isEventStream from './isEventStream';
 import toRawHeaders from './toRawHeaders';
 
 const EMPTY = Buffer.alloc(0);
-const LINE_FEED = 10;
-const CARRIAGE_RETURN = 13;
-const EVENT_ID = /(?:^|\n)id: ?([^\r\n]*)/g;
-
-/** Returns the index after the blank line of the last complete event; 0 when there is none. */
-function findEventsEnd(bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index -= 1) {
-    if (bytes[index] === LINE_FEED) {
-      const previousIndex = bytes[index - 1] === CARRIAGE_RETURN ? index - 2 : index - 1;
-      if (previousIndex >= 0 && bytes[previousIndex] === LINE_FEED) {
-        return index + 1;
-      }
-    }
-  }
-  return 0;
-}
+/**
+ * Bytes of an event that are kept until it is complete. A larger event is forwarded in parts, which
+ * no other server could continue.
+ */
+const MAXIMUM_EVENT_BYTES = 262_144;
+/** Bytes before a chunk by which a blank line at its start is recognized. */
+const TAIL_BYTES = 2;
+const EVENT_ID = /(?:^|[\r\n])id: ?([^\r\n]*)/g;
+/** An identifier that arrives unchanged as the value of a header. */
+const SENDABLE_ID = /^[\x21-\x7e\x80-\xff](?:[\x20-\x7e\x80-\xff]{0,1022}[\x21-\x7e\x80-\xff])?$/;
 
 /**
  * Forwards a stream in complete events, so that another backend server can continue it after a
@@ -28,7 +24,10 @@
 export default function createResumableResponse(exchange: CallerExchange): ResponseRelay {
   let head: ResponseHead | undefined;
   let isCommitted = false;
-  let incompleteEvent: Buffer = EMPTY;
+  /** The event of which the end has not arrived. */
+  const incompleteEvent = createGrowingBuffer();
+  let tail: Buffer = EMPTY;
+  let isEventDivided = false;
   let lastEventId: string | undefined;
 
   function commit(): void {
@@ -50,25 +49,45 @@
     return exchange.sendData(bytes);
   }
 
+  function forwardPart(): boolean {
+    isEventDivided = true;
+    commit();
+    return exchange.sendData(incompleteEvent.take());
+  }
+
   return {
     isCommitted: () => isCommitted,
+    canResume: () => !isEventDivided && lastEventId !== undefined && SENDABLE_ID.test(lastEventId),
     getLastEventId: () => lastEventId,
     onHead(next) {
-      incompleteEvent = EMPTY;
+      incompleteEvent.take();
+      tail = EMPTY;
       if (!isCommitted) {
         head = next;
       }
     },
     onData(chunk) {
-      const bytes = incompleteEvent.length === 0 ? chunk : Buffer.concat([incompleteEvent, chunk]);
-      const end = findEventsEnd(bytes);
-      incompleteEvent = bytes.subarray(end);
-      return end === 0 ? true : forwardEvents(bytes.subarray(0, end));
+      if (isEventDivided) {
+        return exchange.sendData(chunk);
+      }
+      const end = findEventsEnd(tail, chunk);
+      tail =
+        chunk.length >= TAIL_BYTES
+          ? chunk.subarray(-TAIL_BYTES)
+          : Buffer.concat([tail, chunk]).subarray(-TAIL_BYTES);
+      if (end === 0) {
+        incompleteEvent.append(chunk);
+        return incompleteEvent.length > MAXIMUM_EVENT_BYTES ? forwardPart() : true;
+      }
+      incompleteEvent.append(chunk.subarray(0, end));
+      const events = incompleteEvent.take();
+      incompleteEvent.append(chunk.subarray(end));
+      return forwardEvents(events);
     },
     finish() {
       commit();
       if (incompleteEvent.length > 0) {
-        exchange.sendData(incompleteEvent);
+        exchange.sendData(incompleteEvent.take());
       }
       exchange.finish();
     },
--- a/packages/relay/src/front/createStreamedResponse.ts
+++ b/packages/relay/src/front/createStreamedResponse.ts
@@ -19,6 +19,7 @@
 
   return {
     isCommitted: () => isCommitted,
+    canResume: () => false,
     getLastEventId: () => undefined,
     onHead(next) {
       head = next;
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -133,7 +133,7 @@
       end,
       isRetryable,
       isCommitted: response.isCommitted(),
-      canResume: route.isResumable,
+      canResume: response.canResume(),
       ...attempts.getRemaining(),
       trySpendRetry: () => admission.trySpendRetry(pool),
     });
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -112,6 +112,8 @@
 export interface ResponseRelay {
   /** Whether any part of the response has been sent to the caller. */
   isCommitted(): boolean;
+  /** Whether another server can continue the part of the response that has been sent. */
+  canResume(): boolean;
   /** Identifier of the last complete event forwarded; undefined when nothing is to be resumed. */
   getLastEventId(): string | undefined;
   onHead(head: ResponseHead): void;
--- a/packages/relay/src/hedging/createAttemptRace.test.ts
+++ b/packages/relay/src/hedging/createAttemptRace.test.ts
@@ -43,6 +43,7 @@
     isStream,
     response: {
       isCommitted: () => false,
+      canResume: () => false,
       getLastEventId: () => undefined,
       onHead: ({ headers }) => record.push(`head ${String(headers.from)}`),
       onData(chunk) {
--- a/packages/relay/src/hedging/createResponseGate.ts
+++ b/packages/relay/src/hedging/createResponseGate.ts
@@ -1,3 +1,4 @@
+import createGrowingBuffer from '../front/createGrowingBuffer';
 import type { ResponseRelay } from '../front/types';
 import type { ResponseHead } from '../servers/types';
 
@@ -23,8 +24,7 @@
 export default function createResponseGate(options: ResponseGateOptions): ResponseGate {
   const { response, isStream } = options;
   let head: ResponseHead | undefined;
-  let chunks: Buffer[] = [];
-  let heldBytes = 0;
+  const held = createGrowingBuffer();
   // The rest of a stream that another server began is passed on as it arrives.
   let isOpen = response.isCommitted();
 
@@ -37,8 +37,9 @@
     if (head !== undefined) {
       response.onHead(head);
     }
-    chunks.forEach((chunk) => response.onData(chunk));
-    chunks = [];
+    if (held.length > 0) {
+      response.onData(held.take());
+    }
   }
 
   function isSuccess(): boolean {
@@ -47,6 +48,7 @@
 
   return {
     isCommitted: response.isCommitted,
+    canResume: response.canResume,
     getLastEventId: response.getLastEventId,
     open,
     onHead(next) {
@@ -56,14 +58,13 @@
       }
     },
     onData(chunk) {
-      if ((isStream && isSuccess()) || heldBytes + chunk.length > MAXIMUM_HELD_BYTES) {
+      if ((isStream && isSuccess()) || held.length + chunk.length > MAXIMUM_HELD_BYTES) {
         open();
       }
       if (isOpen) {
         return response.onData(chunk);
       }
-      chunks.push(chunk);
-      heldBytes += chunk.length;
+      held.append(chunk);
       return true;
     },
     finish() {
