Let other connections have their turn after 10 ms of reading from one

Callers would see: a server that sends faster than the host handles, for example in chunks of one byte, is read again and again while all others wait: Node.js reads up to 32 times from a connection that has data.

Cause: no limit of the work for one connection in one turn of the event loop.

Evidence: createTrackedConnector.test.ts: without the change 32,589 chunks of one byte are handled between two turns.

Change: at most 16 KiB are handled at once, and after 10 ms the connection waits for the next turn.

Ruled out: a limit by bytes alone, since the work for a byte differs by a factor of thousands.

--- a/packages/connections/src/createTrackedConnector.ts
+++ b/packages/connections/src/createTrackedConnector.ts
@@ -1,7 +1,14 @@
 import type { Socket } from 'node:net';
+import { performance } from 'node:perf_hooks';
 import { buildConnector } from 'undici';
+import type { Milliseconds } from '@rattanreel/core';
 import type { TrackedConnector, TrackedConnectorOptions } from './types';
 
+/** Largest piece that is handled at once: undici handles each part of it, perhaps each byte, by itself. */
+const MAXIMUM_PIECE_BYTES = 16_384;
+/** Time for which one connection is read before all others have their turn. */
+const MAXIMUM_TURN: Milliseconds = 10;
+
 interface Connection {
   readonly socket: Socket;
   hasEnded: boolean;
@@ -17,14 +24,45 @@
 
   /**
    * Pauses by withholding the data that has arrived. The parser of undici cannot be paused itself: it
-   * fails an assertion, as an uncaught exception, when a connection ends before it is resumed.
+   * fails an assertion, as an uncaught exception, when a connection ends before it is resumed. A
+   * server that sends without end is paused for the same reason after each turn, since Node.js would
+   * go on reading from it.
    */
   function trackReads(connection: Connection): void {
     const { socket } = connection;
     const read = socket.read.bind(socket);
-    socket.read = (size) => {
+    let handledSince: Milliseconds | undefined;
+    let turn: Milliseconds = 0;
+    let isWaiting = false;
+
+    const waitForOthers = (): void => {
+      isWaiting = true;
+      setImmediate(() => {
+        isWaiting = false;
+        turn = 0;
+        socket.emit('readable');
+      });
+    };
+
+    socket.read = (requested) => {
+      if (requested === 0) {
+        // Starts reading; returns no data.
+        return read(0) as unknown;
+      }
       current = connection;
-      return connection.isPaused ? null : (read(size) as unknown);
+      const now = performance.now();
+      turn += handledSince === undefined ? 0 : now - handledSince;
+      handledSince = undefined;
+      if (turn >= MAXIMUM_TURN && !isWaiting) {
+        waitForOthers();
+      }
+      if (connection.isPaused || isWaiting) {
+        return null;
+      }
+      const size = socket.readableLength > MAXIMUM_PIECE_BYTES ? MAXIMUM_PIECE_BYTES : undefined;
+      const piece = read(size) as unknown;
+      handledSince = piece === null ? undefined : now;
+      return piece;
     };
   }
 
