Limit the events that serve reads from engines

Callers would see: memory of the host that grows with an event without an end, until it is killed with all requests in flight; and a stream that ends as complete without its tokens if identifiers are no numbers.

Cause: the parser kept lines and events without bound; Number('x') compares with nothing, so that every event counted as received before.

Change: an event or a line over 1 MiB and a malformed identifier break the stream, which is resumed or fails like any other.

Ruled out: an own parser; the one in use has the limit.

Measured: the eight cases pass.

--- a/packages/dispatch/src/readStreamEvents.ts
+++ b/packages/dispatch/src/readStreamEvents.ts
@@ -3,6 +3,10 @@
 import type { StreamEvent, StreamUsage } from './types';
 
 const END_OF_STREAM = '[DONE]';
+/** Characters of an event, and of a line, that are kept until its end. */
+const MAXIMUM_EVENT_CHARACTERS = 1_048_576;
+/** Characters parsed at once: the parser's work grows with the square of them if lines end in CR. */
+const MAXIMUM_PIECE_CHARACTERS = 4_096;
 
 interface UsageBody {
   readonly usage?: {
@@ -34,10 +38,22 @@
     return { kind: 'usage', data: message.data, usage };
   }
   const tokens = message.id === undefined ? tokensBefore + 1 : Number(message.id);
+  if (!Number.isSafeInteger(tokens)) {
+    throw new TypeError(`malformed event identifier ${JSON.stringify(message.id)}`);
+  }
   return { kind: 'tokens', data: message.data, tokens };
 }
 
-/** Reads server-sent events from an engine's response, in one batch for each chunk with events. */
+function* splitText(text: string): Generator<string> {
+  for (let start = 0; start < text.length; start += MAXIMUM_PIECE_CHARACTERS) {
+    yield text.slice(start, start + MAXIMUM_PIECE_CHARACTERS);
+  }
+}
+
+/**
+ * Reads server-sent events from an engine's response, in one batch for each chunk with events. Throws
+ * if an event is malformed or has no end within 1 MiB.
+ */
 export default async function* readStreamEvents(
   body: AsyncIterable<Uint8Array>,
   tokensBefore: number,
@@ -46,6 +62,12 @@
   let tokens = tokensBefore;
   const decoder = new TextDecoder();
   const parser = createParser({
+    maxBufferSize: MAXIMUM_EVENT_CHARACTERS,
+    onError(error) {
+      if (error.type === 'max-buffer-size-exceeded') {
+        throw error;
+      }
+    },
     onEvent(message) {
       const event = toStreamEvent(message, tokens);
       tokens = event.kind === 'tokens' ? event.tokens : tokens;
@@ -53,7 +75,9 @@
     },
   });
   for await (const chunk of body) {
-    parser.feed(decoder.decode(chunk, { stream: true }));
+    for (const piece of splitText(decoder.decode(chunk, { stream: true }))) {
+      parser.feed(piece);
+    }
     if (batch.length > 0) {
       yield batch;
       batch = [];
