Bound the memory of request bodies in hand

Cause: each body is limited, their sum is not, and each was held twice while its parts were joined.

Change: bodies reserve memory, a sixth of the host's, large ones three quarters of that. What finds none is read, discarded and refused (503 noMemory, not run), and its connection stays open.

Eight new cases of createCallerEndpoint.test.ts pass.

--- a/packages/relay/src/addRelayGauges.ts
+++ b/packages/relay/src/addRelayGauges.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '@rattanreel/core';
 import type { GaugeReading } from '@rattanreel/observability';
-import type { RelayMetrics } from './front/types';
+import type { BodyBudget, RelayMetrics } from './front/types';
 import type { CrashGuard } from './crashes/types';
 import type { ForwardingConnections } from './forwarding/types';
 import isLate from './lateness/isLate';
@@ -19,6 +19,7 @@
   readonly connections: Pick<ForwardingConnections, 'countCut'>;
   readonly clock: Clock;
   readonly loopDelay: Pick<LoopDelay, 'get'>;
+  readonly bodyBudget: Pick<BodyBudget, 'getUsed'>;
 }
 
 const TOP_PRIORITY: Priority = {
@@ -112,6 +113,12 @@
     labelNames: [],
     read: () => createUnlabelledReading(loopDelay.get() / MILLISECONDS_PER_SECOND),
   });
+  metrics.addGauge({
+    name: 'rattanreel_relay_body_bytes',
+    help: 'Memory reserved for the bodies of requests in hand.',
+    labelNames: [],
+    read: () => createUnlabelledReading(options.bodyBudget.getUsed()),
+  });
   metrics.addGauge({
     name: 'rattanreel_relay_hosts_late',
     help: 'Reachable other entry hosts with a high event loop delay.',
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -9,6 +9,7 @@
 import createRouteTable from './decisions/createRouteTable';
 import type { RouteTable } from './decisions/types';
 import addDutyGauges from './duties/addDutyGauges';
+import createBodyBudget from './front/createBodyBudget';
 import createCallerEndpoint from './front/createCallerEndpoint';
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
@@ -35,11 +36,19 @@
   idleTimeout: 15_000,
 };
 
+/**
+ * Share of the host's memory for the bodies of requests in hand. A body may be held twice for a while:
+ * its memory is free only after the next garbage collection.
+ */
+const BODY_MEMORY_SHARE = 1 / 6;
+
 interface RelayHostOptions extends Omit<
   Parameters<typeof createHostCore>[0],
   'openTransport' | 'direct' | 'onConfiguration' | 'loopDelay'
 > {
   readonly names: HeaderNames;
+  /** Bytes of memory that the process may use; Infinity if it is not limited. */
+  readonly memory: number;
   /** Share of the requests that may be sent twice to cut the slowest responses; 0 for none. */
   readonly hedgeLimit: number;
   /** Listening addresses as HOST:PORT, for callers, readiness checks and metrics. */
@@ -139,6 +148,7 @@
     getCustomersByKey: () => customersByKey,
   });
 
+  const bodyBudget = createBodyBudget({ bytes: options.memory * BODY_MEMORY_SHARE });
   const callerEndpoint = createCallerEndpoint({
     clock,
     getArrivalTime: loopDelay.getArrivalTime,
@@ -146,6 +156,8 @@
     getLimits: () => limits,
     onRequest: requestHandler.handle,
     onTooLarge: requestHandler.rejectTooLarge,
+    onNoMemory: requestHandler.refuseForMemory,
+    bodyBudget,
   });
 
   const readiness: ServerType = createReadinessEndpoint({
@@ -168,6 +180,7 @@
     connections,
     clock,
     loopDelay,
+    bodyBudget,
   });
   if (core.duties !== undefined) {
     addDutyGauges(metrics, core.duties);
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -41,6 +41,8 @@
 interface RequestHandler {
   handle(exchange: CallerExchange, incoming: IncomingMessage): void;
   rejectTooLarge(exchange: CallerExchange): void;
+  /** Refuses a request whose body was discarded. */
+  refuseForMemory(exchange: CallerExchange, incoming: IncomingMessage): void;
 }
 
 /** Chooses a target at random, in proportion to the weights. */
@@ -119,26 +121,37 @@
     });
   }
 
+  /** Plans a request and hands it on, unless it is rejected. */
+  function planAndHandle(
+    exchange: CallerExchange,
+    incoming: IncomingMessage,
+    onPlanned: (exchange: CallerExchange, plan: RequestPlan) => void,
+  ): void {
+    const planResult = planRequest({
+      headers: incoming.headers,
+      exchange,
+      names,
+      routes: options.getRoutes(),
+      customersByKey: options.getCustomersByKey(),
+      classifier,
+      random,
+    });
+    if (planResult.kind === 'ok') {
+      onPlanned(exchange, planResult.plan);
+      return;
+    }
+    const { rejection } = planResult;
+    const id = incoming.headers[names.requestId];
+    observer.rejected(typeof id === 'string' ? id : '', rejection);
+    sendProblem(exchange, { ...rejection, execution: 'not-run' });
+  }
+
   return {
-    handle(exchange, incoming) {
-      const planResult = planRequest({
-        headers: incoming.headers,
-        exchange,
-        names,
-        routes: options.getRoutes(),
-        customersByKey: options.getCustomersByKey(),
-        classifier,
-        random,
-      });
-      if (planResult.kind === 'ok') {
-        relay(exchange, planResult.plan);
-        return;
-      }
-      const { rejection } = planResult;
-      const id = incoming.headers[names.requestId];
-      observer.rejected(typeof id === 'string' ? id : '', rejection);
-      sendProblem(exchange, { ...rejection, execution: 'not-run' });
-    },
+    handle: (exchange, incoming) => planAndHandle(exchange, incoming, relay),
+    refuseForMemory: (exchange, incoming) =>
+      planAndHandle(exchange, incoming, (_, planned) =>
+        refuse(exchange, planned, { reason: 'noMemory' }),
+      ),
     rejectTooLarge(exchange) {
       observer.rejected('', { status: 413, code: 'bodyTooLarge' });
       sendProblem(exchange, { status: 413, code: 'bodyTooLarge', execution: 'not-run' });
--- a/packages/relay/src/front/brokenOffStream.test.ts
+++ b/packages/relay/src/front/brokenOffStream.test.ts
@@ -209,6 +209,7 @@
         setTimeout(() => exchange.abort(), 50);
       },
       onTooLarge: () => undefined,
+      onNoMemory: () => undefined,
     });
     await endpoint.listen(address);
     const socket = connect(18_473, '127.0.0.1');
--- a/packages/relay/src/front/createCallerEndpoint.test.ts
+++ b/packages/relay/src/front/createCallerEndpoint.test.ts
@@ -1,8 +1,11 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
 import { afterEach, describe, it } from 'node:test';
+import { Readable } from 'node:stream';
 import { expect } from 'earl';
+import { Client } from 'undici';
 import { createSystemClock } from '@rattanreel/core';
+import createBodyBudget from './createBodyBudget';
 import createCallerEndpoint from './createCallerEndpoint';
 import type { CallerExchange, CallerEndpoint } from './types';
 
@@ -97,9 +100,77 @@
           exchange.sendHead(413, ['content-length', '0']);
           exchange.finish();
         },
+        onNoMemory: () => undefined,
       });
       await endpoint.listen(`127.0.0.1:${PORT}`);
       expect(await call(request)).toMatchRegex(read);
     });
   });
 });
+
+const LARGE = 100_000;
+const BUDGET = 400_000;
+
+interface BodyCase {
+  readonly name: string;
+  /** Bytes of bodies that other requests hold. */
+  readonly held: number;
+  readonly bytes: number;
+  readonly isChunked?: boolean;
+  readonly status: 200 | 503;
+}
+
+const bodyCases: readonly BodyCase[] = [
+  { name: 'a large body', held: 0, bytes: LARGE, status: 200 },
+  { name: 'a large body up to the share of large ones', held: 200_000, bytes: LARGE, status: 200 },
+  { name: 'a large body beyond that share', held: 200_001, bytes: LARGE, status: 503 },
+  { name: 'a small body beyond that share', held: 300_000, bytes: 65_536, status: 200 },
+  { name: 'a small body beyond the budget', held: 399_000, bytes: 1_001, status: 503 },
+  { name: 'no body beyond the budget', held: 400_000, bytes: 0, status: 200 },
+  { name: 'chunks', held: 0, bytes: LARGE, isChunked: true, status: 200 },
+  { name: 'chunks beyond the share', held: 250_000, bytes: LARGE, isChunked: true, status: 503 },
+];
+
+// Guards against bodies within the configured limit that together exceed the memory of the host.
+describe('the memory of bodies', () => {
+  bodyCases.forEach(({ name, held, bytes, isChunked = false, status }) => {
+    it(`answers ${name} with ${status}, and the next request on the connection`, async () => {
+      const bodyBudget = createBodyBudget({ bytes: BUDGET });
+      // In pieces of small bodies, which may use all of the budget.
+      for (let rest = held; rest > 0; rest -= 50_000) {
+        expect(bodyBudget.reserve().tryGrow(Math.min(rest, 50_000))).toEqual(true);
+      }
+      const bodies: number[] = [];
+      const answer = (exchange: CallerExchange, code: number): void => {
+        bodies.push(exchange.body.length);
+        exchange.sendHead(code, ['content-length', '0']);
+        exchange.finish();
+      };
+      const endpoint = createCallerEndpoint({
+        clock: createSystemClock(),
+        getLimits: () => ({ ...LIMITS, bodyBytes: LARGE }),
+        onRequest: (exchange) => answer(exchange, 200),
+        onTooLarge: (exchange) => answer(exchange, 413),
+        onNoMemory: (exchange) => answer(exchange, 503),
+        bodyBudget,
+      });
+      await endpoint.listen(`127.0.0.1:${PORT}`);
+      const client = new Client(`http://127.0.0.1:${PORT}`);
+      const body = Buffer.alloc(bytes, 'x');
+      const send = async (sent: Buffer | Readable): Promise<number> => {
+        const response = await client.request({ method: 'POST', path: '/', body: sent });
+        await response.body.dump();
+        return response.statusCode;
+      };
+      const first = await send(
+        isChunked ? Readable.from([body.subarray(0, 9), body.subarray(9)]) : body,
+      );
+      const next = await send(Buffer.alloc(0));
+      await client.close();
+      endpoint.close();
+      expect([first, next]).toEqual([status, 200]);
+      expect(bodies).toEqual([status === 200 ? bytes : 0, 0]);
+      expect(bodyBudget.getUsed()).toEqual(held);
+    });
+  });
+});
--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -5,7 +5,8 @@
 import splitAddress from '../splitAddress';
 import createCallerExchange from './createCallerExchange';
 import readBody from './readBody';
-import type { CallerExchange, CallerEndpoint } from './types';
+import createBodyBudget from './createBodyBudget';
+import type { BodyBudget, CallerExchange, CallerEndpoint } from './types';
 
 /** Largest header block that is read; the `headerBytes` of the configuration is not applied. */
 const MAXIMUM_HEADER_BYTES = 65_536;
@@ -19,39 +20,59 @@
   /** Handles a request whose body is complete. */
   readonly onRequest: (exchange: CallerExchange, incoming: IncomingMessage) => void;
   readonly onTooLarge: (exchange: CallerExchange) => void;
+  /** Handles a request whose body was discarded, since the host has no memory for it. */
+  readonly onNoMemory: (exchange: CallerExchange, incoming: IncomingMessage) => void;
+  /** Unlimited if absent. */
+  readonly bodyBudget?: Pick<BodyBudget, 'reserve'>;
 }
 
 /** Creates the HTTP endpoint for callers; a body is read completely before it is handled. */
 export default function createCallerEndpoint(options: CallerEndpointOptions): CallerEndpoint {
-  const { getArrivalTime = options.clock.now, getLimits } = options;
+  const {
+    getArrivalTime = options.clock.now,
+    getLimits,
+    bodyBudget = createBodyBudget({ bytes: Infinity }),
+  } = options;
   let isDraining = false;
   let active = 0;
 
   function handle(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const arrivedAt = getArrivalTime();
+    const reservation = bodyBudget.reserve();
     active += 1;
     outgoing.once('close', () => {
       active -= 1;
+      reservation.release();
     });
-    readBody(incoming, getLimits().bodyBytes, (read) => {
-      if (read.kind === 'cut') {
-        outgoing.destroy();
-        return;
-      }
-      const body = read.kind === 'whole' ? read.body : Buffer.alloc(0);
-      const shouldCloseConnection = (): boolean => isDraining || read.kind === 'tooLarge';
-      const exchange = createCallerExchange({
-        incoming,
-        outgoing,
-        body,
-        arrivedAt,
-        shouldCloseConnection,
-      });
-      if (read.kind === 'tooLarge') {
-        options.onTooLarge(exchange);
-      } else {
-        options.onRequest(exchange, incoming);
-      }
+    readBody({
+      incoming,
+      limit: getLimits().bodyBytes,
+      reservation,
+      onRead(read) {
+        const exchange = createCallerExchange({
+          incoming,
+          outgoing,
+          body: read.kind === 'whole' ? read.body : Buffer.alloc(0),
+          arrivedAt,
+          shouldCloseConnection: () => isDraining || read.kind === 'tooLarge',
+        });
+        switch (read.kind) {
+          case 'whole':
+            options.onRequest(exchange, incoming);
+            return;
+          case 'tooLarge':
+            options.onTooLarge(exchange);
+            return;
+          case 'noMemory':
+            options.onNoMemory(exchange, incoming);
+            return;
+          case 'cut':
+            outgoing.destroy();
+            return;
+          default:
+            read satisfies never;
+        }
+      },
     });
   }
 
--- a/packages/relay/src/front/createGrowingBuffer.ts
+++ b/packages/relay/src/front/createGrowingBuffer.ts
@@ -1,6 +1,7 @@
 interface GrowingBuffer {
   readonly length: number;
-  append(bytes: Buffer): void;
+  /** Appends bytes; `expected` is the number of all bytes, if it is known. */
+  append(bytes: Buffer, expected?: number): void;
   /** Returns all bytes and begins anew. */
   take(): Buffer;
 }
@@ -19,10 +20,10 @@
     get length() {
       return length;
     },
-    append(bytes) {
+    append(bytes, expected = 0) {
       const needed = length + bytes.length;
       if (needed > buffer.length) {
-        const larger = Buffer.allocUnsafe(Math.max(needed, buffer.length * 2));
+        const larger = Buffer.allocUnsafeSlow(Math.max(needed, expected, buffer.length * 2));
         buffer.copy(larger, 0, 0, length);
         buffer = larger;
       }
--- a/packages/relay/src/front/readBody.ts
+++ b/packages/relay/src/front/readBody.ts
@@ -1,41 +1,61 @@
 import type { IncomingMessage } from 'node:http';
-
-const EMPTY = Buffer.alloc(0);
+import createGrowingBuffer from './createGrowingBuffer';
+import type { BodyReservation } from './types';
 
 type BodyResult =
   | { readonly kind: 'whole'; readonly body: Buffer }
   | { readonly kind: 'tooLarge' }
+  /** All of the body was read and discarded, since the host has no memory for it. */
+  | { readonly kind: 'noMemory' }
   /** The caller disconnected before the end of the body. */
   | { readonly kind: 'cut' };
 
-/** Reads a request's body of at most `limit` bytes and calls `onRead` once. */
-export default function readBody(
-  incoming: IncomingMessage,
-  limit: number,
-  onRead: (read: BodyResult) => void,
-): void {
-  const chunks: Buffer[] = [];
+interface ReadBodyOptions {
+  readonly incoming: IncomingMessage;
+  /** Largest body in bytes. */
+  readonly limit: number;
+  readonly reservation: Pick<BodyReservation, 'tryGrow' | 'release'>;
+  /** Called once. */
+  readonly onRead: (read: BodyResult) => void;
+}
+
+/** Reads a request's body within the memory that can be reserved for it. */
+export default function readBody(options: ReadBodyOptions): void {
+  const { incoming, limit, reservation } = options;
+  const declared = Number(incoming.headers['content-length'] ?? 0);
+  const body = createGrowingBuffer();
   let size = 0;
   let isFinished = false;
+  // What was announced is reserved at once, so that bodies which have begun can be completed.
+  let isKept = declared > limit || reservation.tryGrow(declared);
 
   function finish(read: BodyResult): void {
     if (!isFinished) {
       isFinished = true;
-      onRead(read);
+      options.onRead(read);
     }
   }
 
+  function discard(): void {
+    isKept = false;
+    body.take();
+    reservation.release();
+  }
+
   incoming.on('data', (chunk: Buffer) => {
     size += chunk.length;
     if (size > limit) {
+      discard();
       finish({ kind: 'tooLarge' });
-    } else {
-      chunks.push(chunk);
+    } else if (isKept && !reservation.tryGrow(size)) {
+      discard();
+    } else if (isKept) {
+      body.append(chunk, declared);
     }
   });
-  incoming.on('end', () => {
-    finish({ kind: 'whole', body: chunks.length === 0 ? EMPTY : Buffer.concat(chunks) });
-  });
+  incoming.on('end', () =>
+    finish(isKept ? { kind: 'whole', body: body.take() } : { kind: 'noMemory' }),
+  );
   incoming.on('close', () => finish({ kind: 'cut' }));
   incoming.on('error', () => finish({ kind: 'cut' }));
 }
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -173,6 +173,19 @@
   readonly sendFailure: (status: 502 | 504, code: string) => void;
 }
 
+/** Memory for the bodies of requests that have not ended, in bytes. */
+export interface BodyBudget {
+  getUsed(): number;
+  /** Begins the reservation for one request, without memory. */
+  reserve(): BodyReservation;
+}
+
+export interface BodyReservation {
+  /** Reserves memory for a body of `bytes` in all; returns false, without effect, if there is none. */
+  tryGrow(bytes: number): boolean;
+  release(): void;
+}
+
 /** The HTTP endpoint for callers. */
 export interface CallerEndpoint {
   listen(address: string): Promise<void>;
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -156,6 +156,7 @@
     }),
     onRequest: handler.handle,
     onTooLarge: handler.rejectTooLarge,
+    onNoMemory: handler.refuseForMemory,
   });
   /** Sets the timers that a host has in any case, which reveal its event loop delay. */
   const startTimer = (interval: Milliseconds): void => {
--- a/packages/relay/src/types.ts
+++ b/packages/relay/src/types.ts
@@ -299,6 +299,8 @@
   | 'hostLate'
   /** This host stops before the response could be complete. */
   | 'stopping'
+  /** This host has no memory for the body beside those of other requests. */
+  | 'noMemory'
   /** Several servers have ended under one of the request's traits. */
   | 'quarantined';
 
