Clamp delays of timers to the range of Node.js

Callers would see: a request on a route whose timeout is 2^31 ms or more refused at once as past its deadline.

Cause: a timer of Node.js with a longer delay fires after 1 ms. Configurations and entries may hold any number.

Change: the system clock clamps the delay to 2^31 - 1 ms.

Ruled out: to limit each number where it is decoded, which would refuse configurations that the store has accepted.

--- a/packages/connections/src/createTrackedConnector.test.ts
+++ b/packages/connections/src/createTrackedConnector.test.ts
@@ -9,7 +9,7 @@
 const HEAD = 'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n';
 const CHUNKS = 60_000;
 const LAST_CHUNK = '0\r\n\r\n';
-/** Time that handling a chunk takes at least, so that a piece takes longer than a turn. */
+/** Milliseconds that handling a chunk takes; a piece then takes longer than a turn. */
 const WORK = 0.02;
 /** Chunks of one byte in two pieces of 16 KiB. */
 const MAXIMUM_CHUNKS_PER_TURN = 6_000;
--- a/packages/connections/src/createTrackedConnector.ts
+++ b/packages/connections/src/createTrackedConnector.ts
@@ -23,12 +23,12 @@
   let current: Connection | undefined;
 
   /**
-   * Pauses by withholding the data that has arrived. The parser of undici cannot be paused itself: it
-   * fails an assertion, as an uncaught exception, when a connection ends before it is resumed. A
-   * server that sends without end is paused for the same reason after each turn, since Node.js would
-   * go on reading from it.
+   * Withholds data that has arrived while the connection is paused, and after each turn: Node.js would
+   * go on reading from a server that sends faster than it is handled. The parser of undici cannot be
+   * paused itself, since it fails an assertion, as an uncaught exception, when a connection ends before
+   * it is resumed.
    */
-  function trackReads(connection: Connection): void {
+  function limitReads(connection: Connection): void {
     const { socket } = connection;
     const read = socket.read.bind(socket);
     let handledSince: Milliseconds | undefined;
@@ -68,7 +68,7 @@
 
   function track(socket: Socket): void {
     const connection: Connection = { socket, hasEnded: false, isReset: false, isPaused: false };
-    trackReads(connection);
+    limitReads(connection);
     // These listeners precede that of undici, which ends the response in the same event, and that of
     // the socket itself, which closes its own side.
     socket.prependListener('end', () => {
--- a/packages/core/src/createSystemClock.ts
+++ b/packages/core/src/createSystemClock.ts
@@ -1,13 +1,16 @@
 import { performance } from 'node:perf_hooks';
-import type { Clock } from './types';
+import type { Clock, Milliseconds } from './types';
 
-/** Creates the clock of the running process. */
+/** Timers of Node.js with a longer delay fire at once. */
+const MAXIMUM_DELAY: Milliseconds = 2 ** 31 - 1;
+
+/** Creates the clock of the running process. A timer fires after 24 days at the latest. */
 export default function createSystemClock(): Clock {
   return {
     now: () => performance.now(),
     wallTime: () => new Date(),
     after(delay, callback) {
-      const handle = setTimeout(callback, delay);
+      const handle = setTimeout(callback, Math.min(delay, MAXIMUM_DELAY));
       return { cancel: () => clearTimeout(handle) };
     },
   };
