Soak: malformed entries, responses that are reset and events without end

The process soak drew no fault of what servers and other writers send. The link proxy passes a reset on as a reset; before, it arrived as a close.

--- a/benchmarks/src/processes/applyFault.ts
+++ b/benchmarks/src/processes/applyFault.ts
@@ -1,6 +1,7 @@
 import type createStoreStandIn from '@rattanreel/platform-adapter/testing';
 import type createSoakCallers from './createSoakCallers';
 import type createSoakOperator from './createSoakOperator';
+import putMalformedEntry from './putMalformedEntry';
 import type { Fault, SoakRecorder, ServerMode, SoakHost } from './types';
 
 interface SoakWorld {
@@ -100,6 +101,15 @@
     case 'serverHangs':
       applyServerMode(world, fault, 'hangs');
       return;
+    case 'serverBreaksOff':
+      applyServerMode(world, fault, 'breaksOff');
+      return;
+    case 'serverSendsWithoutEnd':
+      applyServerMode(world, fault, 'sendsWithoutEnd');
+      return;
+    case 'entryMalformed':
+      putMalformedEntry(store, fault);
+      return;
     case 'serverLinkSlow': {
       const { link } = operator.getServer(target);
       link.setState('slow');
--- a/benchmarks/src/processes/createLinkProxy.ts
+++ b/benchmarks/src/processes/createLinkProxy.ts
@@ -34,10 +34,14 @@
         scheduleInOrder(() => to.write(chunk));
       }
     });
-    from.on('end', () => scheduleInOrder(() => to.end()));
-    from.on('close', () => {
+    from.on('end', () => {
+      // A reset that arrives with the last bytes is reported as an end; no peer is known then.
+      const isReset = from.remoteAddress === undefined;
+      scheduleInOrder(() => (isReset ? to.resetAndDestroy() : to.end()));
+    });
+    from.on('close', (hadError) => {
       sockets.delete(from);
-      to.destroy();
+      scheduleInOrder(() => (hadError ? to.resetAndDestroy() : to.destroy()));
     });
     // Errors are expected on a faulty link; both peers detect them themselves.
     from.on('error', () => undefined);
--- a/benchmarks/src/processes/createSoakServer.ts
+++ b/benchmarks/src/processes/createSoakServer.ts
@@ -11,6 +11,8 @@
 const MAXIMUM_QUEUED_REQUESTS = 8;
 const MEAN_WORK_MILLISECONDS = 40;
 const CHUNK_INTERVAL_MILLISECONDS = 20;
+const ENDLESS_PIECE = Buffer.alloc(65_536, 'x');
+const ENDLESS_INTERVAL_MILLISECONDS = 10;
 /** Share of requests that fail, or whose response is lost, in the respective mode. */
 const FAULTY_REQUEST_SHARE = 0.5;
 
@@ -58,6 +60,29 @@
     setTimeout(() => sendChunks(outgoing, rest), CHUNK_INTERVAL_MILLISECONDS);
   }
 
+  /** Sends a part of a response without a length, and resets its connection. */
+  function breakOff({ socket }: IncomingMessage, id: string, chunk: string): void {
+    const head = [
+      'HTTP/1.1 200 OK',
+      `x-rattanreel-request-id: ${id}`,
+      `x-rattanreel-response-seal: ${id}.${serverId}`,
+      'content-type: text/event-stream',
+    ];
+    socket.write([...head, '', chunk.slice(0, -1)].join('\r\n'), () => {
+      socket.resetAndDestroy();
+      releaseSlot();
+    });
+  }
+
+  /** Sends an event that does not end until the connection is closed. */
+  function sendWithoutEnd(outgoing: ServerResponse): void {
+    const timer = setInterval(() => outgoing.write(ENDLESS_PIECE), ENDLESS_INTERVAL_MILLISECONDS);
+    outgoing.once('close', () => {
+      clearInterval(timer);
+      releaseSlot();
+    });
+  }
+
   function respond(incoming: IncomingMessage, outgoing: ServerResponse, id: string): void {
     const route = (incoming.url ?? '').split('/')[1] as SoakRoute;
     const after = Number(getHeader(incoming, 'last-event-id') ?? 0);
@@ -69,6 +94,8 @@
       outgoing.writeHead(500, { 'x-rattanreel-request-id': id });
       outgoing.end('failed');
       releaseSlot();
+    } else if (mode === 'breaksOff' && isFaulty) {
+      breakOff(incoming, id, getExpectedResponse(route, id).slice(after).join(''));
     } else {
       outgoing.writeHead(200, {
         'x-rattanreel-request-id': id,
@@ -76,7 +103,11 @@
         'x-rattanreel-engine-load': `${running},${waiting.length},${SLOT_COUNT}`,
         ...(route === 'draft' ? { 'content-type': 'text/event-stream' } : {}),
       });
-      sendChunks(outgoing, getExpectedResponse(route, id).slice(after));
+      if (mode === 'sendsWithoutEnd' && route === 'draft' && isFaulty) {
+        sendWithoutEnd(outgoing);
+      } else {
+        sendChunks(outgoing, getExpectedResponse(route, id).slice(after));
+      }
     }
   }
 
--- a/benchmarks/src/processes/types.ts
+++ b/benchmarks/src/processes/types.ts
@@ -3,6 +3,9 @@
  */
 import type { Milliseconds } from '@rattanreel/core';
 
+/** Faults of what backend servers and other writers send. */
+export type InputFaultKind = 'serverBreaksOff' | 'serverSendsWithoutEnd' | 'entryMalformed';
+
 export type FaultKind =
   | 'hostKilled'
   | 'hostStopped'
@@ -23,7 +26,8 @@
   | 'domainEvacuated'
   | 'keyRevoked'
   | 'configurationStorm'
-  | 'customerBurst';
+  | 'customerBurst'
+  | InputFaultKind;
 
 /** One fault; `duration` applies to the kinds that end. */
 export interface Fault {
@@ -109,7 +113,15 @@
   close(): void;
 }
 
-export type ServerMode = 'well' | 'fails' | 'losesAnswers' | 'hangs';
+export type ServerMode =
+  | 'well'
+  | 'fails'
+  | 'losesAnswers'
+  | 'hangs'
+  /** Responses without a length are reset after a part of them. */
+  | 'breaksOff'
+  /** Streams send an event that does not end. */
+  | 'sendsWithoutEnd';
 
 /** Records the events of a run and checks the guarantees at its end. */
 export interface SoakRecorder {
