Copy less for whole events and peer messages

Cause: each chunk of a resumable stream was copied into a buffer of its own, also whole events, and each peer message was copied to check it.

Change: whole events are forwarded as they came; small buffers come from the pool of Node.js; messages are checked in place.

--- a/packages/relay/src/front/createGrowingBuffer.ts
+++ b/packages/relay/src/front/createGrowingBuffer.ts
@@ -23,7 +23,7 @@
     append(bytes, expected = 0) {
       const needed = length + bytes.length;
       if (needed > buffer.length) {
-        const larger = Buffer.allocUnsafeSlow(Math.max(needed, expected, buffer.length * 2));
+        const larger = Buffer.allocUnsafe(Math.max(needed, expected, buffer.length * 2));
         buffer.copy(larger, 0, 0, length);
         buffer = larger;
       }
--- a/packages/relay/src/front/createResumableResponse.ts
+++ b/packages/relay/src/front/createResumableResponse.ts
@@ -43,6 +43,15 @@
     }
   }
 
+  /** Returns the kept part of an event with its rest; most events arrive as a whole. */
+  function takeEvents(rest: Buffer): Buffer {
+    if (incompleteEvent.length === 0) {
+      return rest;
+    }
+    incompleteEvent.append(rest);
+    return incompleteEvent.take();
+  }
+
   function forwardEvents(bytes: Buffer): boolean {
     commit();
     lastEventId = [...bytes.toString('latin1').matchAll(EVENT_ID)].at(-1)?.[1] ?? lastEventId;
@@ -79,9 +88,10 @@
         incompleteEvent.append(chunk);
         return incompleteEvent.length > MAXIMUM_EVENT_BYTES ? forwardPart() : true;
       }
-      incompleteEvent.append(chunk.subarray(0, end));
-      const events = incompleteEvent.take();
-      incompleteEvent.append(chunk.subarray(end));
+      const events = takeEvents(chunk.subarray(0, end));
+      if (end < chunk.length) {
+        incompleteEvent.append(chunk.subarray(end));
+      }
       return forwardEvents(events);
     },
     finish() {
--- a/packages/relay/src/peers/isHostMessage.ts
+++ b/packages/relay/src/peers/isHostMessage.ts
@@ -15,10 +15,12 @@
   if (!isObject(body)) {
     return false;
   }
-  const { kind, ...parts } = body as Partial<Omit<HostSummary, 'kind'>> & { kind?: unknown };
+  const message = body as Partial<Omit<HostSummary, 'kind'>> & { readonly kind?: unknown };
+  const isSummary = message.kind === 'summary' || message.kind === 'change';
   return (
-    typeof kind === 'string' &&
-    ((kind !== 'summary' && kind !== 'change') ||
-      (typeof parts.entryHost === 'string' && SUMMARY_PARTS.every((part) => isObject(parts[part]))))
+    typeof message.kind === 'string' &&
+    (!isSummary ||
+      (typeof message.entryHost === 'string' &&
+        SUMMARY_PARTS.every((part) => isObject(message[part]))))
   );
 }
