--- a/benchmarks/src/processes/createLinkProxy.ts
+++ b/benchmarks/src/processes/createLinkProxy.ts
@@ -35,7 +35,7 @@
       }
     });
     from.on('end', () => {
-      // A reset that arrives with the last bytes is reported as an end; no peer is known then.
+      // A reset that arrives with the last bytes is reported as an end; getpeername fails then.
       const isReset = from.remoteAddress === undefined;
       scheduleInOrder(() => (isReset ? to.resetAndDestroy() : to.end()));
     });
--- a/packages/connections/src/createTrackedConnector.ts
+++ b/packages/connections/src/createTrackedConnector.ts
@@ -4,7 +4,7 @@
 import type { Milliseconds } from '@rattanreel/core';
 import type { TrackedConnector, TrackedConnectorOptions } from './types';
 
-/** Largest piece that is handled at once: undici handles each part of it, perhaps each byte, by itself. */
+/** Largest piece that is parsed at once: undici calls its handler for each chunk, even of one byte. */
 const MAXIMUM_PIECE_BYTES = 16_384;
 /** Time for which one connection is read before all others have their turn. */
 const MAXIMUM_TURN: Milliseconds = 10;
@@ -74,8 +74,8 @@
     socket.prependListener('end', () => {
       current = connection;
       connection.hasEnded = true;
-      // If the last bytes and a reset arrive together, Node.js reports a close. The system knows no
-      // peer of the connection then; after a close it does, until this side is closed as well.
+      // If a reset arrives together with the last bytes, Node.js reports an end. getpeername, which
+      // `remoteAddress` calls, fails then; after a close it succeeds until this side is closed too.
       connection.isReset ||= socket.remoteAddress === undefined;
     });
     socket.prependListener('error', () => {
--- a/packages/core/src/createSystemClock.ts
+++ b/packages/core/src/createSystemClock.ts
@@ -1,7 +1,7 @@
 import { performance } from 'node:perf_hooks';
 import type { Clock, Milliseconds } from './types';
 
-/** Timers of Node.js with a longer delay fire at once. */
+/** Node.js runs a timer with a longer delay after 1 ms. */
 const MAXIMUM_DELAY: Milliseconds = 2 ** 31 - 1;
 
 /** Creates the clock of the running process. A timer fires after 24 days at the latest. */
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -37,8 +37,8 @@
 };
 
 /**
- * Share of the host's memory for the bodies of requests in hand. A body may be held twice for a while:
- * its memory is free only after the next garbage collection.
+ * Share of the host's memory for the bodies of requests in flight. The memory of a body is released by
+ * the next garbage collection, so that the process holds more than is reserved.
  */
 const BODY_MEMORY_SHARE = 1 / 6;
 
--- a/packages/relay/src/peers/isHostMessage.ts
+++ b/packages/relay/src/peers/isHostMessage.ts
@@ -8,8 +8,8 @@
 }
 
 /**
- * Returns whether a peer's message has the parts that are read after its arrival, when what is
- * missing could no longer be blamed on it. All other parts may be absent, as in other versions.
+ * Returns whether a peer's message has the parts that are stored and read later, where a missing one
+ * would throw far from its cause. All other parts may be absent, as in other versions.
  */
 export default function isHostMessage(body: unknown): body is HostMessage {
   if (!isObject(body)) {
