Handle signals from the first statement of the program to its end

Callers saw: a second SIGTERM or SIGINT closed every request in hand of a host that stopped, without a response; a SIGHUP, SIGQUIT or SIGUSR2 did the same at a host of `serve`. Hosts that got a SIGHUP in the time of their start, some 200 ms, ended by it; a SIGTERM then ended them by the signal.

Cause: handlers were bound after the start had succeeded, those of SIGTERM and SIGINT once, and for the other signals not at all. Without a handler the default disposition holds, which ends the process.

Change: the launchers bind all signals before they compile the bundle, and keep what arrives; rattanreel.cjs holds the bundle as text for that. decideSignal says what a signal leads to in each phase. A stop that is asked for again changes nothing, a reload of the start follows it, SIGQUIT stops like SIGTERM, SIGUSR1 and SIGUSR2 are ignored. Log lines: `signal received` with its effect, `process ends` with cause, signals and exit code. A stop that outlasts the grace period ends with code 1 and a line. Exceptions are recorded from the start on. Other commands keep the default dispositions.

Tests: the cases "0 ms after its first instruction" looked whether the program listened already, which beside load it did before the test saw the handlers; a preloaded script now sends the signal while libraries are loaded, and the phase in the log line is checked.

--- a/packages/command-line/src/commands/serve.ts
+++ b/packages/command-line/src/commands/serve.ts
@@ -2,47 +2,54 @@
 import { parse } from 'yaml';
 import { parseEntryHostSettings } from '@rattanreel/configuration';
 import { createEntryHost } from '@rattanreel/entry-host';
-import catchUnexpectedErrors from '../catchUnexpectedErrors';
+import { fail, ok } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
 import exitCodes from '../exitCodes';
-import type { Command } from '../types';
+import runHostProcess from '../process/runHostProcess';
+import type { ManagedHost, StartFailure } from '../process/types';
+import type { Command, ExitCode } from '../types';
 
-function waitForSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
+function failStart(exitCode: ExitCode, line: string): Outcome<never, StartFailure> {
+  return fail({ kind: 'failed', exitCode, lines: [line] });
+}
+
+async function startHost(fileName: string): Promise<Outcome<ManagedHost, StartFailure>> {
+  const text = await readFile(fileName, 'utf8').catch(() => undefined);
+  if (text === undefined) {
+    return failStart(exitCodes.invalidInput, `${fileName}: cannot be read`);
+  }
+  const settings = parseEntryHostSettings(parse(text));
+  if (settings.kind === 'error') {
+    return failStart(exitCodes.invalidInput, `${fileName}: ${JSON.stringify(settings.error)}`);
+  }
+  const started = await createEntryHost({ settings: settings.value });
+  if (started.kind === 'error') {
+    return failStart(exitCodes.unavailable, `${fileName}: ${JSON.stringify(started.error)}`);
+  }
+  const { logger, recordError, stop } = started.value;
+  return ok({
+    logger,
+    recordError,
+    stop,
+    getStopTimeout: () => undefined,
+    reload: () => logger.warn({ changed: [] }, 'settings reloaded'),
+    flush: () => undefined,
   });
 }
 
-/** `serve`: runs an entry host until SIGTERM or SIGINT, then finishes the requests in flight. */
+/** `serve`: runs an entry host until a signal stops it, then finishes the requests in flight. */
 const serve: Command = {
   name: 'serve',
   usage: 'serve --settings FILE',
   summary: 'Run an entry host',
-  async run(context) {
-    const fileName = context.flags.settings;
+  keepsSignals: true,
+  async run({ flags, signals, printError }) {
+    const fileName = flags.settings;
     if (fileName === undefined) {
-      context.printError('--settings FILE is needed');
+      printError('--settings FILE is needed');
       return exitCodes.usage;
     }
-    const text = await readFile(fileName, 'utf8').catch(() => undefined);
-    if (text === undefined) {
-      context.printError(`${fileName}: cannot be read`);
-      return exitCodes.invalidInput;
-    }
-    const settings = parseEntryHostSettings(parse(text));
-    if (settings.kind === 'error') {
-      context.printError(`${fileName}: ${JSON.stringify(settings.error)}`);
-      return exitCodes.invalidInput;
-    }
-    const entryHost = await createEntryHost({ settings: settings.value });
-    if (entryHost.kind === 'error') {
-      context.printError(`${fileName}: ${JSON.stringify(entryHost.error)}`);
-      return exitCodes.unavailable;
-    }
-    catchUnexpectedErrors(entryHost.value.recordError);
-    await waitForSignal();
-    await entryHost.value.stop();
-    return exitCodes.success;
+    return runHostProcess({ signals, printError, start: () => startHost(fileName) });
   },
 };
 
--- a/packages/command-line/src/processSignals.test.ts
+++ b/packages/command-line/src/processSignals.test.ts
@@ -1,4 +1,3 @@
-import { connect } from 'node:net';
 import { before, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
@@ -12,10 +11,16 @@
 const CALLERS_OF_EACH_KIND = 4;
 const READY_POLL_INTERVAL_MS = 10;
 const TIMEOUT_MS = 30_000;
-const KNOWN = { todo: 'listed in KNOWN-RED.txt, issue 42', timeout: TIMEOUT_MS };
+const OPTIONS = { timeout: TIMEOUT_MS };
 
 const programs: readonly ProgramKind[] = ['entryHost', 'servePlatform', 'serve'];
 
+interface ProgramStart {
+  /** Words before the name of the program. */
+  readonly nodeWords?: readonly string[];
+  readonly environment?: Readonly<Record<string, string>>;
+}
+
 interface Run {
   readonly scene: Scene;
   readonly program: Program;
@@ -28,15 +33,12 @@
   }
 }
 
-function isListening({ scene }: Run): Promise<boolean> {
-  return new Promise((resolve) => {
-    const socket = connect(scene.ports.callers!, '127.0.0.1');
-    socket.once('connect', () => {
-      socket.destroy();
-      resolve(true);
-    });
-    socket.once('error', () => resolve(false));
-  });
+/** Returns the phases of the process in which it received this signal. */
+function listPhases({ program }: Run, signal: NodeJS.Signals): readonly unknown[] {
+  return program
+    .getLines()
+    .filter((line) => line.msg === 'signal received' && line.signal === signal)
+    .map(({ phase }) => phase);
 }
 
 describe('signals of a process', { concurrency: 4 }, () => {
@@ -47,12 +49,12 @@
   });
 
   async function withProgram(
-    kind: ProgramKind,
-    workDuration: number,
+    options: { readonly kind: ProgramKind; readonly workDuration?: number } & ProgramStart,
     test: (run: Run) => Promise<void>,
   ): Promise<void> {
+    const { kind, workDuration, nodeWords = [], environment } = options;
     const scene = await createScene({ program: kind, folder, workDuration });
-    const program = startProgram({ words: scene.words });
+    const program = startProgram({ words: [...nodeWords, ...scene.words], environment });
     try {
       await test({ scene, program });
     } finally {
@@ -62,33 +64,61 @@
     }
   }
 
+  async function expectReload(run: Run): Promise<void> {
+    await waitUntilReady(run);
+    await run.program.waitForLine('settings reloaded');
+    expect(listPhases(run, 'SIGHUP').length).toEqual(1);
+    expect(run.program.tryGetEnd()).toEqual(undefined);
+  }
+
+  async function expectStop(run: Run): Promise<void> {
+    expect(await run.program.ended).toEqual({ kind: 'exited', code: 0 });
+    expect(listPhases(run, 'SIGTERM').length).toEqual(1);
+    expect(run.program.getLines().map(({ msg }) => msg)).toInclude('process ends');
+  }
+
   const startDelays = [0, 60, 150];
   programs.forEach((kind) => {
+    const during = (signal: NodeJS.Signals) => ({
+      kind,
+      nodeWords: ['--require', './packages/command-line/src/testing/signalDuringLoad.cjs'],
+      environment: { TEST_SIGNAL: signal },
+    });
+
+    // Guards against a process that ends by a SIGHUP which reaches it while it loads its libraries.
+    it(`${kind}: a SIGHUP while libraries are loaded reloads after the start`, OPTIONS, () =>
+      withProgram(during('SIGHUP'), async (run) => {
+        await expectReload(run);
+        expect(listPhases(run, 'SIGHUP')).toEqual(['starting']);
+      }),
+    );
+
+    // Guards against a process that ends by a SIGTERM which reaches it while it loads its libraries.
+    it(`${kind}: a SIGTERM while libraries are loaded stops it`, OPTIONS, () =>
+      withProgram(during('SIGTERM'), async (run) => {
+        await expectStop(run);
+        expect(listPhases(run, 'SIGTERM')).toEqual(['starting']);
+      }),
+    );
+
     startDelays.forEach((delay) => {
       // Guards against a process that ends by a SIGHUP which reaches it while it starts.
-      it(`${kind}: a SIGHUP ${delay} ms after its first instruction reloads`, KNOWN, () =>
-        withProgram(kind, 20, async (run) => {
-          const { program } = run;
-          await waitForSignalHandler(program, 'SIGHUP');
-          expect(await isListening(run)).toEqual(false);
+      it(`${kind}: a SIGHUP ${delay} ms after its handlers are bound reloads`, OPTIONS, () =>
+        withProgram({ kind }, async (run) => {
+          await waitForSignalHandler(run.program);
           await sleep(delay);
-          program.sendSignal('SIGHUP');
-          await waitUntilReady(run);
-          await program.waitForLine('settings reloaded');
-          expect(program.tryGetEnd()).toEqual(undefined);
+          run.program.sendSignal('SIGHUP');
+          await expectReload(run);
         }),
       );
 
       // Guards against a stop that is forgotten, or ends by the signal, while a process starts.
-      it(`${kind}: a SIGTERM ${delay} ms after its first instruction stops it`, KNOWN, () =>
-        withProgram(kind, 20, async (run) => {
-          const { program } = run;
-          await waitForSignalHandler(program, 'SIGTERM');
-          expect(await isListening(run)).toEqual(false);
+      it(`${kind}: a SIGTERM ${delay} ms after its handlers are bound stops it`, OPTIONS, () =>
+        withProgram({ kind }, async (run) => {
+          await waitForSignalHandler(run.program);
           await sleep(delay);
-          program.sendSignal('SIGTERM');
-          expect(await program.ended).toEqual({ kind: 'exited', code: 0 });
-          expect(program.getLines().map(({ msg }) => msg)).toInclude('process ends');
+          run.program.sendSignal('SIGTERM');
+          await expectStop(run);
         }),
       );
     });
@@ -105,8 +135,8 @@
   programs.forEach((kind) => {
     stops.forEach((signals) => {
       // Guards against a second request to stop that cuts the requests in flight.
-      it(`${kind}: ${signals.join(', ')} under load cut no request`, KNOWN, () =>
-        withProgram(kind, 800, async (run) => {
+      it(`${kind}: ${signals.join(', ')} under load cut no request`, OPTIONS, () =>
+        withProgram({ kind, workDuration: 800 }, async (run) => {
           const { scene, program } = run;
           await waitUntilReady(run);
           const callers = Array.from({ length: CALLERS_OF_EACH_KIND }, (_, index) => [
--- a/packages/command-line/src/runServePlatform.ts
+++ b/packages/command-line/src/runServePlatform.ts
@@ -1,7 +1,10 @@
 import { watchFile } from 'node:fs';
+import { fail, ok } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
 import { servePlatform as start } from '@rattanreel/platform-adapter';
-import catchUnexpectedErrors from './catchUnexpectedErrors';
 import exitCodes from './exitCodes';
+import runHostProcess from './process/runHostProcess';
+import type { ManagedHost, SignalInbox, StartFailure } from './process/types';
 import type { ExitCode } from './types';
 
 /** Environment variable in which the platform passes the name of the settings file. */
@@ -13,42 +16,39 @@
 interface ServePlatformOptions {
   /** Name of the settings file; that of the environment variable if undefined. */
   readonly settings: string | undefined;
+  readonly signals: SignalInbox;
   readonly printError: (line: string) => void;
 }
 
-/** Runs an entry host on the users' platform until SIGTERM; returns the exit code. */
+async function startHost(fileName: string): Promise<Outcome<ManagedHost, StartFailure>> {
+  const started = await start(fileName);
+  if (started.kind === 'error') {
+    return fail({
+      kind: 'failed',
+      exitCode: exitCodes.invalidInput,
+      lines: started.error.map(
+        ({ code, line, message }) => `${fileName}:${line ?? 0}: ${code}: ${message}`,
+      ),
+    });
+  }
+  const { logger } = started.value;
+  const reload = (): void => {
+    started.value.reload().catch((error: unknown) => {
+      logger.error({ error: String(error) }, 'settings reload failed');
+    });
+  };
+  // The settings file may also change without a SIGHUP.
+  watchFile(fileName, { interval: SETTINGS_POLL_INTERVAL_MS, persistent: false }, reload);
+  return ok({ ...started.value, reload });
+}
+
+/** Runs an entry host on the users' platform until a signal stops it; returns the exit code. */
 export default async function runServePlatform(options: ServePlatformOptions): Promise<ExitCode> {
-  const { printError } = options;
+  const { signals, printError } = options;
   const fileName = options.settings ?? process.env[SETTINGS_ENVIRONMENT_VARIABLE];
   if (fileName === undefined) {
     printError(`--settings FILE or ${SETTINGS_ENVIRONMENT_VARIABLE} is needed`);
     return exitCodes.usage;
   }
-  const started = await start(fileName);
-  if (started.kind === 'error') {
-    started.error.forEach(({ code, line, message }) =>
-      printError(`${fileName}:${line ?? 0}: ${code}: ${message}`),
-    );
-    return exitCodes.invalidInput;
-  }
-  const { logger, reload } = started.value;
-  const reloadAndLogFailure = (): void => {
-    reload().catch((error: unknown) =>
-      logger.error({ error: String(error) }, 'settings reload failed'),
-    );
-  };
-  process.on('SIGHUP', reloadAndLogFailure);
-  // The settings file may also change without a SIGHUP.
-  watchFile(
-    fileName,
-    { interval: SETTINGS_POLL_INTERVAL_MS, persistent: false },
-    reloadAndLogFailure,
-  );
-  catchUnexpectedErrors(started.value.recordError);
-  await new Promise<void>((resolve) => {
-    process.once('SIGTERM', () => resolve());
-    process.once('SIGINT', () => resolve());
-  });
-  await started.value.stop();
-  return exitCodes.success;
+  return runHostProcess({ signals, printError, start: () => startHost(fileName) });
 }
--- a/packages/command-line/src/types.ts
+++ b/packages/command-line/src/types.ts
@@ -1,4 +1,5 @@
 /** Types that the commands of the program share. */
+import type { SignalInbox } from './process/types';
 
 /** Exit codes of the program; `exitCodes` names them. */
 export type ExitCode = 0 | 1 | 2 | 3 | 4 | 5 | 6 | 7;
@@ -31,6 +32,8 @@
   /** Arguments after the command's name. */
   readonly input: readonly string[];
   readonly flags: CommandFlags;
+  /** The signals of this process, for commands that keep them. */
+  readonly signals: SignalInbox;
   /** Writes a line of results to standard output. */
   readonly print: (line: string) => void;
   /** Writes a line about an error to standard error. */
@@ -41,5 +44,7 @@
   readonly name: string;
   readonly usage: string;
   readonly summary: string;
+  /** Whether the command handles signals itself; the others end by them. */
+  readonly keepsSignals?: boolean;
   readonly run: (context: CommandContext) => Promise<ExitCode>;
 }
--- a/packages/entry-host/src/createEntryHost.ts
+++ b/packages/entry-host/src/createEntryHost.ts
@@ -83,6 +83,7 @@
     callerAddress: listener.value.address,
     peerAddress: transport.value.address,
     incarnation,
+    logger: context.logger,
     recordError,
     isReady,
     async stop() {
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -211,6 +211,7 @@
   readonly peerAddress: string;
   readonly incarnation: Incarnation;
   isReady(): boolean;
+  readonly logger: Logger;
   readonly recordError: ErrorRecorder;
   /** Accepts no new requests, waits for those in flight, and closes. */
   stop(): Promise<void>;
--- a/scripts/bundleEntryHost.mjs
+++ b/scripts/bundleEntryHost.mjs
@@ -1,9 +1,19 @@
 import { execFileSync } from 'node:child_process';
-import { copyFileSync, readFileSync } from 'node:fs';
+import { readFileSync } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import { build } from 'esbuild';
 
+const BUILD_OPTIONS = {
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'cjs',
+  minifyWhitespace: true,
+  minifySyntax: true,
+  logLevel: 'warning',
+};
+
 /** Resolves undici to the part of it that the entry host uses; the rest is a third of the bundle. */
 const undiciDispatchers = {
   name: 'undici-dispatchers',
@@ -36,19 +46,17 @@
 export default async function bundleEntryHost(folder) {
   const bundle = path.join(folder, 'entry-host.bundle.cjs');
   await build({
-    bundle: true,
-    platform: 'node',
-    target: 'node20',
-    format: 'cjs',
-    minifyWhitespace: true,
-    minifySyntax: true,
-    logLevel: 'warning',
+    ...BUILD_OPTIONS,
     entryPoints: ['packages/command-line/src/servePlatformMain.ts'],
     outfile: bundle,
     plugins: [undiciDispatchers],
   });
   const launcher = path.join(folder, 'entry-host.cjs');
-  copyFileSync('scripts/entryHostLauncher.cjs', launcher);
+  await build({
+    ...BUILD_OPTIONS,
+    entryPoints: ['scripts/entryHostLauncher.cjs'],
+    outfile: launcher,
+  });
   execFileSync(process.execPath, [...readNodeFlags(), launcher], {
     env: { ...process.env, RATTANREEL_CODE_CACHE: 'create' },
     stdio: 'inherit',
--- a/scripts/entryHostLauncher.cjs
+++ b/scripts/entryHostLauncher.cjs
@@ -2,6 +2,8 @@
  * Starts the bundle beside this file from its code cache. Without a valid cache it is compiled, which
  * takes more processor time only. With RATTANREEL_CODE_CACHE=create it writes the cache instead.
  */
+// eslint-disable-next-line import-x/order -- a signal ends the process until its handler is bound
+const { default: signalInbox } = require('../packages/command-line/src/process/signalInbox');
 const { readFileSync, writeFileSync } = require('node:fs');
 const { createRequire } = require('node:module');
 const path = require('node:path');
@@ -31,5 +33,5 @@
   // Holds the functions that ran while the libraries were loaded, too.
   writeFileSync(cache, script.createCachedData());
 } else {
-  entryHost.exports.default().then((code) => process.exit(code));
+  entryHost.exports.default(signalInbox).then((code) => process.exit(code));
 }
