--- a/packages/command-line/src/types.ts
+++ b/packages/command-line/src/types.ts
@@ -43,3 +43,13 @@
   readonly summary: string;
   readonly run: (context: CommandContext) => Promise<ExitCode>;
 }
+
+/** An error in the settings file of a process. */
+export interface SettingsFileDiagnostic {
+  readonly code: 'unreadable-file' | 'malformed-line' | 'malformed-field' | 'missing-field';
+  /** Line number, counted from 1; undefined when the field or the file is absent. */
+  readonly line: number | undefined;
+  /** Path of the field, separated by points; empty for the whole file. */
+  readonly field: string;
+  readonly message: string;
+}
