--- a/packages/command-line/src/processEnds.test.ts
+++ b/packages/command-line/src/processEnds.test.ts
@@ -1,12 +1,35 @@
+import { execFile } from 'node:child_process';
+import { readFile, rename, rm, writeFile } from 'node:fs/promises';
 import { before, describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { promisify } from 'node:util';
 import { expect } from 'earl';
 import bundlePrograms from './testing/bundlePrograms';
 import createScene from './testing/createScene';
 import startProgram from './testing/startProgram';
-import type { ProgramKind, Scene } from './testing/types';
+import type { Program, ProgramKind, Scene } from './testing/types';
 
+const POLL_INTERVAL_MS = 10;
 const TIMEOUT_MS = 30_000;
 const OPTIONS = { timeout: TIMEOUT_MS };
+/** Longer than the interval at which the settings file is polled. */
+const POLLED_MS = 1_500;
+
+interface Run {
+  readonly scene: Scene;
+  readonly program: Program;
+}
+
+async function waitUntilReady({ scene, program }: Run): Promise<void> {
+  while (!(await scene.isReady())) {
+    expect([program.tryGetEnd(), ...program.getUnstructuredLines()]).toEqual([undefined]);
+    await sleep(POLL_INTERVAL_MS);
+  }
+}
+
+function createPipe(fileName: string) {
+  return promisify(execFile)('mkfifo', [fileName]);
+}
 
 describe('ends of a process', { concurrency: 4 }, () => {
   let folder: string;
@@ -27,7 +50,48 @@
     }
   }
 
+  async function withProgram(program: Program, test: () => Promise<void>): Promise<void> {
+    try {
+      await test();
+    } finally {
+      program.sendSignal('SIGKILL');
+      await program.ended;
+    }
+  }
+
   const relays: readonly ProgramKind[] = ['entryHost', 'servePlatform'];
+  relays.forEach((kind) => {
+    // Guards against an older text of the settings that is read slowly and replaces a newer one.
+    it(`${kind}: the reload that was asked for last decides`, OPTIONS, () =>
+      withScene(kind, async (scene) => {
+        const program = startProgram({ words: scene.words });
+        await withProgram(program, async () => {
+          await waitUntilReady({ scene, program });
+          const { settingsFile } = scene;
+          const text = await readFile(settingsFile, 'utf8');
+          const slow = `${settingsFile}.slow`;
+          const next = `${settingsFile}.next`;
+          await createPipe(slow);
+          await rename(slow, settingsFile);
+          program.sendSignal('SIGHUP');
+          await sleep(POLLED_MS);
+          await rename(settingsFile, slow);
+          await writeFile(next, text.replace('zone=a', 'zone=b'));
+          await rename(next, settingsFile);
+          program.sendSignal('SIGHUP');
+          await sleep(POLLED_MS);
+          await writeFile(slow, text);
+          await sleep(POLLED_MS);
+          const reloads = program.getLines().filter(({ msg }) => msg === 'settings reloaded');
+          const changes = reloads.map(({ changed }) => changed as readonly string[]);
+          expect(changes.filter((changed) => changed.length > 0)).toEqual([['failureDomain']]);
+          expect(reloads.at(-1)?.needsRestart).toEqual(['failureDomain']);
+          await rm(slow);
+        });
+      }),
+    );
+  });
+
   const unreadable = ['missing', 'a folder'] as const;
   relays.forEach((kind) => {
     unreadable.forEach((name) => {
