serve reads its settings again on SIGHUP, and both commands name each mistake in them

A settings file of `serve` that is no YAML ended the start with a bare stack, a missing file of `serve-platform` too.

Cause: `serve` had no reload; errors of reading and parsing were thrown.

No field of `serve` takes effect without a restart yet: `needsRestart` names what changed.

--- a/packages/command-line/src/commands/serve.ts
+++ b/packages/command-line/src/commands/serve.ts
@@ -1,38 +1,44 @@
-import { readFile } from 'node:fs/promises';
-import { parse } from 'yaml';
-import { parseEntryHostSettings } from '@rattanreel/configuration';
-import { createEntryHost } from '@rattanreel/entry-host';
-import { fail, ok } from '@rattanreel/core';
+import { coalesceRuns, fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
+import { createEntryHost } from '@rattanreel/entry-host';
 import exitCodes from '../exitCodes';
 import runHostProcess from '../process/runHostProcess';
 import type { ManagedHost, StartFailure } from '../process/types';
-import type { Command, ExitCode } from '../types';
-
-function failStart(exitCode: ExitCode, line: string): Outcome<never, StartFailure> {
-  return fail({ kind: 'failed', exitCode, lines: [line] });
-}
+import readEntryHostSettings from '../readEntryHostSettings';
+import reloadEntryHostSettings from '../reloadEntryHostSettings';
+import type { Command } from '../types';
 
 async function startHost(fileName: string): Promise<Outcome<ManagedHost, StartFailure>> {
-  const text = await readFile(fileName, 'utf8').catch(() => undefined);
-  if (text === undefined) {
-    return failStart(exitCodes.invalidInput, `${fileName}: cannot be read`);
-  }
-  const settings = parseEntryHostSettings(parse(text));
-  if (settings.kind === 'error') {
-    return failStart(exitCodes.invalidInput, `${fileName}: ${JSON.stringify(settings.error)}`);
+  const read = await readEntryHostSettings(fileName);
+  if (read.kind === 'error') {
+    return fail({ kind: 'invalidSettings', fileName, diagnostics: read.error });
   }
-  const started = await createEntryHost({ settings: settings.value });
+  const started = await createEntryHost({ settings: read.value });
   if (started.kind === 'error') {
-    return failStart(exitCodes.unavailable, `${fileName}: ${JSON.stringify(started.error)}`);
+    return fail({ kind: 'unavailable', detail: started.error });
   }
   const { logger, recordError, stop } = started.value;
+  let settings = read.value;
+  const reload = coalesceRuns(async () => {
+    settings = await reloadEntryHostSettings({
+      fileName,
+      started: read.value,
+      settings,
+      logger,
+      apply: () => undefined,
+    });
+  });
   return ok({
     logger,
     recordError,
     stop,
     getStopTimeout: () => undefined,
-    reload: () => logger.warn({ changed: [] }, 'settings reloaded'),
+    reload: () => {
+      reload().catch((error: unknown) =>
+        logger.error({ error: String(error) }, 'settings reload failed'),
+      );
+    },
+    // Its log is written synchronously.
     flush: () => undefined,
   });
 }
--- a/packages/command-line/src/process/runHostProcess.ts
+++ b/packages/command-line/src/process/runHostProcess.ts
@@ -3,6 +3,7 @@
 import type { ErrorRecorder, Logger } from '@rattanreel/observability';
 import catchUnexpectedErrors from '../catchUnexpectedErrors';
 import exitCodes from '../exitCodes';
+import reportSettingsDiagnostics from '../reportSettingsDiagnostics';
 import type { ExitCode } from '../types';
 import decideSignal from './decideSignal';
 import type {
@@ -11,6 +12,7 @@
   ManagedHost,
   ProcessPhase,
   ReceivedSignal,
+  StartFailure,
 } from './types';
 
 /** Why the process ends. */
@@ -118,19 +120,27 @@
     return exitCode;
   }
 
+  function endFailedStart(failure: StartFailure): ExitCode {
+    const { logger } = setHost(createUnstartedHost());
+    switch (failure.kind) {
+      case 'stopped':
+        return end('stopRequested', exitCodes.success);
+      case 'invalidSettings':
+        reportSettingsDiagnostics({ ...failure, logger, printError });
+        return end('startFailed', exitCodes.invalidInput);
+      case 'unavailable':
+        logger.error(failure.detail, 'host cannot start');
+        printError(`host cannot start: ${JSON.stringify(failure.detail)}`);
+        return end('startFailed', exitCodes.unavailable);
+      default:
+        return failure satisfies never;
+    }
+  }
+
   async function run(): Promise<ExitCode> {
     const started = await options.start(startAbort.signal);
     if (started.kind === 'error') {
-      const failure = started.error;
-      switch (failure.kind) {
-        case 'stopped':
-          return end('stopRequested', exitCodes.success);
-        case 'failed':
-          failure.lines.forEach(printError);
-          return end('startFailed', failure.exitCode, failure.lines.join('; '));
-        default:
-          return failure satisfies never;
-      }
+      return endFailedStart(started.error);
     }
     phase = stoppedBy === undefined ? 'running' : 'stopping';
     const running = setHost(started.value);
--- a/packages/command-line/src/process/types.ts
+++ b/packages/command-line/src/process/types.ts
@@ -1,7 +1,7 @@
 /** Types of the life of a host's process: its signals, its start and its end. */
 import type { Milliseconds, Outcome } from '@rattanreel/core';
 import type { ErrorRecorder, Logger } from '@rattanreel/observability';
-import type { ExitCode } from '../types';
+import type { SettingsFileDiagnostic } from '../types';
 
 /** Signals whose default disposition would end the process. */
 export type HandledSignal = 'SIGHUP' | 'SIGTERM' | 'SIGINT' | 'SIGQUIT' | 'SIGUSR1' | 'SIGUSR2';
@@ -57,11 +57,12 @@
 export type StartFailure =
   | { readonly kind: 'stopped' }
   | {
-      readonly kind: 'failed';
-      readonly exitCode: ExitCode;
-      /** One line each, for standard error. */
-      readonly lines: readonly string[];
-    };
+      readonly kind: 'invalidSettings';
+      readonly fileName: string;
+      readonly diagnostics: readonly SettingsFileDiagnostic[];
+    }
+  /** An address or another resource that the host needs cannot be had. */
+  | { readonly kind: 'unavailable'; readonly detail: object };
 
 export interface HostProcessOptions {
   readonly signals: SignalInbox;
--- a/packages/command-line/src/processSignals.test.ts
+++ b/packages/command-line/src/processSignals.test.ts
@@ -11,6 +11,8 @@
 const CALLERS_OF_EACH_KIND = 4;
 const READY_POLL_INTERVAL_MS = 10;
 const TIMEOUT_MS = 30_000;
+/** Longer than the grace period of the scenes. */
+const END_TIMEOUT_MS = 15_000;
 const OPTIONS = { timeout: TIMEOUT_MS };
 
 const programs: readonly ProgramKind[] = ['entryHost', 'servePlatform', 'serve'];
@@ -33,6 +35,10 @@
   }
 }
 
+function waitForEnd({ program }: Run) {
+  return Promise.race([program.ended, sleep(END_TIMEOUT_MS, undefined, { ref: false })]);
+}
+
 /** Returns the phases of the process in which it received this signal. */
 function listPhases({ program }: Run, signal: NodeJS.Signals): readonly unknown[] {
   return program
@@ -72,7 +78,7 @@
   }
 
   async function expectStop(run: Run): Promise<void> {
-    expect(await run.program.ended).toEqual({ kind: 'exited', code: 0 });
+    expect(await waitForEnd(run)).toEqual({ kind: 'exited', code: 0 });
     expect(listPhases(run, 'SIGTERM').length).toEqual(1);
     expect(run.program.getLines().map(({ msg }) => msg)).toInclude('process ends');
   }
@@ -150,7 +156,7 @@
               program.sendSignal(signal);
               await sleep(300);
             }
-            expect(await program.ended).toEqual({ kind: 'exited', code: 0 });
+            expect(await waitForEnd(run)).toEqual({ kind: 'exited', code: 0 });
             const results = (await stopCallers()).flat();
             const begun = scene.listBegun();
             const cut = results.filter(
--- a/packages/command-line/src/runServePlatform.ts
+++ b/packages/command-line/src/runServePlatform.ts
@@ -23,19 +23,13 @@
 async function startHost(fileName: string): Promise<Outcome<ManagedHost, StartFailure>> {
   const started = await start(fileName);
   if (started.kind === 'error') {
-    return fail({
-      kind: 'failed',
-      exitCode: exitCodes.invalidInput,
-      lines: started.error.map(
-        ({ code, line, message }) => `${fileName}:${line ?? 0}: ${code}: ${message}`,
-      ),
-    });
+    return fail({ kind: 'invalidSettings', fileName, diagnostics: started.error });
   }
   const { logger } = started.value;
   const reload = (): void => {
-    started.value.reload().catch((error: unknown) => {
-      logger.error({ error: String(error) }, 'settings reload failed');
-    });
+    started.value
+      .reload()
+      .catch((error: unknown) => logger.error({ error: String(error) }, 'settings reload failed'));
   };
   // The settings file may also change without a SIGHUP.
   watchFile(fileName, { interval: SETTINGS_POLL_INTERVAL_MS, persistent: false }, reload);
