A log that cannot be written no longer keeps a process from serving or ending

What callers saw: none reported. A process whose log was on a full disk, or whose log reader had stopped, did not end after SIGTERM (until SIGKILL, which cuts what it holds); `serve` waited for the reader while it served, and its log never went on after its reader had died and come back. Cause: flushSync of sonic-boom repeats a failed write forever (ENOSPC, EPIPE) and EAGAIN too; a write to a pipe whose reader has stopped keeps a thread of the pool, for which exit waits; the log of `serve` wrote synchronously; pino stops a destination for good after EPIPE, and emits other errors with no handler, so that each became an uncaught exception that was logged to the same place. What is buffered is written at the exit. Evidence: processEnds.test.ts, 8 cases of entryHost and serve; on the code before 5 of them failed (full disk and stopped reader: both programs still ran 8 s after SIGTERM; reader that came back: serve logged nothing more). Ruled out: a loop through uncaughtException that takes a whole core; on the full disk the entry host used 3.6 s of processor time in 5 s, with a reader that had gone 2.8 s.

--- a/packages/command-line/src/processEnds.test.ts
+++ b/packages/command-line/src/processEnds.test.ts
@@ -1,4 +1,5 @@
 import { execFile } from 'node:child_process';
+import { constants, openSync, closeSync, readSync } from 'node:fs';
 import { readFile, rename, rm, writeFile } from 'node:fs/promises';
 import { before, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -6,6 +7,7 @@
 import { expect } from 'earl';
 import bundlePrograms from './testing/bundlePrograms';
 import createScene from './testing/createScene';
+import startCaller from './testing/startCaller';
 import startProgram from './testing/startProgram';
 import type { Program, ProgramKind, Scene } from './testing/types';
 
@@ -27,6 +29,18 @@
   }
 }
 
+/** A log collector: a full disk, a reader that dies and may come back, or one that stops reading. */
+type Output = 'full' | 'gone' | 'stopped' | 'returns';
+
+function readAll(descriptor: number): string {
+  const buffer = Buffer.alloc(1_048_576);
+  try {
+    return buffer.toString('utf8', 0, readSync(descriptor, buffer));
+  } catch {
+    return '';
+  }
+}
+
 function createPipe(fileName: string) {
   return promisify(execFile)('mkfifo', [fileName]);
 }
@@ -108,4 +122,55 @@
       );
     });
   });
+
+  const kinds: readonly ProgramKind[] = ['entryHost', 'serve'];
+  const outputs: readonly Output[] = ['full', 'gone', 'stopped', 'returns'];
+  kinds.forEach((kind) => {
+    outputs.forEach((output) => {
+      // Guards against a process that hangs, ends or cuts requests because its log cannot be written.
+      it(`${kind}: serves and stops while the reader of its log is ${output}`, OPTIONS, () =>
+        withScene(kind, async (scene) => {
+          const fileName = `${scene.settingsFile}.log`;
+          await createPipe(fileName);
+          const openReader = () => openSync(fileName, constants.O_NONBLOCK);
+          let reader: number | undefined = openReader();
+          const closeReader = (): void => {
+            if (reader !== undefined) {
+              closeSync(reader);
+              reader = undefined;
+            }
+          };
+          const standardOutput = openSync(output === 'full' ? '/dev/full' : fileName, 'w');
+          const program = startProgram({ words: scene.words, standardOutput });
+          closeSync(standardOutput);
+          await withProgram(program, async () => {
+            if (output === 'gone' || output === 'returns') {
+              closeReader();
+            }
+            await waitUntilReady({ scene, program });
+            const callers = Array.from({ length: 8 }, (_, index) =>
+              startCaller({ scene, name: `c${index}`, kind: index % 2 === 0 ? 'order' : 'read' }),
+            );
+            await sleep(1_500);
+            if (output === 'returns') {
+              reader = openReader();
+              await sleep(1_000);
+              expect(readAll(reader).split('\n').length).toBeGreaterThan(10);
+            }
+            const stoppedAt = performance.now();
+            program.sendSignal('SIGTERM');
+            const end = await Promise.race([program.ended, sleep(8_000)]);
+            const results = (await Promise.all(callers.map((caller) => caller.stop()))).flat();
+            expect(end).toEqual({ kind: 'exited', code: 0 });
+            expect(performance.now() - stoppedAt).toBeLessThan(8_000);
+            const begun = scene.listBegun();
+            const cut = results.filter((result) => result.kind === 'closed');
+            expect(cut.filter(({ request }) => begun.has(request))).toEqual([]);
+            expect(results.filter(({ status }) => status === 200).length).toBeGreaterThan(7);
+          });
+          closeReader();
+        }),
+      );
+    });
+  });
 });
--- a/packages/command-line/src/testing/startProgram.ts
+++ b/packages/command-line/src/testing/startProgram.ts
@@ -11,13 +11,15 @@
   /** Another executable than Node.js. */
   readonly executable?: string;
   readonly environment?: Readonly<Record<string, string>>;
+  /** Descriptor of another standard output than the log that is read here. */
+  readonly standardOutput?: number;
 }
 
 /** Starts a program as a process of its own, and reads its log. */
 export default function startProgram(options: StartProgramOptions): Program {
   const child = spawn(options.executable ?? process.execPath, options.words, {
     env: { PATH: process.env.PATH, ...options.environment },
-    stdio: ['ignore', 'pipe', 'pipe'],
+    stdio: ['ignore', options.standardOutput ?? 'pipe', 'pipe'],
   });
   const lines: LogLine[] = [];
   const unstructured: string[] = [];
@@ -33,7 +35,7 @@
 
   [child.stdout, child.stderr].forEach((stream) => {
     let rest = '';
-    stream.setEncoding('utf8').on('data', (text: string) => {
+    stream?.setEncoding('utf8').on('data', (text: string) => {
       const parts = (rest + text).split('\n');
       rest = parts.pop() ?? '';
       parts.forEach(readLine);
--- a/packages/observability/src/createBoundedLogger.ts
+++ b/packages/observability/src/createBoundedLogger.ts
@@ -1,14 +1,7 @@
 import pino from 'pino';
+import getLogDestination from './getLogDestination';
 import type { BoundedLogger, BoundedLoggerOptions } from './types';
 
-/** Bytes buffered for a slow reader before further lines are dropped. */
-const MAXIMUM_BUFFERED_BYTES = 1_048_576;
-/**
- * Bytes buffered before lines are written, which saves system calls. A periodic flush writes them
- * at the latest after one interval.
- */
-const MINIMUM_WRITE_BYTES = 4_096;
-const FLUSH_INTERVAL_MS = 200;
 /** Lines per second of one message; further ones are counted and summarised in one line. */
 const DEFAULT_LINES_PER_SECOND = 40;
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -25,23 +18,13 @@
  */
 export default function createBoundedLogger(options: BoundedLoggerOptions): BoundedLogger {
   const { clock, linesPerSecond = DEFAULT_LINES_PER_SECOND } = options;
-  const destination = pino.destination({
-    fd: 1,
-    sync: false,
-    minLength: MINIMUM_WRITE_BYTES,
-    maxLength: MAXIMUM_BUFFERED_BYTES,
-    periodicFlush: FLUSH_INTERVAL_MS,
-  });
+  const destination = getLogDestination();
   const logger = pino(
     { base: { ...options.bindings }, timestamp: pino.stdTimeFunctions.isoTime },
     destination,
   );
   const counts = new Map<string, MessageCount>();
-  let dropped = 0;
   let isSummaryScheduled = false;
-  destination.on('drop', () => {
-    dropped += 1;
-  });
 
   /**
    * Logs how many lines were left out since the last summary; logs nothing when none were. Runs one
@@ -55,9 +38,9 @@
       ),
     );
     counts.clear();
+    const dropped = destination.takeDropped();
     if (dropped > 0 || Object.keys(suppressed).length > 0) {
       logger.warn({ suppressed, dropped }, 'lines left out');
-      dropped = 0;
     }
   }
 
@@ -93,7 +76,7 @@
     error: (fields, message) => write('error', fields, message),
     flush() {
       logSummary();
-      destination.flushSync();
+      destination.flush();
     },
   };
 }
--- a/packages/observability/src/types.ts
+++ b/packages/observability/src/types.ts
@@ -129,6 +129,26 @@
   readonly capacity?: number;
 }
 
+/** Where lines of a log are written; it never blocks the process, and none of its functions throws. */
+export interface LogDestination {
+  /** Buffers a line that ends with a line feed; returns false if it was dropped. */
+  write(line: string): boolean;
+  /** Returns how many lines were dropped since the last call. */
+  takeDropped(): number;
+  /** Writes the buffered lines before the process ends, as far as the reader takes them in time. */
+  flush(): void;
+}
+
+export interface LogDestinationOptions {
+  /** Bytes buffered at most. */
+  readonly maximumBytes?: number;
+  /** Bytes that are written at once; fewer wait for `interval`. */
+  readonly minimumBytes?: number;
+  readonly interval?: Milliseconds;
+  readonly retryInterval?: Milliseconds;
+  readonly flushTimeout?: Milliseconds;
+}
+
 /** Logger with a bounded volume that never blocks the process on a slow reader. */
 export interface BoundedLogger extends Logger {
   /** Writes the buffered lines, before the process ends. */
