--- a/packages/command-line/src/commands/serve.ts
+++ b/packages/command-line/src/commands/serve.ts
@@ -8,14 +8,17 @@
 import reloadEntryHostSettings from '../reloadEntryHostSettings';
 import type { Command } from '../types';
 
-async function startHost(fileName: string): Promise<Outcome<ManagedHost, StartFailure>> {
+async function startHost(
+  fileName: string,
+  signal: AbortSignal,
+): Promise<Outcome<ManagedHost, StartFailure>> {
   const read = await readEntryHostSettings(fileName);
   if (read.kind === 'error') {
     return fail({ kind: 'invalidSettings', fileName, diagnostics: read.error });
   }
-  const started = await createEntryHost({ settings: read.value });
+  const started = await createEntryHost({ settings: read.value, signal });
   if (started.kind === 'error') {
-    return fail({ kind: 'unavailable', detail: started.error });
+    return started;
   }
   const { logger, recordError, stop } = started.value;
   let settings = read.value;
@@ -38,7 +41,7 @@
         logger.error({ error: String(error) }, 'settings reload failed'),
       );
     },
-    // Its log is written synchronously.
+    // The log writes what is buffered when the process exits.
     flush: () => undefined,
   });
 }
@@ -55,7 +58,7 @@
       printError('--settings FILE is needed');
       return exitCodes.usage;
     }
-    return runHostProcess({ signals, printError, start: () => startHost(fileName) });
+    return runHostProcess({ signals, printError, start: (signal) => startHost(fileName, signal) });
   },
 };
 
--- a/packages/command-line/src/process/runHostProcess.ts
+++ b/packages/command-line/src/process/runHostProcess.ts
@@ -3,6 +3,7 @@
 import type { ErrorRecorder, Logger } from '@rattanreel/observability';
 import catchUnexpectedErrors from '../catchUnexpectedErrors';
 import exitCodes from '../exitCodes';
+import getStartExitCode from '../getStartExitCode';
 import reportSettingsDiagnostics from '../reportSettingsDiagnostics';
 import type { ExitCode } from '../types';
 import decideSignal from './decideSignal';
@@ -128,10 +129,12 @@
       case 'invalidSettings':
         reportSettingsDiagnostics({ ...failure, logger, printError });
         return end('startFailed', exitCodes.invalidInput);
-      case 'unavailable':
-        logger.error(failure.detail, 'host cannot start');
-        printError(`host cannot start: ${JSON.stringify(failure.detail)}`);
-        return end('startFailed', exitCodes.unavailable);
+      case 'invalidAddress':
+      case 'plainTextOffLoopback':
+      case 'addressRefused':
+        logger.error(failure, 'host cannot start');
+        printError(`host cannot start: ${JSON.stringify(failure)}`);
+        return end('startFailed', getStartExitCode(failure));
       default:
         return failure satisfies never;
     }
--- a/packages/command-line/src/process/types.ts
+++ b/packages/command-line/src/process/types.ts
@@ -1,6 +1,7 @@
 /** Types of the life of a host's process: its signals, its start and its end. */
 import type { Milliseconds, Outcome } from '@rattanreel/core';
 import type { ErrorRecorder, Logger } from '@rattanreel/observability';
+import type { PeerTransportError } from '@rattanreel/transport';
 import type { SettingsFileDiagnostic } from '../types';
 
 /** Signals whose default disposition would end the process. */
@@ -55,14 +56,12 @@
 
 /** Why a host did not start. */
 export type StartFailure =
-  | { readonly kind: 'stopped' }
   | {
       readonly kind: 'invalidSettings';
       readonly fileName: string;
       readonly diagnostics: readonly SettingsFileDiagnostic[];
     }
-  /** An address or another resource that the host needs cannot be had. */
-  | { readonly kind: 'unavailable'; readonly detail: object };
+  | PeerTransportError;
 
 export interface HostProcessOptions {
   readonly signals: SignalInbox;
--- a/packages/command-line/src/runServePlatform.ts
+++ b/packages/command-line/src/runServePlatform.ts
@@ -20,10 +20,14 @@
   readonly printError: (line: string) => void;
 }
 
-async function startHost(fileName: string): Promise<Outcome<ManagedHost, StartFailure>> {
-  const started = await start(fileName);
+async function startHost(
+  fileName: string,
+  signal: AbortSignal,
+): Promise<Outcome<ManagedHost, StartFailure>> {
+  const started = await start(fileName, { signal });
   if (started.kind === 'error') {
-    return fail({ kind: 'invalidSettings', fileName, diagnostics: started.error });
+    const { error } = started;
+    return fail(error.kind === 'invalidSettings' ? { ...error, fileName } : error);
   }
   const { logger } = started.value;
   const reload = (): void => {
@@ -44,5 +48,5 @@
     printError(`--settings FILE or ${SETTINGS_ENVIRONMENT_VARIABLE} is needed`);
     return exitCodes.usage;
   }
-  return runHostProcess({ signals, printError, start: () => startHost(fileName) });
+  return runHostProcess({ signals, printError, start: (signal) => startHost(fileName, signal) });
 }
