Pipelined requests ran though an earlier response closed their connection

Callers saw: of pipelined requests on a kept connection, those behind a response that closes the connection ran at a backend server and got no response. Responses that close it: every one while the host stops, one delimited by the close, one that is broken off, and a 413.

Cause: each request was passed on as soon as it had arrived. Node.js ends the socket after the first response with `Connection: close`, whatever waits behind it. Besides, Node.js emits no `close` for a response that waits for an earlier one: its request counted as active until the process ended, kept its part of the memory for bodies, and a stop waited for it until the end of the grace period.

Now the requests of a connection are handled one after the other (as Envoy does), none after a response that closes it, and while the host stops only the response to the last request that has arrived says `Connection: close`.

Evidence: keptConnections.test.ts over real sockets, on: 4 of 4 cases fail (3 requests handled, 1 answered while stopping; `/plain/3` handled behind a delimited response and behind a 413, `/plain/2` behind a broken one), and with the first check taken out all 4 show 1 or 2 requests that stay active. Here 4 of 4 pass; 101 tests of front and lateness pass.

Remains: a request that arrives behind a streamed response whose headers have said `Connection: close` already is read, not passed on, and not answered.

--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -1,12 +1,14 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { CallerLimits } from '../types';
 import splitAddress from '../splitAddress';
 import createCallerExchange from './createCallerExchange';
+import createRequestTurns from './createRequestTurns';
 import readBody from './readBody';
 import createBodyBudget from './createBodyBudget';
-import type { BodyBudget, CallerExchange, CallerEndpoint } from './types';
+import type { BodyBudget, BodyResult, CallerEndpoint, CallerExchange, RequestTurns } from './types';
 
 /** Largest header block that is read; the `headerBytes` of the configuration is not applied. */
 const MAXIMUM_HEADER_BYTES = 65_536;
@@ -26,51 +28,67 @@
   readonly bodyBudget?: Pick<BodyBudget, 'reserve'>;
 }
 
-/** Creates the HTTP endpoint for callers; a body is read completely before it is handled. */
+/**
+ * Creates the HTTP endpoint for callers; a body is read completely before it is handled, and the
+ * requests of a connection are handled one after the other.
+ */
 export default function createCallerEndpoint(options: CallerEndpointOptions): CallerEndpoint {
   const {
     getArrivalTime = options.clock.now,
     getLimits,
     bodyBudget = createBodyBudget({ bytes: Infinity }),
   } = options;
+  const turnsBySocket = new WeakMap<Socket, RequestTurns>();
   let isDraining = false;
   let active = 0;
 
+  function getTurns(socket: Socket): RequestTurns {
+    const turns = turnsBySocket.get(socket) ?? createRequestTurns(socket);
+    turnsBySocket.set(socket, turns);
+    return turns;
+  }
+
   function handle(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const arrivedAt = getArrivalTime();
     const reservation = bodyBudget.reserve();
     active += 1;
-    outgoing.once('close', () => {
+    const turn = getTurns(incoming.socket).add(outgoing, () => {
       active -= 1;
       reservation.release();
     });
+
+    function respond(read: Exclude<BodyResult, { kind: 'cut' }>): void {
+      const exchange = createCallerExchange({
+        incoming,
+        outgoing,
+        body: read.kind === 'whole' ? read.body : Buffer.alloc(0),
+        arrivedAt,
+        shouldCloseConnection: () => read.kind === 'tooLarge' || (isDraining && turn.isLast()),
+      });
+      switch (read.kind) {
+        case 'whole':
+          options.onRequest(exchange, incoming);
+          return;
+        case 'tooLarge':
+          options.onTooLarge(exchange);
+          return;
+        case 'noMemory':
+          options.onNoMemory(exchange, incoming);
+          return;
+        default:
+          read satisfies never;
+      }
+    }
+
     readBody({
       incoming,
       limit: getLimits().bodyBytes,
       reservation,
       onRead(read) {
-        const exchange = createCallerExchange({
-          incoming,
-          outgoing,
-          body: read.kind === 'whole' ? read.body : Buffer.alloc(0),
-          arrivedAt,
-          shouldCloseConnection: () => isDraining || read.kind === 'tooLarge',
-        });
-        switch (read.kind) {
-          case 'whole':
-            options.onRequest(exchange, incoming);
-            return;
-          case 'tooLarge':
-            options.onTooLarge(exchange);
-            return;
-          case 'noMemory':
-            options.onNoMemory(exchange, incoming);
-            return;
-          case 'cut':
-            outgoing.destroy();
-            return;
-          default:
-            read satisfies never;
+        if (read.kind === 'cut') {
+          outgoing.destroy();
+        } else {
+          turn.begin(() => respond(read));
         }
       },
     });
--- a/packages/relay/src/front/readBody.ts
+++ b/packages/relay/src/front/readBody.ts
@@ -1,14 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import createGrowingBuffer from './createGrowingBuffer';
-import type { BodyReservation } from './types';
-
-type BodyResult =
-  | { readonly kind: 'whole'; readonly body: Buffer }
-  | { readonly kind: 'tooLarge' }
-  /** All of the body was read and discarded, since the host has no memory for it. */
-  | { readonly kind: 'noMemory' }
-  /** The caller disconnected before the end of the body. */
-  | { readonly kind: 'cut' };
+import type { BodyReservation, BodyResult } from './types';
 
 interface ReadBodyOptions {
   readonly incoming: IncomingMessage;
