A stopping host cut large responses to slow readers

Callers saw: after SIGTERM, the connection of a caller that reads a large response slowly was closed in the middle of it.

Cause: the drain closes idle connections every 50 ms, first through `server.close()`. Node.js takes a connection for idle as soon as its response has ended in the program (`_httpMessage.finished`), also while bytes of it wait for the reader, and destroys it.

Now the listener alone is closed, and idle connections only while no response that has ended is still being sent.

--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -1,5 +1,9 @@
-/** Connections to backend servers: how they end, and how reading from them is paused. */
+/**
+ * Connections to backend servers: how they end, and how reading from them is paused; connections of
+ * callers: how a host that stops closes them.
+ */
 export type * from './types';
 export { default as createTrackedConnector } from './createTrackedConnector';
 export { default as guardResponses } from './guardResponses';
 export { default as isDelimitedByClose } from './isDelimitedByClose';
+export { default as stopAccepting } from './stopAccepting';
--- /dev/null
+++ b/packages/connections/src/stopAccepting.ts
@@ -0,0 +1,17 @@
+import type { Server, ServerResponse } from 'node:http';
+import { Server as NetServer } from 'node:net';
+
+/**
+ * Stops listening and closes idle connections, but cuts no response of `active`, the responses that
+ * have not been sent. To be called until there is none: others may become idle.
+ */
+export default function stopAccepting(server: Server, active: ReadonlySet<ServerResponse>): void {
+  if (server.listening) {
+    // That of an HTTP server also closes idle connections.
+    NetServer.prototype.close.call(server);
+  }
+  // To Node.js a connection is idle once its response has ended, also while bytes of it are unsent.
+  if (![...active].some(({ writableEnded }) => writableEnded)) {
+    server.closeIdleConnections();
+  }
+}
--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import { stopAccepting } from '@rattanreel/connections';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { CallerLimits } from '../types';
 import splitAddress from '../splitAddress';
@@ -40,7 +41,7 @@
   } = options;
   const turnsBySocket = new WeakMap<Socket, RequestTurns>();
   let isDraining = false;
-  let active = 0;
+  const active = new Set<ServerResponse>();
 
   function getTurns(socket: Socket): RequestTurns {
     const turns = turnsBySocket.get(socket) ?? createRequestTurns(socket);
@@ -51,9 +52,9 @@
   function handle(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const arrivedAt = getArrivalTime();
     const reservation = bodyBudget.reserve();
-    active += 1;
+    active.add(outgoing);
     const turn = getTurns(incoming.socket).add(outgoing, () => {
-      active -= 1;
+      active.delete(outgoing);
       reservation.release();
     });
 
@@ -116,13 +117,8 @@
     startDraining() {
       isDraining = true;
     },
-    stopAccepting() {
-      if (server.listening) {
-        server.close();
-      }
-      server.closeIdleConnections();
-    },
-    countActive: () => active,
+    stopAccepting: () => stopAccepting(server, active),
+    countActive: () => active.size,
     close() {
       server.close();
       server.closeAllConnections();
--- a/packages/relay/src/front/keptConnections.test.ts
+++ b/packages/relay/src/front/keptConnections.test.ts
@@ -4,12 +4,16 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
 import { createSystemClock } from '@rattanreel/core';
+import { silentLogger } from '@rattanreel/observability';
+import createStopDeadline from '../lateness/createStopDeadline';
 import createCallerEndpoint from './createCallerEndpoint';
+import drainCallerEndpoint from './drainCallerEndpoint';
 import type { CallerEndpoint, CallerExchange } from './types';
 
 const PORT = 18_397;
 const ADDRESS = `127.0.0.1:${PORT}`;
 const LIMITS = { headerBytes: 16_384, bodyBytes: 64, headerTimeout: 3_000, idleTimeout: 9_000 };
+const LARGE_BYTES = 24_000_000;
 const WORK_DURATION_MS = 80;
 
 /** Answers by the path: the status, the framing and the time follow from its first part. */
@@ -50,12 +54,12 @@
     }, WORK_DURATION_MS);
   }
 
-  async function start(): Promise<void> {
+  async function start(onRequest: (exchange: CallerExchange) => void = respond): Promise<void> {
     handled = [];
     endpoint = createCallerEndpoint({
       clock: createSystemClock(),
       getLimits: () => LIMITS,
-      onRequest: respond,
+      onRequest,
       onTooLarge(exchange) {
         exchange.sendHead(413, ['content-length', '0']);
         exchange.finish();
@@ -150,4 +154,30 @@
       expect(endpoint.countActive()).toEqual(0);
     });
   });
+
+  // Guards against closing, as idle, the connection of a slow reader before all of its response is
+  // sent.
+  it('sends all of a large response to a slow reader while it stops', async () => {
+    await start((exchange) => {
+      exchange.sendHead(200, ['content-length', String(LARGE_BYTES)]);
+      exchange.sendData(Buffer.alloc(LARGE_BYTES, 'x'));
+      exchange.finish();
+    });
+    const socket = open();
+    socket.pause();
+    socket.write(createRequest('/'));
+    await sleep(200);
+    const stopped = drainCallerEndpoint({
+      clock: createSystemClock(),
+      logger: silentLogger,
+      endpoint,
+      stopDeadline: createStopDeadline(),
+      gracePeriod: 5_000,
+    });
+    await sleep(3_000);
+    const text = read(socket, 1_500);
+    socket.resume();
+    expect((await text).length).toBeGreaterThan(LARGE_BYTES);
+    await stopped;
+  });
 });
