The end of the grace period left requests without an answer

Callers saw, of what was in hand when a stopping host's grace period ended: - a response of which this host kept a part: closed without an answer, though the request had been sent to a backend server; - a request whose body was still arriving: closed without an answer; - a part of a response that is delimited by the close of its connection: a plain close, so that the part looked complete. The log had `caller gone` or nothing for them, so they could not be told from callers that left.

Cause: `expire` spared each request with data from its server, which is right for a quarantine but not for the end of the host; nobody watched bodies; and the last step destroyed the sockets below the exchanges, past their reset.

Now the end of the grace period ends all of them: 502 `stopping` (sent), 503 `stopping` (body not complete, not run), or a visible break (reset, or no last chunk). What a slow reader has not taken at the close is broken off in the same way. `host stopped` says `activeBefore`, `answered`, `ended`, `active` and `duration`. A second call of `stop` returns the same promise: it began a second drain before.

--- a/packages/connections/src/stopAccepting.ts
+++ b/packages/connections/src/stopAccepting.ts
@@ -5,7 +5,7 @@
  * Stops listening and closes idle connections, but cuts no response of `active`, the responses that
  * have not been sent. To be called until there is none: others may become idle.
  */
-export default function stopAccepting(server: Server, active: ReadonlySet<ServerResponse>): void {
+export default function stopAccepting(server: Server, active: Iterable<ServerResponse>): void {
   if (server.listening) {
     // That of an HTTP server also closes idle connections.
     NetServer.prototype.close.call(server);
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -90,6 +90,7 @@
   let limits = INITIAL_LIMITS;
   let isReady = false;
   let isStopping = false;
+  let stopped: Promise<void> | undefined;
 
   const core = await createHostCore({
     ...options,
@@ -157,6 +158,11 @@
     onRequest: requestHandler.handle,
     onTooLarge: requestHandler.rejectTooLarge,
     onNoMemory: requestHandler.refuseForMemory,
+    onStopped: requestHandler.refuseForStop,
+    onCut({ headers }, activeFor) {
+      const request = headers[options.names.requestId];
+      logger.warn({ request, activeFor: Math.round(activeFor) }, 'request cut by stop');
+    },
     bodyBudget,
   });
 
@@ -191,28 +197,33 @@
   core.start();
   logger.info({ entryHost, incarnation, startedIn: clock.now() - startedAt }, 'host started');
 
+  async function stop(): Promise<void> {
+    isStopping = true;
+    core.resign();
+    await drainCallerEndpoint({
+      clock,
+      logger,
+      endpoint: {
+        ...callerEndpoint,
+        countActive: () => callerEndpoint.countActive() + core.forwarding.tasks.countActive(),
+      },
+      stopDeadline,
+      gracePeriod: bounds.shutdownGracePeriod,
+    });
+    callerEndpoint.close();
+    readiness.close();
+    metricsEndpoint.close();
+    await core.stop();
+  }
+
   return {
     recordError,
     applyBounds(next) {
       Object.assign(bounds, next);
     },
-    async stop() {
-      isStopping = true;
-      core.resign();
-      await drainCallerEndpoint({
-        clock,
-        logger,
-        endpoint: {
-          ...callerEndpoint,
-          countActive: () => callerEndpoint.countActive() + core.forwarding.tasks.countActive(),
-        },
-        stopDeadline,
-        gracePeriod: bounds.shutdownGracePeriod,
-      });
-      callerEndpoint.close();
-      readiness.close();
-      metricsEndpoint.close();
-      await core.stop();
+    stop() {
+      stopped ??= stop();
+      return stopped;
     },
   };
 }
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -43,6 +43,8 @@
   rejectTooLarge(exchange: CallerExchange): void;
   /** Refuses a request whose body was discarded. */
   refuseForMemory(exchange: CallerExchange, incoming: IncomingMessage): void;
+  /** Refuses a request whose body had not arrived when the grace period ended. */
+  refuseForStop(exchange: CallerExchange, incoming: IncomingMessage): void;
 }
 
 /** Chooses a target at random, in proportion to the weights. */
@@ -152,6 +154,10 @@
       planAndHandle(exchange, incoming, (_, planned) =>
         refuse(exchange, planned, { reason: 'noMemory' }),
       ),
+    refuseForStop: (exchange, incoming) =>
+      planAndHandle(exchange, incoming, (_, planned) =>
+        refuse(exchange, planned, { reason: 'stopping' }),
+      ),
     rejectTooLarge(exchange) {
       observer.rejected('', { status: 413, code: 'bodyTooLarge' });
       sendProblem(exchange, { status: 413, code: 'bodyTooLarge', execution: 'not-run' });
--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -25,10 +25,21 @@
   readonly onTooLarge: (exchange: CallerExchange) => void;
   /** Handles a request whose body was discarded, since the host has no memory for it. */
   readonly onNoMemory: (exchange: CallerExchange, incoming: IncomingMessage) => void;
+  /** Handles a request of which the body has not arrived when the grace period ends. */
+  readonly onStopped?: (exchange: CallerExchange, incoming: IncomingMessage) => void;
+  /** Called for each request that is closed without a whole response, and how long it was active. */
+  readonly onCut?: (incoming: IncomingMessage, activeFor: Milliseconds) => void;
   /** Unlimited if absent. */
   readonly bodyBudget?: Pick<BodyBudget, 'reserve'>;
 }
 
+interface ActiveRequest {
+  readonly incoming: IncomingMessage;
+  readonly arrivedAt: Milliseconds;
+  /** Undefined before its turn. */
+  readonly exchange?: CallerExchange;
+}
+
 /**
  * Creates the HTTP endpoint for callers; a body is read completely before it is handled, and the
  * requests of a connection are handled one after the other.
@@ -41,7 +52,10 @@
   } = options;
   const turnsBySocket = new WeakMap<Socket, RequestTurns>();
   let isDraining = false;
-  const active = new Set<ServerResponse>();
+  const active = new Map<ServerResponse, ActiveRequest>();
+  /** Functions that end the reading of a body, by response. */
+  const arriving = new Map<ServerResponse, () => void>();
+  let answered = 0;
 
   function getTurns(socket: Socket): RequestTurns {
     const turns = turnsBySocket.get(socket) ?? createRequestTurns(socket);
@@ -52,9 +66,10 @@
   function handle(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const arrivedAt = getArrivalTime();
     const reservation = bodyBudget.reserve();
-    active.add(outgoing);
+    active.set(outgoing, { incoming, arrivedAt });
     const turn = getTurns(incoming.socket).add(outgoing, () => {
       active.delete(outgoing);
+      answered += isDraining && outgoing.writableFinished ? 1 : 0;
       reservation.release();
     });
 
@@ -64,8 +79,10 @@
         outgoing,
         body: read.kind === 'whole' ? read.body : Buffer.alloc(0),
         arrivedAt,
-        shouldCloseConnection: () => read.kind === 'tooLarge' || (isDraining && turn.isLast()),
+        shouldCloseConnection: () =>
+          read.kind === 'tooLarge' || read.kind === 'stopped' || (isDraining && turn.isLast()),
       });
+      active.set(outgoing, { incoming, arrivedAt, exchange });
       switch (read.kind) {
         case 'whole':
           options.onRequest(exchange, incoming);
@@ -76,16 +93,20 @@
         case 'noMemory':
           options.onNoMemory(exchange, incoming);
           return;
+        case 'stopped':
+          options.onStopped?.(exchange, incoming);
+          return;
         default:
           read satisfies never;
       }
     }
 
-    readBody({
+    const stopReading = readBody({
       incoming,
       limit: getLimits().bodyBytes,
       reservation,
       onRead(read) {
+        arriving.delete(outgoing);
         if (read.kind === 'cut') {
           outgoing.destroy();
         } else {
@@ -93,6 +114,9 @@
         }
       },
     });
+    if (!incoming.complete) {
+      arriving.set(outgoing, stopReading);
+    }
   }
 
   const server: Server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, handle);
@@ -117,9 +141,15 @@
     startDraining() {
       isDraining = true;
     },
-    stopAccepting: () => stopAccepting(server, active),
+    stopAccepting: () => stopAccepting(server, active.keys()),
     countActive: () => active.size,
+    countAnswered: () => answered,
+    refuseArriving: () => [...arriving.values()].forEach((stopReading) => stopReading()),
     close() {
+      active.forEach(({ incoming, arrivedAt, exchange }) => {
+        options.onCut?.(incoming, options.clock.now() - arrivedAt);
+        exchange?.abort();
+      });
       server.close();
       server.closeAllConnections();
     },
--- a/packages/relay/src/front/drainCallerEndpoint.ts
+++ b/packages/relay/src/front/drainCallerEndpoint.ts
@@ -44,16 +44,28 @@
     return endpoint.countActive() === 0;
   }
 
-  logger.info({ active: endpoint.countActive() }, 'host stopping');
+  const activeBefore = endpoint.countActive();
+  logger.info({ active: activeBefore }, 'host stopping');
   endpoint.startDraining();
   stopDeadline.begin(endsAt);
   await sleep(clock, ACCEPT_DURATION_AFTER_STOP);
   while (!closeIdleConnections() && clock.now() < endsAt) {
     await sleep(clock, DRAIN_CHECK_INTERVAL);
   }
-  if (endpoint.countActive() > 0) {
+  const ended = endpoint.countActive();
+  if (ended > 0) {
     stopDeadline.expire();
+    endpoint.refuseArriving();
     await sleep(clock, FINAL_ANSWER_TIME);
   }
-  logger.info({ active: endpoint.countActive() }, 'host stopped');
+  logger.info(
+    {
+      activeBefore,
+      answered: endpoint.countAnswered(),
+      ended,
+      active: endpoint.countActive(),
+      duration: Math.round(clock.now() - stoppedAt),
+    },
+    'host stopped',
+  );
 }
--- a/packages/relay/src/front/readBody.ts
+++ b/packages/relay/src/front/readBody.ts
@@ -11,8 +11,11 @@
   readonly onRead: (read: BodyResult) => void;
 }
 
-/** Reads a request's body within the memory that can be reserved for it. */
-export default function readBody(options: ReadBodyOptions): void {
+/**
+ * Reads a request's body within the memory that can be reserved for it. Returns a function that reads
+ * no further since the host stops.
+ */
+export default function readBody(options: ReadBodyOptions): () => void {
   const { incoming, limit, reservation } = options;
   const declared = Number(incoming.headers['content-length'] ?? 0);
   const body = createGrowingBuffer();
@@ -50,4 +53,8 @@
   );
   incoming.on('close', () => finish({ kind: 'cut' }));
   incoming.on('error', () => finish({ kind: 'cut' }));
+  return () => {
+    discard();
+    finish({ kind: 'stopped' });
+  };
 }
--- a/packages/relay/src/front/refuseOrFail.ts
+++ b/packages/relay/src/front/refuseOrFail.ts
@@ -16,6 +16,10 @@
 export default function refuseOrFail(options: RefuseOrFailOptions): void {
   const { exchange, response, mayHaveRun, refusal } = options;
   if (response.isCommitted()) {
+    options.observer.brokenOff(
+      options.plan,
+      refusal.reason === 'stopping' ? 'stopping' : 'serverBroke',
+    );
     exchange.abort();
   } else if (mayHaveRun) {
     const { reason } = refusal;
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -47,8 +47,8 @@
   const guard = createRequestGuard({
     ...options,
     onRefused(refusal, reason) {
-      // A server that has not begun to answer would end when it does.
-      if (!copies.hasData()) {
+      // A server that has not begun to answer would end when it does; the end of a host spares none.
+      if (reason === 'stop' || !copies.hasData()) {
         endEarly(refusal, reason);
       }
     },
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -90,6 +90,9 @@
   readonly oldest: Milliseconds;
 }
 
+/** Why a request that was sent has no whole response. */
+export type BreakReason = 'timeout' | 'serverBroke' | 'quarantined' | 'stopping';
+
 export interface RequestObserver {
   rejected(requestId: string, rejection: Rejection): void;
   refused(
@@ -105,7 +108,7 @@
   attemptEnded(plan: RequestPlan, server: BackendServerId, figures: AttemptFigures): void;
   completed(plan: RequestPlan, server: BackendServerId, figures: AttemptFigures): void;
   failed(plan: RequestPlan, status: number, code: string): void;
-  brokenOff(plan: RequestPlan, reason: 'timeout' | 'serverBroke' | 'quarantined'): void;
+  brokenOff(plan: RequestPlan, reason: BreakReason): void;
   callerGone(plan: RequestPlan): void;
 }
 
@@ -193,6 +196,8 @@
   | { readonly kind: 'tooLarge' }
   /** All of the body was read and discarded, since the host has no memory for it. */
   | { readonly kind: 'noMemory' }
+  /** The host stops before all of the body has arrived. */
+  | { readonly kind: 'stopped' }
   /** The caller disconnected before the end of the body. */
   | { readonly kind: 'cut' };
 
@@ -221,7 +226,12 @@
   startDraining(): void;
   /** Stops accepting connections and closes idle ones. */
   stopAccepting(): void;
-  /** Returns the number of requests whose response has not ended. */
+  /** Returns the number of requests whose response has not been sent. */
   countActive(): number;
+  /** Returns the number of whole responses that were sent since the drain began. */
+  countAnswered(): number;
+  /** Refuses the requests of which the body is still arriving. */
+  refuseArriving(): void;
+  /** Closes all connections; what has not been sent cannot look complete. */
   close(): void;
 }
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -1,6 +1,7 @@
 import { createRandom } from '@rattanreel/core';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import { silentLogger } from '@rattanreel/observability';
+import type { Logger } from '@rattanreel/observability';
 import type { Admission } from '../admission/types';
 import createRequestHandler from '../createRequestHandler';
 import createRequestClassifier from '../decisions/createRequestClassifier';
@@ -9,6 +10,7 @@
 import createCallerEndpoint from '../front/createCallerEndpoint';
 import createRelayMetrics from '../front/createRelayMetrics';
 import createRequestObserver from '../front/createRequestObserver';
+import drainCallerEndpoint from '../front/drainCallerEndpoint';
 import createLoopDelay from '../lateness/createLoopDelay';
 import createStopDeadline from '../lateness/createStopDeadline';
 import createTimeCheck from '../lateness/createTimeCheck';
@@ -55,10 +57,13 @@
   readonly onGranted?: () => void;
   /** Time that each request is expected to take. */
   readonly expectedDuration?: Milliseconds;
+  /** Discards all lines unless given. */
+  readonly logger?: Logger;
 }
 
 /** Runs the front of a host over real sockets, with one server whose slots are always granted. */
 export default async function createTestRelay(options: TestRelayOptions) {
+  const { logger = silentLogger } = options;
   const loopDelay = createLoopDelay(options);
   const { clock } = loopDelay;
   const stopDeadline = createStopDeadline();
@@ -102,7 +107,7 @@
   const connections = createServerConnections({ loopDelay });
   const metrics = createRelayMetrics();
   const handler = createRequestHandler({
-    context: { clock, random: createRandom(1), logger: silentLogger },
+    context: { clock, random: createRandom(1), logger },
     names: { ...headerNames, reserved: new Set([headerNames.deadline]) },
     admission,
     embargo: createServerEmbargo(),
@@ -129,7 +134,7 @@
       isScheduledByOther: () => false,
     }),
     observer: createRequestObserver({
-      logger: silentLogger,
+      logger,
       metrics,
       now: clock.now,
       getBasis: () => ({
@@ -157,6 +162,7 @@
     onRequest: handler.handle,
     onTooLarge: handler.rejectTooLarge,
     onNoMemory: handler.refuseForMemory,
+    onStopped: handler.refuseForStop,
   });
   /** Sets the timers that a host has in any case, which reveal its event loop delay. */
   const startTimer = (interval: Milliseconds): void => {
@@ -175,6 +181,8 @@
     counts,
     completed,
     scrape: metrics.scrape,
+    drain: (gracePeriod: Milliseconds): Promise<void> =>
+      drainCallerEndpoint({ clock, logger, endpoint, stopDeadline, gracePeriod }),
     async stop(): Promise<void> {
       isStopped = true;
       endpoint.close();
