A stop of `serve` never ended while callers used their connections

Callers and operators saw: after SIGTERM the process stayed for as long as callers went on using their open connections, and as long as the slowest backend server or the longest deadline; whoever then killed it cut what was in hand. Of pipelined requests, those behind a closing response ran unanswered.

Cause: the stop waited for `server.close()`, which waits for all connections, but responses said nothing of a close and idle connections were closed once. It also waited for the requests in hand without a bound, and counted a request as ended when its handler returned, before its bytes were written.

Now a stop has a grace period of 24 s (orchestrators kill after 30 s; up to 5 s are for recording orders). Requests that begin in the stop close their connection, idle connections are closed again and again, and the stop waits until the bytes of all responses are written. At the end of the grace period the rest is aborted and answered by its handlers; what has still no answer 300 ms later gets 504 `execution-in-doubt`, or a visible break, and a line `request cut by stop`. `host stopping` and `host stopped` have counts and the duration. `stop` returns the same promise each time. The turns of a connection moved to `connections`, for both kinds of hosts.

--- /dev/null
+++ b/packages/command-line/src/stoppingServe.test.ts
@@ -0,0 +1,105 @@
+import { readFile } from 'node:fs/promises';
+import { connect } from 'node:net';
+import { describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'earl';
+import { parse } from 'yaml';
+import { parseEntryHostSettings } from '@rattanreel/configuration';
+import { Debug } from '@rattanreel/core';
+import { createEntryHost } from '@rattanreel/entry-host';
+import type { EntryHost } from '@rattanreel/entry-host';
+import { silentLogger } from '@rattanreel/observability';
+import findFreePorts from './demo/findFreePorts';
+import createServeScene from './testing/createServeScene';
+import startCaller from './testing/startCaller';
+import type { Scene } from './testing/types';
+
+const TIMEOUT = { timeout: 40_000 };
+const GRACE_PERIOD_MS = 2_000;
+
+interface Run {
+  readonly scene: Scene;
+  readonly host: EntryHost;
+}
+
+async function withHost(workDuration: number, test: (run: Run) => Promise<void>): Promise<void> {
+  const scene = await createServeScene({ ports: await findFreePorts(2), workDuration });
+  const settings = parseEntryHostSettings(parse(await readFile(scene.settingsFile, 'utf8')));
+  const created = await createEntryHost({
+    settings: Debug.checkDefined(settings.kind === 'ok' ? settings.value : undefined, 'settings'),
+    logger: silentLogger,
+    gracePeriod: GRACE_PERIOD_MS,
+  });
+  const host = Debug.checkDefined(created.kind === 'ok' ? created.value : undefined, 'host');
+  try {
+    while (!(await scene.isReady())) {
+      await sleep(20);
+    }
+    await test({ scene, host });
+  } finally {
+    await host.kill();
+    await scene.close();
+  }
+}
+
+async function measure(action: () => Promise<unknown>): Promise<number> {
+  const startedAt = performance.now();
+  await action();
+  return performance.now() - startedAt;
+}
+
+describe('a host of `serve` that stops', () => {
+  // Guards against a stop that waits for callers that never leave their connections idle.
+  it('ends while callers go on using their connections, and answers all', TIMEOUT, () =>
+    withHost(300, async ({ scene, host }) => {
+      const callers = Array.from({ length: 6 }, (_, index) =>
+        startCaller({ scene, name: `read-${index}`, kind: 'read' }),
+      );
+      await sleep(1_000);
+      const duration = await Promise.race([measure(host.stop), sleep(10_000, Infinity)]);
+      const results = (await Promise.all(callers.map((caller) => caller.stop()))).flat();
+      const begun = scene.listBegun();
+      expect(duration).toBeLessThan(GRACE_PERIOD_MS);
+      expect(
+        results.filter(({ kind, request }) => kind === 'closed' && begun.has(request)),
+      ).toEqual([]);
+    }),
+  );
+
+  // Guards against running a pipelined request whose connection closes with an earlier response.
+  it('answers pipelined requests in hand', TIMEOUT, () =>
+    withHost(300, async ({ scene, host }) => {
+      const { method, path, headers } = scene.createRequest('pipelined', 'read');
+      const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+      const request = `${method} ${path} HTTP/1.1\r\nhost: h\r\n${lines.join('')}\r\n`;
+      const socket = connect(scene.ports.callers!, '127.0.0.1');
+      let text = '';
+      socket.on('data', (chunk: Buffer) => {
+        text += chunk.toString('latin1');
+      });
+      socket.write(request + request);
+      await sleep(100);
+      const stops = [host.stop(), host.stop()];
+      expect(stops[0] === stops[1]).toEqual(true);
+      await Promise.all(stops);
+      socket.destroy();
+      const statuses = [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status);
+      expect(statuses).toEqual(['200', '503']);
+    }),
+  );
+
+  const kinds = ['read', 'order'] as const;
+  kinds.forEach((kind) => {
+    // Guards against a stop that takes as long as the slowest backend server, and against ending a
+    // request without an answer.
+    it(`answers a slow ${kind} at the end of its grace period`, TIMEOUT, () =>
+      withHost(20_000, async ({ scene, host }) => {
+        const caller = startCaller({ scene, name: kind, kind });
+        await sleep(300);
+        expect(await measure(host.stop)).toBeLessThan(GRACE_PERIOD_MS + 2_000);
+        const [result] = await caller.stop();
+        expect(result).toEqual(expect.subset({ kind: 'responded', status: 504 }));
+      }),
+    );
+  });
+});
--- a/packages/connections/src/index.ts
+++ b/packages/connections/src/index.ts
@@ -3,6 +3,7 @@
  * callers: how a host that stops closes them.
  */
 export type * from './types';
+export { default as createRequestTurns } from './createRequestTurns';
 export { default as createTrackedConnector } from './createTrackedConnector';
 export { default as guardResponses } from './guardResponses';
 export { default as isDelimitedByClose } from './isDelimitedByClose';
--- a/packages/entry-host/src/callers/handleChatCompletion.ts
+++ b/packages/entry-host/src/callers/handleChatCompletion.ts
@@ -104,7 +104,7 @@
     chat: chat.value,
     pool,
     deadline,
-    connection: createCallerConnection(context.env.outgoing),
+    connection: createCallerConnection(context.env.outgoing, services.admission),
   });
   return chat.value.stream
     ? answerStreamed(services, context, job)
--- a/packages/entry-host/src/callers/handleServiceCall.ts
+++ b/packages/entry-host/src/callers/handleServiceCall.ts
@@ -75,7 +75,7 @@
     },
     body: await context.req.text(),
     dueAt: services.clock.now() + deadline,
-    signal: createCallerConnection(context.env.outgoing).signal,
+    signal: createCallerConnection(context.env.outgoing, services.admission).signal,
     getAddress: (backendServer) =>
       Debug.checkDefined(settings.tryFindBackendServer(backendServer), backendServer).address,
   });
--- a/packages/entry-host/src/callers/types.ts
+++ b/packages/entry-host/src/callers/types.ts
@@ -1,4 +1,5 @@
 /** Types of callers' requests as one entry host handles them. */
+import type { RequestListener, ServerResponse } from 'node:http';
 import type { HttpBindings } from '@hono/node-server';
 import type { AdministrationServices } from '@rattanreel/administration';
 import type {
@@ -184,12 +185,31 @@
 /** The listener for callers of one entry host. */
 export interface CallerListener {
   readonly address: string;
-  /** Stops listening and waits for open connections to end. */
-  close(): Promise<void>;
+  /** Makes each further request close its connection with its response. */
+  startDraining(): void;
+  /** Returns the number of requests whose response has not been sent. */
+  countActive(): number;
+  /** Returns the number of whole responses that were sent since the drain began. */
+  countAnswered(): number;
+  /** Stops listening and resolves once all responses have been sent, or after this time. */
+  drain(duration: Milliseconds): Promise<void>;
+  /** Ends what has no response: with one that says so, or visibly if a part has been sent. */
+  cutActive(): void;
   /** Stops listening and closes every connection at once. */
   forceClose(): void;
 }
 
+/** The connections of callers, by the requests on them. */
+export interface CallerConnections {
+  /** Returns a listener that handles the requests of each connection one after the other. */
+  takeTurns(listener: RequestListener): RequestListener;
+  startDraining(): void;
+  /** Returns the responses that have not been sent. */
+  getActive(): readonly ServerResponse[];
+  countAnswered(): number;
+  cutActive(): void;
+}
+
 /** Dependencies of the callers' HTTP application. */
 export interface CallerApplicationOptions {
   readonly services: CallerServices;
--- a/packages/entry-host/src/createAdmission.ts
+++ b/packages/entry-host/src/createAdmission.ts
@@ -4,6 +4,7 @@
 export default function createAdmission(capacity: number): Admission {
   let inFlight = 0;
   let stopping = false;
+  const expiryListeners = new Set<() => void>();
   const drainWaiters: (() => void)[] = [];
 
   function resolveWhenDrained(): void {
@@ -38,5 +39,10 @@
       }),
     isStopping: () => stopping,
     inFlight: () => inFlight,
+    watchExpiry(listener) {
+      expiryListeners.add(listener);
+      return () => expiryListeners.delete(listener);
+    },
+    expire: () => [...expiryListeners].forEach((listener) => listener()),
   };
 }
--- a/packages/entry-host/src/createEntryHost.ts
+++ b/packages/entry-host/src/createEntryHost.ts
@@ -7,12 +7,15 @@
 import createCallerApplication from './callers/createCallerApplication';
 import createHostContext from './createHostContext';
 import createHostTasks from './createHostTasks';
+import drainCallers from './drainCallers';
 import listenForCallers from './listenForCallers';
+import type { CallerListener } from './callers/types';
 import type {
   EntryHost,
   EntryHostError,
   EntryHostOptions,
   HostTasks,
+  HostTransport,
   PeerAnswer,
   PeerMessage,
   PeerQuestion,
@@ -64,6 +67,18 @@
     await context.serviceClient.close();
   }
 
+  let stopped: Promise<void> | undefined;
+
+  async function stop(callers: CallerListener, peers: HostTransport): Promise<void> {
+    tasks.membership.handle({ kind: 'leavingChanged', leaving: true });
+    await drainCallers({ ...context, gracePeriod: options.gracePeriod, callers });
+    await tasks.orders.flush(FLUSH_TIMEOUT_MS);
+    callers.forceClose();
+    tasks.membership.close();
+    await peers.close();
+    await close();
+  }
+
   const listener = await listenForCallers(
     createCallerApplication({
       services: tasks.services,
@@ -71,6 +86,7 @@
       isReady,
     }),
     settings.callerAddress,
+    context,
   );
   if (listener.kind === 'error') {
     tasks.membership.kill();
@@ -85,15 +101,9 @@
     incarnation,
     recordError,
     isReady,
-    async stop() {
-      tasks.membership.handle({ kind: 'leavingChanged', leaving: true });
-      admission.stop();
-      await admission.waitUntilDrained();
-      await tasks.orders.flush(FLUSH_TIMEOUT_MS);
-      await listener.value.close();
-      tasks.membership.close();
-      await transport.value.close();
-      await close();
+    stop() {
+      stopped ??= stop(listener.value, transport.value);
+      return stopped;
     },
     async kill() {
       tasks.membership.kill();
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -21,6 +21,7 @@
   FailureDomainId,
   Generation,
   Incarnation,
+  Milliseconds,
   Outcome,
   PoolId,
   Random,
@@ -192,6 +193,9 @@
   waitUntilDrained(): Promise<void>;
   isStopping(): boolean;
   inFlight(): number;
+  /** Calls back when the grace period of a stop ends; returns the function that ends the watch. */
+  watchExpiry(listener: () => void): () => void;
+  expire(): void;
 }
 
 export interface EntryHostOptions {
@@ -199,6 +203,8 @@
   readonly logger?: Logger;
   readonly clock?: Clock;
   readonly random?: Random;
+  /** Time for requests in hand when the host stops. */
+  readonly gracePeriod?: Milliseconds;
 }
 
 /** The reason why an entry host could not start. */
@@ -212,7 +218,10 @@
   readonly incarnation: Incarnation;
   isReady(): boolean;
   readonly recordError: ErrorRecorder;
-  /** Accepts no new requests, waits for those in flight, and closes. */
+  /**
+   * Accepts no new requests, waits for those in flight within the grace period, and closes. Further
+   * calls return the same promise.
+   */
   stop(): Promise<void>;
   /** Closes at once and aborts everything in flight, as a crash of the process would. */
   kill(): Promise<void>;
--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -1,15 +1,15 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { stopAccepting } from '@rattanreel/connections';
+import { createRequestTurns, stopAccepting } from '@rattanreel/connections';
+import type { RequestTurns } from '@rattanreel/connections';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { CallerLimits } from '../types';
 import splitAddress from '../splitAddress';
 import createCallerExchange from './createCallerExchange';
-import createRequestTurns from './createRequestTurns';
 import readBody from './readBody';
 import createBodyBudget from './createBodyBudget';
-import type { BodyBudget, BodyResult, CallerEndpoint, CallerExchange, RequestTurns } from './types';
+import type { BodyBudget, BodyResult, CallerEndpoint, CallerExchange } from './types';
 
 /** Largest header block that is read; the `headerBytes` of the configuration is not applied. */
 const MAXIMUM_HEADER_BYTES = 65_536;
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -1,5 +1,4 @@
 /** Types of a caller's request and of the response to it. */
-import type { ServerResponse } from 'node:http';
 import type { ErrorOrigin, Gauge as GaugeDefinition } from '@rattanreel/observability';
 import type { BackendServerId, Clock, Milliseconds, PoolId } from '@rattanreel/core';
 import type {
@@ -201,22 +200,6 @@
   /** The caller disconnected before the end of the body. */
   | { readonly kind: 'cut' };
 
-/** The requests of one connection, in the order of their arrival. */
-export interface RequestTurns {
-  /** Adds a request; `onEnd` is called once, when its response has been sent or its connection ends. */
-  add(outgoing: ServerResponse, onEnd: () => void): RequestTurn;
-}
-
-export interface RequestTurn {
-  /**
-   * Calls back, at once if possible, when all earlier responses have been sent; never if one of them
-   * closes the connection.
-   */
-  begin(handle: () => void): void;
-  /** Whether no later request of the connection has arrived. */
-  isLast(): boolean;
-}
-
 /** The HTTP endpoint for callers. */
 export interface CallerEndpoint {
   listen(address: string): Promise<void>;
