--- a/packages/entry-host/src/listenForCallers.ts
+++ b/packages/entry-host/src/listenForCallers.ts
@@ -1,27 +1,45 @@
 import { createAdaptorServer } from '@hono/node-server';
 import { createServer } from 'node:http';
-import type { Server } from 'node:http';
+import type { RequestListener, Server, ServerOptions } from 'node:http';
 import type { Hono } from 'hono';
-import { listenOnAddress } from '@rattanreel/connections';
+import { listenOnAddress, stopAccepting } from '@rattanreel/connections';
 import type { ListenContext, ListenError } from '@rattanreel/connections';
 import { ok } from '@rattanreel/core';
-import type { Outcome } from '@rattanreel/core';
+import type { Clock, Outcome } from '@rattanreel/core';
+import type { Logger } from '@rattanreel/observability';
+import { sleep } from '@rattanreel/platform';
+import createCallerConnections from './callers/createCallerConnections';
 import type { CallerEnvironment, CallerListener } from './callers/types';
 
 const MAXIMUM_HEADER_BYTES = 16_384;
 const MAXIMUM_CONNECTIONS = 8_192;
 const HEADERS_TIMEOUT_MS = 10_000;
+const DRAIN_CHECK_INTERVAL_MS = 50;
+
+interface CallerListenerContext extends ListenContext {
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
 
 /** Listens for callers; waits until the address is available. */
 export default async function listenForCallers(
   application: Hono<CallerEnvironment>,
   address: string,
-  listening: ListenContext,
+  listening: CallerListenerContext,
 ): Promise<Outcome<CallerListener, ListenError>> {
+  const { clock, logger } = listening;
+  const connections = createCallerConnections({
+    clock,
+    onCut({ method, url: target, headers }, activeFor) {
+      const key = headers['idempotency-key'];
+      logger.warn({ method, target, key, activeFor: Math.round(activeFor) }, 'request cut by stop');
+    },
+  });
   const server = createAdaptorServer({
     fetch: application.fetch,
     hostname: address.slice(0, address.lastIndexOf(':')),
-    createServer,
+    createServer: ((serverOptions: ServerOptions, listener: RequestListener) =>
+      createServer(serverOptions, connections.takeTurns(listener))) as typeof createServer,
     serverOptions: {
       maxHeaderSize: MAXIMUM_HEADER_BYTES,
       headersTimeout: HEADERS_TIMEOUT_MS,
@@ -35,11 +53,18 @@
   }
   return ok({
     address: listened.value.address,
-    close: () =>
-      new Promise<void>((resolveClosed) => {
-        server.close(() => resolveClosed());
-        server.closeIdleConnections();
-      }),
+    startDraining: connections.startDraining,
+    countActive: () => connections.getActive().length,
+    countAnswered: connections.countAnswered,
+    async drain(duration) {
+      const endsAt = clock.now() + duration;
+      stopAccepting(server, connections.getActive());
+      while (connections.getActive().length > 0 && clock.now() < endsAt) {
+        await sleep(clock, DRAIN_CHECK_INTERVAL_MS);
+        stopAccepting(server, connections.getActive());
+      }
+    },
+    cutActive: connections.cutActive,
     forceClose: () => {
       server.close();
       server.closeAllConnections();
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -13,7 +13,6 @@
 import createCallerEndpoint from './front/createCallerEndpoint';
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
-import drainCallerEndpoint from './front/drainCallerEndpoint';
 import createHedging from './hedging/createHedging';
 import createLoggedLoopDelay from './lateness/createLoggedLoopDelay';
 import createStopDeadline from './lateness/createStopDeadline';
@@ -21,6 +20,7 @@
 import openListeners from './openListeners';
 import openRelayTransport from './peers/openRelayTransport';
 import createServerConnections from './servers/createServerConnections';
+import stopRelayHost from './stopRelayHost';
 import type {
   CallerLimits,
   HeaderNames,
@@ -92,6 +92,7 @@
   let limits = INITIAL_LIMITS;
   let hasClusterState = (): boolean => false;
   let isStopping = false;
+  let stopped: Promise<void> | undefined;
 
   const countFailure = metrics.countListenFailure;
   const listening = { ...context, signal: options.signal, countFailure };
@@ -174,6 +175,11 @@
     onRequest: requestHandler.handle,
     onTooLarge: requestHandler.rejectTooLarge,
     onNoMemory: requestHandler.refuseForMemory,
+    onStopped: requestHandler.refuseForStop,
+    onCut({ headers }, activeFor) {
+      const request = headers[options.names.requestId];
+      logger.warn({ request, activeFor: Math.round(activeFor) }, 'request cut by stop');
+    },
     bodyBudget,
   });
 
@@ -203,27 +209,27 @@
   core.start();
   logger.info({ entryHost, incarnation, startedIn: clock.now() - startedAt }, 'host started');
 
+  function stop(): Promise<void> {
+    isStopping = true;
+    return stopRelayHost({
+      core,
+      clock,
+      logger,
+      endpoint: callerEndpoint,
+      stopDeadline,
+      gracePeriod: bounds.shutdownGracePeriod,
+      closeChecks,
+    });
+  }
+
   return ok({
     recordError,
     applyBounds(next) {
       Object.assign(bounds, next);
     },
-    async stop() {
-      isStopping = true;
-      core.resign();
-      await drainCallerEndpoint({
-        clock,
-        logger,
-        endpoint: {
-          ...callerEndpoint,
-          countActive: () => callerEndpoint.countActive() + core.forwarding.tasks.countActive(),
-        },
-        stopDeadline,
-        gracePeriod: bounds.shutdownGracePeriod,
-      });
-      callerEndpoint.close();
-      closeChecks();
-      await core.stop();
+    stop() {
+      stopped ??= stop();
+      return stopped;
     },
   });
 }
