Wait for a listening address that is taken, instead of ending the start

Callers saw a host that did not start: with a listening address taken for the first 1.5 s (by the process before it that still drains, or a second start), `serve-platform` ended with exit code 1 and a bare stack, `serve` with 5 (callers) or 1 (peers). No structured line, no second attempt. The class: an error that passes by itself, handled as a final one.

Cause: each endpoint listened in its own way, once. Readiness and metrics had no handler for 'error', so that it was an uncaught exception; the endpoint for callers rejected; gRPC's bindAsync rejected, hides the code of the error, and by its source (1.14.7, Server.boundPorts) gives the same rejection to each later call for the same port. After `catchUnexpectedErrors` the same events were logged without an endpoint, and the endpoint was missing for good.

Now one part (`listenOnAddress`) binds all of them: errors that can pass are tried again with backoff and jitter, at most 250 ms apart, until an AbortSignal stops it; others are a typed failure. It keeps a handler for later errors of the server, and logs and counts each kind. The transport listens with a socket server of Node.js and hands its connections to gRPC (`createConnectionInjector`), which gives the code and allows further attempts, with mutual TLS too. Readiness and metrics listen first and in the background; a host is ready once callers can reach it, and registers after its address for peers is bound, as before.

Tried and given up: to pass the failure of the peers' address through createHostCore, whose timers would have run during the wait, before the link to the peers exists. Ruled out: a new gRPC server for each attempt, which leaves a watcher of the certificates behind each time.

--- a/packages/command-line/src/commands/serve.ts
+++ b/packages/command-line/src/commands/serve.ts
@@ -4,6 +4,7 @@
 import { createEntryHost } from '@rattanreel/entry-host';
 import catchUnexpectedErrors from '../catchUnexpectedErrors';
 import exitCodes from '../exitCodes';
+import getStartExitCode from '../getStartExitCode';
 import type { Command } from '../types';
 
 function waitForSignal(): Promise<void> {
@@ -36,8 +37,10 @@
     }
     const entryHost = await createEntryHost({ settings: settings.value });
     if (entryHost.kind === 'error') {
-      context.printError(`${fileName}: ${JSON.stringify(entryHost.error)}`);
-      return exitCodes.unavailable;
+      if (entryHost.error.kind === 'plainTextOffLoopback') {
+        context.printError(`${fileName}: ${JSON.stringify(entryHost.error)}`);
+      }
+      return getStartExitCode(entryHost.error);
     }
     catchUnexpectedErrors(entryHost.value.recordError);
     await waitForSignal();
--- a/packages/command-line/src/runServePlatform.ts
+++ b/packages/command-line/src/runServePlatform.ts
@@ -2,6 +2,7 @@
 import { servePlatform as start } from '@rattanreel/platform-adapter';
 import catchUnexpectedErrors from './catchUnexpectedErrors';
 import exitCodes from './exitCodes';
+import getStartExitCode from './getStartExitCode';
 import type { ExitCode } from './types';
 
 /** Environment variable in which the platform passes the name of the settings file. */
@@ -26,7 +27,11 @@
   }
   const started = await start(fileName);
   if (started.kind === 'error') {
-    started.error.forEach(({ code, line, message }) =>
+    const { error } = started;
+    if (error.kind !== 'invalidSettings') {
+      return getStartExitCode(error);
+    }
+    error.diagnostics.forEach(({ code, line, message }) =>
       printError(`${fileName}:${line ?? 0}: ${code}: ${message}`),
     );
     return exitCodes.invalidInput;
--- a/packages/connections/src/types.ts
+++ b/packages/connections/src/types.ts
@@ -1,6 +1,8 @@
-/** Types of connections that are tracked for undici. */
+/** Types of connections that are tracked for undici, and of listening servers. */
+import type { Server } from 'node:net';
 import type { buildConnector } from 'undici';
-import type { Milliseconds } from '@rattanreel/core';
+import type { Clock, Milliseconds, Random } from '@rattanreel/core';
+import type { Logger } from '@rattanreel/observability';
 
 export interface TrackedConnectorOptions {
   /** Longest wait for a connection. */
@@ -18,3 +20,57 @@
   /** Stops reading from the connection; returns the function that reads on. */
   pause(): () => void;
 }
+
+/** A listening endpoint of an entry host. */
+export type ListenEndpoint = 'callers' | 'readiness' | 'peers' | 'metrics';
+
+/** What failed: to listen on the address, or to accept a connection. */
+export type ListenOperation = 'listen' | 'accept';
+
+/** Reason why an endpoint does not listen; `code` is that of the operating system or Node.js. */
+export type ListenError =
+  /** The address is malformed or of an unknown host. */
+  | ListenFailure<'invalidAddress'>
+  /** The operating system refuses the address for good, for example for lack of permission. */
+  | ListenFailure<'addressRefused'>
+  /** The signal was aborted before the address was available. */
+  | { readonly kind: 'stopped'; readonly endpoint: ListenEndpoint; readonly address: string };
+
+interface ListenFailure<Kind extends string> {
+  readonly kind: Kind;
+  readonly endpoint: ListenEndpoint;
+  readonly address: string;
+  readonly code: string;
+}
+
+/** What all endpoints of a process share while they begin to listen. */
+export interface ListenContext {
+  readonly clock?: Clock;
+  readonly random?: Pick<Random, 'next'>;
+  readonly logger?: Pick<Logger, 'info' | 'warn' | 'error'>;
+  /** Ends the attempts. */
+  readonly signal?: AbortSignal | undefined;
+  readonly countFailure?: (endpoint: ListenEndpoint, operation: ListenOperation) => void;
+}
+
+export interface ListenOptions extends ListenContext {
+  /** Must not listen yet. */
+  readonly server: Server;
+  readonly endpoint: ListenEndpoint;
+  /** HOST:PORT; port 0 chooses any free port. */
+  readonly address: string;
+  /** Connections that may wait to be accepted; the system's default if absent. */
+  readonly backlog?: number | undefined;
+}
+
+/** Where a server listens, in the terms of Node.js. */
+export interface ListenTarget {
+  readonly host: string;
+  readonly port: number;
+  readonly backlog: number | undefined;
+}
+
+export interface ListeningAddress {
+  /** HOST:PORT, with the port that was chosen. */
+  readonly address: string;
+}
--- a/packages/entry-host/src/createEntryHost.ts
+++ b/packages/entry-host/src/createEntryHost.ts
@@ -1,4 +1,5 @@
-import { fail, ok } from '@rattanreel/core';
+import type { ListenContext } from '@rattanreel/connections';
+import { ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import { createErrorRecorder } from '@rattanreel/observability';
 import { createPeerTransport } from '@rattanreel/transport';
@@ -20,7 +21,7 @@
 
 const FLUSH_TIMEOUT_MS = 5_000;
 
-/** Starts the listeners and the tasks of an entry host. */
+/** Starts the listeners and the tasks of an entry host; waits until its addresses are available. */
 export default async function createEntryHost(
   options: EntryHostOptions,
 ): Promise<Outcome<EntryHost, EntryHostError>> {
@@ -33,15 +34,29 @@
     countError: context.metrics.countError,
   });
 
+  async function closeClients(): Promise<void> {
+    await context.store.close();
+    await context.engineClient.close();
+    await context.serviceClient.close();
+  }
+
+  const listening: ListenContext = {
+    ...context,
+    signal: options.signal,
+    countFailure: context.metrics.countListenFailure,
+  };
+
   const transport = await createPeerTransport<PeerMessage, PeerQuestion, PeerAnswer>({
     identity: { entryHost, incarnation },
     listenAddress: settings.peerAddress,
+    listening,
     security: settings.peerSecurity,
     onMessage: ({ body }) => tasks.receive(body),
     onQuestion: ({ body }) => tasks.answer(body),
     onHandlerError: recordError,
   });
   if (transport.kind === 'error') {
+    await closeClients();
     return transport;
   }
   const tasks: HostTasks = createHostTasks(context, transport.value);
@@ -59,9 +74,7 @@
 
   async function close(): Promise<void> {
     await tasks.close();
-    await context.store.close();
-    await context.engineClient.close();
-    await context.serviceClient.close();
+    await closeClients();
   }
 
   const listener = await listenForCallers(
@@ -71,12 +84,13 @@
       isReady,
     }),
     settings.callerAddress,
+    listening,
   );
   if (listener.kind === 'error') {
-    tasks.membership.kill();
+    tasks.membership.close();
     await transport.value.close();
     await close();
-    return fail(listener.error);
+    return listener;
   }
 
   return ok({
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -64,7 +64,7 @@
   Refusal,
   SpillOver,
 } from '@rattanreel/scheduling';
-import type { PeerTransport, TransportSettingsError } from '@rattanreel/transport';
+import type { PeerTransport, PeerTransportError } from '@rattanreel/transport';
 import type { CallerServices, OrderDispatcher } from './callers/types';
 import type { MovePeerMessage, MovesTask } from './moves/types';
 import type { LocalSchedulers } from './scheduling/types';
@@ -199,11 +199,12 @@
   readonly logger?: Logger;
   readonly clock?: Clock;
   readonly random?: Random;
+  /** Ends the start while an address is not available. */
+  readonly signal?: AbortSignal | undefined;
 }
 
 /** The reason why an entry host could not start. */
-export type EntryHostError =
-  TransportSettingsError | { readonly kind: 'addressInUse'; readonly address: string };
+export type EntryHostError = PeerTransportError;
 
 /** A running entry host. */
 export interface EntryHost {
--- a/packages/observability/src/createMetrics.ts
+++ b/packages/observability/src/createMetrics.ts
@@ -55,7 +55,15 @@
     registers,
   });
 
+  const listenFailures = new Counter({
+    name: 'rattanreel_listen_failures_total',
+    help: 'Failed attempts to listen on an address of this host, or to accept a connection.',
+    labelNames: ['endpoint', 'operation'],
+    registers,
+  });
+
   return {
+    countListenFailure: (endpoint, operation) => listenFailures.inc({ endpoint, operation }),
     countError: (origin) => unexpectedErrors.inc({ origin }),
     requestEnded({ tier, pool, outcome, duration, firstTokenAfter, ...counts }) {
       requests.inc({ tier, pool, outcome });
--- a/packages/observability/src/types.ts
+++ b/packages/observability/src/types.ts
@@ -116,6 +116,8 @@
   invariantViolated(code: string): void;
   /** Counts an exception that no part of the host expected, by where it was caught. */
   countError(origin: ErrorOrigin): void;
+  /** Counts a failed attempt to listen at an endpoint, or to accept a connection there. */
+  countListenFailure(endpoint: string, operation: 'listen' | 'accept'): void;
   addGauge(gauge: Gauge): void;
   /** Returns the text of a scrape and its media type. */
   scrape(): Promise<{ readonly contentType: string; readonly body: string }>;
--- a/packages/relay/src/createMetricsEndpoint.ts
+++ b/packages/relay/src/createMetricsEndpoint.ts
@@ -1,16 +1,20 @@
-import type { ServerType } from '@hono/node-server';
 import { Hono } from 'hono';
+import type { ListenContext } from '@rattanreel/connections';
 import serveApplication from './serveApplication';
 
 interface MetricsEndpointOptions {
   /** HOST:PORT. */
   readonly address: string;
   readonly scrape: () => Promise<string>;
+  readonly listening: ListenContext;
 }
 
-/** Serves the metrics at `/metrics` in the Prometheus text format. */
-export default function createMetricsEndpoint(options: MetricsEndpointOptions): ServerType {
+/**
+ * Serves the metrics at `/metrics` in the Prometheus text format. Returns the function that closes
+ * the endpoint.
+ */
+export default function createMetricsEndpoint(options: MetricsEndpointOptions): () => void {
   const application = new Hono();
   application.get('/metrics', async (context) => context.text(await options.scrape()));
-  return serveApplication(application, options.address);
+  return serveApplication({ ...options, application, endpoint: 'metrics' });
 }
--- a/packages/relay/src/createReadinessEndpoint.ts
+++ b/packages/relay/src/createReadinessEndpoint.ts
@@ -1,5 +1,5 @@
-import type { ServerType } from '@hono/node-server';
 import { Hono } from 'hono';
+import type { ListenContext } from '@rattanreel/connections';
 import serveApplication from './serveApplication';
 
 interface ReadinessEndpointOptions {
@@ -7,13 +7,17 @@
   readonly address: string;
   readonly readyPath: string;
   readonly isReady: () => boolean;
+  readonly listening: ListenContext;
 }
 
-/** Serves the readiness check of the load balancer: 200 when ready, 503 otherwise. */
-export default function createReadinessEndpoint(options: ReadinessEndpointOptions): ServerType {
+/**
+ * Serves the readiness check of the load balancer: 200 when ready, 503 otherwise. Returns the
+ * function that closes the endpoint.
+ */
+export default function createReadinessEndpoint(options: ReadinessEndpointOptions): () => void {
   const application = new Hono();
   application.get(options.readyPath, (context) =>
     options.isReady() ? context.text('ready', 200) : context.text('not ready', 503),
   );
-  return serveApplication(application, options.address);
+  return serveApplication({ ...options, application, endpoint: 'readiness' });
 }
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -1,9 +1,9 @@
-import type { ServerType } from '@hono/node-server';
+import type { ListenError } from '@rattanreel/connections';
+import { ok } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
 import { createErrorRecorder } from '@rattanreel/observability';
 import addRelayGauges from './addRelayGauges';
 import createHostCore from './createHostCore';
-import createMetricsEndpoint from './createMetricsEndpoint';
-import createReadinessEndpoint from './createReadinessEndpoint';
 import createRequestHandler from './createRequestHandler';
 import createRequestClassifier from './decisions/createRequestClassifier';
 import createRouteTable from './decisions/createRouteTable';
@@ -15,9 +15,10 @@
 import createRequestObserver from './front/createRequestObserver';
 import drainCallerEndpoint from './front/drainCallerEndpoint';
 import createHedging from './hedging/createHedging';
-import createLoopDelay from './lateness/createLoopDelay';
+import createLoggedLoopDelay from './lateness/createLoggedLoopDelay';
 import createStopDeadline from './lateness/createStopDeadline';
 import createTimeCheck from './lateness/createTimeCheck';
+import openListeners from './openListeners';
 import openRelayTransport from './peers/openRelayTransport';
 import createServerConnections from './servers/createServerConnections';
 import type {
@@ -56,6 +57,8 @@
   readonly readinessAddress: string;
   readonly readyPath: string;
   readonly metricsAddress: string;
+  /** Ends the start while an address is not available. */
+  readonly signal?: AbortSignal | undefined;
 }
 
 function indexCustomers(
@@ -67,16 +70,15 @@
     : new Map(customers.flatMap((customer) => customer.keys.map((key) => [key, customer])));
 }
 
-/** Runs the relay on one entry host: connects cluster state, pools, peers and callers. */
-export default async function createRelayHost(options: RelayHostOptions): Promise<RelayHost> {
+/**
+ * Runs the relay on one entry host: connects cluster state, pools, peers and callers. Waits until the
+ * addresses for peers and callers are available; the host serves callers without its metrics.
+ */
+export default async function createRelayHost(
+  options: RelayHostOptions,
+): Promise<Outcome<RelayHost, ListenError>> {
   const { entryHost, incarnation } = options;
-  const loopDelay = createLoopDelay({
-    clock: options.context.clock,
-    onChange({ isHigh, loopDelay: delay }) {
-      const message = isHigh ? 'event loop late' : 'event loop punctual';
-      options.context.logger.info({ loopDelay: delay }, message);
-    },
-  });
+  const loopDelay = createLoggedLoopDelay(options.context);
   const context = { ...options.context, clock: loopDelay.clock };
   const { clock, logger } = context;
   const stopDeadline = createStopDeadline();
@@ -88,15 +90,30 @@
   let routes: RouteTable | undefined;
   let customersByKey: ReadonlyMap<string, RelayCustomer> | undefined;
   let limits = INITIAL_LIMITS;
-  let isReady = false;
+  let hasClusterState = (): boolean => false;
   let isStopping = false;
 
+  const countFailure = metrics.countListenFailure;
+  const listening = { ...context, signal: options.signal, countFailure };
+  const opened = await openListeners({
+    ...options,
+    listening,
+    scrape: metrics.scrape,
+    isReady: () => hasClusterState() && !isStopping,
+  });
+  if (opened.kind === 'error') {
+    await options.source.close();
+    return opened;
+  }
+  const { peerListener: listener, closeChecks } = opened.value;
+
   const core = await createHostCore({
     ...options,
     context,
     loopDelay,
     bounds,
-    openTransport: (transport) => openRelayTransport({ ...transport, onHandlerError: recordError }),
+    openTransport: (transport) =>
+      openRelayTransport({ ...transport, onHandlerError: recordError, listener }),
     direct: createServerConnections({ loopDelay }),
     onConfiguration(configuration) {
       routes = createRouteTable(configuration.routes);
@@ -160,16 +177,6 @@
     bodyBudget,
   });
 
-  const readiness: ServerType = createReadinessEndpoint({
-    address: options.readinessAddress,
-    readyPath: options.readyPath,
-    isReady: () => isReady && core.hasClusterState() && !isStopping,
-  });
-
-  const metricsEndpoint = createMetricsEndpoint({
-    address: options.metricsAddress,
-    scrape: metrics.scrape,
-  });
   const { connections } = core.forwarding;
   addRelayGauges({
     metrics,
@@ -186,12 +193,17 @@
     addDutyGauges(metrics, core.duties);
   }
 
-  await callerEndpoint.listen(options.callerAddress);
-  isReady = true;
+  const listeningForCallers = await callerEndpoint.listen(options.callerAddress, listening);
+  if (listeningForCallers.kind === 'error') {
+    closeChecks();
+    await core.stop();
+    return listeningForCallers;
+  }
+  hasClusterState = core.hasClusterState;
   core.start();
   logger.info({ entryHost, incarnation, startedIn: clock.now() - startedAt }, 'host started');
 
-  return {
+  return ok({
     recordError,
     applyBounds(next) {
       Object.assign(bounds, next);
@@ -210,9 +222,8 @@
         gracePeriod: bounds.shutdownGracePeriod,
       });
       callerEndpoint.close();
-      readiness.close();
-      metricsEndpoint.close();
+      closeChecks();
       await core.stop();
     },
-  };
+  });
 }
--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -1,8 +1,8 @@
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import { listenOnAddress } from '@rattanreel/connections';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import type { CallerLimits } from '../types';
-import splitAddress from '../splitAddress';
 import createCallerExchange from './createCallerExchange';
 import readBody from './readBody';
 import createBodyBudget from './createBodyBudget';
@@ -10,6 +10,8 @@
 
 /** Largest header block that is read; the `headerBytes` of the configuration is not applied. */
 const MAXIMUM_HEADER_BYTES = 65_536;
+/** Connections that may wait to be accepted. */
+const LISTEN_BACKLOG = 1_024;
 
 interface CallerEndpointOptions {
   readonly clock: Pick<Clock, 'now'>;
@@ -88,12 +90,16 @@
   }
 
   return {
-    listen: (address) =>
-      new Promise((resolve, reject) => {
-        applyLimits();
-        server.once('error', reject);
-        server.listen({ ...splitAddress(address), backlog: 1_024 }, () => resolve());
-      }),
+    listen(address, listening = {}) {
+      applyLimits();
+      return listenOnAddress({
+        ...listening,
+        server,
+        endpoint: 'callers',
+        address,
+        backlog: LISTEN_BACKLOG,
+      });
+    },
     applyLimits,
     startDraining() {
       isDraining = true;
--- a/packages/relay/src/front/createRelayMetrics.ts
+++ b/packages/relay/src/front/createRelayMetrics.ts
@@ -55,7 +55,15 @@
     registers,
   });
 
+  const listenFailureCounter = new Counter({
+    name: 'rattanreel_relay_listen_failures_total',
+    help: 'Failed attempts to listen on an address of this host, or to accept a connection.',
+    labelNames: ['endpoint', 'operation'],
+    registers,
+  });
+
   return {
+    countListenFailure: (endpoint, operation) => listenFailureCounter.inc({ endpoint, operation }),
     countError: (origin) => errorCounter.inc({ origin }),
     countHedge: (result) => hedgeCounter.inc({ result }),
     observeHedgeDelay: (delay) => hedgeDelayHistogram.observe(delay / MILLISECONDS_PER_SECOND),
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -1,6 +1,13 @@
 /** Types of a caller's request and of the response to it. */
+import type {
+  ListenContext,
+  ListenEndpoint,
+  ListenError,
+  ListeningAddress,
+  ListenOperation,
+} from '@rattanreel/connections';
 import type { ErrorOrigin, Gauge as GaugeDefinition } from '@rattanreel/observability';
-import type { BackendServerId, Clock, Milliseconds, PoolId } from '@rattanreel/core';
+import type { BackendServerId, Clock, Milliseconds, Outcome, PoolId } from '@rattanreel/core';
 import type {
   QuotaFigures,
   ClusterStateVersions,
@@ -134,6 +141,7 @@
   observeDuration(plan: RequestPlan, now: number): void;
   addGauge(gauge: GaugeDefinition): void;
   countError(origin: ErrorOrigin): void;
+  countListenFailure(endpoint: ListenEndpoint, operation: ListenOperation): void;
   countHedge(result: HedgeResult): void;
   observeHedgeDelay(delay: Milliseconds): void;
   scrape(): Promise<string>;
@@ -188,7 +196,11 @@
 
 /** The HTTP endpoint for callers. */
 export interface CallerEndpoint {
-  listen(address: string): Promise<void>;
+  /** Listens on HOST:PORT; waits until the address is available. */
+  listen(
+    address: string,
+    listening?: ListenContext,
+  ): Promise<Outcome<ListeningAddress, ListenError>>;
   /** Applies changed limits to new connections. */
   applyLimits(): void;
   /** Makes each further response close its connection. */
--- a/packages/relay/src/peers/openRelayTransport.ts
+++ b/packages/relay/src/peers/openRelayTransport.ts
@@ -1,5 +1,6 @@
+import { Debug } from '@rattanreel/core';
 import { createPeerTransport } from '@rattanreel/transport';
-import type { HandledInput } from '@rattanreel/transport';
+import type { HandledInput, PeerListener } from '@rattanreel/transport';
 import type { ForwardProgress, ForwardTask } from '../forwarding/types';
 import type { ClusterState, PeerQuery } from '../types';
 import isHostMessage from './isHostMessage';
@@ -8,9 +9,11 @@
 interface OpenRelayTransportOptions extends RelayTransportOptions {
   /** Called with what went wrong when what a peer sent cannot be handled. */
   readonly onHandlerError: (input: HandledInput, error: unknown) => void;
+  /** Listens on the address. */
+  readonly listener: PeerListener;
 }
 
-/** Opens the transport between hosts. Throws if it cannot listen on the address. */
+/** Opens the transport between hosts. */
 export default async function openRelayTransport(
   options: OpenRelayTransportOptions,
 ): Promise<RelayTransport> {
@@ -23,6 +26,7 @@
   >({
     identity: options.identity,
     listenAddress: options.listenAddress,
+    listener: options.listener,
     security: { kind: 'plainTrustedNetwork' },
     onMessage({ from, body }, respond) {
       if (!isHostMessage(body)) {
@@ -34,8 +38,5 @@
     onQuestion: async ({ body }) => options.getClusterState(body),
     onTask: ({ body }, reporter) => options.onTask(body, reporter),
   });
-  if (opened.kind === 'error') {
-    throw new Error(`cannot listen on peer address ${opened.error.address}: ${opened.error.kind}`);
-  }
-  return opened.value;
+  return Debug.checkDefined(opened.kind === 'ok' ? opened.value : undefined, 'relay transport');
 }
--- a/packages/relay/src/peers/types.ts
+++ b/packages/relay/src/peers/types.ts
@@ -26,7 +26,7 @@
   readonly onTask: (task: ForwardTask, reporter: ForwardReporter) => () => void;
 }
 
-/** Opens the transport between hosts. Rejects if it cannot listen on the address. */
+/** Opens the transport between hosts. */
 export type OpenTransport = (options: RelayTransportOptions) => Promise<RelayTransport>;
 
 /** Messages between hosts; kinds that a host does not know are ignored. */
--- a/packages/transport/src/createPeerTransport.ts
+++ b/packages/transport/src/createPeerTransport.ts
@@ -12,6 +12,7 @@
 import createHandlerGuard from './createHandlerGuard';
 import createPeerCredentials from './createPeerCredentials';
 import isLoopbackAddress from './isLoopbackAddress';
+import listenForPeers from './listenForPeers';
 import createPeerService from './createPeerService';
 import maximumMessageBytes from './maximumMessageBytes';
 import type {
@@ -19,21 +20,18 @@
   PeerConnection,
   PeerError,
   PeerTransport,
+  PeerTransportError,
   PeerTransportOptions,
-  TransportSettingsError,
 } from './types';
 
 const DEFAULT_ANSWER_TIMEOUT_MS = 2_000;
 /** Number of responses buffered for a slow peer before further ones are dropped. */
 const MAXIMUM_BUFFERED_MESSAGES = 4_096;
 
-function hostOf(address: string): string {
-  return address.slice(0, address.lastIndexOf(':'));
-}
-
 /**
- * Creates a transport that listens for peers and connects to them on first use. Fails with
- * `plainTextOffLoopback` when plain text is configured for an address that is not loopback.
+ * Creates a transport that listens for peers and connects to them on first use. Waits until the
+ * listening address is available. Fails with `plainTextOffLoopback` when plain text is configured for
+ * an address that is not loopback, and with the reason if it cannot listen.
  */
 export default async function createPeerTransport<
   Message,
@@ -43,9 +41,7 @@
   Progress = never,
 >(
   options: PeerTransportOptions<Message, Question, Answer, Task, Progress>,
-): Promise<
-  Outcome<PeerTransport<Message, Question, Answer, Task, Progress>, TransportSettingsError>
-> {
+): Promise<Outcome<PeerTransport<Message, Question, Answer, Task, Progress>, PeerTransportError>> {
   const { identity, listenAddress, security, onMessage, onQuestion } = options;
   if (security.kind === 'plainLoopback' && !isLoopbackAddress(listenAddress)) {
     return fail({ kind: 'plainTextOffLoopback', address: listenAddress });
@@ -142,18 +138,21 @@
     'grpc.max_send_message_length': maximumMessageBytes,
   });
   server.addService({ ...service }, implementation);
-  const port = await new Promise<number>((resolve, reject) => {
-    server.bindAsync(listenAddress, peerCredentials.server, (error, boundPort) => {
-      if (error === null) {
-        resolve(boundPort);
-      } else {
-        reject(error);
-      }
-    });
-  });
+  // A server of gRPC cannot be bound again after a failure, and hides the error's code.
+  const injector = server.createConnectionInjector(peerCredentials.server);
+  const opened =
+    options.listener === undefined
+      ? await listenForPeers(listenAddress, options.listening)
+      : ok(options.listener);
+  if (opened.kind === 'error') {
+    server.forceShutdown();
+    return opened;
+  }
+  const peerListener = opened.value;
+  peerListener.setHandler((socket) => injector.injectConnection(socket));
 
   return ok({
-    address: `${hostOf(listenAddress)}:${port}`,
+    address: peerListener.address,
     send(peerAddress, message) {
       tryGetConnection(peerAddress)?.send({ from: identity, body: message });
     },
@@ -180,6 +179,7 @@
     async close() {
       closed = true;
       connections.forEach((connection) => connection.close());
+      peerListener.close();
       server.forceShutdown();
     },
   });
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -4,13 +4,16 @@
   HandledInput,
   PeerError,
   PeerIdentity,
+  PeerListener,
   PeerSecurity,
   PeerTask,
   PeerTraffic,
   PeerTransport,
+  PeerTransportError,
   PeerTransportOptions,
   TaskListener,
   TaskReporter,
   TransportSettingsError,
 } from './types';
 export { default as createPeerTransport } from './createPeerTransport';
+export { default as listenForPeers } from './listenForPeers';
--- /dev/null
+++ b/packages/transport/src/listenForPeers.ts
@@ -0,0 +1,34 @@
+import { createServer } from 'node:net';
+import type { Socket } from 'node:net';
+import { listenOnAddress } from '@rattanreel/connections';
+import type { ListenContext, ListenError } from '@rattanreel/connections';
+import { ok } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
+import type { PeerListener } from './types';
+
+/** Listens for peers on HOST:PORT; waits until the address is available. */
+export default async function listenForPeers(
+  address: string,
+  listening: ListenContext = {},
+): Promise<Outcome<PeerListener, ListenError>> {
+  const accepted: Socket[] = [];
+  let accept = (socket: Socket): void => {
+    accepted.push(socket);
+  };
+  const server = createServer((socket) => accept(socket));
+  const listened = await listenOnAddress({ ...listening, server, endpoint: 'peers', address });
+  if (listened.kind === 'error') {
+    return listened;
+  }
+  return ok({
+    address: listened.value.address,
+    setHandler(handler) {
+      accept = handler;
+      accepted.splice(0).forEach(handler);
+    },
+    close() {
+      server.close();
+      accepted.forEach((socket) => socket.destroy());
+    },
+  });
+}
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -1,5 +1,7 @@
 /** Types of messages between entry hosts: one-way messages and questions with an answer. */
+import type { Socket } from 'node:net';
 import type { ChannelCredentials, MethodDefinition, ServerCredentials } from '@grpc/grpc-js';
+import type { ListenContext, ListenError } from '@rattanreel/connections';
 import type { EntryHostId, Incarnation, Milliseconds, Outcome } from '@rattanreel/core';
 
 /** Identity of the sender of a message. */
@@ -45,6 +47,18 @@
   readonly address: string;
 }
 
+/** Reason why a transport does not listen. */
+export type PeerTransportError = TransportSettingsError | ListenError;
+
+/** Accepts connections of peers; keeps those that arrive before it has a handler. */
+export interface PeerListener {
+  /** HOST:PORT, with the port that was chosen. */
+  readonly address: string;
+  setHandler(handler: (socket: Socket) => void): void;
+  /** Stops accepting; the connections that were handed over stay open. */
+  close(): void;
+}
+
 /** A task at a peer. */
 export interface PeerTask {
   cancel(): void;
@@ -76,6 +90,10 @@
   readonly identity: PeerIdentity;
   /** Address to listen on, as host:port; port 0 chooses any free port. */
   readonly listenAddress: string;
+  /** How to listen; not used with a `listener`. */
+  readonly listening?: ListenContext;
+  /** Listens on `listenAddress` already; the transport opens one if absent, and closes either. */
+  readonly listener?: PeerListener;
   readonly security: PeerSecurity;
   /**
    * Handles a message. `respond` sends a message back on the same connection, without a connection
