serve: a caller that never completes a request no longer keeps a stop waiting

What callers saw: a process that did not end after SIGTERM, so that whoever manages it had to kill it. Cause: the close of the listener waits for every connection; Node.js counts a connection as idle only after a whole request, so one that had sent nothing (as health checkers and pools open them) or a cut head stayed open without a bound. Change: 2 s after the last request has ended the remaining connections are closed. Evidence: processEnds.test.ts, `stops beside a connection`, 6 cases; on the code before the 2 cases of serve without a byte and with a cut head still ran 9 s after SIGTERM. Ruled out: serve-platform, which closes all connections at the end of its drain.

--- a/packages/command-line/src/processEnds.test.ts
+++ b/packages/command-line/src/processEnds.test.ts
@@ -1,6 +1,7 @@
 import { execFile } from 'node:child_process';
 import { constants, openSync, closeSync, readSync } from 'node:fs';
 import { readFile, rename, rm, writeFile } from 'node:fs/promises';
+import { connect } from 'node:net';
 import { before, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { promisify } from 'node:util';
@@ -173,4 +174,35 @@
       );
     });
   });
+
+  const unfinished = [
+    { name: 'without a byte', text: '' },
+    { name: 'with a cut head', text: 'POST /order/1 HTTP/1.1\r\nhost: sh' },
+    {
+      name: 'with a cut body',
+      text: 'POST /order/1 HTTP/1.1\r\nhost: shop.example\r\ncontent-length: 9\r\n\r\nbol',
+    },
+  ];
+  kinds.forEach((kind) => {
+    unfinished.forEach(({ name, text }) => {
+      // Guards against a stop that waits for a caller that never finishes its request.
+      it(`${kind}: stops beside a connection ${name}`, OPTIONS, () =>
+        withScene(kind, async (scene) => {
+          const program = startProgram({ words: scene.words });
+          await withProgram(program, async () => {
+            await waitUntilReady({ scene, program });
+            const socket = connect(scene.ports.callers!, '127.0.0.1', () => socket.write(text));
+            socket.on('error', () => undefined);
+            await sleep(200);
+            program.sendSignal('SIGTERM');
+            expect(await Promise.race([program.ended, sleep(9_000)])).toEqual({
+              kind: 'exited',
+              code: 0,
+            });
+            socket.destroy();
+          });
+        }),
+      );
+    });
+  });
 });
--- a/packages/entry-host/src/callers/types.ts
+++ b/packages/entry-host/src/callers/types.ts
@@ -184,7 +184,7 @@
 /** The listener for callers of one entry host. */
 export interface CallerListener {
   readonly address: string;
-  /** Stops listening and waits for open connections to end. */
+  /** Stops listening, waits up to 2 s for open connections to end, and closes the others. */
   close(): Promise<void>;
   /** Stops listening and closes every connection at once. */
   forceClose(): void;
--- a/packages/entry-host/src/listenForCallers.ts
+++ b/packages/entry-host/src/listenForCallers.ts
@@ -11,6 +11,8 @@
 const MAXIMUM_HEADER_BYTES = 16_384;
 const MAXIMUM_CONNECTIONS = 8_192;
 const HEADERS_TIMEOUT_MS = 10_000;
+/** Time in which callers may take the end of their responses after the last request has ended. */
+const CLOSE_TIMEOUT_MS = 2_000;
 
 function parseAddress(address: string): { hostname: string; port: number } {
   const colon = address.lastIndexOf(':');
@@ -42,7 +44,12 @@
             address: `${hostname}:${info.port}`,
             close: () =>
               new Promise<void>((resolveClosed) => {
-                server.close(() => resolveClosed());
+                // A connection whose first request is not complete is not idle.
+                const timer = setTimeout(() => server.closeAllConnections(), CLOSE_TIMEOUT_MS);
+                server.close(() => {
+                  clearTimeout(timer);
+                  resolveClosed();
+                });
                 server.closeIdleConnections();
               }),
             forceClose: () => {
