serve: an order whose connection could not be opened was not run

What callers saw: 504 (execution in doubt) for orders of a host without free descriptors; such an order must not be repeated, though no byte of it had left the host. Cause: the error of connect was looked up in a list of codes; EMFILE, ENOBUFS, ETIMEDOUT and failed look-ups of names are not in it, and what is unknown counts as interrupted. Change: an error of the system calls connect and getaddrinfo is always notConnected; the list remains for errors that name no call.

--- a/packages/dispatch/src/toBackendServerError.ts
+++ b/packages/dispatch/src/toBackendServerError.ts
@@ -10,6 +10,13 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ];
 
+/** System calls before the first byte of a request. */
+const CONNECT_CALLS: readonly unknown[] = ['connect', 'getaddrinfo'];
+
+function isConnectError(error: unknown): boolean {
+  return error instanceof Error && 'syscall' in error && CONNECT_CALLS.includes(error.syscall);
+}
+
 function getErrorCode(error: unknown): string {
   return error instanceof Error && 'code' in error ? String(error.code) : '';
 }
@@ -21,7 +28,7 @@
 export default function toBackendServerError(error: unknown): BackendServerError {
   const code = getErrorCode(error);
   const detail = error instanceof Error ? error.message : String(error);
-  if (NOT_CONNECTED_CODES.includes(code)) {
+  if (NOT_CONNECTED_CODES.includes(code) || isConnectError(error)) {
     return { kind: 'notConnected', detail };
   }
   if (error instanceof errors.HeadersTimeoutError || error instanceof errors.BodyTimeoutError) {
