A silent store held a stopping host beyond its grace period

Seen: `serve-platform` with duties, whose store does not respond since 1.2 s before SIGTERM, and a request in hand until the end: the process ended 5.8 s after SIGTERM with a grace period of 4 s, where the platform kills it.

Cause: after the drain, the stop waited for the lease of the duties, whose pending call to the store ends only with its own timeout.

The stop is in a file of its own.

--- /dev/null
+++ b/packages/command-line/src/stoppingRelay.test.ts
@@ -0,0 +1,58 @@
+import { appendFile } from 'node:fs/promises';
+import { before, describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'earl';
+import createRelayScene from '@rattanreel/platform-adapter/testing/relayScene';
+import findFreePorts from './demo/findFreePorts';
+import bundlePrograms from './testing/bundlePrograms';
+import startCaller from './testing/startCaller';
+import startProgram from './testing/startProgram';
+
+const GRACE_PERIOD_SECONDS = 4;
+const MILLISECONDS_PER_SECOND = 1_000;
+
+describe('a process of `serve-platform` that stops', { concurrency: 2 }, () => {
+  let folder: string;
+
+  before(async () => {
+    folder = await bundlePrograms('stopping-relay-test');
+  });
+
+  const silences = [0, 400, 800, 1_200];
+  silences.forEach((silence) => {
+    // Guards against a store that does not respond and so holds a process beyond its grace period.
+    it(`ends in time with a store that is silent since ${silence} ms`, async () => {
+      const scene = await createRelayScene({
+        ports: await findFreePorts(4),
+        gracePeriodSeconds: GRACE_PERIOD_SECONDS,
+        workDuration: 7_000,
+      });
+      await appendFile(
+        scene.settingsFile,
+        `cloud-api.addr=${scene.store.address}\ncloud-api.duties=usage\n`,
+      );
+      const program = startProgram({ words: [`${folder}/rattanreel.cjs`, ...scene.words] });
+      try {
+        await program.waitForLine('duty candidate changed');
+        while (!(await scene.isReady())) {
+          await sleep(20);
+        }
+        const caller = startCaller({ scene, name: 'read', kind: 'read' });
+        await sleep(500);
+        scene.store.setUnresponsive(true);
+        await sleep(silence);
+        const stoppedAt = performance.now();
+        program.sendSignal('SIGTERM');
+        expect(await program.ended).toEqual({ kind: 'exited', code: 0 });
+        const duration = performance.now() - stoppedAt;
+        const [result] = await caller.stop();
+        expect(result).toEqual(expect.subset({ kind: 'responded', status: 502 }));
+        expect(duration).toBeLessThan(GRACE_PERIOD_SECONDS * MILLISECONDS_PER_SECOND);
+      } finally {
+        program.sendSignal('SIGKILL');
+        await program.ended;
+        await scene.close();
+      }
+    });
+  });
+});
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -13,12 +13,12 @@
 import createCallerEndpoint from './front/createCallerEndpoint';
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
-import drainCallerEndpoint from './front/drainCallerEndpoint';
 import createHedging from './hedging/createHedging';
 import createLoopDelay from './lateness/createLoopDelay';
 import createStopDeadline from './lateness/createStopDeadline';
 import createTimeCheck from './lateness/createTimeCheck';
 import openRelayTransport from './peers/openRelayTransport';
+import stopRelayHost from './stopRelayHost';
 import createServerConnections from './servers/createServerConnections';
 import type {
   CallerLimits,
@@ -197,32 +197,22 @@
   core.start();
   logger.info({ entryHost, incarnation, startedIn: clock.now() - startedAt }, 'host started');
 
-  async function stop(): Promise<void> {
-    isStopping = true;
-    core.resign();
-    await drainCallerEndpoint({
-      clock,
-      logger,
-      endpoint: {
-        ...callerEndpoint,
-        countActive: () => callerEndpoint.countActive() + core.forwarding.tasks.countActive(),
-      },
-      stopDeadline,
-      gracePeriod: bounds.shutdownGracePeriod,
-    });
-    callerEndpoint.close();
-    readiness.close();
-    metricsEndpoint.close();
-    await core.stop();
-  }
-
   return {
     recordError,
     applyBounds(next) {
       Object.assign(bounds, next);
     },
     stop() {
-      stopped ??= stop();
+      isStopping = true;
+      stopped ??= stopRelayHost({
+        clock,
+        logger,
+        core,
+        callerEndpoint,
+        otherEndpoints: [readiness, metricsEndpoint],
+        stopDeadline,
+        gracePeriod: bounds.shutdownGracePeriod,
+      });
       return stopped;
     },
   };
