Tests of the stop use free ports

Two work trees that ran them at the same time used the same fixed ports; a run of both files beside another tree gave no result within 75 s (that the port was the cause is likely, not shown).

--- a/packages/relay/src/front/keptConnections.test.ts
+++ b/packages/relay/src/front/keptConnections.test.ts
@@ -6,12 +6,11 @@
 import { createSystemClock } from '@rattanreel/core';
 import { silentLogger } from '@rattanreel/observability';
 import createStopDeadline from '../lateness/createStopDeadline';
+import findFreePort from '../testing/findFreePort';
 import createCallerEndpoint from './createCallerEndpoint';
 import drainCallerEndpoint from './drainCallerEndpoint';
 import type { CallerEndpoint, CallerExchange } from './types';
 
-const PORT = 18_397;
-const ADDRESS = `127.0.0.1:${PORT}`;
 const LIMITS = { headerBytes: 16_384, bodyBytes: 64, headerTimeout: 3_000, idleTimeout: 9_000 };
 const LARGE_BYTES = 24_000_000;
 const WORK_DURATION_MS = 80;
@@ -26,6 +25,7 @@
 describe('kept connections of a host, over real sockets', () => {
   let endpoint: CallerEndpoint;
   let handled: string[];
+  let port: number;
   const sockets: Socket[] = [];
 
   function respond(exchange: CallerExchange): void {
@@ -56,6 +56,7 @@
 
   async function start(onRequest: (exchange: CallerExchange) => void = respond): Promise<void> {
     handled = [];
+    port = await findFreePort();
     endpoint = createCallerEndpoint({
       clock: createSystemClock(),
       getLimits: () => LIMITS,
@@ -66,11 +67,11 @@
       },
       onNoMemory: () => undefined,
     });
-    await endpoint.listen(ADDRESS);
+    await endpoint.listen(`127.0.0.1:${port}`);
   }
 
   function open(): Socket {
-    const socket = connect(PORT, '127.0.0.1');
+    const socket = connect(port, '127.0.0.1');
     socket.on('error', () => undefined);
     sockets.push(socket);
     return socket;
--- a/packages/relay/src/lateness/endOfGracePeriod.test.ts
+++ b/packages/relay/src/lateness/endOfGracePeriod.test.ts
@@ -6,8 +6,8 @@
 import { createSystemClock } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import createTestRelay from '../testing/createTestRelay';
+import findFreePort from '../testing/findFreePort';
 
-const PORT = 18_398;
 const GRACE_PERIOD = 3_600;
 /** Larger than what a host keeps to repeat a request. */
 const LARGE_BYTES = 300_000;
@@ -69,6 +69,7 @@
 
 describe('the end of the grace period, over real sockets', () => {
   let server: Server;
+  let port: number;
   let relay: Awaited<ReturnType<typeof createTestRelay>>;
 
   afterEach(async () => {
@@ -80,7 +81,7 @@
     return new Promise((resolve) => {
       let text = '';
       let error: string | undefined;
-      const socket = connect(PORT, '127.0.0.1');
+      const socket = connect(port, '127.0.0.1');
       socket.write(
         `POST /order/1 HTTP/1.1\r\nhost: h\r\nx-request-id: r-1\r\nx-key: key\r\n` +
           `x-deadline: 3900\r\n${request}`,
@@ -107,11 +108,12 @@
       await new Promise<void>((resolve) => {
         server.listen(0, '127.0.0.1', resolve);
       });
+      port = await findFreePort();
       const lines: Record<string, unknown>[] = [];
       relay = await createTestRelay({
         clock: createSystemClock(),
         serverPort: (server.address() as AddressInfo).port,
-        callerPort: PORT,
+        callerPort: port,
         logger: {
           info: (fields: object, msg: string) => lines.push({ ...fields, msg }),
           warn: (fields: object, msg: string) => lines.push({ ...fields, msg }),
