--- a/packages/command-line/src/process/runHostProcess.ts
+++ b/packages/command-line/src/process/runHostProcess.ts
@@ -133,7 +133,6 @@
       case 'plainTextOffLoopback':
       case 'addressRefused':
         logger.error(failure, 'host cannot start');
-        printError(`host cannot start: ${JSON.stringify(failure)}`);
         return end('startFailed', getStartExitCode(failure));
       default:
         return failure satisfies never;
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -209,26 +209,22 @@
   core.start();
   logger.info({ entryHost, incarnation, startedIn: clock.now() - startedAt }, 'host started');
 
-  function stop(): Promise<void> {
-    isStopping = true;
-    return stopRelayHost({
-      core,
-      clock,
-      logger,
-      endpoint: callerEndpoint,
-      stopDeadline,
-      gracePeriod: bounds.shutdownGracePeriod,
-      closeChecks,
-    });
-  }
-
   return ok({
     recordError,
     applyBounds(next) {
       Object.assign(bounds, next);
     },
     stop() {
-      stopped ??= stop();
+      isStopping = true;
+      stopped ??= stopRelayHost({
+        clock,
+        logger,
+        core,
+        callerEndpoint,
+        otherEndpoints: [{ close: closeChecks }],
+        stopDeadline,
+        gracePeriod: bounds.shutdownGracePeriod,
+      });
       return stopped;
     },
   });
