A failed assertion of a library no longer stops a host for seconds

Cause: undici checks with assert(x) without a message. On a failure Node.js reads and parses the source at the place of the call to make up a message, synchronously; the bundle has lines of megabytes. Once for each place of a call, so that a second such response took 7 ms. Change: the bundles take node:assert from plainAssert.cjs, which throws the same AssertionError with a fixed message. This covers all bundled libraries and places of calls. Ruled out: a loop of the host's own; the second response of the same kind on the same process.

--- a/packages/command-line/src/processEnds.test.ts
+++ b/packages/command-line/src/processEnds.test.ts
@@ -1,7 +1,8 @@
 import { execFile } from 'node:child_process';
 import { constants, openSync, closeSync, readSync } from 'node:fs';
 import { readFile, rename, rm, writeFile } from 'node:fs/promises';
-import { connect } from 'node:net';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo } from 'node:net';
 import { before, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { promisify } from 'node:util';
@@ -205,4 +206,31 @@
       );
     });
   });
+
+  relays.forEach((kind) => {
+    // Guards against a malformed response that stops the event loop of a whole host for seconds.
+    it(`${kind}: a response that fails an assertion of the HTTP client is answered`, OPTIONS, () =>
+      withScene(kind, async (scene) => {
+        const server = createServer((socket) => {
+          socket.on('error', () => undefined);
+          socket.on('data', () => socket.write('HTTP/1.1 099 Odd\r\ncontent-length: 0\r\n\r\n'));
+        });
+        await new Promise<void>((resolve) => {
+          server.listen(0, '127.0.0.1', resolve);
+        });
+        const { port } = server.address() as AddressInfo;
+        scene.replaceServer?.(`127.0.0.1:${port}`);
+        const program = startProgram({ words: scene.words });
+        await withProgram(program, async () => {
+          await waitUntilReady({ scene, program });
+          const caller = startCaller({ scene, name: 'odd', kind: 'read' });
+          await sleep(300);
+          const [result] = await caller.stop();
+          expect(result?.status).toEqual(502);
+          expect(result!.endedAt - result!.sentAt).toBeLessThan(1_000);
+        });
+        server.close();
+      }),
+    );
+  });
 });
--- a/packages/command-line/src/testing/types.ts
+++ b/packages/command-line/src/testing/types.ts
@@ -48,6 +48,8 @@
   /** Ports of the program by the name of the endpoint. */
   readonly ports: Readonly<Record<string, number>>;
   isReady(): Promise<boolean>;
+  /** Replaces the backend server by a process at another address. */
+  replaceServer?(address: string): void;
   /** Requests that a backend server has begun to run. */
   listBegun(): ReadonlySet<string>;
   /** Returns a request with this identifier: an order or a read. */
--- a/scripts/bundleEntryHost.mjs
+++ b/scripts/bundleEntryHost.mjs
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import { build } from 'esbuild';
+import plainAssertions from './plainAssertions.mjs';
 
 /** Resolves undici to the part of it that the entry host uses; the rest is a third of the bundle. */
 const undiciDispatchers = {
@@ -45,7 +46,7 @@
     logLevel: 'warning',
     entryPoints: ['packages/command-line/src/servePlatformMain.ts'],
     outfile: bundle,
-    plugins: [undiciDispatchers],
+    plugins: [undiciDispatchers, plainAssertions],
   });
   const launcher = path.join(folder, 'entry-host.cjs');
   copyFileSync('scripts/entryHostLauncher.cjs', launcher);
--- a/scripts/bundleProgram.mjs
+++ b/scripts/bundleProgram.mjs
@@ -1,4 +1,5 @@
 import { build } from 'esbuild';
+import plainAssertions from './plainAssertions.mjs';
 
 /** Bundles the program and its libraries into the file `outfile`. */
 export default async function bundleProgram(outfile) {
@@ -12,6 +13,7 @@
     logLevel: 'warning',
     entryPoints: ['packages/command-line/src/main.ts'],
     outfile,
+    plugins: [plainAssertions],
     // meow searches for a package.json from import.meta.url upwards, which a CommonJS bundle lacks.
     define: { 'import.meta': 'importMeta' },
     banner: {
