--- a/packages/command-line/src/processEnds.test.ts
+++ b/packages/command-line/src/processEnds.test.ts
@@ -26,7 +26,10 @@
 
 async function waitUntilReady({ scene, program }: Run): Promise<void> {
   while (!(await scene.isReady())) {
-    expect([program.tryGetEnd(), ...program.getUnstructuredLines()]).toEqual([undefined]);
+    const lines = program.getUnstructuredLines();
+    if (program.tryGetEnd() !== undefined || lines.length > 0) {
+      throw new Error(`not started: ${JSON.stringify(program.tryGetEnd())} ${lines.join('\n')}`);
+    }
     await sleep(POLL_INTERVAL_MS);
   }
 }
