--- a/packages/command-line/src/processEnds.test.ts
+++ b/packages/command-line/src/processEnds.test.ts
@@ -1,7 +1,8 @@
 import { execFile } from 'node:child_process';
 import { constants, openSync, closeSync, readSync } from 'node:fs';
 import { readFile, rename, rm, writeFile } from 'node:fs/promises';
-import { connect } from 'node:net';
+import { connect, createServer } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { before, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { promisify } from 'node:util';
@@ -25,7 +26,10 @@
 
 async function waitUntilReady({ scene, program }: Run): Promise<void> {
   while (!(await scene.isReady())) {
-    expect([program.tryGetEnd(), ...program.getUnstructuredLines()]).toEqual([undefined]);
+    const lines = program.getUnstructuredLines();
+    if (program.tryGetEnd() !== undefined || lines.length > 0) {
+      throw new Error(`not started: ${JSON.stringify(program.tryGetEnd())} ${lines.join('\n')}`);
+    }
     await sleep(POLL_INTERVAL_MS);
   }
 }
@@ -205,4 +209,60 @@
       );
     });
   });
+
+  relays.forEach((kind) => {
+    // Guards against a malformed response that stops the event loop of a whole host for seconds.
+    it(`${kind}: a response that fails an assertion of the HTTP client is answered`, OPTIONS, () =>
+      withScene(kind, async (scene) => {
+        const server = createServer((socket) => {
+          socket.on('error', () => undefined);
+          socket.on('data', () => socket.write('HTTP/1.1 099 Odd\r\ncontent-length: 0\r\n\r\n'));
+        });
+        await new Promise<void>((resolve) => {
+          server.listen(0, '127.0.0.1', resolve);
+        });
+        const { port } = server.address() as AddressInfo;
+        scene.replaceServer?.(`127.0.0.1:${port}`);
+        const program = startProgram({ words: scene.words });
+        await withProgram(program, async () => {
+          await waitUntilReady({ scene, program });
+          const caller = startCaller({ scene, name: 'odd', kind: 'read' });
+          await sleep(300);
+          const [result] = await caller.stop();
+          expect(result?.status).toEqual(502);
+          expect(result!.endedAt - result!.sentAt).toBeLessThan(1_000);
+        });
+        server.close();
+      }),
+    );
+  });
+
+  // Guards against a process that ends because callers send large heads that they do not complete.
+  it('entryHost: lives beside 3,500 connections with cut heads of 60 kB', OPTIONS, () =>
+    withScene('entryHost', async (scene) => {
+      const words = ['--max-old-space-size=110', '--max-semi-space-size=2', ...scene.words];
+      const program = startProgram({ words });
+      await withProgram(program, async () => {
+        await waitUntilReady({ scene, program });
+        const fields = Array.from(
+          { length: 60 },
+          (_, index) => `x-${index}: ${'a'.repeat(990)}\r\n`,
+        );
+        const head = `GET /read/1 HTTP/1.1\r\nhost: shop.example\r\n${fields.join('')}`;
+        const sockets: Socket[] = [];
+        while (sockets.length < 3_500 && program.tryGetEnd() === undefined) {
+          const socket = connect(scene.ports.callers!, '127.0.0.1', () => socket.write(head));
+          socket.on('error', () => undefined);
+          sockets.push(socket);
+          if (sockets.length % 200 === 0) {
+            await sleep(60);
+          }
+        }
+        await sleep(2_000);
+        sockets.forEach((socket) => socket.destroy());
+        expect(program.tryGetEnd()).toEqual(undefined);
+        expect(await scene.isReady()).toEqual(true);
+      });
+    }),
+  );
 });
--- a/packages/connections/src/createRequestTurns.ts
+++ b/packages/connections/src/createRequestTurns.ts
@@ -42,7 +42,7 @@
             tryBeginFirst();
           }
         },
-        isLast: () => entries.at(-1) === entry,
+        isLast: () => entries.length === 0 || entries.at(-1) === entry,
       };
     },
   };
--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http';
+import { getHeapStatistics } from 'node:v8';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { createRequestTurns, listenOnAddress, stopAccepting } from '@rattanreel/connections';
@@ -8,12 +9,16 @@
 import createCallerExchange from './createCallerExchange';
 import readBody from './readBody';
 import createBodyBudget from './createBodyBudget';
+import createHeadBudget from './createHeadBudget';
 import type { BodyBudget, BodyResult, CallerEndpoint, CallerExchange } from './types';
 
 /** Largest header block that is read; the `headerBytes` of the configuration is not applied. */
 const MAXIMUM_HEADER_BYTES = 65_536;
 /** Connections that may wait to be accepted. */
 const LISTEN_BACKLOG = 1_024;
+/** Share of the heap for heads that are not complete; the heads of sound callers are in one packet. */
+const HEAD_HEAP_SHARE = 1 / 6;
+const HEAD_CHECK_INTERVAL_MS = 100;
 
 interface CallerEndpointOptions {
   readonly clock: Pick<Clock, 'now'>;
@@ -58,19 +63,36 @@
   const arriving = new Map<ServerResponse, () => void>();
   let answered = 0;
 
+  function scheduleHeadCheck(): void {
+    if (headTimer === undefined && headBudget.canExceed()) {
+      headTimer = setTimeout(() => {
+        headTimer = undefined;
+        headBudget.enforce();
+        scheduleHeadCheck();
+      }, HEAD_CHECK_INTERVAL_MS).unref();
+    }
+  }
+
   function getTurns(socket: Socket): RequestTurns {
     const turns = turnsBySocket.get(socket) ?? createRequestTurns(socket);
     turnsBySocket.set(socket, turns);
     return turns;
   }
+  const headBytes = getHeapStatistics().heap_size_limit * HEAD_HEAP_SHARE;
+  const headBudget = createHeadBudget({ bytes: headBytes, headBytes: MAXIMUM_HEADER_BYTES });
+  let headTimer: NodeJS.Timeout | undefined;
 
   function handle(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const arrivedAt = getArrivalTime();
     const reservation = bodyBudget.reserve();
     active.set(outgoing, { incoming, arrivedAt });
+    headBudget.recordHead(incoming.socket);
     const turn = getTurns(incoming.socket).add(outgoing, () => {
       active.delete(outgoing);
       answered += isDraining && outgoing.writableFinished ? 1 : 0;
+      if (turn.isLast()) {
+        headBudget.recordEnd(incoming.socket);
+      }
       reservation.release();
     });
 
@@ -121,7 +143,11 @@
   }
 
   const server: Server = createServer({ maxHeaderSize: MAXIMUM_HEADER_BYTES }, handle);
-  server.on('connection', () => options.onConnection?.());
+  server.on('connection', (socket: Socket) => {
+    headBudget.add(socket);
+    scheduleHeadCheck();
+    options.onConnection?.();
+  });
   server.requestTimeout = 0;
   server.timeout = 0;
 
@@ -155,6 +181,7 @@
         options.onCut?.(incoming, options.clock.now() - arrivedAt);
         exchange?.abort();
       });
+      clearTimeout(headTimer);
       server.close();
       server.closeAllConnections();
     },
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -1,4 +1,5 @@
 /** Types of a caller's request and of the response to it. */
+import type { Socket } from 'node:net';
 import type {
   ListenContext,
   ListenEndpoint,
@@ -230,3 +231,16 @@
   /** Closes all connections; what has not been sent cannot look complete. */
   close(): void;
 }
+
+/** Bounds the memory of heads that callers have begun and not completed. */
+export interface HeadBudget {
+  add(socket: Socket): void;
+  /** Call when a request's head is complete. */
+  recordHead(socket: Socket): void;
+  /** Call when the response to the last request that has arrived has ended. */
+  recordEnd(socket: Socket): void;
+  /** Whether there are enough connections to hold more than the budget. */
+  canExceed(): boolean;
+  /** Closes the connections with the longest incomplete heads while all hold more than the budget. */
+  enforce(): void;
+}
--- a/scripts/bundleEntryHost.mjs
+++ b/scripts/bundleEntryHost.mjs
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import process from 'node:process';
 import { build } from 'esbuild';
+import plainAssertions from './plainAssertions.mjs';
 
 const BUILD_OPTIONS = {
   bundle: true,
@@ -49,7 +50,7 @@
     ...BUILD_OPTIONS,
     entryPoints: ['packages/command-line/src/servePlatformMain.ts'],
     outfile: bundle,
-    plugins: [undiciDispatchers],
+    plugins: [undiciDispatchers, plainAssertions],
   });
   const launcher = path.join(folder, 'entry-host.cjs');
   await build({
--- a/scripts/bundleProgram.mjs
+++ b/scripts/bundleProgram.mjs
@@ -1,4 +1,5 @@
 import { build } from 'esbuild';
+import plainAssertions from './plainAssertions.mjs';
 
 const BUILD_OPTIONS = {
   bundle: true,
@@ -26,6 +27,7 @@
   const { outputFiles } = await build({
     ...BUILD_OPTIONS,
     entryPoints: ['packages/command-line/src/runProgram.ts'],
+    plugins: [plainAssertions],
     write: false,
     define: { 'import.meta': 'importMeta' },
   });
