Process soak: signals in series and at the start, overlapping restarts, addresses in use

How a process ends was not looked at once it had been asked to stop, cuts were not counted where another disturbance was near, which a second stop is itself, and only from four on; callers left a host as soon as it was not ready, with 40 ms of work a request. - The first faults come three seconds after all hosts are ready, a restart waited for the exit of the predecessor, and no port was in use.

Callers on kept connections go on until the process is gone, with work of up to 800 ms, also during the last stop of all hosts. Checked: a process ends only when asked to, with code 0, within the grace period; `lost` as in the rule: a stop, a reload or a fault of the store excuses nothing. Signals wait until they reach the program: Node.js itself handles SIGTERM and SIGINT before it runs it, so the handler of SIGHUP is what tells.

--- a/benchmarks/src/main.ts
+++ b/benchmarks/src/main.ts
@@ -7,7 +7,7 @@
 const cli = meow(
   `
   Usage
-    $ npm run bench -- NAME [--seed N] [--json] [--quick] [--minutes N]
+    $ npm run bench -- NAME [--seed N] [--json] [--quick] [--minutes N] [--hosts N]
 
   Names
     overhead, goodput, decisions, moves, orders, configuration, soak, processes
@@ -18,6 +18,7 @@
       seed: { type: 'number', default: DEFAULT_SEED },
       json: { type: 'boolean', default: false },
       quick: { type: 'boolean', default: false },
+      hosts: { type: 'number' },
       minutes: { type: 'number', default: DEFAULT_MINUTES },
     },
   },
--- a/benchmarks/src/processes/applyFault.ts
+++ b/benchmarks/src/processes/applyFault.ts
@@ -1,34 +1,34 @@
 import type createStoreStandIn from '@rattanreel/platform-adapter/testing';
+import applyProcessFault from './applyProcessFault';
 import type createSoakCallers from './createSoakCallers';
 import type createSoakOperator from './createSoakOperator';
 import putMalformedEntry from './putMalformedEntry';
-import type { Fault, SoakRecorder, ServerMode, SoakHost } from './types';
+import soakBounds from './soakBounds';
+import startHost from './startHost';
+import type { Fault, HostWorld, ServerMode, WorldFault } from './types';
 
-interface SoakWorld {
-  readonly hosts: readonly SoakHost[];
+interface SoakWorld extends HostWorld {
   readonly store: Awaited<ReturnType<typeof createStoreStandIn>>;
   readonly operator: ReturnType<typeof createSoakOperator>;
   readonly callers: ReturnType<typeof createSoakCallers>;
-  readonly recorder: SoakRecorder;
 }
 
-/** Duration of the disturbance that a start causes: until the host serves its first callers. */
-const START_DISTURBANCE_MILLISECONDS = 1_500;
-const GRACE_PERIOD_MILLISECONDS = 8_000;
-
 function scheduleRestart(world: SoakWorld, index: number, after: number): void {
   const host = world.hosts[index]!;
   setTimeout(() => {
     void host.waitForExit().then(() => {
       if (!host.isRunning) {
-        world.recorder.recordDisturbance(index, START_DISTURBANCE_MILLISECONDS, 'started');
-        host.start();
+        startHost(world, index);
       }
     });
   }, after);
 }
 
-function applyServerMode(world: SoakWorld, { target, duration }: Fault, mode: ServerMode): void {
+function applyServerMode(
+  world: SoakWorld,
+  { target, duration }: WorldFault,
+  mode: ServerMode,
+): void {
   const server = world.operator.getServer(target);
   server.setMode(mode);
   setTimeout(() => server.setMode('well'), duration);
@@ -37,47 +37,47 @@
 /** Applies one fault to the running system and ends it after its duration. */
 export default function applyFault(world: SoakWorld, fault: Fault): void {
   const { hosts, store, operator, recorder } = world;
-  const { kind, target, duration } = fault;
+  const { target, duration } = fault;
   const index = target % hosts.length;
   const host = hosts[index]!;
   const scheduleEnd = (action: () => void): void => {
     setTimeout(action, duration);
   };
-  switch (kind) {
+  switch (fault.kind) {
     case 'hostKilled':
-      recorder.recordDisturbance(index, duration, kind);
-      host.sendSignal('SIGKILL');
+      recorder.recordDisturbance(index, duration, fault.kind);
+      host.control('SIGKILL');
       scheduleRestart(world, index, duration);
       return;
     case 'hostStopped':
-      recorder.recordDisturbance(index, GRACE_PERIOD_MILLISECONDS, kind);
-      host.sendSignal('SIGTERM');
+      recorder.recordDisturbance(index, soakBounds.grace, fault.kind);
+      void host.sendSignal('SIGTERM');
       scheduleRestart(world, index, duration);
       return;
     case 'hostPaused':
-      recorder.recordDisturbance(index, duration, kind);
-      host.sendSignal('SIGSTOP');
-      scheduleEnd(() => host.sendSignal('SIGCONT'));
+      recorder.recordDisturbance(index, duration, fault.kind);
+      host.control('SIGSTOP');
+      scheduleEnd(() => host.control('SIGCONT'));
       return;
     case 'hostReloaded':
-      host.reload();
+      void host.reload();
       return;
     case 'storeDown':
-      recorder.recordDisturbance('all', duration, kind);
+      recorder.recordDisturbance('all', duration, fault.kind);
       store.setOutage(503);
       scheduleEnd(() => store.setOutage(undefined));
       return;
     case 'storeSilent':
-      recorder.recordDisturbance('all', duration, kind);
+      recorder.recordDisturbance('all', duration, fault.kind);
       store.setUnresponsive(true);
       scheduleEnd(() => store.setUnresponsive(false));
       return;
     case 'storeCompacted':
-      recorder.recordDisturbance('all', 0, kind);
+      recorder.recordDisturbance('all', 0, fault.kind);
       store.compact();
       return;
     case 'storeLinkCut':
-      recorder.recordDisturbance(index, duration, kind);
+      recorder.recordDisturbance(index, duration, fault.kind);
       host.storeLink.setState('silent');
       scheduleEnd(() => {
         host.storeLink.setState('open');
@@ -86,7 +86,7 @@
       });
       return;
     case 'storeLinkReset':
-      recorder.recordDisturbance(index, 0, kind);
+      recorder.recordDisturbance(index, 0, fault.kind);
       host.storeLink.resetAll();
       return;
     case 'serverCrashed':
@@ -134,7 +134,15 @@
     case 'customerBurst':
       world.callers.burst(duration);
       return;
+    case 'hostSignalled':
+    case 'hostReloadedAtStart':
+    case 'hostRestartedOverlapping':
+    case 'hostsStoppedTogether':
+    case 'hostsStoppedInTurn':
+    case 'portTaken':
+      void applyProcessFault(world, fault);
+      return;
     default:
-      kind satisfies never;
+      fault satisfies never;
   }
 }
--- a/benchmarks/src/processes/createSoakCallers.ts
+++ b/benchmarks/src/processes/createSoakCallers.ts
@@ -4,15 +4,14 @@
 import type { SoakBounds, SoakRecorder, SoakHost, SoakRoute } from './types';
 
 const REQUESTS_PER_SECOND_PER_HOST = 15;
-/**
- * Share of requests from the customer with a quota: three quarters of its quota over four hosts.
- */
-const QUOTA_CUSTOMER_SHARE = 0.15;
+/** Requests from the customer with a quota over all hosts: three quarters of its quota. */
+const QUOTA_CUSTOMER_REQUESTS_PER_SECOND = 9;
 /** Share of requests from the customer with a quota during a burst. */
 const QUOTA_CUSTOMER_BURST_SHARE = 0.8;
 /** Share of the other customer's requests that still use the replaced key. */
 const PREVIOUS_KEY_SHARE = 0.3;
-const CONNECTIONS_PER_HOST = 6;
+/** More than a host has in flight, so that no request waits for a connection. */
+const CONNECTIONS_PER_HOST = 64;
 const READINESS_POLL_INTERVAL_MILLISECONDS = 150;
 /** Timeout of a caller: well beyond the route's timeout. */
 const CALLER_TIMEOUT_MILLISECONDS = 6_000;
@@ -45,6 +44,8 @@
   const pools = hosts.map(
     ({ callerUrl }) => new Pool(callerUrl, { connections: CONNECTIONS_PER_HOST }),
   );
+  const usualQuotaCustomerShare =
+    QUOTA_CUSTOMER_REQUESTS_PER_SECOND / (REQUESTS_PER_SECOND_PER_HOST * hosts.length);
   const ready = hosts.map(() => false);
   const requestsInFlight = new Set<Promise<void>>();
   let burstUntil = 0;
@@ -70,7 +71,7 @@
 
   function drawCustomer(): { readonly customer: string; readonly key: string } {
     const quotaCustomerShare =
-      recorder.now() < burstUntil ? QUOTA_CUSTOMER_BURST_SHARE : QUOTA_CUSTOMER_SHARE;
+      recorder.now() < burstUntil ? QUOTA_CUSTOMER_BURST_SHARE : usualQuotaCustomerShare;
     if (random.next() < quotaCustomerShare) {
       return { customer: soakLimits.quota.customer, key: 'key-small' };
     }
--- a/benchmarks/src/processes/createSoakHost.ts
+++ b/benchmarks/src/processes/createSoakHost.ts
@@ -1,11 +1,14 @@
 import { spawn } from 'node:child_process';
 import type { ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
 import { createWriteStream, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import createLinkProxy from './createLinkProxy';
+import soakBounds from './soakBounds';
 import soakLimits from './soakLimits';
-import type { SoakHost } from './types';
+import type { OperatorSignal, SoakHost, SoakRecorder } from './types';
+import waitForProgram from './waitForProgram';
 
 interface SoakHostOptions {
   readonly index: number;
@@ -16,24 +19,34 @@
   readonly port: number;
   readonly seedPorts: readonly number[];
   readonly storeAddress: string;
-  /** Called when the process exits without SIGKILL or SIGTERM from the soak. */
-  readonly onUnexpectedExit: (detail: string) => void;
+  readonly recorder: SoakRecorder;
 }
 
+/** A process of a host, and what the soak did to it. */
+interface SoakProcess {
+  readonly child: ChildProcess;
+  isAskedToStop: boolean;
+  isKilled: boolean;
+  isPaused: boolean;
+}
+
+const PORTS_PER_HOST = 4;
 const HEAP_LIMIT_MEGABYTES = 110;
-/** Time that the users allow a process to exit after SIGTERM. */
-const GRACE_PERIOD_SECONDS = 8;
+const stopSignals: ReadonlySet<OperatorSignal> = new Set(['SIGTERM', 'SIGINT', 'SIGQUIT']);
+
+function hasEnded({ child }: SoakProcess): boolean {
+  return child.exitCode !== null || child.signalCode !== null;
+}
 
 /** Creates an entry host in a separate process, which logs to `folder`. */
 export default async function createSoakHost(options: SoakHostOptions): Promise<SoakHost> {
-  const { index, folder, port } = options;
+  const { index, folder, port, recorder } = options;
   const name = `edge-${index}`;
   const settingsFile = path.join(folder, `${name}.conf`);
   const log = createWriteStream(path.join(folder, `${name}.log`));
   const storeLink = await createLinkProxy(options.storeAddress);
-  let child: ChildProcess | undefined;
+  const processes: SoakProcess[] = [];
   let reloadCount = 0;
-  let isExitExpected = false;
 
   function writeSettings(): void {
     const { ratio, window, slack } = soakLimits.retries;
@@ -48,7 +61,7 @@
       `seed-nodes=${options.seedPorts.map((seed) => `127.0.0.1:${seed + 2}`).join(',')}`,
       `provider.addr=${storeLink.address}`,
       'provider.reads-per-s=2000',
-      `bounds.grace-s=${GRACE_PERIOD_SECONDS}`,
+      `bounds.grace-s=${soakBounds.grace / 1_000}`,
       `bounds.budget-ratio=${ratio}`,
       `bounds.budget-window-s=${window / 1_000}`,
       `bounds.budget-slack=${slack}`,
@@ -57,50 +70,103 @@
     writeFileSync(settingsFile, lines.join('\n'));
   }
 
+  /** Writes an action of the soak between the lines of the host. */
+  function writeLog(line: Readonly<Record<string, unknown>>): void {
+    log.write(`${JSON.stringify({ ...line, at: recorder.now() })}\n`);
+  }
+
+  function checkEnd({ child, isAskedToStop, isKilled }: SoakProcess): void {
+    writeLog({ soak: 'ended', process: child.pid, by: child.signalCode ?? child.exitCode });
+    const isSound = isKilled || (isAskedToStop && child.exitCode === 0);
+    if (!isSound) {
+      recorder.recordProcessViolation({
+        promise: isAskedToStop ? 'stopEndsWell' : 'runsOn',
+        detail: `${name} (${child.pid}): ${child.signalCode ?? `exit code ${child.exitCode}`}`,
+      });
+    }
+  }
+
+  /** Kills a process that has not ended within the grace period, as the platform does. */
+  function limitStop(stopping: SoakProcess): void {
+    const timer = setTimeout(() => {
+      if (!stopping.isPaused && !stopping.isKilled) {
+        recorder.recordProcessViolation({
+          promise: 'stopEndsInTime',
+          detail: `${name} (${stopping.child.pid}) ran ${soakBounds.grace} ms after it`,
+        });
+      }
+      stopping.isKilled = true;
+      stopping.child.kill('SIGKILL');
+    }, soakBounds.grace);
+    stopping.child.once('exit', () => clearTimeout(timer));
+  }
+
+  async function sendSignal(signal: OperatorSignal): Promise<void> {
+    const target = processes.at(-1);
+    if (target === undefined) {
+      return;
+    }
+    await waitForProgram(target.child.pid ?? 0, () => hasEnded(target));
+    if (hasEnded(target)) {
+      return;
+    }
+    if (stopSignals.has(signal) && !target.isAskedToStop) {
+      target.isAskedToStop = true;
+      limitStop(target);
+    }
+    recorder.recordSignal(index, signal);
+    writeLog({ soak: signal, process: target.child.pid });
+    target.child.kill(signal);
+  }
+
   writeSettings();
   return {
     callerUrl: `http://127.0.0.1:${port}`,
+    ports: Array.from({ length: PORTS_PER_HOST }, (_, offset) => port + offset),
     readinessUrl: `http://127.0.0.1:${port + 1}/v1/ready`,
     storeLink,
+    get processId() {
+      return processes.at(-1)?.child.pid;
+    },
     get isRunning() {
-      return child !== undefined && child.exitCode === null && child.signalCode === null;
+      const current = processes.at(-1);
+      return current !== undefined && !hasEnded(current);
+    },
+    get isStopping() {
+      return processes.at(-1)?.isAskedToStop === true;
     },
     start() {
       const heap = `--max-old-space-size=${HEAP_LIMIT_MEGABYTES}`;
-      isExitExpected = false;
-      child = spawn(
+      const child = spawn(
         process.execPath,
         [heap, options.program, 'serve-platform', '--settings', settingsFile],
         { stdio: ['ignore', 'pipe', 'pipe'] },
       );
-      child.stdout?.pipe(log, { end: false });
-      child.stderr?.pipe(log, { end: false });
-      child.once('exit', (code, signal) => {
-        if (!isExitExpected) {
-          options.onUnexpectedExit(`${name}: ${signal ?? `exit code ${code}`}`);
-        }
-      });
+      child.stdout.pipe(log, { end: false });
+      child.stderr.pipe(log, { end: false });
+      writeLog({ soak: 'started', process: child.pid });
+      const started = { child, isAskedToStop: false, isKilled: false, isPaused: false };
+      processes.push(started);
+      child.once('exit', () => checkEnd(started));
     },
-    sendSignal(signal) {
-      isExitExpected ||= signal === 'SIGKILL' || signal === 'SIGTERM';
-      child?.kill(signal);
+    control(signal) {
+      const target = processes.at(-1);
+      if (target !== undefined) {
+        target.isKilled ||= signal === 'SIGKILL';
+        target.isPaused ||= signal === 'SIGSTOP';
+        target.child.kill(signal);
+        writeLog({ soak: signal, process: target.child.pid });
+      }
     },
+    sendSignal,
     reload() {
       reloadCount += 1;
       writeSettings();
-      child?.kill('SIGHUP');
+      return sendSignal('SIGHUP');
     },
     async waitForExit() {
-      const exitingChild = child;
-      if (
-        exitingChild !== undefined &&
-        exitingChild.exitCode === null &&
-        exitingChild.signalCode === null
-      ) {
-        await new Promise((resolve) => {
-          exitingChild.once('exit', resolve);
-        });
-      }
+      const running = processes.filter((each) => !hasEnded(each));
+      await Promise.all(running.map(({ child }) => once(child, 'exit')));
     },
   };
 }
--- a/benchmarks/src/processes/createSoakOperator.ts
+++ b/benchmarks/src/processes/createSoakOperator.ts
@@ -5,7 +5,6 @@
 import type { SoakBounds, SoakRecorder, SoakServer } from './types';
 
 const SERVICES = ['orders', 'drafts'];
-const SERVERS_PER_SERVICE = 4;
 const SLOTS_PER_SERVER = 4;
 /** Time for which the store keeps the entry of a server that has shut down or crashed. */
 const STALE_ENTRY_MILLISECONDS = 1_500;
@@ -20,6 +19,8 @@
   readonly random: Random;
   readonly bounds: SoakBounds;
   readonly failureDomains: readonly string[];
+  /** Each service has as many servers. */
+  readonly hostCount: number;
 }
 
 interface SoakOperator {
@@ -140,7 +141,7 @@
     async start() {
       putConfiguration();
       const placements = SERVICES.flatMap((service) =>
-        Array.from({ length: SERVERS_PER_SERVICE }, (_, index) => ({
+        Array.from({ length: options.hostCount }, (_, index) => ({
           service,
           failureDomain: failureDomains[index % failureDomains.length]!,
         })),
--- a/benchmarks/src/processes/createSoakRecorder.ts
+++ b/benchmarks/src/processes/createSoakRecorder.ts
@@ -2,6 +2,7 @@
 import findResponseViolations from './findResponseViolations';
 import findBoundViolations from './findBoundViolations';
 import findLimitViolations from './findLimitViolations';
+import findLostRequests from './findLostRequests';
 import notRunStatuses from './notRunStatuses';
 import type { Exclusion, SoakBounds, SoakRecorder, SoakRecord, Violation } from './types';
 
@@ -31,7 +32,10 @@
   const arrivals: SoakRecord['arrivals'][number][] = [];
   const disturbances: SoakRecord['disturbances'][number][] = [];
   const exclusions: Exclusion[] = [];
-  const unexpectedExits: Violation[] = [];
+  const processViolations: Violation[] = [];
+  const signals: SoakRecord['signals'][number][] = [];
+  const serverBreaks: SoakRecord['serverBreaks'][number][] = [];
+  let finalStopAt: Milliseconds = Infinity;
   const keyGrants: SoakRecord['keyGrants'][number][] = [];
 
   const now = (): Milliseconds => clock.now() - startedAt;
@@ -48,6 +52,7 @@
     recordArrival: (service, id) => arrivals.push({ service, id, at: now() }),
     recordDisturbance: (host, duration, reason) =>
       disturbances.push({ host, from: now(), to: now() + duration, reason }),
+    recordHeldUp: (host, from) => disturbances.push({ host, from, to: now(), reason: 'heldUp' }),
     recordServerDrained: (server) => exclude('server', server),
     recordDomainEvacuated: (failureDomain) => exclude('failureDomain', failureDomain),
     recordDomainRestored(failureDomain) {
@@ -62,7 +67,16 @@
     },
     recordKeyRevoked: (key) => exclude('key', key),
     recordKeyGranted: (key) => keyGrants.push({ key, at: now() }),
-    recordUnexpectedExit: (detail) => unexpectedExits.push({ promise: 'runsOn', detail }),
+    recordProcessViolation: (violation) => processViolations.push(violation),
+    recordSignal: (host, signal) => signals.push({ host, signal, at: now() }),
+    recordServerBreak: (server, id) =>
+      serverBreaks.push({ server, at: now(), ...(id !== undefined && { id }) }),
+    recordFinalStop() {
+      finalStopAt = now();
+    },
+    get isEnding() {
+      return finalStopAt < Infinity;
+    },
     findViolations() {
       const record: SoakRecord = {
         bounds,
@@ -73,9 +87,17 @@
         disturbances,
         exclusions,
         keyGrants,
+        signals,
+        serverBreaks,
+        finalStopAt,
       };
-      const checks = [findResponseViolations, findBoundViolations, findLimitViolations];
-      return [...unexpectedExits, ...checks.flatMap((check) => check(record))];
+      const checks = [
+        findResponseViolations,
+        findBoundViolations,
+        findLimitViolations,
+        findLostRequests,
+      ];
+      return [...processViolations, ...checks.flatMap((check) => check(record))];
     },
     countRequests() {
       const statuses = [...ends.values()].map((end) =>
--- a/benchmarks/src/processes/createSoakServer.ts
+++ b/benchmarks/src/processes/createSoakServer.ts
@@ -29,6 +29,12 @@
   return typeof value === 'string' ? value : undefined;
 }
 
+/** Returns the time that the caller asks for in the path (`/ROUTE/MILLISECONDS`), if it does. */
+function getWorkDuration({ url }: IncomingMessage): number | undefined {
+  const duration = Number(url?.split('/')[2]);
+  return duration > 0 ? duration : undefined;
+}
+
 /** Creates a backend server of the soak behind its own link proxy. */
 export default async function createSoakServer(options: SoakServerOptions): Promise<SoakServer> {
   const { id: serverId, service, failureDomain, random, recorder } = options;
@@ -68,6 +74,7 @@
       `x-rattanreel-response-seal: ${id}.${serverId}`,
       'content-type: text/event-stream',
     ];
+    recorder.recordServerBreak(serverId, id);
     socket.write([...head, '', chunk.slice(0, -1)].join('\r\n'), () => {
       socket.resetAndDestroy();
       releaseSlot();
@@ -75,7 +82,8 @@
   }
 
   /** Sends an event that does not end until the connection is closed. */
-  function sendWithoutEnd(outgoing: ServerResponse): void {
+  function sendWithoutEnd(outgoing: ServerResponse, id: string): void {
+    recorder.recordServerBreak(serverId, id);
     const timer = setInterval(() => outgoing.write(ENDLESS_PIECE), ENDLESS_INTERVAL_MILLISECONDS);
     outgoing.once('close', () => {
       clearInterval(timer);
@@ -88,6 +96,7 @@
     const after = Number(getHeader(incoming, 'last-event-id') ?? 0);
     const isFaulty = random.next() < FAULTY_REQUEST_SHARE;
     if (mode === 'losesAnswers' && isFaulty) {
+      recorder.recordServerBreak(serverId, id);
       incoming.socket.destroy();
       releaseSlot();
     } else if (mode === 'fails' && isFaulty) {
@@ -104,7 +113,7 @@
         ...(route === 'draft' ? { 'content-type': 'text/event-stream' } : {}),
       });
       if (mode === 'sendsWithoutEnd' && route === 'draft' && isFaulty) {
-        sendWithoutEnd(outgoing);
+        sendWithoutEnd(outgoing, id);
       } else {
         sendChunks(outgoing, getExpectedResponse(route, id).slice(after));
       }
@@ -131,7 +140,7 @@
     }
     setTimeout(
       () => respond(incoming, outgoing, id),
-      MEAN_WORK_MILLISECONDS * (0.5 + random.next()),
+      getWorkDuration(incoming) ?? MEAN_WORK_MILLISECONDS * (0.5 + random.next()),
     );
   }
 
@@ -166,11 +175,18 @@
     id: serverId,
     service,
     failureDomain,
-    link,
+    link: {
+      ...link,
+      resetAll() {
+        recorder.recordServerBreak(serverId);
+        link.resetAll();
+      },
+    },
     setMode(next) {
       mode = next;
     },
     close() {
+      recorder.recordServerBreak(serverId);
       link.close();
       server.close();
       server.closeAllConnections();
--- a/benchmarks/src/processes/drawFaults.ts
+++ b/benchmarks/src/processes/drawFaults.ts
@@ -1,13 +1,26 @@
 import type { Milliseconds, Random } from '@rattanreel/core';
-import type { Fault, FaultKind, InputFaultKind } from './types';
+import type {
+  Fault,
+  InputFaultKind,
+  OperatorSignal,
+  ProcessFaultKind,
+  SignalStep,
+  WorldFault,
+  WorldFaultKind,
+} from './types';
 
 const MINIMUM_FAULTS = 3;
 const MAXIMUM_FAULTS = 9;
 const MAXIMUM_INPUT_FAULTS = 3;
+const MINIMUM_PROCESS_FAULTS = 1;
+const MAXIMUM_PROCESS_FAULTS = 3;
+const MINIMUM_SIGNALS = 2;
+const MAXIMUM_SIGNALS = 6;
+const MAXIMUM_SIGNAL_GAP: Milliseconds = 600;
 const MAXIMUM_DURATION: Milliseconds = 3_000;
 const MINIMUM_DURATION: Milliseconds = 300;
 
-const faultKinds: readonly FaultKind[] = [
+const faultKinds: readonly WorldFaultKind[] = [
   'hostKilled',
   'hostStopped',
   'hostPaused',
@@ -36,20 +49,50 @@
   'entryMalformed',
 ];
 
+const processFaultKinds: readonly ProcessFaultKind[] = [
+  'hostSignalled',
+  'hostSignalled',
+  'hostReloadedAtStart',
+  'hostRestartedOverlapping',
+  'hostsStoppedTogether',
+  'hostsStoppedInTurn',
+  'portTaken',
+];
+
+const operatorSignals: readonly OperatorSignal[] = [
+  'SIGHUP',
+  'SIGTERM',
+  'SIGINT',
+  'SIGQUIT',
+  'SIGUSR2',
+];
+
+function drawSignals(random: Random): readonly SignalStep[] {
+  return Array.from({ length: random.integer(MINIMUM_SIGNALS, MAXIMUM_SIGNALS) }, () => ({
+    signal: operatorSignals[random.integer(0, operatorSignals.length - 1)]!,
+    after: random.integer(0, MAXIMUM_SIGNAL_GAP),
+  }));
+}
+
 /**
- * Draws the faults of one run, ordered by time; they may overlap. Faults of input are drawn after the
- * others, so that a seed keeps those that it had before there were any.
+ * Draws the faults of one run, ordered by time; they may overlap. Kinds that are newer are drawn after
+ * the others, so that a seed keeps those that it had before there were any.
  */
 export default function drawFaults(random: Random, span: Milliseconds): readonly Fault[] {
-  const drawKinds = (kinds: readonly FaultKind[], count: number): readonly Fault[] =>
-    Array.from({ length: count }, () => ({
-      kind: kinds[random.integer(0, kinds.length - 1)]!,
-      at: random.integer(0, span),
-      target: random.integer(0, 1_000),
-      duration: random.integer(MINIMUM_DURATION, MAXIMUM_DURATION),
-    }));
+  const drawFault = <Kind>(kinds: readonly Kind[]) => ({
+    kind: kinds[random.integer(0, kinds.length - 1)]!,
+    at: random.integer(0, span),
+    target: random.integer(0, 1_000),
+    duration: random.integer(MINIMUM_DURATION, MAXIMUM_DURATION),
+  });
+  const drawKinds = (kinds: readonly WorldFaultKind[], count: number): readonly WorldFault[] =>
+    Array.from({ length: count }, () => drawFault(kinds));
 
   const faults = drawKinds(faultKinds, random.integer(MINIMUM_FAULTS, MAXIMUM_FAULTS));
   const inputFaults = drawKinds(inputFaultKinds, random.integer(0, MAXIMUM_INPUT_FAULTS));
-  return [...faults, ...inputFaults].sort((left, right) => left.at - right.at);
+  const processFaults = Array.from(
+    { length: random.integer(MINIMUM_PROCESS_FAULTS, MAXIMUM_PROCESS_FAULTS) },
+    () => ({ ...drawFault(processFaultKinds), signals: drawSignals(random) }),
+  );
+  return [...faults, ...inputFaults, ...processFaults].sort((left, right) => left.at - right.at);
 }
--- a/benchmarks/src/processes/findBoundViolations.ts
+++ b/benchmarks/src/processes/findBoundViolations.ts
@@ -143,7 +143,8 @@
     record.exclusions.filter(({ what }) => what === 'key').map(({ name }) => name),
   );
   const eligible = [...record.sent.values()].filter(
-    ({ at, key, id }) => at > recoveryDueAt && !revoked.has(key) && record.ends.has(id),
+    ({ at, key, id }) =>
+      at > recoveryDueAt && at < record.finalStopAt && !revoked.has(key) && record.ends.has(id),
   );
   const served = eligible.filter(({ id }) => {
     const end = record.ends.get(id);
--- a/benchmarks/src/processes/findViolations.test.ts
+++ b/benchmarks/src/processes/findViolations.test.ts
@@ -3,6 +3,7 @@
 import findResponseViolations from './findResponseViolations';
 import findBoundViolations from './findBoundViolations';
 import findLimitViolations from './findLimitViolations';
+import findLostRequests from './findLostRequests';
 import getExpectedResponse from './getExpectedResponse';
 import soakBounds from './soakBounds';
 import type { CallerEnd, ObservedRun, SentRequest, SoakRecord } from './types';
@@ -42,6 +43,9 @@
     disturbances: [],
     exclusions: [],
     keyGrants: [],
+    signals: [],
+    serverBreaks: [],
+    finalStopAt: Infinity,
     ...changes,
   };
 }
@@ -52,6 +56,9 @@
 const drainedServer = { what: 'server', name: 's1', from: 5_000, to: Infinity } as const;
 const hostPause = { reason: 'hostPaused', host: 0, from: 6_000, to: 6_500 } as const;
 
+const cutOrder = { kind: 'cut', reason: 'closed' } as const;
+const stopOfHost = { host: 0, signal: 'SIGTERM', at: 9_000 } as const;
+
 interface Case {
   readonly name: string;
   readonly record: Partial<SoakRecord>;
@@ -139,15 +146,76 @@
     },
     promises: ['budget'],
   },
+  {
+    name: 'a request that was passed on and cut by a stop',
+    record: {
+      ...withEnd(cutOrder),
+      signals: [stopOfHost],
+      disturbances: [
+        { reason: 'hostStopped', host: 0, from: 9_000, to: 17_000 },
+        { reason: 'storeDown', host: 'all', from: 9_000, to: 11_000 },
+      ],
+    },
+    promises: ['lost'],
+  },
+  {
+    name: 'a request that was held and cut by a stop',
+    record: { ...withEnd({ ...cutOrder, reusedAt: 9_890 }), runs: [], signals: [stopOfHost] },
+    promises: ['lost'],
+  },
+  {
+    name: 'nothing in a request that crossed the close of its connection',
+    record: { ...withEnd({ ...cutOrder, reusedAt: 10_000 }), runs: [], signals: [stopOfHost] },
+    promises: [],
+  },
+  {
+    name: 'nothing in a response that a server broke off during a stop',
+    record: {
+      ...withEnd(cutOrder),
+      signals: [stopOfHost],
+      serverBreaks: [{ server: 's1', at: 10_060 }],
+    },
+    promises: [],
+  },
+  {
+    name: 'nothing in a cut around a stop of a host that was paused',
+    record: {
+      ...withEnd(cutOrder),
+      signals: [stopOfHost],
+      disturbances: [{ ...hostPause, to: 8_500 }],
+    },
+    promises: [],
+  },
+  {
+    name: 'a request that was cut after a reload',
+    record: { ...withEnd(cutOrder), signals: [{ ...stopOfHost, signal: 'SIGHUP' }] },
+    promises: ['lost'],
+  },
+  {
+    name: 'more than a few cut requests without a cause',
+    record: {
+      runs: Array.from({ length: 4 }, (_, index) => ({ ...run, id: `r${index}` })),
+      sent: new Map(
+        Array.from({ length: 4 }, (_, index) => [`r${index}`, { ...order, id: `r${index}` }]),
+      ),
+      ends: new Map(
+        Array.from({ length: 4 }, (_, index) => [`r${index}`, { ...cutOrder, at: 10_100 }]),
+      ),
+    },
+    promises: ['lost'],
+  },
 ];
 
 describe('checks of the soak', () => {
   cases.forEach(({ name, record, promises }) => {
     it(`finds ${name}`, () => {
       const complete = createRecord(record);
-      const violations = [findResponseViolations, findBoundViolations, findLimitViolations].flatMap(
-        (check) => check(complete),
-      );
+      const violations = [
+        findResponseViolations,
+        findBoundViolations,
+        findLimitViolations,
+        findLostRequests,
+      ].flatMap((check) => check(complete));
       const isRelevant = ({ promise }: { readonly promise: string }): boolean =>
         // The 300 requests of this record have no ends, so they exceed their timeouts as well.
         name === 'more runs than a quota allows' ? promise !== 'timeout' : true;
--- a/benchmarks/src/processes/index.ts
+++ b/benchmarks/src/processes/index.ts
@@ -27,7 +27,11 @@
   const endAt = Date.now() + options.minutes * MILLISECONDS_PER_MINUTE;
   const runs: RunSummary[] = [];
   do {
-    const summary = await runSoak({ seed: options.seed + runs.length, program: PROGRAM_FILE });
+    const summary = await runSoak({
+      seed: options.seed + runs.length,
+      program: PROGRAM_FILE,
+      hostCount: options.hosts,
+    });
     process.stderr.write(
       `seed ${summary.seed}: ${summary.faults} faults, ${summary.sent} sent, ${summary.served} served, ` +
         `${summary.violations.length} violations\n`,
--- a/benchmarks/src/processes/runSoak.ts
+++ b/benchmarks/src/processes/runSoak.ts
@@ -6,25 +6,25 @@
 import { sleep } from '@rattanreel/platform';
 import createStoreStandIn from '@rattanreel/platform-adapter/testing';
 import applyFault from './applyFault';
+import createKeptCallers from './createKeptCallers';
 import createSoakRecorder from './createSoakRecorder';
 import createSoakCallers from './createSoakCallers';
 import createSoakHost from './createSoakHost';
 import createSoakOperator from './createSoakOperator';
 import drawFaults from './drawFaults';
 import findFreePorts from './findFreePorts';
+import monitorMachine from './monitorMachine';
 import soakBounds from './soakBounds';
-import type { SoakRecorder, RunSummary } from './types';
+import type { RunSummary } from './types';
 
-const HOST_COUNT = 4;
+const DEFAULT_HOST_COUNT = 4;
 const PORTS_PER_HOST = 4;
 const FAULT_PERIOD: Milliseconds = 8_000;
 const MAXIMUM_FAULT_DURATION: Milliseconds = 3_000;
 /** Time for which callers go on sending after the recovery bound. */
 const RECOVERED_PERIOD: Milliseconds = 3_000;
 const START_TIMEOUT: Milliseconds = 10_000;
-const LAG_CHECK_INTERVAL: Milliseconds = 50;
-/** Event-loop lag of the soak above which the machine is assumed to have paused all processes. */
-const MAXIMUM_LAG: Milliseconds = 200;
+const READY_CHECK_INTERVAL: Milliseconds = 50;
 
 const failureDomains = ['a', 'b'];
 
@@ -32,24 +32,14 @@
   readonly seed: number;
   /** The bundled program. */
   readonly program: string;
-}
-
-/** Records a disturbance of all hosts whenever the event loop of the soak itself lags. */
-function monitorEventLoopLag(recorder: SoakRecorder): NodeJS.Timeout {
-  let lastCheckAt = recorder.now();
-  return setInterval(() => {
-    const lag = recorder.now() - lastCheckAt - LAG_CHECK_INTERVAL;
-    lastCheckAt = recorder.now();
-    if (lag > MAXIMUM_LAG) {
-      recorder.recordDisturbance('all', 0, 'soakHeldUp');
-    }
-  }, LAG_CHECK_INTERVAL);
+  readonly hostCount?: number;
 }
 
 /**
  * Runs one seed: starts the hosts, applies the faults and checks what callers and servers observed.
  */
-export default async function runSoak({ seed, program }: RunSoakOptions): Promise<RunSummary> {
+export default async function runSoak(options: RunSoakOptions): Promise<RunSummary> {
+  const { seed, program, hostCount = DEFAULT_HOST_COUNT } = options;
   const folder = await mkdtemp(path.join(tmpdir(), `soak-${seed}-`));
   const random = createRandom(seed);
   const faults = drawFaults(createRandom(seed), FAULT_PERIOD);
@@ -62,13 +52,11 @@
     random,
     bounds: soakBounds,
     failureDomains,
+    hostCount,
   });
   await operator.start();
-  const firstPort = await findFreePorts(seed, HOST_COUNT * PORTS_PER_HOST);
-  const ports = Array.from(
-    { length: HOST_COUNT },
-    (_, index) => firstPort + index * PORTS_PER_HOST,
-  );
+  const firstPort = await findFreePorts(seed, hostCount * PORTS_PER_HOST);
+  const ports = Array.from({ length: hostCount }, (_, index) => firstPort + index * PORTS_PER_HOST);
   const hosts = await Promise.all(
     ports.map((port, index) =>
       createSoakHost({
@@ -79,11 +67,11 @@
         port,
         seedPorts: ports.filter((other) => other !== port),
         storeAddress: store.address,
-        onUnexpectedExit: recorder.recordUnexpectedExit,
+        recorder,
       }),
     ),
   );
-  const lagTimer = monitorEventLoopLag(recorder);
+  const lagTimer = monitorMachine({ hosts, recorder });
   hosts.forEach((host) => host.start());
   const callers = createSoakCallers({
     hosts,
@@ -92,9 +80,16 @@
     bounds: soakBounds,
     getKeys: operator.getKeys,
   });
+  const keptCallers = createKeptCallers({
+    hosts,
+    recorder,
+    random: createRandom(seed + 1),
+    bounds: soakBounds,
+    getKey: () => operator.getKeys().current,
+  });
   const startedAt = recorder.now();
-  while (callers.countReadyHosts() < HOST_COUNT && recorder.now() - startedAt < START_TIMEOUT) {
-    await sleep(clock, LAG_CHECK_INTERVAL);
+  while (callers.countReadyHosts() < hostCount && recorder.now() - startedAt < START_TIMEOUT) {
+    await sleep(clock, READY_CHECK_INTERVAL);
   }
   recorder.recordDisturbance('all', 0, 'started');
   await sleep(clock, soakBounds.stabilityWindow);
@@ -103,9 +98,11 @@
   await sleep(clock, FAULT_PERIOD + MAXIMUM_FAULT_DURATION + soakBounds.recover + RECOVERED_PERIOD);
   await callers.stop();
   clearInterval(lagTimer);
-  hosts.forEach((host) => host.sendSignal('SIGCONT'));
-  hosts.forEach((host) => host.sendSignal('SIGTERM'));
+  hosts.forEach((host) => host.control('SIGCONT'));
+  recorder.recordFinalStop();
+  await Promise.all(hosts.map((host) => host.sendSignal('SIGTERM')));
   await Promise.all(hosts.map((host) => host.waitForExit()));
+  await keptCallers.stop();
   hosts.forEach(({ storeLink }) => storeLink.close());
   operator.close();
   store.close();
--- a/benchmarks/src/processes/soakBounds.ts
+++ b/benchmarks/src/processes/soakBounds.ts
@@ -8,6 +8,8 @@
   stabilityWindow: 3_000,
   recover: 12_000,
   timeout: 1_500,
+  grace: 8_000,
+  lostSlack: 200,
 };
 
 export default soakBounds;
--- a/benchmarks/src/processes/types.ts
+++ b/benchmarks/src/processes/types.ts
@@ -6,7 +6,19 @@
 /** Faults of what backend servers and other writers send. */
 export type InputFaultKind = 'serverBreaksOff' | 'serverSendsWithoutEnd' | 'entryMalformed';
 
-export type FaultKind =
+/** Signals that operators and supervisors send to a process that should stop, reload or go on. */
+export type OperatorSignal = 'SIGHUP' | 'SIGTERM' | 'SIGINT' | 'SIGQUIT' | 'SIGUSR2';
+
+/** Faults of the supervision of processes: signals in series, early restarts, addresses in use. */
+export type ProcessFaultKind =
+  | 'hostSignalled'
+  | 'hostReloadedAtStart'
+  | 'hostRestartedOverlapping'
+  | 'hostsStoppedTogether'
+  | 'hostsStoppedInTurn'
+  | 'portTaken';
+
+export type WorldFaultKind =
   | 'hostKilled'
   | 'hostStopped'
   | 'hostPaused'
@@ -29,14 +41,29 @@
   | 'customerBurst'
   | InputFaultKind;
 
-/** One fault; `duration` applies to the kinds that end. */
-export interface Fault {
-  readonly kind: FaultKind;
+interface DrawnFault<Kind> {
+  readonly kind: Kind;
   readonly at: Milliseconds;
   readonly target: number;
   readonly duration: Milliseconds;
 }
 
+/** One fault; `duration` applies to the kinds that end. */
+export type WorldFault = DrawnFault<WorldFaultKind>;
+
+/** `after` is the time since the signal before. */
+export interface SignalStep {
+  readonly signal: OperatorSignal;
+  readonly after: Milliseconds;
+}
+
+/** `signals` applies to `hostSignalled`, and as times to `hostReloadedAtStart`. */
+export interface ProcessFault extends DrawnFault<ProcessFaultKind> {
+  readonly signals: readonly SignalStep[];
+}
+
+export type Fault = WorldFault | ProcessFault;
+
 export type SoakRoute = 'order' | 'look' | 'draft';
 
 /** One request of a caller. */
@@ -58,7 +85,12 @@
       readonly seal: string | undefined;
       readonly body: string;
     }
-  | { readonly kind: 'cut'; readonly reason: string };
+  | {
+      readonly kind: 'cut';
+      readonly reason: string;
+      /** When the last byte was sent on a connection that had been used before, where known. */
+      readonly reusedAt?: Milliseconds;
+    };
 
 /** A run of a request at a backend server. */
 export interface ObservedRun {
@@ -76,6 +108,20 @@
   readonly detail: string;
 }
 
+/** A signal for planned work that a host's process got. */
+export interface SentSignal {
+  readonly host: number;
+  readonly signal: OperatorSignal;
+  readonly at: Milliseconds;
+}
+
+/** Responses in flight that a server broke off: that to `id`, or all of them. */
+export interface ServerBreak {
+  readonly server: string;
+  readonly id?: string;
+  readonly at: Milliseconds;
+}
+
 export interface RunSummary {
   readonly seed: number;
   readonly faults: number;
@@ -93,6 +139,10 @@
   readonly stabilityWindow: Milliseconds;
   readonly recover: Milliseconds;
   readonly timeout: Milliseconds;
+  /** Time in which a process must have ended after it was asked to stop. */
+  readonly grace: Milliseconds;
+  /** Time after which a request that was sent whole counts as accepted. */
+  readonly lostSlack: Milliseconds;
 }
 
 /** A loopback proxy with injected faults. */
@@ -132,19 +182,25 @@
   recordArrival(service: string, id: string): void;
   /** Records that a host, or all of them, is disturbed from now on for `duration`. */
   recordDisturbance(host: number | 'all', duration: Milliseconds, reason: DisturbanceReason): void;
+  /** Records that the machine held up a host's process, or the soak and so all, since `from`. */
+  recordHeldUp(host: number | 'all', from: Milliseconds): void;
   recordServerDrained(server: string): void;
   recordDomainEvacuated(failureDomain: string): void;
   recordDomainRestored(failureDomain: string): void;
   recordKeyRevoked(key: string): void;
   recordKeyGranted(key: string): void;
-  /** Records that a host's process exited without a signal from the soak. */
-  recordUnexpectedExit(detail: string): void;
+  recordProcessViolation(violation: Violation): void;
+  recordSignal(host: number, signal: OperatorSignal): void;
+  recordServerBreak(server: string, id?: string): void;
+  /** Records that all hosts are stopped, for the end of the run. */
+  recordFinalStop(): void;
+  readonly isEnding: boolean;
   findViolations(): readonly Violation[];
   countRequests(): Pick<RunSummary, 'sent' | 'served' | 'refused'>;
 }
 
-/** Cause of a disturbance: a fault, a start of a host, or a pause of the whole test machine. */
-export type DisturbanceReason = FaultKind | 'started' | 'soakHeldUp';
+/** Cause of a disturbance: a fault, a start of a host, or a machine that gives no processor time. */
+export type DisturbanceReason = Fault['kind'] | 'started' | 'heldUp';
 
 /** A period in which a host, or all of them, were disturbed. */
 export interface Disturbance {
@@ -177,18 +233,35 @@
   readonly disturbances: readonly Disturbance[];
   readonly exclusions: readonly Exclusion[];
   readonly keyGrants: readonly { readonly key: string; readonly at: Milliseconds }[];
+  readonly signals: readonly SentSignal[];
+  readonly serverBreaks: readonly ServerBreak[];
+  readonly finalStopAt: Milliseconds;
 }
 
-/** An entry host in a separate process. */
+/** An entry host in a separate process; signals go to the process that was started last. */
 export interface SoakHost {
   readonly callerUrl: string;
+  /** Ports of its addresses. */
+  readonly ports: readonly number[];
+  /** Id of the process that was started last. */
+  readonly processId: number | undefined;
   readonly readinessUrl: string;
   readonly storeLink: LinkProxy;
   readonly isRunning: boolean;
+  /** Whether its process was asked to stop. */
+  readonly isStopping: boolean;
   start(): void;
-  sendSignal(signal: NodeJS.Signals): void;
+  /** Sends a signal at once. */
+  control(signal: 'SIGKILL' | 'SIGSTOP' | 'SIGCONT'): void;
+  /** Sends a signal once the program of the process runs; resolves when it was sent. */
+  sendSignal(signal: OperatorSignal): Promise<void>;
   /** Rewrites the settings file and sends SIGHUP. */
-  reload(): void;
-  /** Resolves once the process has exited; immediately if none is running. */
+  reload(): Promise<void>;
+  /** Resolves once every process has exited; immediately if none is running. */
   waitForExit(): Promise<void>;
 }
+
+export interface HostWorld {
+  readonly hosts: readonly SoakHost[];
+  readonly recorder: SoakRecorder;
+}
--- a/benchmarks/src/types.ts
+++ b/benchmarks/src/types.ts
@@ -7,4 +7,6 @@
   readonly minutes: number;
   /** Run a reduced fixed set, as CI does. */
   readonly quick: boolean;
+  /** Number of hosts, for the benchmarks that take one; their default if undefined. */
+  readonly hosts?: number | undefined;
 }
