Process soak: timers of responses that nobody reads, time without a processor in stopEndsInTime

A process that outlasts the grace period is reported with the time for which it waited for a processor meanwhile.

--- a/benchmarks/src/processes/createSoakHost.ts
+++ b/benchmarks/src/processes/createSoakHost.ts
@@ -4,9 +4,11 @@
 import { createWriteStream, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
+import { setTimeout as sleep } from 'node:timers/promises';
 import createLinkProxy from './createLinkProxy';
 import soakBounds from './soakBounds';
 import soakLimits from './soakLimits';
+import tryGetRunDelay from './tryGetRunDelay';
 import type { OperatorSignal, SoakHost, SoakRecorder } from './types';
 import waitForProgram from './waitForProgram';
 
@@ -87,18 +89,25 @@
   }
 
   /** Kills a process that has not ended within the grace period, as the platform does. */
-  function limitStop(stopping: SoakProcess): void {
-    const timer = setTimeout(() => {
-      if (!stopping.isPaused && !stopping.isKilled) {
-        recorder.recordProcessViolation({
-          promise: 'stopEndsInTime',
-          detail: `${name} (${stopping.child.pid}) ran ${soakBounds.grace} ms after it`,
-        });
-      }
-      stopping.isKilled = true;
-      stopping.child.kill('SIGKILL');
-    }, soakBounds.grace);
-    stopping.child.once('exit', () => clearTimeout(timer));
+  async function limitStop(stopping: SoakProcess): Promise<void> {
+    const { child } = stopping;
+    const processId = child.pid ?? 0;
+    const [delayBefore] = await Promise.all([
+      tryGetRunDelay(processId),
+      Promise.race([sleep(soakBounds.grace), once(child, 'exit')]),
+    ]);
+    if (hasEnded(stopping)) {
+      return;
+    }
+    if (!stopping.isPaused && !stopping.isKilled) {
+      const delay = ((await tryGetRunDelay(processId)) ?? 0) - (delayBefore ?? 0);
+      recorder.recordProcessViolation({
+        promise: 'stopEndsInTime',
+        detail: `${name} (${processId}), ${Math.round(delay)} ms of it without a processor`,
+      });
+    }
+    stopping.isKilled = true;
+    child.kill('SIGKILL');
   }
 
   async function sendSignal(signal: OperatorSignal): Promise<void> {
@@ -112,7 +121,7 @@
     }
     if (stopSignals.has(signal) && !target.isAskedToStop) {
       target.isAskedToStop = true;
-      limitStop(target);
+      void limitStop(target);
     }
     recorder.recordSignal(index, signal);
     writeLog({ soak: signal, process: target.child.pid });
--- a/benchmarks/src/processes/createSoakServer.ts
+++ b/benchmarks/src/processes/createSoakServer.ts
@@ -95,7 +95,9 @@
     const route = (incoming.url ?? '').split('/')[1] as SoakRoute;
     const after = Number(getHeader(incoming, 'last-event-id') ?? 0);
     const isFaulty = random.next() < FAULTY_REQUEST_SHARE;
-    if (mode === 'losesAnswers' && isFaulty) {
+    if (outgoing.destroyed) {
+      releaseSlot();
+    } else if (mode === 'losesAnswers' && isFaulty) {
       recorder.recordServerBreak(serverId, id);
       incoming.socket.destroy();
       releaseSlot();
--- a/benchmarks/src/processes/monitorMachine.ts
+++ b/benchmarks/src/processes/monitorMachine.ts
@@ -1,19 +1,10 @@
-import { readFile } from 'node:fs/promises';
 import type { Milliseconds } from '@rattanreel/core';
+import tryGetRunDelay from './tryGetRunDelay';
 import type { HostWorld } from './types';
 
 const CHECK_INTERVAL: Milliseconds = 50;
 /** Time without processor time above which a process counts as held up by the machine. */
 const MAXIMUM_LAG: Milliseconds = 200;
-const NANOSECONDS_PER_MILLISECOND = 1_000_000;
-
-/** Returns how long a process has waited for a processor since its start; undefined once it ended. */
-async function tryGetRunDelay(processId: number): Promise<Milliseconds | undefined> {
-  const times = await readFile(`/proc/${processId}/schedstat`, 'utf8').catch(() => undefined);
-  return times === undefined
-    ? undefined
-    : Number(times.split(' ')[1]) / NANOSECONDS_PER_MILLISECOND;
-}
 
 /** Records whenever the machine holds up the soak, or the process of a host (Linux only). */
 export default function monitorMachine({ hosts, recorder }: HostWorld): NodeJS.Timeout {
