--- a/packages/command-line/src/process/types.ts
+++ b/packages/command-line/src/process/types.ts
@@ -1,7 +1,8 @@
 /** Types of the life of a host's process: its signals, its start and its end. */
 import type { Milliseconds, Outcome } from '@rattanreel/core';
 import type { ErrorRecorder, Logger } from '@rattanreel/observability';
-import type { ExitCode } from '../types';
+import type { PeerTransportError } from '@rattanreel/transport';
+import type { SettingsFileDiagnostic } from '../types';
 
 /** Signals whose default disposition would end the process. */
 export type HandledSignal = 'SIGHUP' | 'SIGTERM' | 'SIGINT' | 'SIGQUIT' | 'SIGUSR1' | 'SIGUSR2';
@@ -55,13 +56,12 @@
 
 /** Why a host did not start. */
 export type StartFailure =
-  | { readonly kind: 'stopped' }
   | {
-      readonly kind: 'failed';
-      readonly exitCode: ExitCode;
-      /** One line each, for standard error. */
-      readonly lines: readonly string[];
-    };
+      readonly kind: 'invalidSettings';
+      readonly fileName: string;
+      readonly diagnostics: readonly SettingsFileDiagnostic[];
+    }
+  | PeerTransportError;
 
 export interface HostProcessOptions {
   readonly signals: SignalInbox;
--- a/packages/command-line/src/runServePlatform.ts
+++ b/packages/command-line/src/runServePlatform.ts
@@ -20,22 +20,20 @@
   readonly printError: (line: string) => void;
 }
 
-async function startHost(fileName: string): Promise<Outcome<ManagedHost, StartFailure>> {
-  const started = await start(fileName);
+async function startHost(
+  fileName: string,
+  signal: AbortSignal,
+): Promise<Outcome<ManagedHost, StartFailure>> {
+  const started = await start(fileName, { signal });
   if (started.kind === 'error') {
-    return fail({
-      kind: 'failed',
-      exitCode: exitCodes.invalidInput,
-      lines: started.error.map(
-        ({ code, line, message }) => `${fileName}:${line ?? 0}: ${code}: ${message}`,
-      ),
-    });
+    const { error } = started;
+    return fail(error.kind === 'invalidSettings' ? { ...error, fileName } : error);
   }
   const { logger } = started.value;
   const reload = (): void => {
-    started.value.reload().catch((error: unknown) => {
-      logger.error({ error: String(error) }, 'settings reload failed');
-    });
+    started.value
+      .reload()
+      .catch((error: unknown) => logger.error({ error: String(error) }, 'settings reload failed'));
   };
   // The settings file may also change without a SIGHUP.
   watchFile(fileName, { interval: SETTINGS_POLL_INTERVAL_MS, persistent: false }, reload);
@@ -50,5 +48,5 @@
     printError(`--settings FILE or ${SETTINGS_ENVIRONMENT_VARIABLE} is needed`);
     return exitCodes.usage;
   }
-  return runHostProcess({ signals, printError, start: () => startHost(fileName) });
+  return runHostProcess({ signals, printError, start: (signal) => startHost(fileName, signal) });
 }
