--- a/benchmarks/src/processes/createSoakHost.ts
+++ b/benchmarks/src/processes/createSoakHost.ts
@@ -94,7 +94,7 @@
     const processId = child.pid ?? 0;
     const [delayBefore] = await Promise.all([
       tryGetRunDelay(processId),
-      Promise.race([sleep(soakBounds.grace), once(child, 'exit')]),
+      Promise.race([sleep(soakBounds.grace, undefined, { ref: false }), once(child, 'exit')]),
     ]);
     if (hasEnded(stopping)) {
       return;
--- a/benchmarks/src/processes/findLostRequests.ts
+++ b/benchmarks/src/processes/findLostRequests.ts
@@ -24,15 +24,18 @@
 interface CutRequest {
   readonly request: SentRequest;
   readonly cutAt: Milliseconds;
+  readonly state: string;
 }
 
 type Cut = CallerEnd & { readonly kind: 'cut'; readonly at: Milliseconds };
 
-/** Returns whether a host had accepted a request: passed it on, or held it beyond the slack. */
-function isAccepted(record: SoakRecord, { id }: SentRequest, cut: Cut): boolean {
-  const isPassedOn = record.runs.some((run) => run.id === id);
-  const isHeld = cut.reusedAt !== undefined && cut.at > cut.reusedAt + record.bounds.lostSlack;
-  return isPassedOn || isHeld;
+/** Returns how far a host had accepted a request: passed it on, or held it beyond the slack. */
+function tryGetAcceptance(record: SoakRecord, { id }: SentRequest, cut: Cut): string | undefined {
+  const held = Math.round(cut.at - (cut.reusedAt ?? cut.at));
+  if (record.runs.some((run) => run.id === id)) {
+    return `passed on, held ${held} ms`;
+  }
+  return held > record.bounds.lostSlack ? `held ${held} ms` : undefined;
 }
 
 function isBrokenByServer(record: SoakRecord, { id }: SentRequest, cut: Cut): boolean {
@@ -52,12 +55,15 @@
 function findCutRequests(record: SoakRecord): readonly CutRequest[] {
   return [...record.sent.values()].flatMap((request) => {
     const end = record.ends.get(request.id);
-    return end?.kind === 'cut' &&
-      end.at - request.at < record.bounds.timeout &&
-      isAccepted(record, request, end) &&
-      !isBrokenByServer(record, request, end)
-      ? [{ request, cutAt: end.at }]
-      : [];
+    if (
+      end?.kind !== 'cut' ||
+      end.at - request.at >= record.bounds.timeout ||
+      isBrokenByServer(record, request, end)
+    ) {
+      return [];
+    }
+    const state = tryGetAcceptance(record, request, end);
+    return state === undefined ? [] : [{ request, cutAt: end.at, state }];
   });
 }
 
@@ -112,7 +118,7 @@
       ? [
           {
             promise: 'lost',
-            detail: `${route} ${id}: cut at ${cut.cutAt}, ${cause.signal} of ${host} at ${cause.at}`,
+            detail: `${route} ${id}: ${cut.state}, cut at ${cut.cutAt}, ${cause.signal} of ${host} at ${cause.at}`,
           },
         ]
       : [];
