--- a/packages/connections/src/types.ts
+++ b/packages/connections/src/types.ts
@@ -1,4 +1,8 @@
-/** Types of connections that are tracked for undici, and of listening servers. */
+/**
+ * Types of connections that are tracked for undici, of the connections of callers and of listening
+ * servers.
+ */
+import type { ServerResponse } from 'node:http';
 import type { Server } from 'node:net';
 import type { buildConnector } from 'undici';
 import type { Clock, Milliseconds, Random } from '@rattanreel/core';
@@ -74,3 +78,19 @@
   /** HOST:PORT, with the port that was chosen. */
   readonly address: string;
 }
+
+/** The requests of one connection, in the order of their arrival. */
+export interface RequestTurns {
+  /** Adds a request; `onEnd` is called once, when its response has been sent or its connection ends. */
+  add(outgoing: ServerResponse, onEnd: () => void): RequestTurn;
+}
+
+export interface RequestTurn {
+  /**
+   * Calls back, at once if possible, when all earlier responses have been sent; never if one of them
+   * closes the connection.
+   */
+  begin(handle: () => void): void;
+  /** Whether no later request of the connection has arrived. */
+  isLast(): boolean;
+}
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -21,6 +21,7 @@
   FailureDomainId,
   Generation,
   Incarnation,
+  Milliseconds,
   Outcome,
   PoolId,
   Random,
@@ -192,6 +193,9 @@
   waitUntilDrained(): Promise<void>;
   isStopping(): boolean;
   inFlight(): number;
+  /** Calls back when the grace period of a stop ends; returns the function that ends the watch. */
+  watchExpiry(listener: () => void): () => void;
+  expire(): void;
 }
 
 export interface EntryHostOptions {
@@ -201,6 +205,8 @@
   readonly random?: Random;
   /** Ends the start while an address is not available. */
   readonly signal?: AbortSignal | undefined;
+  /** Time for requests in hand when the host stops. */
+  readonly gracePeriod?: Milliseconds;
 }
 
 /** The reason why an entry host could not start. */
@@ -214,7 +220,10 @@
   isReady(): boolean;
   readonly logger: Logger;
   readonly recordError: ErrorRecorder;
-  /** Accepts no new requests, waits for those in flight, and closes. */
+  /**
+   * Accepts no new requests, waits for those in flight within the grace period, and closes. Further
+   * calls return the same promise.
+   */
   stop(): Promise<void>;
   /** Closes at once and aborts everything in flight, as a crash of the process would. */
   kill(): Promise<void>;
--- a/packages/relay/src/front/readBody.ts
+++ b/packages/relay/src/front/readBody.ts
@@ -1,14 +1,6 @@
 import type { IncomingMessage } from 'node:http';
 import createGrowingBuffer from './createGrowingBuffer';
-import type { BodyReservation } from './types';
-
-type BodyResult =
-  | { readonly kind: 'whole'; readonly body: Buffer }
-  | { readonly kind: 'tooLarge' }
-  /** All of the body was read and discarded, since the host has no memory for it. */
-  | { readonly kind: 'noMemory' }
-  /** The caller disconnected before the end of the body. */
-  | { readonly kind: 'cut' };
+import type { BodyReservation, BodyResult } from './types';
 
 interface ReadBodyOptions {
   readonly incoming: IncomingMessage;
@@ -19,8 +11,11 @@
   readonly onRead: (read: BodyResult) => void;
 }
 
-/** Reads a request's body within the memory that can be reserved for it. */
-export default function readBody(options: ReadBodyOptions): void {
+/**
+ * Reads a request's body within the memory that can be reserved for it. Returns a function that reads
+ * no further since the host stops.
+ */
+export default function readBody(options: ReadBodyOptions): () => void {
   const { incoming, limit, reservation } = options;
   const declared = Number(incoming.headers['content-length'] ?? 0);
   const body = createGrowingBuffer();
@@ -58,4 +53,8 @@
   );
   incoming.on('close', () => finish({ kind: 'cut' }));
   incoming.on('error', () => finish({ kind: 'cut' }));
+  return () => {
+    discard();
+    finish({ kind: 'stopped' });
+  };
 }
