A start that does not end is given up 5 s after a request to stop, and its errors are logged at once

Callers would see: nothing; a manager, a process that ignores SIGTERM and writes no line, because a file of settings cannot be read to its end or a client of the failed start does not close.

Cause: runHostProcess waited for the start without a limit, and kept errors and signals of the start until there was a host.

Evidence: a review script, settings from a pipe that nobody writes to: alive 3 s after SIGTERM and SIGINT, no line.

Change: a limit of 5 s, cause `stopTimedOut`; one logger before the host exists. `serve` has a limit of 32 s for its whole stop, as `serve-platform` has its grace period.

No run of the limit of 5 s itself.

--- a/packages/command-line/src/commands/serve.ts
+++ b/packages/command-line/src/commands/serve.ts
@@ -8,6 +8,9 @@
 import reloadEntryHostSettings from '../reloadEntryHostSettings';
 import type { Command } from '../types';
 
+/** Longer than the grace period and the time in which orders are recorded after it. */
+const STOP_TIMEOUT_MS = 32_000;
+
 async function startHost(
   fileName: string,
   signal: AbortSignal,
@@ -35,7 +38,7 @@
     logger,
     recordError,
     stop,
-    getStopTimeout: () => undefined,
+    getStopTimeout: () => STOP_TIMEOUT_MS,
     reload: () => {
       reload().catch((error: unknown) =>
         logger.error({ error: String(error) }, 'settings reload failed'),
--- a/packages/command-line/src/process/runHostProcess.ts
+++ b/packages/command-line/src/process/runHostProcess.ts
@@ -1,6 +1,8 @@
-import { createSystemClock } from '@rattanreel/core';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { createSystemClock, fail } from '@rattanreel/core';
+import type { Outcome } from '@rattanreel/core';
 import { createBoundedLogger, createErrorRecorder } from '@rattanreel/observability';
-import type { ErrorRecorder, Logger } from '@rattanreel/observability';
+import type { Logger } from '@rattanreel/observability';
 import catchUnexpectedErrors from '../catchUnexpectedErrors';
 import exitCodes from '../exitCodes';
 import getStartExitCode from '../getStartExitCode';
@@ -19,6 +21,9 @@
 /** Why the process ends. */
 type EndCause = 'stopRequested' | 'stopTimedOut' | 'startFailed' | 'unexpectedError';
 
+/** Time for a start to end after a request to stop. */
+const START_STOP_TIMEOUT_MS = 5_000;
+
 /** Takes the place of a host that has not started, for the log lines of its process. */
 function createUnstartedHost(): ManagedHost {
   const logger = createBoundedLogger({ clock: createSystemClock(), bindings: {} });
@@ -53,44 +58,34 @@
   const { signals, printError } = options;
   const startAbort = new AbortController();
   const signalCounts = new Map<HandledSignal, number>();
-  let waitingForHost: ((host: ManagedHost) => void)[] = [];
   let host: ManagedHost | undefined;
+  let unstartedHost: ManagedHost | undefined;
   let phase: ProcessPhase = 'starting';
+  let mustReload = false;
   let stoppedBy: HandledSignal | undefined;
   let onStop: () => void = () => undefined;
   const stopRequested = new Promise<void>((resolve) => {
     onStop = resolve;
   });
 
-  function withHost(action: (host: ManagedHost) => void): void {
-    if (host === undefined) {
-      waitingForHost.push(action);
-    } else {
-      action(host);
-    }
+  /** Returns the host, or what takes its place in the log before it has started. */
+  function getHost(): ManagedHost {
+    unstartedHost ??= host === undefined ? createUnstartedHost() : undefined;
+    return host ?? unstartedHost!;
   }
 
-  function setHost(next: ManagedHost): ManagedHost {
-    host = next;
-    const actions = waitingForHost;
-    waitingForHost = [];
-    actions.forEach((action) => action(next));
-    return next;
-  }
-
-  const recordError: ErrorRecorder = (origin, error) =>
-    withHost((started) => started.recordError(origin, error));
-
   function handleSignal({ signal, receivedAt }: ReceivedSignal): void {
     const action = decideSignal(signal, phase);
     const count = (signalCounts.get(signal) ?? 0) + 1;
     signalCounts.set(signal, count);
     const fields = { signal, count, phase, action, receivedAt: Math.round(receivedAt) };
-    withHost(({ logger }) => logger.info(fields, 'signal received'));
+    getHost().logger.info(fields, 'signal received');
     switch (action.kind) {
       case 'reload':
+        getHost().reload();
+        return;
       case 'reloadAfterStart':
-        withHost((started) => started.reload());
+        mustReload = true;
         return;
       case 'stop':
         phase = 'stopping';
@@ -106,7 +101,7 @@
   }
 
   function end(cause: EndCause, exitCode: ExitCode, error?: string): ExitCode {
-    const { logger, flush } = host ?? setHost(createUnstartedHost());
+    const { logger, flush } = getHost();
     const level: keyof Logger = cause === 'stopRequested' ? 'info' : 'error';
     const fields = {
       cause,
@@ -122,10 +117,12 @@
   }
 
   function endFailedStart(failure: StartFailure): ExitCode {
-    const { logger } = setHost(createUnstartedHost());
+    const { logger } = getHost();
     switch (failure.kind) {
       case 'stopped':
         return end('stopRequested', exitCodes.success);
+      case 'stuck':
+        return end('stopTimedOut', exitCodes.unexpected);
       case 'invalidSettings':
         reportSettingsDiagnostics({ ...failure, logger, printError });
         return end('startFailed', exitCodes.invalidInput);
@@ -139,20 +136,31 @@
     }
   }
 
+  /** Resolves when a start has not ended in time after a request to stop. */
+  async function waitForStuckStart(): Promise<Outcome<never, StartFailure>> {
+    await stopRequested;
+    await sleep(START_STOP_TIMEOUT_MS);
+    return fail({ kind: 'stuck' });
+  }
+
   async function run(): Promise<ExitCode> {
-    const started = await options.start(startAbort.signal);
+    const started = await Promise.race([options.start(startAbort.signal), waitForStuckStart()]);
     if (started.kind === 'error') {
       return endFailedStart(started.error);
     }
+    host = started.value;
+    const running = host;
     phase = stoppedBy === undefined ? 'running' : 'stopping';
-    const running = setHost(started.value);
+    if (mustReload) {
+      running.reload();
+    }
     await stopRequested;
     return (await tryStop(running))
       ? end('stopRequested', exitCodes.success)
       : end('stopTimedOut', exitCodes.unexpected);
   }
 
-  catchUnexpectedErrors(recordError);
+  catchUnexpectedErrors((origin, error) => getHost().recordError(origin, error));
   signals.handle(handleSignal);
   return run().catch((error: unknown) =>
     end(
