A host that stops waits until a peer has received the response that it sent for it

Callers would see: 502, or a response that is broken off, at a host that was asked for nothing, when the host that sends its requests stops.

Cause: a forwarded attempt no longer counted as soon as its end was handed to gRPC; the drain then closed the connection with the bytes that were not sent.

Change: the transport calls back when a call's reports have been sent or cannot be; until then the attempt counts as active.

--- a/packages/relay/src/forwarding/createForwardedTasks.ts
+++ b/packages/relay/src/forwarding/createForwardedTasks.ts
@@ -41,11 +41,13 @@
         onData: (chunk) => reporter.report({ kind: 'data', chunk }),
         onEnd(outcome) {
           isEnded = true;
-          active -= 1;
           // A host of an earlier version knows no other word for a request that was not sent.
           const isUnsent = outcome.kind === 'notSent';
           reporter.report({ kind: 'end', outcome: isUnsent ? { kind: 'notConnected' } : outcome });
-          reporter.end();
+          // A host that stops must not end before the peer has received the response.
+          reporter.end(() => {
+            active -= 1;
+          });
         },
       },
     );
--- a/packages/transport/src/createPeerTransport.ts
+++ b/packages/transport/src/createPeerTransport.ts
@@ -28,6 +28,26 @@
 /** Number of responses buffered for a slow peer before further ones are dropped. */
 const MAXIMUM_BUFFERED_MESSAGES = 4_096;
 
+/** Ends a call; calls back once, when the peer's flow control has taken all of it or the call is over. */
+function endCall(
+  call: ServerWritableStream<Envelope<unknown>, Envelope<unknown>>,
+  onSent: () => void = () => undefined,
+): void {
+  let isSent = false;
+  const notify = (): void => {
+    if (!isSent) {
+      isSent = true;
+      onSent();
+    }
+  };
+  if (call.destroyed || call.cancelled) {
+    notify();
+    return;
+  }
+  ['finish', 'close', 'cancelled', 'error'].forEach((event) => call.once(event, notify));
+  call.end();
+}
+
 /**
  * Creates a transport that listens for peers and connects to them on first use. Waits until the
  * listening address is available. Fails with `plainTextOffLoopback` when plain text is configured for
@@ -117,7 +137,7 @@
           onTask(call.request as Envelope<Task>, {
             report: (progress) => call.destroyed || call.write({ from: identity, body: progress }),
             onDrain: (listener) => call.on('drain', listener),
-            end: () => call.end(),
+            end: (onSent) => endCall(call, onSent),
           }),
         );
       if (cancel === undefined) {
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -80,7 +80,8 @@
   report(progress: Progress): boolean;
   /** Registers a listener that is called each time that the peer can accept more. */
   onDrain(listener: () => void): void;
-  end(): void;
+  /** Ends the task; calls back once, when all reports have been sent or cannot be sent any more. */
+  end(onSent?: () => void): void;
 }
 
 /** What a handler was called with when it threw. */
