Tests of processes use ports below the ephemeral ones, and wait for 15 s at most

Cause, suspected and not shown: a port that findFreePorts had taken from the ephemeral ones was used by a connection of another test when the host listened; a host now waits for it instead of ending.

Change: findFreePorts chooses from 10000 to 17999; each wait for a host has a limit. The checks are the same.

--- a/packages/command-line/src/demo/findFreePorts.ts
+++ b/packages/command-line/src/demo/findFreePorts.ts
@@ -1,24 +1,36 @@
+import { randomInt } from 'node:crypto';
 import { createServer } from 'node:net';
-import type { AddressInfo, Server } from 'node:net';
+import type { Server } from 'node:net';
 
-function listen(): Promise<Server> {
+/** Below the ephemeral ports, which any outgoing connection may take before the caller listens. */
+const FIRST_PORT = 10_000;
+const END_PORT = 18_000;
+
+function tryListen(): Promise<{ readonly server: Server; readonly port: number } | undefined> {
   return new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, '127.0.0.1', () => resolve(server));
+    const port = randomInt(FIRST_PORT, END_PORT);
+    server.once('error', () => resolve(undefined));
+    server.listen(port, '127.0.0.1', () => resolve({ server, port }));
   });
 }
 
 /** Finds loopback ports that are free at the time of the call. */
 export default async function findFreePorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, listen));
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  const found: { readonly server: Server; readonly port: number }[] = [];
+  while (found.length < count) {
+    const next = await tryListen();
+    if (next !== undefined) {
+      found.push(next);
+    }
+  }
   await Promise.all(
-    servers.map(
-      (server) =>
+    found.map(
+      ({ server }) =>
         new Promise((resolve) => {
           server.close(resolve);
         }),
     ),
   );
-  return ports;
+  return found.map(({ port }) => port);
 }
--- a/packages/command-line/src/listeningAddresses.test.ts
+++ b/packages/command-line/src/listeningAddresses.test.ts
@@ -12,6 +12,7 @@
 import startProgram from './testing/startProgram';
 import type { LogLine, Program, ProgramKind, Scene } from './testing/types';
 
+const START_TIMEOUT_MS = 15_000;
 const TAKEN_FOR_MS = 1_500;
 const READY_POLL_INTERVAL_MS = 20;
 const LINE_POLL_INTERVAL_MS = 10;
@@ -44,7 +45,9 @@
 }
 
 async function waitUntilReady(scene: Scene, program: Program): Promise<void> {
+  const startedAt = performance.now();
   while (!(await scene.isReady())) {
+    expect(performance.now() - startedAt).toBeLessThan(START_TIMEOUT_MS);
     expect({ end: program.tryGetEnd(), other: program.getUnstructuredLines() }).toEqual({
       end: undefined,
       other: [],
--- a/packages/command-line/src/processEnds.test.ts
+++ b/packages/command-line/src/processEnds.test.ts
@@ -13,6 +13,7 @@
 import startProgram from './testing/startProgram';
 import type { Program, ProgramKind, Scene } from './testing/types';
 
+const START_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 10;
 const TIMEOUT_MS = 30_000;
 const OPTIONS = { timeout: TIMEOUT_MS };
@@ -25,7 +26,9 @@
 }
 
 async function waitUntilReady({ scene, program }: Run): Promise<void> {
+  const startedAt = performance.now();
   while (!(await scene.isReady())) {
+    expect(performance.now() - startedAt).toBeLessThan(START_TIMEOUT_MS);
     const lines = program.getUnstructuredLines();
     if (program.tryGetEnd() !== undefined || lines.length > 0) {
       throw new Error(`not started: ${JSON.stringify(program.tryGetEnd())} ${lines.join('\n')}`);
--- a/packages/command-line/src/processSignals.test.ts
+++ b/packages/command-line/src/processSignals.test.ts
@@ -8,6 +8,7 @@
 import waitForSignalHandler from './testing/waitForSignalHandler';
 import type { Program, ProgramKind, Scene } from './testing/types';
 
+const START_TIMEOUT_MS = 15_000;
 const CALLERS_OF_EACH_KIND = 4;
 const READY_POLL_INTERVAL_MS = 10;
 const TIMEOUT_MS = 30_000;
@@ -29,7 +30,9 @@
 }
 
 async function waitUntilReady({ scene, program }: Run): Promise<void> {
+  const startedAt = performance.now();
   while (!(await scene.isReady())) {
+    expect(performance.now() - startedAt).toBeLessThan(START_TIMEOUT_MS);
     expect(program.tryGetEnd()).toEqual(undefined);
     await sleep(READY_POLL_INTERVAL_MS);
   }
--- a/packages/command-line/src/stoppingRelay.test.ts
+++ b/packages/command-line/src/stoppingRelay.test.ts
@@ -8,6 +8,7 @@
 import startCaller from './testing/startCaller';
 import startProgram from './testing/startProgram';
 
+const START_TIMEOUT_MS = 15_000;
 const GRACE_PERIOD_SECONDS = 4;
 const MILLISECONDS_PER_SECOND = 1_000;
 
@@ -34,7 +35,9 @@
       const program = startProgram({ words: [`${folder}/rattanreel.cjs`, ...scene.words] });
       try {
         await program.waitForLine('duty candidate changed');
+        const startedAt = performance.now();
         while (!(await scene.isReady())) {
+          expect(performance.now() - startedAt).toBeLessThan(START_TIMEOUT_MS);
           await sleep(20);
         }
         const caller = startCaller({ scene, name: 'read', kind: 'read' });
--- a/packages/command-line/src/stoppingServe.test.ts
+++ b/packages/command-line/src/stoppingServe.test.ts
@@ -16,6 +16,7 @@
 
 const TIMEOUT = { timeout: 40_000 };
 const GRACE_PERIOD_MS = 2_000;
+const START_TIMEOUT_MS = 15_000;
 
 interface Run {
   readonly scene: Scene;
@@ -29,10 +30,13 @@
     settings: Debug.checkDefined(settings.kind === 'ok' ? settings.value : undefined, 'settings'),
     logger: silentLogger,
     gracePeriod: GRACE_PERIOD_MS,
+    signal: AbortSignal.timeout(START_TIMEOUT_MS),
   });
   const host = Debug.checkDefined(created.kind === 'ok' ? created.value : undefined, 'host');
   try {
+    const startedAt = performance.now();
     while (!(await scene.isReady())) {
+      expect(performance.now() - startedAt).toBeLessThan(START_TIMEOUT_MS);
       await sleep(20);
     }
     await test({ scene, host });
