Lines and metrics tell what a stopping host accepted before its signal and after it

The logs could not tell a stream that was in hand at the signal from one that was accepted after it. Each line of a request has, while its host stops, when it arrived from the signal, and what is left of the grace period; rattanreel_relay_ended_by_stop_total counts what the stop ended by its arrival.

--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -130,6 +130,7 @@
     logger,
     metrics,
     now: clock.now,
+    stopDeadline,
     getBasis: () => ({ ...stateCache.getVersions(), ...peerTable.getFreshness(clock.now()) }),
   });
 
--- a/packages/relay/src/front/createRelayMetrics.ts
+++ b/packages/relay/src/front/createRelayMetrics.ts
@@ -62,7 +62,15 @@
     registers,
   });
 
+  const endedByStopCounter = new Counter({
+    name: 'rattanreel_relay_ended_by_stop_total',
+    help: 'Requests, sent to a server, that the end of the grace period has ended, by their arrival.',
+    labelNames: ['arrival'],
+    registers,
+  });
+
   return {
+    countEndedByStop: (arrival) => endedByStopCounter.inc({ arrival }),
     countListenFailure: (endpoint, operation) => listenFailureCounter.inc({ endpoint, operation }),
     countError: (origin) => errorCounter.inc({ origin }),
     countHedge: (result) => hedgeCounter.inc({ result }),
--- a/packages/relay/src/front/createRequestObserver.ts
+++ b/packages/relay/src/front/createRequestObserver.ts
@@ -1,4 +1,5 @@
 import type { Logger } from '@rattanreel/observability';
+import type { StopDeadline } from '../lateness/types';
 import type { AttemptOutcome } from '../types';
 import type { DecisionBasis, RelayMetrics, RequestObserver, RequestPlan } from './types';
 
@@ -6,6 +7,8 @@
   readonly logger: Logger;
   readonly metrics: RelayMetrics;
   readonly now: () => number;
+  /** Absent where a host never stops. */
+  readonly stopDeadline?: Pick<StopDeadline, 'tryGetPeriod'>;
   /** Returns the state that this host's decisions are currently based on. */
   readonly getBasis: () => DecisionBasis;
 }
@@ -14,6 +17,27 @@
 export default function createRequestObserver(options: RequestObserverOptions): RequestObserver {
   const { logger, metrics, now, getBasis } = options;
 
+  /** Returns the times of a stop from which it follows whether a request was accepted before it. */
+  function describeStop({ arrivedAt }: RequestPlan): object {
+    const period = options.stopDeadline?.tryGetPeriod();
+    return period === undefined
+      ? {}
+      : {
+          stop: {
+            arrived: Math.round(arrivedAt - period.startedAt),
+            since: Math.round(now() - period.startedAt),
+            left: Math.round(period.endsAt - now()),
+          },
+        };
+  }
+
+  function countIfEndedByStop({ arrivedAt }: RequestPlan, reason: string): void {
+    const period = options.stopDeadline?.tryGetPeriod();
+    if (reason === 'stopping' && period !== undefined) {
+      metrics.countEndedByStop(arrivedAt < period.startedAt ? 'beforeSignal' : 'afterSignal');
+    }
+  }
+
   function describe(plan: RequestPlan): object {
     return {
       request: plan.requestId,
@@ -21,6 +45,7 @@
       rank: plan.priority.rank,
       customer: plan.customer?.name,
       left: Math.round(plan.deadlineAt - now()),
+      ...describeStop(plan),
     };
   }
 
@@ -93,10 +118,12 @@
     },
     failed(plan, status, code) {
       metrics.countRequest('failed', code);
+      countIfEndedByStop(plan, code);
       logger.warn({ ...describe(plan), status, code }, 'request failed');
     },
     brokenOff(plan, reason) {
       metrics.countRequest('brokenOff', reason);
+      countIfEndedByStop(plan, reason);
       logger.warn({ ...describe(plan), reason }, 'answer broken off');
     },
     callerGone(plan) {
--- a/packages/relay/src/front/drainCallerEndpoint.ts
+++ b/packages/relay/src/front/drainCallerEndpoint.ts
@@ -47,7 +47,7 @@
   const activeBefore = endpoint.countActive();
   logger.info({ active: activeBefore }, 'host stopping');
   endpoint.startDraining();
-  stopDeadline.begin(endsAt);
+  stopDeadline.begin({ startedAt: stoppedAt, endsAt });
   await sleep(clock, ACCEPT_DURATION_AFTER_STOP);
   while (!closeIdleConnections() && clock.now() < endsAt) {
     await sleep(clock, DRAIN_CHECK_INTERVAL);
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -137,11 +137,16 @@
 export type RequestOutcome =
   'answered' | 'refused' | 'rejected' | 'failed' | 'brokenOff' | 'callerGone';
 
+/** When a request arrived with respect to the signal that stops its host. */
+export type StopArrival = 'beforeSignal' | 'afterSignal';
+
 export interface RelayMetrics {
   countRequest(outcome: RequestOutcome, reason: string): void;
   countAttempt(attempt: number): void;
   /** Counts an attempt that was stopped before its first byte was written. */
   countUnsent(reason: string): void;
+  /** Counts a request, sent to a server, that the end of the grace period has ended. */
+  countEndedByStop(arrival: StopArrival): void;
   observeDuration(plan: RequestPlan, now: number): void;
   addGauge(gauge: GaugeDefinition): void;
   countError(origin: ErrorOrigin): void;
--- a/packages/relay/src/lateness/createStopDeadline.ts
+++ b/packages/relay/src/lateness/createStopDeadline.ts
@@ -1,4 +1,4 @@
-import type { StopDeadline } from './types';
+import type { StopDeadline, StopPeriod } from './types';
 
 /** A response may take this multiple of the mean of its kind: servers differ in speed. */
 const DURATION_MARGIN = 2;
@@ -9,14 +9,15 @@
  */
 export default function createStopDeadline(): StopDeadline {
   const listeners = new Set<() => void>();
-  let endsAt = Infinity;
+  let period: StopPeriod | undefined;
 
   return {
     begin(next) {
-      endsAt = next;
+      period = next;
     },
+    tryGetPeriod: () => period,
     canFinish: (expectedDuration, now) =>
-      endsAt === Infinity || now + expectedDuration * DURATION_MARGIN <= endsAt,
+      period === undefined || now + expectedDuration * DURATION_MARGIN <= period.endsAt,
     watch(listener) {
       listeners.add(listener);
       return () => listeners.delete(listener);
--- a/packages/relay/src/lateness/stoppingHost.test.ts
+++ b/packages/relay/src/lateness/stoppingHost.test.ts
@@ -101,7 +101,7 @@
     it(`allows ${name}`, () => {
       const stopDeadline = createStopDeadline();
       if (endsAt !== undefined) {
-        stopDeadline.begin(endsAt);
+        stopDeadline.begin({ startedAt: 0, endsAt });
       }
       expect(stopDeadline.canFinish(duration, 1_000)).toEqual(canFinish);
     });
--- a/packages/relay/src/lateness/types.ts
+++ b/packages/relay/src/lateness/types.ts
@@ -66,9 +66,17 @@
   watchStop(listener: () => void): () => void;
 }
 
+/** The time in which a stopping host ends what it has accepted. */
+export interface StopPeriod {
+  readonly startedAt: Milliseconds;
+  readonly endsAt: Milliseconds;
+}
+
 /** The end of the grace period of a stopping host. */
 export interface StopDeadline {
-  begin(endsAt: Milliseconds): void;
+  begin(period: StopPeriod): void;
+  /** Returns the period of the stop; undefined before it. */
+  tryGetPeriod(): StopPeriod | undefined;
   /** Returns whether something that takes this long ends before the host does. */
   canFinish(expectedDuration: Milliseconds, now: Milliseconds): boolean;
   /** Calls back when the grace period ends; returns the function that ends the watch. */
