--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -45,6 +45,8 @@
   quota: { ratePerSecond: 100, burst: 100, countsTokens: false, plainCost: 1 },
 };
 
+const STREAM: Route = { ...ROUTE, name: 'drafts', pathPrefix: '/draft/', kind: 'stream' };
+
 /** Intervals of the reports to a scheduler and of the summaries to peers. */
 const HOST_TIMERS: readonly Milliseconds[] = [150, 200];
 
@@ -55,6 +57,8 @@
   readonly callerPort: number;
   /** Called after a slot was granted and the attempt began. */
   readonly onGranted?: () => void;
+  /** Time for which each request waits for its slot; granted at once if absent. */
+  readonly grantDelay?: Milliseconds;
   /** Time that each request is expected to take. */
   readonly expectedDuration?: Milliseconds;
   /** Discards all lines unless given. */
@@ -83,19 +87,25 @@
   const counts = { granted: 0, released: 0, refunded: 0 };
   const admission: Admission = {
     requestSlot(request) {
-      counts.granted += 1;
-      request.onGranted({
-        server,
-        view: { own: 0, others: 0, slowness: 1, failures: 0 },
-        release() {
-          counts.released += 1;
-        },
-        complete: (figures) => completed.push(figures),
-        recordLoad: () => undefined,
-        recordLeaving: () => undefined,
-      });
-      options.onGranted?.();
-      return () => undefined;
+      const grant = (): void => {
+        counts.granted += 1;
+        request.onGranted({
+          server,
+          view: { own: 0, others: 0, slowness: 1, failures: 0 },
+          release() {
+            counts.released += 1;
+          },
+          complete: (figures) => completed.push(figures),
+          recordLoad: () => undefined,
+          recordLeaving: () => undefined,
+        });
+        options.onGranted?.();
+      };
+      if (options.grantDelay === undefined) {
+        grant();
+        return () => undefined;
+      }
+      return clock.after(options.grantDelay, grant).cancel;
     },
     refund() {
       counts.refunded += 1;
@@ -137,6 +147,7 @@
       logger,
       metrics,
       now: clock.now,
+      stopDeadline,
       getBasis: () => ({
         configurationVersion: 1,
         serversVersion: 1,
@@ -146,7 +157,7 @@
         oldest: 0,
       }),
     }),
-    getRoutes: () => createRouteTable([ROUTE, ONCE]),
+    getRoutes: () => createRouteTable([ROUTE, ONCE, STREAM]),
     getCustomersByKey: () => new Map([['key', CUSTOMER]]),
   });
   const endpoint = createCallerEndpoint({
