One slow reader no longer keeps all idle connections of a stopping host open

Callers saw kept connections of a stopping host stay open until the end of its grace period, and could send requests on them. Cause: Node.js counts a connection as idle once its response has ended, also while bytes of it are unsent, so none was closed while any response was unsent. Now only the connections of unsent responses are spared; a connection on which a request has begun is none of the idle ones.

Ruled out: bytes of the slow response are lost (all of it is read after the stop).

--- a/packages/connections/src/stopAccepting.ts
+++ b/packages/connections/src/stopAccepting.ts
@@ -1,5 +1,6 @@
 import type { Server, ServerResponse } from 'node:http';
 import { Server as NetServer } from 'node:net';
+import type { Socket } from 'node:net';
 
 /**
  * Stops listening and closes idle connections, but cuts no response of `active`, the responses that
@@ -11,7 +12,10 @@
     NetServer.prototype.close.call(server);
   }
   // To Node.js a connection is idle once its response has ended, also while bytes of it are unsent.
-  if (![...active].some(({ writableEnded }) => writableEnded)) {
-    server.closeIdleConnections();
-  }
+  const spared = [...active].flatMap(({ writableEnded, socket }): Socket[] =>
+    writableEnded && socket !== null ? [socket] : [],
+  );
+  spared.forEach((socket) => Object.assign(socket, { destroy: () => socket }));
+  server.closeIdleConnections();
+  spared.forEach((socket) => Reflect.deleteProperty(socket, 'destroy'));
 }
