`serve`: a response that is sent while the host stops says that its connection closes

Callers of a request in hand at the SIGTERM got a response without `Connection: close`, sent their next request on that connection and lost it to the close, or got a 503 for it. Cause: the connection was marked when the handler began, so only requests after the signal got the header. Now the signal marks the last response of each connection whose head is unsent.

--- a/packages/command-line/src/stoppingServe.test.ts
+++ b/packages/command-line/src/stoppingServe.test.ts
@@ -1,50 +1,16 @@
-import { readFile } from 'node:fs/promises';
 import { connect } from 'node:net';
 import { describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'earl';
-import { parse } from 'yaml';
-import { parseEntryHostSettings } from '@rattanreel/configuration';
-import { Debug } from '@rattanreel/core';
-import { createEntryHost } from '@rattanreel/entry-host';
-import type { EntryHost } from '@rattanreel/entry-host';
-import { silentLogger } from '@rattanreel/observability';
-import findFreePorts from './demo/findFreePorts';
-import createServeScene from './testing/createServeScene';
 import startCaller from './testing/startCaller';
-import type { Scene } from './testing/types';
+import withServeHost from './testing/withServeHost';
+import type { ServeRun } from './testing/types';
 
 const TIMEOUT = { timeout: 40_000 };
 const GRACE_PERIOD_MS = 2_000;
-const START_TIMEOUT_MS = 15_000;
 
-interface Run {
-  readonly scene: Scene;
-  readonly host: EntryHost;
-}
-
-async function withHost(workDuration: number, test: (run: Run) => Promise<void>): Promise<void> {
-  const scene = await createServeScene({ ports: await findFreePorts(2), workDuration });
-  const settings = parseEntryHostSettings(parse(await readFile(scene.settingsFile, 'utf8')));
-  const created = await createEntryHost({
-    settings: Debug.checkDefined(settings.kind === 'ok' ? settings.value : undefined, 'settings'),
-    logger: silentLogger,
-    gracePeriod: GRACE_PERIOD_MS,
-    signal: AbortSignal.timeout(START_TIMEOUT_MS),
-  });
-  const host = Debug.checkDefined(created.kind === 'ok' ? created.value : undefined, 'host');
-  try {
-    const startedAt = performance.now();
-    while (!(await scene.isReady())) {
-      expect(performance.now() - startedAt).toBeLessThan(START_TIMEOUT_MS);
-      await sleep(20);
-    }
-    await test({ scene, host });
-  } finally {
-    await host.kill();
-    await scene.close();
-  }
-}
+const withHost = (workDuration: number, test: (run: ServeRun) => Promise<void>) =>
+  withServeHost({ workDuration, gracePeriod: GRACE_PERIOD_MS }, test);
 
 async function measure(action: () => Promise<unknown>): Promise<number> {
   const startedAt = performance.now();
--- a/packages/command-line/src/testing/types.ts
+++ b/packages/command-line/src/testing/types.ts
@@ -1,5 +1,6 @@
 /** Types of the tests that run the program as a process of its own. */
 import type { Milliseconds } from '@rattanreel/core';
+import type { EntryHost } from '@rattanreel/entry-host';
 
 /** A way to run an entry host: the launcher of the deploy file, or a command of the whole program. */
 export type ProgramKind = 'entryHost' | 'servePlatform' | 'serve';
@@ -63,3 +64,9 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: string;
 }
+
+/** An entry host of `serve` in the process of a test. */
+export interface ServeRun {
+  readonly scene: Scene;
+  readonly host: EntryHost;
+}
--- a/packages/entry-host/src/callers/createCallerConnections.ts
+++ b/packages/entry-host/src/callers/createCallerConnections.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import { createRequestTurns } from '@rattanreel/connections';
-import type { RequestTurns } from '@rattanreel/connections';
+import type { RequestTurn, RequestTurns } from '@rattanreel/connections';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import createProblem from './createProblem';
 import problemTypes from './problemTypes';
@@ -16,6 +16,7 @@
 interface ActiveRequest {
   readonly incoming: IncomingMessage;
   readonly arrivedAt: Milliseconds;
+  readonly turn: RequestTurn;
 }
 
 /** Handles the requests of each connection one after the other, and ends connections at a stop. */
@@ -33,6 +34,13 @@
     return turns;
   }
 
+  /** Lets the last response of a connection tell its caller that the connection closes. */
+  function closeAfter(outgoing: ServerResponse, turn: RequestTurn): void {
+    if (turn.isLast() && !outgoing.headersSent) {
+      outgoing.shouldKeepAlive = false;
+    }
+  }
+
   /** Responds for the handler, or breaks off the response that it has begun. */
   function cut(outgoing: ServerResponse, { incoming, arrivedAt }: ActiveRequest): void {
     options.onCut(incoming, options.clock.now() - arrivedAt);
@@ -48,20 +56,21 @@
 
   return {
     takeTurns: (listener) => (incoming, outgoing) => {
-      active.set(outgoing, { incoming, arrivedAt: options.clock.now() });
       const turn = getTurns(incoming.socket).add(outgoing, () => {
         active.delete(outgoing);
         answered += isDraining && outgoing.writableFinished ? 1 : 0;
       });
+      active.set(outgoing, { incoming, arrivedAt: options.clock.now(), turn });
       turn.begin(() => {
-        if (isDraining && turn.isLast()) {
-          outgoing.shouldKeepAlive = false;
+        if (isDraining) {
+          closeAfter(outgoing, turn);
         }
         listener(incoming, outgoing);
       });
     },
     startDraining() {
       isDraining = true;
+      active.forEach(({ turn }, outgoing) => closeAfter(outgoing, turn));
     },
     getActive: () => [...active.keys()],
     countAnswered: () => answered,
