`serve`: a stopping host passes on only what ends before it does

Cause: only requests whose head came after the signal were refused.

Now the grant client is the one place that decides: once the host stops, a request is queued or stays queued only if its deadline is before the end of the grace period; the rest is refused with 503, `not-run`, unsent. Requests that end before the host by their deadline are served as before.

Ruled out: bodies in chunks were refused before too, since they are read before admission.

--- a/packages/command-line/src/acceptedByStoppingServe.test.ts
+++ b/packages/command-line/src/acceptedByStoppingServe.test.ts
@@ -28,6 +28,7 @@
   readonly isChunked?: boolean;
   /** Whether all slots of the server are taken at first. */
   readonly isServerFull?: boolean;
+  readonly key?: string;
   readonly response: RegExp;
   readonly isPassedOn: boolean;
 }
@@ -35,7 +36,10 @@
 const late = { deadline: LATER_THAN_HOST, sentAt: -200, response: REFUSED, isPassedOn: false };
 const early = { deadline: EARLIER_THAN_HOST, sentAt: -200, response: WHOLE, isPassedOn: true };
 const cases: readonly StopCase[] = [
+  { name: 'refuses an order that waits at the signal', ...late, isServerFull: true },
+  { name: 'refuses a keyed order that waits at the signal', ...late, isServerFull: true, key: ID },
   { name: 'serves an order that waits, and ends before it', ...early, isServerFull: true },
+  { name: 'refuses an order whose body ends after the signal', ...late, bodyDuration: 400 },
   {
     name: 'refuses an order whose body in chunks ends after the signal',
     ...late,
@@ -51,7 +55,7 @@
   { name: 'serves an order that was in hand at the signal', ...early, deadline: LATER_THAN_HOST },
 ];
 
-function createHead({ deadline, isChunked }: StopCase, authorization: string): string {
+function createHead({ deadline, isChunked, key }: StopCase, authorization: string): string {
   const framing = isChunked ? 'transfer-encoding: chunked' : `content-length: ${BODY.length}`;
   return [
     'POST /services/order-book/orders HTTP/1.1',
@@ -59,6 +63,7 @@
     `authorization: ${authorization}`,
     'content-type: application/json',
     `x-deadline-ms: ${deadline}`,
+    ...(key === undefined ? [] : [`idempotency-key: ${key}`]),
     framing,
     '\r\n',
   ].join('\r\n');
@@ -72,7 +77,7 @@
 
 describe('what a stopping host of `serve` passes on, over real sockets', { concurrency: 3 }, () => {
   cases.forEach((stopCase) => {
-    // Guards against a response after the signal that does not say that its connection closes.
+    // Guards against passing on what a stopping host may have to cut.
     it(stopCase.name, { timeout: 40_000 }, () =>
       withServeHost(
         { workDuration: WORK_DURATION, gracePeriod: GRACE_PERIOD },
--- a/packages/entry-host/src/callers/problemTypeByRefusal.ts
+++ b/packages/entry-host/src/callers/problemTypeByRefusal.ts
@@ -1,7 +1,9 @@
-import type { RefusalReason } from '@rattanreel/scheduling';
+import type { GrantResult } from '../scheduling/types';
 import type { ProblemType } from './types';
 import problemTypes from './problemTypes';
 
+type RefusalReason = Extract<GrantResult, { readonly kind: 'refused' }>['reason'];
+
 /** Problem type that a caller sees for each reason of refusal. */
 const problemTypeByRefusal: Readonly<Record<RefusalReason, ProblemType>> = {
   queueFull: problemTypes.overloaded,
@@ -10,6 +12,7 @@
   deadlinePassed: problemTypes.deadlineCannotBeMet,
   domainDrained: problemTypes.noBackendServer,
   noBackendServer: problemTypes.noBackendServer,
+  stopping: problemTypes.shuttingDown,
   tooLargeForAnyBackendServer: problemTypes.requestTooLarge,
 };
 
--- a/packages/entry-host/src/createAdmission.ts
+++ b/packages/entry-host/src/createAdmission.ts
@@ -1,21 +1,23 @@
+import type { Milliseconds } from '@rattanreel/core';
 import type { Admission } from './types';
 
 /** Admits up to `capacity` requests at once until stopped. */
 export default function createAdmission(capacity: number): Admission {
   let inFlight = 0;
-  let stopping = false;
+  let endsAt: Milliseconds | undefined;
+  const stopListeners = new Set<() => void>();
   const expiryListeners = new Set<() => void>();
   const drainWaiters: (() => void)[] = [];
 
   function resolveWhenDrained(): void {
-    if (stopping && inFlight === 0) {
+    if (endsAt !== undefined && inFlight === 0) {
       drainWaiters.splice(0).forEach((resolveDrained) => resolveDrained());
     }
   }
 
   return {
     tryAdmit() {
-      if (stopping || inFlight >= capacity) {
+      if (endsAt !== undefined || inFlight >= capacity) {
         return false;
       }
       inFlight += 1;
@@ -28,16 +30,21 @@
       inFlight -= 1;
       resolveWhenDrained();
     },
-    stop() {
-      stopping = true;
+    stop(at) {
+      endsAt = at;
+      stopListeners.forEach((listener) => listener());
       resolveWhenDrained();
     },
+    canSend: (dueAt) => endsAt === undefined || dueAt <= endsAt,
+    watchStop(listener) {
+      stopListeners.add(listener);
+    },
     waitUntilDrained: () =>
       new Promise((resolve) => {
         drainWaiters.push(resolve);
         resolveWhenDrained();
       }),
-    isStopping: () => stopping,
+    isStopping: () => endsAt !== undefined,
     inFlight: () => inFlight,
     watchExpiry(listener) {
       expiryListeners.add(listener);
--- a/packages/entry-host/src/createHostTasks.ts
+++ b/packages/entry-host/src/createHostTasks.ts
@@ -109,7 +109,7 @@
   const grants = createGrantClient({
     getSelf: membership.self,
     homeDomain: failureDomain,
-    clock,
+    ...context,
     send: router.sendToScheduler,
   });
 
--- a/packages/entry-host/src/drainCallers.ts
+++ b/packages/entry-host/src/drainCallers.ts
@@ -21,8 +21,8 @@
 }
 
 /**
- * Refuses new requests and waits for those in hand until their responses have been sent. At the end
- * of the grace period the rest is aborted, and what has no response then gets one that says so.
+ * Refuses new requests, and those that wait and may outlast the host, and waits for those in hand
+ * until their responses have been sent. At the end of the grace period the rest is aborted, and what has no response then gets one that says so.
  */
 export default async function drainCallers(options: DrainCallersOptions): Promise<void> {
   const { clock, logger, admission, callers } = options;
@@ -31,7 +31,7 @@
   const activeBefore = callers.countActive();
   logger.info({ active: activeBefore }, 'host stopping');
   callers.startDraining();
-  admission.stop();
+  admission.stop(stoppedAt + gracePeriod);
   await Promise.race([admission.waitUntilDrained(), sleep(clock, gracePeriod)]);
   await callers.drain(Math.max(stoppedAt + gracePeriod - clock.now(), 0));
   const ended = callers.countActive();
--- a/packages/entry-host/src/scheduling/createGrantClient.ts
+++ b/packages/entry-host/src/scheduling/createGrantClient.ts
@@ -18,7 +18,7 @@
  * granted, refused or withdrawn.
  */
 export default function createGrantClient(options: GrantClientOptions): GrantClient {
-  const { getSelf, homeDomain, clock, send } = options;
+  const { getSelf, homeDomain, clock, send, admission } = options;
   const queued = new Map<RequestId, QueuedRequest>();
   const heldGrants = createHeldGrants(getSelf, send);
 
@@ -73,6 +73,16 @@
     entry.timer = clock.after(wait, () => resendUntilDue(entry));
   }
 
+  /** Refuses a queued request that could be sent only to be cut when this host ends. */
+  function refuseIfStopping(entry: QueuedRequest): boolean {
+    if (admission.canSend(entry.grantRequest.dueAt)) {
+      return false;
+    }
+    withdraw(entry);
+    finish(entry, { kind: 'refused', reason: 'stopping', retryAfter: REFUSAL_RETRY_AFTER_MS });
+    return true;
+  }
+
   function tryAccept(entry: QueuedRequest | undefined, grant: Grant): entry is QueuedRequest {
     const isFresh = clock.now() - grant.echo <= grant.lifetime;
     return entry !== undefined && isFresh && entry.grantRequest.lifecycle.tryGrant();
@@ -122,6 +132,8 @@
     }
   }
 
+  admission.watchStop(() => [...queued.values()].forEach(refuseIfStopping));
+
   return {
     obtain: (grantRequest) =>
       new Promise((resolve) => {
@@ -138,7 +150,9 @@
             finish(entry, { kind: 'callerGone' });
           }
         });
-        resendUntilDue(entry);
+        if (!refuseIfStopping(entry)) {
+          resendUntilDue(entry);
+        }
       }),
     receive,
     resendQueued(pool, failureDomain) {
--- a/packages/entry-host/src/scheduling/types.ts
+++ b/packages/entry-host/src/scheduling/types.ts
@@ -37,6 +37,7 @@
 } from '@rattanreel/scheduling';
 import type { MovePeerMessage } from '../moves/types';
 import type {
+  Admission,
   FromScheduler,
   MembershipTask,
   PeerMessage,
@@ -81,7 +82,7 @@
   | { readonly kind: 'granted'; readonly heldGrant: HeldGrant }
   | {
       readonly kind: 'refused';
-      readonly reason: RefusalReason;
+      readonly reason: RefusalReason | 'stopping';
       readonly retryAfter: Milliseconds;
     }
   | { readonly kind: 'callerGone' };
@@ -133,6 +134,8 @@
   readonly homeDomain: FailureDomainId;
   readonly clock: Clock;
   readonly send: SendToScheduler;
+  /** Decides which requests are still sent once this host stops. */
+  readonly admission: Pick<Admission, 'canSend' | 'watchStop'>;
 }
 
 /** A request of this host that waits for a grant. */
--- a/packages/entry-host/src/types.ts
+++ b/packages/entry-host/src/types.ts
@@ -188,7 +188,12 @@
   /** Counts further work of an admitted request; it is never refused. */
   retain(): void;
   release(): void;
-  stop(): void;
+  /** Begins a stop; what is in flight at `endsAt` is aborted. */
+  stop(endsAt: Milliseconds): void;
+  /** Whether a request with this deadline may still be sent: only if it ends before the host. */
+  canSend(dueAt: Milliseconds): boolean;
+  /** Calls back when a stop begins. */
+  watchStop(listener: () => void): void;
   /** Resolves once a stop has begun and nothing is in flight. */
   waitUntilDrained(): Promise<void>;
   isStopping(): boolean;
