`serve`: a stopping host issues no tickets

A ticket says that its order runs at most once, and only the process that issued it can run it. A host issued tickets until its last connection closed; an order sent with one after the host had ended was answered with `execution-in-doubt` though it had never run, and no retry with this ticket helped. Tickets are now refused with 503 from the signal on, as are requests.

Evidence: "issues no ticket after the signal" gets a ticket without the change. Tickets of before the signal that are unused when the host ends stay in doubt: that would take a store, which tickets exist to avoid.

--- a/packages/command-line/src/acceptedByStoppingServe.test.ts
+++ b/packages/command-line/src/acceptedByStoppingServe.test.ts
@@ -29,6 +29,7 @@
   /** Whether all slots of the server are taken at first. */
   readonly isServerFull?: boolean;
   readonly key?: string;
+  readonly path?: string;
   readonly response: RegExp;
   readonly isPassedOn: boolean;
 }
@@ -53,12 +54,13 @@
   },
   { name: 'refuses an order that is sent after the signal', ...late, sentAt: 100 },
   { name: 'serves an order that was in hand at the signal', ...early, deadline: LATER_THAN_HOST },
+  { name: 'issues no ticket after the signal', ...late, sentAt: 100, path: '/v1/tickets' },
 ];
 
-function createHead({ deadline, isChunked, key }: StopCase, authorization: string): string {
+function createHead({ deadline, isChunked, key, path }: StopCase, authorization: string): string {
   const framing = isChunked ? 'transfer-encoding: chunked' : `content-length: ${BODY.length}`;
   return [
-    'POST /services/order-book/orders HTTP/1.1',
+    `POST ${path ?? '/services/order-book/orders'} HTTP/1.1`,
     'host: h',
     `authorization: ${authorization}`,
     'content-type: application/json',
@@ -77,7 +79,8 @@
 
 describe('what a stopping host of `serve` passes on, over real sockets', { concurrency: 3 }, () => {
   cases.forEach((stopCase) => {
-    // Guards against passing on what a stopping host may have to cut.
+    // Guards against passing on what a stopping host may have to cut, and against a ticket that
+    // nobody can redeem.
     it(stopCase.name, { timeout: 40_000 }, () =>
       withServeHost(
         { workDuration: WORK_DURATION, gracePeriod: GRACE_PERIOD },
--- a/packages/entry-host/src/callers/createCallerApplication.ts
+++ b/packages/entry-host/src/callers/createCallerApplication.ts
@@ -21,6 +21,14 @@
 type Handler = (services: CallerServices, context: CallerContext) => Promise<Response>;
 
 function issueTicket(services: CallerServices, context: CallerContext): Response {
+  if (services.admission.isStopping()) {
+    // Only this incarnation could run the order of its ticket.
+    const retryAfter = OVERLOAD_RETRY_AFTER_MS;
+    return sendProblem(
+      context,
+      createProblem(problemTypes.shuttingDown, 'not-run', { retryAfter }),
+    );
+  }
   const settings = services.tryGetSettings();
   if (settings === undefined) {
     return sendProblem(context, createProblem(problemTypes.notReady, 'not-run'));
