--- a/packages/command-line/src/stoppingRelay.test.ts
+++ b/packages/command-line/src/stoppingRelay.test.ts
@@ -10,6 +10,9 @@
 
 const START_TIMEOUT_MS = 15_000;
 const GRACE_PERIOD_SECONDS = 4;
+const CALLERS = 6;
+const HTTP_OK = 200;
+const HTTP_NOT_RUN = 503;
 const MILLISECONDS_PER_SECOND = 1_000;
 
 describe('a process of `serve-platform` that stops', { concurrency: 2 }, () => {
@@ -19,6 +22,44 @@
     folder = await bundlePrograms('stopping-relay-test');
   });
 
+  const kinds = ['order', 'read'] as const;
+  kinds.forEach((kind) => {
+    // Guards against passing on a request after the signal that outlasts the host.
+    it(`passes on no ${kind} that it has to end unanswered`, async () => {
+      const scene = await createRelayScene({
+        ports: await findFreePorts(4),
+        gracePeriodSeconds: GRACE_PERIOD_SECONDS,
+      });
+      const program = startProgram({ words: [`${folder}/rattanreel.cjs`, ...scene.words] });
+      try {
+        while (!(await scene.isReady())) {
+          await sleep(20);
+        }
+        const callers = Array.from({ length: CALLERS }, (_, index) =>
+          startCaller({ scene, name: `caller-${index}`, kind }),
+        );
+        await sleep(1_000);
+        program.sendSignal('SIGTERM');
+        await sleep(200);
+        const begunBefore = new Set(scene.listBegun());
+        scene.setWorkDuration(GRACE_PERIOD_SECONDS * MILLISECONDS_PER_SECOND);
+        expect(await program.ended).toEqual({ kind: 'exited', code: 0 });
+        const results = (await Promise.all(callers.map(({ stop }) => stop()))).flat();
+        const begun = scene.listBegun();
+        const unanswered = results.filter(
+          ({ request, status }) => begun.has(request) && status !== HTTP_OK,
+        );
+        expect(unanswered).toEqual([]);
+        expect(results.some(({ status }) => status === HTTP_NOT_RUN)).toEqual(true);
+        expect(begunBefore.size).toBeGreaterThan(CALLERS);
+      } finally {
+        program.sendSignal('SIGKILL');
+        await program.ended;
+        await scene.close();
+      }
+    });
+  });
+
   const silences = [0, 400, 800, 1_200];
   silences.forEach((silence) => {
     // Guards against a store that does not respond and so holds a process beyond its grace period.
