An attempt is no longer forwarded to a server that its host, or the peer that sends it, knows to leave

A host that does not reach a server asks up to four peers in turn, each of which may take 200 ms to be connected and 700 ms to connect itself, after 900 ms for its own link and check: an attempt could reach a server up to 4.5 s after it had been chosen, although the host had learnt meanwhile that it drains, leaves or is evacuated. A peer sent whatever it was asked to, also to a server that it would not use itself.

Now both ask, before anything is sent, whether nothing more may be sent to the server. The attempt then ends as not connected, which is certainly not run, and gets another server.

The options of openPeerLink are spread as those of the duties are, to keep the function short. Ruled out by reading: attempts on a host's own links are written at most 400 ms after the choice (sendOnce).

--- a/packages/relay/src/createHostCore.ts
+++ b/packages/relay/src/createHostCore.ts
@@ -186,10 +186,11 @@
   });
 
   const forwarding = createForwarding({
+    ...options,
     ...context,
-    direct: options.direct,
+    embargo,
+    getEvacuated: () => stateCache.evacuated,
     isServing: () => !isStopping,
-    loopDelay,
     getLink: () => link,
   });
 
@@ -201,12 +202,10 @@
     peerTable,
     pools,
     quota,
-    getRole: scheduling.getRole,
+    ...scheduling,
     loopDelay,
     isWatchingStore: () => storeWatcher?.isWatching() ?? false,
     findings,
-    tryGetScheduler: scheduling.tryGetScheduler,
-    sendToScheduled: scheduling.sendToScheduled,
     onSchedulerRequest: scheduling.handleRequest,
     onSchedulerResponse: scheduling.handleResponse,
     onReachableChange: scheduling.updateSharing,
--- a/packages/relay/src/forwarding/createForwarding.ts
+++ b/packages/relay/src/forwarding/createForwarding.ts
@@ -15,7 +15,8 @@
   const tasks = createForwardedTasks({
     getArrivalTime: options.loopDelay.getArrivalTime,
     direct: options.direct,
-    canServe: (server) => options.isServing() && !connections.isCut(server),
+    canServe: (server) =>
+      options.isServing() && !connections.isCut(server) && !connections.isWithheld(server),
   });
   return { connections, tasks };
 }
--- a/packages/relay/src/forwarding/createForwardingConnections.ts
+++ b/packages/relay/src/forwarding/createForwardingConnections.ts
@@ -1,6 +1,15 @@
-import type { Clock, EntryHostId, Milliseconds, Random } from '@rattanreel/core';
+import type {
+  BackendServerId,
+  Clock,
+  EntryHostId,
+  FailureDomainId,
+  Milliseconds,
+  Random,
+} from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
 import type { Attempt, AttemptRequest, AttemptSink, ServerConnections } from '../servers/types';
+import isWithheldServer from '../decisions/isWithheldServer';
+import type { ServerEmbargo } from '../decisions/types';
 import type { AttemptOutcome, ListedServer, PeerAddress } from '../types';
 import toUnsentOutcome from '../lateness/toUnsentOutcome';
 import checkByPeers from './checkByPeers';
@@ -21,6 +30,8 @@
   /** This host's own links. */
   readonly direct: ServerConnections;
   readonly getLink: () => ForwardingLink;
+  readonly embargo: Pick<ServerEmbargo, 'isEmbargoed'>;
+  readonly getEvacuated: () => ReadonlySet<FailureDomainId>;
 }
 
 /**
@@ -31,6 +42,7 @@
   options: ForwardingConnectionsOptions,
 ): ForwardingConnections {
   const { clock, logger, random, direct, getLink } = options;
+  let listed: ReadonlyMap<BackendServerId, ListedServer> = new Map();
   const perform: ForwardingLink['perform'] = (...task) => getLink().perform(...task);
   const listPeers = (): readonly PeerAddress[] => getLink().listPeers();
   const listLatePeers = (): ReadonlySet<EntryHostId> => getLink().listLatePeers();
@@ -42,6 +54,11 @@
     checkByPeers: (server, onChecked) => checkByPeers({ server, forwarders, perform, onChecked }),
   });
 
+  function isWithheld(server: ListedServer): boolean {
+    const evacuated = options.getEvacuated();
+    return isWithheldServer(server, { ...options, now: clock.now(), listed, evacuated });
+  }
+
   function sendByPeer(server: ListedServer, request: AttemptRequest, sink: AttemptSink): Attempt {
     return forwardAttempt({
       clock,
@@ -51,6 +68,7 @@
       sink,
       forwarders,
       perform,
+      isWithheld: () => isWithheld(server),
       onReached({ entryHost }) {
         const { requestId } = request;
         logger.info(
@@ -137,10 +155,12 @@
     checkListening: paths.check,
     renew: direct.renew,
     retainServers(servers) {
+      listed = servers;
       paths.retainServers([...servers.values()]);
       direct.retainServers(servers);
     },
     isCut: paths.isCut,
+    isWithheld,
     countCut: paths.countCut,
     async close() {
       paths.stop();
--- a/packages/relay/src/forwarding/forwardAttempt.test.ts
+++ b/packages/relay/src/forwarding/forwardAttempt.test.ts
@@ -116,6 +116,7 @@
           const ignore = (): void => undefined;
           return { cancel: ignore, pause: ignore, resume: ignore };
         },
+        isWithheld: () => false,
         onReached: () => undefined,
         onUnreached() {
           wasUnreached = true;
@@ -160,6 +161,7 @@
           toldTimes.push(task.kind === 'attempt' ? task.deadline?.timeLeft : undefined);
           return { cancel: ignore, pause: ignore, resume: ignore };
         },
+        isWithheld: () => false,
         onReached: ignore,
         onUnreached: ignore,
       });
--- a/packages/relay/src/forwarding/forwardAttempt.ts
+++ b/packages/relay/src/forwarding/forwardAttempt.ts
@@ -19,6 +19,8 @@
   readonly sink: AttemptSink;
   readonly forwarders: Pick<ForwarderList, 'recordWorking' | 'recordFailed'>;
   readonly perform: RelayTransport['perform'];
+  /** Whether nothing more may be sent to the server, which may become known while peers are asked. */
+  readonly isWithheld: () => boolean;
   /** Called once a peer has reached the server. */
   readonly onReached: (peer: PeerAddress) => void;
   /** Called if peers were asked and none could connect to the server. */
@@ -51,8 +53,9 @@
       clock.after(0, () => end({ kind: 'notSent', reason: 'deadlinePassed' }));
       return;
     }
-    if (peer === undefined) {
-      if (index > 0) {
+    const isWithheld = options.isWithheld();
+    if (peer === undefined || isWithheld) {
+      if (index > 0 && !isWithheld) {
         options.onUnreached();
       }
       // Later, since the caller does not have the attempt yet.
--- a/packages/relay/src/forwarding/types.ts
+++ b/packages/relay/src/forwarding/types.ts
@@ -39,6 +39,8 @@
 export interface ForwardingConnections extends ServerConnections {
   /** Whether this host reaches a server only through peers. */
   isCut(server: ListedServer): boolean;
+  /** Whether this host knows that nothing more may be sent to a server. */
+  isWithheld(server: ListedServer): boolean;
   /** Counts the servers that this host reaches only through peers. */
   countCut(): number;
 }
