A connection is kept for as long as its `Keep-Alive` header says, also if the limit becomes shorter

A response says how long its connection is kept by the limit at the arrival of its request, and Node.js closes the connection by the limit at its end. If a configuration with a shorter limit comes into force in between, a caller that goes by the header finds its connection closed, at worst under its next request. The time that a response has told is now kept; the next response tells and keeps the new one.

Evidence: keptConnections.test.ts, over real sockets: "applies a new idle limit to a connection that has been told the old one" gets one response of two without the change, both with it; "told the new one" passes before and after. Not affected: `serve`, whose limit is fixed, and what a stopping host closes.

--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -92,6 +92,17 @@
     turnsBySocket.set(socket, turns);
     return turns;
   }
+
+  /** Keeps a connection for as long as its `Keep-Alive` header says: by the limit at its arrival. */
+  function keepPromisedTime({ socket }: IncomingMessage, outgoing: ServerResponse): void {
+    const promised = server.keepAliveTimeout;
+    outgoing.once('finish', () => {
+      if (server.keepAliveTimeout < promised) {
+        socket.setTimeout(promised);
+      }
+    });
+  }
+
   const headBytes = getHeapStatistics().heap_size_limit * HEAD_HEAP_SHARE;
   const headBudget = createHeadBudget({ bytes: headBytes, headBytes: MAXIMUM_HEADER_BYTES });
   let headTimer: NodeJS.Timeout | undefined;
@@ -101,6 +112,7 @@
     const reservation = bodyBudget.reserve();
     active.set(outgoing, { incoming, arrivedAt });
     headBudget.recordHead(incoming.socket);
+    keepPromisedTime(incoming, outgoing);
     const turn = getTurns(incoming.socket).add(outgoing, () => {
       active.delete(outgoing);
       answered += isDraining && outgoing.writableFinished ? 1 : 0;
--- a/packages/relay/src/front/keptConnections.test.ts
+++ b/packages/relay/src/front/keptConnections.test.ts
@@ -12,6 +12,9 @@
 import type { CallerEndpoint, CallerExchange } from './types';
 
 const LIMITS = { headerBytes: 16_384, bodyBytes: 64, headerTimeout: 3_000, idleTimeout: 9_000 };
+const SHORT_IDLE_TIMEOUT_MS = 300;
+/** Node.js keeps a connection for a second longer than its limit. */
+const LONG_PAUSE_MS = 2_000;
 const LARGE_BYTES = 24_000_000;
 const WORK_DURATION_MS = 80;
 
@@ -24,6 +27,7 @@
 
 describe('kept connections of a host, over real sockets', () => {
   let endpoint: CallerEndpoint;
+  let limits = LIMITS;
   let handled: string[];
   let port: number;
   const sockets: Socket[] = [];
@@ -56,10 +60,11 @@
 
   async function start(onRequest: (exchange: CallerExchange) => void = respond): Promise<void> {
     handled = [];
+    limits = LIMITS;
     port = await findFreePort();
     endpoint = createCallerEndpoint({
       clock: createSystemClock(),
-      getLimits: () => LIMITS,
+      getLimits: () => limits,
       onRequest,
       onTooLarge(exchange) {
         exchange.sendHead(413, ['content-length', '0']);
@@ -156,6 +161,33 @@
     });
   });
 
+  const limitCases = [
+    { name: 'that has been told the old one', isToldBefore: true, isClosed: false },
+    { name: 'that is told the new one', isToldBefore: false, isClosed: true },
+  ];
+  limitCases.forEach(({ name, isToldBefore, isClosed }) => {
+    // Guards against closing a connection before the time in its `Keep-Alive` header, once a shorter
+    // limit has come into force.
+    it(`applies a new idle limit to a connection ${name}: ${isClosed}`, async () => {
+      await start();
+      const socket = open();
+      const text = read(socket, LONG_PAUSE_MS * 2);
+      if (isToldBefore) {
+        socket.write(createRequest('/plain/1'));
+        await sleep(WORK_DURATION_MS / 2);
+      }
+      limits = { ...LIMITS, idleTimeout: SHORT_IDLE_TIMEOUT_MS };
+      endpoint.applyLimits();
+      if (!isToldBefore) {
+        socket.write(createRequest('/plain/1'));
+      }
+      await sleep(LONG_PAUSE_MS);
+      socket.write(createRequest('/plain/2'));
+      const statuses = [...(await text).matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status);
+      expect(statuses).toEqual(isClosed ? ['200'] : ['200', '200']);
+    });
+  });
+
   // Guards against closing, as idle, the connection of a slow reader before all of its response is
   // sent.
   it('sends all of a large response to a slow reader while it stops', async () => {
