The exit of a host does not wait for a settings file that is a pipe without a writer

Seen: `serve-platform` with its settings file replaced by a pipe that nobody writes to, SIGHUP, SIGTERM: `process ends` with code 0 after 2.6 s, and the process lived on until it was killed. The same with a pipe as settings file at the start, and with `serve`.

Cause: a blocking open of a pipe waits for a writer in a thread of the pool, and Node.js joins these threads in its exit. `process.reallyExit` joins them too (by reading, not tried).

Change: `readTextFile` opens without blocking. A regular file is read as before; a pipe is read by the event loop, so that it holds neither the exit nor a thread; other kinds of file (devices) are refused as `unreadable-file`. Pipes as settings still work. A stop during the start gives the read up: exit code 0 at once, in place of `stopTimedOut` after 5 s.

Not fixed: a regular file on a disk that stalls, and a name look-up that does not return, still hold the exit: both need a thread.

Ruled out: refusing whatever is no regular file. It would end `--settings <(…)`, and "the reload that was asked for last decides" reads its slow text from a pipe.

--- a/packages/command-line/src/commands/serve.ts
+++ b/packages/command-line/src/commands/serve.ts
@@ -15,7 +15,10 @@
   fileName: string,
   signal: AbortSignal,
 ): Promise<Outcome<ManagedHost, StartFailure>> {
-  const read = await readEntryHostSettings(fileName);
+  const read = await readEntryHostSettings(fileName, { signal });
+  if (signal.aborted) {
+    return fail({ kind: 'stoppedUnread' });
+  }
   if (read.kind === 'error') {
     return fail({ kind: 'invalidSettings', fileName, diagnostics: read.error });
   }
--- a/packages/command-line/src/process/runHostProcess.ts
+++ b/packages/command-line/src/process/runHostProcess.ts
@@ -120,6 +120,7 @@
     const { logger } = getHost();
     switch (failure.kind) {
       case 'stopped':
+      case 'stoppedUnread':
         return end('stopRequested', exitCodes.success);
       case 'stuck':
         return end('stopTimedOut', exitCodes.unexpected);
--- a/packages/command-line/src/process/types.ts
+++ b/packages/command-line/src/process/types.ts
@@ -61,6 +61,8 @@
       readonly fileName: string;
       readonly diagnostics: readonly SettingsFileDiagnostic[];
     }
+  /** A stop was requested before the settings were read. */
+  | { readonly kind: 'stoppedUnread' }
   /** The start did not end after a request to stop. */
   | { readonly kind: 'stuck' }
   | PeerTransportError;
--- a/packages/command-line/src/processEnds.test.ts
+++ b/packages/command-line/src/processEnds.test.ts
@@ -12,6 +12,7 @@
 import startCaller from './testing/startCaller';
 import startProgram from './testing/startProgram';
 import type { Program, ProgramKind, Scene } from './testing/types';
+import waitForSignalHandler from './testing/waitForSignalHandler';
 
 const START_TIMEOUT_MS = 15_000;
 const POLL_INTERVAL_MS = 10;
@@ -19,6 +20,8 @@
 const OPTIONS = { timeout: TIMEOUT_MS };
 /** Longer than the interval at which the settings file is polled. */
 const POLLED_MS = 1_500;
+/** Longer than the grace period of the scenes. */
+const STOP_TIMEOUT_MS = 9_000;
 
 interface Run {
   readonly scene: Scene;
@@ -131,6 +134,44 @@
     });
   });
 
+  const programs: readonly ProgramKind[] = [...relays, 'serve'];
+  programs.forEach((kind) => {
+    // Guards against a process that lives on after its last line, since its settings never arrive.
+    it(`${kind}: a start ends while its settings file is a pipe without a writer`, OPTIONS, () =>
+      withScene(kind, async ({ settingsFile, words }) => {
+        await rm(settingsFile);
+        await createPipe(settingsFile);
+        const program = startProgram({ words });
+        await withProgram(program, async () => {
+          await waitForSignalHandler(program);
+          await sleep(POLLED_MS);
+          program.sendSignal('SIGTERM');
+          const end = await Promise.race([program.ended, sleep(STOP_TIMEOUT_MS)]);
+          expect(end).toEqual({ kind: 'exited', code: 0 });
+        });
+      }),
+    );
+
+    // Guards against a process that lives on after its last line, since a reload never ends.
+    it(`${kind}: stops while its settings file is a pipe without a writer`, OPTIONS, () =>
+      withScene(kind, async (scene) => {
+        const program = startProgram({ words: scene.words });
+        await withProgram(program, async () => {
+          await waitUntilReady({ scene, program });
+          const pipe = `${scene.settingsFile}.pipe`;
+          await createPipe(pipe);
+          await rename(pipe, scene.settingsFile);
+          program.sendSignal('SIGHUP');
+          await program.waitForLine('signal received');
+          await sleep(POLLED_MS);
+          program.sendSignal('SIGTERM');
+          const end = await Promise.race([program.ended, sleep(STOP_TIMEOUT_MS)]);
+          expect(end).toEqual({ kind: 'exited', code: 0 });
+        });
+      }),
+    );
+  });
+
   const kinds: readonly ProgramKind[] = ['entryHost', 'serve'];
   const outputs: readonly Output[] = ['full', 'gone', 'stopped', 'returns'];
   kinds.forEach((kind) => {
--- a/packages/command-line/src/readEntryHostSettings.ts
+++ b/packages/command-line/src/readEntryHostSettings.ts
@@ -1,9 +1,8 @@
-import { readFile } from 'node:fs/promises';
 import { LineCounter, isNode, parseDocument } from 'yaml';
 import type { Document } from 'yaml';
 import { parseEntryHostSettings } from '@rattanreel/configuration';
 import type { EntryHostSettings, SettingsError } from '@rattanreel/configuration';
-import { fail } from '@rattanreel/core';
+import { fail, readTextFile } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import type { SettingsFileDiagnostic } from './types';
 
@@ -33,13 +32,19 @@
   }
 }
 
+interface ReadOptions {
+  /** Gives up a read that waits for a writer of the file. */
+  readonly signal?: AbortSignal | undefined;
+}
+
 /** Reads and checks the settings file of `serve`; fails with every error found in it. */
 export default async function readEntryHostSettings(
   fileName: string,
+  options: ReadOptions = {},
 ): Promise<Outcome<EntryHostSettings, readonly SettingsFileDiagnostic[]>> {
   let text: string;
   try {
-    text = await readFile(fileName, 'utf8');
+    text = await readTextFile(fileName, options);
   } catch (error) {
     const message = `the file cannot be read: ${error instanceof Error ? error.message : String(error)}`;
     return fail([{ code: 'unreadable-file', line: undefined, field: '', message }]);
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -12,3 +12,4 @@
 export { default as listChangedFields } from './listChangedFields';
 export { default as ok } from './ok';
 export { default as parseAddress } from './parseAddress';
+export { default as readTextFile } from './readTextFile';
