A grace period shorter than 3.3 s is kept: connections are accepted until 0.7 s before its end

Seen: `serve-platform` with `bounds.grace-s=2`: each stop, also an idle one, ends with `stopTimedOut`, code 1, and cuts what is in hand.

Cause: connections were accepted for 2.6 s after the signal, whatever the grace period.

Change: accepted for 2.6 s, and at most until 0.7 s before the end of the grace period, when what is not answered is ended by an answer. Longer periods are divided as before. The margins for the last answers and for the exit are kept: they are needed however short the period is, so that with 0.7 s or less nothing in hand is waited for.

--- a/packages/command-line/src/stoppingRelay.test.ts
+++ b/packages/command-line/src/stoppingRelay.test.ts
@@ -60,6 +60,44 @@
     });
   });
 
+  const shortStops = [
+    { gracePeriodSeconds: 1, workDuration: 7_000, status: 502 },
+    { gracePeriodSeconds: 2, workDuration: 7_000, status: 502 },
+    { gracePeriodSeconds: 2, workDuration: 800, status: HTTP_OK },
+    { gracePeriodSeconds: 3, workDuration: 7_000, status: 502 },
+  ];
+  shortStops.forEach(({ gracePeriodSeconds, workDuration, status }) => {
+    const name = `${gracePeriodSeconds} s beside a request of ${workDuration} ms`;
+    // Guards against a stop that times out since connections are accepted for longer than that.
+    it(`ends within a grace period of ${name}`, async () => {
+      const ports = await findFreePorts(4);
+      const scene = await createRelayScene({ ports, gracePeriodSeconds, workDuration });
+      const program = startProgram({ words: [`${folder}/rattanreel.cjs`, ...scene.words] });
+      try {
+        const startedAt = performance.now();
+        while (!(await scene.isReady())) {
+          expect(performance.now() - startedAt).toBeLessThan(START_TIMEOUT_MS);
+          await sleep(20);
+        }
+        const caller = startCaller({ scene, name: 'read', kind: 'read' });
+        while (scene.listBegun().size === 0) {
+          expect(performance.now() - startedAt).toBeLessThan(START_TIMEOUT_MS);
+          await sleep(5);
+        }
+        program.sendSignal('SIGTERM');
+        expect(await program.ended).toEqual({ kind: 'exited', code: 0 });
+        const [result] = await caller.stop();
+        expect(result).toEqual(expect.subset({ kind: 'responded', status }));
+        const { cause } = await program.waitForLine('process ends');
+        expect(cause).toEqual('stopRequested');
+      } finally {
+        program.sendSignal('SIGKILL');
+        await program.ended;
+        await scene.close();
+      }
+    });
+  });
+
   const silences = [0, 400, 800, 1_200];
   silences.forEach((silence) => {
     // Guards against a store that does not respond and so holds a process beyond its grace period.
--- a/packages/relay/src/front/drainCallerEndpoint.ts
+++ b/packages/relay/src/front/drainCallerEndpoint.ts
@@ -5,8 +5,8 @@
 import type { CallerEndpoint } from './types';
 
 /**
- * Time after the stop signal for which connections are still accepted: the load balancer removes a
- * host only after two failed readiness checks.
+ * Time after the stop signal for which connections are still accepted, if the grace period is long
+ * enough: the load balancer removes a host only after two failed readiness checks.
  */
 const ACCEPT_DURATION_AFTER_STOP: Milliseconds = 2_600;
 /** Part of the grace period reserved for closing the process. */
@@ -48,7 +48,8 @@
   logger.info({ active: activeBefore }, 'host stopping');
   endpoint.startDraining();
   stopDeadline.begin({ startedAt: stoppedAt, endsAt });
-  await sleep(clock, ACCEPT_DURATION_AFTER_STOP);
+  const acceptsUntil = Math.min(stoppedAt + ACCEPT_DURATION_AFTER_STOP, endsAt);
+  await sleep(clock, Math.max(acceptsUntil - clock.now(), 0));
   while (!closeIdleConnections() && clock.now() < endsAt) {
     await sleep(clock, DRAIN_CHECK_INTERVAL);
   }
