Tests of schedulers that stop, end, and stop together with their hosts

At 60 hosts in virtual time, no request of a host that asked a scheduler waits for more than 400 ms and no slot leaks, also when the schedulers end 4 s after they resigned, and when half of the hosts that they schedule stop with them. Both new cases pass without a change of the code.

--- a/packages/relay/src/admission/schedulingOfLargeFleet.test.ts
+++ b/packages/relay/src/admission/schedulingOfLargeFleet.test.ts
@@ -116,6 +116,23 @@
     lose: (_, schedulers) => schedulers.forEach(({ core }) => core.resign()),
     restore: () => undefined,
   },
+  {
+    name: 'stop as planned and end',
+    lose: (_, schedulers) => schedulers.forEach(({ core }) => core.resign()),
+    restore: (_, schedulers) =>
+      schedulers.forEach((host) => {
+        void host.core.stop();
+        host.isDown = true;
+      }),
+  },
+  {
+    name: 'stop as planned together with half of the hosts that they schedule',
+    lose: ({ hosts }, schedulers) =>
+      hosts
+        .filter((host, index) => schedulers.includes(host) || index % 2 === 0)
+        .forEach(({ core }) => core.resign()),
+    restore: () => undefined,
+  },
 ];
 
 describe('the loss of all schedulers of a large fleet', () => {
