`serve`: a waiting request can be sent to a server that a change of the configuration adds

A request looked its server up in the settings of its arrival. If a server was added while it waited and its slot was granted, an assertion failed: the caller got 504 `execution-in-doubt` for a request that was never sent, an order was in doubt, and the slot stayed taken. It now looks in the settings in force, and in those of its arrival for a server that was removed since.

--- a/packages/entry-host/src/callers/handleChatCompletion.ts
+++ b/packages/entry-host/src/callers/handleChatCompletion.ts
@@ -1,7 +1,6 @@
 import type { Context } from 'hono';
 import { createRequestLifecycle, hashPromptPrefixes } from '@rattanreel/dispatch';
 import type { ModelPoolSettings } from '@rattanreel/configuration';
-import { Debug } from '@rattanreel/core';
 import type {
   AuthenticatedCaller,
   CallerEnvironment,
@@ -14,6 +13,7 @@
 import answerStreamed from './answerStreamed';
 import answerWhole from './answerWhole';
 import authenticateCaller from './authenticateCaller';
+import createAddressLookup from './createAddressLookup';
 import createCallerConnection from './createCallerConnection';
 import createProblem from './createProblem';
 import problemTypes from './problemTypes';
@@ -59,8 +59,7 @@
     includeUsage: chat.includeUsage,
     engineBody: chat.engineBody,
     betweenTokens: caller.tier.betweenTokensMilliseconds,
-    getAddress: (backendServer) =>
-      Debug.checkDefined(settings.tryFindBackendServer(backendServer), backendServer).address,
+    getAddress: createAddressLookup(services, settings),
   };
 }
 
--- a/packages/entry-host/src/callers/handleServiceCall.ts
+++ b/packages/entry-host/src/callers/handleServiceCall.ts
@@ -1,5 +1,5 @@
 import type { Context } from 'hono';
-import { Debug, fail, ok } from '@rattanreel/core';
+import { fail, ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import type { RecordedAnswer } from '@rattanreel/orders';
 import type {
@@ -11,6 +11,7 @@
 } from './types';
 import type { SettingsView } from '../types';
 import authenticateCaller from './authenticateCaller';
+import createAddressLookup from './createAddressLookup';
 import createCallerConnection from './createCallerConnection';
 import createProblem from './createProblem';
 import createOrderProblem from './createOrderProblem';
@@ -76,8 +77,7 @@
     body: await context.req.text(),
     dueAt: services.clock.now() + deadline,
     signal: createCallerConnection(context.env.outgoing, services.admission).signal,
-    getAddress: (backendServer) =>
-      Debug.checkDefined(settings.tryFindBackendServer(backendServer), backendServer).address,
+    getAddress: createAddressLookup(services, settings),
   });
 }
 
