What had arrived before the signal keeps its place and its retries while a host stops

Cause: the bound of new requests was applied to those accepted earlier, which have all of the grace period that can be used.

What had arrived whole before the signal is sent while twice the mean of its kind is left, as before; it is no promise then, but a reason to refuse as not run what would be cut. New requests keep the deadline as their bound; a body that ends after the signal makes a new request.

--- a/packages/relay/src/createPools.ts
+++ b/packages/relay/src/createPools.ts
@@ -10,6 +10,7 @@
 import getColdRequestInterval from './decisions/getColdRequestInterval';
 import createPoolQueue from './pools/createPoolQueue';
 import createPoolAverages from './pools/createPoolAverages';
+import getExpectedDuration from './pools/getExpectedDuration';
 import createServerStateMap from './pools/createServerStateMap';
 import createServerSpeeds from './speed/createServerSpeeds';
 import type { PoolAverages, PoolQueue, ServerStateMap, Pools } from './pools/types';
@@ -159,6 +160,8 @@
       onChange: () => options.onInFlightChange(true),
     }),
     getQueue: (pool) => getPoolEntry(pool).queue,
+    getExpectedDuration: (pool, outputTokens) =>
+      getExpectedDuration(getPoolEntry(pool).averages, outputTokens),
     setSettings(settings, customers) {
       shareTerms = createShareTerms(customers);
       settingsByPool = new Map(settings.map((each) => [each.name, each]));
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -157,6 +157,8 @@
       random: context.random,
       loopDelay,
       stopDeadline,
+      getExpectedDuration: ({ pool, outputTokens }) =>
+        pools.getExpectedDuration(pool, outputTokens),
       isScheduledByOther: core.isScheduledByOther,
     }),
     onBegun: (customer) => core.duties?.recordBegun(customer),
--- a/packages/relay/src/front/brokenOffStream.test.ts
+++ b/packages/relay/src/front/brokenOffStream.test.ts
@@ -119,6 +119,7 @@
     classifier: createRequestClassifier(),
     connections,
     timeCheck: {
+      isStopping: () => false,
       tryRefuseAdmission: () => undefined,
       tryRefuseDispatch: () => undefined,
       watchStop: () => () => undefined,
--- a/packages/relay/src/front/createRequestGuard.ts
+++ b/packages/relay/src/front/createRequestGuard.ts
@@ -6,7 +6,7 @@
 
 interface RequestGuardOptions extends Pick<
   RelayRequestOptions,
-  'crashGuard' | 'plan' | 'timeCheck'
+  'crashGuard' | 'plan' | 'pool' | 'timeCheck'
 > {
   readonly attempts: {
     /** Whether an attempt of the request may have run. */
@@ -29,6 +29,7 @@
 export default function createRequestGuard(options: RequestGuardOptions): RequestGuard {
   const { crashGuard, plan, attempts, copies, onRefused } = options;
   const timeCheck: TimeCheck = options.timeCheck;
+  const isAcceptedEarlier = !timeCheck.isStopping();
   const quarantineWatch = createQuarantineWatch({
     crashGuard,
     traits: plan.traits,
@@ -42,7 +43,7 @@
   });
 
   function getRequest(): TimedRequest {
-    return { deadlineAt: plan.deadlineAt, mayHaveRun: attempts.mayHaveRun() };
+    return { ...plan, pool: options.pool, mayHaveRun: attempts.mayHaveRun(), isAcceptedEarlier };
   }
 
   function handleStop(event: StopEvent): void {
--- a/packages/relay/src/lateness/createTimeCheck.ts
+++ b/packages/relay/src/lateness/createTimeCheck.ts
@@ -4,11 +4,16 @@
 /** Time after which the caller of a stopping host may return: it needs only a new connection. */
 const STOP_RETRY_DELAY: Milliseconds = 50;
 
+/** A response may take this multiple of the mean of its kind: servers differ in speed. */
+const DURATION_MARGIN = 2;
+
 interface TimeCheckOptions {
   readonly clock: Clock;
   readonly random: Random;
   readonly loopDelay: Pick<LoopDelay, 'get'>;
-  readonly stopDeadline: Pick<StopDeadline, 'isBeforeEnd' | 'watch'>;
+  readonly stopDeadline: Pick<StopDeadline, 'tryGetPeriod' | 'isBeforeEnd' | 'watch'>;
+  /** Returns the time that a response of this pool and length takes in the mean. */
+  readonly getExpectedDuration: (request: TimedRequest) => Milliseconds;
   /** Whether another host grants the slots, so that its answer is awaited too. */
   readonly isScheduledByOther: () => boolean;
 }
@@ -20,15 +25,27 @@
 export default function createTimeCheck(options: TimeCheckOptions): TimeCheck {
   const { clock, random, loopDelay, stopDeadline } = options;
 
+  /** Returns by when a request must be expected to end that a stopping host sends now. */
+  function getLatestEnd(request: TimedRequest, now: Milliseconds): Milliseconds {
+    if (request.mayHaveRun) {
+      // A refusal could not offer it to another host as not run.
+      return now;
+    }
+    const certainEnd = request.deadlineAt + loopDelay.get();
+    if (!request.isAcceptedEarlier) {
+      // The mean of earlier responses promises nothing for this one.
+      return certainEnd;
+    }
+    const expected = options.getExpectedDuration(request) + loopDelay.get();
+    return Math.min(certainEnd, now + expected * DURATION_MARGIN);
+  }
+
   function tryRefuseDispatch(request: TimedRequest): TimeRefusal | undefined {
     const now = clock.now();
     if (now >= request.deadlineAt) {
       return { reason: 'deadlinePassed' };
     }
-    // The deadline is the only bound: the mean of earlier responses says little about this one. What
-    // may have run elsewhere is repeated while the host lives, since a refusal could not offer it again.
-    const endsBy = request.mayHaveRun ? now : request.deadlineAt + loopDelay.get();
-    return stopDeadline.isBeforeEnd(endsBy)
+    return stopDeadline.isBeforeEnd(getLatestEnd(request, now))
       ? undefined
       : { reason: 'stopping', retryAfter: STOP_RETRY_DELAY * (1 + random.next()) };
   }
@@ -43,6 +60,7 @@
   }
 
   return {
+    isStopping: () => stopDeadline.tryGetPeriod() !== undefined,
     tryRefuseAdmission: (request) => tryRefuseDispatch(request) ?? tryShed(request),
     tryRefuseDispatch,
     watchStop: stopDeadline.watch,
--- a/packages/relay/src/lateness/endOfGracePeriod.test.ts
+++ b/packages/relay/src/lateness/endOfGracePeriod.test.ts
@@ -67,6 +67,10 @@
   },
 ];
 
+function getArrival({ stop }: Record<string, unknown>): string {
+  return (stop as { arrived: number }).arrived < 0 ? 'before' : 'after';
+}
+
 describe('the end of the grace period, over real sockets', () => {
   let server: Server;
   let port: number;
@@ -128,6 +132,12 @@
       expect(error).toEqual(expected.error);
       const ends = lines.filter((line) => line.request === 'r-1').map(({ msg }) => msg);
       expect(ends.at(-1)).toEqual(expected.line);
+      const isSent = expected.line !== 'request refused';
+      expect(
+        (await relay.scrape()).includes('ended_by_stop_total{arrival="beforeSignal"} 1'),
+      ).toEqual(isSent);
+      const arrivals = lines.filter(({ stop }) => stop !== undefined).map(getArrival);
+      expect(new Set(arrivals)).toEqual(new Set(['before']));
       const stopped = lines.find(({ msg }) => msg === 'host stopped');
       expect(stopped).toEqual(expect.subset({ activeBefore: 1, ended: 1, active: 0 }));
     });
--- a/packages/relay/src/lateness/types.ts
+++ b/packages/relay/src/lateness/types.ts
@@ -1,5 +1,5 @@
 /** Types of a host's event loop delay, and of what follows from it for requests and peers. */
-import type { Clock, Milliseconds, Timer } from '@rattanreel/core';
+import type { Clock, Milliseconds, PoolId, Timer } from '@rattanreel/core';
 import type { RefusalReason } from '../types';
 
 /** Estimates the event loop delay from the lateness of timers. */
@@ -45,10 +45,14 @@
 
 /** A request as far as the check of its time needs it. */
 export interface TimedRequest {
+  readonly pool: PoolId;
+  readonly outputTokens: number;
   /** The request has its final answer by then, whatever its server does. */
   readonly deadlineAt: Milliseconds;
   /** Whether an attempt may have run, so that no other host can be offered the request as not run. */
   readonly mayHaveRun: boolean;
+  /** Whether it had arrived whole before the signal that stops this host, if there was one. */
+  readonly isAcceptedEarlier: boolean;
 }
 
 /** Why a request is refused, and the time after which its caller may return. */
@@ -59,6 +63,7 @@
 
 /** Checks whether there is time left for a request. */
 export interface TimeCheck {
+  isStopping(): boolean;
   /** Returns why a request is not admitted; undefined if it may be. */
   tryRefuseAdmission(request: TimedRequest): TimeRefusal | undefined;
   /** Returns why a request that was granted a slot is not sent; undefined if it may be. */
--- a/packages/relay/src/pools/types.ts
+++ b/packages/relay/src/pools/types.ts
@@ -148,6 +148,8 @@
   /** The reported speeds of the servers of all pools. */
   readonly speeds: ServerSpeeds;
   getQueue(pool: PoolId): PoolQueue;
+  /** Returns the time that a request of a pool is expected to take by the length of its response. */
+  getExpectedDuration(pool: PoolId, outputTokens: number): Milliseconds;
   /** Sets the pools' settings, and the customers that share their slots. */
   setSettings(settings: readonly PoolSettings[], customers?: readonly RelayCustomer[]): void;
   setServers(servers: readonly ListedServer[]): void;
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -139,6 +139,8 @@
           random,
           loopDelay: host.loopDelay,
           stopDeadline: createStopDeadline(),
+          getExpectedDuration: ({ pool, outputTokens }) =>
+            host.core.pools.getExpectedDuration(pool, outputTokens),
           isScheduledByOther: host.core.isScheduledByOther,
         }),
         observer: createRequestObserver({
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -45,6 +45,13 @@
   quota: { ratePerSecond: 100, burst: 100, countsTokens: false, plainCost: 1 },
 };
 
+const RESUMABLE: Route = {
+  ...ROUTE,
+  name: 'resumable',
+  pathPrefix: '/resumable/',
+  kind: 'stream',
+  isResumable: true,
+};
 const STREAM: Route = { ...ROUTE, name: 'drafts', pathPrefix: '/draft/', kind: 'stream' };
 
 /** Intervals of the reports to a scheduler and of the summaries to peers. */
@@ -59,6 +66,8 @@
   readonly onGranted?: () => void;
   /** Time for which each request waits for its slot; granted at once if absent. */
   readonly grantDelay?: Milliseconds;
+  /** Time that each request is expected to take. */
+  readonly expectedDuration?: Milliseconds;
   /** Discards all lines unless given. */
   readonly logger?: Logger;
 }
@@ -138,6 +147,7 @@
       random: createRandom(1),
       loopDelay,
       stopDeadline,
+      getExpectedDuration: () => options.expectedDuration ?? 0,
       isScheduledByOther: () => false,
     }),
     observer: createRequestObserver({
@@ -154,7 +164,7 @@
         oldest: 0,
       }),
     }),
-    getRoutes: () => createRouteTable([ROUTE, ONCE, STREAM]),
+    getRoutes: () => createRouteTable([ROUTE, ONCE, STREAM, RESUMABLE]),
     getCustomersByKey: () => new Map([['key', CUSTOMER]]),
   });
   const endpoint = createCallerEndpoint({
