--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -86,6 +86,8 @@
   readonly isDeadlineKept?: boolean;
   /** Whether each customer's connections all lead to one host. */
   readonly isSticky?: boolean;
+  /** Called when an attempt has ended; callers then do not return after a refusal. */
+  readonly onEnded?: (request: CallerRequest) => void;
 }
 
 /** Creates customers by key; each one's key is its name. */
@@ -102,6 +104,10 @@
   );
 }
 
+function mayBeCalled({ isDown, isFrozen, name }: TestHost, { hostName }: TestCall): boolean {
+  return !isDown && !isFrozen && (hostName === undefined || name === hostName);
+}
+
 /** Creates callers whose requests pass the whole relay of a host, without sockets. */
 export default function createTestCallers(options: TestCallersOptions) {
   const {
@@ -164,10 +170,10 @@
     }
   }
 
+  const { onEnded = retry } = options;
+
   function send(call: TestCall, firstSentAt: Milliseconds = clock.now()): void {
-    const available = fleet.hosts.filter(
-      (each) => !each.isDown && !each.isFrozen && isCalled(each),
-    );
+    const available = fleet.hosts.filter((each) => isCalled(each) && mayBeCalled(each, call));
     const hostIndex = isSticky
       ? Math.max(customers.indexOf(call.customer ?? ''), 0) % available.length
       : random.integer(0, available.length - 1);
@@ -197,7 +203,7 @@
       target,
       rawHeaders: Object.entries(headers).flat(),
       body: Buffer.from(body),
-      arrivedAt: host.loopDelay.getArrivalTime(),
+      arrivedAt: host.loopDelay.getArrivalTime() - (call.bodyTime ?? 0),
       sendHead(status, rawHeaders) {
         request.status = status;
         request.answeredAt = clock.now();
@@ -208,14 +214,14 @@
       finish() {
         isEnded = true;
         request.isComplete = request.status === 200;
-        if (!request.isComplete) {
-          retry(request);
+        if (!request.isComplete || options.onEnded !== undefined) {
+          onEnded(request);
         }
       },
       abort() {
         isEnded = true;
         request.isBroken = true;
-        retry(request);
+        onEnded(request);
       },
       onDisconnect(listener) {
         disconnect = listener;
--- a/packages/relay/src/testing/types.ts
+++ b/packages/relay/src/testing/types.ts
@@ -22,10 +22,14 @@
   readonly deadline?: Milliseconds;
   /** Whether a caller that gives up leaves its connection open. */
   readonly isLeftOpen?: boolean;
+  /** Time that the body took to arrive after the head, before the host handles the request. */
+  readonly bodyTime?: Milliseconds;
+  /** The only host to which the call is sent; by default any. */
+  readonly hostName?: string;
 }
 
 /** A call as an engine sees it. */
-export type SeenCall = Required<Omit<TestCall, 'deadline' | 'isLeftOpen'>>;
+export type SeenCall = Required<Pick<TestCall, 'promptParts' | 'target' | 'body' | 'customer'>>;
 
 /** A host of a test fleet. */
 export interface TestHost {
