--- a/packages/relay/src/decisions/createTrialGate.ts
+++ b/packages/relay/src/decisions/createTrialGate.ts
@@ -7,10 +7,18 @@
 /** Bounds the time for which a host misses that the reason of its refusals has passed. */
 const MAXIMUM_PAUSE: Milliseconds = 4_000;
 
+/** Further pause of requests that cannot be repeated; doubled with each trial that fails in a row. */
+const UNREPEATABLE_PAUSE: Milliseconds = 2_000;
+const MAXIMUM_UNREPEATABLE_PAUSE: Milliseconds = 16_000;
+
 type GateState =
   | { readonly kind: 'open' }
   | { readonly kind: 'underWay'; readonly since: Milliseconds }
-  | { readonly kind: 'pausing'; readonly until: Milliseconds };
+  | {
+      readonly kind: 'pausing';
+      readonly until: Milliseconds;
+      readonly untilForUnrepeatable: Milliseconds;
+    };
 
 /** Returns the time after a trial of this duration that keeps the host within its share. */
 function getPause(heldFor: Milliseconds, placesPerHost: number): Milliseconds {
@@ -25,15 +33,16 @@
  */
 export default function createTrialGate(): TrialGate {
   let state: GateState = { kind: 'open' };
+  let failures = 0;
 
-  function isOpen(now: Milliseconds): boolean {
+  function isOpen(now: Milliseconds, isRepeatable: boolean): boolean {
     switch (state.kind) {
       case 'open':
         return true;
       case 'underWay':
         return false;
       case 'pausing':
-        return state.until <= now;
+        return (isRepeatable ? state.until : state.untilForUnrepeatable) <= now;
       default:
         return state satisfies never;
     }
@@ -42,10 +51,16 @@
   function getNext(end: TrialEnd, since: Milliseconds, now: Milliseconds): GateState {
     switch (end.kind) {
       case 'unused':
+        return { kind: 'open' };
       case 'served':
+        failures = 0;
         return { kind: 'open' };
-      case 'failed':
-        return { kind: 'pausing', until: now + getPause(now - since, end.placesPerHost) };
+      case 'failed': {
+        const until = now + getPause(now - since, end.placesPerHost);
+        const further = Math.min(UNREPEATABLE_PAUSE * 2 ** failures, MAXIMUM_UNREPEATABLE_PAUSE);
+        failures += 1;
+        return { kind: 'pausing', until, untilForUnrepeatable: until + further };
+      }
       default:
         return end satisfies never;
     }
--- a/packages/relay/src/decisions/types.ts
+++ b/packages/relay/src/decisions/types.ts
@@ -43,7 +43,7 @@
 
 /** Lets requests through against an estimate, a bounded number at a time. */
 export interface TrialGate {
-  isOpen(now: Milliseconds): boolean;
+  isOpen(now: Milliseconds, isRepeatable: boolean): boolean;
   begin(now: Milliseconds): void;
   end(end: TrialEnd, now: Milliseconds): void;
 }
--- a/packages/relay/src/pools/createEstimateOverrides.ts
+++ b/packages/relay/src/pools/createEstimateOverrides.ts
@@ -32,6 +32,7 @@
   return {
     decide(request) {
       const now = clock.now();
+      const isRepeatable = request.priority.isRepeatable === true;
       const { total: places, inUse: taken } = tracker.countSlots();
       const decayed = {
         timeToFirstData: { get: () => timeToFirstData.getDecayed(now) },
@@ -45,8 +46,8 @@
         isFresh: timeToFirstData.isFresh(now),
         isInTime: isInTime(averages, 1, request, now),
         isInTimeByAge: isInTime(decayed, 1, request, now),
-        isRepeatable: request.priority.isRepeatable === true,
-        mayTry: gate.isOpen(now) && tracker.hasFreeSlot(),
+        isRepeatable,
+        mayTry: gate.isOpen(now, isRepeatable) && tracker.hasFreeSlot(),
       });
       if (override === 'tryOut') {
         gate.begin(now);
