--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -147,6 +147,8 @@
   countUnsent(reason: string): void;
   /** Counts a request, sent to a server, that the end of the grace period has ended. */
   countEndedByStop(arrival: StopArrival): void;
+  /** Counts a refusal on an estimate that no recent sample supports. */
+  countStaleRefusal(): void;
   observeDuration(plan: RequestPlan, now: number): void;
   addGauge(gauge: GaugeDefinition): void;
   countError(origin: ErrorOrigin): void;
@@ -169,6 +171,8 @@
 /** A planned request and what relaying it needs. */
 export interface RelayRequestOptions {
   readonly clock: Clock;
+  /** Time by which servers are measured; the clock's if absent. */
+  readonly getResponsiveTime?: (() => Milliseconds) | undefined;
   readonly exchange: CallerExchange;
   readonly plan: RequestPlan;
   readonly pool: PoolId;
