--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -143,6 +143,7 @@
   });
   const requestHandler = createRequestHandler({
     context,
+    getResponsiveTime: loopDelay.getResponsiveTime,
     names: options.names,
     admission: core.admission,
     embargo: core.embargo,
@@ -157,6 +158,8 @@
       random: context.random,
       loopDelay,
       stopDeadline,
+      getExpectedDuration: ({ pool, outputTokens }) =>
+        pools.getExpectedDuration(pool, outputTokens),
       isScheduledByOther: core.isScheduledByOther,
     }),
     onBegun: (customer) => core.duties?.recordBegun(customer),
