Regression test: a host without free descriptors waits for them in its start

Remains, seen in the same trials: with 17 descriptors Node.js cannot load the program; with 18 the settings cannot be read, and the start ends with code 3 (`unreadable-file`, EMFILE).

Failed try: a soft limit that the test raises again; Node.js raises its soft limit to the hard one at its start.

--- a/packages/command-line/src/listeningAddresses.test.ts
+++ b/packages/command-line/src/listeningAddresses.test.ts
@@ -14,6 +14,8 @@
 
 const START_TIMEOUT_MS = 15_000;
 const TAKEN_FOR_MS = 1_500;
+/** Enough to load the program and read its settings, too few to listen. */
+const TOO_FEW_DESCRIPTORS = 20;
 const READY_POLL_INTERVAL_MS = 20;
 const LINE_POLL_INTERVAL_MS = 10;
 const RETRYING = 'address not available, retrying';
@@ -90,8 +92,8 @@
 
   interface Run {
     readonly scene: Scene;
-    /** Starts the program; it is ended with the scene. */
-    start(): Program;
+    /** Starts the program, with a limit of open files if given; it is ended with the scene. */
+    start(descriptors?: number): Program;
   }
 
   async function withScene(
@@ -104,8 +106,20 @@
     try {
       await test({
         scene,
-        start() {
-          const program = startProgram({ words: scene.words });
+        start(descriptors) {
+          const program = startProgram(
+            descriptors === undefined
+              ? { words: scene.words }
+              : {
+                  executable: '/bin/sh',
+                  words: [
+                    '-c',
+                    `ulimit -n ${descriptors}; exec "$0" "$@"`,
+                    process.execPath,
+                    ...scene.words,
+                  ],
+                },
+          );
           started.push(program);
           return program;
         },
@@ -244,6 +258,19 @@
     }),
   );
 
+  // Guards against a process that ends in its start since it has no free descriptors.
+  it('entryHost: waits for descriptors', LIMIT, () =>
+    withScene('entryHost', 20, async ({ start }) => {
+      const program = start(TOO_FEW_DESCRIPTORS);
+      const line = await program.waitForLine(RETRYING);
+      expect(line.code).toEqual('EMFILE');
+      await sleep(1_000);
+      expect(program.tryGetEnd()).toEqual(undefined);
+      program.sendSignal('SIGTERM');
+      expect(await program.ended).toEqual({ kind: 'exited', code: exitCodes.success });
+    }),
+  );
+
   // Guards against a process that ends since a network interface is not up yet.
   it('entryHost: waits for an address that the machine does not have yet', LIMIT, () =>
     withScene('entryHost', 20, async ({ scene, start }) => {
