Scheduler of `serve`: a request that could not be connected is not granted the same server again

Cause: a request is granted up to three times if no connection could be opened. The scheduler forgot which server had refused the request. The second way is a server that is far faster than the other: the penalty for failures does not outweigh it.

For such a request these are turned down (`notConnected`) while another server that is usable and large enough exists, and the request waits for that one. The only server is granted again as before.

Failed try: a penalty on the score of such a server.

`serve-platform` has another scheduler (relay) and is not changed.

--- a/packages/scheduling/src/createPoolScheduler.test.ts
+++ b/packages/scheduling/src/createPoolScheduler.test.ts
@@ -454,6 +454,62 @@
       ],
       effects: ['spill a d2', 'spill b d2', 'refuse c noBackendServer'],
     },
+    {
+      // Guards against using up all attempts of a request on one server that refuses connections.
+      name: 'grants a request elsewhere that its server refused to connect',
+      steps: [
+        [0, pool({ backendServers: [backendServer('e1'), backendServer('e2')] })],
+        ...[0, 10_000, 20_000, 30_000].flatMap((at): Step[] => [
+          [at, createRequest(`fast-${at}`)],
+          [at + 1, createRequest(`slow-${at}`)],
+          [at + 20, createFirstToken(`fast-${at}`)],
+          [at + 1_000, createFirstToken(`slow-${at}`)],
+          [at + 200, createRelease(`fast-${at}`, { duration: 200 })],
+          [
+            at + 9_000,
+            createRelease(`slow-${at}`, {
+              backendServer: 'e2',
+              firstTokenAfter: 1_000,
+              duration: 9_000,
+            }),
+          ],
+        ]),
+        [50_000, createRequest('a')],
+        [50_010, createRelease('a', { outcome: 'notConnected', outputTokens: 0 })],
+        [50_020, createRequest('a')],
+      ],
+      effects: [
+        ...[0, 10_000, 20_000, 30_000].flatMap((at) => [
+          `grant fast-${at} e1`,
+          `grant slow-${at} e2`,
+        ]),
+        'grant a e1',
+        'grant a e2',
+      ],
+    },
+    {
+      // Guards against using up all attempts of a request while the other server is busy.
+      name: 'waits for a busy server after the free one refused to connect',
+      steps: [
+        [0, pool({ backendServers: [backendServer('e1'), backendServer('e2')] })],
+        [0, createRequest('a')],
+        [1, createRequest('b')],
+        [5, createRelease('a', { outcome: 'notConnected', outputTokens: 0 })],
+        [6, createRequest('a')],
+        [9, createRelease('b', { backendServer: 'e2', duration: 8 })],
+      ],
+      effects: ['grant a e1', 'grant b e2', 'grant a e2'],
+    },
+    {
+      name: 'grants again to the only server that refused to connect',
+      steps: [
+        [0, pool()],
+        [0, createRequest('a')],
+        [5, createRelease('a', { outcome: 'notConnected', outputTokens: 0 })],
+        [6, createRequest('a')],
+      ],
+      effects: ['grant a e1', 'grant a e1'],
+    },
     {
       name: 'limits a version to its share',
       steps: [
--- a/packages/scheduling/src/createPoolScheduler.ts
+++ b/packages/scheduling/src/createPoolScheduler.ts
@@ -47,6 +47,7 @@
     workEstimates: createWorkEstimates(),
     demandTracker: createDemandTracker(),
     finishedRequests: new Set(),
+    unconnected: new Map(),
     deadIncarnations: new Set(),
     orphanedSlots: new Map(),
     effects: [],
--- a/packages/scheduling/src/decisions/chooseBackendServer.ts
+++ b/packages/scheduling/src/decisions/chooseBackendServer.ts
@@ -5,6 +5,7 @@
 import type { RejectedAlternative, RejectionReason } from '../types';
 import estimateCompletion from './estimateCompletion';
 import getNeededMemoryTokens from './getNeededMemoryTokens';
+import isUsable from './isUsable';
 import tryGetCapacityRejection from './tryGetCapacityRejection';
 import type { ServerChoice, CompletionEstimate, SchedulerState, ServerAvailability } from './types';
 
@@ -46,7 +47,8 @@
 /**
  * Chooses the backend server at which a request is expected to finish first, among the available
  * ones that have capacity for it and can answer in time. Failures and a version without credit
- * count against a backend server. `reservedServers` are kept free for requests earlier in service
+ * count against a backend server; one to which the request could not be connected is chosen only if
+ * no other may serve it. `reservedServers` are kept free for requests earlier in service
  * order.
  */
 export default function chooseBackendServer(
@@ -66,6 +68,16 @@
     }
   }
 
+  const unconnected = state.unconnected.get(request.id);
+  const mustAvoidUnconnected =
+    unconnected !== undefined &&
+    [...state.servers.values()].some(
+      (server) =>
+        !unconnected.has(server) &&
+        isUsable(state, server) &&
+        server.memoryTokens >= getNeededMemoryTokens(state, request.grantRequest, server),
+    );
+
   function tryGetRejection(server: BackendServer): RejectionReason | undefined {
     const reason = tryGetCapacityRejection(server, now);
     if (reason !== undefined) {
@@ -74,6 +86,9 @@
     if (!state.versionShares.isAllowed(server.version)) {
       return 'versionShare';
     }
+    if (mustAvoidUnconnected && unconnected.has(server)) {
+      return 'notConnected';
+    }
     if (reservedServers.has(server)) {
       return 'limit';
     }
--- a/packages/scheduling/src/decisions/types.ts
+++ b/packages/scheduling/src/decisions/types.ts
@@ -133,6 +133,8 @@
   readonly demandTracker: DemandTracker;
   /** Recently finished requests, so that a late repetition is not granted again. */
   readonly finishedRequests: Set<RequestId>;
+  /** Backend servers to which recent requests could not be connected, by request. */
+  readonly unconnected: Map<RequestId, ReadonlySet<BackendServer>>;
   /** Incarnations declared dead. */
   readonly deadIncarnations: Set<string>;
   /** Times at which the slots of dead incarnations are released, by request. */
--- a/packages/scheduling/src/handlers/handleGrantReleased.ts
+++ b/packages/scheduling/src/handlers/handleGrantReleased.ts
@@ -9,6 +9,7 @@
 import getMeanTokenTime from './getMeanTokenTime';
 import getMeanStreams from './getMeanStreams';
 import recordFinishedRequest from './recordFinishedRequest';
+import recordUnconnected from './recordUnconnected';
 import emitVersionEvidence from './emitVersionEvidence';
 
 /** Outcomes with which the request has reached no backend server and may be granted again. */
@@ -58,6 +59,7 @@
   const wasSent = !UNSENT_OUTCOMES.has(released.outcome);
   if (wasSent) {
     recordFinishedRequest(state, released.request);
+    state.unconnected.delete(released.request);
   }
   if (slot === undefined || !isReleaseOf(slot, released)) {
     return;
@@ -73,6 +75,9 @@
     updateEstimates(state, server, slot, released, now);
     emitVersionEvidence(state, server, slot, released, now);
   }
+  if (released.outcome === 'notConnected') {
+    recordUnconnected(state, released.request, server);
+  }
   applyHealthAssessment(
     state,
     server,
--- a/packages/scheduling/src/types.ts
+++ b/packages/scheduling/src/types.ts
@@ -247,6 +247,8 @@
   | 'limit'
   | 'memory'
   | 'versionShare'
+  /** The request could not be connected to it before, and another server may serve it. */
+  | 'notConnected'
   | 'tooSlow'
   | 'worseEstimate';
 
