--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -142,7 +142,6 @@
   });
   const requestHandler = createRequestHandler({
     context,
-    getResponsiveTime: loopDelay.getResponsiveTime,
     names: options.names,
     admission: core.admission,
     embargo: core.embargo,
--- a/packages/relay/src/createRequestHandler.ts
+++ b/packages/relay/src/createRequestHandler.ts
@@ -1,5 +1,5 @@
 import type { IncomingMessage } from 'node:http';
-import type { CustomerId, Milliseconds, PoolId, Random } from '@rattanreel/core';
+import type { CustomerId, PoolId, Random } from '@rattanreel/core';
 import getRetryDelay from './decisions/getRetryDelay';
 import planRequest from './front/planRequest';
 import relayRequest from './front/relayRequest';
@@ -20,8 +20,6 @@
 
 interface RequestHandlerOptions {
   readonly context: RelayContext;
-  /** Time that stands still while this host is late; the clock's if absent. */
-  readonly getResponsiveTime?: () => Milliseconds;
   readonly names: HeaderNames;
   readonly admission: Admission;
   readonly embargo: ServerEmbargo;
@@ -103,7 +101,6 @@
   function relay(exchange: CallerExchange, plan: RequestPlan): void {
     relayRequest({
       clock,
-      getResponsiveTime: options.getResponsiveTime,
       exchange,
       plan,
       pool: chooseTarget(plan.route.targets, random),
--- a/packages/relay/src/front/createAttemptMeter.ts
+++ b/packages/relay/src/front/createAttemptMeter.ts
@@ -1,4 +1,4 @@
-import type { Milliseconds } from '@rattanreel/core';
+import type { Clock } from '@rattanreel/core';
 import type { AttemptOutcome, AttemptFigures } from '../types';
 
 interface AttemptMeter {
@@ -6,28 +6,22 @@
   getFigures(end: AttemptOutcome): AttemptFigures;
 }
 
-/**
- * Measures one attempt; the duration counts from this call. `getTime` leaves out the time in which
- * this host was paused or late, which says nothing of the server.
- */
-export default function createAttemptMeter(
-  getTime: () => Milliseconds,
-  outputTokens: number,
-): AttemptMeter {
-  const startedAt = getTime();
+/** Measures one attempt; the duration counts from this call. */
+export default function createAttemptMeter(clock: Clock, outputTokens: number): AttemptMeter {
+  const startedAt = clock.now();
   let firstChunkAt: number | undefined;
   let lastChunkAt = startedAt;
   let chunks = 0;
 
   return {
     recordChunk() {
-      lastChunkAt = Math.max(getTime(), lastChunkAt);
+      lastChunkAt = clock.now();
       firstChunkAt ??= lastChunkAt;
       chunks += 1;
     },
     getFigures: (end) => ({
       end,
-      duration: Math.max(getTime(), lastChunkAt) - startedAt,
+      duration: clock.now() - startedAt,
       firstDataAfter: firstChunkAt === undefined ? undefined : firstChunkAt - startedAt,
       laterChunks: Math.max(chunks - 1, 0),
       laterTime: firstChunkAt === undefined ? 0 : lastChunkAt - firstChunkAt,
--- a/packages/relay/src/front/startAttempt.ts
+++ b/packages/relay/src/front/startAttempt.ts
@@ -25,7 +25,7 @@
 export default function startAttempt(options: StartAttemptOptions): Attempt {
   const { clock, exchange, plan, names, grant, response, embargo } = options;
   const { server } = grant;
-  const meter = createAttemptMeter(options.getResponsiveTime ?? clock.now, plan.outputTokens);
+  const meter = createAttemptMeter(clock, plan.outputTokens);
   const boundary = createEventBoundary();
   let isAccepted = true;
 
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -166,8 +166,6 @@
 /** A planned request and what relaying it needs. */
 export interface RelayRequestOptions {
   readonly clock: Clock;
-  /** Time by which servers are measured; the clock's if absent. */
-  readonly getResponsiveTime?: (() => Milliseconds) | undefined;
   readonly exchange: CallerExchange;
   readonly plan: RequestPlan;
   readonly pool: PoolId;
--- a/packages/relay/src/lateness/createLoopDelay.ts
+++ b/packages/relay/src/lateness/createLoopDelay.ts
@@ -103,7 +103,6 @@
   return {
     clock,
     get,
-    getResponsiveTime: () => estimate.getResponsiveTime(clock.now()),
     getArrivalTime() {
       beginTurn();
       const now = clock.now();
--- a/packages/relay/src/lateness/types.ts
+++ b/packages/relay/src/lateness/types.ts
@@ -27,8 +27,6 @@
    */
   readonly clock: Clock;
   get(): Milliseconds;
-  /** Returns a time that stands still while the event loop is late, for measurements of servers. */
-  getResponsiveTime(): Milliseconds;
   /** Returns the estimated time at which the bytes that are handled now arrived. */
   getArrivalTime(): Milliseconds;
   /**
--- a/packages/relay/src/testing/createTestCallers.ts
+++ b/packages/relay/src/testing/createTestCallers.ts
@@ -131,7 +131,6 @@
     if (handler === undefined) {
       handler = createRequestHandler({
         context: { clock: host.loopDelay.clock, random, logger: silentLogger },
-        getResponsiveTime: host.loopDelay.getResponsiveTime,
         names: headerNames,
         admission: host.core.admission,
         embargo: host.core.embargo,
--- a/packages/relay/src/testing/createTestRelay.ts
+++ b/packages/relay/src/testing/createTestRelay.ts
@@ -108,7 +108,6 @@
   const metrics = createRelayMetrics();
   const handler = createRequestHandler({
     context: { clock, random: createRandom(1), logger },
-    getResponsiveTime: loopDelay.getResponsiveTime,
     names: { ...headerNames, reserved: new Set([headerNames.deadline]) },
     admission,
     embargo: createServerEmbargo(),
