--- a/benchmarks/src/processes/applyFault.ts
+++ b/benchmarks/src/processes/applyFault.ts
@@ -139,6 +139,7 @@
     case 'hostRestartedOverlapping':
     case 'hostsStoppedTogether':
     case 'hostsStoppedInTurn':
+    case 'everyHostStopped':
     case 'portTaken':
       void applyProcessFault(world, fault);
       return;
--- a/benchmarks/src/processes/applyProcessFault.ts
+++ b/benchmarks/src/processes/applyProcessFault.ts
@@ -69,6 +69,25 @@
   startUnlessRunning(world, index);
 }
 
+/** Asks every host to stop, one after the other, also while those before it still drain. */
+async function stopEveryHost(world: HostWorld, fault: ProcessFault): Promise<void> {
+  const isOverlapping = fault.target % 2 === 0;
+  for (const [index, host] of world.hosts.entries()) {
+    world.recorder.recordDisturbance(index, soakBounds.grace, fault.kind);
+    await host.sendSignal('SIGTERM');
+    for (const { signal, after } of fault.signals) {
+      await sleep(after);
+      await host.sendSignal(signal);
+    }
+    if (isOverlapping && (host.isStopping || !host.isRunning)) {
+      startHost(world, index);
+    } else {
+      void host.waitForExit().then(() => startUnlessRunning(world, index));
+    }
+    await sleep(fault.duration);
+  }
+}
+
 /** Applies one fault of the supervision of processes; resolves once its processes are started. */
 export default async function applyProcessFault(
   world: HostWorld,
@@ -91,6 +110,8 @@
         await restartHost(world, each, fault);
       }
       return undefined;
+    case 'everyHostStopped':
+      return stopEveryHost(world, fault);
     case 'portTaken': {
       await stopHost(world, index, fault);
       const { ports } = hosts[index]!;
--- a/benchmarks/src/processes/createSoakHost.ts
+++ b/benchmarks/src/processes/createSoakHost.ts
@@ -123,7 +123,7 @@
       target.isAskedToStop = true;
       void limitStop(target);
     }
-    recorder.recordSignal(index, signal);
+    recorder.recordSignal({ host: index, process: target.child.pid, signal });
     writeLog({ soak: signal, process: target.child.pid });
     target.child.kill(signal);
   }
--- a/benchmarks/src/processes/createSoakRecorder.ts
+++ b/benchmarks/src/processes/createSoakRecorder.ts
@@ -3,6 +3,7 @@
 import findBoundViolations from './findBoundViolations';
 import findLimitViolations from './findLimitViolations';
 import findLostRequests from './findLostRequests';
+import findStopViolations from './findStopViolations';
 import notRunStatuses from './notRunStatuses';
 import type { Exclusion, SoakBounds, SoakRecorder, SoakRecord, Violation } from './types';
 
@@ -48,7 +49,13 @@
     now,
     recordSent: (request) => sent.set(request.id, request),
     recordEnd: (id, end) => ends.set(id, { ...end, at: now() }),
-    recordRun: (run) => runs.push(run),
+    recordRun(run) {
+      const observed = { ...run };
+      runs.push(observed);
+      return () => {
+        observed.endedAt = now();
+      };
+    },
     recordArrival: (service, id) => arrivals.push({ service, id, at: now() }),
     recordDisturbance: (host, duration, reason) =>
       disturbances.push({ host, from: now(), to: now() + duration, reason }),
@@ -68,7 +75,7 @@
     recordKeyRevoked: (key) => exclude('key', key),
     recordKeyGranted: (key) => keyGrants.push({ key, at: now() }),
     recordProcessViolation: (violation) => processViolations.push(violation),
-    recordSignal: (host, signal) => signals.push({ host, signal, at: now() }),
+    recordSignal: (signal) => signals.push({ ...signal, at: now() }),
     recordServerBreak: (server, id) =>
       serverBreaks.push({ server, at: now(), ...(id !== undefined && { id }) }),
     recordFinalStop() {
@@ -96,6 +103,7 @@
         findBoundViolations,
         findLimitViolations,
         findLostRequests,
+        findStopViolations,
       ];
       return [...processViolations, ...checks.flatMap((check) => check(record))];
     },
--- a/benchmarks/src/processes/index.ts
+++ b/benchmarks/src/processes/index.ts
@@ -31,6 +31,7 @@
       seed: options.seed + runs.length,
       program: PROGRAM_FILE,
       hostCount: options.hosts,
+      shape: options.stops === true ? 'stops' : 'faults',
     });
     process.stderr.write(
       `seed ${summary.seed}: ${summary.faults} faults, ${summary.sent} sent, ${summary.served} served, ` +
--- a/benchmarks/src/processes/soakBounds.ts
+++ b/benchmarks/src/processes/soakBounds.ts
@@ -8,6 +8,7 @@
   stabilityWindow: 3_000,
   recover: 12_000,
   timeout: 1_500,
+  chatTimeout: 10_000,
   grace: 8_000,
   lostSlack: 200,
 };
--- a/benchmarks/src/types.ts
+++ b/benchmarks/src/types.ts
@@ -7,6 +7,8 @@
   readonly minutes: number;
   /** Run a reduced fixed set, as CI does. */
   readonly quick: boolean;
+  /** Only stops of processes as faults, for the benchmark `processes`. */
+  readonly stops?: boolean;
   /** Number of hosts, for the benchmarks that take one; their default if undefined. */
   readonly hosts?: number | undefined;
 }
