--- a/benchmarks/src/processes/findLostRequests.ts
+++ b/benchmarks/src/processes/findLostRequests.ts
@@ -32,7 +32,8 @@
         (run) =>
           run.id === request.id &&
           run.at <= at + grace &&
-          (run.endedAt ?? Infinity) >= at + grace * (1 - LAST_PART_OF_GRACE),
+          run.endedAt !== undefined &&
+          run.endedAt >= at + grace * (1 - LAST_PART_OF_GRACE),
       ),
   );
 }
--- a/benchmarks/src/processes/findViolations.test.ts
+++ b/benchmarks/src/processes/findViolations.test.ts
@@ -4,6 +4,7 @@
 import findBoundViolations from './findBoundViolations';
 import findLimitViolations from './findLimitViolations';
 import findLostRequests from './findLostRequests';
+import findStopViolations from './findStopViolations';
 import getExpectedResponse from './getExpectedResponse';
 import soakBounds from './soakBounds';
 import type { CallerEnd, ObservedRun, SentRequest, SoakRecord } from './types';
@@ -15,6 +16,7 @@
   customer: 'large',
   key: 'k1',
   at: 10_000,
+  timeout: soakBounds.timeout,
 };
 const run: ObservedRun = {
   id: 'r1',
@@ -30,6 +32,7 @@
   answersTo: 'r1',
   seal: 'r1.s1',
   body: getExpectedResponse('order', 'r1').join(''),
+  closes: false,
   at: 10_100,
 };
 
@@ -57,7 +60,43 @@
 const hostPause = { reason: 'hostPaused', host: 0, from: 6_000, to: 6_500 } as const;
 
 const cutOrder = { kind: 'cut', reason: 'closed' } as const;
-const stopOfHost = { host: 0, signal: 'SIGTERM', at: 9_000 } as const;
+const stopOfHost = { host: 0, process: 1, signal: 'SIGTERM', at: 9_000 } as const;
+
+interface StoppedChat {
+  /** Times are from the SIGTERM of the host; `sent` is that of the first byte. */
+  readonly sent: number;
+  readonly lastByte?: number;
+  readonly workEnds?: number;
+  readonly end?: CallerEnd;
+  readonly endsAt?: number;
+  readonly changes?: Partial<SoakRecord>;
+  readonly request?: Partial<SentRequest>;
+}
+
+const STOP_AT = 5_000;
+const stopOfChat = { ...stopOfHost, at: STOP_AT };
+const refusal = { ...completeResponse, status: 503, seal: undefined, body: '', closes: true };
+
+/** Returns the record of a stream around a stop, which a server has run, cut unless `end` says else. */
+function createStoppedChat(options: StoppedChat): Partial<SoakRecord> {
+  const { sent, lastByte = sent, workEnds = 7_310, end = cutOrder, endsAt = 7_300 } = options;
+  const at = STOP_AT + sent;
+  const chat = { ...order, route: 'chat', at, timeout: 10_000, ...options.request } as const;
+  const lastByteAt = STOP_AT + lastByte;
+  return {
+    sent: new Map([['r1', chat]]),
+    ends: new Map([['r1', { ...end, lastByteAt, at: STOP_AT + endsAt }]]),
+    runs: [{ ...run, at: lastByteAt + 50, endedAt: STOP_AT + workEnds }],
+    arrivals: [{ service: 'chats', id: 'r1', at: lastByteAt + 50 }],
+    signals: [stopOfChat],
+    ...options.changes,
+  };
+}
+
+const unsent = { runs: [], arrivals: [] };
+const startAfterStop = {
+  disturbances: [{ reason: 'started', host: 0, from: STOP_AT + 1_000, to: STOP_AT + 2_500 }],
+} as const;
 
 interface Case {
   readonly name: string;
@@ -191,6 +230,160 @@
     record: { ...withEnd(cutOrder), signals: [{ ...stopOfHost, signal: 'SIGHUP' }] },
     promises: ['lost'],
   },
+  {
+    name: 'nothing in a stream in hand at a stop, cut with its server at work',
+    record: createStoppedChat({ sent: -1_000 }),
+    promises: [],
+  },
+  {
+    name: 'a stream in hand at a stop whose server had ended before the last sixth of the grace period',
+    record: createStoppedChat({ sent: -1_000, workEnds: 6_600 }),
+    promises: ['lost'],
+  },
+  {
+    name: 'a stream in hand at a stop that was cut long before the end of the grace period',
+    record: createStoppedChat({ sent: -1_000, endsAt: 4_000, workEnds: 4_010 }),
+    promises: ['lost'],
+  },
+  {
+    name: 'a stream sent 3 s after the signal at most, cut with its server at work',
+    record: createStoppedChat({ sent: 3_000 }),
+    promises: ['cutAfterStop'],
+  },
+  {
+    name: 'a stream sent later than 3 s after the signal, cut with its server at work',
+    record: createStoppedChat({ sent: 3_010 }),
+    promises: ['lost', 'cutAfterStop'],
+  },
+  {
+    name: 'a stream whose body ended after the signal',
+    record: createStoppedChat({ sent: -200, lastByte: 400 }),
+    promises: ['cutAfterStop'],
+  },
+  {
+    name: 'a stream whose body ended later than 3 s after the signal',
+    record: createStoppedChat({ sent: 2_000, lastByte: 3_400 }),
+    promises: ['lost', 'cutAfterStop'],
+  },
+  {
+    name: 'a stream sent after the first signal of a series and soon after the last',
+    record: createStoppedChat({
+      sent: 4_000,
+      changes: {
+        signals: [stopOfChat, { ...stopOfChat, signal: 'SIGINT', at: STOP_AT + 2_000 }],
+      },
+    }),
+    promises: ['lost', 'cutAfterStop'],
+  },
+  {
+    name: 'a stream sent after the signal at a host that was cut off from the store',
+    record: createStoppedChat({
+      sent: 4_000,
+      changes: {
+        disturbances: [{ reason: 'storeLinkCut', host: 0, from: STOP_AT, to: STOP_AT + 2_000 }],
+      },
+    }),
+    promises: ['cutAfterStop'],
+  },
+  {
+    name: 'nothing in a stream sent after the signal that its server broke off',
+    record: createStoppedChat({
+      sent: 4_000,
+      changes: { serverBreaks: [{ server: 's1', id: 'r1', at: STOP_AT + 7_200 }] },
+    }),
+    promises: [],
+  },
+  {
+    name: 'nothing in a stream sent after the signal that reached its deadline',
+    record: createStoppedChat({ sent: 4_000, request: { timeout: 3_300 } }),
+    promises: [],
+  },
+  {
+    name: 'nothing in a stream sent after the signal to a host that was killed',
+    record: createStoppedChat({
+      sent: 4_000,
+      changes: {
+        disturbances: [
+          { reason: 'hostKilled', host: 0, from: STOP_AT + 7_000, to: STOP_AT + 7_500 },
+        ],
+      },
+    }),
+    promises: [],
+  },
+  {
+    name: 'nothing in a stream sent after the signal that no server got',
+    record: createStoppedChat({ sent: 4_000, changes: unsent }),
+    promises: [],
+  },
+  {
+    name: 'nothing in a stream sent to the next process of a host',
+    record: createStoppedChat({
+      sent: 2_000,
+      request: { connectedAt: STOP_AT + 1_900 },
+      changes: startAfterStop,
+    }),
+    promises: [],
+  },
+  {
+    name: 'a stream sent on an older connection while the next process starts',
+    record: createStoppedChat({
+      sent: 2_000,
+      request: { connectedAt: STOP_AT - 1_900 },
+      changes: startAfterStop,
+    }),
+    promises: ['cutAfterStop'],
+  },
+  {
+    name: 'nothing in a refusal after the signal that closes its connection',
+    record: createStoppedChat({ sent: 1_000, end: refusal, endsAt: 1_010, changes: unsent }),
+    promises: [],
+  },
+  {
+    name: 'a refusal after the signal that leaves its connection open',
+    record: createStoppedChat({
+      sent: 1_000,
+      end: { ...refusal, closes: false },
+      endsAt: 1_010,
+      changes: unsent,
+    }),
+    promises: ['refusalCloses'],
+  },
+  {
+    name: 'nothing in a refusal before the signal that leaves its connection open',
+    record: createStoppedChat({
+      sent: -100,
+      end: { ...refusal, closes: false },
+      endsAt: -90,
+      changes: unsent,
+    }),
+    promises: [],
+  },
+  {
+    name: 'a refusal after the signal of a request that a server has run',
+    record: createStoppedChat({
+      sent: 1_000,
+      end: refusal,
+      endsAt: 3_000,
+      request: { timeout: 3_000 },
+    }),
+    promises: ['refusedUnsent'],
+  },
+  {
+    name: 'a refusal after the signal of a request that may outlast its host and reached a server',
+    record: createStoppedChat({ sent: 1_000, end: refusal, changes: { runs: [] } }),
+    promises: ['refusedUnsent'],
+  },
+  {
+    name: 'nothing in a refusal of a request that ends before its host and that a server turned away',
+    record: createStoppedChat({
+      sent: 1_000,
+      end: refusal,
+      endsAt: 1_100,
+      request: { timeout: 3_000 },
+      changes: { runs: [] },
+    }),
+    promises: [],
+  },
   {
     name: 'more than a few cut requests without a cause',
     record: {
@@ -215,6 +408,7 @@
         findBoundViolations,
         findLimitViolations,
         findLostRequests,
+        findStopViolations,
       ].flatMap((check) => check(complete));
       const isRelevant = ({ promise }: { readonly promise: string }): boolean =>
         // The 300 requests of this record have no ends, so they exceed their timeouts as well.
