--- a/benchmarks/src/processes/findCutRequests.ts
+++ b/benchmarks/src/processes/findCutRequests.ts
@@ -3,12 +3,13 @@
 type Cut = CallerEnd & { readonly kind: 'cut'; readonly at: number };
 
 /** Returns how far a host had accepted a request: passed it on, or held it beyond the slack. */
-function tryGetAcceptance(record: SoakRecord, { id }: SentRequest, cut: Cut): string | undefined {
+function tryGetAcceptance(record: SoakRecord, { id, at, timeout }: SentRequest, cut: Cut) {
   const held = Math.round(cut.at - (cut.reusedAt ?? cut.at));
+  const left = `${Math.round(at + timeout - cut.at)} ms before its deadline`;
   if (record.runs.some((run) => run.id === id)) {
-    return `passed on, held ${held} ms`;
+    return `passed on, held ${held} ms, ${left}`;
   }
-  return held > record.bounds.lostSlack ? `held ${held} ms` : undefined;
+  return held > record.bounds.lostSlack ? `held ${held} ms, ${left}` : undefined;
 }
 
 function isBrokenByServer(record: SoakRecord, { id }: SentRequest, cut: Cut): boolean {
--- a/benchmarks/src/processes/findStopViolations.ts
+++ b/benchmarks/src/processes/findStopViolations.ts
@@ -35,7 +35,7 @@
  */
 function findCutsAfterStop(record: SoakRecord): readonly Violation[] {
   return findCutRequests(record).flatMap((cut) => {
-    const { request, sentAt, cutAt } = cut;
+    const { request, sentAt, cutAt, state } = cut;
     const stop = tryGetStopBefore(record, request, sentAt);
     const { id, route, host } = request;
     const hasReachedServer = record.arrivals.some((arrival) => arrival.id === id);
@@ -47,7 +47,7 @@
       ? [
           {
             promise: 'cutAfterStop',
-            detail: `${route} ${id} at ${host}: sent ${Math.round(sentAt - stop.at)} ms after ${stop.signal}, cut after ${Math.round(cutAt - stop.at)} ms`,
+            detail: `${route} ${id} at ${host}: sent ${Math.round(sentAt - stop.at)} ms after ${stop.signal}, cut after ${Math.round(cutAt - stop.at)} ms, ${state}`,
           },
         ]
       : [];
