--- a/benchmarks/src/processes/drawKeptRequest.ts
+++ b/benchmarks/src/processes/drawKeptRequest.ts
@@ -13,13 +13,17 @@
 const CHAT_WORK_SKEW = 3;
 const SHORT_DEADLINE_SHARE = 0.25;
 const MINIMUM_DEADLINE: Milliseconds = 300;
-const CHUNKED_SHARE = 0.5;
 const SLOW_BODY_SHARE = 0.15;
 const MAXIMUM_BODY_DURATION: Milliseconds = 1_500;
 const SLOW_READER_PADDING = 65_536;
 const MINIMUM_READING_PAUSE: Milliseconds = 500;
 const MAXIMUM_READING_PAUSE: Milliseconds = 3_000;
 
+const framings: readonly Readonly<Record<string, string>>[] = [
+  { 'content-length': '4' },
+  { 'transfer-encoding': 'chunked' },
+];
+
 /** What callers say about the length of a stream. */
 const hints: readonly Readonly<Record<string, string>>[] = [
   {},
@@ -35,10 +39,7 @@
   const spread = (low: number, high: number, share: number): number =>
     Math.round(low * (high / low) ** share);
   const body = {
-    headers:
-      random.next() < CHUNKED_SHARE
-        ? { 'transfer-encoding': 'chunked' }
-        : { 'content-length': '4' },
+    headers: framings[random.integer(0, framings.length - 1)]!,
     bodyDuration: random.next() < SLOW_BODY_SHARE ? random.integer(0, MAXIMUM_BODY_DURATION) : 0,
   };
   switch (kind) {
--- a/benchmarks/src/processes/index.ts
+++ b/benchmarks/src/processes/index.ts
@@ -20,6 +20,13 @@
   return runs.reduce((total, summary) => total + summary[field], 0);
 }
 
+function describeViolations({ violations }: RunSummary): string {
+  return violations
+    .slice(0, MAXIMUM_REPORTED_VIOLATIONS)
+    .map(({ promise, detail }) => `  ${promise}: ${detail}\n`)
+    .join('');
+}
+
 /**
  * Runs one seed after another with real processes until the time is up; requires `npm run build`.
  */
@@ -35,7 +42,7 @@
     });
     process.stderr.write(
       `seed ${summary.seed}: ${summary.faults} faults, ${summary.sent} sent, ${summary.served} served, ` +
-        `${summary.violations.length} violations\n`,
+        `${summary.violations.length} violations\n${describeViolations(summary)}`,
     );
     runs.push(summary);
   } while (!options.quick && Date.now() < endAt);
