--- a/benchmarks/src/processes/createSoakHost.ts
+++ b/benchmarks/src/processes/createSoakHost.ts
@@ -4,6 +4,7 @@
 import { createWriteStream, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
+import { createInterface } from 'node:readline';
 import { setTimeout as sleep } from 'node:timers/promises';
 import createLinkProxy from './createLinkProxy';
 import soakBounds from './soakBounds';
@@ -152,6 +153,12 @@
         { stdio: ['ignore', 'pipe', 'pipe'] },
       );
       child.stdout.pipe(log, { end: false });
+      createInterface(child.stdout).on('line', (line) => {
+        const time = /"time":"([^"]+)".*"msg":"host stopping"/.exec(line)?.[1];
+        if (time !== undefined) {
+          recorder.recordStopHandled(child.pid, Date.now() - Date.parse(time));
+        }
+      });
       child.stderr.pipe(log, { end: false });
       writeLog({ soak: 'started', process: child.pid });
       const started = { child, isAskedToStop: false, isKilled: false, isPaused: false };
--- a/benchmarks/src/processes/createSoakRecorder.ts
+++ b/benchmarks/src/processes/createSoakRecorder.ts
@@ -76,6 +76,13 @@
     recordKeyGranted: (key) => keyGrants.push({ key, at: now() }),
     recordProcessViolation: (violation) => processViolations.push(violation),
     recordSignal: (signal) => signals.push({ ...signal, at: now() }),
+    recordStopHandled(process, age) {
+      signals
+        .filter((each) => each.process === process && each.handledAt === undefined)
+        .forEach((each) => {
+          each.handledAt = now() - age;
+        });
+    },
     recordServerBreak: (server, id) =>
       serverBreaks.push({ server, at: now(), ...(id !== undefined && { id }) }),
     recordFinalStop() {
--- a/benchmarks/src/processes/findViolations.test.ts
+++ b/benchmarks/src/processes/findViolations.test.ts
@@ -348,6 +348,34 @@
     }),
     promises: ['refusalCloses'],
   },
+  {
+    name: 'a refusal after the process had logged its stop that leaves its connection open',
+    record: createStoppedChat({
+      sent: 1_000,
+      end: { ...refusal, closes: false },
+      endsAt: 1_010,
+      changes: { ...unsent, signals: [{ ...stopOfChat, handledAt: STOP_AT + 990 }] },
+    }),
+    promises: ['refusalCloses'],
+  },
+  {
+    name: 'nothing in a refusal before the process had logged its stop that leaves its connection open',
+    record: createStoppedChat({
+      sent: 1_000,
+      end: { ...refusal, closes: false },
+      endsAt: 1_010,
+      changes: { ...unsent, signals: [{ ...stopOfChat, handledAt: STOP_AT + 1_005 }] },
+    }),
+    promises: [],
+  },
+  {
+    name: 'a stream sent after the signal and before the process had logged its stop',
+    record: createStoppedChat({
+      sent: 100,
+      changes: { signals: [{ ...stopOfChat, handledAt: STOP_AT + 150 }] },
+    }),
+    promises: ['cutAfterStop'],
+  },
   {
     name: 'nothing in a refusal before the signal that leaves its connection open',
     record: createStoppedChat({
--- a/benchmarks/src/processes/types.ts
+++ b/benchmarks/src/processes/types.ts
@@ -158,6 +158,8 @@
   readonly process: number | undefined;
   readonly signal: OperatorSignal;
   readonly at: Milliseconds;
+  /** When the process logged that it stops, if it did. */
+  handledAt?: Milliseconds;
 }
 
 /** Responses in flight that a server broke off: that to `id`, or all of them. */
@@ -240,7 +242,9 @@
   recordKeyRevoked(key: string): void;
   recordKeyGranted(key: string): void;
   recordProcessViolation(violation: Violation): void;
-  recordSignal(signal: Omit<SentSignal, 'at'>): void;
+  recordSignal(signal: Omit<SentSignal, 'at' | 'handledAt'>): void;
+  /** Records that a process has logged that it stops, `age` ago. */
+  recordStopHandled(process: number | undefined, age: Milliseconds): void;
   recordServerBreak(server: string, id?: string): void;
   /** Records that all hosts are stopped, for the end of the run. */
   recordFinalStop(): void;
