--- a/benchmarks/src/processes/createSoakHost.ts
+++ b/benchmarks/src/processes/createSoakHost.ts
@@ -4,6 +4,7 @@
 import { createWriteStream, writeFileSync } from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
+import { createInterface } from 'node:readline';
 import { setTimeout as sleep } from 'node:timers/promises';
 import createLinkProxy from './createLinkProxy';
 import soakBounds from './soakBounds';
@@ -100,10 +101,12 @@
       return;
     }
     if (!stopping.isPaused && !stopping.isKilled) {
-      const delay = ((await tryGetRunDelay(processId)) ?? 0) - (delayBefore ?? 0);
+      const delayAfter = await tryGetRunDelay(processId);
+      const delay =
+        delayAfter === undefined ? 'unknown' : Math.round(delayAfter - (delayBefore ?? 0));
       recorder.recordProcessViolation({
         promise: 'stopEndsInTime',
-        detail: `${name} (${processId}), ${Math.round(delay)} ms of it without a processor`,
+        detail: `${name} (${processId}), ${delay} ms of it without a processor`,
       });
     }
     stopping.isKilled = true;
@@ -123,7 +126,7 @@
       target.isAskedToStop = true;
       void limitStop(target);
     }
-    recorder.recordSignal(index, signal);
+    recorder.recordSignal({ host: index, process: target.child.pid, signal });
     writeLog({ soak: signal, process: target.child.pid });
     target.child.kill(signal);
   }
@@ -152,6 +155,12 @@
         { stdio: ['ignore', 'pipe', 'pipe'] },
       );
       child.stdout.pipe(log, { end: false });
+      createInterface(child.stdout).on('line', (line) => {
+        const time = /"time":"([^"]+)".*"msg":"host stopping"/.exec(line)?.[1];
+        if (time !== undefined) {
+          recorder.recordStopHandled(child.pid, Date.now() - Date.parse(time));
+        }
+      });
       child.stderr.pipe(log, { end: false });
       writeLog({ soak: 'started', process: child.pid });
       const started = { child, isAskedToStop: false, isKilled: false, isPaused: false };
