A stream is cut at its deadline only when that has certainly passed

Beside a restart, when event loops are late, callers lose a part of a stream that had time left, which is LOST around a stop.

Cause: a late event loop cannot tell when a request arrived and takes the earliest time, so that nothing is sent past its deadline; the same estimate ended responses that had begun, which cannot be taken back.

What has no response yet gets its 504 by the earliest time, and nothing is sent after that, as before. A stopping host takes the later time as the bound of new requests.

--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -109,6 +109,7 @@
 
   function handle(incoming: IncomingMessage, outgoing: ServerResponse): void {
     const arrivedAt = getArrivalTime();
+    const handledAt = options.clock.now();
     const reservation = bodyBudget.reserve();
     active.set(outgoing, { incoming, arrivedAt });
     headBudget.recordHead(incoming.socket);
@@ -147,6 +148,7 @@
         outgoing,
         body: read.kind === 'whole' ? read.body : Buffer.alloc(0),
         arrivedAt,
+        handledAt,
         shouldCloseConnection: () =>
           read.kind === 'tooLarge' || read.kind === 'stopped' || (isDraining && turn.isLast()),
       });
--- a/packages/relay/src/front/createCallerExchange.ts
+++ b/packages/relay/src/front/createCallerExchange.ts
@@ -7,6 +7,7 @@
   readonly outgoing: ServerResponse;
   readonly body: Buffer;
   readonly arrivedAt: Milliseconds;
+  readonly handledAt: Milliseconds;
   /** Whether the connection closes after this response. */
   readonly shouldCloseConnection: () => boolean;
 }
@@ -22,6 +23,7 @@
     rawHeaders: incoming.rawHeaders,
     body: options.body,
     arrivedAt: options.arrivedAt,
+    handledAt: options.handledAt,
     sendHead(status, headers, isDelimitedByClose = false) {
       outgoing.sendDate = false;
       if (options.shouldCloseConnection() || isDelimitedByClose) {
--- a/packages/relay/src/front/planRequest.ts
+++ b/packages/relay/src/front/planRequest.ts
@@ -27,7 +27,7 @@
 
 interface PlanRequestOptions {
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-  readonly exchange: Pick<CallerExchange, 'method' | 'target' | 'body' | 'arrivedAt'>;
+  readonly exchange: Pick<CallerExchange, 'method' | 'target' | 'body' | 'arrivedAt' | 'handledAt'>;
   readonly names: HeaderNames;
   /** Undefined until a configuration is known. */
   readonly routes: RouteTable | undefined;
@@ -109,6 +109,7 @@
     outputTokens,
     arrivedAt,
     deadlineAt: arrivedAt + timeLimit,
+    latestDeadlineAt: (exchange.handledAt ?? arrivedAt) + timeLimit,
   };
 }
 
--- a/packages/relay/src/front/relayRequest.ts
+++ b/packages/relay/src/front/relayRequest.ts
@@ -14,6 +14,7 @@
 import decideAfterAttempt from './decideAfterAttempt';
 import getRefusalReason from './getRefusalReason';
 import startAttempt from './startAttempt';
+import startDeadlineTimer from './startDeadlineTimer';
 import type { Refusal, RelayRequestOptions } from './types';
 
 /** Queues a request, dispatches its attempts and forwards its response, which is sent once. */
@@ -28,9 +29,11 @@
   let isDone = false;
   let cancelSlotRequest = (): void => undefined;
 
-  const deadlineTimer = clock.after(Math.max(plan.deadlineAt - clock.now(), 0), () =>
-    endEarly({ reason: 'deadlinePassed' }, 'timeout'),
-  );
+  const deadlineTimer = startDeadlineTimer({
+    ...options,
+    response,
+    onPassed: () => endEarly({ reason: 'deadlinePassed' }, 'timeout'),
+  });
   const copies = createHedgedAttempts({
     ...options,
     response,
--- a/packages/relay/src/front/types.ts
+++ b/packages/relay/src/front/types.ts
@@ -39,7 +39,10 @@
   /** Header names and values, alternating, unchanged. */
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
+  /** Earliest time at which the request may have arrived. */
   readonly arrivedAt: Milliseconds;
+  /** When its arrival was handled; `arrivedAt` if absent. */
+  readonly handledAt?: Milliseconds;
   /**
    * Sends the status line and the headers. With `isDelimitedByClose` the response ends with the
    * close of its connection, as it did at the backend server: a content length or a last chunk
@@ -77,6 +80,8 @@
   readonly arrivedAt: Milliseconds;
   /** The caller's deadline or the route's timeout, whichever comes first. */
   readonly deadlineAt: Milliseconds;
+  /** Time by which that has certainly passed; an event loop that runs late estimates an earlier one. */
+  readonly latestDeadlineAt: Milliseconds;
 }
 
 /** The response to a request that is rejected without a backend server. */
--- a/packages/relay/src/lateness/createTimeCheck.test.ts
+++ b/packages/relay/src/lateness/createTimeCheck.test.ts
@@ -42,6 +42,7 @@
         pool: 'pool',
         outputTokens: 1,
         deadlineAt,
+        latestDeadlineAt: deadlineAt,
         mayHaveRun: false,
         isAcceptedEarlier: true,
       });
--- a/packages/relay/src/lateness/createTimeCheck.ts
+++ b/packages/relay/src/lateness/createTimeCheck.ts
@@ -31,7 +31,7 @@
       // A refusal could not offer it to another host as not run.
       return now;
     }
-    const certainEnd = request.deadlineAt + loopDelay.get();
+    const certainEnd = request.latestDeadlineAt + loopDelay.get();
     if (!request.isAcceptedEarlier) {
       // The mean of earlier responses promises nothing for this one.
       return certainEnd;
--- a/packages/relay/src/lateness/stoppingHost.test.ts
+++ b/packages/relay/src/lateness/stoppingHost.test.ts
@@ -133,6 +133,12 @@
       delay: 1,
       isRefused: true,
     },
+    {
+      name: 'not what may end after it, since it may have arrived late',
+      deadlineAt: ENDS_AT,
+      latestDeadlineAt: ENDS_AT + 1,
+      isRefused: true,
+    },
     { name: 'what may have run', deadlineAt: LATER, mayHaveRun: true, isRefused: false },
     {
       name: 'nothing after its end',
@@ -177,6 +183,7 @@
         pool: 'pool',
         outputTokens: 1,
         deadlineAt,
+        latestDeadlineAt: timeCase.latestDeadlineAt ?? deadlineAt,
         mayHaveRun: timeCase.mayHaveRun ?? false,
         isAcceptedEarlier: timeCase.isAcceptedEarlier ?? false,
       });
--- a/packages/relay/src/lateness/types.ts
+++ b/packages/relay/src/lateness/types.ts
@@ -47,8 +47,9 @@
 export interface TimedRequest {
   readonly pool: PoolId;
   readonly outputTokens: number;
-  /** The request has its final answer by then, whatever its server does. */
   readonly deadlineAt: Milliseconds;
+  /** The request has its final answer by then, whatever its server does. */
+  readonly latestDeadlineAt: Milliseconds;
   /** Whether an attempt may have run, so that no other host can be offered the request as not run. */
   readonly mayHaveRun: boolean;
   /** Whether it had arrived whole before the signal that stops this host, if there was one. */
