--- a/packages/command-line/src/testing/createScene.ts
+++ b/packages/command-line/src/testing/createScene.ts
@@ -11,6 +11,11 @@
   readonly folder: string;
   /** Time in which the backend server responds, in milliseconds. */
   readonly workDuration?: number;
+  /** Memory and descriptors of the process, as its settings name them. */
+  readonly memoryMegabytes?: number | undefined;
+  readonly descriptors?: number | undefined;
+  /** Size of a response of the backend server of a relay. */
+  readonly responseBytes?: number | undefined;
 }
 
 /** Creates the stand-ins around one program; `words` name its bundle too. */
--- a/packages/command-line/src/testing/createServeScene.ts
+++ b/packages/command-line/src/testing/createServeScene.ts
@@ -18,6 +18,9 @@
   readonly ports: readonly number[];
   /** Time in which the backend server responds, in milliseconds. */
   readonly workDuration?: number;
+  /** Memory and descriptors of the process, as its settings name them; not limited if absent. */
+  readonly memoryMegabytes?: number | undefined;
+  readonly descriptors?: number | undefined;
 }
 
 /** Creates a platform, an order book and the settings file of one entry host for `serve`. */
@@ -65,7 +68,9 @@
   await store.close();
   const folder = await mkdtemp(path.join(tmpdir(), 'serve-scene-'));
   const settingsFile = path.join(folder, 'north-1.yaml');
-  await writeFile(settingsFile, stringify(valid.entryHosts[0]));
+  const { memoryMegabytes, descriptors: maximumDescriptors } = options;
+  const limits = { memoryMegabytes, maximumDescriptors };
+  await writeFile(settingsFile, stringify({ ...valid.entryHosts[0], ...limits }));
 
   return {
     words: ['serve', '--settings', settingsFile],
