--- a/packages/connections/src/intake/createIntakeConnection.ts
+++ b/packages/connections/src/intake/createIntakeConnection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net';
 import type { Clock, Milliseconds } from '@rattanreel/core';
 import createParserFeed from './createParserFeed';
+import createUnsentWatch from './createUnsentWatch';
 import getHeadBytes from './getHeadBytes';
 import type {
   BodyReading,
@@ -69,9 +70,8 @@
   let headSince: Milliseconds | undefined;
   let idleSince = clock.now();
   let requestBytes = 0;
-  let flushed = 0;
-  let flushedAt = idleSince;
   let isClosing = false;
+  const unsentWatch = createUnsentWatch({ socket, openedAt: idleSince });
   const share = options.memory.open(() => end('evicted'));
 
   function isComplete(): boolean {
@@ -158,17 +158,6 @@
     share.end();
   });
 
-  function checkUnsent(now: Milliseconds): void {
-    const sent = socket.bytesWritten - socket.writableLength;
-    if (socket.writableLength === 0 || sent !== flushed) {
-      flushed = sent;
-      flushedAt = now;
-    } else if (now - flushedAt > getLimits().idleTimeout) {
-      options.onEnd('unread');
-      socket.destroy();
-    }
-  }
-
   return {
     tryBegin(incoming, outgoing) {
       const size = getHeadBytes(incoming.rawHeaders);
@@ -210,11 +199,15 @@
     check() {
       const now = clock.now();
       update();
-      checkUnsent(now);
+      const { headerTimeout, idleTimeout } = getLimits();
+      if (unsentWatch.measure(now) > idleTimeout) {
+        options.onEnd('unread');
+        socket.destroy();
+        return;
+      }
       if (isClosing) {
         return;
       }
-      const { headerTimeout, idleTimeout } = getLimits();
       if (headSince !== undefined && now - headSince > headerTimeout) {
         socket.write(TIMEOUT_RESPONSE);
         end('headLate');
--- a/packages/connections/src/intake/createWorkQueue.ts
+++ b/packages/connections/src/intake/createWorkQueue.ts
@@ -1,7 +1,7 @@
 import type { WorkQueue } from './types';
 
 /** Work of one turn, after which the event loop handles what else has happened. */
-const TURN_WORK = 512;
+const TURN_WORK = 256;
 
 /** Creates a queue of work, of which a part is done in each turn of the event loop. */
 export default function createWorkQueue(): WorkQueue {
--- a/packages/connections/src/intake/readBody.ts
+++ b/packages/connections/src/intake/readBody.ts
@@ -57,6 +57,7 @@
     stop: (cause) =>
       end(cause === 'late' ? { kind: 'late' } : { kind: 'noMemory', isComplete: false }),
   });
+
   /** The connection keeps its last request, which must not keep the body in turn. */
   function detach(): void {
     incoming.off('data', onData).off('end', onEnd).off('close', onCut);
--- a/packages/connections/src/intake/types.ts
+++ b/packages/connections/src/intake/types.ts
@@ -132,6 +132,8 @@
   readonly peers: number;
   /** For readiness checks, and again for scrapes of the metrics. */
   readonly checks: number;
+  /** Connections of callers that may wait to be accepted. */
+  readonly backlog: number;
 }
 
 /** How the body of a request was read. */
--- a/packages/entry-host/src/callers/createCallerConnections.ts
+++ b/packages/entry-host/src/callers/createCallerConnections.ts
@@ -31,6 +31,13 @@
   readonly onCut: (incoming: IncomingMessage, activeFor: Milliseconds) => void;
 }
 
+interface RequestParts {
+  readonly incoming: IncomingMessage;
+  readonly outgoing: ServerResponse;
+  /** Handles the request once its body has been read. */
+  readonly listener: RequestListener;
+}
+
 interface ActiveRequest {
   readonly incoming: IncomingMessage;
   readonly arrivedAt: Milliseconds;
@@ -177,9 +184,3 @@
     cutActive: () => active.forEach((request, outgoing) => cut(outgoing, request)),
   };
 }
-
-interface RequestParts {
-  readonly incoming: IncomingMessage;
-  readonly outgoing: ServerResponse;
-  readonly listener: RequestListener;
-}
--- a/packages/entry-host/src/createEntryHost.ts
+++ b/packages/entry-host/src/createEntryHost.ts
@@ -70,7 +70,11 @@
   const transport = await createPeerTransport<PeerMessage, PeerQuestion, PeerAnswer>({
     identity: { entryHost, incarnation },
     listenAddress: settings.peerAddress,
-    listening: { ...listening, maximumConnections: connectionLimits.peers },
+    listening: {
+      ...listening,
+      maximumConnections: connectionLimits.peers,
+      backlog: connectionLimits.backlog,
+    },
     incompleteBytes: capacity.memory * PEER_MEMORY_SHARE,
     security: settings.peerSecurity,
     onMessage: ({ body }) => tasks.receive(body),
@@ -118,7 +122,7 @@
       isReady,
     }),
     settings.callerAddress,
-    { ...listening, ...context, ...capacity, maximumConnections: connectionLimits.callers },
+    { ...listening, ...context, ...capacity, ...connectionLimits },
   );
   if (listener.kind === 'error') {
     tasks.membership.close();
--- a/packages/entry-host/src/listenForCallers.ts
+++ b/packages/entry-host/src/listenForCallers.ts
@@ -35,7 +35,9 @@
   readonly admission: Pick<Admission, 'recordArrival'>;
   /** Bytes of memory that the process may use. */
   readonly memory: number;
-  readonly maximumConnections: number;
+  /** Largest number of connections, and of those that wait to be accepted. */
+  readonly callers: number;
+  readonly backlog: number;
 }
 
 /** Listens for callers; waits until the address is available. */
@@ -50,7 +52,7 @@
     bytes: listening.memory * CALLER_MEMORY_SHARE,
     collector: createGarbageCollector(),
   });
-  const maximumConnections = Math.min(listening.maximumConnections, MAXIMUM_CONNECTIONS);
+  const maximumConnections = Math.min(listening.callers, MAXIMUM_CONNECTIONS);
   const intake = createIntake({
     clock,
     memory,
--- a/packages/relay/src/createRelayHost.ts
+++ b/packages/relay/src/createRelayHost.ts
@@ -1,8 +1,3 @@
-import {
-  createCallerMemory,
-  createGarbageCollector,
-  getConnectionLimits,
-} from '@rattanreel/connections';
 import type { ListenError } from '@rattanreel/connections';
 import { ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
@@ -14,7 +9,8 @@
 import createRouteTable from './decisions/createRouteTable';
 import type { RouteTable } from './decisions/types';
 import addDutyGauges from './duties/addDutyGauges';
-import createCallerEndpoint from './front/createCallerEndpoint';
+import createCallerBounds from './front/createCallerBounds';
+import createHostCallerEndpoint from './front/createHostCallerEndpoint';
 import createRelayMetrics from './front/createRelayMetrics';
 import createRequestObserver from './front/createRequestObserver';
 import createHedging from './hedging/createHedging';
@@ -41,14 +37,6 @@
   idleTimeout: 15_000,
 };
 
-/**
- * Share of the host's memory for the requests of callers. It is released by the next garbage
- * collection, so that the process holds more than is counted.
- */
-const CALLER_MEMORY_SHARE = 1 / 6;
-/** Share of the memory for messages of peers that have not arrived completely. */
-const PEER_MEMORY_SHARE = 1 / 16;
-
 interface RelayHostOptions extends Omit<
   Parameters<typeof createHostCore>[0],
   'openTransport' | 'direct' | 'onConfiguration' | 'loopDelay' | 'callerMemory'
@@ -102,24 +90,15 @@
   let isStopping = false;
   let stopped: Promise<void> | undefined;
 
-  const callerMemory = createCallerMemory({
-    clock,
-    bytes: options.memory * CALLER_MEMORY_SHARE,
-    collector: createGarbageCollector(),
-  });
-  const connectionLimits = getConnectionLimits(options);
+  const callerBounds = createCallerBounds({ ...options, clock });
+  const { callerMemory, connectionLimits } = callerBounds;
   const countFailure = metrics.countListenFailure;
   const listening = { ...context, signal: options.signal, countFailure };
   const opened = await openListeners({
     ...options,
     listening,
-    intake: {
-      clock,
-      memory: callerMemory,
-      maximumConnections: connectionLimits.checks,
-      onEnd: metrics.countIntakeEnd,
-    },
-    maximumPeers: connectionLimits.peers,
+    intake: { clock, memory: callerMemory, onEnd: metrics.countIntakeEnd },
+    connectionLimits,
     scrape: metrics.scrape,
     isReady: () => hasClusterState() && !isStopping,
   });
@@ -135,12 +114,7 @@
     loopDelay,
     bounds,
     openTransport: (transport) =>
-      openRelayTransport({
-        ...transport,
-        onHandlerError: recordError,
-        listener,
-        incompleteBytes: options.memory * PEER_MEMORY_SHARE,
-      }),
+      openRelayTransport({ ...transport, ...callerBounds, onHandlerError: recordError, listener }),
     callerMemory,
     direct: createServerConnections({ loopDelay }),
     onConfiguration(configuration) {
@@ -194,25 +168,16 @@
     getCustomersByKey: () => customersByKey,
   });
 
-  const callerEndpoint = createCallerEndpoint({
-    clock,
-    getArrivalTime: loopDelay.getArrivalTime,
-    onConnection: loopDelay.recordConnection,
+  const callerEndpoint = createHostCallerEndpoint({
+    ...options,
+    context,
+    loopDelay,
     getLimits: () => limits,
-    onRequest: requestHandler.handle,
-    getTimeLimit: requestHandler.getTimeLimit,
-    onTooLarge: requestHandler.rejectTooLarge,
-    onLate: requestHandler.rejectLate,
-    onNoMemory: requestHandler.refuseForMemory,
-    onStopped: requestHandler.refuseForStop,
-    onError: (error) => recordError('request', error),
-    onCut({ headers }, activeFor) {
-      const request = headers[options.names.requestId];
-      logger.warn({ request, activeFor: Math.round(activeFor) }, 'request cut by stop');
-    },
-    onIntakeEnd: metrics.countIntakeEnd,
-    memory: callerMemory,
-    maximumConnections: connectionLimits.callers,
+    requestHandler,
+    recordError,
+    metrics,
+    callerMemory,
+    connectionLimits,
   });
 
   const { connections } = core.forwarding;
--- a/packages/relay/src/front/createCallerEndpoint.ts
+++ b/packages/relay/src/front/createCallerEndpoint.ts
@@ -18,8 +18,6 @@
 
 /** Largest header block that is parsed; larger ones than `headerBytes` are refused. */
 const MAXIMUM_HEADER_BYTES = 65_536;
-/** Connections that may wait to be accepted. */
-const LISTEN_BACKLOG = 1_024;
 
 interface CallerEndpointOptions {
   readonly clock: Pick<Clock, 'now'>;
@@ -48,6 +46,8 @@
   readonly memory?: CallerMemory;
   /** Largest number of connections; unlimited if absent. */
   readonly maximumConnections?: number;
+  /** Connections that may wait to be accepted; the system's default if absent. */
+  readonly backlog?: number;
 }
 
 type ReadRequest = Exclude<BodyResult, { kind: 'cut' }>;
@@ -228,7 +228,7 @@
         server,
         endpoint: 'callers',
         address,
-        backlog: LISTEN_BACKLOG,
+        backlog: options.backlog,
       });
     },
     applyLimits,
--- a/packages/relay/src/openListeners.ts
+++ b/packages/relay/src/openListeners.ts
@@ -1,22 +1,23 @@
-import type { ListenError } from '@rattanreel/connections';
+import type { ConnectionLimits, ListenError } from '@rattanreel/connections';
 import { ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import { listenForPeers } from '@rattanreel/transport';
 import type { PeerListener } from '@rattanreel/transport';
 import createMetricsEndpoint from './createMetricsEndpoint';
 import createReadinessEndpoint from './createReadinessEndpoint';
+import type { CheckIntake } from './types';
 
 type MetricsOptions = Parameters<typeof createMetricsEndpoint>[0];
 type ReadinessOptions = Parameters<typeof createReadinessEndpoint>[0];
 
 interface ListenersOptions
-  extends Omit<MetricsOptions, 'address'>, Omit<ReadinessOptions, 'address'> {
+  extends Omit<MetricsOptions, 'address' | 'intake'>, Omit<ReadinessOptions, 'address' | 'intake'> {
   /** Listening addresses as HOST:PORT. */
   readonly metricsAddress: string;
   readonly readinessAddress: string;
   readonly peerAddress: string;
-  /** Largest number of connections of peers. */
-  readonly maximumPeers: number;
+  readonly intake: Omit<CheckIntake, 'maximumConnections'>;
+  readonly connectionLimits: ConnectionLimits;
 }
 
 interface Listeners {
@@ -31,15 +32,19 @@
 export default async function openListeners(
   options: ListenersOptions,
 ): Promise<Outcome<Listeners, ListenError>> {
-  const closeMetrics = createMetricsEndpoint({ ...options, address: options.metricsAddress });
-  const closeReadiness = createReadinessEndpoint({ ...options, address: options.readinessAddress });
+  const { connectionLimits } = options;
+  const intake = { ...options.intake, maximumConnections: connectionLimits.checks };
+  const checks = { ...options, intake };
+  const closeMetrics = createMetricsEndpoint({ ...checks, address: options.metricsAddress });
+  const closeReadiness = createReadinessEndpoint({ ...checks, address: options.readinessAddress });
   function closeChecks(): void {
     closeReadiness();
     closeMetrics();
   }
   const peerListener = await listenForPeers(options.peerAddress, {
     ...options.listening,
-    maximumConnections: options.maximumPeers,
+    maximumConnections: connectionLimits.peers,
+    backlog: connectionLimits.backlog,
   });
   if (peerListener.kind === 'error') {
     closeChecks();
--- a/packages/relay/src/serveApplication.ts
+++ b/packages/relay/src/serveApplication.ts
@@ -46,6 +46,7 @@
     server,
     endpoint,
     address,
+    backlog: options.intake.maximumConnections,
     signal: AbortSignal.any(signals),
   });
   return () => {
--- a/packages/transport/src/createPeerTransport.ts
+++ b/packages/transport/src/createPeerTransport.ts
@@ -10,6 +10,7 @@
 import type { Outcome } from '@rattanreel/core';
 import createPeerConnection from './createPeerConnection';
 import createHandlerGuard from './createHandlerGuard';
+import createMessageMeter from './createMessageMeter';
 import createPeerIntake from './createPeerIntake';
 import createPeerCredentials from './createPeerCredentials';
 import isLoopbackAddress from './isLoopbackAddress';
@@ -73,30 +74,10 @@
   const guard = createHandlerGuard(options.onHandlerError);
   const connections = new Map<string, PeerConnection>();
   let closed = false;
-  const traffic = { messagesSent: 0, bytesSent: 0, messagesReceived: 0, bytesReceived: 0 };
 
   const intake = createPeerIntake({ bytes: options.incompleteBytes ?? Infinity });
-  const sizes = new WeakMap<Envelope<unknown>, number>();
-  const service = createPeerService({
-    recordSent(bytes) {
-      traffic.messagesSent += 1;
-      traffic.bytesSent += bytes;
-    },
-    recordReceived(bytes, envelope) {
-      traffic.messagesReceived += 1;
-      traffic.bytesReceived += bytes;
-      if (typeof envelope === 'object') {
-        sizes.set(envelope, bytes);
-      }
-    },
-  });
-
-  function recordMessage(
-    call: Pick<ServerUnaryCall<unknown, unknown>, 'getPeer'>,
-    envelope: Envelope<unknown>,
-  ): void {
-    intake.recordMessage(call.getPeer(), sizes.get(envelope) ?? 0);
-  }
+  const meter = createMessageMeter(intake);
+  const service = createPeerService(meter);
 
   /** Returns undefined after `close`, and for an address to which nothing can be sent. */
   function tryGetConnection(address: string): PeerConnection | undefined {
@@ -126,7 +107,7 @@
         }
       };
       call.on('data', (envelope: Envelope<Message>) => {
-        recordMessage(call, envelope);
+        meter.recordHandled(call, envelope);
         guard.tryRun('message', () => onMessage(envelope, respond));
       });
       call.on('end', () => call.end());
@@ -136,7 +117,7 @@
       call: ServerUnaryCall<Envelope<unknown>, Envelope<unknown>>,
       reply: sendUnaryData<Envelope<unknown>>,
     ) {
-      recordMessage(call, call.request);
+      meter.recordHandled(call, call.request);
       const answered = async (): Promise<Answer> => onQuestion(call.request as Envelope<Question>);
       answered().then(
         (answer) => reply(null, { from: identity, body: answer }),
@@ -148,7 +129,7 @@
     },
     perform(call: ServerWritableStream<Envelope<unknown>, Envelope<unknown>>) {
       const { onTask } = options;
-      recordMessage(call, call.request);
+      meter.recordHandled(call, call.request);
       const cancel =
         onTask &&
         guard.tryRun('task', () =>
@@ -217,7 +198,7 @@
       }
       return connection.perform({ from: identity, body: task }, listener, connectTimeout);
     },
-    traffic: () => ({ ...traffic }),
+    traffic: meter.getTraffic,
     async close() {
       closed = true;
       connections.forEach((connection) => connection.close());
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -91,6 +91,8 @@
 export interface PeerListening extends ListenContext {
   /** Largest number of connections; unlimited if absent. */
   readonly maximumConnections?: number;
+  /** Connections that may wait to be accepted; the system's default if absent. */
+  readonly backlog?: number;
 }
 
 export interface PeerTransportOptions<Message, Question, Answer, Task = never, Progress = never> {
@@ -180,6 +182,13 @@
   recordReceived(bytes: number, envelope: Envelope<unknown>): void;
 }
 
+/** Counts messages, and which of them were handled. */
+export interface MessageMeter extends TrafficCounter {
+  /** Records that a received message is complete and was handled, by the call that brought it. */
+  recordHandled(call: { getPeer(): string }, envelope: Envelope<unknown>): void;
+  getTraffic(): PeerTraffic;
+}
+
 /** Bounds what peers send without completing it. */
 export interface PeerIntake {
   add(socket: Socket): void;
