--- a/packages/connections/src/intake/createGarbageControl.ts
+++ b/packages/connections/src/intake/createGarbageControl.ts
@@ -26,15 +26,17 @@
 /** Collects garbage that callers have caused before the process exceeds its memory. */
 export default function createGarbageControl(options: GarbageControlOptions): GarbageControl {
   const { clock, collector, limit } = options;
-  const externalBytesAtStart = collector.measure().externalBytes;
+  /** Bytes outside the heap that others use. */
+  let othersBytes = collector.measure().externalBytes;
   let grown = 0;
   let mayCollectAllAt = -Infinity;
   let heapShareLimit = HEAP_SHARE;
 
   /** Whether there is garbage outside the heap, beside the `reserved` bytes. */
   function hasGarbage(reserved: number): boolean {
-    const { externalBytes } = collector.measure();
-    return externalBytes - externalBytesAtStart - reserved > limit * COLLECTED_SHARE;
+    const unreservedBytes = collector.measure().externalBytes - reserved;
+    othersBytes = Math.min(othersBytes, unreservedBytes);
+    return unreservedBytes - othersBytes > limit * COLLECTED_SHARE;
   }
 
   return {
@@ -57,7 +59,9 @@
         const endedAt = clock.now();
         mayCollectAllAt = endedAt + Math.max(endedAt - startedAt, COLLECTION_INTERVAL);
         // What is still used is no garbage.
-        heapShareLimit = Math.max(HEAP_SHARE, collector.measure().heapShare + HEAP_SHARE_STEP);
+        const { externalBytes, heapShare } = collector.measure();
+        othersBytes = externalBytes - reserved;
+        heapShareLimit = Math.max(HEAP_SHARE, heapShare + HEAP_SHARE_STEP);
       }
     },
   };
