--- a/packages/command-line/src/misbehavingCallers.crowd.test.ts
+++ b/packages/command-line/src/misbehavingCallers.crowd.test.ts
@@ -321,7 +321,6 @@
   },
   {
     name: 'streams of messages for peers',
-    todo: RED,
     endpoint: 'peers',
     connections: 100,
     ...createMessages(300, 1, 'Exchange'),
@@ -417,7 +416,6 @@
   },
   {
     name: 'calls of peers',
-    todo: RED,
     program: 'serve',
     endpoint: 'peers',
     connections: 100,
--- a/packages/connections/src/intake/getConnectionLimits.ts
+++ b/packages/connections/src/intake/getConnectionLimits.ts
@@ -2,8 +2,10 @@
 
 /** Descriptors that are not for sockets. */
 const FILE_DESCRIPTORS = 200;
-/** Memory of the host for each connection of a caller. */
+/** Memory of the host for each connection of a caller, or of a peer. */
 const BYTES_PER_CONNECTION = 262_144;
+/** Memory of the host for each call of a peer. */
+const BYTES_PER_CALL = 65_536;
 /** Shares of the sockets; the rest is for backend servers, the platform's store and new connections. */
 const CALLER_SHARE = 1 / 2;
 const PEER_SHARE = 1 / 4;
@@ -27,7 +29,8 @@
   const sockets = Math.max(descriptors - FILE_DESCRIPTORS, descriptors / 2);
   return {
     callers: Math.floor(Math.min(sockets * CALLER_SHARE, memory / BYTES_PER_CONNECTION)),
-    peers: Math.floor(sockets * PEER_SHARE),
+    peers: Math.floor(Math.min(sockets * PEER_SHARE, memory / BYTES_PER_CONNECTION)),
+    peerCalls: Math.floor(memory / BYTES_PER_CALL),
     backlog: Math.floor(
       Math.min((memory * BACKLOG_MEMORY_SHARE) / BACKLOG_BYTES_PER_CONNECTION, MAXIMUM_BACKLOG),
     ),
--- a/packages/connections/src/intake/types.ts
+++ b/packages/connections/src/intake/types.ts
@@ -130,6 +130,8 @@
 export interface ConnectionLimits {
   readonly callers: number;
   readonly peers: number;
+  /** Calls of all peers at once. */
+  readonly peerCalls: number;
   /** For readiness checks, and again for scrapes of the metrics. */
   readonly checks: number;
   /** Connections of callers that may wait to be accepted. */
--- a/packages/entry-host/src/createEntryHost.ts
+++ b/packages/entry-host/src/createEntryHost.ts
@@ -1,5 +1,9 @@
 import { getHeapStatistics } from 'node:v8';
-import { getConnectionLimits } from '@rattanreel/connections';
+import {
+  createCallerMemory,
+  createGarbageCollector,
+  getConnectionLimits,
+} from '@rattanreel/connections';
 import type { HostCapacity, ListenContext } from '@rattanreel/connections';
 import { ok } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
@@ -26,6 +30,8 @@
 } from './types';
 
 const FLUSH_TIMEOUT_MS = 5_000;
+/** Share of the memory for the requests of callers. */
+const CALLER_MEMORY_SHARE = 1 / 6;
 /** Share of the memory for messages of peers that have not arrived completely. */
 const PEER_MEMORY_SHARE = 1 / 16;
 const BYTES_PER_MEGABYTE = 1_048_576;
@@ -67,6 +73,11 @@
 
   const capacity = getCapacity(settings);
   const connectionLimits = getConnectionLimits(capacity);
+  const memory = createCallerMemory({
+    clock: context.clock,
+    bytes: capacity.memory * CALLER_MEMORY_SHARE,
+    collector: createGarbageCollector(),
+  });
   const transport = await createPeerTransport<PeerMessage, PeerQuestion, PeerAnswer>({
     identity: { entryHost, incarnation },
     listenAddress: settings.peerAddress,
@@ -76,6 +87,8 @@
       backlog: connectionLimits.backlog,
     },
     incompleteBytes: capacity.memory * PEER_MEMORY_SHARE,
+    maximumCalls: connectionLimits.peerCalls,
+    recordReceived: memory.recordReceived,
     security: settings.peerSecurity,
     onMessage: ({ body }) => tasks.receive(body),
     onQuestion: ({ body }) => tasks.answer(body),
@@ -122,7 +135,7 @@
       isReady,
     }),
     settings.callerAddress,
-    { ...listening, ...context, ...capacity, ...connectionLimits },
+    { ...listening, ...context, memory, ...connectionLimits },
   );
   if (listener.kind === 'error') {
     tasks.membership.close();
--- a/packages/entry-host/src/listenForCallers.ts
+++ b/packages/entry-host/src/listenForCallers.ts
@@ -2,14 +2,13 @@
 import { createServer } from 'node:http';
 import type { RequestListener, Server, ServerOptions } from 'node:http';
 import type { Hono } from 'hono';
-import {
-  createCallerMemory,
-  createGarbageCollector,
-  createIntake,
-  listenOnAddress,
-  stopAccepting,
+import { createIntake, listenOnAddress, stopAccepting } from '@rattanreel/connections';
+import type {
+  CallerMemory,
+  IntakeLimits,
+  ListenContext,
+  ListenError,
 } from '@rattanreel/connections';
-import type { IntakeLimits, ListenContext, ListenError } from '@rattanreel/connections';
 import { ok } from '@rattanreel/core';
 import type { Clock, Outcome } from '@rattanreel/core';
 import type { Logger } from '@rattanreel/observability';
@@ -25,16 +24,13 @@
   headerTimeout: 10_000,
   idleTimeout: 60_000,
 };
-/** Share of the memory for the requests of callers. */
-const CALLER_MEMORY_SHARE = 1 / 6;
 const DRAIN_CHECK_INTERVAL_MS = 50;
 
 interface CallerListenerContext extends ListenContext {
   readonly clock: Clock;
   readonly logger: Logger;
   readonly admission: Pick<Admission, 'recordArrival'>;
-  /** Bytes of memory that the process may use. */
-  readonly memory: number;
+  readonly memory: CallerMemory;
   /** Largest number of connections, and of those that wait to be accepted. */
   readonly callers: number;
   readonly backlog: number;
@@ -46,12 +42,7 @@
   address: string,
   listening: CallerListenerContext,
 ): Promise<Outcome<CallerListener, ListenError>> {
-  const { clock, logger } = listening;
-  const memory = createCallerMemory({
-    clock,
-    bytes: listening.memory * CALLER_MEMORY_SHARE,
-    collector: createGarbageCollector(),
-  });
+  const { clock, logger, memory } = listening;
   const maximumConnections = Math.min(listening.callers, MAXIMUM_CONNECTIONS);
   const intake = createIntake({
     clock,
--- a/packages/relay/src/front/createCallerBounds.ts
+++ b/packages/relay/src/front/createCallerBounds.ts
@@ -23,17 +23,21 @@
   readonly connectionLimits: ConnectionLimits;
   /** Bytes of incomplete messages that all peers together may send. */
   readonly incompleteBytes: number;
+  /** Calls of all peers at once. */
+  readonly maximumCalls: number;
 }
 
 /** Creates the bounds on what the callers and the peers of a host may make it hold. */
 export default function createCallerBounds(options: CallerBoundsOptions): CallerBounds {
+  const connectionLimits = getConnectionLimits(options);
   return {
     callerMemory: createCallerMemory({
       clock: options.clock,
       bytes: options.memory * CALLER_MEMORY_SHARE,
       collector: createGarbageCollector(),
     }),
-    connectionLimits: getConnectionLimits(options),
+    connectionLimits,
+    maximumCalls: connectionLimits.peerCalls,
     incompleteBytes: options.memory * PEER_MEMORY_SHARE,
   };
 }
--- a/packages/relay/src/peers/openRelayTransport.ts
+++ b/packages/relay/src/peers/openRelayTransport.ts
@@ -1,3 +1,4 @@
+import type { CallerMemory } from '@rattanreel/connections';
 import { Debug } from '@rattanreel/core';
 import { createPeerTransport } from '@rattanreel/transport';
 import type { HandledInput, PeerListener } from '@rattanreel/transport';
@@ -13,6 +14,9 @@
   readonly listener: PeerListener;
   /** Bytes of incomplete messages that all peers together may send. */
   readonly incompleteBytes: number;
+  /** Calls of all peers at once. */
+  readonly maximumCalls: number;
+  readonly callerMemory: Pick<CallerMemory, 'recordReceived'>;
 }
 
 /** Opens the transport between hosts. */
@@ -30,6 +34,8 @@
     listenAddress: options.listenAddress,
     listener: options.listener,
     incompleteBytes: options.incompleteBytes,
+    maximumCalls: options.maximumCalls,
+    recordReceived: options.callerMemory.recordReceived,
     security: { kind: 'plainTrustedNetwork' },
     onMessage({ from, body }, respond) {
       if (!isHostMessage(body)) {
--- a/packages/transport/src/createPeerIntake.ts
+++ b/packages/transport/src/createPeerIntake.ts
@@ -1,7 +1,12 @@
 import type { Socket } from 'node:net';
 import type { PeerIntake } from './types';
 
-const CHECK_INTERVAL_MS = 100;
+const CHECK_INTERVAL_MS = 50;
+/** Interval while much is incomplete, and for how long after a call has begun. */
+const QUICK_CHECK_INTERVAL_MS = 10;
+const QUICK_CHECKS_AFTER_CALL = 50;
+/** Share of the limit from which checks are quick. */
+const MUCH_SHARE = 1 / 8;
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Bytes of a connection that belong to no message: its beginning, frames, and keepalive pings. */
 const CONNECTION_FRAME_BYTES = 65_536;
@@ -11,76 +16,117 @@
 interface PeerIntakeOptions {
   /** Bytes of incomplete messages that all peers together may send; Infinity for no limit. */
   readonly bytes: number;
+  /** Calls of all peers at once; Infinity for no limit. */
+  readonly calls: number;
+  /** Counts bytes that peers have sent. */
+  readonly recordReceived?: ((bytes: number) => void) | undefined;
 }
 
 interface PeerSocket {
+  readonly socket: Socket;
   readonly openedAt: number;
+  /** Bytes that were read until the last check. */
+  checkedBytes: number;
   /** Bytes of messages that are complete, with their frames. */
   completeBytes: number;
+  openCalls: number;
+}
+
+function getIncompleteBytes({ socket, openedAt, completeBytes }: PeerSocket): number {
+  const seconds = (performance.now() - openedAt) / MILLISECONDS_PER_SECOND;
+  const frames = CONNECTION_FRAME_BYTES + FRAME_BYTES_PER_SECOND * seconds;
+  return Math.max(socket.bytesRead - completeBytes - frames, 0);
 }
 
 /**
- * Bounds the memory of messages that have not arrived completely: closes the connections that hold the
- * most of them.
+ * Bounds the memory of calls, and of messages that have not arrived completely: closes the connections
+ * that hold the most of them.
  */
-export default function createPeerIntake({ bytes: limit }: PeerIntakeOptions): PeerIntake {
-  const sockets = new Map<Socket, PeerSocket>();
-  const namesOfSockets = new Map<string, PeerSocket>();
+export default function createPeerIntake(options: PeerIntakeOptions): PeerIntake {
+  /** The open connections, by the peer's IP:PORT. */
+  const peers = new Map<string, PeerSocket>();
+  let openCalls = 0;
+  let quickChecks = 0;
   let timer: NodeJS.Timeout | undefined;
 
-  function getIncompleteBytes(socket: Socket, { openedAt, completeBytes }: PeerSocket): number {
-    const seconds = (performance.now() - openedAt) / MILLISECONDS_PER_SECOND;
-    const frames = CONNECTION_FRAME_BYTES + FRAME_BYTES_PER_SECOND * seconds;
-    return Math.max(socket.bytesRead - completeBytes - frames, 0);
+  function close(name: string, peer: PeerSocket): void {
+    if (peers.get(name) === peer) {
+      peers.delete(name);
+      openCalls -= peer.openCalls;
+      peer.socket.destroy();
+    }
   }
 
-  function enforce(): void {
-    const holders = [...sockets].map(([socket, state]) => ({
-      socket,
-      bytes: getIncompleteBytes(socket, state),
-    }));
-    let total = holders.reduce((sum, { bytes }) => sum + bytes, 0);
-    if (total <= limit) {
-      return;
-    }
-    holders.sort((one, other) => other.bytes - one.bytes);
-    for (const { socket, bytes } of holders) {
+  /**
+   * Closes connections, those of which `measure` returns most first, until the sum is in the limit;
+   * returns the sum before.
+   */
+  function enforce(limit: number, measure: (peer: PeerSocket) => number): number {
+    const holders = [...peers].map(([name, peer]) => ({ name, peer, held: measure(peer) }));
+    const before = holders.reduce((sum, { held }) => sum + held, 0);
+    let total = before;
+    holders.sort((one, other) => other.held - one.held);
+    for (const { name, peer, held } of holders) {
       if (total <= limit) {
-        return;
+        return before;
       }
-      total -= bytes;
-      socket.destroy();
+      total -= held;
+      close(name, peer);
     }
+    return before;
+  }
+
+  function checkBytes(): void {
+    let received = 0;
+    peers.forEach((peer) => {
+      received += peer.socket.bytesRead - peer.checkedBytes;
+      peer.checkedBytes = peer.socket.bytesRead;
+    });
+    options.recordReceived?.(received);
+    const isMuch = enforce(options.bytes, getIncompleteBytes) > options.bytes * MUCH_SHARE;
+    quickChecks = isMuch ? QUICK_CHECKS_AFTER_CALL : Math.max(quickChecks - 1, 0);
   }
 
   function scheduleCheck(): void {
-    if (timer === undefined && sockets.size > 0 && limit < Infinity) {
+    if (timer === undefined && peers.size > 0 && options.bytes < Infinity) {
+      const interval = quickChecks > 0 ? QUICK_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS;
       timer = setTimeout(() => {
         timer = undefined;
-        enforce();
+        checkBytes();
         scheduleCheck();
-      }, CHECK_INTERVAL_MS).unref();
+      }, interval).unref();
     }
   }
 
   return {
     add(socket) {
       const name = `${socket.remoteAddress}:${socket.remotePort}`;
-      const state = { openedAt: performance.now(), completeBytes: 0 };
-      sockets.set(socket, state);
-      namesOfSockets.set(name, state);
-      socket.once('close', () => {
-        sockets.delete(socket);
-        if (namesOfSockets.get(name) === state) {
-          namesOfSockets.delete(name);
-        }
-      });
+      const openedAt = performance.now();
+      const peer = { socket, openedAt, checkedBytes: 0, completeBytes: 0, openCalls: 0 };
+      peers.set(name, peer);
+      socket.once('close', () => close(name, peer));
       scheduleCheck();
     },
-    recordMessage(peer, bytes) {
-      const state = namesOfSockets.get(peer);
-      if (state !== undefined) {
-        state.completeBytes += bytes + MESSAGE_FRAME_BYTES;
+    beginCall(name) {
+      const peer = peers.get(name);
+      if (peer === undefined) {
+        return () => undefined;
+      }
+      peer.openCalls += 1;
+      openCalls += 1;
+      quickChecks = QUICK_CHECKS_AFTER_CALL;
+      if (openCalls > options.calls) {
+        enforce(options.calls, (other) => other.openCalls);
+      }
+      return () => {
+        peer.openCalls -= 1;
+        openCalls -= peers.get(name) === peer ? 1 : 0;
+      };
+    },
+    recordMessage(name, bytes) {
+      const peer = peers.get(name);
+      if (peer !== undefined) {
+        peer.completeBytes += bytes + MESSAGE_FRAME_BYTES;
       }
     },
   };
--- a/packages/transport/src/createPeerTransport.ts
+++ b/packages/transport/src/createPeerTransport.ts
@@ -9,6 +9,7 @@
 import { fail, ok, parseAddress } from '@rattanreel/core';
 import type { Outcome } from '@rattanreel/core';
 import createPeerConnection from './createPeerConnection';
+import createCallInterceptor from './createCallInterceptor';
 import createHandlerGuard from './createHandlerGuard';
 import createMessageMeter from './createMessageMeter';
 import createPeerIntake from './createPeerIntake';
@@ -30,7 +31,7 @@
 /** Number of responses buffered for a slow peer before further ones are dropped. */
 const MAXIMUM_BUFFERED_MESSAGES = 4_096;
 /** Calls of one peer at once: its stream of messages, its questions and its tasks. */
-const MAXIMUM_CONCURRENT_CALLS = 512;
+const MAXIMUM_CONCURRENT_CALLS = 64;
 
 /** Ends a call; calls back once, when the peer's flow control has taken all of it or the call is over. */
 function endCall(
@@ -75,7 +76,11 @@
   const connections = new Map<string, PeerConnection>();
   let closed = false;
 
-  const intake = createPeerIntake({ bytes: options.incompleteBytes ?? Infinity });
+  const intake = createPeerIntake({
+    bytes: options.incompleteBytes ?? Infinity,
+    calls: options.maximumCalls ?? Infinity,
+    recordReceived: options.recordReceived,
+  });
   const meter = createMessageMeter(intake);
   const service = createPeerService(meter);
 
@@ -156,6 +161,7 @@
     'grpc.max_concurrent_streams': MAXIMUM_CONCURRENT_CALLS,
     'grpc.max_receive_message_length': maximumMessageBytes,
     'grpc.max_send_message_length': maximumMessageBytes,
+    interceptors: [createCallInterceptor(intake)],
   });
   server.addService({ ...service }, implementation);
   // A server of gRPC cannot be bound again after a failure, and hides the error's code.
--- a/packages/transport/src/types.ts
+++ b/packages/transport/src/types.ts
@@ -119,6 +119,10 @@
   readonly onHandlerError: (input: HandledInput, error: unknown) => void;
   /** Bytes of incomplete messages that all peers together may send; unlimited if absent. */
   readonly incompleteBytes?: number;
+  /** Calls of all peers at once; unlimited if absent. */
+  readonly maximumCalls?: number;
+  /** Counts bytes that peers have sent. */
+  readonly recordReceived?: (bytes: number) => void;
   /** Longest wait for an answer. */
   readonly answerTimeout?: Milliseconds;
 }
@@ -189,9 +193,11 @@
   getTraffic(): PeerTraffic;
 }
 
-/** Bounds what peers send without completing it. */
+/** Bounds what peers send without completing it, and their calls. */
 export interface PeerIntake {
   add(socket: Socket): void;
+  /** Begins a call of a peer (IP:PORT); returns the function that ends it. */
+  beginCall(peer: string): () => void;
   /** Records a complete message of a peer (IP:PORT), by its encoded size. */
   recordMessage(peer: string, bytes: number): void;
 }
