--- a/packages/entry-host/src/callers/createCallerApplication.ts
+++ b/packages/entry-host/src/callers/createCallerApplication.ts
@@ -1,6 +1,7 @@
 import { Hono } from 'hono';
 import type { Context } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
+import { shareScrapes } from '@rattanreel/observability';
 import { createAdministrationApplication } from '@rattanreel/administration';
 import type { CallerApplicationOptions, CallerEnvironment, CallerServices } from './types';
 import authenticateCaller from './authenticateCaller';
@@ -47,6 +48,7 @@
   const { services, administration, isReady } = options;
   const application = new Hono<CallerEnvironment>();
   const { admission, metrics } = services;
+  const scrape = shareScrapes({ clock: services.clock, scrape: metrics.scrape });
 
   /**
    * Counts the request as in flight until its handler has responded; refuses it when it is not
@@ -96,7 +98,7 @@
     return context.text(ready ? 'ready' : 'not ready', ready ? 200 : 503);
   });
   application.get('/metrics', async (context) => {
-    const { contentType, body } = await metrics.scrape();
+    const { contentType, body } = await scrape();
     return context.body(body, 200, { 'content-type': contentType });
   });
   application.route(ADMINISTRATION_PATH, createAdministrationApplication(administration));
--- a/packages/observability/src/index.ts
+++ b/packages/observability/src/index.ts
@@ -6,4 +6,5 @@
 export { default as createErrorRecorder } from './createErrorRecorder';
 export { default as createLogger } from './createLogger';
 export { default as createMetrics } from './createMetrics';
+export { default as shareScrapes } from './shareScrapes';
 export { default as silentLogger } from './silentLogger';
--- a/packages/relay/src/createMetricsEndpoint.ts
+++ b/packages/relay/src/createMetricsEndpoint.ts
@@ -1,4 +1,5 @@
 import { Hono } from 'hono';
+import { shareScrapes } from '@rattanreel/observability';
 import type { ListenContext } from '@rattanreel/connections';
 import serveApplication from './serveApplication';
 import type { CheckIntake } from './types';
@@ -17,6 +18,7 @@
  */
 export default function createMetricsEndpoint(options: MetricsEndpointOptions): () => void {
   const application = new Hono();
-  application.get('/metrics', async (context) => context.text(await options.scrape()));
+  const scrape = shareScrapes({ clock: options.intake.clock, scrape: options.scrape });
+  application.get('/metrics', async (context) => context.text(await scrape()));
   return serveApplication({ ...options, application, endpoint: 'metrics' });
 }
