--- a/packages/connections/src/intake/createIntakeConnection.ts
+++ b/packages/connections/src/intake/createIntakeConnection.ts
@@ -65,7 +65,7 @@
   const { socket, clock, getLimits } = options;
   const open = new Set<OpenRequest>();
   let latest: OpenRequest | undefined;
-  /** Bytes parsed since the last head was complete. */
+  /** Bytes parsed of a head, or of trailers, that are not complete. */
   let headBytes = 0;
   let headSince: Milliseconds | undefined;
   let idleSince = clock.now();
@@ -98,8 +98,10 @@
     queue: options.queue,
     tryGetMessage: () => latest,
     isAnswered: () => open.size === 0,
-    onParsed(bytes) {
-      headBytes = isComplete() && open.size === 0 ? headBytes + bytes : 0;
+    onParsed(bytes, received) {
+      const isHead = isComplete() && open.size === 0;
+      const isTrailer = !isComplete() && received === 0;
+      headBytes = isHead || isTrailer ? headBytes + bytes : 0;
       recordArrival();
       update();
     },
@@ -160,8 +162,9 @@
 
   return {
     tryBegin(incoming, outgoing) {
-      const size = getHeadBytes(incoming.rawHeaders);
-      const bytes = REQUEST_BYTES + size + (incoming.rawHeaders.length / 2) * FIELD_BYTES;
+      const size = Math.max(getHeadBytes(incoming.rawHeaders), incoming.url?.length ?? 0);
+      const fields = incoming.rawHeaders.length / 2;
+      const bytes = REQUEST_BYTES + 2 * size + fields * FIELD_BYTES;
       const request: OpenRequest = {
         incoming,
         length: getBodyLength(incoming),
--- a/packages/connections/src/intake/createParserFeed.ts
+++ b/packages/connections/src/intake/createParserFeed.ts
@@ -23,8 +23,8 @@
   readonly tryGetMessage: () => ParsedMessage | undefined;
   /** Whether the message that was parsed last has a response. */
   readonly isAnswered: () => boolean;
-  /** Called with the number of bytes after each slice. */
-  readonly onParsed: (bytes: number) => void;
+  /** Called after each slice with its bytes, and how many of them belong to the body. */
+  readonly onParsed: (bytes: number, received: number) => void;
 }
 
 interface ParserFeed {
@@ -69,14 +69,15 @@
     const body = tryGetBody();
     const receivedBefore = body?.getReceived() ?? 0;
     parse(bytes);
-    options.onParsed(bytes.length);
+    const received = (body?.getReceived() ?? 0) - receivedBefore;
+    options.onParsed(bytes.length, received);
     if (body === undefined) {
       return HEAD_WORK;
     }
     if (body.length !== undefined) {
       return 0;
     }
-    const frames = bytes.length - (body.getReceived() - receivedBefore);
+    const frames = bytes.length - received;
     const chunks = Math.max(frames, 0) / CHUNK_FRAME_BYTES;
     if (chunks > MANY_CHUNKS) {
       chunkedSliceBytes = SLICE_BYTES;
