--- a/packages/transport/src/createPeerIntake.ts
+++ b/packages/transport/src/createPeerIntake.ts
@@ -1,10 +1,12 @@
 import type { Socket } from 'node:net';
 import type { PeerIntake } from './types';
 
-const CHECK_INTERVAL_MS = 50;
-/** Interval while much is incomplete, and for how long after a call has begun. */
+/** Interval of checks while nothing arrives completely; messages that do bring checks of their own. */
+const CHECK_INTERVAL_MS = 250;
+const MESSAGE_CHECK_INTERVAL_MS = 50;
+/** Interval while much is incomplete, and for some checks after a call has begun. */
 const QUICK_CHECK_INTERVAL_MS = 10;
-const QUICK_CHECKS_AFTER_CALL = 50;
+const QUICK_CHECKS = 25;
 /** Share of the limit from which checks are quick. */
 const MUCH_SHARE = 1 / 8;
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -47,6 +49,7 @@
   const peers = new Map<string, PeerSocket>();
   let openCalls = 0;
   let quickChecks = 0;
+  let checkedAt = performance.now();
   let timer: NodeJS.Timeout | undefined;
 
   function close(name: string, peer: PeerSocket): void {
@@ -57,34 +60,41 @@
     }
   }
 
-  /**
-   * Closes connections, those of which `measure` returns most first, until the sum is in the limit;
-   * returns the sum before.
-   */
-  function enforce(limit: number, measure: (peer: PeerSocket) => number): number {
+  function sum(measure: (peer: PeerSocket) => number): number {
+    let total = 0;
+    peers.forEach((peer) => {
+      total += measure(peer);
+    });
+    return total;
+  }
+
+  /** Closes connections, those of which `measure` returns most first, until the sum is in the limit. */
+  function enforce(limit: number, measure: (peer: PeerSocket) => number): void {
     const holders = [...peers].map(([name, peer]) => ({ name, peer, held: measure(peer) }));
-    const before = holders.reduce((sum, { held }) => sum + held, 0);
-    let total = before;
+    let total = sum(measure);
     holders.sort((one, other) => other.held - one.held);
     for (const { name, peer, held } of holders) {
       if (total <= limit) {
-        return before;
+        return;
       }
       total -= held;
       close(name, peer);
     }
-    return before;
   }
 
   function checkBytes(): void {
-    let received = 0;
+    checkedAt = performance.now();
+    const received = sum(({ socket, checkedBytes }) => socket.bytesRead - checkedBytes);
+    options.recordReceived?.(received);
     peers.forEach((peer) => {
-      received += peer.socket.bytesRead - peer.checkedBytes;
       peer.checkedBytes = peer.socket.bytesRead;
     });
-    options.recordReceived?.(received);
-    const isMuch = enforce(options.bytes, getIncompleteBytes) > options.bytes * MUCH_SHARE;
-    quickChecks = isMuch ? QUICK_CHECKS_AFTER_CALL : Math.max(quickChecks - 1, 0);
+    const incomplete = sum(getIncompleteBytes);
+    const isMuch = incomplete > options.bytes * MUCH_SHARE;
+    quickChecks = isMuch ? QUICK_CHECKS : Math.max(quickChecks - 1, 0);
+    if (incomplete > options.bytes) {
+      enforce(options.bytes, getIncompleteBytes);
+    }
   }
 
   function scheduleCheck(): void {
@@ -98,6 +108,13 @@
     }
   }
 
+  function checkQuickly(): void {
+    quickChecks = QUICK_CHECKS;
+    clearTimeout(timer);
+    timer = undefined;
+    scheduleCheck();
+  }
+
   return {
     add(socket) {
       const name = `${socket.remoteAddress}:${socket.remotePort}`;
@@ -114,7 +131,9 @@
       }
       peer.openCalls += 1;
       openCalls += 1;
-      quickChecks = QUICK_CHECKS_AFTER_CALL;
+      if (quickChecks === 0) {
+        checkQuickly();
+      }
       if (openCalls > options.calls) {
         enforce(options.calls, (other) => other.openCalls);
       }
@@ -128,6 +147,9 @@
       if (peer !== undefined) {
         peer.completeBytes += bytes + MESSAGE_FRAME_BYTES;
       }
+      if (performance.now() - checkedAt >= MESSAGE_CHECK_INTERVAL_MS) {
+        checkBytes();
+      }
     },
   };
 }
